--- /dev/null
+++ b/packages/routing/src/core/adapters/keeper.ts
@@ -0,0 +1,337 @@
+/**
+ * Keeps one engine's adapters: loads what requests wait for, and makes room.
+ *
+ * Runs in the daemon that holds the engine's claim. Its table is exact, as only this daemon gives the engine orders;
+ * it begins with the engine's own report, taken after an order with the new token has shut out older ones.
+ */
+import type { Log, TimerService } from '@celeryyoke/core';
+
+import type { EngineSpec } from '../catalog/index.js';
+import type { ReplicaEntry } from '../view/index.js';
+import { SlotState, SlotTable } from './slots.js';
+import type { AdapterRef, EngineControl, EngineOrder, Holdings } from './types.js';
+import { adapterKey, OrderKind, OrderOutcome } from './types.js';
+
+/** Adapters that an engine takes in at once; the engines' protocol states it. */
+const MAX_LOADING = 4;
+/** Lag of an engine's report in milliseconds, with a margin; the protocol says some hundred. */
+const REPORT_LAG_MS = 320;
+/** Pause between two looks at an order in progress, in milliseconds: a tenth of a first load, half of a repeated one. */
+const POLL_MS = 12;
+/** Pause when the engine is at another order, in milliseconds. */
+const BUSY_MS = 15;
+/** Longest time for a load of an adapter, in milliseconds; a crowded store takes some times the usual quarter second. */
+const LOAD_LIMIT_MS = 4000;
+/** Longest time for a load of a base model, in milliseconds. */
+const MODEL_LIMIT_MS = 60_000;
+const MODEL_POLL_MS = 200;
+/** First guesses of load times, in milliseconds; replaced by what is measured. */
+const FIRST_LOAD_GUESS_MS = 250;
+const REPEATED_LOAD_GUESS_MS = 25;
+/** Weight of a new measurement of a load time. */
+const GUESS_WEIGHT = 0.3;
+/** Adapters remembered as loaded before on this engine. */
+const MAX_REMEMBERED = 400;
+
+/** Options of a keeper. */
+export interface KeeperOptions {
+  readonly replica: ReplicaEntry;
+  readonly engine: EngineSpec;
+  readonly self: string;
+  readonly control: EngineControl;
+  readonly timers: TimerService;
+  readonly log: Log;
+  /** Asked before each order; undefined when this daemon may give none. */
+  readonly authority: () => number | undefined;
+  /** Called when the engine refused a token. */
+  readonly onFenced: (token: number) => void;
+  /** Called when what the engine holds has changed. */
+  readonly onHoldings: (holdings: Holdings) => void;
+}
+
+interface Wanted extends AdapterRef {
+  readonly key: string;
+  readonly resolve: () => void;
+  readonly reject: (err: Error) => void;
+}
+
+/** Why an adapter could not be had. */
+export class AdapterUnavailable extends Error {}
+
+/** The keeper of one engine. */
+export class Keeper {
+  private readonly slots: SlotTable;
+
+  private readonly queue: Wanted[] = [];
+
+  /** Loads in progress or queued, so that requests for one adapter wait together. */
+  private readonly pending = new Map<string, Promise<void>>();
+
+  private readonly models = new Set<string>();
+
+  private readonly loadedBefore = new Set<string>();
+
+  private guesses = { first: FIRST_LOAD_GUESS_MS, repeated: REPEATED_LOAD_GUESS_MS };
+
+  private isReady = false;
+
+  private isStopped = false;
+
+  private isMakingRoom = false;
+
+  /**
+   * Makes a keeper that has not started.
+   * @param options - The engine and how to talk to it.
+   */
+  constructor(private readonly options: KeeperOptions) {
+    this.slots = new SlotTable(options.timers);
+  }
+
+  /** Learns what the engine holds, loads its base model when it has none, then serves the queue. */
+  async run(): Promise<void> {
+    const { log, replica, timers } = this.options;
+    while (!this.isReady && !this.isStopped) {
+      try {
+        await this.learn();
+      } catch (err) {
+        log.warn(`Engine ${replica.id} can't be kept yet: ${String(err)}.`);
+        await timers.sleep(REPORT_LAG_MS);
+      }
+    }
+    this.pump();
+  }
+
+  /** Gives the engine up: its requests must be asked of the next holder. */
+  stop(): void {
+    this.isStopped = true;
+    for (const wanted of this.queue.splice(0)) wanted.reject(new AdapterUnavailable('The engine was given up.'));
+  }
+
+  /**
+   * Has an adapter on the engine.
+   * @param ref - The adapter.
+   * @returns Resolves when it is in place.
+   * @throws AdapterUnavailable when it can't be had.
+   */
+  ensure(ref: AdapterRef): Promise<void> {
+    const key = adapterKey(ref.model, ref.adapter);
+    if (this.isStopped) return Promise.reject(new AdapterUnavailable('The engine was given up.'));
+    const slot = this.slots.get(key);
+    if (slot?.state === SlotState.Held && slot.version >= (ref.version ?? 0)) {
+      slot.usedAt = this.options.timers.now();
+      return Promise.resolve();
+    }
+    const known = this.pending.get(key);
+    if (known !== undefined) return known;
+    const pending = new Promise<void>((resolve, reject) => {
+      this.queue.push({ ...ref, key, resolve, reject });
+    });
+    this.pending.set(key, pending);
+    const forget = (): void => {
+      this.pending.delete(key);
+    };
+    pending.then(forget, forget);
+    this.pump();
+    return pending;
+  }
+
+  /**
+   * Notes what a daemon told of its requests.
+   * @param key - `model/adapter`.
+   * @param uses - Requests since it told last.
+   */
+  use(key: string, uses: number): void {
+    this.slots.use(key, uses);
+  }
+
+  /**
+   * Notes how many requests run on each adapter, over all daemons.
+   * @param running - By `model/adapter`.
+   */
+  setRunning(running: ReadonlyMap<string, number>): void {
+    for (const slot of this.slots.all()) slot.running = running.get(slot.key) ?? 0;
+  }
+
+  /**
+   * Tells whether an older version of an adapter is in place.
+   * @param key - `model/adapter`.
+   * @param version - The newest version.
+   * @returns Whether it must be replaced.
+   */
+  holdsOlder(key: string, version: number): boolean {
+    const slot = this.slots.get(key);
+    return slot?.state === SlotState.Held && slot.version < version;
+  }
+
+  /** What the engine holds. */
+  holdings(): Holdings | undefined {
+    const token = this.options.authority();
+    if (!this.isReady || token === undefined) return undefined;
+    const adapters: Record<string, number> = {};
+    for (const { key, version, state } of this.slots.all())
+      if (state === SlotState.Held) adapters[key] = version;
+    return { replica: this.options.replica.id, token, models: [...this.models], adapters };
+  }
+
+  private async learn(): Promise<void> {
+    const { control, replica, timers, engine } = this.options;
+    const first = replica.models?.[0]?.name;
+    const model = first ?? engine.models[0]?.name;
+    if (model === undefined) return;
+    if (first === undefined) await this.loadModel(model);
+    else await this.order(OrderKind.Load, { model, adapter: undefined, version: undefined });
+    await timers.sleep(REPORT_LAG_MS);
+    const report = await control.report(replica);
+    for (const held of report.models) {
+      this.models.add(held.name);
+      for (const { name, version } of held.adapters)
+        this.slots.put(adapterKey(held.name, name), version, SlotState.Held);
+    }
+    for (const { model: base, adapter, version } of report.loading)
+      this.slots.put(adapterKey(base, adapter), version, SlotState.Held);
+    this.isReady = this.models.size > 0;
+    this.tell();
+  }
+
+  private async loadModel(model: string): Promise<void> {
+    const { timers, log, replica } = this.options;
+    const end = timers.now() + MODEL_LIMIT_MS;
+    log.info(`Engine ${replica.id} holds no model; loading ${model}.`);
+    while (timers.now() < end && !this.isStopped) {
+      const outcome = await this.order(OrderKind.Load, { model, adapter: undefined, version: undefined });
+      if (outcome === OrderOutcome.Done) return;
+      if (outcome === OrderOutcome.Misdirected || outcome === OrderOutcome.Fenced) break;
+      await timers.sleep(MODEL_POLL_MS);
+    }
+    throw new AdapterUnavailable(`Model ${model} did not load.`);
+  }
+
+  /** Starts as many loads as the engine takes. */
+  private pump(): void {
+    if (!this.isReady || this.isStopped) return;
+    while (this.queue.length > 0 && this.slots.loading < MAX_LOADING) {
+      const wanted = this.queue[0]!;
+      const isReplacement = this.slots.get(wanted.key) !== undefined;
+      if (!isReplacement && this.slots.occupied >= this.options.engine.adapterSlots) {
+        void this.makeRoom();
+        return;
+      }
+      this.queue.shift();
+      void this.load(wanted);
+    }
+  }
+
+  private async load(wanted: Wanted): Promise<void> {
+    const { timers } = this.options;
+    const previous = this.slots.get(wanted.key);
+    const wasHeld = previous?.state === SlotState.Held ? previous.version : undefined;
+    this.slots.put(wanted.key, wanted.version ?? previous?.version ?? 1, SlotState.Loading);
+    if (wasHeld !== undefined) this.tell();
+    const startedAt = timers.now();
+    const outcome = await this.loadUntilDone(wanted, startedAt);
+    if (outcome === OrderOutcome.Done) {
+      this.slots.put(wanted.key, wanted.version ?? previous?.version ?? 1, SlotState.Held);
+      this.learnDuration(wanted.key, timers.now() - startedAt);
+      this.tell();
+      wanted.resolve();
+    } else {
+      // It may still come in; the slot stays counted until the engine itself shows what it holds.
+      if (outcome !== OrderOutcome.Unknown && outcome !== OrderOutcome.Started) this.slots.free(wanted.key);
+      else this.slots.put(wanted.key, wanted.version ?? 1, SlotState.Held);
+      wanted.reject(new AdapterUnavailable(`Loading ${wanted.key} ended as ${outcome}.`));
+    }
+    this.pump();
+  }
+
+  private async loadUntilDone(wanted: Wanted, startedAt: number): Promise<OrderOutcome> {
+    const { timers } = this.options;
+    const guess = this.loadedBefore.has(wanted.key) ? this.guesses.repeated : this.guesses.first;
+    let outcome = OrderOutcome.Unknown;
+    let isFirstLook = true;
+    while (timers.now() - startedAt < LOAD_LIMIT_MS && !this.isStopped) {
+      outcome = await this.order(OrderKind.Load, wanted);
+      if (outcome === OrderOutcome.Done) return outcome;
+      if (outcome === OrderOutcome.Started) {
+        const untilGuess = startedAt + guess - timers.now();
+        await timers.sleep(isFirstLook ? Math.max(POLL_MS, untilGuess) : POLL_MS);
+        isFirstLook = false;
+      } else if (outcome === OrderOutcome.Busy || outcome === OrderOutcome.Unknown) await timers.sleep(BUSY_MS);
+      else return outcome;
+    }
+    return outcome;
+  }
+
+  private learnDuration(key: string, ms: number): void {
+    const kind = this.loadedBefore.has(key) ? 'repeated' : 'first';
+    const known = this.guesses[kind];
+    this.guesses = { ...this.guesses, [kind]: known + GUESS_WEIGHT * (ms - known) };
+    this.loadedBefore.delete(key);
+    this.loadedBefore.add(key);
+    if (this.loadedBefore.size <= MAX_REMEMBERED) return;
+    const [oldest] = this.loadedBefore;
+    this.loadedBefore.delete(oldest!);
+  }
+
+  private async makeRoom(): Promise<void> {
+    if (this.isMakingRoom) return;
+    this.isMakingRoom = true;
+    try {
+      const victim = this.slots.victim();
+      if (victim === undefined) await this.options.timers.sleep(BUSY_MS);
+      else await this.drop(victim.key);
+    } finally {
+      this.isMakingRoom = false;
+    }
+    this.pump();
+  }
+
+  private async drop(key: string): Promise<void> {
+    const slash = key.indexOf('/');
+    const ref = { model: key.slice(0, slash), adapter: key.slice(slash + 1), version: undefined };
+    const slot = this.slots.get(key)!;
+    slot.state = SlotState.Dropping;
+    this.tell();
+    for (;;) {
+      const outcome = await this.order(OrderKind.Unload, ref);
+      if (outcome === OrderOutcome.Done) {
+        this.slots.free(key);
+        return;
+      }
+      if (this.isStopped) return;
+      if (outcome === OrderOutcome.Started) {
+        // Requests run on it; the slot is free when they have ended, which another look will tell.
+        void this.waitForDrop(key, ref);
+        return;
+      }
+      await this.options.timers.sleep(BUSY_MS);
+    }
+  }
+
+  private async waitForDrop(key: string, ref: AdapterRef): Promise<void> {
+    const { timers } = this.options;
+    for (;;) {
+      await timers.sleep(POLL_MS * 4);
+      if (this.isStopped) return;
+      if ((await this.order(OrderKind.Unload, ref)) !== OrderOutcome.Done) continue;
+      this.slots.free(key);
+      this.pump();
+      return;
+    }
+  }
+
+  private async order(kind: OrderKind, ref: Omit<AdapterRef, 'adapter'> & { adapter: string | undefined }) {
+    const { authority, control, replica, self, onFenced } = this.options;
+    const token = authority();
+    if (token === undefined) return OrderOutcome.Unknown;
+    const { model, adapter, version } = ref;
+    const order: EngineOrder = { kind, model, adapter, version, holder: self, token };
+    const outcome = await control.order(replica, order);
+    if (outcome === OrderOutcome.Fenced) onFenced(token);
+    return outcome;
+  }
+
+  private tell(): void {
+    const holdings = this.holdings();
+    if (holdings !== undefined) this.options.onHoldings(holdings);
+  }
+}
--- /dev/null
+++ b/packages/routing/src/core/adapters/loader.ts
@@ -0,0 +1,170 @@
+/**
+ * Adapters over the whole fleet: the keepers of this daemon's engines, and the way to the daemons that keep the
+ * others.
+ */
+import type { Log, TimerService } from '@celeryyoke/core';
+
+import type { Claim, Claims } from '../authority/index.js';
+import type { Cluster } from '../cluster/index.js';
+import { MessageType } from '../cluster/index.js';
+import type { Directory, ReplicaEntry } from '../view/index.js';
+import type { HoldingsBook } from './holdings.js';
+import { AdapterUnavailable, Keeper } from './keeper.js';
+import type { AdapterRef, EngineControl, Holdings } from './types.js';
+import { adapterKey } from './types.js';
+
+/** Options of the loader. */
+export interface LoaderOptions {
+  readonly self: string;
+  readonly cluster: Cluster;
+  readonly claims: Claims;
+  readonly directory: Directory;
+  readonly holdings: HoldingsBook;
+  readonly control: EngineControl;
+  readonly timers: TimerService;
+  readonly log: Log;
+}
+
+/** Body of a request to the daemon that keeps an engine. */
+export interface EnsureWanted extends AdapterRef {
+  readonly replica: string;
+  readonly timeoutMs: number;
+}
+
+/** Has adapters loaded, here or through another daemon. */
+export class Loader {
+  private readonly keepers = new Map<string, Keeper>();
+
+  /**
+   * Makes a loader.
+   * @param options - The fleet and the engines.
+   */
+  constructor(private readonly options: LoaderOptions) {}
+
+  /**
+   * Has an adapter on an engine.
+   * @param replica - The engine.
+   * @param ref - The adapter.
+   * @param timeoutMs - Longest wait.
+   * @throws AdapterUnavailable or Error when it can't be had there in time.
+   */
+  async ensure(replica: ReplicaEntry, ref: AdapterRef, timeoutMs: number): Promise<void> {
+    const claim = this.options.claims.of(replica.id);
+    if (claim === undefined) throw new AdapterUnavailable('Nobody gives this engine orders now.');
+    if (claim.holder === this.options.self) await this.ensureHere({ ...ref, replica: replica.id, timeoutMs });
+    else {
+      const wanted: EnsureWanted = { ...ref, replica: replica.id, timeoutMs };
+      await this.options.cluster.request(claim.holder, MessageType.Ensure, wanted, timeoutMs);
+    }
+  }
+
+  /**
+   * Has an adapter on an engine that this daemon keeps.
+   * @param wanted - Engine, adapter, longest wait.
+   * @throws AdapterUnavailable when it can't be had in time.
+   */
+  async ensureHere({ replica, model, adapter, version, timeoutMs }: EnsureWanted): Promise<void> {
+    const keeper = this.keepers.get(replica);
+    if (keeper === undefined) throw new AdapterUnavailable('This daemon does not keep the engine.');
+    const limit = new AbortController();
+    const timedOut = this.options.timers.sleep(timeoutMs, limit.signal).then(
+      () => {
+        throw new AdapterUnavailable(`Not loaded within ${timeoutMs} ms.`);
+      },
+      () => undefined,
+    );
+    try {
+      await Promise.race([keeper.ensure({ model, adapter, version: version ?? undefined }), timedOut]);
+    } finally {
+      limit.abort();
+    }
+  }
+
+  /**
+   * Begins to keep an engine.
+   * @param claim - This daemon's claim.
+   */
+  gain(claim: Claim): void {
+    const { directory, claims, control, timers, log, self } = this.options;
+    const replica = directory.replica(claim.replica);
+    const engine = replica && directory.table?.service(replica.service)?.engine;
+    if (replica === undefined || engine === undefined) return;
+    const keeper = new Keeper({
+      replica,
+      engine,
+      self,
+      control,
+      timers,
+      log,
+      authority: () => claims.authority(replica.id),
+      onFenced: (token) => claims.refused(replica.id, token),
+      onHoldings: (holdings) => this.tell(holdings),
+    });
+    this.keepers.set(replica.id, keeper);
+    void keeper.run();
+  }
+
+  /**
+   * Ends to keep an engine.
+   * @param claim - The claim that was lost.
+   */
+  lose(claim: Claim): void {
+    this.keepers.get(claim.replica)?.stop();
+    this.keepers.delete(claim.replica);
+  }
+
+  /** Gives all engines up. */
+  close(): void {
+    for (const keeper of this.keepers.values()) keeper.stop();
+    this.keepers.clear();
+  }
+
+  /**
+   * Notes uses that a daemon told.
+   * @param replica - The engine.
+   * @param key - `model/adapter`.
+   * @param uses - Requests begun since it told last.
+   */
+  use(replica: string, key: string, uses: number): void {
+    this.keepers.get(replica)?.use(key, uses);
+  }
+
+  /**
+   * Tells the keepers how many requests run on each adapter.
+   * @param running - Counts the requests of an engine by `model/adapter`.
+   */
+  refreshRunning(running: (replica: string) => ReadonlyMap<string, number>): void {
+    for (const [replica, keeper] of this.keepers) keeper.setRunning(running(replica));
+  }
+
+  /**
+   * Replaces an adapter everywhere it is held in an older version.
+   * @param model - Base model.
+   * @param adapter - Adapter.
+   * @param version - Its newest version.
+   */
+  upgrade(model: string, adapter: string, version: number): void {
+    const key = adapterKey(model, adapter);
+    for (const [replica, keeper] of this.keepers) {
+      if (!keeper.holdsOlder(key, version)) continue;
+      keeper.ensure({ model, adapter, version }).catch((err: unknown) => {
+        this.options.log.warn(`Version ${version} of ${key} did not load on ${replica}: ${String(err)}.`);
+      });
+    }
+  }
+
+  /** What the engines of this daemon hold. */
+  mine(): Holdings[] {
+    const found: Holdings[] = [];
+    for (const keeper of this.keepers.values()) {
+      const holdings = keeper.holdings();
+      if (holdings !== undefined) found.push(holdings);
+    }
+    return found;
+  }
+
+  private tell(holdings: Holdings): void {
+    this.options.holdings.take(holdings);
+    this.options.cluster.broadcast(MessageType.Holdings, holdings);
+  }
+}
--- /dev/null
+++ b/packages/routing/src/core/adapters/slots.ts
@@ -0,0 +1,124 @@
+/** The adapter slots of one engine, as the daemon keeps them that gives it orders. */
+import type { TimerService } from '@celeryyoke/core';
+
+/** What is in a slot. */
+export enum SlotState {
+  Loading = 'loading',
+  Held = 'held',
+  /** Ordered away, but requests still run on it. */
+  Dropping = 'dropping',
+}
+
+/** One occupied slot. */
+export interface Slot {
+  readonly key: string;
+  version: number;
+  state: SlotState;
+  /** Monotonic time of the last known use. */
+  usedAt: number;
+  /** Requests known to run on it, over all daemons. */
+  running: number;
+  /** Uses that fade over {@link FADE_MS}. */
+  uses: number;
+}
+
+/** Time over which uses fade, in milliseconds: demand moves on within seconds. */
+const FADE_MS = 8000;
+/** Time after a load or use in which an adapter is no victim, in milliseconds: the request that waited is on its way. */
+const PROTECTED_MS = 400;
+
+/** The slots. */
+export class SlotTable {
+  private readonly slots = new Map<string, Slot>();
+
+  /**
+   * Makes an empty table.
+   * @param timers - Time.
+   */
+  constructor(private readonly timers: TimerService) {}
+
+  /** Occupied slots, whatever is in them. */
+  get occupied(): number {
+    return this.slots.size;
+  }
+
+  /** Adapters on their way. */
+  get loading(): number {
+    let count = 0;
+    for (const { state } of this.slots.values()) if (state === SlotState.Loading) count += 1;
+    return count;
+  }
+
+  /** All slots. */
+  all(): Iterable<Slot> {
+    return this.slots.values();
+  }
+
+  /**
+   * Finds the slot of an adapter.
+   * @param key - `model/adapter`.
+   * @returns The slot, or undefined.
+   */
+  get(key: string): Slot | undefined {
+    return this.slots.get(key);
+  }
+
+  /**
+   * Occupies a slot.
+   * @param key - `model/adapter`.
+   * @param version - Its version.
+   * @param state - What is known of it.
+   * @returns The slot.
+   */
+  put(key: string, version: number, state: SlotState): Slot {
+    const slot = this.slots.get(key) ?? { key, version, state, usedAt: this.timers.now(), running: 0, uses: 0 };
+    slot.version = version;
+    slot.state = state;
+    slot.usedAt = this.timers.now();
+    this.slots.set(key, slot);
+    return slot;
+  }
+
+  /**
+   * Frees a slot.
+   * @param key - `model/adapter`.
+   */
+  free(key: string): void {
+    this.slots.delete(key);
+  }
+
+  /**
+   * Notes uses that a daemon told.
+   * @param key - `model/adapter`.
+   * @param uses - Requests since it told last.
+   */
+  use(key: string, uses: number): void {
+    const slot = this.slots.get(key);
+    if (slot === undefined || uses === 0) return;
+    slot.uses = this.faded(slot) + uses;
+    slot.usedAt = this.timers.now();
+  }
+
+  /**
+   * Chooses the adapter that is missed least.
+   * @returns Its slot, or undefined when every one is in use.
+   */
+  victim(): Slot | undefined {
+    const now = this.timers.now();
+    let least: Slot | undefined;
+    let leastScore = Number.POSITIVE_INFINITY;
+    for (const slot of this.slots.values()) {
+      if (slot.state !== SlotState.Held || slot.running > 0 || now - slot.usedAt < PROTECTED_MS) continue;
+      const score = this.faded(slot);
+      if (score < leastScore || (score === leastScore && slot.usedAt < least!.usedAt)) {
+        least = slot;
+        leastScore = score;
+      }
+    }
+    return least;
+  }
+
+  private faded(slot: Slot): number {
+    return slot.uses * Math.exp((slot.usedAt - this.timers.now()) / FADE_MS);
+  }
+}
--- /dev/null
+++ b/packages/routing/src/core/adapters/types.ts
@@ -0,0 +1,93 @@
+/** Orders to engines and what they hold. */
+import type { HeldModel, ReplicaEntry } from '../view/index.js';
+
+/** What an order asks for. */
+export enum OrderKind {
+  Load = 'load',
+  Unload = 'unload',
+}
+
+/** An order to an engine. */
+export interface EngineOrder {
+  readonly kind: OrderKind;
+  readonly model: string;
+  /** Left out for the base model itself. */
+  readonly adapter: string | undefined;
+  /** Version to load; the newest when left out. */
+  readonly version: number | undefined;
+  /** The daemon that gives the order. */
+  readonly holder: string;
+  /** Its fencing token. */
+  readonly token: number;
+}
+
+/** What became of an order. */
+export enum OrderOutcome {
+  /** The engine carries it out. */
+  Started = 'started',
+  /** What it asks for is so. */
+  Done = 'done',
+  /** The engine is at another order. */
+  Busy = 'busy',
+  /** Another daemon has given orders with a higher token. */
+  Fenced = 'fenced',
+  /** The engine is not the one that was meant. */
+  Misdirected = 'misdirected',
+  /** The engine finds it wrong. */
+  Refused = 'refused',
+  /** There was no answer; the engine may carry it out. */
+  Unknown = 'unknown',
+}
+
+/** What an engine reports of itself; some hundred milliseconds old. */
+export interface EngineReport {
+  readonly models: readonly HeldModel[];
+  /** Adapters on their way, as model, adapter and version. */
+  readonly loading: readonly { readonly model: string; readonly adapter: string; readonly version: number }[];
+}
+
+/** Talks to engines; a dialect implements it. */
+export interface EngineControl {
+  /**
+   * Gives an order.
+   * @param replica - The engine.
+   * @param order - The order.
+   * @returns What became of it; it does not reject.
+   */
+  order(replica: ReplicaEntry, order: EngineOrder): Promise<OrderOutcome>;
+  /**
+   * Asks for a report.
+   * @param replica - The engine.
+   * @returns The report.
+   * @throws Error when there is none.
+   */
+  report(replica: ReplicaEntry): Promise<EngineReport>;
+}
+
+/** Names an adapter of a model. */
+export interface AdapterRef {
+  readonly model: string;
+  readonly adapter: string;
+  /** The version that is wanted; the newest when left out. */
+  readonly version: number | undefined;
+}
+
+/** What the daemon that gives orders to an engine knows that it holds. */
+export interface Holdings {
+  readonly replica: string;
+  /** Token of the claim under which it was learnt; the highest is believed. */
+  readonly token: number;
+  readonly models: readonly string[];
+  /** Adapters in place, as `model/adapter`, and their versions. */
+  readonly adapters: Readonly<Record<string, number>>;
+}
+
+/**
+ * Names an adapter in tables and messages.
+ * @param model - Base model.
+ * @param adapter - Adapter.
+ * @returns `model/adapter`.
+ */
+export function adapterKey(model: string, adapter: string): string {
+  return `${model}/${adapter}`;
+}
--- /dev/null
+++ b/packages/routing/src/core/authority/claims.ts
@@ -0,0 +1,215 @@
+/**
+ * Which daemon gives orders to which engine.
+ *
+ * A claim carries a fencing token that no two daemons can both use: the time of day in its high part, a number of
+ * the daemon's own in its low part. The holder keeps its claim while it lives; a new daemon takes nothing from it.
+ * An engine without a holder is claimed by the living daemon that comes first for it by rendezvous hashing: at once
+ * when the holder's process has ended, after the lease when it is only silent. The higher token wins.
+ */
+import type { TimerService } from '@celeryyoke/core';
+import { hash32 } from '@celeryyoke/core';
+
+import { MemberState } from '../cluster/index.js';
+
+/** Low part of a token: a number of the daemon's own. 2^12 keeps the token a safe integer until the year 2039. */
+const TOKEN_FACTOR = 4096;
+/** Time after the start in which other daemons' claims come in first, in milliseconds. */
+const SETTLE_MS = 500;
+/** Leases that a minority waits before it takes over from silent daemons: it is more likely cut off itself. */
+const MINORITY_LEASES = 3;
+/** Leases for which an engine that refused this daemon's token is left alone. */
+const REFUSED_LEASES = 2;
+
+/** The right to give orders to one engine. */
+export interface Claim {
+  readonly replica: string;
+  /** The daemon that gives orders. */
+  readonly holder: string;
+  /** Fencing token of its orders. */
+  readonly token: number;
+}
+
+/** What claims need to know of the fleet. */
+export interface FleetView {
+  /** Addresses of the living daemons. */
+  alive(): string[];
+  /** Number of daemons that may live. */
+  possible(): number;
+  state(address: string): MemberState;
+  downForMs(address: string): number;
+}
+
+/** Options of the claims. */
+export interface ClaimsOptions {
+  readonly self: string;
+  readonly fleet: FleetView;
+  readonly timers: TimerService;
+  /** Longest time for which a holder that is not heard may still give orders, in milliseconds. */
+  readonly leaseMs: number;
+  /** Whether this daemon must first renew what it believes. */
+  readonly isRecovering: () => boolean;
+  /** Called when this daemon gains or loses an engine. */
+  readonly onGain: (claim: Claim) => void;
+  readonly onLoss: (claim: Claim, reason: string) => void;
+}
+
+/** The claims that this daemon knows. */
+export class Claims {
+  private readonly claims = new Map<string, Claim>();
+
+  /** Engines that refused this daemon's token, and until when it leaves them alone. */
+  private readonly refusedUntil = new Map<string, number>();
+
+  private readonly startedAt: number;
+
+  private lastToken = 0;
+
+  private isClosed = false;
+
+  /**
+   * Makes an empty book of claims.
+   * @param options - The fleet and what to call.
+   */
+  constructor(private readonly options: ClaimsOptions) {
+    this.startedAt = options.timers.now();
+  }
+
+  /**
+   * Tells who gives orders to an engine.
+   * @param replica - The engine's incarnation.
+   * @returns The claim, or undefined when nobody holds it.
+   */
+  of(replica: string): Claim | undefined {
+    return this.claims.get(replica);
+  }
+
+  /** The claims of this daemon. */
+  mine(): Claim[] {
+    return [...this.claims.values()].filter(({ holder }) => holder === this.options.self);
+  }
+
+  /**
+   * Asked in the step that sends an order.
+   * @param replica - The engine.
+   * @returns The token when this daemon may give it an order now, or undefined.
+   */
+  authority(replica: string): number | undefined {
+    const claim = this.claims.get(replica);
+    if (this.isClosed || claim?.holder !== this.options.self) return undefined;
+    return this.options.isRecovering() || !this.isMajority(MINORITY_LEASES) ? undefined : claim.token;
+  }
+
+  /**
+   * Takes a claim that another daemon told.
+   * @param claim - The claim.
+   */
+  take(claim: Claim): void {
+    const known = this.claims.get(claim.replica);
+    if (known !== undefined && known.token >= claim.token) return;
+    this.claims.set(claim.replica, claim);
+    if (known?.holder === this.options.self && claim.holder !== this.options.self)
+      this.options.onLoss(known, `claimed by ${claim.holder}`);
+  }
+
+  /**
+   * Notes that an engine refused a token of this daemon: another one has given it orders since.
+   * @param replica - The engine.
+   * @param token - The refused token.
+   */
+  refused(replica: string, token: number): void {
+    const claim = this.claims.get(replica);
+    if (claim?.token !== token) return;
+    this.claims.delete(replica);
+    this.refusedUntil.set(replica, this.options.timers.now() + REFUSED_LEASES * this.options.leaseMs);
+    this.options.onLoss(claim, 'its token was refused');
+  }
+
+  /**
+   * Forgets an engine that is gone.
+   * @param replica - The engine.
+   */
+  forget(replica: string): void {
+    const claim = this.claims.get(replica);
+    this.claims.delete(replica);
+    this.refusedUntil.delete(replica);
+    if (claim?.holder === this.options.self) this.options.onLoss(claim, 'the engine is gone');
+  }
+
+  /**
+   * Claims the engines that have no holder and fall to this daemon.
+   * @param replicas - All engines.
+   */
+  review(replicas: Iterable<string>): void {
+    const { timers, isRecovering, fleet, self } = this.options;
+    if (this.isClosed || timers.now() - this.startedAt < SETTLE_MS || isRecovering()) return;
+    const alive = fleet.alive();
+    for (const replica of replicas)
+      if (this.isOrphan(replica) && firstFor(replica, alive) === self) this.claim(replica);
+  }
+
+  /** Gives up all claims of this daemon, for a shutdown. */
+  close(): void {
+    this.isClosed = true;
+  }
+
+  private isOrphan(replica: string): boolean {
+    const { fleet, leaseMs, timers } = this.options;
+    if (timers.now() < (this.refusedUntil.get(replica) ?? 0)) return false;
+    const claim = this.claims.get(replica);
+    if (claim === undefined) return true;
+    const state = fleet.state(claim.holder);
+    if (state === MemberState.Ended) return true;
+    if (state === MemberState.Alive) return false;
+    const patience = this.isMajority(0) ? leaseMs : leaseMs * MINORITY_LEASES;
+    return fleet.downForMs(claim.holder) > patience;
+  }
+
+  /**
+   * Whether this daemon is on the larger side, if the fleet is split.
+   * @param leases - Leases after which silent daemons no longer count; 0 when they always do.
+   */
+  private isMajority(leases: number): boolean {
+    const { fleet, leaseMs } = this.options;
+    const alive = fleet.alive().length;
+    if (alive * 2 >= fleet.possible()) return true;
+    if (leases === 0) return false;
+    return this.aloneForMs() > leases * leaseMs;
+  }
+
+  /** How long this daemon has been on the smaller side. */
+  private aloneForMs(): number {
+    const { fleet, timers } = this.options;
+    const isSmaller = fleet.alive().length * 2 < fleet.possible();
+    if (!isSmaller) this.smallerSince = undefined;
+    else this.smallerSince ??= timers.now();
+    return this.smallerSince === undefined ? 0 : timers.now() - this.smallerSince;
+  }
+
+  private smallerSince: number | undefined;
+
+  private claim(replica: string): void {
+    const { self, timers } = this.options;
+    const own = hash32(self) % TOKEN_FACTOR;
+    const highest = Math.max(this.lastToken, this.claims.get(replica)?.token ?? 0);
+    const base = Math.max(timers.wall(), Math.floor(highest / TOKEN_FACTOR) + 1);
+    const token = Math.floor(base) * TOKEN_FACTOR + own;
+    this.lastToken = token;
+    const claim: Claim = { replica, holder: self, token };
+    this.claims.set(replica, claim);
+    this.options.onGain(claim);
+  }
+}
+
+/** The daemon that comes first for an engine by rendezvous hashing. */
+function firstFor(replica: string, members: readonly string[]): string | undefined {
+  let first: string | undefined;
+  let highest = -1;
+  for (const member of members) {
+    const score = hash32(`${member}|${replica}`);
+    if (score > highest) {
+      highest = score;
+      first = member;
+    }
+  }
+  return first;
+}
--- /dev/null
+++ b/packages/routing/src/core/budget/index.ts
@@ -0,0 +1,3 @@
+/** Repeated sends. */
+export type { BudgetBounds } from './budget.js';
+export { RepeatBudget } from './budget.js';
--- /dev/null
+++ b/packages/routing/src/core/choice/chooser.ts
@@ -0,0 +1,159 @@
+/**
+ * Chooses the replica for a request: the least expected wait, in milliseconds.
+ *
+ * For a generation the wait is the engine's queue, plus a load when the adapter is not there. Each adapter ranks the
+ * engines by rendezvous hashing, and a place further down costs a little, so that an adapter comes back to the same
+ * few engines, where it loads ten times as fast and its prompts are kept.
+ */
+import { hash32 } from '@celeryyoke/core';
+
+import type { HoldingsBook } from '../adapters/index.js';
+import { adapterKey } from '../adapters/index.js';
+import type { Directory, ReplicaEntry } from '../view/index.js';
+import type { LoadBook } from './load.js';
+import type { Standings } from './standing.js';
+
+/** Wait that one request in progress adds on an engine, in milliseconds: its share of prefill and of a longer step. */
+const ENGINE_WAIT_MS = 14;
+/** Wait that a full set of slots adds on a plain service, in milliseconds. */
+const SERVICE_FULL_MS = 60;
+/** Cost of loading an adapter, in milliseconds: the load itself, and the slot that it takes from another. */
+const LOAD_COST_MS = 110;
+/** Cost of each place down the adapter's ranking, in milliseconds, up to {@link MAX_RANK}. */
+const RANK_COST_MS = 10;
+const MAX_RANK = 4;
+/** Cost of a share of failures, in milliseconds. */
+const FAILURE_COST_MS = 1500;
+/** Cost of a replica that rests since it could not be reached, in milliseconds. */
+const REST_COST_MS = 5000;
+/** Weight of a replica's slower first byte against the fastest one of its service. */
+const SLOWNESS_WEIGHT = 0.5;
+/** Cost of another failure domain, in milliseconds: the way and the priced bytes. */
+const DOMAIN_COST_MS = 2;
+/** Time for which the version before a newer one may still be used, in milliseconds, while the newer one loads. */
+const OLDER_VERSION_MS = 2000;
+
+/** What a request needs. */
+export interface Need {
+  readonly service: string;
+  /** Base model of a generation. */
+  readonly model: string | undefined;
+  readonly adapter: string | undefined;
+  /** Replicas that have been tried. */
+  readonly tried: ReadonlySet<string>;
+  /** Replicas that can't load the adapter now. */
+  readonly unloadable: ReadonlySet<string>;
+}
+
+/** A choice. */
+export interface Choice {
+  readonly replica: ReplicaEntry;
+  /** Version of the adapter that is in place; undefined when it must be loaded or there is no adapter. */
+  readonly heldVersion: number | undefined;
+  /** Whether the adapter must be loaded first. */
+  readonly needsLoad: boolean;
+  /** Expected wait in milliseconds. */
+  readonly cost: number;
+}
+
+/** Options of a chooser. */
+export interface ChooserOptions {
+  readonly directory: Directory;
+  readonly holdings: HoldingsBook;
+  readonly loads: LoadBook;
+  readonly standings: Standings;
+  /** Failure domain of this daemon. */
+  readonly zone: string;
+  /** Monotonic milliseconds. */
+  readonly now: () => number;
+}
+
+/** Chooses replicas. */
+export class Chooser {
+  /**
+   * Makes a chooser.
+   * @param options - What it looks at.
+   */
+  constructor(private readonly options: ChooserOptions) {}
+
+  /**
+   * Chooses a replica.
+   * @param need - What the request needs.
+   * @returns The choice, or undefined when no replica can take it.
+   */
+  choose(need: Need): Choice | undefined {
+    const ready = this.options.directory.ready(need.service);
+    const untried = ready.filter(({ id }) => !need.tried.has(id));
+    const able = this.able(untried.length > 0 ? untried : ready, need);
+    const ranks = need.adapter === undefined ? undefined : rankOf(need.adapter, able);
+    const fastest = Math.min(...able.map(({ id }) => this.options.standings.firstByteMs(id) || Infinity));
+    let best: Choice | undefined;
+    for (const replica of able) {
+      const choice = this.weigh(replica, need, ranks?.get(replica.id) ?? 0, fastest);
+      if (choice !== undefined && (best === undefined || choice.cost < best.cost)) best = choice;
+    }
+    return best;
+  }
+
+  /**
+   * Tells which version of an adapter must be used at least.
+   * @param model - Base model.
+   * @param adapter - Adapter.
+   * @returns The version; 0 when any will do.
+   */
+  leastVersion(model: string, adapter: string): number {
+    const declared = this.options.directory.declared(model, adapter);
+    if (declared === undefined) return 0;
+    const isNew = this.options.now() - declared.learntAt < OLDER_VERSION_MS;
+    return isNew ? 0 : declared.version;
+  }
+
+  private able(replicas: readonly ReplicaEntry[], { model }: Need): ReplicaEntry[] {
+    if (model === undefined) return [...replicas];
+    return replicas.filter((replica) => this.options.holdings.holdsModel(replica, model));
+  }
+
+  private weigh(replica: ReplicaEntry, need: Need, rank: number, fastest: number): Choice | undefined {
+    const { loads, standings, zone } = this.options;
+    const { id } = replica;
+    const running = loads.running(id);
+    let cost = need.model === undefined ? (running / replica.slots) * SERVICE_FULL_MS : running * ENGINE_WAIT_MS;
+    cost += standings.failureRate(id) * FAILURE_COST_MS;
+    if (standings.isResting(id)) cost += REST_COST_MS;
+    const firstByte = standings.firstByteMs(id);
+    if (Number.isFinite(fastest) && firstByte > fastest) cost += (firstByte - fastest) * SLOWNESS_WEIGHT;
+    if (replica.zone !== zone) cost += DOMAIN_COST_MS;
+    if (need.model === undefined || need.adapter === undefined)
+      return { replica, heldVersion: undefined, needsLoad: false, cost };
+    const held = this.heldVersion(replica, need.model, need.adapter);
+    if (held === undefined && need.unloadable.has(id)) return undefined;
+    cost += Math.min(rank, MAX_RANK) * RANK_COST_MS + (held === undefined ? LOAD_COST_MS : 0);
+    return { replica, heldVersion: held, needsLoad: held === undefined, cost };
+  }
+
+  private heldVersion(replica: ReplicaEntry, model: string, adapter: string): number | undefined {
+    const held = this.options.holdings.version(replica, model, adapter);
+    return held !== undefined && held >= this.leastVersion(model, adapter) ? held : undefined;
+  }
+}
+
+/** Ranks replicas for an adapter by rendezvous hashing. */
+function rankOf(adapter: string, replicas: readonly ReplicaEntry[]): Map<string, number> {
+  const scored = replicas.map(({ id, host, port }) => ({
+    id,
+    // By address, as a restarted replica finds on its disk what it held before.
+    score: hash32(`${adapter}@${host}:${port}`),
+  }));
+  scored.sort((left, right) => right.score - left.score);
+  return new Map(scored.map(({ id }, index) => [id, index]));
+}
+
+/**
+ * Names what a request uses, for the book of loads.
+ * @param need - What it needs.
+ * @returns `model/adapter`, or undefined.
+ */
+export function useKey(need: Pick<Need, 'model' | 'adapter'>): string | undefined {
+  if (need.model === undefined || need.adapter === undefined) return undefined;
+  return adapterKey(need.model, need.adapter);
+}
--- /dev/null
+++ b/packages/routing/src/core/cluster/cluster.ts
@@ -0,0 +1,272 @@
+/**
+ * Membership from seeds: the daemons find each other through a few addresses that may be stale or down, and then
+ * judge each other by direct heartbeats.
+ *
+ * Every daemon keeps a link to every other one. At 70 daemons that is 70 small messages in each interval.
+ */
+import type { Log, TimerHandle, TimerService } from '@celeryyoke/core';
+import type { Server } from 'node:net';
+
+import { Link, LinkEnd } from './link.js';
+import { listenForPeers } from './listener.js';
+import type { Member, MessageHandler } from './types.js';
+import { MemberState, MessageType } from './types.js';
+
+/** Interval of heartbeats in milliseconds: four are missed before a member counts as silent. */
+const HEARTBEAT_MS = 250;
+/** Time after which a member that is not heard counts as silent, in milliseconds. */
+const SILENT_MS = 1100;
+/** Pause between two tries to reach a member that is down, in milliseconds. */
+const REDIAL_MS = 500;
+/** Time after which a member that ended is no longer dialled, in milliseconds; it comes back by a seed. */
+const FORGET_MS = 60_000;
+
+/** Options of the cluster. */
+export interface ClusterOptions {
+  readonly self: Member;
+  readonly seeds: () => readonly string[];
+  readonly timers: TimerService;
+  readonly log: Log;
+  /** Makes the body of a heartbeat. */
+  readonly heartbeat: () => unknown;
+  /** Called when a link to a member came up, to tell it what it can't know. */
+  readonly onPeer: (address: string) => void;
+  /** Called when the state of a member changed. */
+  readonly onState: (address: string, state: MemberState) => void;
+}
+
+interface Hello {
+  readonly self: Member;
+  readonly known: readonly string[];
+}
+
+interface Peer {
+  readonly address: string;
+  member: Member | undefined;
+  state: MemberState;
+  heardAt: number;
+  link: Link | undefined;
+  /** Monotonic time before which it is not dialled. */
+  dialAt: number;
+  /** Monotonic time since which it has been down. */
+  downSince: number;
+}
+
+/** The members that this daemon knows. */
+export class Cluster {
+  private readonly peers = new Map<string, Peer>();
+
+  private readonly handlers = new Map<MessageType, MessageHandler>();
+
+  private server: Server | undefined;
+
+  private ticking: TimerHandle | undefined;
+
+  private isClosing = false;
+
+  /**
+   * Makes a cluster that has not started.
+   * @param options - Who this daemon is, and whom to ask first.
+   */
+  constructor(private readonly options: ClusterOptions) {}
+
+  /**
+   * Registers the handler of a type of message.
+   * @param type - The type.
+   * @param handler - Called with the sender and the body.
+   */
+  handle(type: MessageType, handler: MessageHandler): void {
+    this.handlers.set(type, handler);
+  }
+
+  /** Starts to listen and to dial. */
+  async start(): Promise<void> {
+    const [host = '', port = ''] = this.options.self.address.split(':');
+    this.server = await listenForPeers(host, Number(port), {
+      onHello: (body) => this.greet(body as Hello),
+      onMessage: (peer, type, body) => this.receive(peer, type, body),
+      onClose: (address) => this.noteClosed(address),
+      onProblem: (peer, err) => this.options.log.debug(`Link from ${peer ?? 'a stranger'}: ${err.message}.`),
+    });
+    this.tick();
+    this.ticking = this.options.timers.repeat(HEARTBEAT_MS, () => this.tick());
+  }
+
+  /** Says goodbye and closes all links. */
+  close(): void {
+    if (this.isClosing) return;
+    this.isClosing = true;
+    this.ticking?.cancel();
+    this.broadcast(MessageType.Goodbye, null);
+    for (const { link } of this.peers.values()) link?.close();
+    this.server?.close();
+  }
+
+  /** Addresses of the members that live, this daemon's included, in a fixed order. */
+  alive(): string[] {
+    const found = [this.options.self.address];
+    for (const peer of this.peers.values()) if (peer.state === MemberState.Alive) found.push(peer.address);
+    return found.sort();
+  }
+
+  /** Members that may live: those that are alive and those that are silent, this daemon included. */
+  possible(): number {
+    let count = 1;
+    for (const { state, member } of this.peers.values())
+      if (member !== undefined && state !== MemberState.Ended) count += 1;
+    return count;
+  }
+
+  /**
+   * Tells the state of a member.
+   * @param address - Its name.
+   * @returns The state; an unknown one counts as ended.
+   */
+  state(address: string): MemberState {
+    if (address === this.options.self.address) return MemberState.Alive;
+    return this.peers.get(address)?.state ?? MemberState.Ended;
+  }
+
+  /**
+   * Tells how long a member has not been alive.
+   * @param address - Its name.
+   * @returns Milliseconds; 0 when it is alive, Infinity when it was never known.
+   */
+  downForMs(address: string): number {
+    if (address === this.options.self.address) return 0;
+    const peer = this.peers.get(address);
+    if (peer === undefined) return Number.POSITIVE_INFINITY;
+    return peer.state === MemberState.Alive ? 0 : this.options.timers.now() - peer.downSince;
+  }
+
+  /**
+   * Sends a message to every member with a link.
+   * @param type - Its type.
+   * @param body - Plain data.
+   */
+  broadcast(type: MessageType, body: unknown): void {
+    for (const { link } of this.peers.values()) link?.send(type, body);
+  }
+
+  /**
+   * Sends a message to one member.
+   * @param address - Its name.
+   * @param type - Its type.
+   * @param body - Plain data.
+   */
+  send(address: string, type: MessageType, body: unknown): void {
+    this.peers.get(address)?.link?.send(type, body);
+  }
+
+  /**
+   * Asks one member.
+   * @param address - Its name.
+   * @param type - Type of the message.
+   * @param body - Plain data.
+   * @param timeoutMs - Longest wait.
+   * @returns Its answer.
+   * @throws Error when it can't be reached or does not answer in time.
+   */
+  request(address: string, type: MessageType, body: unknown, timeoutMs: number): Promise<unknown> {
+    const link = this.peers.get(address)?.link;
+    return link?.request(type, body, timeoutMs) ?? Promise.reject(new Error(`${address} has no link.`));
+  }
+
+  private tick(): void {
+    const now = this.options.timers.now();
+    for (const seed of this.options.seeds()) this.learn(seed);
+    const body = this.options.heartbeat();
+    for (const peer of this.peers.values()) this.tend(peer, now, body);
+  }
+
+  private tend(peer: Peer, now: number, heartbeat: unknown): void {
+    if (peer.state === MemberState.Alive && now - peer.heardAt > SILENT_MS)
+      this.setState(peer, MemberState.Silent);
+    if (peer.link !== undefined) {
+      peer.link.heartbeat(heartbeat);
+      return;
+    }
+    const isForgotten = peer.state === MemberState.Ended && now - peer.downSince > FORGET_MS;
+    if (isForgotten && !this.options.seeds().includes(peer.address)) this.peers.delete(peer.address);
+    else if (now >= peer.dialAt) this.dial(peer);
+  }
+
+  private learn(address: string): Peer | undefined {
+    if (address === this.options.self.address) return undefined;
+    let peer = this.peers.get(address);
+    if (peer === undefined) {
+      const now = this.options.timers.now();
+      const state = MemberState.Ended;
+      peer = { address, member: undefined, state, heardAt: now, link: undefined, dialAt: now, downSince: now };
+      this.peers.set(address, peer);
+      if (this.server !== undefined) this.dial(peer);
+    }
+    return peer;
+  }
+
+  private dial(peer: Peer): void {
+    if (this.isClosing) return;
+    const { timers, self, onPeer } = this.options;
+    peer.link = new Link({
+      address: peer.address,
+      timers,
+      hello: (): Hello => ({ self, known: this.knownAddresses() }),
+      onUp: () => onPeer(peer.address),
+      onDown: (end) => this.noteDown(peer, end),
+    });
+  }
+
+  private knownAddresses(): string[] {
+    const found: string[] = [];
+    for (const peer of this.peers.values()) if (peer.state !== MemberState.Ended) found.push(peer.address);
+    return found;
+  }
+
+  private noteDown(peer: Peer, end: LinkEnd): void {
+    peer.link = undefined;
+    peer.dialAt = this.options.timers.now() + REDIAL_MS;
+    if (end === LinkEnd.Refused) this.setState(peer, MemberState.Ended);
+    else if (peer.state === MemberState.Alive) this.setState(peer, MemberState.Silent);
+  }
+
+  /** The peer's own link to this daemon closed: dial again at once to learn whether its process still runs. */
+  private noteClosed(address: string): void {
+    const peer = this.peers.get(address);
+    if (peer !== undefined && peer.link === undefined) peer.dialAt = 0;
+  }
+
+  private greet({ self, known }: Hello): string {
+    const peer = this.learn(self.address);
+    if (peer === undefined) throw new Error('A daemon spoke with this one’s own address.');
+    const isNewLife = peer.member !== undefined && peer.member.incarnation !== self.incarnation;
+    if (isNewLife && peer.state !== MemberState.Ended) this.setState(peer, MemberState.Ended);
+    peer.member = self;
+    this.hear(peer);
+    for (const address of known) this.learn(address);
+    if (peer.link === undefined) this.dial(peer);
+    return self.address;
+  }
+
+  private receive(address: string, type: MessageType, body: unknown): unknown {
+    const peer = this.peers.get(address);
+    if (peer?.member === undefined) return undefined;
+    if (type === MessageType.Goodbye) {
+      this.setState(peer, MemberState.Ended);
+      return undefined;
+    }
+    this.hear(peer);
+    return this.handlers.get(type)?.(peer.member, body as never);
+  }
+
+  private hear(peer: Peer): void {
+    peer.heardAt = this.options.timers.now();
+    if (peer.state !== MemberState.Alive) this.setState(peer, MemberState.Alive);
+  }
+
+  private setState(peer: Peer, state: MemberState): void {
+    if (peer.state === state) return;
+    if (peer.state === MemberState.Alive) peer.downSince = this.options.timers.now();
+    peer.state = state;
+    this.options.onState(peer.address, state);
+  }
+}
--- /dev/null
+++ b/packages/routing/src/core/cluster/frames.ts
@@ -0,0 +1,45 @@
+/** Frames of a link between daemons: a length of four bytes, then MessagePack. */
+import { Packr } from 'msgpackr';
+
+const LENGTH_BYTES = 4;
+/** Largest frame in bytes; a whole view of 1,000 routes and 900 replicas is under 1 MB. */
+const MAX_FRAME_BYTES = 8 * 1024 * 1024;
+
+const packr = new Packr({ useRecords: false, mapsAsObjects: true });
+
+/**
+ * Encodes a frame.
+ * @param value - Plain data.
+ * @returns The bytes with their length in front.
+ */
+export function encodeFrame(value: unknown): Buffer {
+  const body = packr.pack(value);
+  const frame = Buffer.allocUnsafe(LENGTH_BYTES + body.length);
+  frame.writeUInt32BE(body.length, 0);
+  body.copy(frame, LENGTH_BYTES);
+  return frame;
+}
+
+/** Cuts a byte stream into frames. */
+export class FrameReader {
+  private rest: Buffer = Buffer.alloc(0);
+
+  /**
+   * Takes bytes in.
+   * @param chunk - Bytes as they came.
+   * @returns The values of the frames that are now complete.
+   * @throws RangeError when a frame is too large, which ends the link.
+   */
+  *take(chunk: Buffer): Generator<unknown> {
+    this.rest = this.rest.length === 0 ? chunk : Buffer.concat([this.rest, chunk]);
+    while (this.rest.length >= LENGTH_BYTES) {
+      const length = this.rest.readUInt32BE(0);
+      if (length > MAX_FRAME_BYTES) throw new RangeError(`A frame of ${length} bytes is too large.`);
+      const end = LENGTH_BYTES + length;
+      if (this.rest.length < end) return;
+      const value: unknown = packr.unpack(this.rest.subarray(LENGTH_BYTES, end));
+      this.rest = this.rest.subarray(end);
+      yield value;
+    }
+  }
+}
--- /dev/null
+++ b/packages/routing/src/core/cluster/types.ts
@@ -0,0 +1,49 @@
+/** The daemons as one: who lives, and what they tell each other. */
+
+/** A daemon of the fleet. */
+export interface Member {
+  /** Where it listens for peers, as `host:port`; its name in the fleet. */
+  readonly address: string;
+  /** Failure domain. */
+  readonly zone: string;
+  /** Names one life of its process; a later one is larger. */
+  readonly incarnation: number;
+}
+
+/** Whether a member takes part. */
+export enum MemberState {
+  /** Heard within the last moments. */
+  Alive = 'alive',
+  /** Silent; it may be dead, cut off or paused. */
+  Silent = 'silent',
+  /** Its process has ended, by its own word or by a refused connection. */
+  Ended = 'ended',
+}
+
+/** What a message between daemons is about. */
+export enum MessageType {
+  /** First message of a link: who speaks, and whom it knows. */
+  Hello = 1,
+  Heartbeat = 2,
+  /** Changes of the view. */
+  Delta = 3,
+  /** Asks for the changes since a revision. */
+  DeltaWanted = 4,
+  /** The speaker gives orders to an engine. */
+  Claim = 5,
+  /** What an engine holds, by the daemon that gives it orders. */
+  Holdings = 6,
+  /** Asks the daemon that gives orders to an engine to have an adapter there. */
+  Ensure = 7,
+  /** The speaker's process ends. */
+  Goodbye = 8,
+}
+
+/** A message with its number when an answer is due. */
+export interface Envelope {
+  readonly type: MessageType;
+  readonly body: unknown;
+}
+
+/** Handles the messages of one type; what it returns or resolves to is the answer to a request. */
+export type MessageHandler = (from: Member, body: never) => unknown;
--- /dev/null
+++ b/packages/routing/src/core/daemon/heartbeat.ts
@@ -0,0 +1,104 @@
+/** Heartbeats and the other messages between router daemons: what each part tells and takes. */
+import type { Log } from '@celeryyoke/core';
+
+import type { EnsureWanted, Holdings, HoldingsBook, Loader } from '../adapters/index.js';
+import type { Claim, Claims } from '../authority/index.js';
+import type { LoadBook, LoadLine, UseLine } from '../choice/index.js';
+import type { Cluster, Member } from '../cluster/index.js';
+import { MessageType } from '../cluster/index.js';
+import type { Delta, SharedView } from '../view/index.js';
+
+/** What a heartbeat carries. */
+export interface Heartbeat {
+  /** Revision up to which the speaker's view is complete. */
+  readonly upTo: number;
+  /** How long ago that was confirmed, in milliseconds. */
+  readonly ageMs: number;
+  readonly loads: readonly LoadLine[];
+  readonly uses: readonly UseLine[];
+  /** Engines that the speaker gives orders to. */
+  readonly claims: readonly Claim[];
+}
+
+/** The parts that talk. */
+export interface TalkingParts {
+  readonly cluster: Cluster;
+  readonly view: SharedView;
+  readonly claims: Claims;
+  readonly loader: Loader;
+  readonly holdings: HoldingsBook;
+  readonly loads: LoadBook;
+  readonly log: Log;
+}
+
+/** What the parts of the daemons tell each other. */
+export class Conversation {
+  /** Revision up to which each peer's view is complete, by its last word. */
+  private readonly peerUpTo = new Map<string, number>();
+
+  /**
+   * Registers the handlers of all messages.
+   * @param parts - The parts that talk.
+   */
+  constructor(private readonly parts: TalkingParts) {
+    const { cluster, claims, holdings, loader, view } = parts;
+    cluster.handle(MessageType.Heartbeat, (from, body: Heartbeat) => this.takeHeartbeat(from, body));
+    cluster.handle(MessageType.Delta, (from, delta: Delta) => this.takeDelta(from, delta));
+    cluster.handle(MessageType.DeltaWanted, (from, upTo: number) => {
+      cluster.send(from.address, MessageType.Delta, view.since(upTo));
+    });
+    cluster.handle(MessageType.Claim, (_from, claim: Claim) => claims.take(claim));
+    cluster.handle(MessageType.Holdings, (_from, told: Holdings) => holdings.take(told));
+    cluster.handle(MessageType.Ensure, (_from, wanted: EnsureWanted) => loader.ensureHere(wanted));
+  }
+
+  /**
+   * Makes a heartbeat.
+   * @returns Its body.
+   */
+  heartbeat(): Heartbeat {
+    const { view, loads, claims, loader } = this.parts;
+    const told = loads.tell();
+    for (const [replica, key, , begun] of told.uses) loader.use(replica, key, begun);
+    loader.refreshRunning((replica) => loads.runningByAdapter(replica));
+    const ageMs = Number.isFinite(view.ageMs) ? Math.round(view.ageMs) : -1;
+    return { upTo: view.upTo, ageMs, ...told, claims: claims.mine() };
+  }
+
+  /**
+   * Tells a peer whose link came up what only changes are told of otherwise.
+   * @param address - The peer.
+   */
+  welcome(address: string): void {
+    const { cluster, claims, loader } = this.parts;
+    for (const claim of claims.mine()) cluster.send(address, MessageType.Claim, claim);
+    for (const told of loader.mine()) cluster.send(address, MessageType.Holdings, told);
+  }
+
+  /** Gives the peers what this daemon has read and they have not. */
+  publish(): void {
+    const { view, cluster } = this.parts;
+    for (const address of cluster.alive()) {
+      const known = this.peerUpTo.get(address);
+      if (known === undefined || known >= view.upTo) continue;
+      cluster.send(address, MessageType.Delta, view.since(known));
+      this.peerUpTo.set(address, view.upTo);
+    }
+  }
+
+  private takeHeartbeat(from: Member, body: Heartbeat): void {
+    const { view, loads, claims, loader, cluster } = this.parts;
+    this.peerUpTo.set(from.address, body.upTo);
+    loads.take(from.address, body.loads, body.uses);
+    for (const [replica, key, , begun] of body.uses) loader.use(replica, key, begun);
+    for (const claim of body.claims) claims.take(claim);
+    if (body.ageMs >= 0) view.confirm(body.upTo, body.ageMs);
+    if (body.upTo > view.upTo) cluster.send(from.address, MessageType.DeltaWanted, view.upTo);
+  }
+
+  private takeDelta(from: Member, delta: Delta): void {
+    const { view, cluster } = this.parts;
+    if (!view.apply(delta)) cluster.send(from.address, MessageType.DeltaWanted, view.upTo);
+    else view.confirm(delta.upTo, 0);
+  }
+}
--- /dev/null
+++ b/packages/routing/src/core/daemon/router.ts
@@ -0,0 +1,327 @@
+/**
+ * A router daemon: every part in one kernel, its start, and its graceful shutdown.
+ *
+ * Read from top to bottom, {@link services} is the list of what a daemon consists of and which part needs which.
+ */
+import type { Kernel, Service, ServiceFinder } from '@celeryyoke/core';
+import { createKernel } from '@celeryyoke/core';
+
+import { HoldingsBook, Loader } from '../adapters/index.js';
+import { Claims, PauseWatch } from '../authority/index.js';
+import { RepeatBudget } from '../budget/index.js';
+import { ChannelPool } from '../channels/index.js';
+import { Chooser, LoadBook, Standings } from '../choice/index.js';
+import { Cluster, MessageType } from '../cluster/index.js';
+import { RequestServer } from '../requests/index.js';
+import { Directory, Follower, RecordKind, SharedView } from '../view/index.js';
+import { Conversation } from './heartbeat.js';
+import type { ReadinessServer } from './readiness.js';
+import { listenForReadiness } from './readiness.js';
+import type { RouterOptions } from './types.js';
+
+/** Names under which the parts find each other. */
+enum Part {
+  View = 'view',
+  Directory = 'directory',
+  Pauses = 'pauses',
+  Cluster = 'cluster',
+  Claims = 'claims',
+  Channels = 'channels',
+  Holdings = 'holdings',
+  Loads = 'loads',
+  Standings = 'standings',
+  Loader = 'loader',
+  Conversation = 'conversation',
+  Follower = 'follower',
+  Requests = 'requests',
+  Readiness = 'readiness',
+}
+
+/** How often claims are reviewed, in milliseconds. */
+const REVIEW_MS = 100;
+/** Time after the signal in which the balancer still sends new connections, in milliseconds: two missed questions and a margin. */
+const LEAVE_ROTATION_MS = 2600;
+/** Part of the grace that is kept for ending, in milliseconds. */
+const GRACE_MARGIN_MS = 400;
+const DRAIN_LOOK_MS = 50;
+
+/** A daemon that routes requests. */
+export class Router {
+  private readonly kernel: Kernel = createKernel();
+
+  private readonly budgets = new Map<string, RepeatBudget>();
+
+  private isLeaving = false;
+
+  private seeds: readonly string[];
+
+  /**
+   * Makes a daemon that has not started.
+   * @param options - Settings, time, logs and the adapters to the platform.
+   */
+  constructor(private readonly options: RouterOptions) {
+    this.seeds = options.settings.seeds;
+    for (const service of this.services()) this.kernel.register(service);
+  }
+
+  /** Starts all parts. */
+  async start(): Promise<void> {
+    const { settings, log } = this.options;
+    await this.kernel.start();
+    log.info(`Started ${settings.name} at ${settings.host}, zone ${settings.zone}.`);
+  }
+
+  /**
+   * Takes new seeds, after a reload of the settings.
+   * @param seeds - Peers to ask first.
+   */
+  reseed(seeds: readonly string[]): void {
+    this.seeds = seeds;
+    this.options.log.info(`Reloaded; seeds ${seeds.join(', ')}.`);
+  }
+
+  /**
+   * Leaves without interrupting a request: out of rotation, engines handed over, the last answers given.
+   * @param cause - Why, for the log.
+   */
+  async drain(cause: string): Promise<void> {
+    if (this.isLeaving) return;
+    this.isLeaving = true;
+    const { timers, settings, log } = this.options;
+    const startedAt = timers.now();
+    const requests = this.get<RequestServer>(Part.Requests);
+    log.info(`Stopping ${settings.name} (${cause}) with ${requests.running} requests in progress.`);
+    this.get<Claims>(Part.Claims).close();
+    requests.drain();
+    this.get<Cluster>(Part.Cluster).close();
+    const end = startedAt + settings.graceMs - GRACE_MARGIN_MS;
+    while (timers.now() < end) {
+      const isOut = timers.now() - startedAt > LEAVE_ROTATION_MS;
+      if (isOut && requests.running === 0) break;
+      await timers.sleep(DRAIN_LOOK_MS);
+    }
+    log.info(`Stopped ${settings.name} with ${requests.running} requests in progress.`);
+    requests.close();
+  }
+
+  private get<T>(part: Part): T {
+    return this.kernel.get<T>(part);
+  }
+
+  private services(): Service[] {
+    const { timers, log } = this.options;
+    return [
+      { name: Part.View, start: () => new SharedView(timers) },
+      { name: Part.Channels, start: () => new ChannelPool() },
+      { name: Part.Loads, start: () => new LoadBook(timers) },
+      { name: Part.Standings, start: () => new Standings(timers) },
+      { name: Part.Pauses, start: () => startPauses(this.options) },
+      {
+        name: Part.Directory,
+        needs: [Part.View],
+        start: (kernel) => new Directory(kernel.get(Part.View), timers),
+      },
+      {
+        name: Part.Holdings,
+        needs: [Part.Directory],
+        start: (kernel) => new HoldingsBook(kernel.get(Part.Directory)),
+      },
+      { name: Part.Cluster, start: () => this.makeCluster() },
+      {
+        name: Part.Claims,
+        needs: [Part.Cluster, Part.Pauses, Part.Directory],
+        start: (kernel) => this.makeClaims(kernel),
+      },
+      {
+        name: Part.Loader,
+        needs: [Part.Cluster, Part.Claims, Part.Directory, Part.Holdings, Part.Channels],
+        start: (kernel) => this.makeLoader(kernel),
+      },
+      {
+        name: Part.Conversation,
+        needs: [Part.Cluster, Part.View, Part.Claims, Part.Loader, Part.Holdings, Part.Loads],
+        start: (kernel) => startConversation(kernel, log),
+      },
+      {
+        name: Part.Follower,
+        needs: [Part.View, Part.Cluster, Part.Conversation],
+        start: (kernel) => this.startFollower(kernel),
+      },
+      {
+        name: Part.Requests,
+        needs: [Part.Directory, Part.Holdings, Part.Loads, Part.Standings, Part.Channels, Part.Loader, Part.Cluster],
+        start: (kernel) => this.startRequests(kernel),
+      },
+      {
+        name: Part.Readiness,
+        needs: [Part.Requests, Part.Directory],
+        start: (kernel) => this.startReadiness(kernel),
+      },
+    ] satisfies Service[] as Service[];
+  }
+
+  private makeCluster(): Cluster {
+    const { settings, timers, log } = this.options;
+    const address = `${settings.host}:${settings.peerPort}`;
+    return new Cluster({
+      self: { address, zone: settings.zone, incarnation: timers.wall() },
+      seeds: () => this.seeds,
+      timers,
+      log,
+      heartbeat: () => this.get<Conversation>(Part.Conversation).heartbeat(),
+      onPeer: (peer) => this.get<Conversation>(Part.Conversation).welcome(peer),
+      onState: (peer, state) => log.info(`Peer ${peer} is ${state}.`),
+    });
+  }
+
+  private makeClaims(kernel: ServiceFinder): Claims {
+    const { settings, timers, log } = this.options;
+    const cluster = kernel.get<Cluster>(Part.Cluster);
+    const directory = kernel.get<Directory>(Part.Directory);
+    const pauses = kernel.get<PauseWatch>(Part.Pauses);
+    const claims = new Claims({
+      self: `${settings.host}:${settings.peerPort}`,
+      fleet: cluster,
+      timers,
+      leaseMs: settings.leaseMs,
+      isRecovering: () => pauses.isRecovering,
+      onGain: (claim) => {
+        log.info(`Gives orders to ${claim.replica} with token ${claim.token}.`);
+        cluster.broadcast(MessageType.Claim, claim);
+        this.get<Loader>(Part.Loader).gain(claim);
+      },
+      onLoss: (claim, reason) => {
+        log.info(`Gives no more orders to ${claim.replica}: ${reason}.`);
+        this.get<Loader>(Part.Loader).lose(claim);
+      },
+    });
+    directory.onReplica((id, entry) => {
+      if (entry === undefined) claims.forget(id);
+    });
+    timers.repeat(REVIEW_MS, () => claims.review(enginesOf(directory)));
+    return claims;
+  }
+
+  private makeLoader(kernel: ServiceFinder): Loader {
+    const { settings, timers, log, control } = this.options;
+    const directory = kernel.get<Directory>(Part.Directory);
+    const loader = new Loader({
+      self: `${settings.host}:${settings.peerPort}`,
+      cluster: kernel.get(Part.Cluster),
+      claims: kernel.get(Part.Claims),
+      directory,
+      holdings: kernel.get(Part.Holdings),
+      control: control(kernel.get(Part.Channels)),
+      timers,
+      log,
+    });
+    const channels = kernel.get<ChannelPool>(Part.Channels);
+    directory.onReplica((id, entry) => {
+      if (entry === undefined) channels.forget(id);
+    });
+    return loader;
+  }
+
+  private startFollower(kernel: ServiceFinder): Follower {
+    const { settings, timers, log, source } = this.options;
+    const view = kernel.get<SharedView>(Part.View);
+    const cluster = kernel.get<Cluster>(Part.Cluster);
+    const conversation = kernel.get<Conversation>(Part.Conversation);
+    const self = `${settings.host}:${settings.peerPort}`;
+    view.onChange(({ record }) => {
+      if (record?.kind !== RecordKind.AdapterVersion) return;
+      const { model, adapter, version } = record.declared;
+      log.info(`Version ${version} of ${model}/${adapter} was declared.`);
+      this.get<Loader>(Part.Loader).upgrade(model, adapter, version);
+    });
+    const follower = new Follower({
+      view,
+      source,
+      timers,
+      rank: () => cluster.alive().indexOf(self),
+      publish: () => conversation.publish(),
+      onSource: (isReachable, reason) =>
+        log.warn(isReachable ? 'The platform answers again.' : `The platform does not answer: ${reason}.`),
+    });
+    void follower.run();
+    return follower;
+  }
+
+  private async startRequests(kernel: ServiceFinder): Promise<RequestServer> {
+    const { settings, timers, log, dialect } = this.options;
+    const directory = kernel.get<Directory>(Part.Directory);
+    const holdings = kernel.get<HoldingsBook>(Part.Holdings);
+    const loads = kernel.get<LoadBook>(Part.Loads);
+    const standings = kernel.get<Standings>(Part.Standings);
+    const loader = kernel.get<Loader>(Part.Loader);
+    const cluster = kernel.get<Cluster>(Part.Cluster);
+    const chooser = new Chooser({ directory, holdings, loads, standings, zone: settings.zone, now: timers.now });
+    directory.onTable(({ document }) => log.info(`Configuration ${document.version} is in force.`));
+    const server = new RequestServer({
+      host: settings.host,
+      port: settings.callerPort,
+      directory,
+      timers,
+      log,
+      parts: {
+        dialect,
+        chooser,
+        pool: kernel.get(Part.Channels),
+        loads,
+        standings,
+        timers,
+        log,
+        ensure: (replica, ref, timeoutMs) => loader.ensure(replica, ref, timeoutMs),
+        notHeld: (replica, key) => holdings.drop(replica, key),
+        budget: (service) => this.budget(service, cluster),
+      },
+    });
+    await server.listen();
+    await cluster.start();
+    return server;
+  }
+
+  private budget(service: string, cluster: Cluster): RepeatBudget {
+    let budget = this.budgets.get(service);
+    if (budget === undefined) {
+      budget = new RepeatBudget(this.options.settings.budget, () => cluster.possible(), this.options.timers);
+      this.budgets.set(service, budget);
+    }
+    return budget;
+  }
+
+  private startReadiness(kernel: ServiceFinder): Promise<ReadinessServer> {
+    const { settings, isReadinessPath } = this.options;
+    const directory = kernel.get<Directory>(Part.Directory);
+    return listenForReadiness({
+      host: settings.host,
+      port: settings.readinessPort,
+      isReadinessPath,
+      isReady: () => !this.isLeaving && directory.table !== undefined,
+    });
+  }
+}
+
+function startPauses({ timers, log }: RouterOptions): PauseWatch {
+  const pauses = new PauseWatch(timers, (ms) => log.warn(`This process stood still for ${Math.round(ms)} ms.`));
+  pauses.start();
+  return pauses;
+}
+
+function startConversation(kernel: ServiceFinder, log: RouterOptions['log']): Conversation {
+  return new Conversation({
+    cluster: kernel.get(Part.Cluster),
+    view: kernel.get(Part.View),
+    claims: kernel.get(Part.Claims),
+    loader: kernel.get(Part.Loader),
+    holdings: kernel.get(Part.Holdings),
+    loads: kernel.get(Part.Loads),
+    log,
+  });
+}
+
+/** Incarnations of all engines. */
+function* enginesOf(directory: Directory): Generator<string> {
+  for (const { id, service } of directory.all())
+    if (directory.table?.service(service)?.engine !== undefined) yield id;
+}
--- /dev/null
+++ b/packages/routing/src/core/daemon/types.ts
@@ -0,0 +1,41 @@
+/** What a router daemon is given. */
+import type { Log, TimerService } from '@celeryyoke/core';
+
+import type { EngineControl } from '../adapters/index.js';
+import type { BudgetBounds } from '../budget/index.js';
+import type { ChannelPool } from '../channels/index.js';
+import type { RequestDialect } from '../requests/index.js';
+import type { RecordSource } from '../view/index.js';
+
+/** Settings of a router daemon; an adapter to a platform reads them from the platform's own. */
+export interface RouterSettings {
+  /** Name of the daemon, for logs and orders. */
+  readonly name: string;
+  /** Address of its host. */
+  readonly host: string;
+  /** Failure domain. */
+  readonly zone: string;
+  readonly callerPort: number;
+  readonly readinessPort: number;
+  readonly peerPort: number;
+  /** Peers to ask first, as `host:port`; they may be stale or down. */
+  readonly seeds: readonly string[];
+  /** Time for a graceful shutdown in milliseconds. */
+  readonly graceMs: number;
+  /** Lease of the right to give orders, in milliseconds. */
+  readonly leaseMs: number;
+  readonly budget: BudgetBounds;
+}
+
+/** Options of a router daemon. */
+export interface RouterOptions {
+  readonly settings: RouterSettings;
+  readonly timers: TimerService;
+  readonly log: Log;
+  readonly dialect: RequestDialect;
+  readonly source: RecordSource;
+  /** Makes the client for orders over the daemon's own connections. */
+  readonly control: (pool: ChannelPool) => EngineControl;
+  /** Whether a path on the readiness port is the question. */
+  readonly isReadinessPath: (path: string) => boolean;
+}
--- /dev/null
+++ b/packages/routing/src/core/requests/headers.ts
@@ -0,0 +1,45 @@
+/** Headers that concern one connection only and are never passed on. */
+import type { HeaderMap } from '../channels/index.js';
+
+const HOP_BY_HOP = new Set([
+  'connection',
+  'keep-alive',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'proxy-connection',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+]);
+
+/**
+ * Tells whether a header concerns one connection only.
+ * @param name - Name in lower case.
+ * @param connection - Value of the `connection` header, which may name further ones.
+ * @returns Whether it must not be passed on.
+ */
+export function isHopByHop(name: string, connection: string | undefined): boolean {
+  if (HOP_BY_HOP.has(name)) return true;
+  if (connection === undefined || connection === 'keep-alive' || connection === 'close') return false;
+  return connection
+    .toLowerCase()
+    .split(',')
+    .some((token) => token.trim() === name);
+}
+
+/**
+ * Makes the headers of an answer to the caller from the replica's.
+ * @param headers - The replica's headers.
+ * @returns Names and values by turns, without those of one connection.
+ */
+export function passedHeaders(headers: HeaderMap): string[] {
+  const passed: string[] = [];
+  const connection = typeof headers.connection === 'string' ? headers.connection : undefined;
+  for (const [name, value] of Object.entries(headers)) {
+    if (value === undefined || isHopByHop(name, connection)) continue;
+    if (typeof value === 'string') passed.push(name, value);
+    else for (const one of value) passed.push(name, one);
+  }
+  return passed;
+}
--- /dev/null
+++ b/packages/routing/src/core/requests/index.ts
@@ -0,0 +1,15 @@
+/** Requests of callers, from their arrival to the answer. */
+export { OwnAnswer } from './answers.js';
+export { isHopByHop } from './headers.js';
+export type { JourneyParts } from './journey.js';
+export { StreamRelay } from './relay.js';
+export type { RequestServerOptions } from './server.js';
+export { RequestServer } from './server.js';
+export type {
+  AnswerNotes,
+  GenerationNeed,
+  HeadProblem,
+  RequestDialect,
+  RequestHead,
+  UpstreamNotes,
+} from './types.js';
--- /dev/null
+++ b/packages/routing/src/core/requests/journey.ts
@@ -0,0 +1,318 @@
+/**
+ * One request's way: choose a replica, have the adapter there, send, and decide what a failure allows.
+ *
+ * A request that may have run is sent again only where its route allows that; one that is proved not to have run may
+ * go to another replica in any case. Every repeat is paid from the budget.
+ */
+import type { Log, TimerHandle, TimerService } from '@celeryyoke/core';
+import type { ServerResponse } from 'node:http';
+
+import type { AdapterRef } from '../adapters/index.js';
+import type { RepeatBudget } from '../budget/index.js';
+import type { Route } from '../catalog/index.js';
+import { RouteKind } from '../catalog/index.js';
+import type { ChannelPool } from '../channels/index.js';
+import type { Choice, Chooser, LoadBook, Standings } from '../choice/index.js';
+import { useKey } from '../choice/index.js';
+import type { ReplicaEntry } from '../view/index.js';
+import { OwnAnswer, sendOwn } from './answers.js';
+import { passedHeaders } from './headers.js';
+import { StreamRelay } from './relay.js';
+import { Send } from './send.js';
+import type { HeldAnswer, RequestDialect, RequestHead, SendResult } from './types.js';
+import { SendEnd } from './types.js';
+
+/** Part of the objective for which a request waits while no replica can take it; the users price longer holds. */
+const PATIENCE_SHARE = 1 / 8;
+/** Pause between two looks for a replica, in milliseconds. */
+const LOOK_MS = 20;
+/** When a refused caller may come back, in milliseconds. */
+const RETRY_AFTER_MS = 250;
+/** Longest wait for an adapter on one engine, in milliseconds, before another engine is tried. */
+const LOAD_WAIT_MS = 1500;
+/** Most sends of one request that were refused without having run. */
+const MAX_REFUSALS = 4;
+const FIRST_FAILURE_STATUS = 500;
+
+/** What a journey uses of the daemon. */
+export interface JourneyParts {
+  readonly dialect: RequestDialect;
+  readonly chooser: Chooser;
+  readonly pool: ChannelPool;
+  readonly loads: LoadBook;
+  readonly standings: Standings;
+  readonly timers: TimerService;
+  readonly log: Log;
+  /** Has an adapter on an engine, through the daemon that gives it orders. */
+  readonly ensure: (replica: ReplicaEntry, ref: AdapterRef, timeoutMs: number) => Promise<void>;
+  /** Notes that an engine does not hold an adapter. */
+  readonly notHeld: (replica: string, key: string) => void;
+  /** The budget of a service. */
+  readonly budget: (service: string) => RepeatBudget;
+}
+
+/** A request that begins its way. */
+export interface JourneyOptions {
+  readonly head: RequestHead;
+  readonly body: Buffer | undefined;
+  readonly route: Route;
+  readonly service: string;
+  readonly res: ServerResponse;
+  /** Monotonic time of its arrival. */
+  readonly arrivedAt: number;
+}
+
+/** One request's way. */
+export class Journey {
+  private readonly tried = new Set<string>();
+
+  private readonly unloadable = new Set<string>();
+
+  private readonly deadlineAt: number;
+
+  private readonly relay: StreamRelay | undefined;
+
+  private send: Send | undefined;
+
+  private sends = 0;
+
+  /** Sends after which the request may have run. */
+  private runs = 0;
+
+  private refusals = 0;
+
+  private isOver = false;
+
+  /** The last whole answer that a repeat might better. */
+  private held: HeldAnswer | undefined;
+
+  /**
+   * Makes a journey.
+   * @param parts - The daemon's parts.
+   * @param options - The request.
+   */
+  constructor(
+    private readonly parts: JourneyParts,
+    private readonly options: JourneyOptions,
+  ) {
+    const { head, route, res, arrivedAt } = options;
+    this.deadlineAt = arrivedAt + Math.min(head.waitMs ?? route.timeoutMs, route.timeoutMs);
+    if (route.kind === RouteKind.Streaming) this.relay = new StreamRelay(res, head.lastEventId);
+  }
+
+  /** Goes the whole way; the caller has its answer when it ends. */
+  async run(): Promise<void> {
+    const { res, service } = this.options;
+    this.parts.budget(service).earn();
+    const onClose = (): void => this.leave('The caller left.');
+    res.once('close', onClose);
+    const timer = this.startTimer();
+    try {
+      await this.goOn();
+    } finally {
+      timer.cancel();
+      res.off('close', onClose);
+    }
+  }
+
+  private startTimer(): TimerHandle {
+    const { timers } = this.parts;
+    return timers.after(Math.max(0, this.deadlineAt - timers.now()), () => {
+      if (this.runs > 0 || this.send !== undefined) this.finish(OwnAnswer.TimedOut, 'The time is over.');
+      else this.finish(OwnAnswer.NotRun, 'No replica could take it in time.', RETRY_AFTER_MS);
+      this.leave('The time is over.');
+    });
+  }
+
+  private leave(reason: string): void {
+    this.isOver = true;
+    this.send?.cancel(reason);
+  }
+
+  private async goOn(): Promise<void> {
+    while (!this.isOver) {
+      const choice = await this.findReplica();
+      if (choice === undefined || this.isOver) break;
+      const result = await this.sendTo(choice);
+      if (!this.mayGoOn(choice, result)) break;
+    }
+    if (!this.isOver) this.giveUp();
+  }
+
+  /** Chooses until there is a replica that has the adapter, or patience ends. */
+  private async findReplica(): Promise<Choice | undefined> {
+    const { timers, chooser, log } = this.parts;
+    const { head, service, route } = this.options;
+    const patienceEnds = timers.now() + route.objectiveMs * PATIENCE_SHARE;
+    while (!this.isOver) {
+      const choice = chooser.choose({
+        service,
+        model: head.generation?.model,
+        adapter: head.generation?.adapter,
+        tried: this.tried,
+        unloadable: this.unloadable,
+      });
+      if (choice === undefined) {
+        if (timers.now() >= patienceEnds) return undefined;
+        this.unloadable.clear();
+        await timers.sleep(LOOK_MS);
+      } else if (!choice.needsLoad || (await this.load(choice.replica))) return choice;
+      else log.debug(`Request ${head.id}: ${choice.replica.id} can't load its adapter.`);
+    }
+    return undefined;
+  }
+
+  private async load(replica: ReplicaEntry): Promise<boolean> {
+    const { timers, chooser, ensure, log } = this.parts;
+    const { model, adapter } = this.options.head.generation!;
+    const version = chooser.leastVersion(model, adapter!) || undefined;
+    const timeoutMs = Math.min(LOAD_WAIT_MS, this.deadlineAt - timers.now());
+    try {
+      await ensure(replica, { model, adapter: adapter!, version }, timeoutMs);
+      return true;
+    } catch (err) {
+      log.debug(`Request ${this.options.head.id}: no ${adapter} on ${replica.id}: ${String(err)}.`);
+      this.unloadable.add(replica.id);
+      return false;
+    }
+  }
+
+  private async sendTo({ replica, heldVersion }: Choice): Promise<SendResult> {
+    const { dialect, pool, timers, loads, standings } = this.parts;
+    const { head, body, route } = this.options;
+    const end = loads.begin(replica.id, this.useKey());
+    const headers = dialect.upstreamHeaders(head, {
+      waitMs: Math.max(1, Math.floor(this.deadlineAt - timers.now())),
+      instance: replica.id,
+      version: heldVersion === undefined || heldVersion === 0 ? undefined : heldVersion,
+      rank: head.generation === undefined ? undefined : route.rank,
+      lastEventId: this.relay?.lastId,
+    });
+    const call = { method: head.method, path: head.target, headers, body };
+    this.sends += 1;
+    this.send = new Send({ pool, dialect, timers, replica, call, requestId: head.id, relay: this.relay });
+    const result = await this.send.result;
+    this.send = undefined;
+    end();
+    this.judge(replica, result, standings);
+    return result;
+  }
+
+  private judge(replica: ReplicaEntry, result: SendResult, standings: Standings): void {
+    const { end, answer, wasSent, firstByteMs } = result;
+    if (end === SendEnd.Cancelled || end === SendEnd.Misdirected) return;
+    if (end === SendEnd.NotRun && !wasSent) standings.unreachable(replica.id);
+    else {
+      const isFailure = answer !== undefined && answer.status >= FIRST_FAILURE_STATUS;
+      const isGood = end === SendEnd.Relayed || (end === SendEnd.Answered && !isFailure);
+      standings.note(replica.id, isGood, isGood ? firstByteMs : undefined);
+    }
+  }
+
+  /** Decides what follows from the end of a send; when nothing does, the caller has been answered. */
+  private mayGoOn({ replica }: Choice, result: SendResult): boolean {
+    this.tried.add(replica.id);
+    if (this.isOver) return false;
+    return DECISIONS[result.end](this, replica, result);
+  }
+
+  /** The replica's whole answer: passed on, unless it is a failure that another replica may better. */
+  onAnswered(answer: HeldAnswer): boolean {
+    this.runs += 1;
+    const { kind, maxAttempts } = this.options.route;
+    const isFailure = answer.status >= FIRST_FAILURE_STATUS;
+    const canRepeat = kind === RouteKind.Safe && this.runs < maxAttempts && this.timeLeft() > 0;
+    if (isFailure && canRepeat && this.pay()) {
+      this.held = answer;
+      return true;
+    }
+    this.deliver(answer);
+    return false;
+  }
+
+  /** The stream was passed on to its end. */
+  onRelayed(): boolean {
+    this.relay!.end();
+    this.isOver = true;
+    return false;
+  }
+
+  /** Not run: another replica may take it. */
+  onNotRun(): boolean {
+    this.refusals += 1;
+    return this.refusals < MAX_REFUSALS && this.timeLeft() > 0 && this.pay();
+  }
+
+  /** The replica is gone or lacks the adapter: what was believed of it is corrected, and the choice made again. */
+  onMisdirected(replica: ReplicaEntry): boolean {
+    const key = this.useKey();
+    if (key !== undefined) {
+      this.parts.notHeld(replica.id, key);
+      this.tried.delete(replica.id);
+    }
+    return this.onNotRun();
+  }
+
+  /** It may have run: only a safe request goes on. */
+  onUnknown(): boolean {
+    this.runs += 1;
+    const { kind, maxAttempts, isResumable } = this.options.route;
+    const isRepeatable = kind === RouteKind.Safe || (kind === RouteKind.Streaming && isResumable);
+    return isRepeatable && this.runs < maxAttempts && this.timeLeft() > 0 && this.pay();
+  }
+
+  /** A stream broke: another replica goes on behind the last event, where the route allows it. */
+  onBrokenStream(): boolean {
+    const { isResumable, maxAttempts } = this.options.route;
+    this.runs += 1;
+    return isResumable && this.runs < maxAttempts && this.timeLeft() > 0 && this.pay();
+  }
+
+  private pay(): boolean {
+    return this.parts.budget(this.options.service).spend();
+  }
+
+  private timeLeft(): number {
+    return this.deadlineAt - this.parts.timers.now();
+  }
+
+  private useKey(): string | undefined {
+    const { generation } = this.options.head;
+    return useKey({ model: generation?.model, adapter: generation?.adapter });
+  }
+
+  private giveUp(): void {
+    if (this.held !== undefined) this.deliver(this.held);
+    else if (this.runs > 0) this.finish(OwnAnswer.OutcomeUnknown, 'It may have run, and no answer came.');
+    else this.finish(OwnAnswer.NotRun, 'No replica can take it now.', RETRY_AFTER_MS);
+  }
+
+  private deliver({ status, headers, body }: HeldAnswer): void {
+    const { res } = this.options;
+    this.isOver = true;
+    if (res.headersSent || res.destroyed) return;
+    res.writeHead(status, passedHeaders({ ...headers, 'content-length': String(body.length) }));
+    res.end(body);
+  }
+
+  private finish(kind: OwnAnswer, reason: string, retryAfterMs?: number): void {
+    this.isOver = true;
+    this.parts.log.info(`Request ${this.options.head.id}: ${kind} after ${this.sends} sends. ${reason}`);
+    if (this.relay?.hasBegun) this.relay.breakOff();
+    else if (this.held !== undefined) this.deliver(this.held);
+    else sendOwn(this.options.res, kind, reason, retryAfterMs);
+  }
+}
+
+/** What each end of a send leads to; true when the journey goes on. */
+const DECISIONS: Readonly<
+  Record<SendEnd, (journey: Journey, replica: ReplicaEntry, result: SendResult) => boolean>
+> = {
+  [SendEnd.Answered]: (journey, _replica, { answer }) => journey.onAnswered(answer!),
+  [SendEnd.Relayed]: (journey) => journey.onRelayed(),
+  [SendEnd.NotRun]: (journey) => journey.onNotRun(),
+  [SendEnd.Misdirected]: (journey, replica) => journey.onMisdirected(replica),
+  [SendEnd.Unknown]: (journey) => journey.onUnknown(),
+  [SendEnd.BrokenStream]: (journey) => journey.onBrokenStream(),
+  [SendEnd.Cancelled]: () => false,
+};
--- /dev/null
+++ b/packages/routing/src/core/requests/server.ts
@@ -0,0 +1,171 @@
+/** The callers' listener: one task for each request, and a shutdown that interrupts none. */
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import { createServer } from 'node:http';
+import type { Socket } from 'node:net';
+
+import type { Log, TimerService } from '@celeryyoke/core';
+import { hash32 } from '@celeryyoke/core';
+
+import type { Route } from '../catalog/index.js';
+import type { Directory } from '../view/index.js';
+import { OwnAnswer, sendOwn } from './answers.js';
+import { BodyProblem, readCallerBody } from './body.js';
+import type { JourneyParts } from './journey.js';
+import { Journey } from './journey.js';
+import type { RequestHead } from './types.js';
+
+/** When a caller may come back to a daemon that knows no configuration yet, in milliseconds. */
+const NO_CONFIG_RETRY_MS = 300;
+/** Bounds before the first configuration; the configuration's own replace them. */
+const FIRST_HEADER_TIMEOUT_MS = 3000;
+const FIRST_IDLE_TIMEOUT_MS = 15_000;
+/** Largest head in bytes; Node.js takes it only when the listener is made. */
+const MAX_HEAD_BYTES = 16_384;
+/** How often slow heads are looked for, in milliseconds. */
+const HEAD_CHECK_MS = 500;
+/** Time in which a body must have come, in milliseconds. */
+const BODY_TIMEOUT_MS = 30_000;
+/** Connections that wait to be accepted. */
+const BACKLOG = 1024;
+const WEIGHT_SCALE = 1_000_000;
+
+/** Options of the callers' server. */
+export interface RequestServerOptions {
+  readonly host: string;
+  readonly port: number;
+  readonly directory: Directory;
+  readonly parts: JourneyParts;
+  readonly timers: TimerService;
+  readonly log: Log;
+}
+
+/** The callers' server. */
+export class RequestServer {
+  /** Requests in progress. */
+  running = 0;
+
+  private readonly server: Server;
+
+  private isDraining = false;
+
+  /**
+   * Makes a server that does not listen.
+   * @param options - Where, and the parts that serve.
+   */
+  constructor(private readonly options: RequestServerOptions) {
+    this.server = createServer(
+      {
+        maxHeaderSize: MAX_HEAD_BYTES,
+        headersTimeout: FIRST_HEADER_TIMEOUT_MS,
+        requestTimeout: BODY_TIMEOUT_MS,
+        keepAliveTimeout: FIRST_IDLE_TIMEOUT_MS,
+        connectionsCheckingInterval: HEAD_CHECK_MS,
+        noDelay: true,
+      },
+      (req, res) => {
+        void this.serve(req, res);
+      },
+    );
+    this.server.on('clientError', (err: NodeJS.ErrnoException, socket: Socket) => refuse(err, socket));
+    options.directory.onTable(({ document }) => {
+      this.server.headersTimeout = document.bounds.headerTimeoutMs;
+      this.server.keepAliveTimeout = document.bounds.idleTimeoutMs;
+    });
+  }
+
+  /** Starts to listen. */
+  listen(): Promise<void> {
+    const { host, port } = this.options;
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen({ host, port, backlog: BACKLOG }, resolve);
+    });
+  }
+
+  /** From now on each answer is the last on its connection; requests that still arrive are served. */
+  drain(): void {
+    this.isDraining = true;
+  }
+
+  /** Closes connections that wait between two requests, and the listener. */
+  close(): void {
+    this.server.close();
+    this.server.closeIdleConnections();
+  }
+
+  private async serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    this.running += 1;
+    res.on('error', (err) => this.options.log.debug(`An answer could not be written: ${err.message}.`));
+    if (this.isDraining) res.shouldKeepAlive = false;
+    try {
+      await this.answer(req, res);
+    } catch (err) {
+      this.options.log.error(`A request failed within: ${err instanceof Error ? err.stack : String(err)}`);
+      if (res.headersSent) res.destroy();
+      else sendOwn(res, OwnAnswer.OutcomeUnknown, 'Internal error.');
+    } finally {
+      this.running -= 1;
+    }
+  }
+
+  private async answer(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const { directory, parts, timers, log } = this.options;
+    const arrivedAt = timers.now();
+    const head = parts.dialect.readHead(req);
+    if ('reason' in head) {
+      log.info(`A request was refused: ${head.reason}`);
+      res.shouldKeepAlive = false;
+      sendOwn(res, OwnAnswer.BadRequest, head.reason);
+      return;
+    }
+    const { table } = directory;
+    if (table === undefined) {
+      req.resume();
+      sendOwn(res, OwnAnswer.NotRun, 'No configuration yet.', NO_CONFIG_RETRY_MS);
+      return;
+    }
+    const route = table.match(head.host, pathOf(head.target));
+    if (route === undefined) {
+      req.resume();
+      log.info(`Request ${head.id}: no route for ${head.host}${head.target} in version ${table.document.version}.`);
+      sendOwn(res, OwnAnswer.NoRoute, 'No route matches.');
+      return;
+    }
+    const body = await readCallerBody(req, table.document.bounds.maxBodyBytes);
+    if (body === BodyProblem.TooLarge) sendOwn(res, OwnAnswer.BodyTooLarge, 'The body is too large.');
+    else if (body !== BodyProblem.Broken)
+      await new Journey(parts, { head, body, route, service: pickService(route, head), res, arrivedAt }).run();
+  }
+}
+
+function pathOf(target: string): string {
+  const query = target.indexOf('?');
+  return query < 0 ? target : target.slice(0, query);
+}
+
+/** Divides the requests of a route between its services by weight. */
+function pickService({ targets }: Route, head: RequestHead): string {
+  if (targets.length === 1) return targets[0]!.service;
+  const sum = targets.reduce((total, { weight }) => total + weight, 0);
+  let place = ((hash32(head.id) % WEIGHT_SCALE) / WEIGHT_SCALE) * sum;
+  for (const { service, weight } of targets) {
+    place -= weight;
+    if (place < 0) return service;
+  }
+  return targets.at(-1)!.service;
+}
+
+const CLIENT_ERRORS: Readonly<Record<string, string>> = {
+  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
+  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
+};
+
+/** Answers bytes that are no request. */
+function refuse(err: NodeJS.ErrnoException, socket: Socket): void {
+  if (err.code === 'ECONNRESET' || !socket.writable) {
+    socket.destroy();
+    return;
+  }
+  const status = CLIENT_ERRORS[err.code ?? ''] ?? '400 Bad Request';
+  socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+}
--- /dev/null
+++ b/packages/routing/src/index.ts
@@ -0,0 +1,11 @@
+/** Requests described by their headers, routed by kind to replicas; a fleet that finds itself from seeds. */
+export * from './core/adapters/index.js';
+export * from './core/authority/index.js';
+export * from './core/budget/index.js';
+export * from './core/catalog/index.js';
+export * from './core/channels/index.js';
+export * from './core/choice/index.js';
+export * from './core/cluster/index.js';
+export * from './core/daemon/index.js';
+export * from './core/requests/index.js';
+export * from './core/view/index.js';
--- a/packages/serving/src/core/streams/position.ts
+++ b/packages/serving/src/core/streams/position.ts
@@ -4,7 +4,7 @@
  * An engine that can resume numbers its tokens from 0 by the `id` of the event. So a token that comes twice is
  * known and left out, one that is missing is noticed, and another stream can go on with the right one.
  */
-import { NO_ID } from './scanner.js';
+import { NO_ID } from '@celeryyoke/core';
 
 /** What becomes of an event. */
 export enum Verdict {
--- a/packages/serving/src/core/streams/relay.ts
+++ b/packages/serving/src/core/streams/relay.ts
@@ -2,10 +2,10 @@
 import type { Readable, Writable } from 'node:stream';
 
 import type { TimerHandle, TimerService } from '@celeryyoke/core';
+import { EventKind, EventScanner } from '@celeryyoke/core';
 
 import type { StreamPosition } from './position.js';
 import { Verdict } from './position.js';
-import { EventKind, EventScanner } from './scanner.js';
 import type { RelayResult } from './types.js';
 import { RelayEnd } from './types.js';
 
