--- a/packages/routing/src/core/requests/journey.ts
+++ b/packages/routing/src/core/requests/journey.ts
@@ -297,7 +297,7 @@
 
   private finish(kind: OwnAnswer, reason: string, retryAfterMs?: number): void {
     this.isOver = true;
-    this.parts.log.info(`Request ${this.options.head.id}: ${kind} after ${this.sends} sends. ${reason}`);
+    this.parts.log.info(`Request ${this.options.head.id}: ${kind} after ${this.sends} sends, ${Math.round(this.parts.timers.now() - this.options.arrivedAt)} ms of ${Math.round(this.deadlineAt - this.options.arrivedAt)}, route ${this.options.route.name} ${this.options.route.kind}. ${reason}`);
     if (this.relay?.hasBegun) this.relay.breakOff();
     else if (this.held !== undefined) this.deliver(this.held);
     else sendOwn(this.options.res, kind, reason, retryAfterMs);
