Place adapters by the slots that are left, and drop loads that nobody waits for

Change: rooms in each heartbeat, a first load and a slot have a price in the choice, keepers serve the most urgent load that is still waited for; an adapter on its way out is out before it is loaded again; a leaving daemon keeps its links.

--- a/packages/routing/src/core/adapters/holdings.ts
+++ b/packages/routing/src/core/adapters/holdings.ts
@@ -1,22 +1,35 @@
 /** What each engine holds, as far as this daemon knows: from the daemon that gives it orders, or from the registry. */
 import type { Directory, ReplicaEntry } from '../view/index.js';
-import type { Holdings } from './types.js';
+import type { Holdings, Room, RoomLine } from './types.js';
 import { adapterKey } from './types.js';
 
 /** Says that a version is not known; the engine holds some version. */
 export const ANY_VERSION = 0;
 
+/** Adapters remembered for each slot of an engine: it keeps copies of about that many in its host's memory. */
+const REMEMBERED_PER_SLOT = 6;
+const LEAST_REMEMBERED = 48;
+const NO_ROOM: Room = { room: 0, queued: 0 };
+
 /** The book of holdings. */
 export class HoldingsBook {
   private readonly told = new Map<string, Holdings>();
 
+  private readonly rooms = new Map<string, Room>();
+
+  /** Adapters that each engine held of late, the latest last; they load ten times as fast there and cost nothing. */
+  private readonly recent = new Map<string, Set<string>>();
+
   /**
    * Makes an empty book.
    * @param directory - The registry's view, used where no daemon tells more.
    */
   constructor(private readonly directory: Directory) {
     directory.onReplica((id, entry) => {
-      if (entry === undefined) this.told.delete(id);
+      if (entry !== undefined) return;
+      this.told.delete(id);
+      this.rooms.delete(id);
+      this.recent.delete(id);
     });
   }
 
@@ -26,7 +39,63 @@
    */
   take(holdings: Holdings): void {
     const known = this.told.get(holdings.replica);
-    if (known === undefined || holdings.token >= known.token) this.told.set(holdings.replica, holdings);
+    if (known !== undefined && holdings.token < known.token) return;
+    this.told.set(holdings.replica, holdings);
+    this.remember(holdings.replica, Object.keys(holdings.adapters));
+  }
+
+  /**
+   * Takes what a peer remembers of an engine, after this daemon's start.
+   * @param replica - The engine.
+   * @param keys - Adapters held of late, the latest last.
+   */
+  takeRecent(replica: string, keys: readonly string[]): void {
+    const own = this.recent.get(replica) ?? [];
+    this.recent.set(replica, new Set([...keys, ...own]));
+  }
+
+  /**
+   * Lists what engines held of late, for a peer that has just started.
+   * @returns Engines and their adapters, the latest last.
+   */
+  allRecent(): [replica: string, keys: string[]][] {
+    return [...this.recent].map(([replica, keys]) => [replica, [...keys]]);
+  }
+
+  /**
+   * Tells whether an engine held an adapter of late.
+   * @param replica - The engine.
+   * @param key - `model/adapter`.
+   * @returns Whether a load there is a fast one.
+   */
+  wasHeld(replica: string, key: string): boolean {
+    return this.recent.get(replica)?.has(key) ?? false;
+  }
+
+  /**
+   * Takes what a keeper tells of its engine's slots.
+   * @param line - The engine and its slots.
+   */
+  takeRoom([replica, room, queued]: RoomLine): void {
+    this.rooms.set(replica, { room, queued });
+  }
+
+  /**
+   * Notes that a load is asked for, until the keeper tells anew.
+   * @param replica - The engine.
+   */
+  useRoom(replica: string): void {
+    const { room, queued } = this.room(replica);
+    this.rooms.set(replica, room > 0 ? { room: room - 1, queued } : { room, queued: queued + 1 });
+  }
+
+  /**
+   * Tells how an engine's slots stand.
+   * @param replica - The engine.
+   * @returns No room when nobody tells.
+   */
+  room(replica: string): Room {
+    return this.rooms.get(replica) ?? NO_ROOM;
   }
 
   /**
@@ -67,4 +136,18 @@
     const held = this.directory.replica(replica.id)?.models?.find(({ name }) => name === model);
     return held?.adapters.find(({ name }) => name === adapter)?.version;
   }
+
+  private remember(replica: string, keys: readonly string[]): void {
+    const recent = this.recent.get(replica) ?? new Set<string>();
+    this.recent.set(replica, recent);
+    for (const key of keys) {
+      recent.delete(key);
+      recent.add(key);
+    }
+    const most = Math.max(LEAST_REMEMBERED, keys.length * REMEMBERED_PER_SLOT);
+    for (const oldest of recent) {
+      if (recent.size <= most) break;
+      recent.delete(oldest);
+    }
+  }
 }
--- a/packages/routing/src/core/adapters/index.ts
+++ b/packages/routing/src/core/adapters/index.ts
@@ -1,9 +1,9 @@
 /** Adapters on engines: who holds what, loads and victims. */
 export { ANY_VERSION, HoldingsBook } from './holdings.js';
-export type { KeeperOptions } from './keeper.js';
+export type { KeeperOptions, Urgency } from './keeper.js';
 export { AdapterUnavailable, Keeper } from './keeper.js';
 export type { EnsureWanted, LoaderOptions } from './loader.js';
 export { Loader } from './loader.js';
 export { SlotState, SlotTable } from './slots.js';
-export type { AdapterRef, EngineControl, EngineOrder, EngineReport, Holdings } from './types.js';
+export type { AdapterRef, EngineControl, EngineOrder, EngineReport, Holdings, Room, RoomLine } from './types.js';
 export { adapterKey, OrderKind, OrderOutcome } from './types.js';
--- a/packages/routing/src/core/adapters/keeper.ts
+++ b/packages/routing/src/core/adapters/keeper.ts
@@ -9,7 +9,7 @@
 import type { EngineSpec } from '../catalog/index.js';
 import type { ReplicaEntry } from '../view/index.js';
 import { SlotState, SlotTable } from './slots.js';
-import type { AdapterRef, EngineControl, EngineOrder, Holdings } from './types.js';
+import type { AdapterRef, EngineControl, EngineOrder, Holdings, RoomLine } from './types.js';
 import { adapterKey, OrderKind, OrderOutcome } from './types.js';
 
 /** Adapters that an engine takes in at once; the engines' protocol states it. */
@@ -18,6 +18,8 @@
 const REPORT_LAG_MS = 320;
 /** Pause between two looks at an order in progress, in milliseconds: a tenth of a first load, half of a repeated one. */
 const POLL_MS = 12;
+/** Pause between two looks at an adapter on its way out, in milliseconds: its last request runs for a second or so. */
+const DROP_POLL_MS = 50;
 /** Pause when the engine is at another order, in milliseconds. */
 const BUSY_MS = 15;
 /** Longest time for a load of an adapter, in milliseconds; a crowded store takes some times the usual quarter second. */
@@ -49,8 +51,21 @@
   readonly onHoldings: (holdings: Holdings) => void;
 }
 
+/** How urgently an adapter is wanted. */
+export interface Urgency {
+  /** Rank of the request; 0 is the most urgent. */
+  readonly rank: number;
+  /** Longest wait in milliseconds; a load that has not begun by then is not begun. */
+  readonly timeoutMs: number;
+}
+
 interface Wanted extends AdapterRef {
   readonly key: string;
+  /** The most urgent rank of the requests that wait for it. */
+  rank: number;
+  /** Monotonic time at which the last request that waits for it gives up. */
+  until: number;
+  readonly promise: Promise<void>;
   readonly resolve: () => void;
   readonly reject: (err: Error) => void;
 }
@@ -65,7 +80,7 @@
   private readonly queue: Wanted[] = [];
 
   /** Loads in progress or queued, so that requests for one adapter wait together. */
-  private readonly pending = new Map<string, Promise<void>>();
+  private readonly pending = new Map<string, Wanted>();
 
   private readonly models = new Set<string>();
 
@@ -110,29 +125,25 @@
   /**
    * Has an adapter on the engine.
    * @param ref - The adapter.
+   * @param urgency - Rank and longest wait.
    * @returns Resolves when it is in place.
    * @throws AdapterUnavailable when it can't be had.
    */
-  ensure(ref: AdapterRef): Promise<void> {
+  ensure(ref: AdapterRef, { rank, timeoutMs }: Urgency): Promise<void> {
     const key = adapterKey(ref.model, ref.adapter);
     if (this.isStopped) return Promise.reject(new AdapterUnavailable('The engine was given up.'));
     const slot = this.slots.get(key);
+    const now = this.options.timers.now();
     if (slot?.state === SlotState.Held && slot.version >= (ref.version ?? 0)) {
-      slot.usedAt = this.options.timers.now();
+      slot.usedAt = now;
       return Promise.resolve();
     }
     const known = this.pending.get(key);
-    if (known !== undefined) return known;
-    const pending = new Promise<void>((resolve, reject) => {
-      this.queue.push({ ...ref, key, resolve, reject });
-    });
-    this.pending.set(key, pending);
-    const forget = (): void => {
-      this.pending.delete(key);
-    };
-    pending.then(forget, forget);
-    this.pump();
-    return pending;
+    const wanted = known ?? this.want(ref, key);
+    wanted.rank = Math.min(wanted.rank, rank);
+    wanted.until = Math.max(wanted.until, now + timeoutMs);
+    if (known === undefined) this.pump();
+    return wanted.promise;
   }
 
   /**
@@ -206,18 +217,53 @@
     throw new AdapterUnavailable(`Model ${model} did not load.`);
   }
 
+  private want(ref: AdapterRef, key: string): Wanted {
+    let resolve!: () => void;
+    let reject!: (err: Error) => void;
+    const promise = new Promise<void>((onDone, onFailure) => {
+      resolve = onDone;
+      reject = onFailure;
+    });
+    const wanted: Wanted = { ...ref, key, rank: Number.MAX_SAFE_INTEGER, until: 0, promise, resolve, reject };
+    this.pending.set(key, wanted);
+    this.queue.push(wanted);
+    const forget = (): void => {
+      this.pending.delete(key);
+    };
+    promise.then(forget, forget);
+    return wanted;
+  }
+
+  /** The most urgent load that can begin; those that nobody waits for any more are dropped. */
+  private next(): number {
+    const now = this.options.timers.now();
+    for (let index = this.queue.length - 1; index >= 0; index -= 1) {
+      if (this.queue[index]!.until > now) continue;
+      const [late] = this.queue.splice(index, 1);
+      late!.reject(new AdapterUnavailable('Its turn did not come in time.'));
+    }
+    let first = -1;
+    for (const [index, { key, rank }] of this.queue.entries()) {
+      // What is on its way out must be out first, or two orders for one adapter could overtake each other.
+      if (this.slots.get(key)?.state === SlotState.Dropping) continue;
+      if (first < 0 || rank < this.queue[first]!.rank) first = index;
+    }
+    return first;
+  }
+
   /** Starts as many loads as the engine takes. */
   private pump(): void {
     if (!this.isReady || this.isStopped) return;
-    while (this.queue.length > 0 && this.slots.loading < MAX_LOADING) {
-      const wanted = this.queue[0]!;
-      const isReplacement = this.slots.get(wanted.key) !== undefined;
-      if (!isReplacement && this.slots.occupied >= this.options.engine.adapterSlots) {
+    while (this.slots.loading < MAX_LOADING) {
+      const index = this.next();
+      if (index < 0) return;
+      // A newer version takes a slot of its own until the older one has gone.
+      if (this.slots.occupied >= this.options.engine.adapterSlots) {
         void this.makeRoom();
         return;
       }
-      this.queue.shift();
-      void this.load(wanted);
+      const [wanted] = this.queue.splice(index, 1);
+      void this.load(wanted!);
     }
   }
 
@@ -225,12 +271,13 @@
     const { timers } = this.options;
     const previous = this.slots.get(wanted.key);
     const wasHeld = previous?.state === SlotState.Held ? previous.version : undefined;
-    this.slots.put(wanted.key, wanted.version ?? previous?.version ?? 1, SlotState.Loading);
+    const slot = this.slots.put(wanted.key, wanted.version ?? previous?.version ?? 1, SlotState.Loading);
+    slot.isReplacement = wasHeld !== undefined;
     if (wasHeld !== undefined) this.tell();
     const startedAt = timers.now();
     const outcome = await this.loadUntilDone(wanted, startedAt);
     if (outcome === OrderOutcome.Done) {
-      this.slots.put(wanted.key, wanted.version ?? previous?.version ?? 1, SlotState.Held);
+      this.slots.put(wanted.key, wanted.version ?? previous?.version ?? 1, SlotState.Held).isReplacement = false;
       this.learnDuration(wanted.key, timers.now() - startedAt);
       this.tell();
       wanted.resolve();
@@ -310,7 +357,7 @@
   private async waitForDrop(key: string, ref: AdapterRef): Promise<void> {
     const { timers } = this.options;
     for (;;) {
-      await timers.sleep(POLL_MS * 4);
+      await timers.sleep(DROP_POLL_MS);
       if (this.isStopped) return;
       if ((await this.order(OrderKind.Unload, ref)) !== OrderOutcome.Done) continue;
       this.slots.free(key);
@@ -330,6 +377,19 @@
     return outcome;
   }
 
+  /** How the engine's slots stand, for the heartbeat. */
+  room(): RoomLine {
+    const { replica, engine } = this.options;
+    const free = engine.adapterSlots - this.slots.occupied + this.slots.evictable;
+    return [replica.id, this.isReady ? Math.max(0, free - this.queue.length) : 0, this.queue.length];
+  }
+
+  /** One line on what the slots hold. */
+  describe(): string {
+    const states = [...this.slots.all()].map(({ state, running }) => `${state[0]}${running}`).join(' ');
+    return `${this.options.replica.id}: ${this.slots.occupied} slots (${states}), ${this.queue.length} wait`;
+  }
+
   private tell(): void {
     const holdings = this.holdings();
     if (holdings !== undefined) this.options.onHoldings(holdings);
--- a/packages/routing/src/core/adapters/loader.ts
+++ b/packages/routing/src/core/adapters/loader.ts
@@ -9,8 +9,9 @@
 import { MessageType } from '../cluster/index.js';
 import type { Directory, ReplicaEntry } from '../view/index.js';
 import type { HoldingsBook } from './holdings.js';
+import type { Urgency } from './keeper.js';
 import { AdapterUnavailable, Keeper } from './keeper.js';
-import type { AdapterRef, EngineControl, Holdings } from './types.js';
+import type { AdapterRef, EngineControl, Holdings, RoomLine } from './types.js';
 import { adapterKey } from './types.js';
 
 /** Options of the loader. */
@@ -26,11 +27,13 @@
 }
 
 /** Body of a request to the daemon that keeps an engine. */
-export interface EnsureWanted extends AdapterRef {
+export interface EnsureWanted extends AdapterRef, Urgency {
   readonly replica: string;
-  readonly timeoutMs: number;
 }
 
+/** How urgent the load of a newer version is: as the most urgent request. */
+const UPGRADE: Urgency = { rank: 0, timeoutMs: 5000 };
+
 /** Has adapters loaded, here or through another daemon. */
 export class Loader {
   private readonly keepers = new Map<string, Keeper>();
@@ -45,17 +48,17 @@
    * Has an adapter on an engine.
    * @param replica - The engine.
    * @param ref - The adapter.
-   * @param timeoutMs - Longest wait.
+   * @param urgency - Rank and longest wait.
    * @throws AdapterUnavailable or Error when it can't be had there in time.
    */
-  async ensure(replica: ReplicaEntry, ref: AdapterRef, timeoutMs: number): Promise<void> {
-    const claim = this.options.claims.of(replica.id);
+  async ensure(replica: ReplicaEntry, ref: AdapterRef, urgency: Urgency): Promise<void> {
+    const { claims, self, cluster, holdings } = this.options;
+    const claim = claims.of(replica.id);
     if (claim === undefined) throw new AdapterUnavailable('Nobody gives this engine orders now.');
-    if (claim.holder === this.options.self) await this.ensureHere({ ...ref, replica: replica.id, timeoutMs });
-    else {
-      const wanted: EnsureWanted = { ...ref, replica: replica.id, timeoutMs };
-      await this.options.cluster.request(claim.holder, MessageType.Ensure, wanted, timeoutMs);
-    }
+    holdings.useRoom(replica.id);
+    const wanted: EnsureWanted = { ...ref, ...urgency, replica: replica.id };
+    if (claim.holder === self) await this.ensureHere(wanted);
+    else await cluster.request(claim.holder, MessageType.Ensure, wanted, urgency.timeoutMs);
   }
 
   /**
@@ -63,7 +66,7 @@
    * @param wanted - Engine, adapter, longest wait.
    * @throws AdapterUnavailable when it can't be had in time.
    */
-  async ensureHere({ replica, model, adapter, version, timeoutMs }: EnsureWanted): Promise<void> {
+  async ensureHere({ replica, model, adapter, version, rank, timeoutMs }: EnsureWanted): Promise<void> {
     const keeper = this.keepers.get(replica);
     if (keeper === undefined) throw new AdapterUnavailable('This daemon does not keep the engine.');
     const limit = new AbortController();
@@ -74,7 +77,8 @@
       () => undefined,
     );
     try {
-      await Promise.race([keeper.ensure({ model, adapter, version: version ?? undefined }), timedOut]);
+      const ref = { model, adapter, version: version ?? undefined };
+      await Promise.race([keeper.ensure(ref, { rank, timeoutMs }), timedOut]);
     } finally {
       limit.abort();
     }
@@ -134,7 +138,10 @@
    * @param running - Counts the requests of an engine by `model/adapter`.
    */
   refreshRunning(running: (replica: string) => ReadonlyMap<string, number>): void {
-    for (const [replica, keeper] of this.keepers) keeper.setRunning(running(replica));
+    for (const [replica, keeper] of this.keepers) {
+      keeper.setRunning(running(replica));
+      this.options.log.debug(keeper.describe());
+    }
   }
 
   /**
@@ -147,12 +154,17 @@
     const key = adapterKey(model, adapter);
     for (const [replica, keeper] of this.keepers) {
       if (!keeper.holdsOlder(key, version)) continue;
-      keeper.ensure({ model, adapter, version }).catch((err: unknown) => {
+      keeper.ensure({ model, adapter, version }, UPGRADE).catch((err: unknown) => {
         this.options.log.warn(`Version ${version} of ${key} did not load on ${replica}: ${String(err)}.`);
       });
     }
   }
 
+  /** How the slots of this daemon's engines stand. */
+  rooms(): RoomLine[] {
+    return [...this.keepers.values()].map((keeper) => keeper.room());
+  }
+
   /** What the engines of this daemon hold. */
   mine(): Holdings[] {
     const found: Holdings[] = [];
--- a/packages/routing/src/core/adapters/slots.ts
+++ b/packages/routing/src/core/adapters/slots.ts
@@ -20,12 +20,14 @@
   running: number;
   /** Uses that fade over {@link FADE_MS}. */
   uses: number;
+  /** Whether another version is still in place while this one loads; it takes a second slot. */
+  isReplacement: boolean;
 }
 
 /** Time over which uses fade, in milliseconds: demand moves on within seconds. */
 const FADE_MS = 8000;
 /** Time after a load or use in which an adapter is no victim, in milliseconds: the request that waited is on its way. */
-const PROTECTED_MS = 400;
+const PROTECTED_MS = 300;
 
 /** The slots. */
 export class SlotTable {
@@ -39,7 +41,16 @@
 
   /** Occupied slots, whatever is in them. */
   get occupied(): number {
-    return this.slots.size;
+    let count = this.slots.size;
+    for (const { isReplacement } of this.slots.values()) if (isReplacement) count += 1;
+    return count;
+  }
+
+  /** Adapters that no request runs on. */
+  get evictable(): number {
+    let count = 0;
+    for (const { state, running } of this.slots.values()) if (state === SlotState.Held && running === 0) count += 1;
+    return count;
   }
 
   /** Adapters on their way. */
@@ -71,7 +82,7 @@
    * @returns The slot.
    */
   put(key: string, version: number, state: SlotState): Slot {
-    const slot = this.slots.get(key) ?? { key, version, state, usedAt: this.timers.now(), running: 0, uses: 0 };
+    const slot = this.slots.get(key) ?? this.make(key, version, state);
     slot.version = version;
     slot.state = state;
     slot.usedAt = this.timers.now();
@@ -118,6 +129,10 @@
     return least;
   }
 
+  private make(key: string, version: number, state: SlotState): Slot {
+    return { key, version, state, usedAt: this.timers.now(), running: 0, uses: 0, isReplacement: false };
+  }
+
   private faded(slot: Slot): number {
     return slot.uses * Math.exp((slot.usedAt - this.timers.now()) / FADE_MS);
   }
--- a/packages/routing/src/core/adapters/types.ts
+++ b/packages/routing/src/core/adapters/types.ts
@@ -82,6 +82,17 @@
   readonly adapters: Readonly<Record<string, number>>;
 }
 
+/** How an engine's slots stand, as its keeper tells with each heartbeat. */
+export type RoomLine = readonly [replica: string, room: number, queued: number];
+
+/** How an engine's slots stand. */
+export interface Room {
+  /** Slots that are free or could be freed at once. */
+  readonly room: number;
+  /** Loads that wait for a slot. */
+  readonly queued: number;
+}
+
 /**
  * Names an adapter in tables and messages.
  * @param model - Base model.
--- a/packages/routing/src/core/authority/claims.ts
+++ b/packages/routing/src/core/authority/claims.ts
@@ -158,7 +158,7 @@
     const claim = this.claims.get(replica);
     if (claim === undefined) return true;
     const state = fleet.state(claim.holder);
-    if (state === MemberState.Ended) return true;
+    if (state === MemberState.Ended || state === MemberState.Leaving) return true;
     if (state === MemberState.Alive) return false;
     const patience = this.isMajority(0) ? leaseMs : leaseMs * MINORITY_LEASES;
     return fleet.downForMs(claim.holder) > patience;
--- a/packages/routing/src/core/choice/chooser.ts
+++ b/packages/routing/src/core/choice/chooser.ts
@@ -13,14 +13,22 @@
 import type { LoadBook } from './load.js';
 import type { Standings } from './standing.js';
 
-/** Wait that one request in progress adds on an engine, in milliseconds: its share of prefill and of a longer step. */
-const ENGINE_WAIT_MS = 14;
+/** Wait that a request without an answer adds on an engine, in milliseconds: its prompt is read first. */
+const WAITING_MS = 45;
+/** Wait that a request in progress adds on an engine, in milliseconds: a longer step, and memory. */
+const RUNNING_MS = 5;
 /** Wait that a full set of slots adds on a plain service, in milliseconds. */
 const SERVICE_FULL_MS = 60;
-/** Cost of loading an adapter, in milliseconds: the load itself, and the slot that it takes from another. */
-const LOAD_COST_MS = 110;
+/** Cost of loading an adapter that the engine held of late, in milliseconds. */
+const RELOAD_COST_MS = 40;
+/** Cost of a first load, in milliseconds: it is priced like a third of a request, and takes a quarter second. */
+const FIRST_LOAD_COST_MS = 400;
+/** Cost of the slot that a load takes, in milliseconds, by the slots that are left; the last one stands for more. */
+const SLOT_COST_MS = [700, 500, 400, 300, 220, 150, 100, 70, 40, 20];
+/** Cost of each load that waits before it, in milliseconds. */
+const QUEUED_COST_MS = 120;
 /** Cost of each place down the adapter's ranking, in milliseconds, up to {@link MAX_RANK}. */
-const RANK_COST_MS = 10;
+const RANK_COST_MS = 6;
 const MAX_RANK = 4;
 /** Cost of a share of failures, in milliseconds. */
 const FAILURE_COST_MS = 1500;
@@ -116,8 +124,9 @@
   private weigh(replica: ReplicaEntry, need: Need, rank: number, fastest: number): Choice | undefined {
     const { loads, standings, zone } = this.options;
     const { id } = replica;
-    const running = loads.running(id);
-    let cost = need.model === undefined ? (running / replica.slots) * SERVICE_FULL_MS : running * ENGINE_WAIT_MS;
+    const { running, waiting } = loads.counts(id);
+    const isEngine = need.model !== undefined;
+    let cost = isEngine ? running * RUNNING_MS + waiting * WAITING_MS : (running / replica.slots) * SERVICE_FULL_MS;
     cost += standings.failureRate(id) * FAILURE_COST_MS;
     if (standings.isResting(id)) cost += REST_COST_MS;
     const firstByte = standings.firstByteMs(id);
@@ -127,10 +136,18 @@
       return { replica, heldVersion: undefined, needsLoad: false, cost };
     const held = this.heldVersion(replica, need.model, need.adapter);
     if (held === undefined && need.unloadable.has(id)) return undefined;
-    cost += Math.min(rank, MAX_RANK) * RANK_COST_MS + (held === undefined ? LOAD_COST_MS : 0);
+    cost += Math.min(rank, MAX_RANK) * RANK_COST_MS;
+    if (held === undefined) cost += this.loadCost(id, adapterKey(need.model, need.adapter));
     return { replica, heldVersion: held, needsLoad: held === undefined, cost };
   }
 
+  private loadCost(replica: string, key: string): number {
+    const { holdings } = this.options;
+    const load = holdings.wasHeld(replica, key) ? RELOAD_COST_MS : FIRST_LOAD_COST_MS;
+    const { room, queued } = holdings.room(replica);
+    return load + SLOT_COST_MS[Math.min(room, SLOT_COST_MS.length - 1)]! + queued * QUEUED_COST_MS;
+  }
+
   private heldVersion(replica: ReplicaEntry, model: string, adapter: string): number | undefined {
     const held = this.options.holdings.version(replica, model, adapter);
     return held !== undefined && held >= this.leastVersion(model, adapter) ? held : undefined;
--- a/packages/routing/src/core/choice/load.ts
+++ b/packages/routing/src/core/choice/load.ts
@@ -4,8 +4,21 @@
 /** Age at which what a peer told no longer counts, in milliseconds: some heartbeats. */
 const STALE_MS = 1500;
 
-/** What a daemon tells of its requests on one replica: incarnation, requests in progress. */
-export type LoadLine = readonly [replica: string, running: number];
+/** What a daemon tells of its requests on one replica: incarnation, requests in progress, those without an answer yet. */
+export type LoadLine = readonly [replica: string, running: number, waiting: number];
+
+/** A request in progress, as its journey reports it. */
+export interface RunningNote {
+  /** The first byte of its answer has come. */
+  answered(): void;
+  /** It has ended. */
+  ended(): void;
+}
+
+interface Counts {
+  running: number;
+  waiting: number;
+}
 
 /** What a daemon tells of one adapter: replica, `model/adapter`, requests in progress, requests begun since it told last. */
 export type UseLine = readonly [replica: string, key: string, running: number, begun: number];
@@ -17,13 +30,13 @@
 
 interface Told {
   readonly at: number;
-  readonly loads: ReadonlyMap<string, number>;
+  readonly loads: ReadonlyMap<string, Counts>;
   readonly uses: readonly UseLine[];
 }
 
 /** The book of requests in progress. */
 export class LoadBook {
-  private readonly own = new Map<string, number>();
+  private readonly own = new Map<string, Counts>();
 
   private readonly ownUses = new Map<string, Map<string, Use>>();
 
@@ -39,21 +52,29 @@
    * Notes that a request begins.
    * @param replica - Where.
    * @param key - `model/adapter`, where it uses one.
-   * @returns To be called once when it has ended.
+   * @returns To be told of its further steps.
    */
-  begin(replica: string, key: string | undefined): () => void {
-    this.own.set(replica, (this.own.get(replica) ?? 0) + 1);
+  begin(replica: string, key: string | undefined): RunningNote {
+    const counts = this.own.get(replica) ?? { running: 0, waiting: 0 };
+    this.own.set(replica, counts);
+    counts.running += 1;
+    counts.waiting += 1;
     const use = key === undefined ? undefined : this.use(replica, key);
     if (use !== undefined) {
       use.running += 1;
       use.begun += 1;
     }
-    return () => {
-      const left = (this.own.get(replica) ?? 1) - 1;
-      if (left > 0) this.own.set(replica, left);
-      else this.own.delete(replica);
+    let isWaiting = true;
+    const answered = (): void => {
+      if (isWaiting) counts.waiting -= 1;
+      isWaiting = false;
+    };
+    const ended = (): void => {
+      answered();
+      counts.running -= 1;
       if (use !== undefined) use.running -= 1;
     };
+    return { answered, ended };
   }
 
   /**
@@ -63,18 +84,24 @@
    * @param uses - Its adapters in use.
    */
   take(peer: string, loads: readonly LoadLine[], uses: readonly UseLine[]): void {
-    this.told.set(peer, { at: this.timers.now(), loads: new Map(loads), uses });
+    this.told.set(peer, { at: this.timers.now(), loads: countsOf(loads), uses });
   }
 
   /**
-   * Counts the requests in progress on a replica.
+   * Counts the requests on a replica, over all daemons.
    * @param replica - The replica.
-   * @returns Their number over all daemons.
+   * @returns Those in progress, and those of them that have no answer yet.
    */
-  running(replica: string): number {
+  counts(replica: string): { running: number; waiting: number } {
     const oldest = this.timers.now() - STALE_MS;
-    let sum = this.own.get(replica) ?? 0;
-    for (const { at, loads } of this.told.values()) if (at > oldest) sum += loads.get(replica) ?? 0;
+    const own = this.own.get(replica);
+    const sum = { running: own?.running ?? 0, waiting: own?.waiting ?? 0 };
+    for (const { at, loads } of this.told.values()) {
+      const told = at > oldest ? loads.get(replica) : undefined;
+      if (told === undefined) continue;
+      sum.running += told.running;
+      sum.waiting += told.waiting;
+    }
     return sum;
   }
 
@@ -109,7 +136,12 @@
       }
       if (byKey.size === 0) this.ownUses.delete(replica);
     }
-    return { loads: [...this.own], uses };
+    const loads: LoadLine[] = [];
+    for (const [replica, { running, waiting }] of this.own) {
+      if (running > 0) loads.push([replica, running, waiting]);
+      else this.own.delete(replica);
+    }
+    return { loads, uses };
   }
 
   private use(replica: string, key: string): Use {
@@ -120,3 +152,7 @@
     return use;
   }
 }
+
+function countsOf(lines: readonly LoadLine[]): Map<string, Counts> {
+  return new Map(lines.map(([replica, running, waiting]) => [replica, { running, waiting }]));
+}
--- a/packages/routing/src/core/cluster/cluster.ts
+++ b/packages/routing/src/core/cluster/cluster.ts
@@ -21,6 +21,9 @@
 /** Time after which a member that ended is no longer dialled, in milliseconds; it comes back by a seed. */
 const FORGET_MS = 60_000;
 
+/** States in which a member may give orders. */
+const COUNTED: ReadonlySet<MemberState> = new Set([MemberState.Alive, MemberState.Silent]);
+
 /** Options of the cluster. */
 export interface ClusterOptions {
   readonly self: Member;
@@ -92,12 +95,16 @@
     this.ticking = this.options.timers.repeat(HEARTBEAT_MS, () => this.tick());
   }
 
-  /** Says goodbye and closes all links. */
+  /** Says that this daemon ends; its links stay for the requests that it still serves. */
+  leave(): void {
+    this.broadcast(MessageType.Goodbye, null);
+  }
+
+  /** Closes all links. */
   close(): void {
     if (this.isClosing) return;
     this.isClosing = true;
     this.ticking?.cancel();
-    this.broadcast(MessageType.Goodbye, null);
     for (const { link } of this.peers.values()) link?.close();
     this.server?.close();
   }
@@ -113,7 +120,7 @@
   possible(): number {
     let count = 1;
     for (const { state, member } of this.peers.values())
-      if (member !== undefined && state !== MemberState.Ended) count += 1;
+      if (member !== undefined && COUNTED.has(state)) count += 1;
     return count;
   }
 
@@ -238,7 +245,7 @@
   private greet({ self, known }: Hello): string {
     const peer = this.learn(self.address);
     if (peer === undefined) throw new Error('A daemon spoke with this one’s own address.');
-    const isNewLife = peer.member !== undefined && peer.member.incarnation !== self.incarnation;
+    const isNewLife = peer.member?.incarnation !== self.incarnation;
     if (isNewLife && peer.state !== MemberState.Ended) this.setState(peer, MemberState.Ended);
     peer.member = self;
     this.hear(peer);
@@ -251,7 +258,7 @@
     const peer = this.peers.get(address);
     if (peer?.member === undefined) return undefined;
     if (type === MessageType.Goodbye) {
-      this.setState(peer, MemberState.Ended);
+      this.setState(peer, MemberState.Leaving);
       return undefined;
     }
     this.hear(peer);
@@ -260,7 +267,8 @@
 
   private hear(peer: Peer): void {
     peer.heardAt = this.options.timers.now();
-    if (peer.state !== MemberState.Alive) this.setState(peer, MemberState.Alive);
+    // One that leaves stays so until its next life.
+    if (peer.state !== MemberState.Leaving) this.setState(peer, MemberState.Alive);
   }
 
   private setState(peer: Peer, state: MemberState): void {
--- a/packages/routing/src/core/cluster/types.ts
+++ b/packages/routing/src/core/cluster/types.ts
@@ -16,7 +16,9 @@
   Alive = 'alive',
   /** Silent; it may be dead, cut off or paused. */
   Silent = 'silent',
-  /** Its process has ended, by its own word or by a refused connection. */
+  /** It has said that it ends; it gives no more orders. */
+  Leaving = 'leaving',
+  /** Its process has ended, as a refused connection shows. */
   Ended = 'ended',
 }
 
@@ -35,8 +37,10 @@
   Holdings = 6,
   /** Asks the daemon that gives orders to an engine to have an adapter there. */
   Ensure = 7,
-  /** The speaker's process ends. */
+  /** The speaker's process ends; it gives no more orders, and finishes its requests. */
   Goodbye = 8,
+  /** What engines held of late, for a daemon that has just started. */
+  Recent = 9,
 }
 
 /** A message with its number when an answer is due. */
--- a/packages/routing/src/core/daemon/heartbeat.ts
+++ b/packages/routing/src/core/daemon/heartbeat.ts
@@ -1,7 +1,7 @@
 /** Heartbeats and the other messages between router daemons: what each part tells and takes. */
 import type { Log } from '@celeryyoke/core';
 
-import type { EnsureWanted, Holdings, HoldingsBook, Loader } from '../adapters/index.js';
+import type { EnsureWanted, Holdings, HoldingsBook, Loader, RoomLine } from '../adapters/index.js';
 import type { Claim, Claims } from '../authority/index.js';
 import type { LoadBook, LoadLine, UseLine } from '../choice/index.js';
 import type { Cluster, Member } from '../cluster/index.js';
@@ -16,6 +16,8 @@
   readonly ageMs: number;
   readonly loads: readonly LoadLine[];
   readonly uses: readonly UseLine[];
+  /** Slots of the engines that the speaker gives orders to. */
+  readonly rooms: readonly RoomLine[];
   /** Engines that the speaker gives orders to. */
   readonly claims: readonly Claim[];
 }
@@ -49,6 +51,9 @@
     });
     cluster.handle(MessageType.Claim, (_from, claim: Claim) => claims.take(claim));
     cluster.handle(MessageType.Holdings, (_from, told: Holdings) => holdings.take(told));
+    cluster.handle(MessageType.Recent, (_from, [replica, keys]: [string, string[]]) =>
+      holdings.takeRecent(replica, keys),
+    );
     cluster.handle(MessageType.Ensure, (_from, wanted: EnsureWanted) => loader.ensureHere(wanted));
   }
 
@@ -62,7 +67,9 @@
     for (const [replica, key, , begun] of told.uses) loader.use(replica, key, begun);
     loader.refreshRunning((replica) => loads.runningByAdapter(replica));
     const ageMs = Number.isFinite(view.ageMs) ? Math.round(view.ageMs) : -1;
-    return { upTo: view.upTo, ageMs, ...told, claims: claims.mine() };
+    const rooms = loader.rooms();
+    for (const line of rooms) this.parts.holdings.takeRoom(line);
+    return { upTo: view.upTo, ageMs, ...told, rooms, claims: claims.mine() };
   }
 
   /**
@@ -70,7 +77,8 @@
    * @param address - The peer.
    */
   welcome(address: string): void {
-    const { cluster, claims, loader } = this.parts;
+    const { cluster, claims, holdings, loader } = this.parts;
+    for (const line of holdings.allRecent()) cluster.send(address, MessageType.Recent, line);
     for (const claim of claims.mine()) cluster.send(address, MessageType.Claim, claim);
     for (const told of loader.mine()) cluster.send(address, MessageType.Holdings, told);
   }
@@ -87,11 +95,12 @@
   }
 
   private takeHeartbeat(from: Member, body: Heartbeat): void {
-    const { view, loads, claims, loader, cluster } = this.parts;
+    const { view, loads, claims, loader, cluster, holdings } = this.parts;
     this.peerUpTo.set(from.address, body.upTo);
     loads.take(from.address, body.loads, body.uses);
     for (const [replica, key, , begun] of body.uses) loader.use(replica, key, begun);
     for (const claim of body.claims) claims.take(claim);
+    for (const line of body.rooms) holdings.takeRoom(line);
     if (body.ageMs >= 0) view.confirm(body.upTo, body.ageMs);
     if (body.upTo > view.upTo) cluster.send(from.address, MessageType.DeltaWanted, view.upTo);
   }
--- a/packages/routing/src/core/daemon/router.ts
+++ b/packages/routing/src/core/daemon/router.ts
@@ -39,8 +39,8 @@
 
 /** How often claims are reviewed, in milliseconds. */
 const REVIEW_MS = 100;
-/** Time after the signal in which the balancer still sends new connections, in milliseconds: two missed questions and a margin. */
-const LEAVE_ROTATION_MS = 2600;
+/** Time after the signal in which the balancer still sends new connections, in milliseconds: two missed questions, a second apart, and a margin. */
+const LEAVE_ROTATION_MS = 2500;
 /** Part of the grace that is kept for ending, in milliseconds. */
 const GRACE_MARGIN_MS = 400;
 const DRAIN_LOOK_MS = 50;
@@ -92,16 +92,15 @@
     const requests = this.get<RequestServer>(Part.Requests);
     log.info(`Stopping ${settings.name} (${cause}) with ${requests.running} requests in progress.`);
     this.get<Claims>(Part.Claims).close();
+    const cluster = this.get<Cluster>(Part.Cluster);
+    cluster.leave();
     requests.drain();
-    this.get<Cluster>(Part.Cluster).close();
+    await timers.sleep(LEAVE_ROTATION_MS);
+    requests.close();
     const end = startedAt + settings.graceMs - GRACE_MARGIN_MS;
-    while (timers.now() < end) {
-      const isOut = timers.now() - startedAt > LEAVE_ROTATION_MS;
-      if (isOut && requests.running === 0) break;
-      await timers.sleep(DRAIN_LOOK_MS);
-    }
+    while (timers.now() < end && requests.running > 0) await timers.sleep(DRAIN_LOOK_MS);
+    cluster.close();
     log.info(`Stopped ${settings.name} with ${requests.running} requests in progress.`);
-    requests.close();
   }
 
   private get<T>(part: Part): T {
@@ -271,7 +270,7 @@
         standings,
         timers,
         log,
-        ensure: (replica, ref, timeoutMs) => loader.ensure(replica, ref, timeoutMs),
+        ensure: (replica, ref, urgency) => loader.ensure(replica, ref, urgency),
         notHeld: (replica, key) => holdings.drop(replica, key),
         budget: (service) => this.budget(service, cluster),
       },
--- a/packages/routing/src/core/requests/journey.ts
+++ b/packages/routing/src/core/requests/journey.ts
@@ -7,7 +7,7 @@
 import type { Log, TimerHandle, TimerService } from '@celeryyoke/core';
 import type { ServerResponse } from 'node:http';
 
-import type { AdapterRef } from '../adapters/index.js';
+import type { AdapterRef, Urgency } from '../adapters/index.js';
 import type { RepeatBudget } from '../budget/index.js';
 import type { Route } from '../catalog/index.js';
 import { RouteKind } from '../catalog/index.js';
@@ -44,7 +44,7 @@
   readonly timers: TimerService;
   readonly log: Log;
   /** Has an adapter on an engine, through the daemon that gives it orders. */
-  readonly ensure: (replica: ReplicaEntry, ref: AdapterRef, timeoutMs: number) => Promise<void>;
+  readonly ensure: (replica: ReplicaEntry, ref: AdapterRef, urgency: Urgency) => Promise<void>;
   /** Notes that an engine does not hold an adapter. */
   readonly notHeld: (replica: string, key: string) => void;
   /** The budget of a service. */
@@ -164,14 +164,15 @@
 
   private async load(replica: ReplicaEntry): Promise<boolean> {
     const { timers, chooser, ensure, log } = this.parts;
-    const { model, adapter } = this.options.head.generation!;
+    const { head, route } = this.options;
+    const { model, adapter } = head.generation!;
     const version = chooser.leastVersion(model, adapter!) || undefined;
     const timeoutMs = Math.min(LOAD_WAIT_MS, this.deadlineAt - timers.now());
     try {
-      await ensure(replica, { model, adapter: adapter!, version }, timeoutMs);
+      await ensure(replica, { model, adapter: adapter!, version }, { rank: route.rank, timeoutMs });
       return true;
     } catch (err) {
-      log.debug(`Request ${this.options.head.id}: no ${adapter} on ${replica.id}: ${String(err)}.`);
+      log.debug(`Request ${head.id}: no ${adapter} on ${replica.id}: ${String(err)}.`);
       this.unloadable.add(replica.id);
       return false;
     }
@@ -180,7 +181,7 @@
   private async sendTo({ replica, heldVersion }: Choice): Promise<SendResult> {
     const { dialect, pool, timers, loads, standings } = this.parts;
     const { head, body, route } = this.options;
-    const end = loads.begin(replica.id, this.useKey());
+    const note = loads.begin(replica.id, this.useKey());
     const headers = dialect.upstreamHeaders(head, {
       waitMs: Math.max(1, Math.floor(this.deadlineAt - timers.now())),
       instance: replica.id,
@@ -190,10 +191,10 @@
     });
     const call = { method: head.method, path: head.target, headers, body };
     this.sends += 1;
-    this.send = new Send({ pool, dialect, timers, replica, call, requestId: head.id, relay: this.relay });
+    this.send = new Send({ pool, dialect, timers, replica, call, requestId: head.id, relay: this.relay, onAnswer: note.answered });
     const result = await this.send.result;
     this.send = undefined;
-    end();
+    note.ended();
     this.judge(replica, result, standings);
     return result;
   }
@@ -212,6 +213,7 @@
   /** Decides what follows from the end of a send; when nothing does, the caller has been answered. */
   private mayGoOn({ replica }: Choice, result: SendResult): boolean {
     this.tried.add(replica.id);
+    this.parts.log.debug(`Request ${this.options.head.id}: ${result.end} at ${replica.id}, ${result.answer?.status} ${result.reason}, first byte ${result.firstByteMs}`);
     if (this.isOver) return false;
     return DECISIONS[result.end](this, replica, result);
   }
--- a/packages/routing/src/core/requests/send.ts
+++ b/packages/routing/src/core/requests/send.ts
@@ -24,6 +24,8 @@
   readonly requestId: string;
   /** Where a stream goes; undefined when every answer is to be held. */
   readonly relay: StreamRelay | undefined;
+  /** Called when the answer begins: a stream with its first event. */
+  readonly onAnswer: () => void;
 }
 
 /** A send in progress. */
@@ -99,6 +101,7 @@
   onData(chunk: Buffer): void {
     if (this.hasSettled) return;
     if (this.isRelaying) {
+      this.options.onAnswer();
       if (!this.options.relay!.take(chunk)) this.giveUp('The stream does not fit what the caller has.');
       return;
     }
