Tell keepers of uses at once, and look at a load before its expected end

Cause: a free slot was known only with the next heartbeat, and the expected load time could only grow, as the first look came when it was over: first loads took 413 ms of 250. Change: each change of a daemon's uses goes to the keeper of the engine; the first look comes at 0.85 of the expected time; an adapter's home weighs more.

--- a/packages/routing/src/core/adapters/index.ts
+++ b/packages/routing/src/core/adapters/index.ts
@@ -5,5 +5,13 @@
 export type { EnsureWanted, LoaderOptions } from './loader.js';
 export { Loader } from './loader.js';
 export { SlotState, SlotTable } from './slots.js';
-export type { AdapterRef, EngineControl, EngineOrder, EngineReport, Holdings, Room, RoomLine } from './types.js';
+export type {
+  AdapterRef,
+  EngineControl,
+  EngineOrder,
+  EngineReport,
+  Holdings,
+  Room,
+  RoomLine,
+} from './types.js';
 export { adapterKey, OrderKind, OrderOutcome } from './types.js';
--- a/packages/routing/src/core/adapters/keeper.ts
+++ b/packages/routing/src/core/adapters/keeper.ts
@@ -27,6 +27,8 @@
 /** Longest time for a load of a base model, in milliseconds. */
 const MODEL_LIMIT_MS = 60_000;
 const MODEL_POLL_MS = 200;
+/** Part of the expected load time after which the first look is taken: later ones would never learn that it is shorter. */
+const FIRST_LOOK_SHARE = 0.85;
 /** First guesses of load times, in milliseconds; replaced by what is measured. */
 const FIRST_LOAD_GUESS_MS = 250;
 const REPEATED_LOAD_GUESS_MS = 25;
@@ -61,6 +63,8 @@
 
 interface Wanted extends AdapterRef {
   readonly key: string;
+  /** Monotonic time at which it was first asked for. */
+  readonly askedAt: number;
   /** The most urgent rank of the requests that wait for it. */
   rank: number;
   /** Monotonic time at which the last request that waits for it gives up. */
@@ -119,7 +123,8 @@
   /** Gives the engine up: its requests must be asked of the next holder. */
   stop(): void {
     this.isStopped = true;
-    for (const wanted of this.queue.splice(0)) wanted.reject(new AdapterUnavailable('The engine was given up.'));
+    for (const wanted of this.queue.splice(0))
+      wanted.reject(new AdapterUnavailable('The engine was given up.'));
   }
 
   /**
@@ -224,7 +229,16 @@
       resolve = onDone;
       reject = onFailure;
     });
-    const wanted: Wanted = { ...ref, key, rank: Number.MAX_SAFE_INTEGER, until: 0, promise, resolve, reject };
+    const wanted: Wanted = {
+      ...ref,
+      key,
+      askedAt: this.options.timers.now(),
+      rank: Number.MAX_SAFE_INTEGER,
+      until: 0,
+      promise,
+      resolve,
+      reject,
+    };
     this.pending.set(key, wanted);
     this.queue.push(wanted);
     const forget = (): void => {
@@ -268,7 +282,7 @@
   }
 
   private async load(wanted: Wanted): Promise<void> {
-    const { timers } = this.options;
+    const { timers, log, replica } = this.options;
     const previous = this.slots.get(wanted.key);
     const wasHeld = previous?.state === SlotState.Held ? previous.version : undefined;
     const slot = this.slots.put(wanted.key, wanted.version ?? previous?.version ?? 1, SlotState.Loading);
@@ -277,7 +291,11 @@
     const startedAt = timers.now();
     const outcome = await this.loadUntilDone(wanted, startedAt);
     if (outcome === OrderOutcome.Done) {
-      this.slots.put(wanted.key, wanted.version ?? previous?.version ?? 1, SlotState.Held).isReplacement = false;
+      this.slots.put(wanted.key, wanted.version ?? previous?.version ?? 1, SlotState.Held).isReplacement =
+        false;
+      log.debug(
+        `Loaded ${wanted.key} on ${replica.id} in ${Math.round(timers.now() - startedAt)} ms after ${Math.round(startedAt - wanted.askedAt)} ms, ${this.loadedBefore.has(wanted.key) ? 'again' : 'first'}, ${this.slots.loading} loading.`,
+      );
       this.learnDuration(wanted.key, timers.now() - startedAt);
       this.tell();
       wanted.resolve();
@@ -299,10 +317,11 @@
       outcome = await this.order(OrderKind.Load, wanted);
       if (outcome === OrderOutcome.Done) return outcome;
       if (outcome === OrderOutcome.Started) {
-        const untilGuess = startedAt + guess - timers.now();
+        const untilGuess = startedAt + guess * FIRST_LOOK_SHARE - timers.now();
         await timers.sleep(isFirstLook ? Math.max(POLL_MS, untilGuess) : POLL_MS);
         isFirstLook = false;
-      } else if (outcome === OrderOutcome.Busy || outcome === OrderOutcome.Unknown) await timers.sleep(BUSY_MS);
+      } else if (outcome === OrderOutcome.Busy || outcome === OrderOutcome.Unknown)
+        await timers.sleep(BUSY_MS);
       else return outcome;
     }
     return outcome;
--- a/packages/routing/src/core/adapters/loader.ts
+++ b/packages/routing/src/core/adapters/loader.ts
@@ -160,6 +160,15 @@
     }
   }
 
+  /**
+   * Tells the keeper of an engine at once how many requests run on each adapter, so that a free slot is used.
+   * @param replica - The engine.
+   * @param running - Requests by `model/adapter`, over all daemons.
+   */
+  setRunning(replica: string, running: () => ReadonlyMap<string, number>): void {
+    this.keepers.get(replica)?.setRunning(running());
+  }
+
   /** How the slots of this daemon's engines stand. */
   rooms(): RoomLine[] {
     return [...this.keepers.values()].map((keeper) => keeper.room());
--- a/packages/routing/src/core/adapters/slots.ts
+++ b/packages/routing/src/core/adapters/slots.ts
@@ -49,7 +49,8 @@
   /** Adapters that no request runs on. */
   get evictable(): number {
     let count = 0;
-    for (const { state, running } of this.slots.values()) if (state === SlotState.Held && running === 0) count += 1;
+    for (const { state, running } of this.slots.values())
+      if (state === SlotState.Held && running === 0) count += 1;
     return count;
   }
 
--- a/packages/routing/src/core/channels/channel.ts
+++ b/packages/routing/src/core/channels/channel.ts
@@ -99,7 +99,13 @@
 
   private connect(callback: (...args: [null, Socket] | [Error, null]) => void): void {
     const { host, port, connectTimeoutMs } = this.options;
-    const socket = connect({ host, port, noDelay: true, keepAlive: true, keepAliveInitialDelay: PROBE_AFTER_MS });
+    const socket = connect({
+      host,
+      port,
+      noDelay: true,
+      keepAlive: true,
+      keepAliveInitialDelay: PROBE_AFTER_MS,
+    });
     let isSettled = false;
     const settle = (err: Error | undefined): void => {
       if (isSettled) return;
--- a/packages/routing/src/core/choice/chooser.ts
+++ b/packages/routing/src/core/choice/chooser.ts
@@ -28,7 +28,7 @@
 /** Cost of each load that waits before it, in milliseconds. */
 const QUEUED_COST_MS = 120;
 /** Cost of each place down the adapter's ranking, in milliseconds, up to {@link MAX_RANK}. */
-const RANK_COST_MS = 6;
+const RANK_COST_MS = 20;
 const MAX_RANK = 4;
 /** Cost of a share of failures, in milliseconds. */
 const FAILURE_COST_MS = 1500;
@@ -126,7 +126,9 @@
     const { id } = replica;
     const { running, waiting } = loads.counts(id);
     const isEngine = need.model !== undefined;
-    let cost = isEngine ? running * RUNNING_MS + waiting * WAITING_MS : (running / replica.slots) * SERVICE_FULL_MS;
+    let cost = isEngine
+      ? running * RUNNING_MS + waiting * WAITING_MS
+      : (running / replica.slots) * SERVICE_FULL_MS;
     cost += standings.failureRate(id) * FAILURE_COST_MS;
     if (standings.isResting(id)) cost += REST_COST_MS;
     const firstByte = standings.firstByteMs(id);
--- a/packages/routing/src/core/choice/load.ts
+++ b/packages/routing/src/core/choice/load.ts
@@ -29,11 +29,15 @@
 }
 
 interface Told {
-  readonly at: number;
-  readonly loads: ReadonlyMap<string, Counts>;
-  readonly uses: readonly UseLine[];
+  at: number;
+  loads: ReadonlyMap<string, Counts>;
+  /** Requests in progress by replica and `model/adapter`. */
+  readonly uses: Map<string, Map<string, number>>;
 }
 
+/** Told when the number of this daemon's requests on an adapter changes. */
+export type UseListener = (replica: string, key: string, running: number) => void;
+
 /** The book of requests in progress. */
 export class LoadBook {
   private readonly own = new Map<string, Counts>();
@@ -48,6 +52,9 @@
    */
   constructor(private readonly timers: TimerService) {}
 
+  /** Told of each change of this daemon's own uses. */
+  onUse: UseListener = () => undefined;
+
   /**
    * Notes that a request begins.
    * @param replica - Where.
@@ -63,6 +70,7 @@
     if (use !== undefined) {
       use.running += 1;
       use.begun += 1;
+      this.onUse(replica, key!, use.running);
     }
     let isWaiting = true;
     const answered = (): void => {
@@ -72,7 +80,9 @@
     const ended = (): void => {
       answered();
       counts.running -= 1;
-      if (use !== undefined) use.running -= 1;
+      if (use === undefined) return;
+      use.running -= 1;
+      this.onUse(replica, key!, use.running);
     };
     return { answered, ended };
   }
@@ -84,7 +94,19 @@
    * @param uses - Its adapters in use.
    */
   take(peer: string, loads: readonly LoadLine[], uses: readonly UseLine[]): void {
-    this.told.set(peer, { at: this.timers.now(), loads: countsOf(loads), uses });
+    const told: Told = { at: this.timers.now(), loads: countsOf(loads), uses: new Map() };
+    this.told.set(peer, told);
+    for (const [replica, key, running] of uses) setUse(told, replica, key, running);
+  }
+
+  /**
+   * Takes a change of a peer's uses.
+   * @param peer - Its address.
+   * @param line - Replica, adapter and the requests in progress now.
+   */
+  takeUse(peer: string, [replica, key, running]: UseLine): void {
+    const told = this.told.get(peer);
+    if (told !== undefined) setUse(told, replica, key, running);
   }
 
   /**
@@ -118,7 +140,7 @@
     for (const [key, { running }] of this.ownUses.get(replica) ?? []) add(key, running);
     const oldest = this.timers.now() - STALE_MS;
     for (const { at, uses } of this.told.values())
-      if (at > oldest) for (const [id, key, running] of uses) if (id === replica) add(key, running);
+      if (at > oldest) for (const [key, running] of uses.get(replica) ?? []) add(key, running);
     return sums;
   }
 
@@ -156,3 +178,10 @@
 function countsOf(lines: readonly LoadLine[]): Map<string, Counts> {
   return new Map(lines.map(([replica, running, waiting]) => [replica, { running, waiting }]));
 }
+
+function setUse({ uses }: Told, replica: string, key: string, running: number): void {
+  const byKey = uses.get(replica) ?? new Map<string, number>();
+  uses.set(replica, byKey);
+  if (running > 0) byKey.set(key, running);
+  else byKey.delete(key);
+}
--- a/packages/routing/src/core/cluster/cluster.ts
+++ b/packages/routing/src/core/cluster/cluster.ts
@@ -204,7 +204,15 @@
     if (peer === undefined) {
       const now = this.options.timers.now();
       const state = MemberState.Ended;
-      peer = { address, member: undefined, state, heardAt: now, link: undefined, dialAt: now, downSince: now };
+      peer = {
+        address,
+        member: undefined,
+        state,
+        heardAt: now,
+        link: undefined,
+        dialAt: now,
+        downSince: now,
+      };
       this.peers.set(address, peer);
       if (this.server !== undefined) this.dial(peer);
     }
--- a/packages/routing/src/core/cluster/types.ts
+++ b/packages/routing/src/core/cluster/types.ts
@@ -41,6 +41,8 @@
   Goodbye = 8,
   /** What engines held of late, for a daemon that has just started. */
   Recent = 9,
+  /** The speaker's requests on an adapter have become more or fewer; told to the daemon that keeps the engine. */
+  Use = 10,
 }
 
 /** A message with its number when an answer is due. */
--- a/packages/routing/src/core/daemon/heartbeat.ts
+++ b/packages/routing/src/core/daemon/heartbeat.ts
@@ -24,6 +24,8 @@
 
 /** The parts that talk. */
 export interface TalkingParts {
+  /** Address of this daemon. */
+  readonly self: string;
   readonly cluster: Cluster;
   readonly view: SharedView;
   readonly claims: Claims;
@@ -54,6 +56,12 @@
     cluster.handle(MessageType.Recent, (_from, [replica, keys]: [string, string[]]) =>
       holdings.takeRecent(replica, keys),
     );
+    cluster.handle(MessageType.Use, (from, line: UseLine) => {
+      parts.loads.takeUse(from.address, line);
+      loader.use(line[0], line[1], line[3]);
+      this.refreshKeeper(line[0]);
+    });
+    parts.loads.onUse = (replica, key, running) => this.tellUse(replica, key, running);
     cluster.handle(MessageType.Ensure, (_from, wanted: EnsureWanted) => loader.ensureHere(wanted));
   }
 
@@ -94,6 +102,20 @@
     }
   }
 
+  /** Tells the keeper of an engine of a change at once; the others hear of it with the next heartbeat. */
+  private tellUse(replica: string, key: string, running: number): void {
+    const { claims, cluster } = this.parts;
+    const holder = claims.of(replica)?.holder;
+    if (holder === undefined) return;
+    if (holder === this.parts.self) this.refreshKeeper(replica);
+    else cluster.send(holder, MessageType.Use, [replica, key, running, 0] satisfies UseLine);
+  }
+
+  private refreshKeeper(replica: string): void {
+    const { loader, loads } = this.parts;
+    loader.setRunning(replica, () => loads.runningByAdapter(replica));
+  }
+
   private takeHeartbeat(from: Member, body: Heartbeat): void {
     const { view, loads, claims, loader, cluster, holdings } = this.parts;
     this.peerUpTo.set(from.address, body.upTo);
--- a/packages/routing/src/core/daemon/router.ts
+++ b/packages/routing/src/core/daemon/router.ts
@@ -98,7 +98,11 @@
     await timers.sleep(LEAVE_ROTATION_MS);
     requests.close();
     const end = startedAt + settings.graceMs - GRACE_MARGIN_MS;
-    while (timers.now() < end && requests.running > 0) await timers.sleep(DRAIN_LOOK_MS);
+    while (timers.now() < end && requests.running > 0) {
+      await timers.sleep(DRAIN_LOOK_MS);
+      // A stream that began before the signal has promised its caller a connection that is kept.
+      requests.closeIdle();
+    }
     cluster.close();
     log.info(`Stopped ${settings.name} with ${requests.running} requests in progress.`);
   }
@@ -108,7 +112,7 @@
   }
 
   private services(): Service[] {
-    const { timers, log } = this.options;
+    const { timers } = this.options;
     return [
       { name: Part.View, start: () => new SharedView(timers) },
       { name: Part.Channels, start: () => new ChannelPool() },
@@ -139,7 +143,7 @@
       {
         name: Part.Conversation,
         needs: [Part.Cluster, Part.View, Part.Claims, Part.Loader, Part.Holdings, Part.Loads],
-        start: (kernel) => startConversation(kernel, log),
+        start: (kernel) => startConversation(kernel, this.options),
       },
       {
         name: Part.Follower,
@@ -148,7 +152,15 @@
       },
       {
         name: Part.Requests,
-        needs: [Part.Directory, Part.Holdings, Part.Loads, Part.Standings, Part.Channels, Part.Loader, Part.Cluster],
+        needs: [
+          Part.Directory,
+          Part.Holdings,
+          Part.Loads,
+          Part.Standings,
+          Part.Channels,
+          Part.Loader,
+          Part.Cluster,
+        ],
         start: (kernel) => this.startRequests(kernel),
       },
       {
@@ -254,7 +266,14 @@
     const standings = kernel.get<Standings>(Part.Standings);
     const loader = kernel.get<Loader>(Part.Loader);
     const cluster = kernel.get<Cluster>(Part.Cluster);
-    const chooser = new Chooser({ directory, holdings, loads, standings, zone: settings.zone, now: timers.now });
+    const chooser = new Chooser({
+      directory,
+      holdings,
+      loads,
+      standings,
+      zone: settings.zone,
+      now: timers.now,
+    });
     directory.onTable(({ document }) => log.info(`Configuration ${document.version} is in force.`));
     const server = new RequestServer({
       host: settings.host,
@@ -302,13 +321,16 @@
 }
 
 function startPauses({ timers, log }: RouterOptions): PauseWatch {
-  const pauses = new PauseWatch(timers, (ms) => log.warn(`This process stood still for ${Math.round(ms)} ms.`));
+  const pauses = new PauseWatch(timers, (ms) =>
+    log.warn(`This process stood still for ${Math.round(ms)} ms.`),
+  );
   pauses.start();
   return pauses;
 }
 
-function startConversation(kernel: ServiceFinder, log: RouterOptions['log']): Conversation {
+function startConversation(kernel: ServiceFinder, { settings, log }: RouterOptions): Conversation {
   return new Conversation({
+    self: `${settings.host}:${settings.peerPort}`,
     cluster: kernel.get(Part.Cluster),
     view: kernel.get(Part.View),
     claims: kernel.get(Part.Claims),
--- a/packages/routing/src/core/requests/journey.ts
+++ b/packages/routing/src/core/requests/journey.ts
@@ -81,6 +81,10 @@
 
   private refusals = 0;
 
+  private sentAfter = 0;
+
+  private loadMs = 0;
+
   private isOver = false;
 
   /** The last whole answer that a repeat might better. */
@@ -168,6 +172,7 @@
     const { model, adapter } = head.generation!;
     const version = chooser.leastVersion(model, adapter!) || undefined;
     const timeoutMs = Math.min(LOAD_WAIT_MS, this.deadlineAt - timers.now());
+    const startedAt = timers.now();
     try {
       await ensure(replica, { model, adapter: adapter!, version }, { rank: route.rank, timeoutMs });
       return true;
@@ -175,6 +180,8 @@
       log.debug(`Request ${head.id}: no ${adapter} on ${replica.id}: ${String(err)}.`);
       this.unloadable.add(replica.id);
       return false;
+    } finally {
+      this.loadMs += Math.round(timers.now() - startedAt);
     }
   }
 
@@ -191,7 +198,17 @@
     });
     const call = { method: head.method, path: head.target, headers, body };
     this.sends += 1;
-    this.send = new Send({ pool, dialect, timers, replica, call, requestId: head.id, relay: this.relay, onAnswer: note.answered });
+    this.sentAfter = Math.round(timers.now() - this.options.arrivedAt);
+    this.send = new Send({
+      pool,
+      dialect,
+      timers,
+      replica,
+      call,
+      requestId: head.id,
+      relay: this.relay,
+      onAnswer: note.answered,
+    });
     const result = await this.send.result;
     this.send = undefined;
     note.ended();
@@ -213,7 +230,9 @@
   /** Decides what follows from the end of a send; when nothing does, the caller has been answered. */
   private mayGoOn({ replica }: Choice, result: SendResult): boolean {
     this.tried.add(replica.id);
-    this.parts.log.debug(`Request ${this.options.head.id}: ${result.end} at ${replica.id}, ${result.answer?.status} ${result.reason}, first byte ${result.firstByteMs}`);
+    this.parts.log.debug(
+      `Request ${this.options.head.id} ${this.options.head.method} ${this.options.head.target}: ${result.end} at ${replica.id}, ${result.answer?.status} ${result.reason}, first byte ${result.firstByteMs}, sent after ${this.sentAfter}, load ${this.loadMs}`,
+    );
     if (this.isOver) return false;
     return DECISIONS[result.end](this, replica, result);
   }
@@ -299,7 +318,9 @@
 
   private finish(kind: OwnAnswer, reason: string, retryAfterMs?: number): void {
     this.isOver = true;
-    this.parts.log.info(`Request ${this.options.head.id}: ${kind} after ${this.sends} sends, ${Math.round(this.parts.timers.now() - this.options.arrivedAt)} ms of ${Math.round(this.deadlineAt - this.options.arrivedAt)}, route ${this.options.route.name} ${this.options.route.kind}. ${reason}`);
+    this.parts.log.info(
+      `Request ${this.options.head.id}: ${kind} after ${this.sends} sends, ${Math.round(this.parts.timers.now() - this.options.arrivedAt)} ms of ${Math.round(this.deadlineAt - this.options.arrivedAt)}, route ${this.options.route.name} ${this.options.route.kind}. ${reason}`,
+    );
     if (this.relay?.hasBegun) this.relay.breakOff();
     else if (this.held !== undefined) this.deliver(this.held);
     else sendOwn(this.options.res, kind, reason, retryAfterMs);
--- a/packages/routing/src/core/requests/relay.ts
+++ b/packages/routing/src/core/requests/relay.ts
@@ -74,7 +74,8 @@
         // The caller has this one already.
         this.pass(bytes, passFrom, start);
         passFrom = end;
-      } else if (this.isResumed && id !== NO_ID && this.lastId !== undefined && id > this.lastId + 1) return false;
+      } else if (this.isResumed && id !== NO_ID && this.lastId !== undefined && id > this.lastId + 1)
+        return false;
       else if (id !== NO_ID) this.lastId = id;
       start = end;
     }
--- a/packages/routing/src/core/requests/server.ts
+++ b/packages/routing/src/core/requests/server.ts
@@ -93,6 +93,11 @@
     this.server.closeIdleConnections();
   }
 
+  /** Closes connections that wait between two requests. */
+  closeIdle(): void {
+    this.server.closeIdleConnections();
+  }
+
   private async serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
     this.running += 1;
     res.on('error', (err) => this.options.log.debug(`An answer could not be written: ${err.message}.`));
@@ -127,14 +132,23 @@
     const route = table.match(head.host, pathOf(head.target));
     if (route === undefined) {
       req.resume();
-      log.info(`Request ${head.id}: no route for ${head.host}${head.target} in version ${table.document.version}.`);
+      log.info(
+        `Request ${head.id}: no route for ${head.host}${head.target} in version ${table.document.version}.`,
+      );
       sendOwn(res, OwnAnswer.NoRoute, 'No route matches.');
       return;
     }
     const body = await readCallerBody(req, table.document.bounds.maxBodyBytes);
     if (body === BodyProblem.TooLarge) sendOwn(res, OwnAnswer.BodyTooLarge, 'The body is too large.');
     else if (body !== BodyProblem.Broken)
-      await new Journey(parts, { head, body, route, service: pickService(route, head), res, arrivedAt }).run();
+      await new Journey(parts, {
+        head,
+        body,
+        route,
+        service: pickService(route, head),
+        res,
+        arrivedAt,
+      }).run();
   }
 }
 
