--- a/packages/routing/src/core/requests/journey.ts
+++ b/packages/routing/src/core/requests/journey.ts
@@ -16,7 +16,7 @@
 import { useKey } from '../choice/index.js';
 import type { ReplicaEntry } from '../view/index.js';
 import { OwnAnswer, sendOwn } from './answers.js';
-import { passedHeaders } from './headers.js';
+import { beginAnswer } from './headers.js';
 import { StreamRelay } from './relay.js';
 import { Send } from './send.js';
 import type { HeldAnswer, RequestDialect, RequestHead, SendResult } from './types.js';
@@ -312,7 +312,7 @@
     const { res } = this.options;
     this.isOver = true;
     if (res.headersSent || res.destroyed) return;
-    res.writeHead(status, passedHeaders({ ...headers, 'content-length': String(body.length) }));
+    beginAnswer(res, status, headers, body.length);
     res.end(body);
   }
 
--- a/packages/routing/src/core/requests/relay.ts
+++ b/packages/routing/src/core/requests/relay.ts
@@ -9,7 +9,7 @@
 import { EventScanner, NO_ID } from '@celeryyoke/core';
 
 import type { HeaderMap } from '../channels/index.js';
-import { passedHeaders } from './headers.js';
+import { beginAnswer } from './headers.js';
 
 const EMPTY = Buffer.alloc(0);
 
@@ -55,7 +55,7 @@
     this.isResumed = this.hasBegun;
     if (this.hasBegun) return;
     this.hasBegun = true;
-    this.res.writeHead(status, passedHeaders(headers));
+    beginAnswer(this.res, status, headers);
     this.res.flushHeaders();
   }
 
