Unload no adapter that may be in use, and count accepted loads to the end

Cause: an engine that is told to unload an adapter in use answers 409 to every order until the last run on it ends (1083 of them in one play, 4 s at a stretch); a load that was accepted and then met 409 until its limit was freed in the table while it was on its way (LIMIT). After a restart of all, five daemons claimed one engine within 0.3 s. Change: the others are told before an adapter goes and uses that come in keep it; a 409 takes the withdrawal back; an accepted load stays counted; claims settle for a second.

--- a/packages/routing/src/core/adapters/keeper.ts
+++ b/packages/routing/src/core/adapters/keeper.ts
@@ -8,6 +8,7 @@
 
 import type { EngineSpec } from '../catalog/index.js';
 import type { ReplicaEntry } from '../view/index.js';
+import type { Slot } from './slots.js';
 import { SlotState, SlotTable } from './slots.js';
 import type { AdapterRef, EngineControl, EngineOrder, Holdings, RoomLine } from './types.js';
 import { adapterKey, OrderKind, OrderOutcome } from './types.js';
@@ -18,6 +19,8 @@
 const REPORT_LAG_MS = 320;
 /** Pause between two looks at an order in progress, in milliseconds: a tenth of a first load, half of a repeated one. */
 const POLL_MS = 12;
+/** Time from telling the others that an adapter goes until what they had sent before is known, in milliseconds: a few ways between failure domains. */
+const WITHDRAWAL_MS = 6;
 /** Pause between two looks at an adapter on its way out, in milliseconds: its last request runs for a second or so. */
 const DROP_POLL_MS = 50;
 /** Pause when the engine is at another order, in milliseconds. */
@@ -301,8 +304,8 @@
       wanted.resolve();
     } else {
       // It may still come in; the slot stays counted until the engine itself shows what it holds.
-      if (outcome !== OrderOutcome.Unknown && outcome !== OrderOutcome.Started) this.slots.free(wanted.key);
-      else this.slots.put(wanted.key, wanted.version ?? 1, SlotState.Held);
+      if (outcome === OrderOutcome.Started) this.slots.put(wanted.key, wanted.version ?? 1, SlotState.Held);
+      else this.slots.free(wanted.key);
       wanted.reject(new AdapterUnavailable(`Loading ${wanted.key} ended as ${outcome}.`));
     }
     this.pump();
@@ -311,11 +314,12 @@
   private async loadUntilDone(wanted: Wanted, startedAt: number): Promise<OrderOutcome> {
     const { timers } = this.options;
     const guess = this.loadedBefore.has(wanted.key) ? this.guesses.repeated : this.guesses.first;
-    let outcome = OrderOutcome.Unknown;
+    let wasAccepted = false;
     let isFirstLook = true;
     while (timers.now() - startedAt < LOAD_LIMIT_MS && !this.isStopped) {
-      outcome = await this.order(OrderKind.Load, wanted);
+      const outcome = await this.order(OrderKind.Load, wanted);
       if (outcome === OrderOutcome.Done) return outcome;
+      wasAccepted ||= outcome === OrderOutcome.Started || outcome === OrderOutcome.Unknown;
       if (outcome === OrderOutcome.Started) {
         const untilGuess = startedAt + guess * FIRST_LOOK_SHARE - timers.now();
         await timers.sleep(isFirstLook ? Math.max(POLL_MS, untilGuess) : POLL_MS);
@@ -324,7 +328,7 @@
         await timers.sleep(BUSY_MS);
       else return outcome;
     }
-    return outcome;
+    return wasAccepted ? OrderOutcome.Started : OrderOutcome.Busy;
   }
 
   private learnDuration(key: string, ms: number): void {
@@ -344,35 +348,46 @@
     try {
       const victim = this.slots.victim();
       if (victim === undefined) await this.options.timers.sleep(BUSY_MS);
-      else await this.drop(victim.key);
+      else await this.drop(victim);
     } finally {
       this.isMakingRoom = false;
     }
     this.pump();
   }
 
-  private async drop(key: string): Promise<void> {
-    const slash = key.indexOf('/');
-    const ref = { model: key.slice(0, slash), adapter: key.slice(slash + 1), version: undefined };
-    const slot = this.slots.get(key)!;
-    slot.state = SlotState.Dropping;
+  /**
+   * Unloads an adapter that nobody uses.
+   *
+   * An engine that is told to unload one in use takes no other order until the last request on it has ended, which
+   * may be seconds. So the others are told first, and what they have sent by then comes to be known.
+   */
+  private async drop(victim: Slot): Promise<void> {
+    const slash = victim.key.indexOf('/');
+    const ref = { model: victim.key.slice(0, slash), adapter: victim.key.slice(slash + 1), version: undefined };
+    victim.state = SlotState.Dropping;
     this.tell();
+    await this.options.timers.sleep(WITHDRAWAL_MS);
+    if (victim.running > 0) {
+      this.takeBack(victim);
+      return;
+    }
     for (;;) {
       const outcome = await this.order(OrderKind.Unload, ref);
-      if (outcome === OrderOutcome.Done) {
-        this.slots.free(key);
-        return;
-      }
-      if (this.isStopped) return;
-      if (outcome === OrderOutcome.Started) {
-        // Requests run on it; the slot is free when they have ended, which another look will tell.
-        void this.waitForDrop(key, ref);
-        return;
-      }
+      if (outcome === OrderOutcome.Done) this.slots.free(victim.key);
+      else if (outcome === OrderOutcome.Busy) this.takeBack(victim);
+      else if (outcome === OrderOutcome.Started) void this.waitForDrop(victim.key, ref);
+      if (outcome !== OrderOutcome.Unknown || this.isStopped) break;
       await this.options.timers.sleep(BUSY_MS);
     }
   }
 
+  /** The adapter stays after all. */
+  private takeBack(slot: Slot): void {
+    slot.state = SlotState.Held;
+    slot.usedAt = this.options.timers.now();
+    this.tell();
+  }
+
   private async waitForDrop(key: string, ref: AdapterRef): Promise<void> {
     const { timers } = this.options;
     for (;;) {
@@ -391,7 +406,12 @@
     if (token === undefined) return OrderOutcome.Unknown;
     const { model, adapter, version } = ref;
     const order: EngineOrder = { kind, model, adapter, version, holder: self, token };
+    const startedAt = this.options.timers.now();
     const outcome = await control.order(replica, order);
+    if (outcome !== OrderOutcome.Done && outcome !== OrderOutcome.Started)
+      this.options.log.debug(
+        `Order ${kind} ${model}/${adapter ?? ''} to ${replica.id}: ${outcome} after ${Math.round(this.options.timers.now() - startedAt)} ms.`,
+      );
     if (outcome === OrderOutcome.Fenced) onFenced(token);
     return outcome;
   }
--- a/packages/routing/src/core/authority/claims.ts
+++ b/packages/routing/src/core/authority/claims.ts
@@ -13,8 +13,8 @@
 
 /** Low part of a token: a number of the daemon's own. 2^12 keeps the token a safe integer until the year 2039. */
 const TOKEN_FACTOR = 4096;
-/** Time after the start in which other daemons' claims come in first, in milliseconds. */
-const SETTLE_MS = 500;
+/** Time after the start in which other daemons' claims come in first, in milliseconds: when all start at once, the slowest of them is up half a second after the first, and links take another. */
+const SETTLE_MS = 1000;
 /** Leases that a minority waits before it takes over from silent daemons: it is more likely cut off itself. */
 const MINORITY_LEASES = 3;
 /** Leases for which an engine that refused this daemon's token is left alone. */
