--- a/packages/routing/src/core/adapters/keeper.ts
+++ b/packages/routing/src/core/adapters/keeper.ts
@@ -363,8 +363,12 @@
    */
   private async drop(victim: Slot): Promise<void> {
     const slash = victim.key.indexOf('/');
-    const ref = { model: victim.key.slice(0, slash), adapter: victim.key.slice(slash + 1), version: undefined };
-    victim.state = SlotState.Dropping;
+    const ref = {
+      model: victim.key.slice(0, slash),
+      adapter: victim.key.slice(slash + 1),
+      version: undefined,
+    };
+    this.slots.mark(victim, SlotState.Dropping);
     this.tell();
     await this.options.timers.sleep(WITHDRAWAL_MS);
     if (victim.running > 0) {
@@ -383,8 +387,7 @@
 
   /** The adapter stays after all. */
   private takeBack(slot: Slot): void {
-    slot.state = SlotState.Held;
-    slot.usedAt = this.options.timers.now();
+    this.slots.mark(slot, SlotState.Held);
     this.tell();
   }
 
--- a/packages/routing/src/core/adapters/slots.ts
+++ b/packages/routing/src/core/adapters/slots.ts
@@ -99,6 +99,15 @@
     this.slots.delete(key);
   }
 
+  /**
+   * Notes that an adapter is on its way out, or that it stays after all.
+   * @param slot - Its slot.
+   * @param state - Dropping or held.
+   */
+  mark(slot: Slot, state: SlotState): void {
+    this.put(slot.key, slot.version, state);
+  }
+
   /**
    * Notes uses that a daemon told.
    * @param key - `model/adapter`.
--- a/packages/routing/src/core/channels/channel.ts
+++ b/packages/routing/src/core/channels/channel.ts
@@ -80,7 +80,7 @@
       idempotent: false,
     };
     try {
-      this.client.dispatch(options as Dispatcher.DispatchOptions, exchange);
+      this.client.dispatch(options, exchange);
     } catch (err) {
       exchange.fail(err as Error);
     }
--- a/packages/routing/src/core/choice/load.ts
+++ b/packages/routing/src/core/choice/load.ts
@@ -46,14 +46,21 @@
 
   private readonly told = new Map<string, Told>();
 
+  private readonly listeners: UseListener[] = [];
+
   /**
    * Makes an empty book.
    * @param timers - Time.
    */
   constructor(private readonly timers: TimerService) {}
 
-  /** Told of each change of this daemon's own uses. */
-  onUse: UseListener = () => undefined;
+  /**
+   * Subscribes to this daemon's own uses.
+   * @param listener - Told of each change.
+   */
+  onUse(listener: UseListener): void {
+    this.listeners.push(listener);
+  }
 
   /**
    * Notes that a request begins.
@@ -70,7 +77,7 @@
     if (use !== undefined) {
       use.running += 1;
       use.begun += 1;
-      this.onUse(replica, key!, use.running);
+      this.tellUse(replica, key!, use.running);
     }
     let isWaiting = true;
     const answered = (): void => {
@@ -82,7 +89,7 @@
       counts.running -= 1;
       if (use === undefined) return;
       use.running -= 1;
-      this.onUse(replica, key!, use.running);
+      this.tellUse(replica, key!, use.running);
     };
     return { answered, ended };
   }
@@ -166,6 +173,10 @@
     return { loads, uses };
   }
 
+  private tellUse(replica: string, key: string, running: number): void {
+    for (const listener of this.listeners) listener(replica, key, running);
+  }
+
   private use(replica: string, key: string): Use {
     const byKey = this.ownUses.get(replica) ?? new Map<string, Use>();
     this.ownUses.set(replica, byKey);
--- a/packages/routing/src/core/cluster/cluster.ts
+++ b/packages/routing/src/core/cluster/cluster.ts
@@ -9,6 +9,7 @@
 
 import { Link, LinkEnd } from './link.js';
 import { listenForPeers } from './listener.js';
+import { Peer } from './peer.js';
 import type { Member, MessageHandler } from './types.js';
 import { MemberState, MessageType } from './types.js';
 
@@ -43,18 +44,6 @@
   readonly known: readonly string[];
 }
 
-interface Peer {
-  readonly address: string;
-  member: Member | undefined;
-  state: MemberState;
-  heardAt: number;
-  link: Link | undefined;
-  /** Monotonic time before which it is not dialled. */
-  dialAt: number;
-  /** Monotonic time since which it has been down. */
-  downSince: number;
-}
-
 /** The members that this daemon knows. */
 export class Cluster {
   private readonly peers = new Map<string, Peer>();
@@ -202,17 +191,7 @@
     if (address === this.options.self.address) return undefined;
     let peer = this.peers.get(address);
     if (peer === undefined) {
-      const now = this.options.timers.now();
-      const state = MemberState.Ended;
-      peer = {
-        address,
-        member: undefined,
-        state,
-        heardAt: now,
-        link: undefined,
-        dialAt: now,
-        downSince: now,
-      };
+      peer = new Peer(address, this.options.timers.now());
       this.peers.set(address, peer);
       if (this.server !== undefined) this.dial(peer);
     }
@@ -222,13 +201,14 @@
   private dial(peer: Peer): void {
     if (this.isClosing) return;
     const { timers, self, onPeer } = this.options;
-    peer.link = new Link({
+    const link = new Link({
       address: peer.address,
       timers,
       hello: (): Hello => ({ self, known: this.knownAddresses() }),
       onUp: () => onPeer(peer.address),
       onDown: (end) => this.noteDown(peer, end),
     });
+    peer.connect(link);
   }
 
   private knownAddresses(): string[] {
@@ -238,8 +218,7 @@
   }
 
   private noteDown(peer: Peer, end: LinkEnd): void {
-    peer.link = undefined;
-    peer.dialAt = this.options.timers.now() + REDIAL_MS;
+    peer.disconnect(this.options.timers.now() + REDIAL_MS);
     if (end === LinkEnd.Refused) this.setState(peer, MemberState.Ended);
     else if (peer.state === MemberState.Alive) this.setState(peer, MemberState.Silent);
   }
@@ -247,7 +226,7 @@
   /** The peer's own link to this daemon closed: dial again at once to learn whether its process still runs. */
   private noteClosed(address: string): void {
     const peer = this.peers.get(address);
-    if (peer !== undefined && peer.link === undefined) peer.dialAt = 0;
+    if (peer !== undefined && peer.link === undefined) peer.disconnect(0);
   }
 
   private greet({ self, known }: Hello): string {
@@ -255,7 +234,7 @@
     if (peer === undefined) throw new Error('A daemon spoke with this one’s own address.');
     const isNewLife = peer.member?.incarnation !== self.incarnation;
     if (isNewLife && peer.state !== MemberState.Ended) this.setState(peer, MemberState.Ended);
-    peer.member = self;
+    peer.meet(self);
     this.hear(peer);
     for (const address of known) this.learn(address);
     if (peer.link === undefined) this.dial(peer);
@@ -274,15 +253,13 @@
   }
 
   private hear(peer: Peer): void {
-    peer.heardAt = this.options.timers.now();
+    peer.hear(this.options.timers.now());
     // One that leaves stays so until its next life.
     if (peer.state !== MemberState.Leaving) this.setState(peer, MemberState.Alive);
   }
 
   private setState(peer: Peer, state: MemberState): void {
-    if (peer.state === state) return;
-    if (peer.state === MemberState.Alive) peer.downSince = this.options.timers.now();
-    peer.state = state;
+    if (!peer.become(state, this.options.timers.now())) return;
     this.options.onState(peer.address, state);
   }
 }
--- a/packages/routing/src/core/cluster/frames.ts
+++ b/packages/routing/src/core/cluster/frames.ts
@@ -30,7 +30,7 @@
    * @returns The values of the frames that are now complete.
    * @throws RangeError when a frame is too large, which ends the link.
    */
-  *take(chunk: Buffer): Generator<unknown> {
+  *take(chunk: Buffer): Generator {
     this.rest = this.rest.length === 0 ? chunk : Buffer.concat([this.rest, chunk]);
     while (this.rest.length >= LENGTH_BYTES) {
       const length = this.rest.readUInt32BE(0);
--- a/packages/routing/src/core/daemon/heartbeat.ts
+++ b/packages/routing/src/core/daemon/heartbeat.ts
@@ -61,7 +61,7 @@
       loader.use(line[0], line[1], line[3]);
       this.refreshKeeper(line[0]);
     });
-    parts.loads.onUse = (replica, key, running) => this.tellUse(replica, key, running);
+    parts.loads.onUse((replica, key, running) => this.tellUse(replica, key, running));
     cluster.handle(MessageType.Ensure, (_from, wanted: EnsureWanted) => loader.ensureHere(wanted));
   }
 
--- a/packages/routing/src/core/daemon/router.ts
+++ b/packages/routing/src/core/daemon/router.ts
@@ -20,22 +20,22 @@
 import type { RouterOptions } from './types.js';
 
 /** Names under which the parts find each other. */
-enum Part {
-  View = 'view',
-  Directory = 'directory',
-  Pauses = 'pauses',
-  Cluster = 'cluster',
-  Claims = 'claims',
-  Channels = 'channels',
-  Holdings = 'holdings',
-  Loads = 'loads',
-  Standings = 'standings',
-  Loader = 'loader',
-  Conversation = 'conversation',
-  Follower = 'follower',
-  Requests = 'requests',
-  Readiness = 'readiness',
-}
+const PART = {
+  view: 'view',
+  directory: 'directory',
+  pauses: 'pauses',
+  cluster: 'cluster',
+  claims: 'claims',
+  channels: 'channels',
+  holdings: 'holdings',
+  loads: 'loads',
+  standings: 'standings',
+  loader: 'loader',
+  conversation: 'conversation',
+  follower: 'follower',
+  requests: 'requests',
+  readiness: 'readiness',
+} as const;
 
 /** How often claims are reviewed, in milliseconds. */
 const REVIEW_MS = 100;
@@ -89,10 +89,10 @@
     this.isLeaving = true;
     const { timers, settings, log } = this.options;
     const startedAt = timers.now();
-    const requests = this.get<RequestServer>(Part.Requests);
+    const requests = this.get<RequestServer>(PART.requests);
     log.info(`Stopping ${settings.name} (${cause}) with ${requests.running} requests in progress.`);
-    this.get<Claims>(Part.Claims).close();
-    const cluster = this.get<Cluster>(Part.Cluster);
+    this.get<Claims>(PART.claims).close();
+    const cluster = this.get<Cluster>(PART.cluster);
     cluster.leave();
     requests.drain();
     await timers.sleep(LEAVE_ROTATION_MS);
@@ -107,68 +107,68 @@
     log.info(`Stopped ${settings.name} with ${requests.running} requests in progress.`);
   }
 
-  private get<T>(part: Part): T {
+  private get<T>(part: string): T {
     return this.kernel.get<T>(part);
   }
 
   private services(): Service[] {
     const { timers } = this.options;
     return [
-      { name: Part.View, start: () => new SharedView(timers) },
-      { name: Part.Channels, start: () => new ChannelPool() },
-      { name: Part.Loads, start: () => new LoadBook(timers) },
-      { name: Part.Standings, start: () => new Standings(timers) },
-      { name: Part.Pauses, start: () => startPauses(this.options) },
+      { name: PART.view, start: () => new SharedView(timers) },
+      { name: PART.channels, start: () => new ChannelPool() },
+      { name: PART.loads, start: () => new LoadBook(timers) },
+      { name: PART.standings, start: () => new Standings(timers) },
+      { name: PART.pauses, start: () => startPauses(this.options) },
       {
-        name: Part.Directory,
-        needs: [Part.View],
-        start: (kernel) => new Directory(kernel.get(Part.View), timers),
+        name: PART.directory,
+        needs: [PART.view],
+        start: (kernel) => new Directory(kernel.get(PART.view), timers),
       },
       {
-        name: Part.Holdings,
-        needs: [Part.Directory],
-        start: (kernel) => new HoldingsBook(kernel.get(Part.Directory)),
+        name: PART.holdings,
+        needs: [PART.directory],
+        start: (kernel) => new HoldingsBook(kernel.get(PART.directory)),
       },
-      { name: Part.Cluster, start: () => this.makeCluster() },
+      { name: PART.cluster, start: () => this.makeCluster() },
       {
-        name: Part.Claims,
-        needs: [Part.Cluster, Part.Pauses, Part.Directory],
+        name: PART.claims,
+        needs: [PART.cluster, PART.pauses, PART.directory],
         start: (kernel) => this.makeClaims(kernel),
       },
       {
-        name: Part.Loader,
-        needs: [Part.Cluster, Part.Claims, Part.Directory, Part.Holdings, Part.Channels],
+        name: PART.loader,
+        needs: [PART.cluster, PART.claims, PART.directory, PART.holdings, PART.channels],
         start: (kernel) => this.makeLoader(kernel),
       },
       {
-        name: Part.Conversation,
-        needs: [Part.Cluster, Part.View, Part.Claims, Part.Loader, Part.Holdings, Part.Loads],
+        name: PART.conversation,
+        needs: [PART.cluster, PART.view, PART.claims, PART.loader, PART.holdings, PART.loads],
         start: (kernel) => startConversation(kernel, this.options),
       },
       {
-        name: Part.Follower,
-        needs: [Part.View, Part.Cluster, Part.Conversation],
+        name: PART.follower,
+        needs: [PART.view, PART.cluster, PART.conversation],
         start: (kernel) => this.startFollower(kernel),
       },
       {
-        name: Part.Requests,
+        name: PART.requests,
         needs: [
-          Part.Directory,
-          Part.Holdings,
-          Part.Loads,
-          Part.Standings,
-          Part.Channels,
-          Part.Loader,
-          Part.Cluster,
+          PART.directory,
+          PART.holdings,
+          PART.loads,
+          PART.standings,
+          PART.channels,
+          PART.loader,
+          PART.cluster,
         ],
         start: (kernel) => this.startRequests(kernel),
       },
       {
-        name: Part.Readiness,
-        needs: [Part.Requests, Part.Directory],
+        name: PART.readiness,
+        needs: [PART.requests, PART.directory],
         start: (kernel) => this.startReadiness(kernel),
       },
-    ] satisfies Service[] as Service[];
+    ];
   }
 
   private makeCluster(): Cluster {
@@ -179,17 +179,17 @@
       seeds: () => this.seeds,
       timers,
       log,
-      heartbeat: () => this.get<Conversation>(Part.Conversation).heartbeat(),
-      onPeer: (peer) => this.get<Conversation>(Part.Conversation).welcome(peer),
+      heartbeat: () => this.get<Conversation>(PART.conversation).heartbeat(),
+      onPeer: (peer) => this.get<Conversation>(PART.conversation).welcome(peer),
       onState: (peer, state) => log.info(`Peer ${peer} is ${state}.`),
     });
   }
 
   private makeClaims(kernel: ServiceFinder): Claims {
     const { settings, timers, log } = this.options;
-    const cluster = kernel.get<Cluster>(Part.Cluster);
-    const directory = kernel.get<Directory>(Part.Directory);
-    const pauses = kernel.get<PauseWatch>(Part.Pauses);
+    const cluster = kernel.get<Cluster>(PART.cluster);
+    const directory = kernel.get<Directory>(PART.directory);
+    const pauses = kernel.get<PauseWatch>(PART.pauses);
     const claims = new Claims({
       self: `${settings.host}:${settings.peerPort}`,
       fleet: cluster,
@@ -199,11 +199,11 @@
       onGain: (claim) => {
         log.info(`Gives orders to ${claim.replica} with token ${claim.token}.`);
         cluster.broadcast(MessageType.Claim, claim);
-        this.get<Loader>(Part.Loader).gain(claim);
+        this.get<Loader>(PART.loader).gain(claim);
       },
       onLoss: (claim, reason) => {
         log.info(`Gives no more orders to ${claim.replica}: ${reason}.`);
-        this.get<Loader>(Part.Loader).lose(claim);
+        this.get<Loader>(PART.loader).lose(claim);
       },
     });
     directory.onReplica((id, entry) => {
@@ -215,18 +215,18 @@
 
   private makeLoader(kernel: ServiceFinder): Loader {
     const { settings, timers, log, control } = this.options;
-    const directory = kernel.get<Directory>(Part.Directory);
+    const directory = kernel.get<Directory>(PART.directory);
     const loader = new Loader({
       self: `${settings.host}:${settings.peerPort}`,
-      cluster: kernel.get(Part.Cluster),
-      claims: kernel.get(Part.Claims),
+      cluster: kernel.get(PART.cluster),
+      claims: kernel.get(PART.claims),
       directory,
-      holdings: kernel.get(Part.Holdings),
-      control: control(kernel.get(Part.Channels)),
+      holdings: kernel.get(PART.holdings),
+      control: control(kernel.get(PART.channels)),
       timers,
       log,
     });
-    const channels = kernel.get<ChannelPool>(Part.Channels);
+    const channels = kernel.get<ChannelPool>(PART.channels);
     directory.onReplica((id, entry) => {
       if (entry === undefined) channels.forget(id);
     });
@@ -235,15 +235,15 @@
 
   private startFollower(kernel: ServiceFinder): Follower {
     const { settings, timers, log, source } = this.options;
-    const view = kernel.get<SharedView>(Part.View);
-    const cluster = kernel.get<Cluster>(Part.Cluster);
-    const conversation = kernel.get<Conversation>(Part.Conversation);
+    const view = kernel.get<SharedView>(PART.view);
+    const cluster = kernel.get<Cluster>(PART.cluster);
+    const conversation = kernel.get<Conversation>(PART.conversation);
     const self = `${settings.host}:${settings.peerPort}`;
     view.onChange(({ record }) => {
       if (record?.kind !== RecordKind.AdapterVersion) return;
       const { model, adapter, version } = record.declared;
       log.info(`Version ${version} of ${model}/${adapter} was declared.`);
-      this.get<Loader>(Part.Loader).upgrade(model, adapter, version);
+      this.get<Loader>(PART.loader).upgrade(model, adapter, version);
     });
     const follower = new Follower({
       view,
@@ -260,12 +260,12 @@
 
   private async startRequests(kernel: ServiceFinder): Promise<RequestServer> {
     const { settings, timers, log, dialect } = this.options;
-    const directory = kernel.get<Directory>(Part.Directory);
-    const holdings = kernel.get<HoldingsBook>(Part.Holdings);
-    const loads = kernel.get<LoadBook>(Part.Loads);
-    const standings = kernel.get<Standings>(Part.Standings);
-    const loader = kernel.get<Loader>(Part.Loader);
-    const cluster = kernel.get<Cluster>(Part.Cluster);
+    const directory = kernel.get<Directory>(PART.directory);
+    const holdings = kernel.get<HoldingsBook>(PART.holdings);
+    const loads = kernel.get<LoadBook>(PART.loads);
+    const standings = kernel.get<Standings>(PART.standings);
+    const loader = kernel.get<Loader>(PART.loader);
+    const cluster = kernel.get<Cluster>(PART.cluster);
     const chooser = new Chooser({
       directory,
       holdings,
@@ -284,7 +284,7 @@
       parts: {
         dialect,
         chooser,
-        pool: kernel.get(Part.Channels),
+        pool: kernel.get(PART.channels),
         loads,
         standings,
         timers,
@@ -310,7 +310,7 @@
 
   private startReadiness(kernel: ServiceFinder): Promise<ReadinessServer> {
     const { settings, isReadinessPath } = this.options;
-    const directory = kernel.get<Directory>(Part.Directory);
+    const directory = kernel.get<Directory>(PART.directory);
     return listenForReadiness({
       host: settings.host,
       port: settings.readinessPort,
@@ -331,12 +331,12 @@
 function startConversation(kernel: ServiceFinder, { settings, log }: RouterOptions): Conversation {
   return new Conversation({
     self: `${settings.host}:${settings.peerPort}`,
-    cluster: kernel.get(Part.Cluster),
-    view: kernel.get(Part.View),
-    claims: kernel.get(Part.Claims),
-    loader: kernel.get(Part.Loader),
-    holdings: kernel.get(Part.Holdings),
-    loads: kernel.get(Part.Loads),
+    cluster: kernel.get(PART.cluster),
+    view: kernel.get(PART.view),
+    claims: kernel.get(PART.claims),
+    loader: kernel.get(PART.loader),
+    holdings: kernel.get(PART.holdings),
+    loads: kernel.get(PART.loads),
     log,
   });
 }
--- a/packages/routing/src/core/requests/headers.ts
+++ b/packages/routing/src/core/requests/headers.ts
@@ -59,7 +59,12 @@
  * @param headers - The replica's headers.
  * @param heldBytes - Size of the body when it is held whole; stated only where the replica's answer had a framing.
  */
-export function beginAnswer(res: ServerResponse, status: number, headers: HeaderMap, heldBytes?: number): void {
+export function beginAnswer(
+  res: ServerResponse,
+  status: number,
+  headers: HeaderMap,
+  heldBytes?: number,
+): void {
   const isFramed = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
   if (!isFramed && !BODILESS.has(status)) {
     res.shouldKeepAlive = false;
--- a/packages/routing/src/core/requests/journey.ts
+++ b/packages/routing/src/core/requests/journey.ts
@@ -212,21 +212,10 @@
     const result = await this.send.result;
     this.send = undefined;
     note.ended();
-    this.judge(replica, result, standings);
+    judge(replica, result, standings);
     return result;
   }
 
-  private judge(replica: ReplicaEntry, result: SendResult, standings: Standings): void {
-    const { end, answer, wasSent, firstByteMs } = result;
-    if (end === SendEnd.Cancelled || end === SendEnd.Misdirected) return;
-    if (end === SendEnd.NotRun && !wasSent) standings.unreachable(replica.id);
-    else {
-      const isFailure = answer !== undefined && answer.status >= FIRST_FAILURE_STATUS;
-      const isGood = end === SendEnd.Relayed || (end === SendEnd.Answered && !isFailure);
-      standings.note(replica.id, isGood, isGood ? firstByteMs : undefined);
-    }
-  }
-
   /** Decides what follows from the end of a send; when nothing does, the caller has been answered. */
   private mayGoOn({ replica }: Choice, result: SendResult): boolean {
     this.tried.add(replica.id);
@@ -234,7 +223,7 @@
       `Request ${this.options.head.id} ${this.options.head.method} ${this.options.head.target}: ${result.end} at ${replica.id}, ${result.answer?.status} ${result.reason}, first byte ${result.firstByteMs}, sent after ${this.sentAfter}, load ${this.loadMs}`,
     );
     if (this.isOver) return false;
-    return DECISIONS[result.end](this, replica, result);
+    return decide(this, replica, result);
   }
 
   /** The replica's whole answer: passed on, unless it is a failure that another replica may better. */
@@ -327,6 +316,18 @@
   }
 }
 
+/** Notes how a replica has done. */
+function judge(replica: ReplicaEntry, result: SendResult, standings: Standings): void {
+  const { end, answer, wasSent, firstByteMs } = result;
+  if (end === SendEnd.Cancelled || end === SendEnd.Misdirected) return;
+  if (end === SendEnd.NotRun && !wasSent) standings.unreachable(replica.id);
+  else {
+    const isFailure = answer !== undefined && answer.status >= FIRST_FAILURE_STATUS;
+    const isGood = end === SendEnd.Relayed || (end === SendEnd.Answered && !isFailure);
+    standings.note(replica.id, isGood, isGood ? firstByteMs : undefined);
+  }
+}
+
 /** What each end of a send leads to; true when the journey goes on. */
 const DECISIONS: Readonly<
   Record<SendEnd, (journey: Journey, replica: ReplicaEntry, result: SendResult) => boolean>
@@ -339,3 +340,7 @@
   [SendEnd.BrokenStream]: (journey) => journey.onBrokenStream(),
   [SendEnd.Cancelled]: () => false,
 };
+
+function decide(journey: Journey, replica: ReplicaEntry, result: SendResult): boolean {
+  return DECISIONS[result.end](journey, replica, result);
+}
--- /dev/null
+++ b/packages/routing/test/claims.test.ts
@@ -0,0 +1,171 @@
+/** One daemon gives orders to an engine; a silent holder is waited out, and a refused one stops. */
+import { createManualTimers } from '@celeryyoke/core';
+import type { Claim, FleetView } from '@celeryyoke/routing';
+import { Claims, MemberState } from '@celeryyoke/routing';
+import test from 'ava';
+
+const LEASE_MS = 3000;
+const SETTLED_MS = 1100;
+
+class FakeFleet implements FleetView {
+  readonly states = new Map<string, MemberState>();
+
+  readonly downFor = new Map<string, number>();
+
+  constructor(
+    readonly self: string,
+    others: readonly string[],
+  ) {
+    for (const other of others) this.states.set(other, MemberState.Alive);
+  }
+
+  alive = (): string[] =>
+    [this.self, ...[...this.states].filter(([, state]) => state === MemberState.Alive).map(([name]) => name)].sort();
+
+  possible = (): number =>
+    1 + [...this.states.values()].filter((s) => s === MemberState.Alive || s === MemberState.Silent).length;
+
+  state = (name: string): MemberState =>
+    name === this.self ? MemberState.Alive : (this.states.get(name) ?? MemberState.Ended);
+
+  downForMs = (name: string): number => this.downFor.get(name) ?? 0;
+}
+
+function setUp(self = 'a', others: readonly string[] = ['b', 'c']) {
+  const timers = createManualTimers();
+  const fleet = new FakeFleet(self, others);
+  const gained: Claim[] = [];
+  const lost: string[] = [];
+  const flags = { isRecovering: false };
+  const claims = new Claims({
+    self,
+    fleet,
+    timers,
+    leaseMs: LEASE_MS,
+    isRecovering: () => flags.isRecovering,
+    onGain: (claim) => gained.push(claim),
+    onLoss: (claim) => lost.push(claim.replica),
+  });
+  return { timers, fleet, claims, gained, lost, flags };
+}
+
+const engines = Array.from({ length: 40 }, (_, index) => `engine-${index}`);
+
+test('daemons with the same view claim disjoint engines, and all of them, with different tokens', (t) => {
+  const names = ['a', 'b', 'c'];
+  const all = names.flatMap((self) => {
+    const { timers, claims, gained } = setUp(
+      self,
+      names.filter((name) => name !== self),
+    );
+    timers.advanceSync(SETTLED_MS);
+    claims.review(engines);
+    return gained;
+  });
+  t.deepEqual(all.map(({ replica }) => replica).sort(), [...engines].sort());
+  t.is(new Set(all.map(({ token }) => token)).size, engines.length);
+  t.true(all.every(({ token }) => Number.isSafeInteger(token)));
+});
+
+test('nothing is claimed before others had time to tell what they hold', (t) => {
+  const { timers, claims, gained } = setUp();
+  timers.advanceSync(500);
+  claims.review(engines);
+  t.is(gained.length, 0);
+});
+
+test('a living holder keeps its engine; an ended or leaving one loses it at once; a silent one after the lease', (t) => {
+  const { timers, fleet, claims, gained } = setUp('a', ['b']);
+  timers.advanceSync(SETTLED_MS);
+  claims.take({ replica: 'x', holder: 'b', token: 1 });
+  claims.review(['x']);
+  t.is(gained.length, 0);
+  fleet.states.set('b', MemberState.Silent);
+  fleet.downFor.set('b', LEASE_MS - 1);
+  claims.review(['x']);
+  t.is(gained.length, 0);
+  fleet.downFor.set('b', LEASE_MS + 1);
+  claims.review(['x']);
+  t.is(gained.length, 1);
+  t.true(gained[0]!.token > 1);
+
+  const other = setUp('a', ['b']);
+  other.timers.advanceSync(SETTLED_MS);
+  other.claims.take({ replica: 'x', holder: 'b', token: 1 });
+  other.fleet.states.set('b', MemberState.Leaving);
+  other.claims.review(['x']);
+  t.is(other.gained.length, 1);
+});
+
+test('the smaller side of a split fleet gives no orders and takes nothing over for some leases', (t) => {
+  const { timers, fleet, claims, gained } = setUp('a', ['b', 'c', 'd']);
+  timers.advanceSync(SETTLED_MS);
+  claims.review(engines);
+  const mine = gained[0]!.replica;
+  t.not(claims.authority(mine), undefined);
+  for (const name of ['b', 'c', 'd']) {
+    fleet.states.set(name, MemberState.Silent);
+    fleet.downFor.set(name, LEASE_MS + 500);
+  }
+  claims.take({ replica: 'theirs', holder: 'b', token: 1 });
+  const before = gained.length;
+  claims.review(['theirs']);
+  t.is(gained.length, before);
+  t.is(claims.authority(mine), undefined);
+  timers.advanceSync(3 * LEASE_MS + 100);
+  t.not(claims.authority(mine), undefined, 'a daemon that stays alone serves again');
+});
+
+test('a pause takes authority until beliefs are renewed', (t) => {
+  const { timers, claims, gained, flags } = setUp('a', []);
+  timers.advanceSync(SETTLED_MS);
+  claims.review(['x']);
+  t.is(claims.authority('x'), gained[0]!.token);
+  flags.isRecovering = true;
+  t.is(claims.authority('x'), undefined);
+});
+
+test('the higher token wins, and its loser stops', (t) => {
+  const { timers, claims, gained, lost } = setUp('a', []);
+  timers.advanceSync(SETTLED_MS);
+  claims.review(['x']);
+  claims.take({ replica: 'x', holder: 'b', token: gained[0]!.token - 1 });
+  t.is(claims.of('x')?.holder, 'a');
+  claims.take({ replica: 'x', holder: 'b', token: gained[0]!.token + 1 });
+  t.is(claims.of('x')?.holder, 'b');
+  t.deepEqual(lost, ['x']);
+});
+
+test('after a refused token the engine is left alone for some leases, then claimed with a higher one', (t) => {
+  const { timers, claims, gained, lost } = setUp('a', []);
+  timers.advanceSync(SETTLED_MS);
+  claims.review(['x']);
+  const { token } = gained[0]!;
+  claims.refused('x', token);
+  t.deepEqual(lost, ['x']);
+  claims.review(['x']);
+  t.is(gained.length, 1);
+  timers.advanceSync(2 * LEASE_MS + 1);
+  claims.review(['x']);
+  t.true(gained[1]!.token > token);
+});
+
+test('a clock that goes back makes no lower token', (t) => {
+  const timers = createManualTimers();
+  const claimed: Claim[] = [];
+  let wall = 5_000_000;
+  const claims = new Claims({
+    self: 'a',
+    fleet: new FakeFleet('a', []),
+    timers: { ...timers, wall: () => wall },
+    leaseMs: LEASE_MS,
+    isRecovering: () => false,
+    onGain: (claim) => claimed.push(claim),
+    onLoss: () => undefined,
+  });
+  timers.advanceSync(SETTLED_MS);
+  claims.review(['x']);
+  wall -= 2000;
+  claims.review(['y']);
+  t.true(claimed[1]!.token > claimed[0]!.token);
+});
--- /dev/null
+++ b/packages/routing/test/fakes.ts
@@ -0,0 +1,149 @@
+/** Small stand-ins for the tests of this package. */
+import type { TimerService } from '@celeryyoke/core';
+import { createSilentLog } from '@celeryyoke/core';
+import type {
+  EngineControl,
+  EngineOrder,
+  EngineReport,
+  HeldModel,
+  ReplicaEntry,
+  RoutingDocument,
+} from '@celeryyoke/routing';
+import { OrderKind, OrderOutcome, ReplicaState, RouteKind } from '@celeryyoke/routing';
+
+export const MODEL = 'base';
+export const log = createSilentLog();
+
+/** Makes an entry of an engine. */
+export function engineEntry(id: string, models: readonly HeldModel[] = []): ReplicaEntry {
+  return {
+    id,
+    service: 'engines',
+    host: '127.0.0.1',
+    port: 1,
+    zone: 'a',
+    slots: 8,
+    state: ReplicaState.Ready,
+    models: models.length > 0 ? models : [{ name: MODEL, version: 1, adapters: [] }],
+  };
+}
+
+/** Makes a configuration with one route for each kind. */
+export function sampleDocument(version: number, timeoutMs = 2000): RoutingDocument {
+  const route = (name: string, kind: RouteKind, service: string, maxAttempts: number, isResumable = false) => ({
+    name,
+    host: 'app.example',
+    prefix: `/${name}/`,
+    kind,
+    timeoutMs,
+    objectiveMs: 200,
+    rank: 1,
+    targets: [{ service, weight: 1 }],
+    maxAttempts,
+    isResumable,
+  });
+  return {
+    version,
+    routes: [
+      route('safe', RouteKind.Safe, 'web', 2),
+      route('unsafe', RouteKind.Unsafe, 'web', 1),
+      route('stream', RouteKind.Streaming, 'engines', 1),
+      route('resumable', RouteKind.Streaming, 'engines', 2, true),
+    ],
+    services: [
+      { name: 'web', maxConnections: 100, engine: undefined },
+      {
+        name: 'engines',
+        maxConnections: 100,
+        engine: {
+          slots: 8,
+          memoryMb: 100,
+          adapterSlots: 3,
+          modelLoadsPerSecond: 2,
+          models: [{ name: MODEL, weightsMb: 90, adapterMb: 1 }],
+        },
+      },
+    ],
+    bounds: { maxHeaderBytes: 16_384, maxBodyBytes: 1000, headerTimeoutMs: 3000, idleTimeoutMs: 5000 },
+  };
+}
+
+interface FakeSlot {
+  isLoading: boolean;
+  running: number;
+}
+
+/** An engine that holds itself to its protocol and notes when it is ordered to hold too much. */
+export class FakeEngine implements EngineControl {
+  readonly slots = new Map<string, FakeSlot>();
+
+  readonly orders: EngineOrder[] = [];
+
+  /** Orders that asked for more than there is room for. */
+  overloads = 0;
+
+  /** Adapters told to go while requests ran on them: the engine answers no other order until they have ended. */
+  blocked = new Set<string>();
+
+  /** Answers the next orders with these, in place of what the engine would say. */
+  script: OrderOutcome[] = [];
+
+  seenToken = 0;
+
+  /**
+   * Makes an engine.
+   * @param timers - Time.
+   * @param capacity - Adapter slots.
+   * @param loadMs - Time of a load.
+   */
+  constructor(
+    private readonly timers: TimerService,
+    private readonly capacity: number,
+    private readonly loadMs = 100,
+  ) {}
+
+  order = async (_replica: ReplicaEntry, order: EngineOrder): Promise<OrderOutcome> => {
+    this.orders.push(order);
+    const scripted = this.script.shift();
+    if (scripted !== undefined) return scripted;
+    if (order.token < this.seenToken) return OrderOutcome.Fenced;
+    this.seenToken = order.token;
+    if (order.adapter === undefined) return OrderOutcome.Done;
+    if (this.blocked.size > 0 && !this.blocked.has(order.adapter)) return OrderOutcome.Busy;
+    return order.kind === OrderKind.Load ? this.load(order.adapter) : this.unload(order.adapter);
+  };
+
+  report = async (): Promise<EngineReport> => ({
+    models: [
+      {
+        name: MODEL,
+        version: 1,
+        adapters: [...this.slots].filter(([, slot]) => !slot.isLoading).map(([name]) => ({ name, version: 1 })),
+      },
+    ],
+    loading: [],
+  });
+
+  private load(adapter: string): OrderOutcome {
+    const slot = this.slots.get(adapter);
+    if (slot !== undefined) return slot.isLoading ? OrderOutcome.Started : OrderOutcome.Done;
+    if (this.slots.size >= this.capacity) this.overloads += 1;
+    this.slots.set(adapter, { isLoading: true, running: 0 });
+    this.timers.after(this.loadMs, () => {
+      const loaded = this.slots.get(adapter);
+      if (loaded !== undefined) loaded.isLoading = false;
+    });
+    return OrderOutcome.Started;
+  }
+
+  private unload(adapter: string): OrderOutcome {
+    const slot = this.slots.get(adapter);
+    if (slot !== undefined && slot.running > 0) {
+      this.blocked.add(adapter);
+      return OrderOutcome.Started;
+    }
+    this.blocked.delete(adapter);
+    this.slots.delete(adapter);
+    return OrderOutcome.Done;
+  }
+}
--- /dev/null
+++ b/packages/routing/test/keeper.test.ts
@@ -0,0 +1,209 @@
+/** A keeper never orders more onto an engine than it holds, and never blocks it. */
+import { createManualTimers } from '@celeryyoke/core';
+import type { Holdings } from '@celeryyoke/routing';
+import { AdapterUnavailable, Keeper, OrderKind, OrderOutcome } from '@celeryyoke/routing';
+import test from 'ava';
+import fc from 'fast-check';
+
+import { engineEntry, FakeEngine, log, MODEL, sampleDocument } from './fakes.js';
+
+const CAPACITY = 3;
+const LEARNT_MS = 400;
+const URGENCY = { rank: 1, timeoutMs: 3000 };
+
+async function setUp() {
+  const timers = createManualTimers();
+  const control = new FakeEngine(timers, CAPACITY);
+  const told: Holdings[] = [];
+  const fenced: number[] = [];
+  const authority: { token: number | undefined } = { token: 5 };
+  const keeper = new Keeper({
+    replica: engineEntry('e'),
+    engine: sampleDocument(1).services[1]!.engine!,
+    self: 'a',
+    control,
+    timers,
+    log,
+    authority: () => authority.token,
+    onFenced: (token) => fenced.push(token),
+    onHoldings: (holdings) => told.push(holdings),
+  });
+  void keeper.run();
+  await timers.advance(LEARNT_MS);
+  const ensure = (adapter: string, urgency = URGENCY, version?: number) =>
+    keeper.ensure({ model: MODEL, adapter, version }, urgency);
+  return { timers, control, keeper, told, fenced, authority, ensure };
+}
+
+/** Notes how a promise ended. */
+function watch(promise: Promise<void>): { state: string } {
+  const note = { state: 'waiting' };
+  promise.then(
+    () => {
+      note.state = 'done';
+    },
+    (err: unknown) => {
+      note.state = err instanceof AdapterUnavailable ? 'unavailable' : String(err);
+    },
+  );
+  return note;
+}
+
+test('requests for one adapter share one load', async (t) => {
+  const { timers, control, ensure } = await setUp();
+  const notes = [watch(ensure('x')), watch(ensure('x'))];
+  await timers.advance(500);
+  t.deepEqual(
+    notes.map(({ state }) => state),
+    ['done', 'done'],
+  );
+  t.is(control.slots.size, 1);
+});
+
+test('an adapter without running requests makes room, one in use stays', async (t) => {
+  const { timers, control, keeper, ensure } = await setUp();
+  for (const adapter of ['x', 'y', 'z']) {
+    void ensure(adapter);
+    await timers.advance(400);
+  }
+  keeper.setRunning(new Map([[`${MODEL}/x`, 1]]));
+  control.slots.get('x')!.running = 1;
+  const note = watch(ensure('w'));
+  await timers.advance(1000);
+  t.is(note.state, 'done');
+  t.true(control.slots.has('x'));
+  t.is(control.overloads, 0);
+  t.is(control.blocked.size, 0);
+});
+
+test('a use that was on its way when the adapter was withdrawn keeps it', async (t) => {
+  const { timers, control, keeper, told, ensure } = await setUp();
+  for (const adapter of ['x', 'y', 'z']) {
+    void ensure(adapter);
+    await timers.advance(400);
+  }
+  const before = told.length;
+  void watch(ensure('w'));
+  // The withdrawal is told before the order goes; a request that another daemon sent meanwhile becomes known.
+  while (told.length === before) await timers.advance(1);
+  const withdrawn = ['x', 'y', 'z'].find((name) => told.at(-1)!.adapters[`${MODEL}/${name}`] === undefined)!;
+  control.slots.get(withdrawn)!.running = 1;
+  keeper.setRunning(new Map([[`${MODEL}/${withdrawn}`, 1]]));
+  await timers.advance(1000);
+  t.true(control.slots.has(withdrawn));
+  t.is(control.blocked.size, 0);
+  t.is(control.overloads, 0);
+});
+
+test('a load that was accepted stays counted when the engine then answers that it is busy', async (t) => {
+  const { timers, control, ensure } = await setUp();
+  control.script = [OrderOutcome.Started, ...new Array<OrderOutcome>(400).fill(OrderOutcome.Busy)];
+  const note = watch(ensure('x', { rank: 1, timeoutMs: 10_000 }));
+  await timers.advance(4500);
+  t.is(note.state, 'unavailable');
+  control.script = [];
+  control.slots.set('x', { isLoading: false, running: 0 });
+  for (const adapter of ['y', 'z', 'w']) {
+    void watch(ensure(adapter));
+    await timers.advance(600);
+  }
+  t.is(control.overloads, 0);
+});
+
+test('a load that nobody waits for any more is not begun', async (t) => {
+  const { timers, control, keeper, ensure } = await setUp();
+  for (const adapter of ['x', 'y', 'z']) {
+    void ensure(adapter);
+    await timers.advance(400);
+  }
+  const running = new Map(['x', 'y', 'z'].map((name) => [`${MODEL}/${name}`, 1] as const));
+  keeper.setRunning(running);
+  const note = watch(ensure('w', { rank: 1, timeoutMs: 200 }));
+  await timers.advance(300);
+  t.is(note.state, 'unavailable');
+  keeper.setRunning(new Map());
+  await timers.advance(1000);
+  t.false(control.orders.some(({ adapter }) => adapter === 'w'));
+});
+
+test('the most urgent of the waiting loads comes first', async (t) => {
+  const { timers, control, keeper, ensure } = await setUp();
+  for (const adapter of ['x', 'y', 'z']) {
+    void ensure(adapter);
+    await timers.advance(400);
+  }
+  keeper.setRunning(new Map(['x', 'y', 'z'].map((name) => [`${MODEL}/${name}`, 1] as const)));
+  void watch(ensure('later', { rank: 2, timeoutMs: 5000 }));
+  void watch(ensure('sooner', { rank: 0, timeoutMs: 5000 }));
+  await timers.advance(100);
+  keeper.setRunning(new Map());
+  await timers.advance(2000);
+  const loads = control.orders.filter(({ kind }) => kind === OrderKind.Load).map(({ adapter }) => adapter);
+  t.true(loads.indexOf('sooner') < loads.indexOf('later'));
+  t.true(loads.includes('later'));
+});
+
+test('a newer version is loaded over the older one, with a slot to spare', async (t) => {
+  const { timers, control, keeper, ensure } = await setUp();
+  for (const adapter of ['x', 'y', 'z']) {
+    void ensure(adapter);
+    await timers.advance(400);
+  }
+  t.true(keeper.holdsOlder(`${MODEL}/x`, 2));
+  void watch(ensure('x', URGENCY, 2));
+  await timers.advance(600);
+  const upgrade = control.orders.findIndex(({ version }) => version === 2);
+  const room = control.orders.findIndex(({ kind }) => kind === OrderKind.Unload);
+  t.true(room >= 0 && room < upgrade);
+  t.false(keeper.holdsOlder(`${MODEL}/x`, 2));
+});
+
+test('without authority no order is sent', async (t) => {
+  const { timers, control, authority, ensure } = await setUp();
+  authority.token = undefined;
+  const before = control.orders.length;
+  void watch(ensure('x', { rank: 1, timeoutMs: 300 }));
+  await timers.advance(500);
+  t.is(control.orders.length, before);
+});
+
+test('a refused token is reported, and not used for a load that then counts as done', async (t) => {
+  const { timers, control, fenced, ensure } = await setUp();
+  control.seenToken = 9;
+  const note = watch(ensure('x'));
+  await timers.advance(100);
+  t.deepEqual(fenced, [5]);
+  t.is(note.state, 'unavailable');
+});
+
+test('whatever the demand, no engine is ordered to hold too much or blocked by a use that is known', async (t) => {
+  const step = fc.record({ adapter: fc.nat(7), holdMs: fc.nat(400), pauseMs: fc.nat(120), rank: fc.nat(2) });
+  await fc.assert(
+    fc.asyncProperty(fc.array(step, { minLength: 5, maxLength: 30 }), async (steps) => {
+      const { timers, control, keeper, ensure } = await setUp();
+      const running = new Map<string, number>();
+      const change = (adapter: string, by: number): void => {
+        const key = `${MODEL}/${adapter}`;
+        running.set(key, (running.get(key) ?? 0) + by);
+        const slot = control.slots.get(adapter);
+        if (slot !== undefined) slot.running += by;
+        keeper.setRunning(running);
+      };
+      for (const { adapter: number, holdMs, pauseMs, rank } of steps) {
+        const adapter = `a${number}`;
+        ensure(adapter, { rank, timeoutMs: 800 }).then(
+          () => {
+            change(adapter, 1);
+            timers.after(holdMs, () => change(adapter, -1));
+          },
+          () => undefined,
+        );
+        await timers.advance(pauseMs);
+      }
+      await timers.advance(3000);
+      t.is(control.overloads, 0);
+      t.is(control.blocked.size, 0);
+    }),
+    { seed: 7, numRuns: 30 },
+  );
+});
--- /dev/null
+++ b/packages/routing/test/view.test.ts
@@ -0,0 +1,102 @@
+/** The view merges copies by revision, and never goes back. */
+import { createManualTimers } from '@celeryyoke/core';
+import type { Change, Delta } from '@celeryyoke/routing';
+import { Directory, RecordKind, ReplicaState, SharedView } from '@celeryyoke/routing';
+import test from 'ava';
+
+import { engineEntry, sampleDocument } from './fakes.js';
+
+function replica(id: string, revision: number, state = ReplicaState.Ready): Change {
+  return { key: `r/${id}`, revision, record: { kind: RecordKind.Replica, replica: { ...engineEntry(id), state } } };
+}
+
+function whole(upTo: number, ...changes: Change[]): Delta {
+  return { from: 0, upTo, isWhole: true, changes };
+}
+
+function part(from: number, upTo: number, ...changes: Change[]): Delta {
+  return { from, upTo, isWhole: false, changes };
+}
+
+test('a delta that begins behind what is known is refused until a whole copy has come', (t) => {
+  const view = new SharedView(createManualTimers());
+  t.false(view.apply(part(3, 5)));
+  t.true(view.apply(whole(5, replica('a', 4))));
+  t.false(view.apply(part(7, 9)));
+  t.true(view.apply(part(4, 6, replica('b', 6))));
+  t.is(view.upTo, 6);
+});
+
+test('an older copy changes nothing, whichever way it comes', (t) => {
+  const timers = createManualTimers();
+  const view = new SharedView(timers);
+  const directory = new Directory(view, timers);
+  view.apply(whole(9, replica('a', 8, ReplicaState.Leaving)));
+  view.apply(whole(5, replica('a', 4)));
+  view.apply(part(3, 5, replica('a', 4)));
+  t.is(directory.replica('a')?.state, ReplicaState.Leaving);
+  t.is(view.upTo, 9);
+});
+
+test('what a newer whole copy leaves out is gone', (t) => {
+  const timers = createManualTimers();
+  const view = new SharedView(timers);
+  const directory = new Directory(view, timers);
+  view.apply(whole(5, replica('a', 2), replica('b', 3)));
+  view.apply(whole(8, replica('b', 3)));
+  t.is(directory.replica('a'), undefined);
+  t.not(directory.replica('b'), undefined);
+});
+
+test('a lagging copy gets the changes it lacks, and a whole copy when it lags too far', (t) => {
+  const view = new SharedView(createManualTimers());
+  view.apply(whole(5, replica('a', 5)));
+  view.apply(part(5, 6, replica('b', 6)));
+  const { isWhole, changes } = view.since(5);
+  t.false(isWhole);
+  t.deepEqual(
+    changes.map(({ revision }) => revision),
+    [6],
+  );
+  t.true(view.since(2).isWhole);
+});
+
+test('a confirmation counts only for the revision that is held', (t) => {
+  const timers = createManualTimers();
+  const view = new SharedView(timers);
+  view.apply(whole(5));
+  view.confirm(6, 0);
+  t.is(view.ageMs, Number.POSITIVE_INFINITY);
+  view.confirm(5, 40);
+  t.is(view.ageMs, 40);
+});
+
+test('the configuration in force never goes back', (t) => {
+  const timers = createManualTimers();
+  const view = new SharedView(timers);
+  const directory = new Directory(view, timers);
+  const document = (version: number, revision: number): Change => ({
+    key: 'config',
+    revision,
+    record: { kind: RecordKind.Document, document: sampleDocument(version) },
+  });
+  view.apply(whole(5, document(7, 5)));
+  view.apply(part(5, 6, document(3, 6)));
+  t.is(directory.table?.document.version, 7);
+});
+
+test('a replica that left may be chosen for a moment, and only where its service has no other', async (t) => {
+  const timers = createManualTimers();
+  const view = new SharedView(timers);
+  const directory = new Directory(view, timers);
+  view.apply(whole(5, replica('a', 2), replica('b', 3)));
+  view.apply(part(5, 6, { key: 'r/a', revision: 6, record: undefined }));
+  t.deepEqual(
+    directory.ready('engines').map(({ id }) => id),
+    ['b'],
+  );
+  view.apply(part(6, 7, replica('b', 7, ReplicaState.Leaving)));
+  t.deepEqual(directory.ready('engines').map(({ id }) => id).sort(), ['a', 'b']);
+  await timers.advance(1600);
+  t.deepEqual(directory.ready('engines'), []);
+});
