Use no connection again whose replica has said that it closes it

Cause: shown by a test over raw sockets; the next request on it was refused by the library and paid from the budget. Change: a connection counts as spent from the head of its last answer on.

--- a/packages/routing/src/core/channels/channel.ts
+++ b/packages/routing/src/core/channels/channel.ts
@@ -41,6 +41,9 @@
 
   private isClosed = false;
 
+  /** Whether the replica ends the connection with the answer at hand. */
+  private isLast = false;
+
   /**
    * Makes a channel; it connects with its first exchange.
    * @param options - Where to.
@@ -59,9 +62,9 @@
     this.client.on('connectionError', () => this.close());
   }
 
-  /** Whether it can take an exchange. */
+  /** Whether it can take another exchange. */
   get isUsable(): boolean {
-    return !this.isClosed;
+    return !this.isClosed && !this.isLast;
   }
 
   /**
@@ -71,7 +74,13 @@
    * @returns The running exchange.
    */
   send(call: UpstreamCall, sink: AnswerSink): RunningExchange {
-    const exchange = new Exchange(sink, () => this.wasReset);
+    const exchange = new Exchange(
+      sink,
+      () => this.wasReset,
+      () => {
+        this.isLast = true;
+      },
+    );
     const options = {
       method: call.method,
       path: call.path,
@@ -140,6 +149,7 @@
   constructor(
     private readonly sink: AnswerSink,
     private readonly wasReset: () => boolean,
+    private readonly noteLast: () => void,
   ) {}
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
@@ -156,6 +166,7 @@
   onResponseStart(_controller: Dispatcher.DispatchController, status: number, headers: HeaderMap): void {
     if (status < FIRST_FINAL_STATUS || this.hasEnded) return;
     this.hasLength = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+    if (!this.hasLength || saysClose(headers)) this.noteLast();
     this.sink.onHead(status, headers);
   }
 
@@ -200,3 +211,7 @@
     this.controller?.resume();
   }
 }
+
+function saysClose({ connection }: HeaderMap): boolean {
+  return String(connection ?? '').toLowerCase().includes('close');
+}
--- a/packages/routing/src/core/channels/pool.ts
+++ b/packages/routing/src/core/channels/pool.ts
@@ -81,7 +81,10 @@
   }
 
   private giveBack(id: string, channel: Channel): void {
-    if (!channel.isUsable) return;
+    if (!channel.isUsable) {
+      channel.close();
+      return;
+    }
     const idle = this.idle.get(id) ?? [];
     idle.push(channel);
     this.idle.set(id, idle);
--- /dev/null
+++ b/packages/routing/test/raw.ts
@@ -0,0 +1,118 @@
+/** Raw sockets for the tests: a replica that answers byte by byte as told, and a caller that sends what it likes. */
+import type { AddressInfo, Server, Socket } from 'node:net';
+import { connect, createServer } from 'node:net';
+
+const HEAD_END = '\r\n\r\n';
+
+/** A request as it came. */
+export interface RawRequest {
+  readonly head: string;
+  readonly body: string;
+  readonly socket: Socket;
+}
+
+/** A replica that does as told. */
+export interface RawReplica {
+  readonly port: number;
+  /** Whole requests that came. */
+  readonly seen: RawRequest[];
+  /** Connections that were opened. */
+  readonly connections: () => number;
+  close(): Promise<void>;
+}
+
+/**
+ * Reads a header of a request.
+ * @param head - The head.
+ * @param name - Name in lower case.
+ * @returns Its value, or undefined.
+ */
+export function headerIn(head: string, name: string): string | undefined {
+  const line = head.split('\r\n').find((text) => text.toLowerCase().startsWith(`${name}:`));
+  return line?.slice(line.indexOf(':') + 1).trim();
+}
+
+function takeRequest(text: string): { head: string; body: string; rest: string } | undefined {
+  const end = text.indexOf(HEAD_END);
+  if (end < 0) return undefined;
+  const head = text.slice(0, end);
+  const length = Number(headerIn(head, 'content-length') ?? 0);
+  const from = end + HEAD_END.length;
+  if (text.length < from + length) return undefined;
+  return { head, body: text.slice(from, from + length), rest: text.slice(from + length) };
+}
+
+/**
+ * Starts a replica.
+ * @param answer - Called with each request; writes to its socket.
+ * @returns The replica.
+ */
+export async function startReplica(answer: (req: RawRequest, number: number) => void): Promise<RawReplica> {
+  const seen: RawRequest[] = [];
+  const sockets = new Set<Socket>();
+  let connections = 0;
+  const server: Server = createServer((socket) => {
+    connections += 1;
+    sockets.add(socket);
+    let text = '';
+    socket.on('error', () => undefined);
+    socket.on('close', () => sockets.delete(socket));
+    socket.on('data', (chunk) => {
+      text += chunk.toString('latin1');
+      for (let next = takeRequest(text); next !== undefined; next = takeRequest(text)) {
+        text = next.rest;
+        const req = { head: next.head, body: next.body, socket };
+        seen.push(req);
+        answer(req, seen.length);
+      }
+    });
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  return {
+    port: (server.address() as AddressInfo).port,
+    seen,
+    connections: () => connections,
+    close: () => {
+      for (const socket of sockets) socket.destroy();
+      return new Promise((resolve) => {
+        server.close(() => resolve());
+      });
+    },
+  };
+}
+
+/**
+ * Sends bytes and gathers all that comes back until the connection ends or time is over.
+ * @param port - Where to.
+ * @param parts - What to send, one after the other.
+ * @param waitMs - Longest wait for the end.
+ * @returns What came, and whether the other side closed.
+ */
+export function converse(
+  port: number,
+  parts: readonly string[],
+  waitMs = 700,
+): Promise<{ text: string; isClosed: boolean }> {
+  return new Promise((resolve) => {
+    let text = '';
+    const socket = connect(port, '127.0.0.1');
+    const finish = (isClosed: boolean): void => {
+      socket.destroy();
+      resolve({ text, isClosed });
+    };
+    const timer = setTimeout(() => finish(false), waitMs);
+    socket.on('data', (chunk) => {
+      text += chunk.toString('latin1');
+    });
+    socket.on('error', () => undefined);
+    socket.on('close', () => {
+      clearTimeout(timer);
+      finish(true);
+    });
+    socket.on('connect', () => {
+      for (const part of parts) socket.write(part, 'latin1');
+    });
+  });
+}
