End a kept connection with the last answer of a shutdown, and refuse what comes later

Change: once the listener is closed, the connection ends with its answer, and what still comes is refused as not run.

--- a/packages/routing/src/core/requests/server.ts
+++ b/packages/routing/src/core/requests/server.ts
@@ -48,6 +48,9 @@
 
   private isDraining = false;
 
+  /** Whether no further request is taken. */
+  private isClosing = false;
+
   /**
    * Makes a server that does not listen.
    * @param options - Where, and the parts that serve.
@@ -89,6 +92,7 @@
 
   /** Closes connections that wait between two requests, and the listener. */
   close(): void {
+    this.isClosing = true;
     this.server.close();
     this.server.closeIdleConnections();
   }
@@ -102,6 +106,10 @@
     this.running += 1;
     res.on('error', (err) => this.options.log.debug(`An answer could not be written: ${err.message}.`));
     if (this.isDraining) res.shouldKeepAlive = false;
+    // A stream that began before the shutdown has promised its caller a connection that is kept: it ends with it.
+    res.once('finish', () => {
+      if (this.isClosing) req.socket.destroySoon();
+    });
     try {
       await this.answer(req, res);
     } catch (err) {
@@ -124,9 +132,10 @@
       return;
     }
     const { table } = directory;
-    if (table === undefined) {
+    if (table === undefined || this.isClosing) {
       req.resume();
-      sendOwn(res, OwnAnswer.NotRun, 'No configuration yet.', NO_CONFIG_RETRY_MS);
+      const reason = this.isClosing ? 'This daemon is shutting down.' : 'No configuration yet.';
+      sendOwn(res, OwnAnswer.NotRun, reason, this.isClosing ? 0 : NO_CONFIG_RETRY_MS);
       return;
     }
     const route = table.match(head.host, pathOf(head.target));
