Keep nobody waiting for engines that leave or can't be reached

Cause: loads queued up to 1.5 s at engines that had crashed or were leaving, whose slots looked free.

--- a/packages/routing/src/core/adapters/keeper.ts
+++ b/packages/routing/src/core/adapters/keeper.ts
@@ -37,6 +37,10 @@
 const REPEATED_LOAD_GUESS_MS = 25;
 /** Weight of a new measurement of a load time. */
 const GUESS_WEIGHT = 0.3;
+/** Time for which an engine that could not be reached is left alone, in milliseconds. */
+const REST_MS = 400;
+/** Room that is told of an engine that can't be reached. */
+const NO_WAY = -1;
 /** Adapters remembered as loaded before on this engine. */
 const MAX_REMEMBERED = 400;
 
@@ -101,6 +105,9 @@
 
   private isMakingRoom = false;
 
+  /** Monotonic time until which the engine counts as unreachable. */
+  private unreachableUntil = Number.NEGATIVE_INFINITY;
+
   /**
    * Makes a keeper that has not started.
    * @param options - The engine and how to talk to it.
@@ -140,6 +147,7 @@
   ensure(ref: AdapterRef, { rank, timeoutMs }: Urgency): Promise<void> {
     const key = adapterKey(ref.model, ref.adapter);
     if (this.isStopped) return Promise.reject(new AdapterUnavailable('The engine was given up.'));
+    if (this.isUnreachable) return Promise.reject(new AdapterUnavailable('The engine can’t be reached.'));
     const slot = this.slots.get(key);
     const now = this.options.timers.now();
     if (slot?.state === SlotState.Held && slot.version >= (ref.version ?? 0)) {
@@ -380,6 +388,7 @@
       if (outcome === OrderOutcome.Done) this.slots.free(victim.key);
       else if (outcome === OrderOutcome.Busy) this.takeBack(victim);
       else if (outcome === OrderOutcome.Started) void this.waitForDrop(victim.key, ref);
+      else if (outcome === OrderOutcome.Unreachable) this.takeBack(victim);
       if (outcome !== OrderOutcome.Unknown || this.isStopped) break;
       await this.options.timers.sleep(BUSY_MS);
     }
@@ -416,12 +425,18 @@
         `Order ${kind} ${model}/${adapter ?? ''} to ${replica.id}: ${outcome} after ${Math.round(this.options.timers.now() - startedAt)} ms.`,
       );
     if (outcome === OrderOutcome.Fenced) onFenced(token);
+    if (outcome === OrderOutcome.Unreachable) this.rest();
     return outcome;
   }
 
+  private get isUnreachable(): boolean {
+    return this.options.timers.now() < this.unreachableUntil;
+  }
+
   /** How the engine's slots stand, for the heartbeat. */
   room(): RoomLine {
     const { replica, engine } = this.options;
+    if (this.isUnreachable) return [replica.id, NO_WAY, 0];
     const free = engine.adapterSlots - this.slots.occupied + this.slots.evictable;
     return [replica.id, this.isReady ? Math.max(0, free - this.queue.length) : 0, this.queue.length];
   }
@@ -432,6 +447,13 @@
     return `${this.options.replica.id}: ${this.slots.occupied} slots (${states}), ${this.queue.length} wait`;
   }
 
+  /** Leaves an engine alone that can't be reached: what waits for it is better served elsewhere. */
+  private rest(): void {
+    this.unreachableUntil = this.options.timers.now() + REST_MS;
+    for (const wanted of this.queue.splice(0))
+      wanted.reject(new AdapterUnavailable('The engine can’t be reached.'));
+  }
+
   private tell(): void {
     const holdings = this.holdings();
     if (holdings !== undefined) this.options.onHoldings(holdings);
--- a/packages/routing/src/core/adapters/loader.ts
+++ b/packages/routing/src/core/adapters/loader.ts
@@ -8,6 +8,7 @@
 import type { Cluster } from '../cluster/index.js';
 import { MessageType } from '../cluster/index.js';
 import type { Directory, ReplicaEntry } from '../view/index.js';
+import { ReplicaState } from '../view/index.js';
 import type { HoldingsBook } from './holdings.js';
 import type { Urgency } from './keeper.js';
 import { AdapterUnavailable, Keeper } from './keeper.js';
@@ -42,7 +43,12 @@
    * Makes a loader.
    * @param options - The fleet and the engines.
    */
-  constructor(private readonly options: LoaderOptions) {}
+  constructor(private readonly options: LoaderOptions) {
+    options.directory.onReplica((id, entry) => {
+      // What waits for a leaving engine must go elsewhere at once.
+      if (entry?.state === ReplicaState.Leaving) this.drop(id);
+    });
+  }
 
   /**
    * Has an adapter on an engine.
@@ -92,7 +98,7 @@
     const { directory, claims, control, timers, log, self } = this.options;
     const replica = directory.replica(claim.replica);
     const engine = replica && directory.table?.service(replica.service)?.engine;
-    if (replica === undefined || engine === undefined) return;
+    if (replica?.state !== ReplicaState.Ready || engine === undefined) return;
     const keeper = new Keeper({
       replica,
       engine,
@@ -113,8 +119,7 @@
    * @param claim - The claim that was lost.
    */
   lose(claim: Claim): void {
-    this.keepers.get(claim.replica)?.stop();
-    this.keepers.delete(claim.replica);
+    this.drop(claim.replica);
   }
 
   /** Gives all engines up. */
@@ -184,6 +189,11 @@
     return found;
   }
 
+  private drop(replica: string): void {
+    this.keepers.get(replica)?.stop();
+    this.keepers.delete(replica);
+  }
+
   private tell(holdings: Holdings): void {
     this.options.holdings.take(holdings);
     this.options.cluster.broadcast(MessageType.Holdings, holdings);
--- a/packages/routing/src/core/adapters/types.ts
+++ b/packages/routing/src/core/adapters/types.ts
@@ -35,6 +35,8 @@
   Misdirected = 'misdirected',
   /** The engine finds it wrong. */
   Refused = 'refused',
+  /** The engine could not be reached; it has not got the order. */
+  Unreachable = 'unreachable',
   /** There was no answer; the engine may carry it out. */
   Unknown = 'unknown',
 }
@@ -82,12 +84,12 @@
   readonly adapters: Readonly<Record<string, number>>;
 }
 
-/** How an engine's slots stand, as its keeper tells with each heartbeat. */
+/** How an engine's slots stand, as its keeper tells with each heartbeat; a room below 0 says that it can't be reached. */
 export type RoomLine = readonly [replica: string, room: number, queued: number];
 
 /** How an engine's slots stand. */
 export interface Room {
-  /** Slots that are free or could be freed at once. */
+  /** Slots that are free or could be freed at once; below 0 when the engine can't be reached. */
   readonly room: number;
   /** Loads that wait for a slot. */
   readonly queued: number;
--- a/packages/routing/src/core/choice/chooser.ts
+++ b/packages/routing/src/core/choice/chooser.ts
@@ -15,7 +15,7 @@
 
 /** Wait that a request without an answer adds on an engine, in milliseconds: its prompt is read first. */
 const WAITING_MS = 45;
-/** Wait that a request in progress adds on an engine, in milliseconds: a longer step, and memory. */
+/** Wait that a request in progress adds on an idle engine, in milliseconds; twice as much on a full one, where others queue. */
 const RUNNING_MS = 5;
 /** Wait that a full set of slots adds on a plain service, in milliseconds. */
 const SERVICE_FULL_MS = 60;
@@ -147,6 +147,7 @@
     const { holdings } = this.options;
     const load = holdings.wasHeld(replica, key) ? RELOAD_COST_MS : FIRST_LOAD_COST_MS;
     const { room, queued } = holdings.room(replica);
+    if (room < 0) return REST_COST_MS;
     return load + SLOT_COST_MS[Math.min(room, SLOT_COST_MS.length - 1)]! + queued * QUEUED_COST_MS;
   }
 
--- a/packages/routing/src/core/choice/standing.ts
+++ b/packages/routing/src/core/choice/standing.ts
@@ -6,8 +6,8 @@
 /** Weight of a new measurement. */
 const WEIGHT = 0.15;
 /** First time for which a replica that can't be reached is left alone, in milliseconds; it doubles. */
-const FIRST_REST_MS = 150;
-const MAX_REST_MS = 1200;
+const FIRST_REST_MS = 400;
+const MAX_REST_MS = 3000;
 
 interface Record {
   failures: number;
