--- a/packages/core/src/core/log/log.ts
+++ b/packages/core/src/core/log/log.ts
@@ -1,7 +1,7 @@
 /** Logs over winston; they go to the standard error stream so that output stays clean. */
 import winston from 'winston';
 
-import type { Log, LogOptions } from './types.js';
+import type { DecisionLog, Log, LogOptions } from './types.js';
 import { LogFormat } from './types.js';
 
 const { combine, timestamp, printf, json } = winston.format;
@@ -54,12 +54,14 @@
  * Makes a log that writes nothing, for tests and replays.
  * @returns The log.
  */
-export function createSilentLog(): Log {
-  const log: Log = {
+export function createSilentLog(): DecisionLog {
+  const log: DecisionLog = {
     error: () => undefined,
     warn: () => undefined,
     info: () => undefined,
     debug: () => undefined,
+    decide: () => undefined,
+    detail: () => undefined,
     part: () => log,
   };
   return log;
--- a/packages/core/src/core/log/types.ts
+++ b/packages/core/src/core/log/types.ts
@@ -43,3 +43,25 @@
    */
   part(label: string): Log;
 }
+
+/** What a decision rests on: plain values by name. */
+export type Facts = Readonly<Record<string, string | number | boolean | undefined>>;
+
+/** A log that also takes decisions with the facts that led to them. */
+export interface DecisionLog extends Log {
+  /**
+   * Writes a decision on a request, or a change of what the process believes.
+   * @param kind - Names the decision; lines of one kind are bounded together.
+   * @param text - A short sentence.
+   * @param facts - Request, inputs, their age or version, outcome.
+   */
+  decide(kind: string, text: string, facts: Facts): void;
+  /**
+   * Writes a detail of the same form.
+   * @param kind - Names it.
+   * @param text - A short sentence.
+   * @param facts - What it rests on.
+   */
+  detail(kind: string, text: string, facts: Facts): void;
+  part(label: string): DecisionLog;
+}
--- a/packages/routing/src/core/adapters/keeper.ts
+++ b/packages/routing/src/core/adapters/keeper.ts
@@ -4,7 +4,7 @@
  * Runs in the daemon that holds the engine's claim. Its table is exact, as only this daemon gives the engine orders;
  * it begins with the engine's own report, taken after an order with the new token has shut out older ones.
  */
-import type { Log, TimerService } from '@celeryyoke/core';
+import type { DecisionLog, TimerService } from '@celeryyoke/core';
 
 import type { EngineSpec } from '../catalog/index.js';
 import type { ReplicaEntry } from '../view/index.js';
@@ -51,7 +51,7 @@
   readonly self: string;
   readonly control: EngineControl;
   readonly timers: TimerService;
-  readonly log: Log;
+  readonly log: DecisionLog;
   /** Asked before each order; undefined when this daemon may give none. */
   readonly authority: () => number | undefined;
   /** Called when the engine refused a token. */
@@ -304,9 +304,14 @@
     if (outcome === OrderOutcome.Done) {
       this.slots.put(wanted.key, wanted.version ?? previous?.version ?? 1, SlotState.Held).isReplacement =
         false;
-      log.debug(
-        `Loaded ${wanted.key} on ${replica.id} in ${Math.round(timers.now() - startedAt)} ms after ${Math.round(startedAt - wanted.askedAt)} ms, ${this.loadedBefore.has(wanted.key) ? 'again' : 'first'}, ${this.slots.loading} loading.`,
-      );
+      log.detail('adapter.loaded', `Loaded ${wanted.key}.`, {
+        replica: replica.id,
+        adapter: wanted.key,
+        version: wanted.version,
+        tookMs: Math.round(timers.now() - startedAt),
+        queuedMs: Math.round(startedAt - wanted.askedAt),
+        wasHeldBefore: this.loadedBefore.has(wanted.key),
+      });
       this.learnDuration(wanted.key, timers.now() - startedAt);
       this.tell();
       wanted.resolve();
@@ -413,17 +418,22 @@
   }
 
   private async order(kind: OrderKind, ref: Omit<AdapterRef, 'adapter'> & { adapter: string | undefined }) {
-    const { authority, control, replica, self, onFenced } = this.options;
+    const { authority, control, replica, self, timers, log, onFenced } = this.options;
     const token = authority();
     if (token === undefined) return OrderOutcome.Unknown;
     const { model, adapter, version } = ref;
     const order: EngineOrder = { kind, model, adapter, version, holder: self, token };
-    const startedAt = this.options.timers.now();
+    const startedAt = timers.now();
     const outcome = await control.order(replica, order);
     if (outcome !== OrderOutcome.Done && outcome !== OrderOutcome.Started)
-      this.options.log.debug(
-        `Order ${kind} ${model}/${adapter ?? ''} to ${replica.id}: ${outcome} after ${Math.round(this.options.timers.now() - startedAt)} ms.`,
-      );
+      log.decide('order.failed', `An order to ${replica.id} ended: ${outcome}.`, {
+        replica: replica.id,
+        order: kind,
+        adapter: adapter === undefined ? model : adapterKey(model, adapter),
+        token,
+        outcome,
+        tookMs: Math.round(timers.now() - startedAt),
+      });
     if (outcome === OrderOutcome.Fenced) onFenced(token);
     if (outcome === OrderOutcome.Unreachable) this.rest();
     return outcome;
--- a/packages/routing/src/core/adapters/loader.ts
+++ b/packages/routing/src/core/adapters/loader.ts
@@ -2,7 +2,7 @@
  * Adapters over the whole fleet: the keepers of this daemon's engines, and the way to the daemons that keep the
  * others.
  */
-import type { Log, TimerService } from '@celeryyoke/core';
+import type { DecisionLog, TimerService } from '@celeryyoke/core';
 
 import type { Claim, Claims } from '../authority/index.js';
 import type { Cluster } from '../cluster/index.js';
@@ -24,7 +24,7 @@
   readonly holdings: HoldingsBook;
   readonly control: EngineControl;
   readonly timers: TimerService;
-  readonly log: Log;
+  readonly log: DecisionLog;
 }
 
 /** Body of a request to the daemon that keeps an engine. */
@@ -145,7 +145,7 @@
   refreshRunning(running: (replica: string) => ReadonlyMap<string, number>): void {
     for (const [replica, keeper] of this.keepers) {
       keeper.setRunning(running(replica));
-      this.options.log.debug(keeper.describe());
+      this.options.log.detail('slots', keeper.describe(), { replica });
     }
   }
 
--- a/packages/routing/src/core/cluster/cluster.ts
+++ b/packages/routing/src/core/cluster/cluster.ts
@@ -4,7 +4,7 @@
  *
  * Every daemon keeps a link to every other one. At 70 daemons that is 70 small messages in each interval.
  */
-import type { Log, TimerHandle, TimerService } from '@celeryyoke/core';
+import type { DecisionLog, TimerHandle, TimerService } from '@celeryyoke/core';
 import type { Server } from 'node:net';
 
 import { Link, LinkEnd } from './link.js';
@@ -30,7 +30,7 @@
   readonly self: Member;
   readonly seeds: () => readonly string[];
   readonly timers: TimerService;
-  readonly log: Log;
+  readonly log: DecisionLog;
   /** Makes the body of a heartbeat. */
   readonly heartbeat: () => unknown;
   /** Called when a link to a member came up, to tell it what it can't know. */
--- a/packages/routing/src/core/daemon/heartbeat.ts
+++ b/packages/routing/src/core/daemon/heartbeat.ts
@@ -1,5 +1,5 @@
 /** Heartbeats and the other messages between router daemons: what each part tells and takes. */
-import type { Log } from '@celeryyoke/core';
+import type { DecisionLog } from '@celeryyoke/core';
 
 import type { EnsureWanted, Holdings, HoldingsBook, Loader, RoomLine } from '../adapters/index.js';
 import type { Claim, Claims } from '../authority/index.js';
@@ -32,7 +32,7 @@
   readonly loader: Loader;
   readonly holdings: HoldingsBook;
   readonly loads: LoadBook;
-  readonly log: Log;
+  readonly log: DecisionLog;
 }
 
 /** What the parts of the daemons tell each other. */
--- a/packages/routing/src/core/daemon/router.ts
+++ b/packages/routing/src/core/daemon/router.ts
@@ -152,10 +152,7 @@
       },
       {
         name: PART.requests,
-        needs: [
-          PART.directory,
-          PART.holdings,
-          PART.loads,
+        needs: [PART.view, PART.directory, PART.holdings, PART.loads,
           PART.standings,
           PART.channels,
           PART.loader,
@@ -181,7 +178,7 @@
       log,
       heartbeat: () => this.get<Conversation>(PART.conversation).heartbeat(),
       onPeer: (peer) => this.get<Conversation>(PART.conversation).welcome(peer),
-      onState: (peer, state) => log.info(`Peer ${peer} is ${state}.`),
+      onState: (peer, state) => log.decide('peer.state', `Peer ${peer} is ${state}.`, { peer, state }),
     });
   }
 
@@ -197,12 +194,12 @@
       leaseMs: settings.leaseMs,
       isRecovering: () => pauses.isRecovering,
       onGain: (claim) => {
-        log.info(`Gives orders to ${claim.replica} with token ${claim.token}.`);
+        log.decide('claim.gained', `Gives orders to ${claim.replica}.`, { replica: claim.replica, token: claim.token });
         cluster.broadcast(MessageType.Claim, claim);
         this.get<Loader>(PART.loader).gain(claim);
       },
       onLoss: (claim, reason) => {
-        log.info(`Gives no more orders to ${claim.replica}: ${reason}.`);
+        log.decide('claim.lost', `Gives no more orders to ${claim.replica}.`, { replica: claim.replica, token: claim.token, reason });
         this.get<Loader>(PART.loader).lose(claim);
       },
     });
@@ -242,7 +239,7 @@
     view.onChange(({ record }) => {
       if (record?.kind !== RecordKind.AdapterVersion) return;
       const { model, adapter, version } = record.declared;
-      log.info(`Version ${version} of ${model}/${adapter} was declared.`);
+      log.decide('version.declared', `Version ${version} of ${model}/${adapter} was declared.`, { model, adapter, version });
       this.get<Loader>(PART.loader).upgrade(model, adapter, version);
     });
     const follower = new Follower({
@@ -266,6 +263,7 @@
     const standings = kernel.get<Standings>(PART.standings);
     const loader = kernel.get<Loader>(PART.loader);
     const cluster = kernel.get<Cluster>(PART.cluster);
+    const view = kernel.get<SharedView>(PART.view);
     const chooser = new Chooser({
       directory,
       holdings,
@@ -274,7 +272,13 @@
       zone: settings.zone,
       now: timers.now,
     });
-    directory.onTable(({ document }) => log.info(`Configuration ${document.version} is in force.`));
+    directory.onReplica((id, entry, before) => {
+      if (entry?.state === before?.state) return;
+      const { service, state } = entry ?? {};
+      const text = entry === undefined ? `Replica ${id} is gone.` : `Replica ${id} is ${entry.state}.`;
+      log.decide('replica.state', text, { replica: id, service, state: state ?? 'gone', revision: view.upTo });
+    });
+    directory.onTable(({ document }) => log.decide('config.in-force', `Configuration ${document.version} is in force.`, { version: document.version }));
     const server = new RequestServer({
       host: settings.host,
       port: settings.callerPort,
@@ -291,6 +295,7 @@
         log,
         ensure: (replica, ref, urgency) => loader.ensure(replica, ref, urgency),
         notHeld: (replica, key) => holdings.drop(replica, key),
+        viewAgeMs: () => Math.round(Math.min(view.ageMs, Number.MAX_SAFE_INTEGER)),
         budget: (service) => this.budget(service, cluster),
       },
     });
--- a/packages/routing/src/core/daemon/types.ts
+++ b/packages/routing/src/core/daemon/types.ts
@@ -1,5 +1,5 @@
 /** What a router daemon is given. */
-import type { Log, TimerService } from '@celeryyoke/core';
+import type { DecisionLog, TimerService } from '@celeryyoke/core';
 
 import type { EngineControl } from '../adapters/index.js';
 import type { BudgetBounds } from '../budget/index.js';
@@ -31,7 +31,7 @@
 export interface RouterOptions {
   readonly settings: RouterSettings;
   readonly timers: TimerService;
-  readonly log: Log;
+  readonly log: DecisionLog;
   readonly dialect: RequestDialect;
   readonly source: RecordSource;
   /** Makes the client for orders over the daemon's own connections. */
--- a/packages/routing/src/core/requests/journey.ts
+++ b/packages/routing/src/core/requests/journey.ts
@@ -4,7 +4,7 @@
  * A request that may have run is sent again only where its route allows that; one that is proved not to have run may
  * go to another replica in any case. Every repeat is paid from the budget.
  */
-import type { Log, TimerHandle, TimerService } from '@celeryyoke/core';
+import type { DecisionLog, TimerHandle, TimerService } from '@celeryyoke/core';
 import type { ServerResponse } from 'node:http';
 
 import type { AdapterRef, Urgency } from '../adapters/index.js';
@@ -42,11 +42,13 @@
   readonly loads: LoadBook;
   readonly standings: Standings;
   readonly timers: TimerService;
-  readonly log: Log;
+  readonly log: DecisionLog;
   /** Has an adapter on an engine, through the daemon that gives it orders. */
   readonly ensure: (replica: ReplicaEntry, ref: AdapterRef, urgency: Urgency) => Promise<void>;
   /** Notes that an engine does not hold an adapter. */
   readonly notHeld: (replica: string, key: string) => void;
+  /** Age of what is known of the platform, in milliseconds. */
+  readonly viewAgeMs: () => number;
   /** The budget of a service. */
   readonly budget: (service: string) => RepeatBudget;
 }
@@ -145,7 +147,7 @@
 
   /** Chooses until there is a replica that has the adapter, or patience ends. */
   private async findReplica(): Promise<Choice | undefined> {
-    const { timers, chooser, log } = this.parts;
+    const { timers, chooser } = this.parts;
     const { head, service, route } = this.options;
     const patienceEnds = timers.now() + route.objectiveMs * PATIENCE_SHARE;
     while (!this.isOver) {
@@ -161,7 +163,6 @@
         this.unloadable.clear();
         await timers.sleep(LOOK_MS);
       } else if (!choice.needsLoad || (await this.load(choice.replica))) return choice;
-      else log.debug(`Request ${head.id}: ${choice.replica.id} can't load its adapter.`);
     }
     return undefined;
   }
@@ -177,7 +178,13 @@
       await ensure(replica, { model, adapter: adapter!, version }, { rank: route.rank, timeoutMs });
       return true;
     } catch (err) {
-      log.debug(`Request ${head.id}: no ${adapter} on ${replica.id}: ${String(err)}.`);
+      log.decide('request.load', `The adapter did not come to ${replica.id}.`, {
+        request: head.id,
+        adapter: `${model}/${adapter}`,
+        replica: replica.id,
+        waitedMs: Math.round(timers.now() - startedAt),
+        reason: err instanceof Error ? err.message : String(err),
+      });
       this.unloadable.add(replica.id);
       return false;
     } finally {
@@ -216,12 +223,34 @@
     return result;
   }
 
+  /** One line for each send that did not simply succeed; the others are told as details. */
+  private tellSend(replica: ReplicaEntry, { end, answer, reason, wasSent, firstByteMs }: SendResult): void {
+    const { log, budget, loads, viewAgeMs } = this.parts;
+    const { head, route, service } = this.options;
+    const isOrdinary = end === SendEnd.Relayed || (answer !== undefined && answer.status < FIRST_FAILURE_STATUS);
+    const write = isOrdinary ? log.detail : log.decide;
+    write('request.send', `The send to ${replica.id} ended: ${end}.`, {
+      request: head.id,
+      route: route.name,
+      replica: replica.id,
+      outcome: end,
+      status: answer?.status,
+      reason,
+      wasSent,
+      send: this.sends,
+      sentAfterMs: this.sentAfter,
+      loadMs: this.loadMs,
+      firstByteMs: firstByteMs === undefined ? undefined : Math.round(firstByteMs),
+      running: loads.counts(replica.id).running,
+      budgetLeft: Math.floor(budget(service).left()),
+      viewAgeMs: viewAgeMs(),
+    });
+  }
+
   /** Decides what follows from the end of a send; when nothing does, the caller has been answered. */
   private mayGoOn({ replica }: Choice, result: SendResult): boolean {
     this.tried.add(replica.id);
-    this.parts.log.debug(
-      `Request ${this.options.head.id} ${this.options.head.method} ${this.options.head.target}: ${result.end} at ${replica.id}, ${result.answer?.status} ${result.reason}, first byte ${result.firstByteMs}, sent after ${this.sentAfter}, load ${this.loadMs}`,
-    );
+    this.tellSend(replica, result);
     if (this.isOver) return false;
     return decide(this, replica, result);
   }
@@ -307,9 +336,20 @@
 
   private finish(kind: OwnAnswer, reason: string, retryAfterMs?: number): void {
     this.isOver = true;
-    this.parts.log.info(
-      `Request ${this.options.head.id}: ${kind} after ${this.sends} sends, ${Math.round(this.parts.timers.now() - this.options.arrivedAt)} ms of ${Math.round(this.deadlineAt - this.options.arrivedAt)}, route ${this.options.route.name} ${this.options.route.kind}. ${reason}`,
-    );
+    const { head, route } = this.options;
+    this.parts.log.decide('request.ended', `The caller gets: ${kind}. ${reason}`, {
+      request: head.id,
+      route: route.name,
+      routeKind: route.kind,
+      outcome: kind,
+      sends: this.sends,
+      runs: this.runs,
+      refusals: this.refusals,
+      afterMs: Math.round(this.parts.timers.now() - this.options.arrivedAt),
+      limitMs: Math.round(this.deadlineAt - this.options.arrivedAt),
+      loadMs: this.loadMs,
+      viewAgeMs: this.parts.viewAgeMs(),
+    });
     if (this.relay?.hasBegun) this.relay.breakOff();
     else if (this.held !== undefined) this.deliver(this.held);
     else sendOwn(this.options.res, kind, reason, retryAfterMs);
--- a/packages/routing/src/core/requests/server.ts
+++ b/packages/routing/src/core/requests/server.ts
@@ -3,7 +3,7 @@
 import { createServer } from 'node:http';
 import type { Socket } from 'node:net';
 
-import type { Log, TimerService } from '@celeryyoke/core';
+import type { DecisionLog, TimerService } from '@celeryyoke/core';
 import { hash32 } from '@celeryyoke/core';
 
 import type { Route } from '../catalog/index.js';
@@ -36,7 +36,7 @@
   readonly directory: Directory;
   readonly parts: JourneyParts;
   readonly timers: TimerService;
-  readonly log: Log;
+  readonly log: DecisionLog;
 }
 
 /** The callers' server. */
@@ -126,7 +126,7 @@
     const arrivedAt = timers.now();
     const head = parts.dialect.readHead(req);
     if ('reason' in head) {
-      log.info(`A request was refused: ${head.reason}`);
+      log.decide('request.refused', head.reason, { status: head.status, target: req.url });
       res.shouldKeepAlive = false;
       sendOwn(res, OwnAnswer.BadRequest, head.reason);
       return;
@@ -141,9 +141,13 @@
     const route = table.match(head.host, pathOf(head.target));
     if (route === undefined) {
       req.resume();
-      log.info(
-        `Request ${head.id}: no route for ${head.host}${head.target} in version ${table.document.version}.`,
-      );
+      log.decide('request.no-route', 'No route matches.', {
+        request: head.id,
+        host: head.host,
+        target: head.target,
+        configVersion: table.document.version,
+        viewAgeMs: parts.viewAgeMs(),
+      });
       sendOwn(res, OwnAnswer.NoRoute, 'No route matches.');
       return;
     }
--- a/packages/routing/src/core/view/directory.ts
+++ b/packages/routing/src/core/view/directory.ts
@@ -20,8 +20,12 @@
  */
 const LINGER_MS = 1500;
 
-/** Told when a replica appears, changes or goes; the entry is undefined when it is gone. */
-export type ReplicaListener = (id: string, entry: ReplicaEntry | undefined) => void;
+/** Told when a replica appears, changes or goes; the entry is undefined when it is gone, the one before when it is new. */
+export type ReplicaListener = (
+  id: string,
+  entry: ReplicaEntry | undefined,
+  before: ReplicaEntry | undefined,
+) => void;
 
 /** Replicas, versions and the configuration in force. */
 export class Directory {
@@ -131,11 +135,12 @@
   }
 
   private takeReplica(key: string, entry: ReplicaEntry): void {
+    const before = this.replicas.get(entry.id);
     this.idOfKey.set(key, entry.id);
     this.replicas.set(entry.id, entry);
     if (entry.state === ReplicaState.Ready) this.left.delete(entry.id);
     else this.noteLeft(entry);
-    for (const listener of this.listeners) listener(entry.id, entry);
+    for (const listener of this.listeners) listener(entry.id, entry, before);
   }
 
   private drop(key: string): void {
@@ -145,7 +150,7 @@
     const entry = this.replicas.get(id);
     this.replicas.delete(id);
     if (entry !== undefined) this.noteLeft(entry);
-    for (const listener of this.listeners) listener(id, undefined);
+    for (const listener of this.listeners) listener(id, undefined, entry);
   }
 
   private noteLeft(entry: ReplicaEntry): void {
