--- a/packages/routing/src/core/authority/claims.ts
+++ b/packages/routing/src/core/authority/claims.ts
@@ -13,8 +13,12 @@
 
 /** Low part of a token: a number of the daemon's own. 2^12 keeps the token a safe integer until the year 2039. */
 const TOKEN_FACTOR = 4096;
-/** Time after the start in which other daemons' claims come in first, in milliseconds: when all start at once, the slowest of them is up half a second after the first, and links take another. */
-const SETTLE_MS = 1000;
+/** Least time after the start before anything is claimed, in milliseconds: links to the seeds are up by then. */
+const SETTLE_MS = 350;
+/** Time without a change among the living daemons before the first claim, in milliseconds: links take less. */
+const QUIET_MS = 200;
+/** Longest time after the start in which changes among the daemons hold claims back, in milliseconds. */
+const MAX_SETTLE_MS = 1500;
 /** Leases that a minority waits before it takes over from silent daemons: it is more likely cut off itself. */
 const MINORITY_LEASES = 3;
 /** Leases for which an engine that refused this daemon's token is left alone. */
@@ -64,6 +68,13 @@
 
   private lastToken = 0;
 
+  /** The living daemons at the last review, and the monotonic time of their last change. */
+  private aliveBefore = '';
+
+  private changedAt = Number.NEGATIVE_INFINITY;
+
+  private smallerSince: number | undefined;
+
   private isClosed = false;
 
   /**
@@ -140,9 +151,9 @@
    * @param replicas - All engines.
    */
   review(replicas: Iterable<string>): void {
-    const { timers, isRecovering, fleet, self } = this.options;
-    if (this.isClosed || timers.now() - this.startedAt < SETTLE_MS || isRecovering()) return;
+    const { isRecovering, fleet, self } = this.options;
     const alive = fleet.alive();
+    if (this.isClosed || !this.hasSettled(alive) || isRecovering()) return;
     for (const replica of replicas)
       if (this.isOrphan(replica) && firstFor(replica, alive) === self) this.claim(replica);
   }
@@ -152,6 +163,18 @@
     this.isClosed = true;
   }
 
+  /** Whether the others had time to tell who they are and what they hold. */
+  private hasSettled(alive: readonly string[]): boolean {
+    const now = this.options.timers.now();
+    const names = alive.join(' ');
+    if (names !== this.aliveBefore) {
+      this.aliveBefore = names;
+      this.changedAt = now;
+    }
+    const age = now - this.startedAt;
+    return age >= MAX_SETTLE_MS || (age >= SETTLE_MS && now - this.changedAt >= QUIET_MS);
+  }
+
   private isOrphan(replica: string): boolean {
     const { fleet, leaseMs, timers } = this.options;
     if (timers.now() < (this.refusedUntil.get(replica) ?? 0)) return false;
@@ -185,8 +208,6 @@
     return this.smallerSince === undefined ? 0 : timers.now() - this.smallerSince;
   }
 
-  private smallerSince: number | undefined;
-
   private claim(replica: string): void {
     const { self, timers } = this.options;
     const own = hash32(self) % TOKEN_FACTOR;
--- a/packages/routing/src/core/requests/journey.ts
+++ b/packages/routing/src/core/requests/journey.ts
@@ -28,6 +28,8 @@
 const LOOK_MS = 20;
 /** When a refused caller may come back, in milliseconds. */
 const RETRY_AFTER_MS = 250;
+/** The same for a generation: an engine gets its next keeper and shows what it holds in about that time. */
+const GENERATION_RETRY_AFTER_MS = 600;
 /** Longest wait for an adapter on one engine, in milliseconds, before another engine is tried. */
 const LOAD_WAIT_MS = 1500;
 /** Most sends of one request that were refused without having run. */
@@ -323,7 +325,11 @@
   private giveUp(): void {
     if (this.held !== undefined) this.deliver(this.held);
     else if (this.runs > 0) this.finish(OwnAnswer.OutcomeUnknown, 'It may have run, and no answer came.');
-    else this.finish(OwnAnswer.NotRun, 'No replica can take it now.', RETRY_AFTER_MS);
+    else {
+      const isGeneration = this.options.head.generation !== undefined;
+      const retryAfterMs = isGeneration ? GENERATION_RETRY_AFTER_MS : RETRY_AFTER_MS;
+      this.finish(OwnAnswer.NotRun, 'No replica can take it now.', retryAfterMs);
+    }
   }
 
   private deliver({ status, headers, body }: HeldAnswer): void {
