Count an accepted load also when its engine can then not be reached

Change: once accepted, a load counts until the engine shows otherwise. A test that fails before and passes after.

--- a/packages/routing/src/core/adapters/keeper.ts
+++ b/packages/routing/src/core/adapters/keeper.ts
@@ -339,7 +339,7 @@
         isFirstLook = false;
       } else if (outcome === OrderOutcome.Busy || outcome === OrderOutcome.Unknown)
         await timers.sleep(BUSY_MS);
-      else return outcome;
+      else return wasAccepted ? OrderOutcome.Started : outcome;
     }
     return wasAccepted ? OrderOutcome.Started : OrderOutcome.Busy;
   }
--- a/packages/routing/test/keeper.test.ts
+++ b/packages/routing/test/keeper.test.ts
@@ -110,6 +110,20 @@
   t.is(control.overloads, 0);
 });
 
+test('a load that was accepted stays counted when the engine can then not be reached', async (t) => {
+  const { timers, control, ensure } = await setUp();
+  control.script = [OrderOutcome.Started, OrderOutcome.Unreachable];
+  const note = watch(ensure('x'));
+  await timers.advance(800);
+  t.is(note.state, 'unavailable');
+  control.slots.set('x', { isLoading: false, running: 0 });
+  for (const adapter of ['y', 'z', 'w']) {
+    void watch(ensure(adapter));
+    await timers.advance(600);
+  }
+  t.is(control.overloads, 0);
+});
+
 test('a load that nobody waits for any more is not begun', async (t) => {
   const { timers, control, keeper, ensure } = await setUp();
   for (const adapter of ['x', 'y', 'z']) {
