--- a/packages/core/src/core/log/decisions.ts
+++ b/packages/core/src/core/log/decisions.ts
@@ -87,7 +87,8 @@
 const PLAIN = 'note';
 
 function wrap(lines: Lines, part: string): DecisionLog {
-  const plain = (level: LogLevel) => (text: string) => lines.write(level, part, `${PLAIN}.${level}`, text, {});
+  const plain = (level: LogLevel) => (text: string) =>
+    lines.write(level, part, `${PLAIN}.${level}`, text, {});
   return {
     error: plain(LogLevel.Error),
     warn: plain(LogLevel.Warn),
--- a/packages/routing/src/core/authority/pauses.ts
+++ b/packages/routing/src/core/authority/pauses.ts
@@ -16,6 +16,8 @@
 
   private clearAt = Number.NEGATIVE_INFINITY;
 
+  private longestDelay = 0;
+
   private handle: TimerHandle | undefined;
 
   /**
@@ -37,6 +39,16 @@
     return this.timers.now() < this.clearAt;
   }
 
+  /**
+   * Tells the longest delay of the event loop since the last question.
+   * @returns Milliseconds.
+   */
+  takeLongestDelay(): number {
+    const { longestDelay } = this;
+    this.longestDelay = 0;
+    return longestDelay;
+  }
+
   /** Starts to compare. */
   start(): void {
     this.handle = this.timers.repeat(LOOK_MS, () => this.look());
@@ -53,6 +65,7 @@
     const gap = Math.max(now - this.lastAt, wall - this.lastWall);
     this.lastAt = now;
     this.lastWall = wall;
+    this.longestDelay = Math.max(this.longestDelay, gap - LOOK_MS);
     if (gap < PAUSE_MS) return;
     this.clearAt = now + RECOVERY_MS;
     this.onPause(gap);
--- a/packages/routing/src/core/channels/channel.ts
+++ b/packages/routing/src/core/channels/channel.ts
@@ -213,5 +213,7 @@
 }
 
 function saysClose({ connection }: HeaderMap): boolean {
-  return String(connection ?? '').toLowerCase().includes('close');
+  return String(connection ?? '')
+    .toLowerCase()
+    .includes('close');
 }
--- /dev/null
+++ b/packages/routing/src/core/daemon/figures.ts
@@ -0,0 +1,86 @@
+/** The figures of a daemon, and the listener that serves them as text. */
+import type { Server } from 'node:http';
+import { createServer } from 'node:http';
+
+import type { Metrics } from '@celeryyoke/core';
+
+import type { Claims, PauseWatch } from '../authority/index.js';
+import type { ChannelPool } from '../channels/index.js';
+import type { Cluster } from '../cluster/index.js';
+import type { SharedView } from '../view/index.js';
+
+const MICROSECONDS_PER_SECOND = 1_000_000;
+const OK = 200;
+
+/** What the figures are read from. */
+export interface FigureParts {
+  readonly metrics: Metrics;
+  readonly view: SharedView;
+  readonly cluster: Cluster;
+  readonly claims: Claims;
+  readonly channels: ChannelPool;
+  readonly pauses: PauseWatch;
+  readonly requests: { readonly running: number };
+  readonly droppedLines: () => number;
+  readonly configVersion: () => number;
+}
+
+/**
+ * Registers the figures that are read when they are asked for.
+ * @param parts - What they are read from.
+ */
+export function registerFigures(parts: FigureParts): void {
+  const { metrics, view, cluster, claims, channels, pauses, requests, droppedLines, configVersion } = parts;
+  const counter = { isCounter: true };
+  metrics.sample('router_requests_running', 'Requests in progress.', () => requests.running);
+  metrics.sample('router_view_age_ms', 'Age of what is known of the platform.', () => view.ageMs);
+  metrics.sample('router_config_version', 'Version of the configuration in force.', configVersion);
+  metrics.sample('router_peers_alive', 'Living daemons, this one included.', () => cluster.alive().length);
+  metrics.sample(
+    'router_engines_kept',
+    'Engines that this daemon gives orders to.',
+    () => claims.mine().length,
+  );
+  metrics.sample(
+    'router_connections_total',
+    'Connections opened to replicas.',
+    () => channels.opened,
+    counter,
+  );
+  metrics.sample(
+    'router_log_lines_dropped_total',
+    'Log lines that the output did not take.',
+    droppedLines,
+    counter,
+  );
+  metrics.sample(
+    'router_event_loop_delay_ms',
+    'Longest delay of the event loop since the last reading.',
+    () => pauses.takeLongestDelay(),
+  );
+  metrics.sample('process_resident_memory_bytes', 'Resident memory.', () => process.memoryUsage.rss());
+  metrics.sample('process_cpu_seconds_total', 'Processor time used.', processorSeconds, counter);
+}
+
+/**
+ * Serves the figures at any path.
+ * @param host - Address of this daemon.
+ * @param port - Port.
+ * @param metrics - The figures.
+ * @returns The listener.
+ */
+export function listenForFigures(host: string, port: number, metrics: Metrics): Promise<Server> {
+  const server = createServer((_req, res) => {
+    res.writeHead(OK, { 'content-type': 'text/plain; version=0.0.4' });
+    res.end(metrics.render());
+  });
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, host, () => resolve(server));
+  });
+}
+
+function processorSeconds(): number {
+  const { user, system } = process.cpuUsage();
+  return (user + system) / MICROSECONDS_PER_SECOND;
+}
--- a/packages/routing/src/core/daemon/router.ts
+++ b/packages/routing/src/core/daemon/router.ts
@@ -3,8 +3,8 @@
  *
  * Read from top to bottom, {@link services} is the list of what a daemon consists of and which part needs which.
  */
-import type { Kernel, Service, ServiceFinder } from '@celeryyoke/core';
-import { createKernel } from '@celeryyoke/core';
+import type { Kernel, Metrics, Service, ServiceFinder } from '@celeryyoke/core';
+import { createKernel, createMetrics } from '@celeryyoke/core';
 
 import { HoldingsBook, Loader } from '../adapters/index.js';
 import { Claims, PauseWatch } from '../authority/index.js';
@@ -12,9 +12,10 @@
 import { ChannelPool } from '../channels/index.js';
 import { Chooser, LoadBook, Standings } from '../choice/index.js';
 import { Cluster, MessageType } from '../cluster/index.js';
-import { RequestServer } from '../requests/index.js';
+import { RequestMetrics, RequestServer } from '../requests/index.js';
 import { Directory, Follower, RecordKind, SharedView } from '../view/index.js';
 import { Conversation } from './heartbeat.js';
+import { listenForFigures, registerFigures } from './figures.js';
 import type { ReadinessServer } from './readiness.js';
 import { listenForReadiness } from './readiness.js';
 import type { RouterOptions } from './types.js';
@@ -35,6 +36,8 @@
   follower: 'follower',
   requests: 'requests',
   readiness: 'readiness',
+  metrics: 'metrics',
+  figures: 'figures',
 } as const;
 
 /** How often claims are reviewed, in milliseconds. */
@@ -115,6 +118,7 @@
     const { timers } = this.options;
     return [
       { name: PART.view, start: () => new SharedView(timers) },
+      { name: PART.metrics, start: () => createMetrics() },
       { name: PART.channels, start: () => new ChannelPool() },
       { name: PART.loads, start: () => new LoadBook(timers) },
       { name: PART.standings, start: () => new Standings(timers) },
@@ -152,7 +156,12 @@
       },
       {
         name: PART.requests,
-        needs: [PART.view, PART.directory, PART.holdings, PART.loads,
+        needs: [
+          PART.metrics,
+          PART.view,
+          PART.directory,
+          PART.holdings,
+          PART.loads,
           PART.standings,
           PART.channels,
           PART.loader,
@@ -160,6 +169,20 @@
         ],
         start: (kernel) => this.startRequests(kernel),
       },
+      {
+        name: PART.figures,
+        needs: [
+          PART.metrics,
+          PART.view,
+          PART.cluster,
+          PART.claims,
+          PART.channels,
+          PART.pauses,
+          PART.requests,
+          PART.directory,
+        ],
+        start: (kernel) => this.startFigures(kernel),
+      },
       {
         name: PART.readiness,
         needs: [PART.requests, PART.directory],
@@ -194,12 +217,19 @@
       leaseMs: settings.leaseMs,
       isRecovering: () => pauses.isRecovering,
       onGain: (claim) => {
-        log.decide('claim.gained', `Gives orders to ${claim.replica}.`, { replica: claim.replica, token: claim.token });
+        log.decide('claim.gained', `Gives orders to ${claim.replica}.`, {
+          replica: claim.replica,
+          token: claim.token,
+        });
         cluster.broadcast(MessageType.Claim, claim);
         this.get<Loader>(PART.loader).gain(claim);
       },
       onLoss: (claim, reason) => {
-        log.decide('claim.lost', `Gives no more orders to ${claim.replica}.`, { replica: claim.replica, token: claim.token, reason });
+        log.decide('claim.lost', `Gives no more orders to ${claim.replica}.`, {
+          replica: claim.replica,
+          token: claim.token,
+          reason,
+        });
         this.get<Loader>(PART.loader).lose(claim);
       },
     });
@@ -239,7 +269,11 @@
     view.onChange(({ record }) => {
       if (record?.kind !== RecordKind.AdapterVersion) return;
       const { model, adapter, version } = record.declared;
-      log.decide('version.declared', `Version ${version} of ${model}/${adapter} was declared.`, { model, adapter, version });
+      log.decide('version.declared', `Version ${version} of ${model}/${adapter} was declared.`, {
+        model,
+        adapter,
+        version,
+      });
       this.get<Loader>(PART.loader).upgrade(model, adapter, version);
     });
     const follower = new Follower({
@@ -276,9 +310,18 @@
       if (entry?.state === before?.state) return;
       const { service, state } = entry ?? {};
       const text = entry === undefined ? `Replica ${id} is gone.` : `Replica ${id} is ${entry.state}.`;
-      log.decide('replica.state', text, { replica: id, service, state: state ?? 'gone', revision: view.upTo });
+      log.decide('replica.state', text, {
+        replica: id,
+        service,
+        state: state ?? 'gone',
+        revision: view.upTo,
+      });
     });
-    directory.onTable(({ document }) => log.decide('config.in-force', `Configuration ${document.version} is in force.`, { version: document.version }));
+    directory.onTable(({ document }) =>
+      log.decide('config.in-force', `Configuration ${document.version} is in force.`, {
+        version: document.version,
+      }),
+    );
     const server = new RequestServer({
       host: settings.host,
       port: settings.callerPort,
@@ -295,6 +338,7 @@
         log,
         ensure: (replica, ref, urgency) => loader.ensure(replica, ref, urgency),
         notHeld: (replica, key) => holdings.drop(replica, key),
+        metrics: new RequestMetrics(kernel.get<Metrics>(PART.metrics)),
         viewAgeMs: () => Math.round(Math.min(view.ageMs, Number.MAX_SAFE_INTEGER)),
         budget: (service) => this.budget(service, cluster),
       },
@@ -313,6 +357,25 @@
     return budget;
   }
 
+  private async startFigures(kernel: ServiceFinder): Promise<void> {
+    const { settings, droppedLines } = this.options;
+    const metrics = kernel.get<Metrics>(PART.metrics);
+    const directory = kernel.get<Directory>(PART.directory);
+    registerFigures({
+      metrics,
+      view: kernel.get(PART.view),
+      cluster: kernel.get(PART.cluster),
+      claims: kernel.get(PART.claims),
+      channels: kernel.get(PART.channels),
+      pauses: kernel.get(PART.pauses),
+      requests: kernel.get<RequestServer>(PART.requests),
+      droppedLines,
+      configVersion: () => directory.table?.document.version ?? 0,
+    });
+    if (settings.metricsPort !== undefined)
+      await listenForFigures(settings.host, settings.metricsPort, metrics);
+  }
+
   private startReadiness(kernel: ServiceFinder): Promise<ReadinessServer> {
     const { settings, isReadinessPath } = this.options;
     const directory = kernel.get<Directory>(PART.directory);
--- a/packages/routing/src/core/daemon/types.ts
+++ b/packages/routing/src/core/daemon/types.ts
@@ -18,6 +18,8 @@
   readonly callerPort: number;
   readonly readinessPort: number;
   readonly peerPort: number;
+  /** Port on which the figures are served; undefined for none. */
+  readonly metricsPort: number | undefined;
   /** Peers to ask first, as `host:port`; they may be stale or down. */
   readonly seeds: readonly string[];
   /** Time for a graceful shutdown in milliseconds. */
@@ -32,6 +34,8 @@
   readonly settings: RouterSettings;
   readonly timers: TimerService;
   readonly log: DecisionLog;
+  /** Log lines that the output did not take. */
+  readonly droppedLines: () => number;
   readonly dialect: RequestDialect;
   readonly source: RecordSource;
   /** Makes the client for orders over the daemon's own connections. */
--- a/packages/routing/src/core/requests/index.ts
+++ b/packages/routing/src/core/requests/index.ts
@@ -2,6 +2,7 @@
 export { OwnAnswer } from './answers.js';
 export { isHopByHop } from './headers.js';
 export type { JourneyParts } from './journey.js';
+export { RequestMetrics } from './metrics.js';
 export { StreamRelay } from './relay.js';
 export type { RequestServerOptions } from './server.js';
 export { RequestServer } from './server.js';
--- a/packages/routing/src/core/requests/journey.ts
+++ b/packages/routing/src/core/requests/journey.ts
@@ -17,6 +17,7 @@
 import type { ReplicaEntry } from '../view/index.js';
 import { OwnAnswer, sendOwn } from './answers.js';
 import { beginAnswer } from './headers.js';
+import type { RequestMetrics } from './metrics.js';
 import { StreamRelay } from './relay.js';
 import { Send } from './send.js';
 import type { HeldAnswer, RequestDialect, RequestHead, SendResult } from './types.js';
@@ -35,6 +36,8 @@
 /** Most sends of one request that were refused without having run. */
 const MAX_REFUSALS = 4;
 const FIRST_FAILURE_STATUS = 500;
+/** Outcome of a request whose caller left before an answer. */
+const LEFT = 'left';
 
 /** What a journey uses of the daemon. */
 export interface JourneyParts {
@@ -49,6 +52,7 @@
   readonly ensure: (replica: ReplicaEntry, ref: AdapterRef, urgency: Urgency) => Promise<void>;
   /** Notes that an engine does not hold an adapter. */
   readonly notHeld: (replica: string, key: string) => void;
+  readonly metrics: RequestMetrics;
   /** Age of what is known of the platform, in milliseconds. */
   readonly viewAgeMs: () => number;
   /** The budget of a service. */
@@ -91,6 +95,9 @@
 
   private isOver = false;
 
+  /** What the caller got, for the figures. */
+  private outcome: string = LEFT;
+
   /** The last whole answer that a repeat might better. */
   private held: HeldAnswer | undefined;
 
@@ -120,6 +127,11 @@
     } finally {
       timer.cancel();
       res.off('close', onClose);
+      this.parts.metrics.ended(
+        this.options.route.kind,
+        this.outcome,
+        this.parts.timers.now() - this.options.arrivedAt,
+      );
     }
   }
 
@@ -190,7 +202,9 @@
       this.unloadable.add(replica.id);
       return false;
     } finally {
-      this.loadMs += Math.round(timers.now() - startedAt);
+      const waitedMs = timers.now() - startedAt;
+      this.loadMs += Math.round(waitedMs);
+      this.parts.metrics.waited(waitedMs);
     }
   }
 
@@ -221,6 +235,7 @@
     const result = await this.send.result;
     this.send = undefined;
     note.ended();
+    this.parts.metrics.sent(result.end);
     judge(replica, result, standings);
     return result;
   }
@@ -229,7 +244,8 @@
   private tellSend(replica: ReplicaEntry, { end, answer, reason, wasSent, firstByteMs }: SendResult): void {
     const { log, budget, loads, viewAgeMs } = this.parts;
     const { head, route, service } = this.options;
-    const isOrdinary = end === SendEnd.Relayed || (answer !== undefined && answer.status < FIRST_FAILURE_STATUS);
+    const isOrdinary =
+      end === SendEnd.Relayed || (answer !== undefined && answer.status < FIRST_FAILURE_STATUS);
     const write = isOrdinary ? log.detail : log.decide;
     write('request.send', `The send to ${replica.id} ended: ${end}.`, {
       request: head.id,
@@ -274,6 +290,7 @@
   /** The stream was passed on to its end. */
   onRelayed(): boolean {
     this.relay!.end();
+    this.outcome = 'streamed';
     this.isOver = true;
     return false;
   }
@@ -335,6 +352,7 @@
   private deliver({ status, headers, body }: HeldAnswer): void {
     const { res } = this.options;
     this.isOver = true;
+    this.outcome = `answered ${Math.floor(status / 100)}xx`;
     if (res.headersSent || res.destroyed) return;
     beginAnswer(res, status, headers, body.length);
     res.end(body);
@@ -342,6 +360,7 @@
 
   private finish(kind: OwnAnswer, reason: string, retryAfterMs?: number): void {
     this.isOver = true;
+    this.outcome = kind;
     const { head, route } = this.options;
     this.parts.log.decide('request.ended', `The caller gets: ${kind}. ${reason}`, {
       request: head.id,
--- /dev/null
+++ b/packages/routing/src/core/requests/metrics.ts
@@ -0,0 +1,73 @@
+/** Counters and histograms of the requests' ways. */
+import type { Counter, Histogram, Metrics } from '@celeryyoke/core';
+
+import type { RouteKind } from '../catalog/index.js';
+import type { SendEnd } from './types.js';
+
+/** What callers got: an answer of a replica, a stream to its end, or one of the system's own answers. */
+export type RequestOutcome = string;
+
+/** The requests' figures. */
+export class RequestMetrics {
+  private readonly requests = new Map<string, Counter>();
+
+  private readonly sends = new Map<string, Counter>();
+
+  private readonly times = new Map<string, Histogram>();
+
+  private readonly loadWait: Histogram;
+
+  /**
+   * Registers the figures.
+   * @param metrics - Where they are kept.
+   */
+  constructor(private readonly metrics: Metrics) {
+    this.loadWait = metrics.histogram('router_adapter_wait_ms', 'Wait of a request for its adapter.');
+  }
+
+  /**
+   * Notes the end of a request.
+   * @param kind - Kind of its route.
+   * @param outcome - What the caller got.
+   * @param ms - Time from its arrival, in milliseconds.
+   */
+  ended(kind: RouteKind, outcome: RequestOutcome, ms: number): void {
+    const key = `${kind} ${outcome}`;
+    let counter = this.requests.get(key);
+    if (counter === undefined) {
+      counter = this.metrics.counter('router_requests_total', 'Requests by kind and outcome.', {
+        kind,
+        outcome,
+      });
+      this.requests.set(key, counter);
+    }
+    counter.add();
+    let time = this.times.get(kind);
+    if (time === undefined) {
+      time = this.metrics.histogram('router_request_ms', 'Time from arrival to the end.', { kind });
+      this.times.set(kind, time);
+    }
+    time.record(ms);
+  }
+
+  /**
+   * Notes the end of a send.
+   * @param end - How it ended.
+   */
+  sent(end: SendEnd): void {
+    let counter = this.sends.get(end);
+    if (counter === undefined) {
+      counter = this.metrics.counter('router_sends_total', 'Sends to replicas by their end.', { end });
+      this.sends.set(end, counter);
+    }
+    counter.add();
+  }
+
+  /**
+   * Notes a wait for an adapter.
+   * @param ms - Milliseconds.
+   */
+  waited(ms: number): void {
+    this.loadWait.record(ms);
+  }
+}
--- a/packages/routing/test/channels.test.ts
+++ b/packages/routing/test/channels.test.ts
@@ -63,7 +63,8 @@
   against(
     ({ socket }) => socket.write(`${OK}Content-Length: 2\r\n\r\nhi`),
     async (port, pool, connections) => {
-      for (let round = 0; round < 3; round += 1) t.like(await exchange(pool, port), { end: 'complete', body: 'hi' });
+      for (let round = 0; round < 3; round += 1)
+        t.like(await exchange(pool, port), { end: 'complete', body: 'hi' });
       t.is(connections(), 1);
     },
   ));
--- a/packages/routing/test/claims.test.ts
+++ b/packages/routing/test/claims.test.ts
@@ -20,7 +20,10 @@
   }
 
   alive = (): string[] =>
-    [this.self, ...[...this.states].filter(([, state]) => state === MemberState.Alive).map(([name]) => name)].sort();
+    [
+      this.self,
+      ...[...this.states].filter(([, state]) => state === MemberState.Alive).map(([name]) => name),
+    ].sort();
 
   possible = (): number =>
     1 + [...this.states.values()].filter((s) => s === MemberState.Alive || s === MemberState.Silent).length;
--- a/packages/routing/test/fakes.ts
+++ b/packages/routing/test/fakes.ts
@@ -30,7 +30,13 @@
 
 /** Makes a configuration with one route for each kind. */
 export function sampleDocument(version: number, timeoutMs = 2000): RoutingDocument {
-  const route = (name: string, kind: RouteKind, service: string, maxAttempts: number, isResumable = false) => ({
+  const route = (
+    name: string,
+    kind: RouteKind,
+    service: string,
+    maxAttempts: number,
+    isResumable = false,
+  ) => ({
     name,
     host: 'app.example',
     prefix: `/${name}/`,
@@ -118,7 +124,9 @@
       {
         name: MODEL,
         version: 1,
-        adapters: [...this.slots].filter(([, slot]) => !slot.isLoading).map(([name]) => ({ name, version: 1 })),
+        adapters: [...this.slots]
+          .filter(([, slot]) => !slot.isLoading)
+          .map(([name]) => ({ name, version: 1 })),
       },
     ],
     loading: [],
--- a/packages/routing/test/view.test.ts
+++ b/packages/routing/test/view.test.ts
@@ -7,7 +7,11 @@
 import { engineEntry, sampleDocument } from './fakes.js';
 
 function replica(id: string, revision: number, state = ReplicaState.Ready): Change {
-  return { key: `r/${id}`, revision, record: { kind: RecordKind.Replica, replica: { ...engineEntry(id), state } } };
+  return {
+    key: `r/${id}`,
+    revision,
+    record: { kind: RecordKind.Replica, replica: { ...engineEntry(id), state } },
+  };
 }
 
 function whole(upTo: number, ...changes: Change[]): Delta {
@@ -96,7 +100,13 @@
     ['b'],
   );
   view.apply(part(6, 7, replica('b', 7, ReplicaState.Leaving)));
-  t.deepEqual(directory.ready('engines').map(({ id }) => id).sort(), ['a', 'b']);
+  t.deepEqual(
+    directory
+      .ready('engines')
+      .map(({ id }) => id)
+      .sort(),
+    ['a', 'b'],
+  );
   await timers.advance(1600);
   t.deepEqual(directory.ready('engines'), []);
 });
