--- a/packages/routing/src/core/daemon/router.ts
+++ b/packages/routing/src/core/daemon/router.ts
@@ -3,7 +3,9 @@
  *
  * Read from top to bottom, {@link services} is the list of what a daemon consists of and which part needs which.
  */
-import type { Kernel, Metrics, Service, ServiceFinder } from '@celeryyoke/core';
+import type { Server } from 'node:http';
+
+import type { Kernel, Metrics, Service, ServiceFinder, TimerHandle } from '@celeryyoke/core';
 import { createKernel, createMetrics } from '@celeryyoke/core';
 
 import { HoldingsBook, Loader } from '../adapters/index.js';
@@ -38,6 +40,7 @@
   readiness: 'readiness',
   metrics: 'metrics',
   figures: 'figures',
+  reviews: 'reviews',
 } as const;
 
 /** How often claims are reviewed, in milliseconds. */
@@ -110,53 +113,72 @@
     log.info(`Stopped ${settings.name} with ${requests.running} requests in progress.`);
   }
 
-  private get<T>(part: string): T {
-    return this.kernel.get<T>(part);
+  /** Stops all parts at once, in reverse order; requests in progress break off. */
+  async stop(): Promise<void> {
+    this.isLeaving = true;
+    await this.kernel.stop();
+  }
+
+  private get<T>(name: string): T {
+    return this.kernel.get<T>(name);
   }
 
   private services(): Service[] {
     const { timers } = this.options;
     return [
-      { name: PART.view, start: () => new SharedView(timers) },
-      { name: PART.metrics, start: () => createMetrics() },
-      { name: PART.channels, start: () => new ChannelPool() },
-      { name: PART.loads, start: () => new LoadBook(timers) },
-      { name: PART.standings, start: () => new Standings(timers) },
-      { name: PART.pauses, start: () => startPauses(this.options) },
-      {
-        name: PART.directory,
-        needs: [PART.view],
-        start: (kernel) => new Directory(kernel.get(PART.view), timers),
-      },
-      {
-        name: PART.holdings,
-        needs: [PART.directory],
-        start: (kernel) => new HoldingsBook(kernel.get(PART.directory)),
-      },
-      { name: PART.cluster, start: () => this.makeCluster() },
-      {
-        name: PART.claims,
-        needs: [PART.cluster, PART.pauses, PART.directory],
-        start: (kernel) => this.makeClaims(kernel),
-      },
-      {
-        name: PART.loader,
-        needs: [PART.cluster, PART.claims, PART.directory, PART.holdings, PART.channels],
-        start: (kernel) => this.makeLoader(kernel),
-      },
-      {
-        name: PART.conversation,
-        needs: [PART.cluster, PART.view, PART.claims, PART.loader, PART.holdings, PART.loads],
-        start: (kernel) => startConversation(kernel, this.options),
-      },
-      {
-        name: PART.follower,
-        needs: [PART.view, PART.cluster, PART.conversation],
-        start: (kernel) => this.startFollower(kernel),
-      },
-      {
-        name: PART.requests,
-        needs: [
+      part(PART.view, [], () => new SharedView(timers)),
+      part(PART.metrics, [], () => createMetrics()),
+      part(
+        PART.channels,
+        [],
+        () => new ChannelPool(),
+        (pool) => pool.close(),
+      ),
+      part(PART.loads, [], () => new LoadBook(timers)),
+      part(PART.standings, [], () => new Standings(timers)),
+      part(
+        PART.pauses,
+        [],
+        () => startPauses(this.options),
+        (pauses) => pauses.stop(),
+      ),
+      part(PART.directory, [PART.view], (kernel) => new Directory(kernel.get(PART.view), timers)),
+      part(PART.holdings, [PART.directory], (kernel) => new HoldingsBook(kernel.get(PART.directory))),
+      part(
+        PART.cluster,
+        [],
+        () => this.makeCluster(),
+        (cluster) => cluster.close(),
+      ),
+      part(
+        PART.claims,
+        [PART.cluster, PART.pauses, PART.directory],
+        (kernel) => this.makeClaims(kernel),
+        (claims) => claims.close(),
+      ),
+      part(PART.reviews, [PART.claims, PART.directory], startReviews(this.options), (timer) =>
+        timer.cancel(),
+      ),
+      part(
+        PART.loader,
+        [PART.cluster, PART.claims, PART.directory, PART.holdings, PART.channels],
+        (kernel) => this.makeLoader(kernel),
+        (loader) => loader.close(),
+      ),
+      part(
+        PART.conversation,
+        [PART.cluster, PART.view, PART.claims, PART.loader, PART.holdings, PART.loads],
+        (kernel) => startConversation(kernel, this.options),
+      ),
+      part(
+        PART.follower,
+        [PART.view, PART.cluster, PART.conversation],
+        (kernel) => this.startFollower(kernel),
+        (follower) => follower.stop(),
+      ),
+      part(
+        PART.requests,
+        [
           PART.metrics,
           PART.view,
           PART.directory,
@@ -167,11 +189,12 @@
           PART.loader,
           PART.cluster,
         ],
-        start: (kernel) => this.startRequests(kernel),
-      },
-      {
-        name: PART.figures,
-        needs: [
+        (kernel) => this.startRequests(kernel),
+        (requests) => requests.cut(),
+      ),
+      part(
+        PART.figures,
+        [
           PART.metrics,
           PART.view,
           PART.cluster,
@@ -181,13 +204,17 @@
           PART.requests,
           PART.directory,
         ],
-        start: (kernel) => this.startFigures(kernel),
-      },
-      {
-        name: PART.readiness,
-        needs: [PART.requests, PART.directory],
-        start: (kernel) => this.startReadiness(kernel),
-      },
+        (kernel) => this.startFigures(kernel),
+        (server) => server?.close(),
+      ),
+      part(
+        PART.readiness,
+        [PART.requests, PART.directory],
+        (kernel) => this.startReadiness(kernel),
+        (server) => {
+          server.close();
+        },
+      ),
     ];
   }
 
@@ -236,7 +263,6 @@
     directory.onReplica((id, entry) => {
       if (entry === undefined) claims.forget(id);
     });
-    timers.repeat(REVIEW_MS, () => claims.review(enginesOf(directory)));
     return claims;
   }
 
@@ -357,7 +383,7 @@
     return budget;
   }
 
-  private async startFigures(kernel: ServiceFinder): Promise<void> {
+  private async startFigures(kernel: ServiceFinder): Promise<Server | undefined> {
     const { settings, droppedLines } = this.options;
     const metrics = kernel.get<Metrics>(PART.metrics);
     const directory = kernel.get<Directory>(PART.directory);
@@ -372,8 +398,8 @@
       droppedLines,
       configVersion: () => directory.table?.document.version ?? 0,
     });
-    if (settings.metricsPort !== undefined)
-      await listenForFigures(settings.host, settings.metricsPort, metrics);
+    if (settings.metricsPort === undefined) return undefined;
+    return listenForFigures(settings.host, settings.metricsPort, metrics);
   }
 
   private startReadiness(kernel: ServiceFinder): Promise<ReadinessServer> {
@@ -388,6 +414,36 @@
   }
 }
 
+/** One part of the daemon as a service of the kernel. */
+function part<T>(
+  name: string,
+  needs: readonly string[],
+  start: (kernel: ServiceFinder) => T | Promise<T>,
+  stop?: (value: T) => void,
+): Service {
+  let value: T | undefined;
+  return {
+    name,
+    needs,
+    async start(kernel) {
+      value = await start(kernel);
+      return value;
+    },
+    stop() {
+      if (value !== undefined) stop?.(value);
+    },
+  };
+}
+
+/** Reviews the claims again and again. */
+function startReviews({ timers }: RouterOptions): (kernel: ServiceFinder) => TimerHandle {
+  return (kernel) => {
+    const claims = kernel.get<Claims>(PART.claims);
+    const directory = kernel.get<Directory>(PART.directory);
+    return timers.repeat(REVIEW_MS, () => claims.review(enginesOf(directory)));
+  };
+}
+
 function startPauses({ timers, log }: RouterOptions): PauseWatch {
   const pauses = new PauseWatch(timers, (ms) =>
     log.warn(`This process stood still for ${Math.round(ms)} ms.`),
--- a/packages/routing/src/core/requests/server.ts
+++ b/packages/routing/src/core/requests/server.ts
@@ -41,8 +41,8 @@
 
 /** The callers' server. */
 export class RequestServer {
-  /** Requests in progress. */
-  running = 0;
+  /** Answers that are still to be given. */
+  private readonly answers = new Set<ServerResponse>();
 
   private readonly server: Server;
 
@@ -76,6 +76,11 @@
     });
   }
 
+  /** Requests in progress. */
+  get running(): number {
+    return this.answers.size;
+  }
+
   /** Starts to listen. */
   listen(): Promise<void> {
     const { host, port } = this.options;
@@ -88,6 +93,7 @@
   /** From now on each answer is the last on its connection; requests that still arrive are served. */
   drain(): void {
     this.isDraining = true;
+    for (const res of this.answers) res.shouldKeepAlive = false;
   }
 
   /** Closes connections that wait between two requests, and the listener. */
@@ -97,13 +103,19 @@
     this.server.closeIdleConnections();
   }
 
+  /** Closes the listener and every connection; requests in progress break off. */
+  cut(): void {
+    this.close();
+    this.server.closeAllConnections();
+  }
+
   /** Closes connections that wait between two requests. */
   closeIdle(): void {
     this.server.closeIdleConnections();
   }
 
   private async serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
-    this.running += 1;
+    this.answers.add(res);
     res.on('error', (err) => this.options.log.debug(`An answer could not be written: ${err.message}.`));
     if (this.isDraining) res.shouldKeepAlive = false;
     // A stream that began before the shutdown has promised its caller a connection that is kept: it ends with it.
@@ -117,7 +129,7 @@
       if (res.headersSent) res.destroy();
       else sendOwn(res, OwnAnswer.OutcomeUnknown, 'Internal error.');
     } finally {
-      this.running -= 1;
+      this.answers.delete(res);
     }
   }
 
