--- a/packages/cli/src/cli/daemon/index.ts
+++ b/packages/cli/src/cli/daemon/index.ts
@@ -4,7 +4,7 @@
 import { runAudit } from '../audit/index.js';
 import { runConfig } from '../config/index.js';
 import { runDrain } from '../drain/index.js';
-import { runExplain } from '../explain/index.js';
+import { explainFromLogs, runExplain } from '../explain/index.js';
 import { runStatus } from '../status/index.js';
 
 const DAEMON: CliOption = {
@@ -76,8 +76,17 @@
   {
     usage: 'explain <request-id>',
     summary: 'Tell why a request went where it went',
-    options: [DAEMON, JSON_SWITCH],
+    options: [
+      DAEMON,
+      JSON_SWITCH,
+      {
+        flag: '--logs <files>',
+        summary: 'Read these log files, with commas between them, and ask no daemon',
+      },
+    ],
     async run([requestId = ''], options, io) {
+      const logs = textOption(options, 'logs');
+      if (logs !== undefined) return explainFromLogs(requestId, logs.split(','), io.print);
       const json = switchOption(options, 'json');
       await runExplain(requestId, { daemon: daemonOf(options), json }, io.print);
       return ExitCode.Ok;
--- a/packages/cli/src/cli/explain/index.ts
+++ b/packages/cli/src/cli/explain/index.ts
@@ -1,5 +1,10 @@
-/** `celeryyoke explain`: why a request went where it went. */
+/** `celeryyoke explain`: why a request went where it went, from a daemon or from logs. */
+import { readFile } from 'node:fs/promises';
+
 import { callDaemon } from '../../core/admin/index.js';
+import { ExitCode } from '../../core/program/index.js';
+import type { LogLine } from '../../core/stories/index.js';
+import { readLines, tellStory } from '../../core/stories/index.js';
 
 /** Options of the command. */
 export interface ExplainOptions {
@@ -34,3 +39,22 @@
   const text = Object.entries(record).map(([key, value]) => showField(key, value));
   print(options.json ? JSON.stringify(record, null, 2) : text.join('\n'));
 }
+
+/**
+ * Tells the story of a request from the logs of several daemons.
+ * @param requestId - Its id.
+ * @param files - Log files.
+ * @param print - Writes a block of text.
+ * @returns Ok, or Found when no line names the request.
+ */
+export async function explainFromLogs(
+  requestId: string,
+  files: readonly string[],
+  print: (text: string) => void,
+): Promise<ExitCode> {
+  const lines: LogLine[] = [];
+  for (const file of files) lines.push(...readLines(await readFile(file, 'utf8')));
+  const story = tellStory(requestId, lines);
+  print(story.length > 0 ? story.join('\n') : `No line names ${requestId}.`);
+  return story.length > 0 ? ExitCode.Ok : ExitCode.Found;
+}
