--- a/packages/routing/src/core/channels/channel.ts
+++ b/packages/routing/src/core/channels/channel.ts
@@ -41,6 +41,8 @@
 
   private isClosed = false;
 
+  private socket: Socket | undefined;
+
   /** Whether the replica ends the connection with the answer at hand. */
   private isLast = false;
 
@@ -96,6 +98,15 @@
     return exchange;
   }
 
+  /**
+   * Ends the connection with a reset, so that bytes that a partition still holds are lost: an order or a request that
+   * was given up must not arrive when the partition heals.
+   */
+  reset(): void {
+    this.socket?.resetAndDestroy();
+    this.close();
+  }
+
   /** Ends the connection. */
   close(): void {
     if (this.isClosed) return;
@@ -115,6 +126,7 @@
       keepAlive: true,
       keepAliveInitialDelay: PROBE_AFTER_MS,
     });
+    this.socket = socket;
     let isSettled = false;
     const settle = (err: Error | undefined): void => {
       if (isSettled) return;
--- a/packages/routing/src/core/channels/pool.ts
+++ b/packages/routing/src/core/channels/pool.ts
@@ -1,6 +1,7 @@
 /** The connections to all replicas; an idle one is used again, the latest first. */
 import { Channel } from './channel.js';
 import type { AnswerSink, RunningExchange, UpstreamCall } from './types.js';
+import { ChannelFailure } from './types.js';
 
 /** Longest time to set up a connection, in milliseconds; replicas take one in about a millisecond. */
 const CONNECT_TIMEOUT_MS = 500;
@@ -40,7 +41,8 @@
         sink.onEnd();
       },
       onFail: (failure, err) => {
-        channel.close();
+        if (failure === ChannelFailure.Cancelled) channel.reset();
+        else channel.close();
         sink.onFail(failure, err);
       },
     });
--- a/packages/routing/test/channels.test.ts
+++ b/packages/routing/test/channels.test.ts
@@ -163,6 +163,24 @@
     },
   ));
 
+test('a request that is given up resets its connection, so that no byte of it arrives later', async (t) => {
+  let code: string | undefined;
+  await against(
+    ({ socket }) => {
+      socket.on('error', (err: NodeJS.ErrnoException) => {
+        code = err.code;
+      });
+    },
+    async (port, pool) => {
+      await exchange(pool, port, 'body', 50);
+      await new Promise((resolve) => {
+        setTimeout(resolve, 100);
+      });
+    },
+  );
+  t.is(code, 'ECONNRESET');
+});
+
 test('an answer that says it is the last is the last on its connection', (t) =>
   against(
     ({ socket }) => socket.write('HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok'),
