Keep engines while leaving until another daemon claims them, and leave rotation by the balancer's questions

Cause: in a rolling restart all daemons were leaving at once for seconds; each gave its engines up at its signal, one that had just started took a leaving holder for a living one, and 53 streams ran into their deadline. Change: a leaving daemon claims nothing more but orders until another has claimed; a new link is told of the leaving first; two refused questions close the listener.

--- a/packages/routing/src/core/authority/claims.ts
+++ b/packages/routing/src/core/authority/claims.ts
@@ -77,6 +77,8 @@
 
   private isClosed = false;
 
+  private isLeaving = false;
+
   /**
    * Makes an empty book of claims.
    * @param options - The fleet and what to call.
@@ -153,12 +155,20 @@
   review(replicas: Iterable<string>): void {
     const { isRecovering, fleet, self } = this.options;
     const alive = fleet.alive();
-    if (this.isClosed || !this.hasSettled(alive) || isRecovering()) return;
+    if (this.isClosed || this.isLeaving || !this.hasSettled(alive) || isRecovering()) return;
     for (const replica of replicas)
       if (this.isOrphan(replica) && firstFor(replica, alive) === self) this.claim(replica);
   }
 
-  /** Gives up all claims of this daemon, for a shutdown. */
+  /**
+   * Claims nothing more, before a shutdown. What this daemon holds it keeps until another one has claimed it, as in a
+   * rolling restart there may for seconds be none that stays.
+   */
+  leave(): void {
+    this.isLeaving = true;
+  }
+
+  /** Gives up all claims of this daemon. */
   close(): void {
     this.isClosed = true;
   }
--- a/packages/routing/src/core/cluster/cluster.ts
+++ b/packages/routing/src/core/cluster/cluster.ts
@@ -56,6 +56,8 @@
 
   private isClosing = false;
 
+  private isLeaving = false;
+
   /**
    * Makes a cluster that has not started.
    * @param options - Who this daemon is, and whom to ask first.
@@ -86,6 +88,7 @@
 
   /** Says that this daemon ends; its links stay for the requests that it still serves. */
   leave(): void {
+    this.isLeaving = true;
     this.broadcast(MessageType.Goodbye, null);
   }
 
@@ -205,7 +208,11 @@
       address: peer.address,
       timers,
       hello: (): Hello => ({ self, known: this.knownAddresses() }),
-      onUp: () => onPeer(peer.address),
+      onUp: () => {
+        // One that has just started has not heard the goodbye.
+        if (this.isLeaving) peer.link?.send(MessageType.Goodbye, null);
+        onPeer(peer.address);
+      },
       onDown: (end) => this.noteDown(peer, end),
     });
     peer.connect(link);
--- a/packages/routing/src/core/daemon/router.ts
+++ b/packages/routing/src/core/daemon/router.ts
@@ -47,6 +47,10 @@
 const REVIEW_MS = 100;
 /** Time after the signal in which the balancer still sends new connections, in milliseconds: two missed questions, a second apart, and a margin. */
 const LEAVE_ROTATION_MS = 2500;
+/** Questions of the balancer without a yes after which it sends no new connections. */
+const MISSES = 2;
+/** Time in which connections that were on their way still arrive, in milliseconds. */
+const CROSSING_MS = 150;
 /** Part of the grace that is kept for ending, in milliseconds. */
 const GRACE_MARGIN_MS = 400;
 const DRAIN_LOOK_MS = 50;
@@ -59,6 +63,9 @@
 
   private isLeaving = false;
 
+  /** Questions of the balancer that were answered with no since the signal. */
+  private refusedQuestions = 0;
+
   private seeds: readonly string[];
 
   /**
@@ -97,11 +104,11 @@
     const startedAt = timers.now();
     const requests = this.get<RequestServer>(PART.requests);
     log.info(`Stopping ${settings.name} (${cause}) with ${requests.running} requests in progress.`);
-    this.get<Claims>(PART.claims).close();
+    this.get<Claims>(PART.claims).leave();
     const cluster = this.get<Cluster>(PART.cluster);
     cluster.leave();
     requests.drain();
-    await timers.sleep(LEAVE_ROTATION_MS);
+    await this.leaveRotation(startedAt);
     requests.close();
     const end = startedAt + settings.graceMs - GRACE_MARGIN_MS;
     while (timers.now() < end && requests.running > 0) {
@@ -113,6 +120,14 @@
     log.info(`Stopped ${settings.name} with ${requests.running} requests in progress.`);
   }
 
+  /** Waits until the balancer sends no new connections: it has asked often enough, or has had the time to. */
+  private async leaveRotation(startedAt: number): Promise<void> {
+    const { timers } = this.options;
+    const end = startedAt + LEAVE_ROTATION_MS;
+    while (timers.now() < end && this.refusedQuestions < MISSES) await timers.sleep(DRAIN_LOOK_MS);
+    await timers.sleep(CROSSING_MS);
+  }
+
   /** Stops all parts at once, in reverse order; requests in progress break off. */
   async stop(): Promise<void> {
     this.isLeaving = true;
@@ -409,7 +424,10 @@
       host: settings.host,
       port: settings.readinessPort,
       isReadinessPath,
-      isReady: () => !this.isLeaving && directory.table !== undefined,
+      isReady: () => {
+        if (this.isLeaving) this.refusedQuestions += 1;
+        return !this.isLeaving && directory.table !== undefined;
+      },
     });
   }
 }
--- a/packages/routing/test/claims.test.ts
+++ b/packages/routing/test/claims.test.ts
@@ -164,6 +164,19 @@
   t.true(gained[1]!.token > token);
 });
 
+test('a leaving daemon keeps its engines until another one claims them, and claims no more', (t) => {
+  const { timers, claims, gained, lost } = setUp('a', []);
+  timers.advanceSync(SETTLED_MS);
+  claims.review(['x']);
+  claims.leave();
+  t.is(claims.authority('x'), gained[0]!.token);
+  claims.review(['y']);
+  t.is(gained.length, 1);
+  claims.take({ replica: 'x', holder: 'b', token: gained[0]!.token + 1 });
+  t.is(claims.authority('x'), undefined);
+  t.deepEqual(lost, ['x']);
+});
+
 test('a clock that goes back makes no lower token', (t) => {
   const timers = createManualTimers();
   const claimed: Claim[] = [];
