Let silent replicas rest, and move engines sooner where they refuse older tokens

Cause: a dark replica got a request from each daemon again and again, each held to its deadline; a reset link between living daemons counted as an end. Change: a replica that sends no byte for 0.7 s under requests rests, as does an engine that does not answer an order for 0.4 s; a lost link is tried again at once and only a refused one shows an end; a silent holder is waited out for 0.5 s where engines check tokens.

--- a/packages/routing/src/core/adapters/keeper.ts
+++ b/packages/routing/src/core/adapters/keeper.ts
@@ -37,6 +37,8 @@
 const REPEATED_LOAD_GUESS_MS = 25;
 /** Weight of a new measurement of a load time. */
 const GUESS_WEIGHT = 0.3;
+/** Time without an answer to an order after which the engine counts as unreachable, in milliseconds; it answers in some. */
+const SILENCE_MS = 400;
 /** Time for which an engine that could not be reached is left alone, in milliseconds. */
 const REST_MS = 400;
 /** Room that is told of an engine that can't be reached. */
@@ -435,7 +437,8 @@
         tookMs: Math.round(timers.now() - startedAt),
       });
     if (outcome === OrderOutcome.Fenced) onFenced(token);
-    if (outcome === OrderOutcome.Unreachable) this.rest();
+    const isSilent = outcome === OrderOutcome.Unknown && timers.now() - startedAt > SILENCE_MS;
+    if (outcome === OrderOutcome.Unreachable || isSilent) this.rest();
     return outcome;
   }
 
--- a/packages/routing/src/core/authority/claims.ts
+++ b/packages/routing/src/core/authority/claims.ts
@@ -19,6 +19,11 @@
 const QUIET_MS = 200;
 /** Longest time after the start in which changes among the daemons hold claims back, in milliseconds. */
 const MAX_SETTLE_MS = 1500;
+/**
+ * Time for which a silent holder is waited out where engines refuse older tokens, in milliseconds: its orders can't
+ * follow those of the next holder, so the wait only keeps a short silence from moving engines.
+ */
+const FENCED_PATIENCE_MS = 500;
 /** Leases that a minority waits before it takes over from silent daemons: it is more likely cut off itself. */
 const MINORITY_LEASES = 3;
 /** Leases for which an engine that refused this daemon's token is left alone. */
@@ -50,6 +55,8 @@
   readonly timers: TimerService;
   /** Longest time for which a holder that is not heard may still give orders, in milliseconds. */
   readonly leaseMs: number;
+  /** Whether engines refuse an order with a token that is lower than one they have seen. */
+  readonly isFenced: boolean;
   /** Whether this daemon must first renew what it believes. */
   readonly isRecovering: () => boolean;
   /** Called when this daemon gains or loses an engine. */
@@ -186,14 +193,15 @@
   }
 
   private isOrphan(replica: string): boolean {
-    const { fleet, leaseMs, timers } = this.options;
+    const { fleet, leaseMs, isFenced, timers } = this.options;
     if (timers.now() < (this.refusedUntil.get(replica) ?? 0)) return false;
     const claim = this.claims.get(replica);
     if (claim === undefined) return true;
     const state = fleet.state(claim.holder);
     if (state === MemberState.Ended || state === MemberState.Leaving) return true;
     if (state === MemberState.Alive) return false;
-    const patience = this.isMajority(0) ? leaseMs : leaseMs * MINORITY_LEASES;
+    const ordinary = isFenced ? Math.min(FENCED_PATIENCE_MS, leaseMs) : leaseMs;
+    const patience = this.isMajority(0) ? ordinary : leaseMs * MINORITY_LEASES;
     return fleet.downForMs(claim.holder) > patience;
   }
 
--- a/packages/routing/src/core/choice/standing.ts
+++ b/packages/routing/src/core/choice/standing.ts
@@ -5,6 +5,11 @@
 const FADE_MS = 4000;
 /** Weight of a new measurement. */
 const WEIGHT = 0.15;
+/**
+ * Time without a byte from a replica with requests in progress after which it counts as silent, in milliseconds: an
+ * engine with streams sends every ten, and a plain service takes some hundred at most.
+ */
+const SILENT_MS = 700;
 /** First time for which a replica that can't be reached is left alone, in milliseconds; it doubles. */
 const FIRST_REST_MS = 400;
 const MAX_REST_MS = 3000;
@@ -17,10 +22,19 @@
   restMs: number;
 }
 
+/** Requests on one replica, and since when they wait without a byte from it. */
+interface Hearing {
+  outstanding: number;
+  /** Monotonic time of the last byte, or of the first request after none was outstanding. */
+  since: number;
+}
+
 /** The standing of all replicas. */
 export class Standings {
   private readonly records = new Map<string, Record>();
 
+  private readonly hearings = new Map<string, Hearing>();
+
   /**
    * Makes an empty book.
    * @param timers - Time.
@@ -52,12 +66,46 @@
   }
 
   /**
-   * Tells whether a replica is left alone for now.
+   * Notes that a request is sent.
+   * @param replica - The replica.
+   */
+  sent(replica: string): void {
+    const hearing = this.hearings.get(replica) ?? { outstanding: 0, since: 0 };
+    this.hearings.set(replica, hearing);
+    if (hearing.outstanding === 0) hearing.since = this.timers.now();
+    hearing.outstanding += 1;
+  }
+
+  /**
+   * Notes bytes of a replica.
+   * @param replica - The replica.
+   */
+  heard(replica: string): void {
+    const hearing = this.hearings.get(replica);
+    if (hearing !== undefined) hearing.since = this.timers.now();
+  }
+
+  /**
+   * Notes the end of a request.
+   * @param replica - The replica.
+   */
+  ended(replica: string): void {
+    const hearing = this.hearings.get(replica);
+    if (hearing === undefined) return;
+    hearing.outstanding -= 1;
+    if (hearing.outstanding === 0) this.hearings.delete(replica);
+  }
+
+  /**
+   * Tells whether a replica is left alone for now: it could not be reached, or is silent under requests.
    * @param replica - The replica.
    * @returns Whether it rests.
    */
   isResting(replica: string): boolean {
-    return (this.records.get(replica)?.restUntil ?? 0) > this.timers.now();
+    const now = this.timers.now();
+    const hearing = this.hearings.get(replica);
+    if (hearing !== undefined && now - hearing.since > SILENT_MS) return true;
+    return (this.records.get(replica)?.restUntil ?? 0) > now;
   }
 
   /**
--- a/packages/routing/src/core/cluster/cluster.ts
+++ b/packages/routing/src/core/cluster/cluster.ts
@@ -19,6 +19,8 @@
 const SILENT_MS = 1100;
 /** Pause between two tries to reach a member that is down, in milliseconds. */
 const REDIAL_MS = 500;
+/** Pause before a link that ended is made again, in milliseconds. */
+const RETRY_MS = 5;
 /** Time after which a member that ended is no longer dialled, in milliseconds; it comes back by a seed. */
 const FORGET_MS = 60_000;
 
@@ -213,7 +215,7 @@
         if (this.isLeaving) peer.link?.send(MessageType.Goodbye, null);
         onPeer(peer.address);
       },
-      onDown: (end) => this.noteDown(peer, end),
+      onDown: (end, wasUp) => this.noteDown(peer, end, wasUp),
     });
     peer.connect(link);
   }
@@ -224,12 +226,22 @@
     return found;
   }
 
-  private noteDown(peer: Peer, end: LinkEnd): void {
-    peer.disconnect(this.options.timers.now() + REDIAL_MS);
-    if (end === LinkEnd.Refused) this.setState(peer, MemberState.Ended);
+  /**
+   * A link that was up says nothing when it ends: connections are reset also between living daemons. The next try
+   * shows whether the process still runs.
+   */
+  private noteDown(peer: Peer, end: LinkEnd, wasUp: boolean): void {
+    const { timers } = this.options;
+    peer.disconnect(timers.now() + (wasUp ? 0 : REDIAL_MS));
+    if (wasUp) timers.after(RETRY_MS, () => this.redial(peer));
+    else if (end === LinkEnd.Refused) this.setState(peer, MemberState.Ended);
     else if (peer.state === MemberState.Alive) this.setState(peer, MemberState.Silent);
   }
 
+  private redial(peer: Peer): void {
+    if (peer.link === undefined) this.dial(peer);
+  }
+
   /** The peer's own link to this daemon closed: dial again at once to learn whether its process still runs. */
   private noteClosed(address: string): void {
     const peer = this.peers.get(address);
--- a/packages/routing/src/core/cluster/link.ts
+++ b/packages/routing/src/core/cluster/link.ts
@@ -33,7 +33,7 @@
   /** Called when the link is up. */
   readonly onUp: () => void;
   /** Called when the link ended or could not be made. */
-  readonly onDown: (end: LinkEnd, reason: string) => void;
+  readonly onDown: (end: LinkEnd, wasUp: boolean) => void;
 }
 
 interface Waiting {
@@ -166,11 +166,12 @@
 
   private end(end: LinkEnd, reason: string): void {
     if (this.hasEnded) return;
+    const wasUp = this.isUp;
     this.hasEnded = true;
     this.isUp = false;
     this.socket.destroy();
     this.failWaiting(reason);
-    this.options.onDown(end, reason);
+    this.options.onDown(end, wasUp);
   }
 
   private failWaiting(reason: string): void {
--- a/packages/routing/src/core/daemon/router.ts
+++ b/packages/routing/src/core/daemon/router.ts
@@ -257,6 +257,7 @@
       fleet: cluster,
       timers,
       leaseMs: settings.leaseMs,
+      isFenced: settings.isFenced,
       isRecovering: () => pauses.isRecovering,
       onGain: (claim) => {
         log.decide('claim.gained', `Gives orders to ${claim.replica}.`, {
--- a/packages/routing/src/core/daemon/types.ts
+++ b/packages/routing/src/core/daemon/types.ts
@@ -26,6 +26,8 @@
   readonly graceMs: number;
   /** Lease of the right to give orders, in milliseconds. */
   readonly leaseMs: number;
+  /** Whether engines refuse an order with a fencing token that is lower than one they have seen. */
+  readonly isFenced: boolean;
   readonly budget: BudgetBounds;
 }
 
--- a/packages/routing/src/core/requests/journey.ts
+++ b/packages/routing/src/core/requests/journey.ts
@@ -222,6 +222,7 @@
     const call = { method: head.method, path: head.target, headers, body };
     this.sends += 1;
     this.sentAfter = Math.round(timers.now() - this.options.arrivedAt);
+    standings.sent(replica.id);
     this.send = new Send({
       pool,
       dialect,
@@ -231,10 +232,12 @@
       requestId: head.id,
       relay: this.relay,
       onAnswer: note.answered,
+      onHeard: () => standings.heard(replica.id),
     });
     const result = await this.send.result;
     this.send = undefined;
     note.ended();
+    standings.ended(replica.id);
     this.parts.metrics.sent(result.end);
     judge(replica, result, standings);
     return result;
--- a/packages/routing/src/core/requests/send.ts
+++ b/packages/routing/src/core/requests/send.ts
@@ -26,6 +26,8 @@
   readonly relay: StreamRelay | undefined;
   /** Called when the answer begins: a stream with its first event. */
   readonly onAnswer: () => void;
+  /** Called with each piece that comes from the replica. */
+  readonly onHeard: () => void;
 }
 
 /** A send in progress. */
@@ -82,6 +84,7 @@
   }
 
   onHead(status: number, headers: HeaderMap): void {
+    this.options.onHeard();
     this.firstByteMs = this.options.timers.now() - this.startedAt;
     this.status = status;
     this.headers = headers;
@@ -100,6 +103,7 @@
 
   onData(chunk: Buffer): void {
     if (this.hasSettled) return;
+    this.options.onHeard();
     if (this.isRelaying) {
       this.options.onAnswer();
       if (!this.options.relay!.take(chunk)) this.giveUp('The stream does not fit what the caller has.');
--- a/packages/routing/test/claims.test.ts
+++ b/packages/routing/test/claims.test.ts
@@ -34,7 +34,7 @@
   downForMs = (name: string): number => this.downFor.get(name) ?? 0;
 }
 
-function setUp(self = 'a', others: readonly string[] = ['b', 'c']) {
+function setUp(self = 'a', others: readonly string[] = ['b', 'c'], isFenced = false) {
   const timers = createManualTimers();
   const fleet = new FakeFleet(self, others);
   const gained: Claim[] = [];
@@ -45,6 +45,7 @@
     fleet,
     timers,
     leaseMs: LEASE_MS,
+    isFenced,
     isRecovering: () => flags.isRecovering,
     onGain: (claim) => gained.push(claim),
     onLoss: (claim) => lost.push(claim.replica),
@@ -111,6 +112,19 @@
   t.is(other.gained.length, 1);
 });
 
+test('where engines refuse older tokens, a silent holder is not waited out for a whole lease', (t) => {
+  const { timers, fleet, claims, gained } = setUp('a', ['b'], true);
+  timers.advanceSync(SETTLED_MS);
+  claims.take({ replica: 'x', holder: 'b', token: 1 });
+  fleet.states.set('b', MemberState.Silent);
+  fleet.downFor.set('b', 400);
+  claims.review(['x']);
+  t.is(gained.length, 0);
+  fleet.downFor.set('b', 600);
+  claims.review(['x']);
+  t.is(gained.length, 1);
+});
+
 test('the smaller side of a split fleet gives no orders and takes nothing over for some leases', (t) => {
   const { timers, fleet, claims, gained } = setUp('a', ['b', 'c', 'd']);
   timers.advanceSync(SETTLED_MS);
@@ -186,6 +200,7 @@
     fleet: new FakeFleet('a', []),
     timers: { ...timers, wall: () => wall },
     leaseMs: LEASE_MS,
+    isFenced: false,
     isRecovering: () => false,
     onGain: (claim) => claimed.push(claim),
     onLoss: () => undefined,
