--- a/scripts/unit.mjs
+++ b/scripts/unit.mjs
@@ -20,17 +20,15 @@
 
 function runTests() {
   return new Promise((resolve) => {
-    let output = '';
-    const tests = spawn('node_modules/.bin/ava', process.argv.slice(2), {
-      stdio: ['ignore', 'pipe', 'pipe'],
-    });
-    for (const stream of [tests.stdout, tests.stderr]) {
-      stream.on('data', (chunk) => {
-        process.stdout.write(chunk);
-        output += chunk;
-      });
-    }
-    tests.on('close', (code) => resolve({ code, output }));
+    const pieces = [];
+    const take = (chunk) => {
+      process.stdout.write(chunk);
+      pieces.push(chunk);
+    };
+    const tests = spawn('node_modules/.bin/ava', process.argv.slice(2), { stdio: ['ignore', 'pipe', 'pipe'] });
+    tests.stdout.on('data', take);
+    tests.stderr.on('data', take);
+    tests.on('close', (code) => resolve({ code, output: Buffer.concat(pieces).toString('utf8') }));
   });
 }
 
