--- a/scripts/unit.mjs
+++ b/scripts/unit.mjs
@@ -25,7 +25,9 @@
       process.stdout.write(chunk);
       pieces.push(chunk);
     };
-    const tests = spawn('node_modules/.bin/ava', process.argv.slice(2), { stdio: ['ignore', 'pipe', 'pipe'] });
+    const tests = spawn('node_modules/.bin/ava', process.argv.slice(2), {
+      stdio: ['ignore', 'pipe', 'pipe'],
+    });
     tests.stdout.on('data', take);
     tests.stderr.on('data', take);
     tests.on('close', (code) => resolve({ code, output: Buffer.concat(pieces).toString('utf8') }));
