--- a/packages/routing/src/core/authority/claims.ts
+++ b/packages/routing/src/core/authority/claims.ts
@@ -17,6 +17,11 @@
 const SETTLE_MS = 350;
 /** Time without a change among the living daemons before the first claim, in milliseconds: links take less. */
 const QUIET_MS = 200;
+/**
+ * The same for a daemon that has met no other, in milliseconds: when all start at once, they are up within half a
+ * second of each other, and each that claims alone makes the others' claims void.
+ */
+const ALONE_SETTLE_MS = 1000;
 /** Longest time after the start in which changes among the daemons hold claims back, in milliseconds. */
 const MAX_SETTLE_MS = 1500;
 /**
@@ -189,7 +194,8 @@
       this.changedAt = now;
     }
     const age = now - this.startedAt;
-    return age >= MAX_SETTLE_MS || (age >= SETTLE_MS && now - this.changedAt >= QUIET_MS);
+    const least = alive.length === 1 ? ALONE_SETTLE_MS : SETTLE_MS;
+    return age >= MAX_SETTLE_MS || (age >= least && now - this.changedAt >= QUIET_MS);
   }
 
   private isOrphan(replica: string): boolean {
--- a/packages/routing/test/claims.test.ts
+++ b/packages/routing/test/claims.test.ts
@@ -89,6 +89,17 @@
   t.true(gained.length > 0);
 });
 
+test('a daemon that has met no other waits longer, as the others may be starting', (t) => {
+  const { timers, claims, gained } = setUp('a', []);
+  claims.review(engines);
+  timers.advanceSync(900);
+  claims.review(engines);
+  t.is(gained.length, 0);
+  timers.advanceSync(200);
+  claims.review(engines);
+  t.true(gained.length > 0);
+});
+
 test('a living holder keeps its engine; an ended or leaving one loses it at once; a silent one after the lease', (t) => {
   const { timers, fleet, claims, gained } = setUp('a', ['b']);
   timers.advanceSync(SETTLED_MS);
