--- a/packages/routing/src/core/adapters/keeper.ts
+++ b/packages/routing/src/core/adapters/keeper.ts
@@ -207,8 +207,13 @@
     const first = replica.models?.[0]?.name;
     const model = first ?? engine.models[0]?.name;
     if (model === undefined) return;
-    if (first === undefined) await this.loadModel(model);
-    else await this.order(OrderKind.Load, { model, adapter: undefined, version: undefined });
+    if (first === undefined) {
+      // An engine that held nothing holds what this daemon has just loaded: no report need be waited for.
+      await this.loadModel(model);
+      this.becomeReady(model);
+      return;
+    }
+    await this.order(OrderKind.Load, { model, adapter: undefined, version: undefined });
     await timers.sleep(REPORT_LAG_MS);
     const report = await control.report(replica);
     for (const held of report.models) {
@@ -222,6 +227,12 @@
     this.tell();
   }
 
+  private becomeReady(model: string): void {
+    this.models.add(model);
+    this.isReady = true;
+    this.tell();
+  }
+
   private async loadModel(model: string): Promise<void> {
     const { timers, log, replica } = this.options;
     const end = timers.now() + MODEL_LIMIT_MS;
--- a/packages/routing/test/keeper.test.ts
+++ b/packages/routing/test/keeper.test.ts
@@ -35,6 +35,29 @@
   return { timers, control, keeper, told, fenced, authority, ensure };
 }
 
+test('an engine that held nothing serves as soon as its base model is in place', async (t) => {
+  const timers = createManualTimers();
+  const control = new FakeEngine(timers, CAPACITY);
+  control.script = [OrderOutcome.Started, OrderOutcome.Started];
+  const told: Holdings[] = [];
+  const keeper = new Keeper({
+    replica: { ...engineEntry('e'), models: [] },
+    engine: sampleDocument(1).services[1]!.engine!,
+    self: 'a',
+    control,
+    timers,
+    log,
+    authority: () => 5,
+    onFenced: () => undefined,
+    onHoldings: (holdings) => told.push(holdings),
+  });
+  void keeper.run();
+  await timers.advance(390);
+  t.is(told.length, 0);
+  await timers.advance(20);
+  t.deepEqual(told.at(-1)?.models, [MODEL]);
+});
+
 /** Notes how a promise ended. */
 function watch(promise: Promise<void>): { state: string } {
   const note = { state: 'waiting' };
