--- a/packages/routing/src/core/adapters/keeper.ts
+++ b/packages/routing/src/core/adapters/keeper.ts
@@ -207,9 +207,8 @@
     const first = replica.models?.[0]?.name;
     const model = first ?? engine.models[0]?.name;
     if (model === undefined) return;
-    if (first === undefined) {
-      // An engine that held nothing holds what this daemon has just loaded: no report need be waited for.
-      await this.loadModel(model);
+    if (first === undefined && (await this.loadModel(model))) {
+      // It held nothing when this daemon's token had shut out older orders: no report need be waited for.
       this.becomeReady(model);
       return;
     }
@@ -233,13 +232,20 @@
     this.tell();
   }
 
-  private async loadModel(model: string): Promise<void> {
+  /**
+   * Loads a base model.
+   * @param model - The model.
+   * @returns Whether it was not in place when this daemon's first order came.
+   */
+  private async loadModel(model: string): Promise<boolean> {
     const { timers, log, replica } = this.options;
     const end = timers.now() + MODEL_LIMIT_MS;
     log.info(`Engine ${replica.id} holds no model; loading ${model}.`);
+    let wasAbsent = false;
     while (timers.now() < end && !this.isStopped) {
       const outcome = await this.order(OrderKind.Load, { model, adapter: undefined, version: undefined });
-      if (outcome === OrderOutcome.Done) return;
+      if (outcome === OrderOutcome.Done) return wasAbsent;
+      wasAbsent ||= outcome === OrderOutcome.Started;
       if (outcome === OrderOutcome.Misdirected || outcome === OrderOutcome.Fenced) break;
       await timers.sleep(MODEL_POLL_MS);
     }
--- a/packages/routing/test/keeper.test.ts
+++ b/packages/routing/test/keeper.test.ts
@@ -58,6 +58,28 @@
   t.deepEqual(told.at(-1)?.models, [MODEL]);
 });
 
+test('an engine whose model another keeper has loaded meanwhile is asked what else it holds', async (t) => {
+  const timers = createManualTimers();
+  const control = new FakeEngine(timers, CAPACITY);
+  for (const adapter of ['x', 'y', 'z']) control.slots.set(adapter, { isLoading: false, running: 0 });
+  const keeper = new Keeper({
+    replica: { ...engineEntry('e'), models: [] },
+    engine: sampleDocument(1).services[1]!.engine!,
+    self: 'a',
+    control,
+    timers,
+    log,
+    authority: () => 5,
+    onFenced: () => undefined,
+    onHoldings: () => undefined,
+  });
+  void keeper.run();
+  await timers.advance(600);
+  void watch(keeper.ensure({ model: MODEL, adapter: 'w', version: undefined }, URGENCY));
+  await timers.advance(1000);
+  t.is(control.overloads, 0);
+});
+
 /** Notes how a promise ended. */
 function watch(promise: Promise<void>): { state: string } {
   const note = { state: 'waiting' };
