--- /dev/null
+++ b/packages/core/src/core/codec/index.ts
@@ -0,0 +1,2 @@
+/** The compact codec of messages between daemons. */
+export { decode, encode, WIRE_CODEC } from './codec.js';
--- /dev/null
+++ b/packages/core/src/core/http/index.ts
@@ -0,0 +1,2 @@
+/** What every part that passes HTTP on needs to know. */
+export { isHopByHop } from './hop-by-hop.js';
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,8 +1,10 @@
 /** Entry of the core package: what every other package builds on. */
 export * from './core/audit/index.js';
+export * from './core/codec/index.js';
 export * from './core/errors/index.js';
 export * from './core/events/index.js';
 export * from './core/hash/index.js';
+export * from './core/http/index.js';
 export * from './core/kernel/index.js';
 export * from './core/log/index.js';
 export * from './core/metrics/index.js';
--- a/packages/fleet/src/core/peers/bus.ts
+++ b/packages/fleet/src/core/peers/bus.ts
@@ -1,9 +1,8 @@
 /** The peer bus: a task for each link, a listener, and the tables of procedures and sections. */
-import { CeleryyokeError } from '@celeryyoke/core';
+import { CeleryyokeError, decode } from '@celeryyoke/core';
 
 import type { AcceptedLink } from './accepted.js';
 import type { BusContext, BusCounters } from './context.js';
-import { decode } from './codec.js';
 import { PeerLink } from './link.js';
 import type { Beat } from './messages.js';
 import { PeerListener } from './listener.js';
--- a/packages/fleet/src/core/peers/listener.ts
+++ b/packages/fleet/src/core/peers/listener.ts
@@ -4,8 +4,8 @@
 import { getWSConnectionHandler } from '@trpc/server/adapters/ws';
 import { WebSocketServer } from 'ws';
 
+import { WIRE_CODEC } from '@celeryyoke/core';
 import { AcceptedLink } from './accepted.js';
-import { WIRE_CODEC } from './codec.js';
 import type { BusContext } from './context.js';
 import type { RouterContext } from './router.js';
 import { peerRouter } from './router.js';
--- a/packages/fleet/src/core/peers/memory.ts
+++ b/packages/fleet/src/core/peers/memory.ts
@@ -1,7 +1,6 @@
 /** Peer buses that share one process instead of a network, for unit tests of the parts that use a bus. */
-import { CeleryyokeError } from '@celeryyoke/core';
+import { CeleryyokeError, decode, encode } from '@celeryyoke/core';
 
-import { decode, encode } from './codec.js';
 import type {
   HeartbeatSection,
   ManagedPeerBus,
--- a/packages/fleet/src/core/peers/procedures.ts
+++ b/packages/fleet/src/core/peers/procedures.ts
@@ -1,7 +1,6 @@
 /** The procedures that this daemon serves. */
-import { CeleryyokeError } from '@celeryyoke/core';
+import { CeleryyokeError, decode, encode } from '@celeryyoke/core';
 
-import { decode, encode } from './codec.js';
 import type { PeerHandler, PeerIdentity, PeerProcedure } from './types.js';
 
 type RawHandler = (raw: unknown, from: PeerIdentity) => Promise<unknown>;
--- a/packages/fleet/src/core/peers/proof.ts
+++ b/packages/fleet/src/core/peers/proof.ts
@@ -1,7 +1,7 @@
 /** Proof of the shared key: each side answers the other's challenge, and the key never crosses the wire. */
 import { createHmac, randomBytes, timingSafeEqual } from 'node:crypto';
 
-import { encode } from './codec.js';
+import { encode } from '@celeryyoke/core';
 
 const NONCE_BYTES = 32;
 
--- a/packages/fleet/src/core/peers/sections.ts
+++ b/packages/fleet/src/core/peers/sections.ts
@@ -1,7 +1,7 @@
 /** The sections of the heartbeat. */
 import type { Log } from '@celeryyoke/core';
 
-import { decode, encode } from './codec.js';
+import { decode, encode } from '@celeryyoke/core';
 import type { HeartbeatSection, PeerIdentity } from './types.js';
 
 type PackedSections = Record<string, Uint8Array>;
--- a/packages/fleet/src/core/peers/session.ts
+++ b/packages/fleet/src/core/peers/session.ts
@@ -1,9 +1,8 @@
 /** The dialling side of one connection. */
-import { CeleryyokeError } from '@celeryyoke/core';
+import { CeleryyokeError, WIRE_CODEC } from '@celeryyoke/core';
 import type { CreateTRPCClient, TRPCWebSocketClient, WebSocketClientOptions } from '@trpc/client';
 import { createTRPCClient, createWSClient, wsLink } from '@trpc/client';
 
-import { WIRE_CODEC } from './codec.js';
 import type { BusContext } from './context.js';
 import { agreeProtocol } from './handshake.js';
 import type { Beat, Output } from './messages.js';
--- a/packages/platform/src/core/service/client.ts
+++ b/packages/platform/src/core/service/client.ts
@@ -1,24 +1,12 @@
 /** A client of one upstream of a plain service. */
-import { CeleryyokeError } from '@celeryyoke/core';
+import { CeleryyokeError, isHopByHop } from '@celeryyoke/core';
 
 import type { ExchangeAnswer, Exchanger, HeaderMap } from '../http/index.js';
 import { createExchanger, headerOf, NOT_STARTED_HEADER } from '../http/index.js';
 import type { ServiceCall, ServiceClient } from './types.js';
 
-/** Headers that concern one connection only, after RFC 9110. */
-const HOP_BY_HOP: ReadonlySet<string> = new Set([
-  'connection',
-  'expect',
-  'host',
-  'keep-alive',
-  'proxy-authenticate',
-  'proxy-authorization',
-  'proxy-connection',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
-]);
+/** Headers of a caller's connection that are this daemon's own to set towards the upstream. */
+const OWN_HEADERS: ReadonlySet<string> = new Set(['expect', 'host']);
 
 /** Options of a client of a plain service. */
 export interface ServiceClientOptions {
@@ -36,9 +24,10 @@
  * @returns Headers for the next hop.
  */
 export function endToEndHeaders(headers: HeaderMap): HeaderMap {
-  const named = (headerOf(headers, 'connection') ?? '').split(',');
-  const dropped = new Set(named.map((name) => name.trim().toLowerCase()));
-  const entries = Object.entries(headers).filter(([name]) => !HOP_BY_HOP.has(name) && !dropped.has(name));
+  const connection = headerOf(headers, 'connection');
+  const entries = Object.entries(headers).filter(
+    ([name]) => !OWN_HEADERS.has(name) && !isHopByHop(name, connection),
+  );
   return Object.fromEntries(entries);
 }
 
--- a/packages/routing/src/core/cluster/frames.ts
+++ b/packages/routing/src/core/cluster/frames.ts
@@ -1,22 +1,20 @@
 /** Frames of a link between daemons: a length of four bytes, then MessagePack. */
-import { Packr } from 'msgpackr';
+import { decode, encode } from '@celeryyoke/core';
 
 const LENGTH_BYTES = 4;
 /** Largest frame in bytes; a whole view of 1,000 routes and 900 replicas is under 1 MB. */
 const MAX_FRAME_BYTES = 8 * 1024 * 1024;
 
-const packr = new Packr({ useRecords: false, mapsAsObjects: true });
-
 /**
  * Encodes a frame.
  * @param value - Plain data.
  * @returns The bytes with their length in front.
  */
 export function encodeFrame(value: unknown): Buffer {
-  const body = packr.pack(value);
+  const body = encode(value);
   const frame = Buffer.allocUnsafe(LENGTH_BYTES + body.length);
   frame.writeUInt32BE(body.length, 0);
-  body.copy(frame, LENGTH_BYTES);
+  frame.set(body, LENGTH_BYTES);
   return frame;
 }
 
@@ -37,7 +35,7 @@
       if (length > MAX_FRAME_BYTES) throw new RangeError(`A frame of ${length} bytes is too large.`);
       const end = LENGTH_BYTES + length;
       if (this.rest.length < end) return;
-      const value: unknown = packr.unpack(this.rest.subarray(LENGTH_BYTES, end));
+      const value: unknown = decode(this.rest.subarray(LENGTH_BYTES, end));
       this.rest = this.rest.subarray(end);
       yield value;
     }
--- /dev/null
+++ b/packages/routing/src/core/daemon/names.ts
@@ -0,0 +1,22 @@
+/** Names of the parts of a router daemon. */
+
+/** Names under which the parts find each other. */
+export const PART = {
+  view: 'view',
+  directory: 'directory',
+  pauses: 'pauses',
+  cluster: 'cluster',
+  claims: 'claims',
+  channels: 'channels',
+  holdings: 'holdings',
+  loads: 'loads',
+  standings: 'standings',
+  loader: 'loader',
+  conversation: 'conversation',
+  follower: 'follower',
+  requests: 'requests',
+  readiness: 'readiness',
+  metrics: 'metrics',
+  figures: 'figures',
+  reviews: 'reviews',
+} as const;
--- a/packages/routing/src/core/daemon/router.ts
+++ b/packages/routing/src/core/daemon/router.ts
@@ -1,50 +1,15 @@
-/**
- * A router daemon: every part in one kernel, its start, and its graceful shutdown.
- *
- * Read from top to bottom, {@link services} is the list of what a daemon consists of and which part needs which.
- */
-import type { Server } from 'node:http';
-
-import type { Kernel, Metrics, Service, ServiceFinder, TimerHandle } from '@celeryyoke/core';
-import { createKernel, createMetrics } from '@celeryyoke/core';
-
-import { HoldingsBook, Loader } from '../adapters/index.js';
-import { Claims, PauseWatch } from '../authority/index.js';
-import { RepeatBudget } from '../budget/index.js';
-import { ChannelPool } from '../channels/index.js';
-import { Chooser, LoadBook, Standings } from '../choice/index.js';
-import { Cluster, MessageType } from '../cluster/index.js';
-import { RequestMetrics, RequestServer } from '../requests/index.js';
-import { Directory, Follower, RecordKind, SharedView } from '../view/index.js';
-import { Conversation } from './heartbeat.js';
-import { listenForFigures, registerFigures } from './figures.js';
-import type { ReadinessServer } from './readiness.js';
-import { listenForReadiness } from './readiness.js';
+/** A router daemon: its start, its reload, and its graceful shutdown. */
+import type { Kernel } from '@celeryyoke/core';
+import { createKernel } from '@celeryyoke/core';
+
+import type { Claims } from '../authority/index.js';
+import type { Cluster } from '../cluster/index.js';
+import type { RequestServer } from '../requests/index.js';
+import { PART } from './names.js';
+import type { RouterState } from './services.js';
+import { RouterServices } from './services.js';
 import type { RouterOptions } from './types.js';
 
-/** Names under which the parts find each other. */
-const PART = {
-  view: 'view',
-  directory: 'directory',
-  pauses: 'pauses',
-  cluster: 'cluster',
-  claims: 'claims',
-  channels: 'channels',
-  holdings: 'holdings',
-  loads: 'loads',
-  standings: 'standings',
-  loader: 'loader',
-  conversation: 'conversation',
-  follower: 'follower',
-  requests: 'requests',
-  readiness: 'readiness',
-  metrics: 'metrics',
-  figures: 'figures',
-  reviews: 'reviews',
-} as const;
-
-/** How often claims are reviewed, in milliseconds. */
-const REVIEW_MS = 100;
 /** Time after the signal in which the balancer still sends new connections, in milliseconds: two missed questions, a second apart, and a margin. */
 const LEAVE_ROTATION_MS = 2500;
 /** Questions of the balancer without a yes after which it sends no new connections. */
@@ -59,22 +24,16 @@
 export class Router {
   private readonly kernel: Kernel = createKernel();
 
-  private readonly budgets = new Map<string, RepeatBudget>();
-
-  private isLeaving = false;
-
-  /** Questions of the balancer that were answered with no since the signal. */
-  private refusedQuestions = 0;
-
-  private seeds: readonly string[];
+  private readonly state: RouterState;
 
   /**
    * Makes a daemon that has not started.
    * @param options - Settings, time, logs and the adapters to the platform.
    */
   constructor(private readonly options: RouterOptions) {
-    this.seeds = options.settings.seeds;
-    for (const service of this.services()) this.kernel.register(service);
+    this.state = { seeds: options.settings.seeds, isLeaving: false, refusedQuestions: 0 };
+    const services = new RouterServices(options, this.state, this.kernel).list();
+    for (const service of services) this.kernel.register(service);
   }
 
   /** Starts all parts. */
@@ -89,7 +48,7 @@
    * @param seeds - Peers to ask first.
    */
   reseed(seeds: readonly string[]): void {
-    this.seeds = seeds;
+    this.state.seeds = seeds;
     this.options.log.info(`Reloaded; seeds ${seeds.join(', ')}.`);
   }
 
@@ -98,8 +57,8 @@
    * @param cause - Why, for the log.
    */
   async drain(cause: string): Promise<void> {
-    if (this.isLeaving) return;
-    this.isLeaving = true;
+    if (this.state.isLeaving) return;
+    this.state.isLeaving = true;
     const { timers, settings, log } = this.options;
     const startedAt = timers.now();
     const requests = this.get<RequestServer>(PART.requests);
@@ -124,368 +83,17 @@
   private async leaveRotation(startedAt: number): Promise<void> {
     const { timers } = this.options;
     const end = startedAt + LEAVE_ROTATION_MS;
-    while (timers.now() < end && this.refusedQuestions < MISSES) await timers.sleep(DRAIN_LOOK_MS);
+    while (timers.now() < end && this.state.refusedQuestions < MISSES) await timers.sleep(DRAIN_LOOK_MS);
     await timers.sleep(CROSSING_MS);
   }
 
   /** Stops all parts at once, in reverse order; requests in progress break off. */
   async stop(): Promise<void> {
-    this.isLeaving = true;
+    this.state.isLeaving = true;
     await this.kernel.stop();
   }
 
   private get<T>(name: string): T {
     return this.kernel.get<T>(name);
   }
-
-  private services(): Service[] {
-    const { timers } = this.options;
-    return [
-      part(PART.view, [], () => new SharedView(timers)),
-      part(PART.metrics, [], () => createMetrics()),
-      part(
-        PART.channels,
-        [],
-        () => new ChannelPool(),
-        (pool) => pool.close(),
-      ),
-      part(PART.loads, [], () => new LoadBook(timers)),
-      part(PART.standings, [], () => new Standings(timers)),
-      part(
-        PART.pauses,
-        [],
-        () => startPauses(this.options),
-        (pauses) => pauses.stop(),
-      ),
-      part(PART.directory, [PART.view], (kernel) => new Directory(kernel.get(PART.view), timers)),
-      part(PART.holdings, [PART.directory], (kernel) => new HoldingsBook(kernel.get(PART.directory))),
-      part(
-        PART.cluster,
-        [],
-        () => this.makeCluster(),
-        (cluster) => cluster.close(),
-      ),
-      part(
-        PART.claims,
-        [PART.cluster, PART.pauses, PART.directory],
-        (kernel) => this.makeClaims(kernel),
-        (claims) => claims.close(),
-      ),
-      part(PART.reviews, [PART.claims, PART.directory], startReviews(this.options), (timer) =>
-        timer.cancel(),
-      ),
-      part(
-        PART.loader,
-        [PART.cluster, PART.claims, PART.directory, PART.holdings, PART.channels],
-        (kernel) => this.makeLoader(kernel),
-        (loader) => loader.close(),
-      ),
-      part(
-        PART.conversation,
-        [PART.cluster, PART.view, PART.claims, PART.loader, PART.holdings, PART.loads],
-        (kernel) => startConversation(kernel, this.options),
-      ),
-      part(
-        PART.follower,
-        [PART.view, PART.cluster, PART.conversation],
-        (kernel) => this.startFollower(kernel),
-        (follower) => follower.stop(),
-      ),
-      part(
-        PART.requests,
-        [
-          PART.metrics,
-          PART.view,
-          PART.directory,
-          PART.holdings,
-          PART.loads,
-          PART.standings,
-          PART.channels,
-          PART.loader,
-          PART.cluster,
-        ],
-        (kernel) => this.startRequests(kernel),
-        (requests) => requests.cut(),
-      ),
-      part(
-        PART.figures,
-        [
-          PART.metrics,
-          PART.view,
-          PART.cluster,
-          PART.claims,
-          PART.channels,
-          PART.pauses,
-          PART.requests,
-          PART.directory,
-        ],
-        (kernel) => this.startFigures(kernel),
-        (server) => server?.close(),
-      ),
-      part(
-        PART.readiness,
-        [PART.requests, PART.directory],
-        (kernel) => this.startReadiness(kernel),
-        (server) => {
-          server.close();
-        },
-      ),
-    ];
-  }
-
-  private makeCluster(): Cluster {
-    const { settings, timers, log } = this.options;
-    const address = `${settings.host}:${settings.peerPort}`;
-    return new Cluster({
-      self: { address, zone: settings.zone, incarnation: timers.wall() },
-      seeds: () => this.seeds,
-      timers,
-      log,
-      heartbeat: () => this.get<Conversation>(PART.conversation).heartbeat(),
-      onPeer: (peer) => this.get<Conversation>(PART.conversation).welcome(peer),
-      onState: (peer, state) => log.decide('peer.state', `Peer ${peer} is ${state}.`, { peer, state }),
-    });
-  }
-
-  private makeClaims(kernel: ServiceFinder): Claims {
-    const { settings, timers, log } = this.options;
-    const cluster = kernel.get<Cluster>(PART.cluster);
-    const directory = kernel.get<Directory>(PART.directory);
-    const pauses = kernel.get<PauseWatch>(PART.pauses);
-    const claims = new Claims({
-      self: `${settings.host}:${settings.peerPort}`,
-      fleet: cluster,
-      timers,
-      leaseMs: settings.leaseMs,
-      isFenced: settings.isFenced,
-      isRecovering: () => pauses.isRecovering,
-      onGain: (claim) => {
-        log.decide('claim.gained', `Gives orders to ${claim.replica}.`, {
-          replica: claim.replica,
-          token: claim.token,
-        });
-        cluster.broadcast(MessageType.Claim, claim);
-        this.get<Loader>(PART.loader).gain(claim);
-      },
-      onLoss: (claim, reason) => {
-        log.decide('claim.lost', `Gives no more orders to ${claim.replica}.`, {
-          replica: claim.replica,
-          token: claim.token,
-          reason,
-        });
-        this.get<Loader>(PART.loader).lose(claim);
-      },
-    });
-    directory.onReplica((id, entry) => {
-      if (entry === undefined) claims.forget(id);
-    });
-    return claims;
-  }
-
-  private makeLoader(kernel: ServiceFinder): Loader {
-    const { settings, timers, log, control } = this.options;
-    const directory = kernel.get<Directory>(PART.directory);
-    const loader = new Loader({
-      self: `${settings.host}:${settings.peerPort}`,
-      cluster: kernel.get(PART.cluster),
-      claims: kernel.get(PART.claims),
-      directory,
-      holdings: kernel.get(PART.holdings),
-      control: control(kernel.get(PART.channels)),
-      timers,
-      log,
-    });
-    const channels = kernel.get<ChannelPool>(PART.channels);
-    directory.onReplica((id, entry) => {
-      if (entry === undefined) channels.forget(id);
-    });
-    return loader;
-  }
-
-  private startFollower(kernel: ServiceFinder): Follower {
-    const { settings, timers, log, source } = this.options;
-    const view = kernel.get<SharedView>(PART.view);
-    const cluster = kernel.get<Cluster>(PART.cluster);
-    const conversation = kernel.get<Conversation>(PART.conversation);
-    const self = `${settings.host}:${settings.peerPort}`;
-    view.onChange(({ record }) => {
-      if (record?.kind !== RecordKind.AdapterVersion) return;
-      const { model, adapter, version } = record.declared;
-      log.decide('version.declared', `Version ${version} of ${model}/${adapter} was declared.`, {
-        model,
-        adapter,
-        version,
-      });
-      this.get<Loader>(PART.loader).upgrade(model, adapter, version);
-    });
-    const follower = new Follower({
-      view,
-      source,
-      timers,
-      rank: () => cluster.alive().indexOf(self),
-      publish: () => conversation.publish(),
-      onSource: (isReachable, reason) =>
-        log.warn(isReachable ? 'The platform answers again.' : `The platform does not answer: ${reason}.`),
-    });
-    void follower.run();
-    return follower;
-  }
-
-  private async startRequests(kernel: ServiceFinder): Promise<RequestServer> {
-    const { settings, timers, log, dialect } = this.options;
-    const directory = kernel.get<Directory>(PART.directory);
-    const holdings = kernel.get<HoldingsBook>(PART.holdings);
-    const loads = kernel.get<LoadBook>(PART.loads);
-    const standings = kernel.get<Standings>(PART.standings);
-    const loader = kernel.get<Loader>(PART.loader);
-    const cluster = kernel.get<Cluster>(PART.cluster);
-    const view = kernel.get<SharedView>(PART.view);
-    const chooser = new Chooser({
-      directory,
-      holdings,
-      loads,
-      standings,
-      zone: settings.zone,
-      now: timers.now,
-    });
-    directory.onReplica((id, entry, before) => {
-      if (entry?.state === before?.state) return;
-      const { service, state } = entry ?? {};
-      const text = entry === undefined ? `Replica ${id} is gone.` : `Replica ${id} is ${entry.state}.`;
-      log.decide('replica.state', text, {
-        replica: id,
-        service,
-        state: state ?? 'gone',
-        revision: view.upTo,
-      });
-    });
-    directory.onTable(({ document }) =>
-      log.decide('config.in-force', `Configuration ${document.version} is in force.`, {
-        version: document.version,
-      }),
-    );
-    const server = new RequestServer({
-      host: settings.host,
-      port: settings.callerPort,
-      directory,
-      timers,
-      log,
-      parts: {
-        dialect,
-        chooser,
-        pool: kernel.get(PART.channels),
-        loads,
-        standings,
-        timers,
-        log,
-        ensure: (replica, ref, urgency) => loader.ensure(replica, ref, urgency),
-        notHeld: (replica, key) => holdings.drop(replica, key),
-        metrics: new RequestMetrics(kernel.get<Metrics>(PART.metrics)),
-        viewAgeMs: () => Math.round(Math.min(view.ageMs, Number.MAX_SAFE_INTEGER)),
-        budget: (service) => this.budget(service, cluster),
-      },
-    });
-    await server.listen();
-    await cluster.start();
-    return server;
-  }
-
-  private budget(service: string, cluster: Cluster): RepeatBudget {
-    let budget = this.budgets.get(service);
-    if (budget === undefined) {
-      budget = new RepeatBudget(this.options.settings.budget, () => cluster.possible(), this.options.timers);
-      this.budgets.set(service, budget);
-    }
-    return budget;
-  }
-
-  private async startFigures(kernel: ServiceFinder): Promise<Server | undefined> {
-    const { settings, droppedLines } = this.options;
-    const metrics = kernel.get<Metrics>(PART.metrics);
-    const directory = kernel.get<Directory>(PART.directory);
-    registerFigures({
-      metrics,
-      view: kernel.get(PART.view),
-      cluster: kernel.get(PART.cluster),
-      claims: kernel.get(PART.claims),
-      channels: kernel.get(PART.channels),
-      pauses: kernel.get(PART.pauses),
-      requests: kernel.get<RequestServer>(PART.requests),
-      droppedLines,
-      configVersion: () => directory.table?.document.version ?? 0,
-    });
-    if (settings.metricsPort === undefined) return undefined;
-    return listenForFigures(settings.host, settings.metricsPort, metrics);
-  }
-
-  private startReadiness(kernel: ServiceFinder): Promise<ReadinessServer> {
-    const { settings, isReadinessPath } = this.options;
-    const directory = kernel.get<Directory>(PART.directory);
-    return listenForReadiness({
-      host: settings.host,
-      port: settings.readinessPort,
-      isReadinessPath,
-      isReady: () => {
-        if (this.isLeaving) this.refusedQuestions += 1;
-        return !this.isLeaving && directory.table !== undefined;
-      },
-    });
-  }
-}
-
-/** One part of the daemon as a service of the kernel. */
-function part<T>(
-  name: string,
-  needs: readonly string[],
-  start: (kernel: ServiceFinder) => T | Promise<T>,
-  stop?: (value: T) => void,
-): Service {
-  let value: T | undefined;
-  return {
-    name,
-    needs,
-    async start(kernel) {
-      value = await start(kernel);
-      return value;
-    },
-    stop() {
-      if (value !== undefined) stop?.(value);
-    },
-  };
-}
-
-/** Reviews the claims again and again. */
-function startReviews({ timers }: RouterOptions): (kernel: ServiceFinder) => TimerHandle {
-  return (kernel) => {
-    const claims = kernel.get<Claims>(PART.claims);
-    const directory = kernel.get<Directory>(PART.directory);
-    return timers.repeat(REVIEW_MS, () => claims.review(enginesOf(directory)));
-  };
-}
-
-function startPauses({ timers, log }: RouterOptions): PauseWatch {
-  const pauses = new PauseWatch(timers, (ms) =>
-    log.warn(`This process stood still for ${Math.round(ms)} ms.`),
-  );
-  pauses.start();
-  return pauses;
-}
-
-function startConversation(kernel: ServiceFinder, { settings, log }: RouterOptions): Conversation {
-  return new Conversation({
-    self: `${settings.host}:${settings.peerPort}`,
-    cluster: kernel.get(PART.cluster),
-    view: kernel.get(PART.view),
-    claims: kernel.get(PART.claims),
-    loader: kernel.get(PART.loader),
-    holdings: kernel.get(PART.holdings),
-    loads: kernel.get(PART.loads),
-    log,
-  });
-}
-
-/** Incarnations of all engines. */
-function* enginesOf(directory: Directory): Generator<string> {
-  for (const { id, service } of directory.all())
-    if (directory.table?.service(service)?.engine !== undefined) yield id;
 }
--- a/packages/routing/src/core/requests/headers.ts
+++ b/packages/routing/src/core/requests/headers.ts
@@ -1,34 +1,9 @@
-/** Headers that concern one connection only and are never passed on. */
+/** The caller's side of a replica's headers. */
 import type { ServerResponse } from 'node:http';
 
-import type { HeaderMap } from '../channels/index.js';
-
-const HOP_BY_HOP = new Set([
-  'connection',
-  'keep-alive',
-  'proxy-authenticate',
-  'proxy-authorization',
-  'proxy-connection',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
-]);
+import { isHopByHop } from '@celeryyoke/core';
 
-/**
- * Tells whether a header concerns one connection only.
- * @param name - Name in lower case.
- * @param connection - Value of the `connection` header, which may name further ones.
- * @returns Whether it must not be passed on.
- */
-export function isHopByHop(name: string, connection: string | undefined): boolean {
-  if (HOP_BY_HOP.has(name)) return true;
-  if (connection === undefined || connection === 'keep-alive' || connection === 'close') return false;
-  return connection
-    .toLowerCase()
-    .split(',')
-    .some((token) => token.trim() === name);
-}
+import type { HeaderMap } from '../channels/index.js';
 
 /**
  * Makes the headers of an answer to the caller from the replica's.
--- a/packages/routing/src/core/requests/index.ts
+++ b/packages/routing/src/core/requests/index.ts
@@ -1,6 +1,5 @@
 /** Requests of callers, from their arrival to the answer. */
 export { OwnAnswer } from './answers.js';
-export { isHopByHop } from './headers.js';
 export type { JourneyParts } from './journey.js';
 export { RequestMetrics } from './metrics.js';
 export { StreamRelay } from './relay.js';
--- a/packages/routing/test/channels.test.ts
+++ b/packages/routing/test/channels.test.ts
@@ -1,4 +1,6 @@
 /** What is known of an exchange, whatever the replica does, shown over raw sockets. */
+import { EventEmitter, once } from 'node:events';
+
 import type { AnswerSink } from '@celeryyoke/routing';
 import { ChannelFailure, ChannelPool } from '@celeryyoke/routing';
 import test from 'ava';
@@ -164,21 +166,28 @@
   ));
 
 test('a request that is given up resets its connection, so that no byte of it arrives later', async (t) => {
-  let code: string | undefined;
-  await against(
-    ({ socket }) => {
-      socket.on('error', (err: NodeJS.ErrnoException) => {
-        code = err.code;
-      });
-    },
-    async (port, pool) => {
-      await exchange(pool, port, 'body', 50);
-      await new Promise((resolve) => {
-        setTimeout(resolve, 100);
-      });
-    },
-  );
-  t.is(code, 'ECONNRESET');
+  const pool = new ChannelPool();
+  const steps = new EventEmitter();
+  const replica = await startReplica(({ socket }) => {
+    socket.once('error', (err: NodeJS.ErrnoException) => steps.emit('end', err.code));
+    socket.once('end', () => steps.emit('end', 'closed'));
+    steps.emit('arrived');
+  });
+  const sink: AnswerSink = {
+    onSent: () => undefined,
+    onHead: () => undefined,
+    onData: () => undefined,
+    onEnd: () => undefined,
+    onFail: () => undefined,
+  };
+  const call = { method: 'POST', path: '/x', headers: ['host', 'h'], body: Buffer.from('body') };
+  const running = pool.send({ id: 'r', host: '127.0.0.1', port: replica.port }, call, sink);
+  // Given up only when the request has arrived for certain, however busy the machine is.
+  steps.once('arrived', () => running.cancel('test'));
+  const [how] = (await once(steps, 'end')) as [string];
+  t.is(how, 'ECONNRESET');
+  pool.close();
+  await replica.close();
 });
 
 test('an answer that says it is the last is the last on its connection', (t) =>
--- a/packages/routing/test/keeper.test.ts
+++ b/packages/routing/test/keeper.test.ts
@@ -1,6 +1,6 @@
 /** A keeper never orders more onto an engine than it holds, and never blocks it. */
 import { createManualTimers } from '@celeryyoke/core';
-import type { Holdings } from '@celeryyoke/routing';
+import type { Holdings, KeeperOptions } from '@celeryyoke/routing';
 import { AdapterUnavailable, Keeper, OrderKind, OrderOutcome } from '@celeryyoke/routing';
 import test from 'ava';
 import fc from 'fast-check';
@@ -11,19 +11,29 @@
 const LEARNT_MS = 400;
 const URGENCY = { rank: 1, timeoutMs: 3000 };
 
+/** Makes a keeper over a stand-in engine; it has not started. */
+function makeKeeper(options: Partial<KeeperOptions> & Pick<KeeperOptions, 'control' | 'timers'>): Keeper {
+  return new Keeper({
+    replica: engineEntry('e'),
+    engine: sampleDocument(1).services[1]!.engine!,
+    self: 'a',
+    log,
+    authority: () => 5,
+    onFenced: () => undefined,
+    onHoldings: () => undefined,
+    ...options,
+  });
+}
+
 async function setUp() {
   const timers = createManualTimers();
   const control = new FakeEngine(timers, CAPACITY);
   const told: Holdings[] = [];
   const fenced: number[] = [];
   const authority: { token: number | undefined } = { token: 5 };
-  const keeper = new Keeper({
-    replica: engineEntry('e'),
-    engine: sampleDocument(1).services[1]!.engine!,
-    self: 'a',
+  const keeper = makeKeeper({
     control,
     timers,
-    log,
     authority: () => authority.token,
     onFenced: (token) => fenced.push(token),
     onHoldings: (holdings) => told.push(holdings),
@@ -40,15 +50,10 @@
   const control = new FakeEngine(timers, CAPACITY);
   control.script = [OrderOutcome.Started, OrderOutcome.Started];
   const told: Holdings[] = [];
-  const keeper = new Keeper({
+  const keeper = makeKeeper({
     replica: { ...engineEntry('e'), models: [] },
-    engine: sampleDocument(1).services[1]!.engine!,
-    self: 'a',
     control,
     timers,
-    log,
-    authority: () => 5,
-    onFenced: () => undefined,
     onHoldings: (holdings) => told.push(holdings),
   });
   void keeper.run();
@@ -62,16 +67,10 @@
   const timers = createManualTimers();
   const control = new FakeEngine(timers, CAPACITY);
   for (const adapter of ['x', 'y', 'z']) control.slots.set(adapter, { isLoading: false, running: 0 });
-  const keeper = new Keeper({
+  const keeper = makeKeeper({
     replica: { ...engineEntry('e'), models: [] },
-    engine: sampleDocument(1).services[1]!.engine!,
-    self: 'a',
     control,
     timers,
-    log,
-    authority: () => 5,
-    onFenced: () => undefined,
-    onHoldings: () => undefined,
   });
   void keeper.run();
   await timers.advance(600);
