Drop a type and a constant that nothing uses

Cause: read of the whole change; both were left by earlier forms of the messages between daemons and of the holdings. Change: Envelope and ANY_VERSION go.

--- a/packages/routing/src/core/adapters/holdings.ts
+++ b/packages/routing/src/core/adapters/holdings.ts
@@ -3,9 +3,6 @@
 import type { Holdings, Room, RoomLine } from './types.js';
 import { adapterKey } from './types.js';
 
-/** Says that a version is not known; the engine holds some version. */
-export const ANY_VERSION = 0;
-
 /** Adapters remembered for each slot of an engine: it keeps copies of about that many in its host's memory. */
 const REMEMBERED_PER_SLOT = 6;
 const LEAST_REMEMBERED = 48;
--- a/packages/routing/src/core/adapters/index.ts
+++ b/packages/routing/src/core/adapters/index.ts
@@ -1,5 +1,5 @@
 /** Adapters on engines: who holds what, loads and victims. */
-export { ANY_VERSION, HoldingsBook } from './holdings.js';
+export { HoldingsBook } from './holdings.js';
 export type { KeeperOptions, Urgency } from './keeper.js';
 export { AdapterUnavailable, Keeper } from './keeper.js';
 export type { EnsureWanted, LoaderOptions } from './loader.js';
--- a/packages/routing/src/core/cluster/types.ts
+++ b/packages/routing/src/core/cluster/types.ts
@@ -45,11 +45,5 @@
   Use = 10,
 }
 
-/** A message with its number when an answer is due. */
-export interface Envelope {
-  readonly type: MessageType;
-  readonly body: unknown;
-}
-
 /** Handles the messages of one type; what it returns or resolves to is the answer to a request. */
 export type MessageHandler = (from: Member, body: never) => unknown;
