An engine holds no more adapters than its memory has room for

Cause: the keeper counted adapter slots only; EngineSpec.memoryMb, weightsMb and adapterMb were decoded and not used. Where the memory beside the weights holds fewer adapters than there are slots, an order would have crashed the engine (LIMIT).

Change: places = the lesser of slots and memory, asked before each load and told as room. Test: 'an engine whose memory holds fewer adapters ...' fails without the change (1 of 14), passes with it.

--- a/packages/routing/src/core/adapters/keeper.ts
+++ b/packages/routing/src/core/adapters/keeper.ts
@@ -8,6 +8,7 @@
 
 import type { EngineSpec } from '../catalog/index.js';
 import type { ReplicaEntry } from '../view/index.js';
+import { adapterPlaces } from './capacity.js';
 import type { Slot } from './slots.js';
 import { SlotState, SlotTable } from './slots.js';
 import type { AdapterRef, EngineControl, EngineOrder, Holdings, RoomLine } from './types.js';
@@ -302,7 +303,7 @@
       const index = this.next();
       if (index < 0) return;
       // A newer version takes a slot of its own until the older one has gone.
-      if (this.slots.occupied >= this.options.engine.adapterSlots) {
+      if (this.slots.occupied >= this.places) {
         void this.makeRoom();
         return;
       }
@@ -459,15 +460,20 @@
     return outcome;
   }
 
+  /** Adapters that the engine may hold. */
+  private get places(): number {
+    return adapterPlaces(this.options.engine, this.models);
+  }
+
   private get isUnreachable(): boolean {
     return this.options.timers.now() < this.unreachableUntil;
   }
 
   /** How the engine's slots stand, for the heartbeat. */
   room(): RoomLine {
-    const { replica, engine } = this.options;
+    const { replica } = this.options;
     if (this.isUnreachable) return [replica.id, NO_WAY, 0];
-    const free = engine.adapterSlots - this.slots.occupied + this.slots.evictable;
+    const free = this.places - this.slots.occupied + this.slots.evictable;
     return [replica.id, this.isReady ? Math.max(0, free - this.queue.length) : 0, this.queue.length];
   }
 
--- a/packages/routing/test/keeper.test.ts
+++ b/packages/routing/test/keeper.test.ts
@@ -93,6 +93,23 @@
   return note;
 }
 
+test('an engine whose memory holds fewer adapters than it has slots is ordered to hold no more', async (t) => {
+  const timers = createManualTimers();
+  const spec = sampleDocument(1).services[1]!.engine!;
+  // Ten megabytes beside the weights: two adapters of four, though there are three slots.
+  const engine = { ...spec, models: [{ ...spec.models[0]!, adapterMb: 4 }] };
+  const control = new FakeEngine(timers, 2);
+  const keeper = makeKeeper({ control, timers, engine });
+  void keeper.run();
+  await timers.advance(LEARNT_MS);
+  for (const adapter of ['x', 'y', 'z', 'w']) {
+    void watch(keeper.ensure({ model: MODEL, adapter, version: undefined }, URGENCY));
+    await timers.advance(700);
+  }
+  t.is(control.overloads, 0);
+  t.true(control.slots.has('w'));
+});
+
 test('requests for one adapter share one load', async (t) => {
   const { timers, control, ensure } = await setUp();
   const notes = [watch(ensure('x')), watch(ensure('x'))];
