A request asks an engine for its slots before it waits there

Change: a load that can't begin at once is answered with how the slots stand, the choice is made again with that, and a request that ends up at the same engine waits there for slices of 250 ms; what it has waited counts in the queue. Slots are in use on all engines at once: the order of the queue matters more.

--- a/packages/routing/src/core/adapters/keeper.ts
+++ b/packages/routing/src/core/adapters/keeper.ts
@@ -22,6 +22,8 @@
 const POLL_MS = 12;
 /** Time from telling the others that an adapter goes until what they had sent before is known, in milliseconds: a few ways between failure domains. */
 const WITHDRAWAL_MS = 6;
+/** Longest time in which a slot is made free that could be freed when it was asked for, in milliseconds. */
+const ROOM_MS = 60;
 /** Pause between two looks at an adapter on its way out, in milliseconds: its last request runs for a second or so. */
 const DROP_POLL_MS = 50;
 /** Pause when the engine is at another order, in milliseconds. */
@@ -67,18 +69,27 @@
 export interface Urgency {
   /** Rank of the request; 0 is the most urgent. */
   readonly rank: number;
-  /** Longest wait in milliseconds; a load that has not begun by then is not begun. */
+  /** How long the request has waited for it already, here or elsewhere, in milliseconds. */
+  readonly waitedMs: number;
+  /** Longest wait until the load begins, in milliseconds; 0 asks for one that can begin at once. */
+  readonly patienceMs: number;
+  /** Longest wait until the adapter is in place, in milliseconds. */
   readonly timeoutMs: number;
 }
 
 interface Wanted extends AdapterRef {
   readonly key: string;
-  /** Monotonic time at which it was first asked for. */
-  readonly askedAt: number;
+  /** Monotonic time since which a request waits for it, here or elsewhere. */
+  askedAt: number;
   /** The most urgent rank of the requests that wait for it. */
   rank: number;
   /** Monotonic time at which the last request that waits for it gives up. */
   until: number;
+  /** Whether its turn did not come while a request waited for it. */
+  isLate: boolean;
+  /** Settles when its load has begun, or never will. */
+  readonly begun: Promise<void>;
+  readonly begin: () => void;
   readonly promise: Promise<void>;
   readonly resolve: () => void;
   readonly reject: (err: Error) => void;
@@ -141,28 +152,55 @@
   }
 
   /**
-   * Has an adapter on the engine.
+   * Has an adapter on the engine, unless its load can't begin in time.
    * @param ref - The adapter.
-   * @param urgency - Rank and longest wait.
-   * @returns Resolves when it is in place.
+   * @param urgency - Rank and longest waits.
+   * @returns Nothing when it is in place; how the slots stand when its turn has not come.
    * @throws AdapterUnavailable when it can't be had.
    */
-  ensure(ref: AdapterRef, { rank, timeoutMs }: Urgency): Promise<void> {
+  async ensure(ref: AdapterRef, urgency: Urgency): Promise<RoomLine | undefined> {
     const key = adapterKey(ref.model, ref.adapter);
-    if (this.isStopped) return Promise.reject(new AdapterUnavailable('The engine was given up.'));
-    if (this.isUnreachable) return Promise.reject(new AdapterUnavailable('The engine can’t be reached.'));
+    if (this.isStopped) throw new AdapterUnavailable('The engine was given up.');
+    if (this.isUnreachable) throw new AdapterUnavailable('The engine can’t be reached.');
     const slot = this.slots.get(key);
-    const now = this.options.timers.now();
     if (slot?.state === SlotState.Held && slot.version >= (ref.version ?? 0)) {
-      slot.usedAt = now;
-      return Promise.resolve();
+      slot.usedAt = this.options.timers.now();
+      return undefined;
     }
     const known = this.pending.get(key);
+    if (known === undefined && urgency.patienceMs === 0 && !this.canBegin) return this.room();
     const wanted = known ?? this.want(ref, key);
-    wanted.rank = Math.min(wanted.rank, rank);
-    wanted.until = Math.max(wanted.until, now + timeoutMs);
+    this.hasten(wanted, urgency);
     if (known === undefined) this.pump();
-    return wanted.promise;
+    await this.turnOf(wanted);
+    if (wanted.isLate || this.queue.includes(wanted)) return this.room();
+    await wanted.promise;
+    return undefined;
+  }
+
+  /** Whether one more load could begin now. */
+  private get canBegin(): boolean {
+    const free = this.places - this.slots.occupied + this.slots.evictable;
+    return this.isReady && this.queue.length < Math.min(free, MAX_LOADING - this.slots.loading);
+  }
+
+  /** Counts one more request that waits for a load. */
+  private hasten(wanted: Wanted, { rank, waitedMs, patienceMs }: Urgency): void {
+    const now = this.options.timers.now();
+    wanted.rank = Math.min(wanted.rank, rank);
+    wanted.askedAt = Math.min(wanted.askedAt, now - waitedMs);
+    wanted.until = Math.max(wanted.until, now + Math.max(patienceMs, ROOM_MS));
+  }
+
+  /** Waits until a load has begun or ended, or nobody waits for it any longer. */
+  private async turnOf(wanted: Wanted): Promise<void> {
+    const { timers } = this.options;
+    while (this.queue.includes(wanted) && timers.now() < wanted.until) {
+      const isOver = new AbortController();
+      const over = timers.sleep(wanted.until - timers.now(), isOver.signal).catch(() => undefined);
+      await Promise.race([wanted.begun, over]);
+      isOver.abort();
+    }
   }
 
   /**
@@ -256,16 +294,23 @@
   private want(ref: AdapterRef, key: string): Wanted {
     let resolve!: () => void;
     let reject!: (err: Error) => void;
+    let begin!: () => void;
     const promise = new Promise<void>((onDone, onFailure) => {
       resolve = onDone;
       reject = onFailure;
     });
+    const begun = new Promise<void>((onBegun) => {
+      begin = onBegun;
+    });
     const wanted: Wanted = {
       ...ref,
       key,
       askedAt: this.options.timers.now(),
       rank: Number.MAX_SAFE_INTEGER,
       until: 0,
+      isLate: false,
+      begun,
+      begin,
       promise,
       resolve,
       reject,
@@ -274,6 +319,7 @@
     this.queue.push(wanted);
     const forget = (): void => {
       this.pending.delete(key);
+      begin();
     };
     promise.then(forget, forget);
     return wanted;
@@ -285,13 +331,14 @@
     for (let index = this.queue.length - 1; index >= 0; index -= 1) {
       if (this.queue[index]!.until > now) continue;
       const [late] = this.queue.splice(index, 1);
+      late!.isLate = true;
       late!.reject(new AdapterUnavailable('Its turn did not come in time.'));
     }
     let first = -1;
-    for (const [index, { key, rank }] of this.queue.entries()) {
+    for (const [index, wanted] of this.queue.entries()) {
       // What is on its way out must be out first, or two orders for one adapter could overtake each other.
-      if (this.slots.get(key)?.state === SlotState.Dropping) continue;
-      if (first < 0 || rank < this.queue[first]!.rank) first = index;
+      if (this.slots.get(wanted.key)?.state === SlotState.Dropping) continue;
+      if (first < 0 || isBefore(wanted, this.queue[first]!)) first = index;
     }
     return first;
   }
@@ -308,6 +355,7 @@
         return;
       }
       const [wanted] = this.queue.splice(index, 1);
+      wanted!.begin();
       void this.load(wanted!);
     }
   }
@@ -495,3 +543,8 @@
     if (holdings !== undefined) this.options.onHoldings(holdings);
   }
 }
+
+/** Whether a load comes before another one: the more urgent first, then the one that was asked for first. */
+function isBefore(one: Wanted, other: Wanted): boolean {
+  return one.rank === other.rank ? one.askedAt < other.askedAt : one.rank < other.rank;
+}
--- a/packages/routing/src/core/adapters/loader.ts
+++ b/packages/routing/src/core/adapters/loader.ts
@@ -33,7 +33,7 @@
 }
 
 /** How urgent the load of a newer version is: as the most urgent request. */
-const UPGRADE: Urgency = { rank: 0, timeoutMs: 5000 };
+const UPGRADE: Urgency = { rank: 0, waitedMs: 0, patienceMs: 5000, timeoutMs: 5000 };
 
 /** Has adapters loaded, here or through another daemon. */
 export class Loader {
@@ -51,28 +51,37 @@
   }
 
   /**
-   * Has an adapter on an engine.
+   * Has an adapter on an engine, unless its load can't begin in time.
    * @param replica - The engine.
    * @param ref - The adapter.
-   * @param urgency - Rank and longest wait.
-   * @throws AdapterUnavailable or Error when it can't be had there in time.
+   * @param urgency - Rank and longest waits.
+   * @returns Whether it is in place; if not, the book of holdings knows how the engine's slots stand.
+   * @throws AdapterUnavailable or Error when it can't be had there.
    */
-  async ensure(replica: ReplicaEntry, ref: AdapterRef, urgency: Urgency): Promise<void> {
+  async ensure(replica: ReplicaEntry, ref: AdapterRef, urgency: Urgency): Promise<boolean> {
     const { claims, self, cluster, holdings } = this.options;
     const claim = claims.of(replica.id);
     if (claim === undefined) throw new AdapterUnavailable('Nobody gives this engine orders now.');
     holdings.useRoom(replica.id);
     const wanted: EnsureWanted = { ...ref, ...urgency, replica: replica.id };
-    if (claim.holder === self) await this.ensureHere(wanted);
-    else await cluster.request(claim.holder, MessageType.Ensure, wanted, urgency.timeoutMs);
+    const line =
+      claim.holder === self
+        ? await this.ensureHere(wanted)
+        : await cluster.request(claim.holder, MessageType.Ensure, wanted, urgency.timeoutMs);
+    // MessagePack has no undefined.
+    if (line === undefined || line === null) return true;
+    holdings.takeRoom(line as RoomLine);
+    return false;
   }
 
   /**
    * Has an adapter on an engine that this daemon keeps.
-   * @param wanted - Engine, adapter, longest wait.
+   * @param wanted - Engine, adapter, longest waits.
+   * @returns Nothing when it is in place; how the slots stand when its turn has not come.
    * @throws AdapterUnavailable when it can't be had in time.
    */
-  async ensureHere({ replica, model, adapter, version, rank, timeoutMs }: EnsureWanted): Promise<void> {
+  async ensureHere(wanted: EnsureWanted): Promise<RoomLine | undefined> {
+    const { replica, model, adapter, version, timeoutMs } = wanted;
     const keeper = this.keepers.get(replica);
     if (keeper === undefined) throw new AdapterUnavailable('This daemon does not keep the engine.');
     const limit = new AbortController();
@@ -84,7 +93,7 @@
     );
     try {
       const ref = { model, adapter, version: version ?? undefined };
-      await Promise.race([keeper.ensure(ref, { rank, timeoutMs }), timedOut]);
+      return await Promise.race([keeper.ensure(ref, wanted), timedOut]);
     } finally {
       limit.abort();
     }
--- a/packages/routing/src/core/requests/journey.ts
+++ b/packages/routing/src/core/requests/journey.ts
@@ -35,6 +35,11 @@
 const GENERATION_RETRY_AFTER_MS = 600;
 /** Longest wait for an adapter on one engine, in milliseconds, before another engine is tried. */
 const LOAD_WAIT_MS = 1500;
+/**
+ * Longest wait in one engine's queue before the choice is made again, in milliseconds: as often as the keepers tell
+ * how their slots stand.
+ */
+const QUEUE_SLICE_MS = 250;
 /** Most sends of one request that were refused without having run. */
 const MAX_REFUSALS = 4;
 const FIRST_FAILURE_STATUS = 500;
@@ -50,8 +55,8 @@
   readonly standings: Standings;
   readonly timers: TimerService;
   readonly log: DecisionLog;
-  /** Has an adapter on an engine, through the daemon that gives it orders. */
-  readonly ensure: (replica: ReplicaEntry, ref: AdapterRef, urgency: Urgency) => Promise<void>;
+  /** Has an adapter on an engine, through the daemon that gives it orders; false when its turn does not come in time. */
+  readonly ensure: (replica: ReplicaEntry, ref: AdapterRef, urgency: Urgency) => Promise<boolean>;
   /** Notes that an engine does not hold an adapter. */
   readonly notHeld: (replica: string, key: string) => void;
   readonly metrics: RequestMetrics;
@@ -166,6 +171,8 @@
     const { timers, chooser } = this.parts;
     const { head, service, route } = this.options;
     const startedAt = timers.now();
+    // Engines that have said that no load can begin at once; what they said is known to the chooser.
+    const full = new Set<string>();
     while (!this.isOver) {
       const choice = chooser.choose({
         service,
@@ -179,12 +186,24 @@
         if (timers.now() - startedAt >= route.objectiveMs * share) return undefined;
         this.unloadable.clear();
         await timers.sleep(LOOK_MS);
-      } else if (!choice.needsLoad || (await this.load(choice.replica))) return choice;
+      } else if (!choice.needsLoad || (await this.loadOrLearn(choice.replica, full))) return choice;
     }
     return undefined;
   }
 
-  private async load(replica: ReplicaEntry): Promise<boolean> {
+  /**
+   * Loads the adapter if an engine can begin at once; one that can't tells how its slots stand, and the choice is made
+   * again. If it falls on that engine again, the request waits there for a while.
+   */
+  private async loadOrLearn(replica: ReplicaEntry, full: Set<string>): Promise<boolean> {
+    const isKnownFull = full.has(replica.id);
+    const isLoaded = await this.load(replica, isKnownFull ? QUEUE_SLICE_MS : 0);
+    if (isKnownFull) full.clear();
+    else full.add(replica.id);
+    return isLoaded;
+  }
+
+  private async load(replica: ReplicaEntry, patienceMs: number): Promise<boolean> {
     const { timers, chooser, ensure, log } = this.parts;
     const { head, route } = this.options;
     const { model, adapter } = head.generation!;
@@ -192,8 +211,8 @@
     const timeoutMs = Math.min(LOAD_WAIT_MS, this.deadlineAt - timers.now());
     const startedAt = timers.now();
     try {
-      await ensure(replica, { model, adapter: adapter!, version }, { rank: route.rank, timeoutMs });
-      return true;
+      const urgency = { rank: route.rank, waitedMs: this.loadMs, patienceMs, timeoutMs };
+      return await ensure(replica, { model, adapter: adapter!, version }, urgency);
     } catch (err) {
       log.decide('request.load', `The adapter did not come to ${replica.id}.`, {
         request: head.id,
