What can still be on time goes first in an engine's queue

Change: a load says by when it must begin to be on time and to be served at all; the queue serves last calls, then what can be on time by rank and due time, then the late ones by age. The queue is a module of its own (queue.ts).

--- a/packages/routing/src/core/adapters/index.ts
+++ b/packages/routing/src/core/adapters/index.ts
@@ -1,7 +1,7 @@
 /** Adapters on engines: who holds what, loads and victims. */
 export { HoldingsBook } from './holdings.js';
-export type { KeeperOptions, Urgency } from './keeper.js';
-export { AdapterUnavailable, Keeper } from './keeper.js';
+export type { KeeperOptions } from './keeper.js';
+export { Keeper } from './keeper.js';
 export type { EnsureWanted, LoaderOptions } from './loader.js';
 export { Loader } from './loader.js';
 export { SlotState, SlotTable } from './slots.js';
@@ -13,5 +13,6 @@
   Holdings,
   Room,
   RoomLine,
+  Urgency,
 } from './types.js';
-export { adapterKey, OrderKind, OrderOutcome } from './types.js';
+export { adapterKey, AdapterUnavailable, OrderKind, OrderOutcome } from './types.js';
--- a/packages/routing/src/core/adapters/keeper.ts
+++ b/packages/routing/src/core/adapters/keeper.ts
@@ -9,10 +9,12 @@
 import type { EngineSpec } from '../catalog/index.js';
 import type { ReplicaEntry } from '../view/index.js';
 import { adapterPlaces } from './capacity.js';
+import type { Wanted } from './queue.js';
+import { LoadQueue } from './queue.js';
 import type { Slot } from './slots.js';
 import { SlotState, SlotTable } from './slots.js';
-import type { AdapterRef, EngineControl, EngineOrder, Holdings, RoomLine } from './types.js';
-import { adapterKey, OrderKind, OrderOutcome } from './types.js';
+import type { AdapterRef, EngineControl, EngineOrder, Holdings, RoomLine, Urgency } from './types.js';
+import { adapterKey, AdapterUnavailable, OrderKind, OrderOutcome } from './types.js';
 
 /** Adapters that an engine takes in at once; the engines' protocol states it. */
 const MAX_LOADING = 4;
@@ -22,8 +24,6 @@
 const POLL_MS = 12;
 /** Time from telling the others that an adapter goes until what they had sent before is known, in milliseconds: a few ways between failure domains. */
 const WITHDRAWAL_MS = 6;
-/** Longest time in which a slot is made free that could be freed when it was asked for, in milliseconds. */
-const ROOM_MS = 60;
 /** Pause between two looks at an adapter on its way out, in milliseconds: its last request runs for a second or so. */
 const DROP_POLL_MS = 50;
 /** Pause when the engine is at another order, in milliseconds. */
@@ -65,47 +65,11 @@
   readonly onHoldings: (holdings: Holdings) => void;
 }
 
-/** How urgently an adapter is wanted. */
-export interface Urgency {
-  /** Rank of the request; 0 is the most urgent. */
-  readonly rank: number;
-  /** How long the request has waited for it already, here or elsewhere, in milliseconds. */
-  readonly waitedMs: number;
-  /** Longest wait until the load begins, in milliseconds; 0 asks for one that can begin at once. */
-  readonly patienceMs: number;
-  /** Longest wait until the adapter is in place, in milliseconds. */
-  readonly timeoutMs: number;
-}
-
-interface Wanted extends AdapterRef {
-  readonly key: string;
-  /** Monotonic time since which a request waits for it, here or elsewhere. */
-  askedAt: number;
-  /** The most urgent rank of the requests that wait for it. */
-  rank: number;
-  /** Monotonic time at which the last request that waits for it gives up. */
-  until: number;
-  /** Whether its turn did not come while a request waited for it. */
-  isLate: boolean;
-  /** Settles when its load has begun, or never will. */
-  readonly begun: Promise<void>;
-  readonly begin: () => void;
-  readonly promise: Promise<void>;
-  readonly resolve: () => void;
-  readonly reject: (err: Error) => void;
-}
-
-/** Why an adapter could not be had. */
-export class AdapterUnavailable extends Error {}
-
 /** The keeper of one engine. */
 export class Keeper {
   private readonly slots: SlotTable;
 
-  private readonly queue: Wanted[] = [];
-
-  /** Loads in progress or queued, so that requests for one adapter wait together. */
-  private readonly pending = new Map<string, Wanted>();
+  private readonly queue: LoadQueue;
 
   private readonly models = new Set<string>();
 
@@ -128,6 +92,7 @@
    */
   constructor(private readonly options: KeeperOptions) {
     this.slots = new SlotTable(options.timers);
+    this.queue = new LoadQueue(options.timers);
   }
 
   /** Learns what the engine holds, loads its base model when it has none, then serves the queue. */
@@ -147,8 +112,7 @@
   /** Gives the engine up: its requests must be asked of the next holder. */
   stop(): void {
     this.isStopped = true;
-    for (const wanted of this.queue.splice(0))
-      wanted.reject(new AdapterUnavailable('The engine was given up.'));
+    this.queue.giveUp('The engine was given up.');
   }
 
   /**
@@ -167,13 +131,12 @@
       slot.usedAt = this.options.timers.now();
       return undefined;
     }
-    const known = this.pending.get(key);
+    const known = this.queue.find(key);
     if (known === undefined && urgency.patienceMs === 0 && !this.canBegin) return this.room();
-    const wanted = known ?? this.want(ref, key);
-    this.hasten(wanted, urgency);
+    const wanted = known ?? this.queue.add(ref);
+    this.queue.hasten(wanted, urgency);
     if (known === undefined) this.pump();
-    await this.turnOf(wanted);
-    if (wanted.isLate || this.queue.includes(wanted)) return this.room();
+    if (!(await this.queue.turnOf(wanted))) return this.room();
     await wanted.promise;
     return undefined;
   }
@@ -181,26 +144,7 @@
   /** Whether one more load could begin now. */
   private get canBegin(): boolean {
     const free = this.places - this.slots.occupied + this.slots.evictable;
-    return this.isReady && this.queue.length < Math.min(free, MAX_LOADING - this.slots.loading);
-  }
-
-  /** Counts one more request that waits for a load. */
-  private hasten(wanted: Wanted, { rank, waitedMs, patienceMs }: Urgency): void {
-    const now = this.options.timers.now();
-    wanted.rank = Math.min(wanted.rank, rank);
-    wanted.askedAt = Math.min(wanted.askedAt, now - waitedMs);
-    wanted.until = Math.max(wanted.until, now + Math.max(patienceMs, ROOM_MS));
-  }
-
-  /** Waits until a load has begun or ended, or nobody waits for it any longer. */
-  private async turnOf(wanted: Wanted): Promise<void> {
-    const { timers } = this.options;
-    while (this.queue.includes(wanted) && timers.now() < wanted.until) {
-      const isOver = new AbortController();
-      const over = timers.sleep(wanted.until - timers.now(), isOver.signal).catch(() => undefined);
-      await Promise.race([wanted.begun, over]);
-      isOver.abort();
-    }
+    return this.isReady && this.queue.size < Math.min(free, MAX_LOADING - this.slots.loading);
   }
 
   /**
@@ -291,72 +235,20 @@
     throw new AdapterUnavailable(`Model ${model} did not load.`);
   }
 
-  private want(ref: AdapterRef, key: string): Wanted {
-    let resolve!: () => void;
-    let reject!: (err: Error) => void;
-    let begin!: () => void;
-    const promise = new Promise<void>((onDone, onFailure) => {
-      resolve = onDone;
-      reject = onFailure;
-    });
-    const begun = new Promise<void>((onBegun) => {
-      begin = onBegun;
-    });
-    const wanted: Wanted = {
-      ...ref,
-      key,
-      askedAt: this.options.timers.now(),
-      rank: Number.MAX_SAFE_INTEGER,
-      until: 0,
-      isLate: false,
-      begun,
-      begin,
-      promise,
-      resolve,
-      reject,
-    };
-    this.pending.set(key, wanted);
-    this.queue.push(wanted);
-    const forget = (): void => {
-      this.pending.delete(key);
-      begin();
-    };
-    promise.then(forget, forget);
-    return wanted;
-  }
-
-  /** The most urgent load that can begin; those that nobody waits for any more are dropped. */
-  private next(): number {
-    const now = this.options.timers.now();
-    for (let index = this.queue.length - 1; index >= 0; index -= 1) {
-      if (this.queue[index]!.until > now) continue;
-      const [late] = this.queue.splice(index, 1);
-      late!.isLate = true;
-      late!.reject(new AdapterUnavailable('Its turn did not come in time.'));
-    }
-    let first = -1;
-    for (const [index, wanted] of this.queue.entries()) {
-      // What is on its way out must be out first, or two orders for one adapter could overtake each other.
-      if (this.slots.get(wanted.key)?.state === SlotState.Dropping) continue;
-      if (first < 0 || isBefore(wanted, this.queue[first]!)) first = index;
-    }
-    return first;
-  }
-
   /** Starts as many loads as the engine takes. */
   private pump(): void {
     if (!this.isReady || this.isStopped) return;
     while (this.slots.loading < MAX_LOADING) {
-      const index = this.next();
-      if (index < 0) return;
+      // What is on its way out must be out first, or two orders for one adapter could overtake each other.
+      const wanted = this.queue.next((key) => this.slots.get(key)?.state === SlotState.Dropping);
+      if (wanted === undefined) return;
       // A newer version takes a slot of its own until the older one has gone.
       if (this.slots.occupied >= this.places) {
         void this.makeRoom();
         return;
       }
-      const [wanted] = this.queue.splice(index, 1);
-      wanted!.begin();
-      void this.load(wanted!);
+      this.queue.begin(wanted);
+      void this.load(wanted);
     }
   }
 
@@ -522,20 +414,19 @@
     const { replica } = this.options;
     if (this.isUnreachable) return [replica.id, NO_WAY, 0];
     const free = this.places - this.slots.occupied + this.slots.evictable;
-    return [replica.id, this.isReady ? Math.max(0, free - this.queue.length) : 0, this.queue.length];
+    return [replica.id, this.isReady ? Math.max(0, free - this.queue.size) : 0, this.queue.size];
   }
 
   /** One line on what the slots hold. */
   describe(): string {
     const states = [...this.slots.all()].map(({ state, running }) => `${state[0]}${running}`).join(' ');
-    return `${this.options.replica.id}: ${this.slots.occupied} slots (${states}), ${this.queue.length} wait`;
+    return `${this.options.replica.id}: ${this.slots.occupied} slots (${states}), ${this.queue.size} wait`;
   }
 
   /** Leaves an engine alone that can't be reached: what waits for it is better served elsewhere. */
   private rest(): void {
     this.unreachableUntil = this.options.timers.now() + REST_MS;
-    for (const wanted of this.queue.splice(0))
-      wanted.reject(new AdapterUnavailable('The engine can’t be reached.'));
+    this.queue.giveUp('The engine can’t be reached.');
   }
 
   private tell(): void {
@@ -543,8 +434,3 @@
     if (holdings !== undefined) this.options.onHoldings(holdings);
   }
 }
-
-/** Whether a load comes before another one: the more urgent first, then the one that was asked for first. */
-function isBefore(one: Wanted, other: Wanted): boolean {
-  return one.rank === other.rank ? one.askedAt < other.askedAt : one.rank < other.rank;
-}
--- a/packages/routing/src/core/adapters/loader.ts
+++ b/packages/routing/src/core/adapters/loader.ts
@@ -10,10 +10,9 @@
 import type { Directory, ReplicaEntry } from '../view/index.js';
 import { ReplicaState } from '../view/index.js';
 import type { HoldingsBook } from './holdings.js';
-import type { Urgency } from './keeper.js';
-import { AdapterUnavailable, Keeper } from './keeper.js';
-import type { AdapterRef, EngineControl, Holdings, RoomLine } from './types.js';
-import { adapterKey } from './types.js';
+import { Keeper } from './keeper.js';
+import type { AdapterRef, EngineControl, Holdings, RoomLine, Urgency } from './types.js';
+import { adapterKey, AdapterUnavailable } from './types.js';
 
 /** Options of the loader. */
 export interface LoaderOptions {
@@ -33,7 +32,14 @@
 }
 
 /** How urgent the load of a newer version is: as the most urgent request. */
-const UPGRADE: Urgency = { rank: 0, waitedMs: 0, patienceMs: 5000, timeoutMs: 5000 };
+const UPGRADE: Urgency = {
+  rank: 0,
+  waitedMs: 0,
+  dueInMs: 0,
+  lastCallMs: 0,
+  patienceMs: 5000,
+  timeoutMs: 5000,
+};
 
 /** Has adapters loaded, here or through another daemon. */
 export class Loader {
--- a/packages/routing/src/core/adapters/types.ts
+++ b/packages/routing/src/core/adapters/types.ts
@@ -74,6 +74,25 @@
   readonly version: number | undefined;
 }
 
+/** How urgently an adapter is wanted. */
+export interface Urgency {
+  /** Rank of the request; 0 is the most urgent. */
+  readonly rank: number;
+  /** How long the request has waited for it already, here or elsewhere, in milliseconds. */
+  readonly waitedMs: number;
+  /** Time in which the load must begin for the answer to be on time, in milliseconds; below 0 when it is too late. */
+  readonly dueInMs: number;
+  /** Time in which the load must begin for the request to be served at all, in milliseconds. */
+  readonly lastCallMs: number;
+  /** Longest wait until the load begins, in milliseconds; 0 asks for one that can begin at once. */
+  readonly patienceMs: number;
+  /** Longest wait until the adapter is in place, in milliseconds. */
+  readonly timeoutMs: number;
+}
+
+/** Why an adapter could not be had. */
+export class AdapterUnavailable extends Error {}
+
 /** What the daemon that gives orders to an engine knows that it holds. */
 export interface Holdings {
   readonly replica: string;
--- a/packages/routing/src/core/requests/journey.ts
+++ b/packages/routing/src/core/requests/journey.ts
@@ -27,6 +27,10 @@
 const PATIENCE_SHARE = 1 / 8;
 /** The same while there are engines that can't load its adapter at the moment: a link or a keeper is back soon. */
 const LOAD_PATIENCE_SHARE = 1 / 2;
+/** Time of a load and of the first event after it on a busy engine, in milliseconds: a quarter second each. */
+const LOAD_AND_FIRST_EVENT_MS = 400;
+/** Part of a request's time that a stream needs to its end; a load that is late begins before that at last. */
+const LAST_CALL_SHARE = 0.6;
 /** Pause between two looks for a replica, in milliseconds. */
 const LOOK_MS = 20;
 /** When a refused caller may come back, in milliseconds. */
@@ -211,7 +215,7 @@
     const timeoutMs = Math.min(LOAD_WAIT_MS, this.deadlineAt - timers.now());
     const startedAt = timers.now();
     try {
-      const urgency = { rank: route.rank, waitedMs: this.loadMs, patienceMs, timeoutMs };
+      const urgency = { rank: route.rank, waitedMs: this.loadMs, ...this.times(), patienceMs, timeoutMs };
       return await ensure(replica, { model, adapter: adapter!, version }, urgency);
     } catch (err) {
       log.decide('request.load', `The adapter did not come to ${replica.id}.`, {
@@ -230,6 +234,17 @@
     }
   }
 
+  /** By when a load must begin, in milliseconds from now. */
+  private times(): { dueInMs: number; lastCallMs: number } {
+    const { arrivedAt, route } = this.options;
+    const leftMs = this.timeLeft();
+    const sinceMs = this.parts.timers.now() - arrivedAt;
+    return {
+      dueInMs: Math.round(route.objectiveMs - sinceMs - LOAD_AND_FIRST_EVENT_MS),
+      lastCallMs: Math.round(leftMs - LAST_CALL_SHARE * (leftMs + sinceMs)),
+    };
+  }
+
   private async sendTo({ replica, heldVersion }: Choice): Promise<SendResult> {
     const { dialect, pool, timers, loads, standings } = this.parts;
     const { head, body, route } = this.options;
@@ -267,7 +282,7 @@
 
   /** One line for each send that did not simply succeed; the others are told as details. */
   private tellSend(replica: ReplicaEntry, { end, answer, reason, wasSent, firstByteMs }: SendResult): void {
-    const { log, budget, loads, viewAgeMs } = this.parts;
+    const { log, budget, loads, timers, viewAgeMs } = this.parts;
     const { head, route, service } = this.options;
     const isOrdinary =
       end === SendEnd.Relayed || (answer !== undefined && answer.status < FIRST_FAILURE_STATUS);
@@ -284,6 +299,7 @@
       sentAfterMs: this.sentAfter,
       loadMs: this.loadMs,
       firstByteMs: firstByteMs === undefined ? undefined : Math.round(firstByteMs),
+      lastedMs: Math.round(timers.now() - this.options.arrivedAt) - this.sentAfter,
       running: loads.counts(replica.id).running,
       budgetLeft: Math.floor(budget(service).left()),
       viewAgeMs: viewAgeMs(),
--- a/packages/routing/test/keeper.test.ts
+++ b/packages/routing/test/keeper.test.ts
@@ -10,7 +10,14 @@
 const CAPACITY = 3;
 const LEARNT_MS = 400;
 /** A request that waits for its turn as long as for its adapter. */
-const urgent = (rank: number, timeoutMs: number) => ({ rank, waitedMs: 0, patienceMs: timeoutMs, timeoutMs });
+const urgent = (rank: number, timeoutMs: number) => ({
+  rank,
+  waitedMs: 0,
+  dueInMs: timeoutMs,
+  lastCallMs: timeoutMs,
+  patienceMs: timeoutMs,
+  timeoutMs,
+});
 const URGENCY = urgent(1, 3000);
 
 /** Makes a keeper over a stand-in engine; it has not started. */
@@ -237,6 +244,25 @@
   t.true(loads.includes('later'));
 });
 
+test('what can still be on time comes before what is late, and what would soon not be served before both', async (t) => {
+  const { timers, control, ensure } = await setUp();
+  for (const adapter of ['x', 'y', 'z']) {
+    void ensure(adapter);
+    await timers.advance(400);
+  }
+  const before = control.orders.length;
+  const late = { ...urgent(0, 9000), dueInMs: -1 };
+  void watch(ensure('late', { ...late, waitedMs: 500 }));
+  void watch(ensure('later', late));
+  void watch(ensure('soon', { ...urgent(2, 9000), dueInMs: 7000 }));
+  void watch(ensure('sooner', { ...urgent(2, 9000), dueInMs: 6000 }));
+  void watch(ensure('last', { ...late, lastCallMs: -1 }));
+  await timers.advance(6000);
+  const loaded = control.orders.slice(before).filter(({ kind }) => kind === OrderKind.Load);
+  const order = [...new Set(loaded.map(({ adapter }) => adapter))];
+  t.deepEqual(order, ['last', 'sooner', 'soon', 'late', 'later']);
+});
+
 test('a newer version is loaded over the older one, with a slot to spare', async (t) => {
   const { timers, control, keeper, ensure } = await setUp();
   for (const adapter of ['x', 'y', 'z']) {
