--- a/packages/routing/src/core/adapters/keeper.ts
+++ b/packages/routing/src/core/adapters/keeper.ts
@@ -18,14 +18,6 @@
 
 /** Adapters that an engine takes in at once; the engines' protocol states it. */
 const MAX_LOADING = 4;
-/**
- * Fewest loads at once while the store is crowded, and the time against the shortest one seen from which it is. Loads
- * share the store's speed, so that those begun together all end late; fewer at a time end one after the other.
- */
-const LEAST_LOADING = 2;
-const CROWDED_RATIO = 1.35;
-/** Growth of the shortest time seen with each load: the way to the store may have become longer. */
-const SHORTEST_GROWTH = 1.01;
 /** Lag of an engine's report in milliseconds, with a margin; the protocol says some hundred. */
 const REPORT_LAG_MS = 320;
 /** Pause between two looks at an order in progress, in milliseconds: a tenth of a first load, half of a repeated one. */
@@ -85,12 +77,6 @@
 
   private guesses = { first: FIRST_LOAD_GUESS_MS, repeated: REPEATED_LOAD_GUESS_MS };
 
-  /** Loads that are begun at once. */
-  private mostLoading = MAX_LOADING;
-
-  /** Shortest time of a first load of late, in milliseconds. */
-  private shortestMs = Number.POSITIVE_INFINITY;
-
   private isReady = false;
 
   private isStopped = false;
@@ -158,7 +144,7 @@
   /** Whether one more load could begin now. */
   private get canBegin(): boolean {
     const free = this.places - this.slots.occupied + this.slots.evictable;
-    return this.isReady && this.queue.size < Math.min(free, this.mostLoading - this.slots.loading);
+    return this.isReady && this.queue.size < Math.min(free, MAX_LOADING - this.slots.loading);
   }
 
   /**
@@ -252,7 +238,7 @@
   /** Starts as many loads as the engine takes. */
   private pump(): void {
     if (!this.isReady || this.isStopped) return;
-    while (this.slots.loading < this.mostLoading) {
+    while (this.slots.loading < MAX_LOADING) {
       // What is on its way out must be out first, or two orders for one adapter could overtake each other.
       const wanted = this.queue.next((key) => this.slots.get(key)?.state === SlotState.Dropping);
       if (wanted === undefined) return;
@@ -320,7 +306,6 @@
 
   private learnDuration(key: string, ms: number): void {
     const kind = this.loadedBefore.has(key) ? 'repeated' : 'first';
-    if (kind === 'first') this.learnCrowd(ms);
     const known = this.guesses[kind];
     this.guesses = { ...this.guesses, [kind]: known + GUESS_WEIGHT * (ms - known) };
     this.loadedBefore.delete(key);
@@ -330,15 +315,6 @@
     this.loadedBefore.delete(oldest!);
   }
 
-  /** Begins fewer loads at once while the store is crowded. */
-  private learnCrowd(ms: number): void {
-    this.shortestMs = Math.min(this.shortestMs * SHORTEST_GROWTH, ms);
-    const isCrowded = ms > this.shortestMs * CROWDED_RATIO;
-    this.mostLoading = isCrowded
-      ? Math.max(LEAST_LOADING, this.mostLoading - 1)
-      : Math.min(MAX_LOADING, this.mostLoading + 1);
-  }
-
   private async makeRoom(): Promise<void> {
     if (this.isMakingRoom) return;
     this.isMakingRoom = true;
