A keeper takes an engine over in milliseconds when its report is proved exact

Cause: after each change of the daemon that gives an engine orders, 320 ms passed until a report was sure to show all older orders; after a restart of all, requests waited for loads until 0.75 s after the first daemon served. Change: the keeper takes the report at once and sends an order that changes nothing, with the number of orders that the report counts; the engine accepts it only if no other order came since. Else it waits for the lag as before.

--- a/packages/routing/src/core/adapters/keeper.ts
+++ b/packages/routing/src/core/adapters/keeper.ts
@@ -13,7 +13,15 @@
 import { LoadQueue } from './queue.js';
 import type { Slot } from './slots.js';
 import { SlotState, SlotTable } from './slots.js';
-import type { AdapterRef, EngineControl, EngineOrder, Holdings, RoomLine, Urgency } from './types.js';
+import type {
+  AdapterRef,
+  EngineControl,
+  EngineOrder,
+  EngineReport,
+  Holdings,
+  RoomLine,
+  Urgency,
+} from './types.js';
 import { adapterKey, AdapterUnavailable, OrderKind, OrderOutcome } from './types.js';
 
 /** Adapters that an engine takes in at once; the engines' protocol states it. */
@@ -186,7 +194,7 @@
   }
 
   private async learn(): Promise<void> {
-    const { control, replica, timers, engine } = this.options;
+    const { replica, engine } = this.options;
     const first = replica.models?.[0]?.name;
     const model = first ?? engine.models[0]?.name;
     if (model === undefined) return;
@@ -195,9 +203,7 @@
       this.becomeReady(model);
       return;
     }
-    await this.order(OrderKind.Load, { model, adapter: undefined, version: undefined });
-    await timers.sleep(REPORT_LAG_MS);
-    const report = await control.report(replica);
+    const report = (await this.reportOfNow(model)) ?? (await this.reportAfterLag(model));
     for (const held of report.models) {
       this.models.add(held.name);
       for (const { name, version } of held.adapters)
@@ -209,6 +215,25 @@
     this.tell();
   }
 
+  /**
+   * Takes a report and proves that it is exact: an order that changes nothing is accepted only if the engine has
+   * accepted no other one since. It takes some milliseconds, where the report's lag is a third of a second.
+   */
+  private async reportOfNow(model: string): Promise<EngineReport | undefined> {
+    const report = await this.options.control.report(this.options.replica);
+    if (report.sequence === undefined) return undefined;
+    const base = { model, adapter: undefined, version: undefined };
+    const outcome = await this.order(OrderKind.Load, base, report.sequence);
+    return outcome === OrderOutcome.Done ? report : undefined;
+  }
+
+  /** Shuts older orders out, and takes a report when it must show what came before. */
+  private async reportAfterLag(model: string): Promise<EngineReport> {
+    await this.order(OrderKind.Load, { model, adapter: undefined, version: undefined });
+    await this.options.timers.sleep(REPORT_LAG_MS);
+    return this.options.control.report(this.options.replica);
+  }
+
   private becomeReady(model: string): void {
     this.models.add(model);
     this.isReady = true;
@@ -377,12 +402,16 @@
     }
   }
 
-  private async order(kind: OrderKind, ref: Omit<AdapterRef, 'adapter'> & { adapter: string | undefined }) {
+  private async order(
+    kind: OrderKind,
+    ref: Omit<AdapterRef, 'adapter'> & { adapter: string | undefined },
+    expected?: number,
+  ) {
     const { authority, control, replica, self, timers, log, onFenced } = this.options;
     const token = authority();
     if (token === undefined) return OrderOutcome.Unknown;
     const { model, adapter, version } = ref;
-    const order: EngineOrder = { kind, model, adapter, version, holder: self, token };
+    const order: EngineOrder = { kind, model, adapter, version, holder: self, token, expected };
     const startedAt = timers.now();
     const outcome = await control.order(replica, order);
     if (outcome !== OrderOutcome.Done && outcome !== OrderOutcome.Started)
--- a/packages/routing/src/core/adapters/types.ts
+++ b/packages/routing/src/core/adapters/types.ts
@@ -19,6 +19,8 @@
   readonly holder: string;
   /** Its fencing token. */
   readonly token: number;
+  /** Orders that the engine must have accepted before, or it takes this one for busy; undefined when any will do. */
+  readonly expected: number | undefined;
 }
 
 /** What became of an order. */
@@ -43,6 +45,8 @@
 
 /** What an engine reports of itself; some hundred milliseconds old. */
 export interface EngineReport {
+  /** Orders that it had accepted by then; undefined when it does not say. */
+  readonly sequence: number | undefined;
   readonly models: readonly HeldModel[];
   /** Adapters on their way, as model, adapter and version. */
   readonly loading: readonly { readonly model: string; readonly adapter: string; readonly version: number }[];
--- a/packages/routing/test/fakes.ts
+++ b/packages/routing/test/fakes.ts
@@ -96,6 +96,12 @@
 
   seenToken = 0;
 
+  /** Orders accepted that changed something. */
+  sequence = 0;
+
+  /** What reports say while it is set, as of some time ago. */
+  oldReport: EngineReport | undefined;
+
   /**
    * Makes an engine.
    * @param timers - Time.
@@ -113,20 +119,23 @@
     const scripted = this.script.shift();
     if (scripted !== undefined) return scripted;
     if (order.token < this.seenToken) return OrderOutcome.Fenced;
+    if (order.expected !== undefined && order.expected !== this.sequence) return OrderOutcome.Busy;
     this.seenToken = order.token;
     if (order.adapter === undefined) return OrderOutcome.Done;
     if (this.blocked.size > 0 && !this.blocked.has(order.adapter)) return OrderOutcome.Busy;
     return order.kind === OrderKind.Load ? this.load(order.adapter) : this.unload(order.adapter);
   };
 
-  report = async (): Promise<EngineReport> => ({
+  report = async (): Promise<EngineReport> => this.oldReport ?? this.current();
+
+  /** What the engine holds now; loads in progress are told as held. */
+  current = (): EngineReport => ({
+    sequence: this.sequence,
     models: [
       {
         name: MODEL,
         version: 1,
-        adapters: [...this.slots]
-          .filter(([, slot]) => !slot.isLoading)
-          .map(([name]) => ({ name, version: 1 })),
+        adapters: [...this.slots].map(([name]) => ({ name, version: 1 })),
       },
     ],
     loading: [],
@@ -135,6 +144,7 @@
   private load(adapter: string): OrderOutcome {
     const slot = this.slots.get(adapter);
     if (slot !== undefined) return slot.isLoading ? OrderOutcome.Started : OrderOutcome.Done;
+    this.sequence += 1;
     if (this.slots.size >= this.capacity) this.overloads += 1;
     this.slots.set(adapter, { isLoading: true, running: 0 });
     this.timers.after(this.loadMs, () => {
@@ -145,6 +155,7 @@
   }
 
   private unload(adapter: string): OrderOutcome {
+    this.sequence += 1;
     const slot = this.slots.get(adapter);
     if (slot !== undefined && slot.running > 0) {
       this.blocked.add(adapter);
--- a/packages/routing/test/keeper.test.ts
+++ b/packages/routing/test/keeper.test.ts
@@ -88,6 +88,34 @@
   t.is(control.overloads, 0);
 });
 
+test('a keeper takes an engine over at once when its report is proved to be exact', async (t) => {
+  const timers = createManualTimers();
+  const control = new FakeEngine(timers, CAPACITY);
+  control.slots.set('x', { isLoading: false, running: 0 });
+  control.sequence = 7;
+  const told: Holdings[] = [];
+  const keeper = makeKeeper({ control, timers, onHoldings: (holdings) => told.push(holdings) });
+  void keeper.run();
+  await timers.advance(5);
+  t.deepEqual(told.at(-1)?.adapters, { [`${MODEL}/x`]: 1 });
+});
+
+test('a report from before the last order of another keeper is not believed', async (t) => {
+  const timers = createManualTimers();
+  const control = new FakeEngine(timers, CAPACITY);
+  control.oldReport = control.current();
+  for (const adapter of ['x', 'y', 'z']) control.slots.set(adapter, { isLoading: false, running: 0 });
+  control.sequence = 3;
+  const told: Holdings[] = [];
+  const keeper = makeKeeper({ control, timers, onHoldings: (holdings) => told.push(holdings) });
+  void keeper.run();
+  await timers.advance(100);
+  t.is(told.length, 0);
+  control.oldReport = undefined;
+  await timers.advance(300);
+  t.is(Object.keys(told.at(-1)?.adapters ?? {}).length, 3);
+});
+
 /** Notes how a promise ended. */
 function watch(promise: Promise<RoomLine | undefined>): { state: string } {
   const note = { state: 'waiting' };
