Streams are moved off engines that are taken away at short notice

Change: a daemon asks a leaving engine when it is gone; about a second before, each stream that still runs there gets its adapter on another engine, has its memory copied while it goes on, stops, and goes on behind its last event. A stream that has begun and may not be repeated is never begun again.

--- a/packages/routing/src/core/adapters/queue.ts
+++ b/packages/routing/src/core/adapters/queue.ts
@@ -96,11 +96,13 @@
     const dueAt = now + dueInMs;
     // A request that is too late already does not make the others late.
     const isLate = wanted.dueAt < now;
-    wanted.dueAt = isLate ? Math.max(wanted.dueAt, dueAt) : Math.min(wanted.dueAt, dueAt);
-    wanted.rank = Math.min(wanted.rank, rank);
-    wanted.askedAt = Math.min(wanted.askedAt, now - waitedMs);
-    wanted.lastCallAt = Math.min(wanted.lastCallAt, now + lastCallMs);
-    wanted.until = Math.max(wanted.until, now + Math.max(patienceMs, ROOM_MS));
+    Object.assign(wanted, {
+      dueAt: isLate ? Math.max(wanted.dueAt, dueAt) : Math.min(wanted.dueAt, dueAt),
+      rank: Math.min(wanted.rank, rank),
+      askedAt: Math.min(wanted.askedAt, now - waitedMs),
+      lastCallAt: Math.min(wanted.lastCallAt, now + lastCallMs),
+      until: Math.max(wanted.until, now + Math.max(patienceMs, ROOM_MS)),
+    } satisfies Partial<Wanted>);
   }
 
   /**
--- a/packages/routing/src/core/adapters/types.ts
+++ b/packages/routing/src/core/adapters/types.ts
@@ -47,6 +47,8 @@
 export interface EngineReport {
   /** Orders that it had accepted by then; undefined when it does not say. */
   readonly sequence: number | undefined;
+  /** Time after which it is gone whatever it runs, in milliseconds; undefined unless it is taken away at short notice. */
+  readonly remainingMs: number | undefined;
   readonly models: readonly HeldModel[];
   /** Adapters on their way, as model, adapter and version. */
   readonly loading: readonly { readonly model: string; readonly adapter: string; readonly version: number }[];
--- a/packages/routing/src/core/daemon/services.ts
+++ b/packages/routing/src/core/daemon/services.ts
@@ -15,7 +15,7 @@
 import { ChannelPool } from '../channels/index.js';
 import { Chooser, LoadBook, Standings } from '../choice/index.js';
 import { Cluster, MessageType } from '../cluster/index.js';
-import { RequestMetrics, RequestServer } from '../requests/index.js';
+import { Evacuations, RequestMetrics, RequestServer } from '../requests/index.js';
 import { Directory, Follower, RecordKind, SharedView } from '../view/index.js';
 import { listenForFigures, registerFigures } from './figures.js';
 import { Conversation } from './heartbeat.js';
@@ -282,6 +282,8 @@
         version: document.version,
       }),
     );
+    const ensure = loader.ensure.bind(loader);
+    const control = this.options.control(kernel.get(PART.channels));
     const server = new RequestServer({
       host: settings.host,
       port: settings.callerPort,
@@ -296,7 +298,8 @@
         standings,
         timers,
         log,
-        ensure: (replica, ref, urgency) => loader.ensure(replica, ref, urgency),
+        ensure,
+        evacuations: new Evacuations({ directory, chooser, control, timers, log, ensure }),
         notHeld: (replica, key) => holdings.drop(replica, key),
         metrics: new RequestMetrics(kernel.get<Metrics>(PART.metrics)),
         viewAgeMs: () => Math.round(Math.min(view.ageMs, Number.MAX_SAFE_INTEGER)),
--- a/packages/routing/src/core/daemon/types.ts
+++ b/packages/routing/src/core/daemon/types.ts
@@ -4,7 +4,7 @@
 import type { EngineControl } from '../adapters/index.js';
 import type { BudgetBounds } from '../budget/index.js';
 import type { ChannelPool } from '../channels/index.js';
-import type { RequestDialect } from '../requests/index.js';
+import type { RequestDialect, RunMover } from '../requests/index.js';
 import type { RecordSource } from '../view/index.js';
 
 /** Settings of a router daemon; an adapter to a platform reads them from the platform's own. */
@@ -41,7 +41,7 @@
   readonly dialect: RequestDialect;
   readonly source: RecordSource;
   /** Makes the client for orders over the daemon's own connections. */
-  readonly control: (pool: ChannelPool) => EngineControl;
+  readonly control: (pool: ChannelPool) => EngineControl & RunMover;
   /** Whether a path on the readiness port is the question. */
   readonly isReadinessPath: (path: string) => boolean;
 }
--- a/packages/routing/src/core/requests/index.ts
+++ b/packages/routing/src/core/requests/index.ts
@@ -1,5 +1,7 @@
 /** Requests of callers, from their arrival to the answer. */
 export { OwnAnswer } from './answers.js';
+export type { EngineStream, EvacuationParts, Moved, RunMover } from './evacuation.js';
+export { Evacuation, Evacuations } from './evacuation.js';
 export type { JourneyParts } from './journey.js';
 export { RequestMetrics } from './metrics.js';
 export { StreamRelay } from './relay.js';
--- a/packages/routing/src/core/requests/journey.ts
+++ b/packages/routing/src/core/requests/journey.ts
@@ -16,6 +16,7 @@
 import { useKey } from '../choice/index.js';
 import type { ReplicaEntry } from '../view/index.js';
 import { OwnAnswer, sendOwn } from './answers.js';
+import type { EngineStream, Evacuation, Evacuations, Moved } from './evacuation.js';
 import { beginAnswer } from './headers.js';
 import type { RequestMetrics } from './metrics.js';
 import { StreamRelay } from './relay.js';
@@ -61,6 +62,7 @@
   readonly log: DecisionLog;
   /** Has an adapter on an engine, through the daemon that gives it orders; false when its turn does not come in time. */
   readonly ensure: (replica: ReplicaEntry, ref: AdapterRef, urgency: Urgency) => Promise<boolean>;
+  readonly evacuations: Evacuations;
   /** Notes that an engine does not hold an adapter. */
   readonly notHeld: (replica: string, key: string) => void;
   readonly metrics: RequestMetrics;
@@ -100,6 +102,9 @@
 
   private refusals = 0;
 
+  /** Where a stream goes on that was moved off its engine. */
+  private moved: Moved | undefined;
+
   private sentAfter = 0;
 
   private loadMs = 0;
@@ -162,9 +167,10 @@
 
   private async goOn(): Promise<void> {
     while (!this.isOver) {
-      const choice = await this.findReplica();
+      const { moved } = this;
+      const choice = moved?.choice ?? (await this.findReplica());
       if (choice === undefined || this.isOver) break;
-      const result = await this.sendTo(choice);
+      const result = await this.sendTo(choice, moved?.continuation);
       if (!this.mayGoOn(choice, result)) break;
     }
     if (!this.isOver) this.giveUp();
@@ -245,7 +251,10 @@
     };
   }
 
-  private async sendTo({ replica, heldVersion }: Choice): Promise<SendResult> {
+  private async sendTo(
+    { replica, heldVersion }: Choice,
+    continuation: string | undefined,
+  ): Promise<SendResult> {
     const { dialect, pool, timers, loads, standings } = this.parts;
     const { head, body, route } = this.options;
     const note = loads.begin(replica.id, this.useKey());
@@ -255,6 +264,7 @@
       version: heldVersion === undefined || heldVersion === 0 ? undefined : heldVersion,
       rank: head.generation === undefined ? undefined : route.rank,
       lastEventId: this.relay?.lastId,
+      continuation,
     });
     const call = { method: head.method, path: head.target, headers, body };
     this.sends += 1;
@@ -271,7 +281,7 @@
       onAnswer: note.answered,
       onHeard: () => standings.heard(replica.id),
     });
-    const result = await this.send.result;
+    const result = await this.resultOf(this.send, replica);
     this.send = undefined;
     note.ended();
     standings.ended(replica.id);
@@ -280,6 +290,20 @@
     return result;
   }
 
+  /** Waits for a send; a stream is moved meanwhile if its engine is taken away. */
+  private async resultOf(send: Send, replica: ReplicaEntry): Promise<SendResult> {
+    const { evacuations } = this.parts;
+    const { head, route, service } = this.options;
+    const { generation } = head;
+    this.moved = undefined;
+    if (generation === undefined || this.relay === undefined) return send.result;
+    const stream: EngineStream = { request: head.id, service, rank: route.rank, generation, replica };
+    const evacuation: Evacuation = evacuations.enter(stream);
+    const result = await send.result;
+    this.moved = await evacuations.leave(stream, evacuation, result.end === SendEnd.BrokenStream);
+    return result;
+  }
+
   /** One line for each send that did not simply succeed; the others are told as details. */
   private tellSend(replica: ReplicaEntry, { end, answer, reason, wasSent, firstByteMs }: SendResult): void {
     const { log, budget, loads, timers, viewAgeMs } = this.parts;
@@ -336,10 +360,11 @@
     return false;
   }
 
-  /** Not run: another replica may take it. */
+  /** Not run: another replica may take it, unless an earlier send has run that may not be repeated. */
   onNotRun(): boolean {
     this.refusals += 1;
-    return this.refusals < MAX_REFUSALS && this.timeLeft() > 0 && this.pay();
+    if (this.runs > 0 && !this.isRepeatable) return false;
+    return this.refusals < MAX_REFUSALS && this.canPay();
   }
 
   /** The replica is gone or lacks the adapter: what was believed of it is corrected, and the choice made again. */
@@ -355,16 +380,28 @@
   /** It may have run: only a safe request goes on. */
   onUnknown(): boolean {
     this.runs += 1;
-    const { kind, maxAttempts, isResumable } = this.options.route;
-    const isRepeatable = kind === RouteKind.Safe || (kind === RouteKind.Streaming && isResumable);
-    return isRepeatable && this.runs < maxAttempts && this.timeLeft() > 0 && this.pay();
+    return this.isRepeatable && this.runs < this.options.route.maxAttempts && this.canPay();
   }
 
-  /** A stream broke: another replica goes on behind the last event, where the route allows it. */
+  /** A stream broke: it goes on where it was moved, or behind the last event where the route allows it. */
   onBrokenStream(): boolean {
     const { isResumable, maxAttempts } = this.options.route;
+    if (this.moved !== undefined) {
+      // It is the same run that goes on, on any route.
+      this.runs = Math.max(1, this.runs);
+      return this.canPay();
+    }
     this.runs += 1;
-    return isResumable && this.runs < maxAttempts && this.timeLeft() > 0 && this.pay();
+    return isResumable && this.runs < maxAttempts && this.canPay();
+  }
+
+  private get isRepeatable(): boolean {
+    const { kind, isResumable } = this.options.route;
+    return kind === RouteKind.Safe || (kind === RouteKind.Streaming && isResumable);
+  }
+
+  private canPay(): boolean {
+    return this.timeLeft() > 0 && this.pay();
   }
 
   private pay(): boolean {
--- a/packages/routing/src/core/requests/types.ts
+++ b/packages/routing/src/core/requests/types.ts
@@ -51,6 +51,8 @@
   readonly rank: number | undefined;
   /** Number of the last event that the caller has. */
   readonly lastEventId: number | undefined;
+  /** Names the copy of the run's memory from which the replica goes on. */
+  readonly continuation: string | undefined;
 }
 
 /** What a replica's answer says beside its status. */
--- a/packages/routing/test/fakes.ts
+++ b/packages/routing/test/fakes.ts
@@ -131,6 +131,7 @@
   /** What the engine holds now; loads in progress are told as held. */
   current = (): EngineReport => ({
     sequence: this.sequence,
+    remainingMs: undefined,
     models: [
       {
         name: MODEL,
