A full engine gets no more requests, and late ones leave places to those on time

Change: an engine whose places are taken, over all daemons, is not chosen; the least urgent stop a little earlier, late requests leave an eighth. A late request waits a quarter of its time for a place, and a refused generation is told to come back after 0.3 of its time. A stream that has begun elsewhere is never held back.

--- a/packages/routing/src/core/choice/chooser.ts
+++ b/packages/routing/src/core/choice/chooser.ts
@@ -17,6 +17,14 @@
 const WAITING_MS = 45;
 /** Wait that a request in progress adds on an idle engine, in milliseconds; twice as much on a full one, where others queue. */
 const RUNNING_MS = 5;
+/**
+ * Part of an engine's places that requests of a rank may fill: beyond its places an engine queues for seconds, and
+ * what it then serves is late or cut. The less urgent stop a little earlier.
+ */
+const PLACES_LEFT_BY_RANK = 0.03;
+const MAX_PLACES_RANK = 3;
+/** Part of the places that late requests leave to those that can still be on time; a late answer earns a third. */
+const PLACES_LEFT_BY_LATE = 0.12;
 /** Wait that a full set of slots adds on a plain service, in milliseconds. */
 const SERVICE_FULL_MS = 60;
 /** Cost of loading an adapter that the engine held of late, in milliseconds. */
@@ -51,6 +59,12 @@
   readonly tried: ReadonlySet<string>;
   /** Replicas that can't load the adapter now. */
   readonly unloadable: ReadonlySet<string>;
+  /** Urgency; 0 is the most urgent. */
+  readonly rank: number;
+  /** Whether its answer will be late whatever is done. */
+  readonly isLate: boolean;
+  /** Whether it has begun elsewhere, so that it is not held back where engines are full. */
+  readonly isUnderWay: boolean;
 }
 
 /** A choice. */
@@ -116,9 +130,18 @@
     return isNew ? 0 : declared.version;
   }
 
-  private able(replicas: readonly ReplicaEntry[], { model }: Need): ReplicaEntry[] {
+  private able(replicas: readonly ReplicaEntry[], need: Need): ReplicaEntry[] {
+    const { model } = need;
     if (model === undefined) return [...replicas];
-    return replicas.filter((replica) => this.options.holdings.holdsModel(replica, model));
+    return replicas.filter(
+      (replica) => this.options.holdings.holdsModel(replica, model) && this.hasPlace(replica, need),
+    );
+  }
+
+  private hasPlace({ id, slots }: ReplicaEntry, { rank, isLate, isUnderWay }: Need): boolean {
+    const byRank = slots * PLACES_LEFT_BY_RANK * Math.min(rank, MAX_PLACES_RANK);
+    const byLate = isLate ? Math.max(1, slots * PLACES_LEFT_BY_LATE) : 0;
+    return isUnderWay || this.options.loads.counts(id).running < slots - byRank - byLate;
   }
 
   private weigh(replica: ReplicaEntry, need: Need, rank: number, fastest: number): Choice | undefined {
--- a/packages/routing/src/core/requests/evacuation.ts
+++ b/packages/routing/src/core/requests/evacuation.ts
@@ -139,11 +139,13 @@
   /** Finds an engine for the stream and has its adapter there. */
   private async prepare(): Promise<Choice | undefined> {
     const { chooser, timers } = this.parts;
-    const { replica, service, generation } = this.stream;
+    const { replica, service, generation, rank } = this.stream;
     const unloadable = new Set<string>();
+    const tried = new Set([replica.id]);
     while (!this.hasEnded && this.timeLeft() > 0) {
       const { model, adapter } = generation;
-      const choice = chooser.choose({ service, model, adapter, tried: new Set([replica.id]), unloadable });
+      const need = { service, model, adapter, tried, unloadable, rank, isLate: false, isUnderWay: true };
+      const choice = chooser.choose(need);
       if (choice === undefined || choice.replica.id === replica.id) {
         unloadable.clear();
         await timers.sleep(LOOK_MS);
--- a/packages/routing/src/core/requests/journey.ts
+++ b/packages/routing/src/core/requests/journey.ts
@@ -32,12 +32,16 @@
 const LOAD_AND_FIRST_EVENT_MS = 400;
 /** Part of a request's time that a stream needs to its end; a load that is late begins before that at last. */
 const LAST_CALL_SHARE = 0.6;
+/** Part of the time left for which a late request waits for a place: a later answer is as good, and none is worse. */
+const LATE_PATIENCE_SHARE = 1 / 4;
 /** Pause between two looks for a replica, in milliseconds. */
 const LOOK_MS = 20;
 /** When a refused caller may come back, in milliseconds. */
 const RETRY_AFTER_MS = 250;
 /** The same for a generation: an engine gets its next keeper and shows what it holds in about that time. */
 const GENERATION_RETRY_AFTER_MS = 600;
+/** Part of its time after which a refused generation comes back at last: callers wait a third at most. */
+const RETRY_AFTER_SHARE = 0.3;
 /** Longest wait for an adapter on one engine, in milliseconds, before another engine is tried. */
 const LOAD_WAIT_MS = 1500;
 /**
@@ -190,10 +194,12 @@
         adapter: head.generation?.adapter,
         tried: this.tried,
         unloadable: this.unloadable,
+        rank: route.rank,
+        isLate: this.isLate,
+        isUnderWay: this.relay?.hasBegun ?? false,
       });
       if (choice === undefined) {
-        const share = this.unloadable.size > 0 ? LOAD_PATIENCE_SHARE : PATIENCE_SHARE;
-        if (timers.now() - startedAt >= route.objectiveMs * share) return undefined;
+        if (timers.now() - startedAt >= this.patienceMs()) return undefined;
         this.unloadable.clear();
         await timers.sleep(LOOK_MS);
       } else if (!choice.needsLoad || (await this.loadOrLearn(choice.replica, full))) return choice;
@@ -201,6 +207,19 @@
     return undefined;
   }
 
+  /** Longest wait while no replica can take the request, in milliseconds. */
+  private patienceMs(): number {
+    if (this.isLate) return Math.max(0, this.timeLeft()) * LATE_PATIENCE_SHARE;
+    const share = this.unloadable.size > 0 ? LOAD_PATIENCE_SHARE : PATIENCE_SHARE;
+    return this.options.route.objectiveMs * share;
+  }
+
+  /** Whether the answer will be late whatever is done; a caller that comes back has used up a part of its time. */
+  private get isLate(): boolean {
+    const { route } = this.options;
+    return route.timeoutMs - this.timeLeft() > route.objectiveMs;
+  }
+
   /**
    * Loads the adapter if an engine can begin at once; one that can't tells how its slots stand, and the choice is made
    * again. If it falls on that engine again, the request waits there for a while.
@@ -422,7 +441,9 @@
     else if (this.runs > 0) this.finish(OwnAnswer.OutcomeUnknown, 'It may have run, and no answer came.');
     else {
       const isGeneration = this.options.head.generation !== undefined;
-      const retryAfterMs = isGeneration ? GENERATION_RETRY_AFTER_MS : RETRY_AFTER_MS;
+      // Once more is all that callers try: late is late, and a crowd is gone in some seconds.
+      const laterMs = Math.max(GENERATION_RETRY_AFTER_MS, this.timeLeft() * RETRY_AFTER_SHARE);
+      const retryAfterMs = isGeneration ? laterMs : RETRY_AFTER_MS;
       this.finish(OwnAnswer.NotRun, 'No replica can take it now.', retryAfterMs);
     }
   }
--- /dev/null
+++ b/packages/routing/test/chooser.test.ts
@@ -0,0 +1,78 @@
+/** The choice of an engine: what is full gets no more, and late requests leave places to the others. */
+import { createManualTimers } from '@celeryyoke/core';
+import type { Need } from '@celeryyoke/routing';
+import {
+  Chooser,
+  Directory,
+  HoldingsBook,
+  LoadBook,
+  RecordKind,
+  SharedView,
+  Standings,
+} from '@celeryyoke/routing';
+import test from 'ava';
+
+import { engineEntry, MODEL } from './fakes.js';
+
+const PLACES = 8;
+
+function setUp() {
+  const timers = createManualTimers();
+  const view = new SharedView(timers);
+  const directory = new Directory(view, timers);
+  const changes = ['e1', 'e2'].map((id, index) => ({
+    key: id,
+    revision: index + 1,
+    record: { kind: RecordKind.Replica as const, replica: engineEntry(id) },
+  }));
+  view.apply({ from: 0, upTo: 2, isWhole: true, changes });
+  const loads = new LoadBook(timers);
+  const chooser = new Chooser({
+    directory,
+    holdings: new HoldingsBook(directory),
+    loads,
+    standings: new Standings(timers),
+    zone: 'a',
+    now: timers.now,
+  });
+  const fill = (replica: string, count: number): void => {
+    for (let index = 0; index < count; index += 1) loads.begin(replica, undefined);
+  };
+  const choose = (options: Partial<Need> = {}): string | undefined =>
+    chooser.choose({
+      service: 'engines',
+      model: MODEL,
+      adapter: undefined,
+      tried: new Set(),
+      unloadable: new Set(),
+      rank: 0,
+      isLate: false,
+      isUnderWay: false,
+      ...options,
+    })?.replica.id;
+  return { fill, choose };
+}
+
+test('an engine whose places are taken gets no more, whoever asks', (t) => {
+  const { fill, choose } = setUp();
+  fill('e1', PLACES);
+  t.is(choose(), 'e2');
+  fill('e2', PLACES);
+  t.is(choose(), undefined);
+});
+
+test('a stream that has begun elsewhere is not held back by full engines', (t) => {
+  const { fill, choose } = setUp();
+  fill('e1', PLACES);
+  fill('e2', PLACES + 1);
+  t.is(choose({ isUnderWay: true }), 'e1');
+});
+
+test('the last place is kept from late requests and from the least urgent ones', (t) => {
+  const { fill, choose } = setUp();
+  fill('e1', PLACES);
+  fill('e2', PLACES - 1);
+  t.is(choose({ isLate: true }), undefined);
+  t.is(choose({ rank: 9, isLate: true }), undefined);
+  t.is(choose(), 'e2');
+});
