The search for a replica is a module of its own; late is judged by what callers wait at first

Change: requests/finder.ts chooses, loads and waits; requests/caller-times.ts knows the longest time that callers of a route gave of late.

--- a/packages/routing/src/core/daemon/services.ts
+++ b/packages/routing/src/core/daemon/services.ts
@@ -15,7 +15,7 @@
 import { ChannelPool } from '../channels/index.js';
 import { Chooser, LoadBook, Standings } from '../choice/index.js';
 import { Cluster, MessageType } from '../cluster/index.js';
-import { Evacuations, RequestMetrics, RequestServer } from '../requests/index.js';
+import { CallerTimes, Evacuations, RequestMetrics, RequestServer } from '../requests/index.js';
 import { Directory, Follower, RecordKind, SharedView } from '../view/index.js';
 import { listenForFigures, registerFigures } from './figures.js';
 import { Conversation } from './heartbeat.js';
@@ -299,6 +299,7 @@
         timers,
         log,
         ensure,
+        callerTimes: new CallerTimes(),
         evacuations: new Evacuations({ directory, chooser, control, timers, log, ensure }),
         notHeld: (replica, key) => holdings.drop(replica, key),
         metrics: new RequestMetrics(kernel.get<Metrics>(PART.metrics)),
--- a/packages/routing/src/core/requests/journey.ts
+++ b/packages/routing/src/core/requests/journey.ts
@@ -4,51 +4,32 @@
  * A request that may have run is sent again only where its route allows that; one that is proved not to have run may
  * go to another replica in any case. Every repeat is paid from the budget.
  */
-import type { DecisionLog, TimerHandle, TimerService } from '@celeryyoke/core';
+import type { TimerHandle } from '@celeryyoke/core';
 import type { ServerResponse } from 'node:http';
 
-import type { AdapterRef, Urgency } from '../adapters/index.js';
 import type { RepeatBudget } from '../budget/index.js';
 import type { Route } from '../catalog/index.js';
 import { RouteKind } from '../catalog/index.js';
 import type { ChannelPool } from '../channels/index.js';
-import type { Choice, Chooser, LoadBook, Standings } from '../choice/index.js';
+import type { Choice, LoadBook, Standings } from '../choice/index.js';
 import { useKey } from '../choice/index.js';
 import type { ReplicaEntry } from '../view/index.js';
 import { OwnAnswer, sendOwn } from './answers.js';
 import type { EngineStream, Evacuation, Evacuations, Moved } from './evacuation.js';
+import type { FinderParts } from './finder.js';
+import { ReplicaFinder } from './finder.js';
 import { beginAnswer } from './headers.js';
-import type { RequestMetrics } from './metrics.js';
 import { StreamRelay } from './relay.js';
 import { Send } from './send.js';
 import type { HeldAnswer, RequestDialect, RequestHead, SendResult } from './types.js';
 import { SendEnd } from './types.js';
 
-/** Part of the objective for which a request waits while its service has no replica; the users price longer holds. */
-const PATIENCE_SHARE = 1 / 8;
-/** The same while there are engines that can't load its adapter at the moment: a link or a keeper is back soon. */
-const LOAD_PATIENCE_SHARE = 1 / 2;
-/** Time of a load and of the first event after it on a busy engine, in milliseconds: a quarter second each. */
-const LOAD_AND_FIRST_EVENT_MS = 400;
-/** Part of a request's time that a stream needs to its end; a load that is late begins before that at last. */
-const LAST_CALL_SHARE = 0.6;
-/** Part of the time left for which a late request waits for a place: a later answer is as good, and none is worse. */
-const LATE_PATIENCE_SHARE = 1 / 4;
-/** Pause between two looks for a replica, in milliseconds. */
-const LOOK_MS = 20;
 /** When a refused caller may come back, in milliseconds. */
 const RETRY_AFTER_MS = 250;
 /** The same for a generation: an engine gets its next keeper and shows what it holds in about that time. */
 const GENERATION_RETRY_AFTER_MS = 600;
 /** Part of its time after which a refused generation comes back at last: callers wait a third at most. */
 const RETRY_AFTER_SHARE = 0.3;
-/** Longest wait for an adapter on one engine, in milliseconds, before another engine is tried. */
-const LOAD_WAIT_MS = 1500;
-/**
- * Longest wait in one engine's queue before the choice is made again, in milliseconds: as often as the keepers tell
- * how their slots stand.
- */
-const QUEUE_SLICE_MS = 250;
 /** Most sends of one request that were refused without having run. */
 const MAX_REFUSALS = 4;
 const FIRST_FAILURE_STATUS = 500;
@@ -56,20 +37,14 @@
 const LEFT = 'left';
 
 /** What a journey uses of the daemon. */
-export interface JourneyParts {
+export interface JourneyParts extends FinderParts {
   readonly dialect: RequestDialect;
-  readonly chooser: Chooser;
   readonly pool: ChannelPool;
   readonly loads: LoadBook;
   readonly standings: Standings;
-  readonly timers: TimerService;
-  readonly log: DecisionLog;
-  /** Has an adapter on an engine, through the daemon that gives it orders; false when its turn does not come in time. */
-  readonly ensure: (replica: ReplicaEntry, ref: AdapterRef, urgency: Urgency) => Promise<boolean>;
   readonly evacuations: Evacuations;
   /** Notes that an engine does not hold an adapter. */
   readonly notHeld: (replica: string, key: string) => void;
-  readonly metrics: RequestMetrics;
   /** Age of what is known of the platform, in milliseconds. */
   readonly viewAgeMs: () => number;
   /** The budget of a service. */
@@ -89,9 +64,7 @@
 
 /** One request's way. */
 export class Journey {
-  private readonly tried = new Set<string>();
-
-  private readonly unloadable = new Set<string>();
+  private readonly finder: ReplicaFinder;
 
   private readonly deadlineAt: number;
 
@@ -111,8 +84,6 @@
 
   private sentAfter = 0;
 
-  private loadMs = 0;
-
   private isOver = false;
 
   /** What the caller got, for the figures. */
@@ -133,6 +104,13 @@
     const { head, route, res, arrivedAt } = options;
     this.deadlineAt = arrivedAt + Math.min(head.waitMs ?? route.timeoutMs, route.timeoutMs);
     if (route.kind === RouteKind.Streaming) this.relay = new StreamRelay(res, head.lastEventId);
+    parts.callerTimes.note(route.name, this.deadlineAt - arrivedAt);
+    this.finder = new ReplicaFinder(parts, {
+      ...options,
+      deadlineAt: this.deadlineAt,
+      isOver: () => this.isOver,
+      isUnderWay: () => this.relay?.hasBegun ?? false,
+    });
   }
 
   /** Goes the whole way; the caller has its answer when it ends. */
@@ -172,7 +150,7 @@
   private async goOn(): Promise<void> {
     while (!this.isOver) {
       const { moved } = this;
-      const choice = moved?.choice ?? (await this.findReplica());
+      const choice = moved?.choice ?? (await this.finder.find());
       if (choice === undefined || this.isOver) break;
       const result = await this.sendTo(choice, moved?.continuation);
       if (!this.mayGoOn(choice, result)) break;
@@ -180,96 +158,6 @@
     if (!this.isOver) this.giveUp();
   }
 
-  /** Chooses until there is a replica that has the adapter, or patience ends. */
-  private async findReplica(): Promise<Choice | undefined> {
-    const { timers, chooser } = this.parts;
-    const { head, service, route } = this.options;
-    const startedAt = timers.now();
-    // Engines that have said that no load can begin at once; what they said is known to the chooser.
-    const full = new Set<string>();
-    while (!this.isOver) {
-      const choice = chooser.choose({
-        service,
-        model: head.generation?.model,
-        adapter: head.generation?.adapter,
-        tried: this.tried,
-        unloadable: this.unloadable,
-        rank: route.rank,
-        isLate: this.isLate,
-        isUnderWay: this.relay?.hasBegun ?? false,
-      });
-      if (choice === undefined) {
-        if (timers.now() - startedAt >= this.patienceMs()) return undefined;
-        this.unloadable.clear();
-        await timers.sleep(LOOK_MS);
-      } else if (!choice.needsLoad || (await this.loadOrLearn(choice.replica, full))) return choice;
-    }
-    return undefined;
-  }
-
-  /** Longest wait while no replica can take the request, in milliseconds. */
-  private patienceMs(): number {
-    if (this.isLate) return Math.max(0, this.timeLeft()) * LATE_PATIENCE_SHARE;
-    const share = this.unloadable.size > 0 ? LOAD_PATIENCE_SHARE : PATIENCE_SHARE;
-    return this.options.route.objectiveMs * share;
-  }
-
-  /** Whether the answer will be late whatever is done; a caller that comes back has used up a part of its time. */
-  private get isLate(): boolean {
-    const { route } = this.options;
-    return route.timeoutMs - this.timeLeft() > route.objectiveMs;
-  }
-
-  /**
-   * Loads the adapter if an engine can begin at once; one that can't tells how its slots stand, and the choice is made
-   * again. If it falls on that engine again, the request waits there for a while.
-   */
-  private async loadOrLearn(replica: ReplicaEntry, full: Set<string>): Promise<boolean> {
-    const isKnownFull = full.has(replica.id);
-    const isLoaded = await this.load(replica, isKnownFull ? QUEUE_SLICE_MS : 0);
-    if (isKnownFull) full.clear();
-    else full.add(replica.id);
-    return isLoaded;
-  }
-
-  private async load(replica: ReplicaEntry, patienceMs: number): Promise<boolean> {
-    const { timers, chooser, ensure, log } = this.parts;
-    const { head, route } = this.options;
-    const { model, adapter } = head.generation!;
-    const version = chooser.leastVersion(model, adapter!) || undefined;
-    const timeoutMs = Math.min(LOAD_WAIT_MS, this.deadlineAt - timers.now());
-    const startedAt = timers.now();
-    try {
-      const urgency = { rank: route.rank, waitedMs: this.loadMs, ...this.times(), patienceMs, timeoutMs };
-      return await ensure(replica, { model, adapter: adapter!, version }, urgency);
-    } catch (err) {
-      log.decide('request.load', `The adapter did not come to ${replica.id}.`, {
-        request: head.id,
-        adapter: `${model}/${adapter}`,
-        replica: replica.id,
-        waitedMs: Math.round(timers.now() - startedAt),
-        reason: err instanceof Error ? err.message : String(err),
-      });
-      this.unloadable.add(replica.id);
-      return false;
-    } finally {
-      const waitedMs = timers.now() - startedAt;
-      this.loadMs += Math.round(waitedMs);
-      this.parts.metrics.waited(waitedMs);
-    }
-  }
-
-  /** By when a load must begin, in milliseconds from now. */
-  private times(): { dueInMs: number; lastCallMs: number } {
-    const { arrivedAt, route } = this.options;
-    const leftMs = this.timeLeft();
-    const sinceMs = this.parts.timers.now() - arrivedAt;
-    return {
-      dueInMs: Math.round(route.objectiveMs - sinceMs - LOAD_AND_FIRST_EVENT_MS),
-      lastCallMs: Math.round(leftMs - LAST_CALL_SHARE * (leftMs + sinceMs)),
-    };
-  }
-
   private async sendTo(
     { replica, heldVersion }: Choice,
     continuation: string | undefined,
@@ -340,7 +228,7 @@
       wasSent,
       send: this.sends,
       sentAfterMs: this.sentAfter,
-      loadMs: this.loadMs,
+      loadMs: this.finder.loadMs,
       firstByteMs: firstByteMs === undefined ? undefined : Math.round(firstByteMs),
       lastedMs: Math.round(timers.now() - this.options.arrivedAt) - this.sentAfter,
       running: loads.counts(replica.id).running,
@@ -351,7 +239,7 @@
 
   /** Decides what follows from the end of a send; when nothing does, the caller has been answered. */
   private mayGoOn({ replica }: Choice, result: SendResult): boolean {
-    this.tried.add(replica.id);
+    this.finder.tried.add(replica.id);
     this.tellSend(replica, result);
     if (this.isOver) return false;
     return decide(this, replica, result);
@@ -391,7 +279,7 @@
     const key = this.useKey();
     if (key !== undefined) {
       this.parts.notHeld(replica.id, key);
-      this.tried.delete(replica.id);
+      this.finder.tried.delete(replica.id);
     }
     return this.onNotRun();
   }
@@ -471,7 +359,7 @@
       refusals: this.refusals,
       afterMs: Math.round(this.parts.timers.now() - this.options.arrivedAt),
       limitMs: Math.round(this.deadlineAt - this.options.arrivedAt),
-      loadMs: this.loadMs,
+      loadMs: this.finder.loadMs,
       viewAgeMs: this.parts.viewAgeMs(),
     });
     if (this.relay?.hasBegun) this.relay.breakOff();
--- a/packages/routing/src/core/requests/relay.ts
+++ b/packages/routing/src/core/requests/relay.ts
@@ -39,11 +39,6 @@
     this.lastId = firstId;
   }
 
-  /** Whether a part of the current replica's stream waits for the end of its event. */
-  get hasRest(): boolean {
-    return this.rest.length > 0;
-  }
-
   /**
    * Passes the head on; that of a later replica is left out.
    * @param status - Status.
