--- a/scripts/sites.mjs
+++ b/scripts/sites.mjs
@@ -52,8 +52,10 @@
   [/^ {2}\{ name = .*model = "llm"/, redrawService],
   [/^ {2}\{ name = "m\d+", mb = /, (line, drawn) => replaceNumber(line, 'adapters', drawn.adapters)],
   [/adapter_zipf/, (line, drawn) => replaceNumber(line, 'adapter_zipf', drawn.skew)],
-  [/^ {2}\{ zone = .*per_s = /, (line, drawn) =>
-    line.replace(/per_s = ([\d.]+)/, (_all, rate) => `per_s = ${(Number(rate) * drawn.load).toFixed(1)}`),
+  [
+    /^ {2}\{ zone = .*per_s = /,
+    (line, drawn) =>
+      line.replace(/per_s = ([\d.]+)/, (_all, rate) => `per_s = ${(Number(rate) * drawn.load).toFixed(1)}`),
   ],
 ];
 
