--- a/packages/bench/src/cli/leases/index.ts
+++ b/packages/bench/src/cli/leases/index.ts
@@ -1,4 +1,5 @@
 /** The command `leases`: what a slot lease costs, from the owner here and from one across a link. */
+import { splitAdapterKey } from '@celeryyoke/configuration';
 import { createSystemTimers } from '@celeryyoke/core';
 import type { Metrics, TimerService } from '@celeryyoke/core';
 import type { Ownership, PeerBus, RunningDispatcher, SiteBook } from '@celeryyoke/fleet';
@@ -30,7 +31,7 @@
 }
 
 async function holdAdapter(daemon: FleetDaemon, requestId: string): Promise<string> {
-  const [adapter = '', version = ''] = KEY.split('@');
+  const { adapter, version = '' } = splitAdapterKey(KEY);
   const resolved = { adapter, version, model: MODEL_NAME, key: KEY, sizeMb: 1 };
   const want = {
     requestId,
--- a/packages/cli/src/cli/diff/engines.ts
+++ b/packages/cli/src/cli/diff/engines.ts
@@ -1,5 +1,6 @@
 /** Differences in engines, and which adapters have another engine as their first candidate. */
 import type { AdapterConfig, ConfigSnapshot } from '@celeryyoke/configuration';
+import { joinAdapterKey } from '@celeryyoke/configuration';
 import { rankCandidates } from '@celeryyoke/placement';
 
 import { compareLists, describeFields } from './lists.js';
@@ -18,7 +19,7 @@
 }
 
 function firstCandidate(engines: Map<string, string[]>, { name, model, current }: AdapterConfig): string {
-  return rankCandidates(`${name}@${current}`, engines.get(model) ?? [], 1)[0] ?? '';
+  return rankCandidates(joinAdapterKey(name, current), engines.get(model) ?? [], 1)[0] ?? '';
 }
 
 /** Share of the adapters of both configurations whose first candidate differs. */
--- a/packages/configuration/src/core/model/index.ts
+++ b/packages/configuration/src/core/model/index.ts
@@ -2,6 +2,8 @@
 export { Fencing } from './types.js';
 export { createConfigHolder } from './holder.js';
 export type { ConfigHolderOptions } from './holder.js';
+export { joinAdapterKey, splitAdapterKey } from './keys.js';
+export type { AdapterKeyParts } from './keys.js';
 export { createSnapshot } from './snapshot.js';
 export type {
   AdapterConfig,
--- a/packages/configuration/src/core/model/snapshot.ts
+++ b/packages/configuration/src/core/model/snapshot.ts
@@ -3,6 +3,7 @@
 
 import { createAdapterCatalogue } from '../adapters/index.js';
 import { digestOfSite } from '../packing/index.js';
+import { joinAdapterKey, splitAdapterKey } from './keys.js';
 import type {
   AdapterConfig,
   ConfigSnapshot,
@@ -11,13 +12,10 @@
   SiteConfig,
 } from './types.js';
 
-/** Separates an adapter from its version in the name that a request gives. */
-const VERSION_SEPARATOR = '@';
-
 function resolveVersion(adapter: AdapterConfig, version: string): ResolvedAdapter {
   const { name, model, versions, sizeMb } = adapter;
   if (!versions.includes(version)) throw new CeleryyokeError('VersionUnknown', { adapter: name, version });
-  return { adapter: name, version, model, key: `${name}${VERSION_SEPARATOR}${version}`, sizeMb };
+  return { adapter: name, version, model, key: joinAdapterKey(name, version), sizeMb };
 }
 
 function hasPrefix(path: string, prefix: string): boolean {
@@ -47,10 +45,10 @@
   const services = [...config.services].sort(byPrefixLength);
 
   function resolve(name: string): ResolvedAdapter {
-    const [adapterName = '', ...rest] = name.split(VERSION_SEPARATOR);
-    const adapter = catalogue.find(adapterName);
-    if (adapter === undefined) throw new CeleryyokeError('AdapterUnknown', { adapter: adapterName });
-    return resolveVersion(adapter, rest.length === 0 ? adapter.current : rest.join(VERSION_SEPARATOR));
+    const named = splitAdapterKey(name);
+    const adapter = catalogue.find(named.adapter);
+    if (adapter === undefined) throw new CeleryyokeError('AdapterUnknown', { adapter: named.adapter });
+    return resolveVersion(adapter, named.version ?? adapter.current);
   }
 
   function adapterPage(after: string | undefined, limit: number): readonly AdapterConfig[] {
--- a/packages/daemon/src/core/daemon/services/loading.ts
+++ b/packages/daemon/src/core/daemon/services/loading.ts
@@ -1,5 +1,6 @@
 /** Services that bring adapters onto engines: policy, permits, engine owners, dispatcher. */
 import type { ConfigHolder, PolicyConfig } from '@celeryyoke/configuration';
+import { splitAdapterKey } from '@celeryyoke/configuration';
 import type { AuditTrail, Metrics, Service } from '@celeryyoke/core';
 import type { Membership, Ownership, PeerBus, PermitOwners, SiteBook } from '@celeryyoke/fleet';
 import { createDispatcher, createEngineOwners, createPermitOwners, createSiteBook } from '@celeryyoke/fleet';
@@ -16,16 +17,14 @@
   maxLoadWaitMs: 30_000,
 };
 
-const VERSION_SEPARATOR = '@';
-
 /**
  * Finds the base model of a key. Counts outlive configurations, so that a key whose adapter or version is
  * gone is usual here and no error.
  */
 function modelOf(holder: ConfigHolder, key: AdapterKey): string | undefined {
-  const [name = '', ...rest] = key.split(VERSION_SEPARATOR);
+  const { adapter: name, version = '' } = splitAdapterKey(key);
   const adapter = holder.current()?.adapter(name);
-  return adapter?.versions.includes(rest.join(VERSION_SEPARATOR)) ? adapter.model : undefined;
+  return adapter?.versions.includes(version) ? adapter.model : undefined;
 }
 
 /** Options that follow the configuration in force. */
--- a/packages/placement/src/core/events/assign.ts
+++ b/packages/placement/src/core/events/assign.ts
@@ -1,5 +1,5 @@
 /** Gives each adapter of the events an engine, so that reservations never fill an engine whole. */
-import { createAdapterCatalogue } from '@celeryyoke/configuration';
+import { createAdapterCatalogue, joinAdapterKey } from '@celeryyoke/configuration';
 import type { EngineConfig, EventAdapterConfig, EventConfig } from '@celeryyoke/configuration';
 
 import type { AdapterKey } from '../policy/index.js';
@@ -47,7 +47,7 @@
     const declared = catalogue.find(adapter);
     const wanted = version ?? declared?.current ?? '';
     const isKnown = declared?.versions.includes(wanted) ?? false;
-    return { event, key: `${adapter}@${wanted}`, model: isKnown ? declared?.model : undefined, rps };
+    return { event, key: joinAdapterKey(adapter, wanted), model: isKnown ? declared?.model : undefined, rps };
   };
   for (const line of event.adapters) {
     const need = resolve(line);
