Prompts of an engine are spaced out by the daemon that keeps it

The pauses come in clusters, up to 19 streams of one engine at once: prompts that arrive together are read in full pieces in each step, so that an event of six tokens takes over 300 ms, while the prompts themselves had half a second to spare. The reading rate is the slope of the first event's time over the prompt's length. Held back is only what its objective can spare; without an answer the prompt goes at once.

--- a/packages/routing/src/core/catalog/types.ts
+++ b/packages/routing/src/core/catalog/types.ts
@@ -33,6 +33,8 @@
   readonly targets: readonly RouteTarget[];
   /** Upstreams that one attempt of a caller may run on. */
   readonly maxAttempts: number;
+  /** Longest pause between two events for which a stream is still on time, in milliseconds; undefined where none is stated. */
+  readonly maxPauseMs: number | undefined;
   /** Whether a broken stream may go on at another upstream. */
   readonly isResumable: boolean;
 }
--- a/packages/routing/src/core/cluster/types.ts
+++ b/packages/routing/src/core/cluster/types.ts
@@ -45,6 +45,8 @@
   Use = 10,
   /** A replica has started again under its name. */
   Start = 11,
+  /** Asks the daemon that gives orders to an engine how long to hold a prompt back. */
+  PromptTurn = 12,
 }
 
 /** Handles the messages of one type; what it returns or resolves to is the answer to a request. */
--- a/packages/routing/src/core/daemon/names.ts
+++ b/packages/routing/src/core/daemon/names.ts
@@ -12,6 +12,7 @@
   holdings: 'holdings',
   loads: 'loads',
   standings: 'standings',
+  pacing: 'pacing',
   loader: 'loader',
   conversation: 'conversation',
   follower: 'follower',
--- a/packages/routing/src/core/daemon/services.ts
+++ b/packages/routing/src/core/daemon/services.ts
@@ -15,6 +15,7 @@
 import { ChannelPool } from '../channels/index.js';
 import { Chooser, LoadBook, Standings } from '../choice/index.js';
 import { Cluster, MessageType } from '../cluster/index.js';
+import { PromptPacing } from '../pacing/index.js';
 import { CallerTimes, Evacuations, RequestMetrics, RequestServer } from '../requests/index.js';
 import { Directory, Follower, RecordKind, SharedView } from '../view/index.js';
 import { listenForFigures, registerFigures } from './figures.js';
@@ -99,6 +100,19 @@
         (kernel) => this.makeLoader(kernel),
         (loader) => loader.close(),
       ),
+      part(
+        PART.pacing,
+        [PART.cluster, PART.claims, PART.directory],
+        (kernel) =>
+          new PromptPacing({
+            self: selfOf(this.options),
+            cluster: kernel.get(PART.cluster),
+            claims: kernel.get(PART.claims),
+            directory: kernel.get(PART.directory),
+            timers,
+            log: this.options.log,
+          }),
+      ),
       part(
         PART.conversation,
         [PART.cluster, PART.view, PART.directory, PART.claims, PART.loader, PART.holdings, PART.loads],
@@ -122,6 +136,7 @@
           PART.channels,
           PART.control,
           PART.loader,
+          PART.pacing,
           PART.cluster,
         ],
         (kernel) => this.startRequests(kernel),
@@ -155,7 +170,7 @@
 
   private makeCluster(): Cluster {
     const { settings, timers, log } = this.options;
-    const address = `${settings.host}:${settings.peerPort}`;
+    const address = selfOf(this.options);
     return new Cluster({
       self: { address, zone: settings.zone, incarnation: timers.wall() },
       seeds: () => this.state.seeds,
@@ -173,7 +188,7 @@
     const directory = kernel.get<Directory>(PART.directory);
     const pauses = kernel.get<PauseWatch>(PART.pauses);
     const claims = new Claims({
-      self: `${settings.host}:${settings.peerPort}`,
+      self: selfOf(this.options),
       fleet: cluster,
       timers,
       leaseMs: settings.leaseMs,
@@ -203,10 +218,10 @@
   }
 
   private makeLoader(kernel: ServiceFinder): Loader {
-    const { settings, timers, log } = this.options;
+    const { timers, log } = this.options;
     const directory = kernel.get<Directory>(PART.directory);
     const loader = new Loader({
-      self: `${settings.host}:${settings.peerPort}`,
+      self: selfOf(this.options),
       cluster: kernel.get(PART.cluster),
       claims: kernel.get(PART.claims),
       directory,
@@ -223,11 +238,11 @@
   }
 
   private startFollower(kernel: ServiceFinder): Follower {
-    const { settings, timers, log, source } = this.options;
+    const { timers, log, source } = this.options;
     const view = kernel.get<SharedView>(PART.view);
     const cluster = kernel.get<Cluster>(PART.cluster);
     const conversation = kernel.get<Conversation>(PART.conversation);
-    const self = `${settings.host}:${settings.peerPort}`;
+    const self = selfOf(this.options);
     view.onChange(({ record }) => {
       if (record?.kind !== RecordKind.AdapterVersion) return;
       const { model, adapter, version } = record.declared;
@@ -300,6 +315,7 @@
         timers,
         log,
         ensure,
+        pacing: kernel.get(PART.pacing),
         callerTimes: new CallerTimes(),
         evacuations: new Evacuations({
           directory,
@@ -367,6 +383,11 @@
   }
 }
 
+/** Address of this daemon among its peers. */
+function selfOf({ settings: { host, peerPort } }: RouterOptions): string {
+  return `${host}:${peerPort}`;
+}
+
 /** One part of the daemon as a service of the kernel. */
 function part<T>(
   name: string,
@@ -405,9 +426,9 @@
   return pauses;
 }
 
-function startConversation(kernel: ServiceFinder, { settings, log }: RouterOptions): Conversation {
+function startConversation(kernel: ServiceFinder, options: RouterOptions): Conversation {
   return new Conversation({
-    self: `${settings.host}:${settings.peerPort}`,
+    self: selfOf(options),
     cluster: kernel.get(PART.cluster),
     view: kernel.get(PART.view),
     directory: kernel.get(PART.directory),
@@ -415,7 +436,7 @@
     loader: kernel.get(PART.loader),
     holdings: kernel.get(PART.holdings),
     loads: kernel.get(PART.loads),
-    log,
+    log: options.log,
   });
 }
 
--- a/packages/routing/src/core/requests/journey.ts
+++ b/packages/routing/src/core/requests/journey.ts
@@ -13,6 +13,7 @@
 import type { ChannelPool } from '../channels/index.js';
 import type { Choice, LoadBook, Standings } from '../choice/index.js';
 import { useKey } from '../choice/index.js';
+import type { PromptPacing } from '../pacing/index.js';
 import type { ReplicaEntry } from '../view/index.js';
 import { OwnAnswer, sendOwn } from './answers.js';
 import type { EngineStream, Evacuations, Moved } from './evacuation.js';
@@ -33,6 +34,19 @@
 /** Most sends of one request that were refused without having run. */
 const MAX_REFUSALS = 4;
 const FIRST_FAILURE_STATUS = 500;
+/** Part of the time that is left of the objective for which a prompt may be held back; the rest covers what comes after. */
+const TURN_SHARE = 0.7;
+/** Part of its time for which the prompt of a late request may be held back: a later answer is as good. */
+const LATE_TURN_SHARE = 0.1;
+const LATE_TURN_PATIENCE_MS = 1000;
+/** The end of a send that was never begun. */
+const NOT_SENT: SendResult = {
+  end: SendEnd.Cancelled,
+  answer: undefined,
+  reason: 'The request was over before its turn.',
+  wasSent: false,
+  firstByteMs: undefined,
+};
 /** Outcome of a request whose caller left before an answer. */
 const LEFT = 'left';
 
@@ -43,6 +57,7 @@
   readonly loads: LoadBook;
   readonly standings: Standings;
   readonly evacuations: Evacuations;
+  readonly pacing: PromptPacing;
   /** Notes that an engine does not hold an adapter. */
   readonly notHeld: (replica: string, key: string) => void;
   /** Age of what is known of the platform, in milliseconds. */
@@ -79,6 +94,12 @@
 
   private refusals = 0;
 
+  /** Time for which the prompt was held back, in milliseconds. */
+  private turnMs = 0;
+
+  /** Ends a wait when the request is over. */
+  private readonly overSignal = new AbortController();
+
   /** Where a stream goes on that was moved off its engine. */
   private moved: Moved | undefined;
 
@@ -144,6 +165,7 @@
 
   private leave(reason: string): void {
     this.isOver = true;
+    this.overSignal.abort();
     this.send?.cancel(reason);
   }
 
@@ -163,8 +185,13 @@
     continuation: string | undefined,
   ): Promise<SendResult> {
     const { dialect, pool, timers, loads, standings } = this.parts;
-    const { head, body, route } = this.options;
+    const { head, body, route, service } = this.options;
     const note = loads.begin(replica.id, this.useKey());
+    await this.waitForTurn(replica);
+    if (this.isOver) {
+      note.ended();
+      return NOT_SENT;
+    }
     const headers = dialect.upstreamHeaders(head, {
       waitMs: Math.max(1, Math.floor(this.deadlineAt - timers.now())),
       instance: replica.name,
@@ -193,10 +220,37 @@
     note.ended();
     standings.ended(replica.id);
     this.parts.metrics.sent(result.end);
+    if (result.firstByteMs !== undefined && head.generation !== undefined)
+      this.parts.pacing.noteFirstEvent(service, head.generation.promptTokens, result.firstByteMs);
     judge(replica, result, standings);
     return result;
   }
 
+  /** Holds a prompt back while reading it would stretch the pauses of the streams on its engine. */
+  private async waitForTurn(replica: ReplicaEntry): Promise<void> {
+    const { pacing, timers } = this.parts;
+    const { head, route } = this.options;
+    const tokens = head.generation?.promptTokens ?? 0;
+    const patienceMs = this.turnPatienceMs(tokens);
+    if (tokens === 0 || route.maxPauseMs === undefined || patienceMs <= 0) return;
+    const turn = { replica: replica.id, tokens, maxPauseMs: route.maxPauseMs, patienceMs };
+    const delayMs = await pacing.delayMs(turn);
+    if (delayMs <= 0) return;
+    this.turnMs += Math.round(delayMs);
+    await timers.sleep(delayMs, this.overSignal.signal).catch(() => undefined);
+  }
+
+  /** How long a prompt may be held back: its first event stays on time. */
+  private turnPatienceMs(tokens: number): number {
+    const { route, arrivedAt, service } = this.options;
+    // A stream that has begun must not pause.
+    if (this.relay?.hasBegun) return 0;
+    if (this.finder.isLate) return Math.min(LATE_TURN_PATIENCE_MS, this.timeLeft() * LATE_TURN_SHARE);
+    const spentMs = this.parts.timers.now() - arrivedAt;
+    const readingMs = this.parts.pacing.readingMs(service, tokens);
+    return (route.objectiveMs - spentMs) * TURN_SHARE - readingMs;
+  }
+
   /** Waits for a send; a stream is moved meanwhile if its engine is taken away. */
   private async resultOf(send: Send, replica: ReplicaEntry): Promise<SendResult> {
     const { evacuations } = this.parts;
@@ -230,6 +284,7 @@
       send: this.sends,
       sentAfterMs: this.sentAfter,
       loadMs: this.finder.loadMs,
+      turnMs: this.turnMs,
       firstByteMs: firstByteMs === undefined ? undefined : Math.round(firstByteMs),
       lastedMs: Math.round(timers.now() - this.options.arrivedAt) - this.sentAfter,
       running: loads.counts(replica.id).running,
--- a/packages/routing/test/fakes.ts
+++ b/packages/routing/test/fakes.ts
@@ -48,6 +48,7 @@
     rank: 1,
     targets: [{ service, weight: 1 }],
     maxAttempts,
+    maxPauseMs: kind === RouteKind.Streaming ? 300 : undefined,
     isResumable,
   });
   return {
