Reading rates are learnt for each engine, from what all daemons see

Cause: engines of one service differ in speed, by 1.3 here; the clusters of late pauses that were left fell on the slower ones. A daemon alone sees an engine about once a second. Change: a question for a turn carries what the sender has seen of that engine since it asked last, and the daemon that spaces the prompts learns the engine's own rate from all of them.

--- a/packages/routing/src/core/pacing/index.ts
+++ b/packages/routing/src/core/pacing/index.ts
@@ -2,4 +2,4 @@
 export { PromptPacer } from './pacer.js';
 export { PromptPacing } from './pacing.js';
 export { ReadingRate } from './reading-rate.js';
-export type { PromptTurn } from './types.js';
+export type { PromptTurn, Reading } from './types.js';
--- a/packages/routing/src/core/pacing/pacer.ts
+++ b/packages/routing/src/core/pacing/pacer.ts
@@ -5,6 +5,7 @@
  * pause of every stream there: 10,000 tokens at once made up to 19 streams late, while each of these prompts had half a
  * second to spare. So no more is sent within the longest pause than the engine reads in a part of it.
  */
+import { ReadingRate } from './reading-rate.js';
 import type { PromptTurn } from './types.js';
 
 /**
@@ -24,16 +25,26 @@
   /** Prompts sent or promised within the longest pause, in the order of their times. */
   private recent: Sent[] = [];
 
+  private readonly rate: ReadingRate;
+
+  /**
+   * Makes one that has sent nothing.
+   * @param guess - Milliseconds for a token before enough is known of this engine.
+   */
+  constructor(guess: () => number) {
+    this.rate = new ReadingRate(guess);
+  }
+
   /**
    * Gives a prompt its time.
    * @param turn - The prompt and its bounds.
-   * @param msPerToken - Time in which the engine reads a token, in milliseconds.
    * @param now - Monotonic milliseconds.
    * @returns How long to hold it back, in milliseconds.
    */
-  delayMs({ tokens, maxPauseMs, patienceMs }: PromptTurn, msPerToken: number, now: number): number {
+  delayMs({ tokens, maxPauseMs, patienceMs, readings }: PromptTurn, now: number): number {
+    for (const reading of readings) this.rate.note(reading);
     this.recent = this.recent.filter(({ at }) => at > now - maxPauseMs);
-    const most = (maxPauseMs * READING_SHARE) / msPerToken;
+    const most = (maxPauseMs * READING_SHARE) / this.rate.msPerToken;
     const at = Math.min(this.earliest(tokens, most, maxPauseMs, now), now + patienceMs);
     this.insert({ at, tokens });
     return at - now;
--- a/packages/routing/src/core/pacing/pacing.ts
+++ b/packages/routing/src/core/pacing/pacing.ts
@@ -8,13 +8,17 @@
 import type { Claims } from '../authority/index.js';
 import type { Cluster } from '../cluster/index.js';
 import { MessageType } from '../cluster/index.js';
-import type { Directory } from '../view/index.js';
+import type { Directory, ReplicaEntry } from '../view/index.js';
 import { PromptPacer } from './pacer.js';
 import { ReadingRate } from './reading-rate.js';
-import type { PromptTurn } from './types.js';
+import type { PromptTurn, Reading } from './types.js';
 
 /** Longest wait for the answer of the daemon that spaces an engine's prompts, in milliseconds: some ways between failure domains. */
 const ANSWER_MS = 40;
+/** Milliseconds for a token before anything is measured: engines of this kind read 19 to 39 tokens in one. */
+const FIRST_GUESS_MS = 0.04;
+/** Readings kept of an engine until it is next asked for. */
+const MAX_READINGS = 8;
 
 /** What pacing uses of the daemon. */
 export interface PromptPacingParts {
@@ -31,6 +35,9 @@
 export class PromptPacing {
   private readonly pacers = new Map<string, PromptPacer>();
 
+  /** What this daemon has seen of engines and has not told yet. */
+  private readonly readings = new Map<string, Reading[]>();
+
   /** How fast the engines of each service read. */
   private readonly rates = new Map<string, ReadingRate>();
 
@@ -41,19 +48,23 @@
   constructor(private readonly parts: PromptPacingParts) {
     parts.cluster.handle(MessageType.PromptTurn, (_from, turn: PromptTurn) => this.decide(turn));
     parts.directory.onReplica((id, entry) => {
-      if (entry === undefined) this.pacers.delete(id);
+      if (entry !== undefined) return;
+      this.pacers.delete(id);
+      this.readings.delete(id);
     });
   }
 
   /**
    * Asks how long to hold a prompt back.
-   * @param turn - The prompt.
+   * @param prompt - The prompt.
    * @returns Milliseconds; 0 when nobody tells.
    */
-  async delayMs(turn: PromptTurn): Promise<number> {
+  async delayMs(prompt: Omit<PromptTurn, 'readings'>): Promise<number> {
     const { claims, self, cluster, log } = this.parts;
-    const holder = claims.of(turn.replica)?.holder;
+    const holder = claims.of(prompt.replica)?.holder;
     if (holder === undefined) return 0;
+    const turn: PromptTurn = { ...prompt, readings: this.readings.get(prompt.replica) ?? [] };
+    this.readings.delete(prompt.replica);
     if (holder === self) return this.decide(turn);
     try {
       return Number(await cluster.request(holder, MessageType.PromptTurn, turn, ANSWER_MS));
@@ -65,12 +76,13 @@
 
   /**
    * Notes how long an engine took to its first event.
-   * @param service - Its service.
-   * @param tokens - Tokens of the prompt.
-   * @param ms - Milliseconds from the send on.
+   * @param replica - The engine.
+   * @param reading - The prompt and its first event.
    */
-  noteFirstEvent(service: string, tokens: number, ms: number): void {
-    this.rate(service).note(tokens, ms);
+  noteFirstEvent({ id, service }: ReplicaEntry, reading: Reading): void {
+    this.rate(service).note(reading);
+    const readings = this.readings.get(id) ?? [];
+    this.readings.set(id, [...readings, reading].slice(-MAX_READINGS));
   }
 
   /**
@@ -87,13 +99,13 @@
     const { directory, timers } = this.parts;
     const service = directory.replica(turn.replica)?.service;
     if (service === undefined) return 0;
-    const pacer = this.pacers.get(turn.replica) ?? new PromptPacer();
+    const pacer = this.pacers.get(turn.replica) ?? new PromptPacer(() => this.rate(service).msPerToken);
     this.pacers.set(turn.replica, pacer);
-    return pacer.delayMs(turn, this.rate(service).msPerToken, timers.now());
+    return pacer.delayMs(turn, timers.now());
   }
 
   private rate(service: string): ReadingRate {
-    const rate = this.rates.get(service) ?? new ReadingRate();
+    const rate = this.rates.get(service) ?? new ReadingRate(() => FIRST_GUESS_MS);
     this.rates.set(service, rate);
     return rate;
   }
--- a/packages/routing/src/core/pacing/reading-rate.ts
+++ b/packages/routing/src/core/pacing/reading-rate.ts
@@ -1,9 +1,9 @@
 /** How long engines take to read a token of a prompt, learnt from the first events of their answers. */
 
+import type { Reading } from './types.js';
+
 /** What is left of a measurement's weight with each later one: about the last hundred count. */
 const FADE = 0.99;
-/** Milliseconds for a token before enough is measured: engines of this kind read 19 to 39 tokens in one. */
-const FIRST_GUESS_MS = 0.04;
 /** Measurements, by weight, from which the guess is replaced. */
 const LEAST_WEIGHT = 20;
 /** Time to a first event above which it tells of a queue rather than of reading, in milliseconds. */
@@ -27,12 +27,17 @@
 
   private sumProducts = 0;
 
+  /**
+   * Makes one that has measured nothing.
+   * @param guess - Milliseconds for a token before enough is measured.
+   */
+  constructor(private readonly guess: () => number) {}
+
   /**
    * Takes a measurement.
-   * @param tokens - Tokens of the prompt.
-   * @param ms - Time from the send to the first event, in milliseconds.
+   * @param reading - A prompt and its first event.
    */
-  note(tokens: number, ms: number): void {
+  note({ tokens, ms }: Reading): void {
     if (tokens <= 0 || ms > MAX_SAMPLE_MS) return;
     this.weight = this.weight * FADE + 1;
     this.sumTokens = this.sumTokens * FADE + tokens;
@@ -44,7 +49,7 @@
   /** Milliseconds for a token. */
   get msPerToken(): number {
     const spread = this.weight * this.sumSquares - this.sumTokens * this.sumTokens;
-    if (this.weight < LEAST_WEIGHT || spread <= 0) return FIRST_GUESS_MS;
+    if (this.weight < LEAST_WEIGHT || spread <= 0) return this.guess();
     const slope = (this.weight * this.sumProducts - this.sumTokens * this.sumMs) / spread;
     return Math.min(MOST_MS, Math.max(LEAST_MS, slope));
   }
--- a/packages/routing/src/core/requests/journey.ts
+++ b/packages/routing/src/core/requests/journey.ts
@@ -185,7 +185,7 @@
     continuation: string | undefined,
   ): Promise<SendResult> {
     const { dialect, pool, timers, loads, standings } = this.parts;
-    const { head, body, route, service } = this.options;
+    const { head, body, route } = this.options;
     const note = loads.begin(replica.id, this.useKey());
     await this.waitForTurn(replica);
     if (this.isOver) {
@@ -221,7 +221,10 @@
     standings.ended(replica.id);
     this.parts.metrics.sent(result.end);
     if (result.firstByteMs !== undefined && head.generation !== undefined)
-      this.parts.pacing.noteFirstEvent(service, head.generation.promptTokens, result.firstByteMs);
+      this.parts.pacing.noteFirstEvent(replica, {
+        tokens: head.generation.promptTokens,
+        ms: result.firstByteMs,
+      });
     judge(replica, result, standings);
     return result;
   }
--- a/packages/routing/test/pacing.test.ts
+++ b/packages/routing/test/pacing.test.ts
@@ -19,6 +19,7 @@
   tokens,
   maxPauseMs: PAUSE_MS,
   patienceMs,
+  readings: [],
 });
 
 /** The most reading, in milliseconds, that falls into one span of the longest pause. */
@@ -29,23 +30,23 @@
 }
 
 test('a prompt that comes alone goes at once, whatever its size', (t) => {
-  t.is(new PromptPacer().delayMs(turn(100), MS_PER_TOKEN, 0), 0);
-  t.is(new PromptPacer().delayMs(turn(100_000), MS_PER_TOKEN, 0), 0);
+  t.is(new PromptPacer(() => MS_PER_TOKEN).delayMs(turn(100), 0), 0);
+  t.is(new PromptPacer(() => MS_PER_TOKEN).delayMs(turn(100_000), 0), 0);
 });
 
 test('prompts that come together are spread so that reading leaves room in every pause', (t) => {
-  const pacer = new PromptPacer();
+  const pacer = new PromptPacer(() => MS_PER_TOKEN);
   const sizes = [4000, 800, 800, 3000, 800, 2500, 800, 6000, 800, 800];
-  const sent = sizes.map((tokens) => ({ at: pacer.delayMs(turn(tokens), MS_PER_TOKEN, 0), tokens }));
+  const sent = sizes.map((tokens) => ({ at: pacer.delayMs(turn(tokens), 0), tokens }));
   const unspaced = sizes.reduce((sum, tokens) => sum + tokens, 0) * MS_PER_TOKEN;
   t.true(unspaced > PAUSE_MS);
   t.true(busiest(sent) <= PAUSE_MS * 0.7, `${busiest(sent)} ms`);
 });
 
 test('a prompt is not held back longer than it can spare', (t) => {
-  const pacer = new PromptPacer();
-  pacer.delayMs(turn(8000), MS_PER_TOKEN, 0);
-  t.is(pacer.delayMs(turn(8000, 50), MS_PER_TOKEN, 0), 50);
+  const pacer = new PromptPacer(() => MS_PER_TOKEN);
+  pacer.delayMs(turn(8000), 0);
+  t.is(pacer.delayMs(turn(8000, 50), 0), 50);
 });
 
 test('whatever comes, every delay is finite, within patience, and no span is overfull but by patience or by one alone', (t) => {
@@ -55,11 +56,11 @@
   );
   fc.assert(
     fc.property(arrivals, fc.nat({ max: 2000 }), (list, patience) => {
-      const pacer = new PromptPacer();
+      const pacer = new PromptPacer(() => MS_PER_TOKEN);
       let now = 0;
       for (const { gap, tokens } of list) {
         now += gap;
-        const delay = pacer.delayMs(turn(tokens, patience), MS_PER_TOKEN, now);
+        const delay = pacer.delayMs(turn(tokens, patience), now);
         t.true(Number.isFinite(delay) && delay >= 0 && delay <= patience);
       }
     }),
@@ -67,17 +68,30 @@
 });
 
 test('the time for a token is learnt from answers, whatever else they waited for', (t) => {
-  const rate = new ReadingRate();
+  const rate = new ReadingRate(() => 0.04);
   const before = rate.msPerToken;
   for (let index = 0; index < 200; index += 1) {
     const tokens = 200 + ((index * 397) % 5000);
     const queueMs = 20 + ((index * 31) % 90);
-    rate.note(tokens, queueMs + tokens * MS_PER_TOKEN);
+    rate.note({ tokens, ms: queueMs + tokens * MS_PER_TOKEN });
   }
   t.not(rate.msPerToken, before);
   t.true(Math.abs(rate.msPerToken - MS_PER_TOKEN) < 0.1 * MS_PER_TOKEN, `${rate.msPerToken}`);
 });
 
+test('an engine that reads more slowly than the others of its service gets less at a time', (t) => {
+  const pacer = new PromptPacer(() => MS_PER_TOKEN);
+  const readings = Array.from({ length: 60 }, (_, index) => {
+    const tokens = 200 + ((index * 397) % 5000);
+    return { tokens, ms: 20 + tokens * MS_PER_TOKEN * 2 };
+  });
+  pacer.delayMs({ ...turn(4000), readings }, 0);
+  t.true(pacer.delayMs(turn(4000), 0) > 0);
+  const ordinary = new PromptPacer(() => MS_PER_TOKEN);
+  ordinary.delayMs(turn(4000), 0);
+  t.is(ordinary.delayMs(turn(4000), 0), 0);
+});
+
 function makePacing(holder: string | undefined, request: () => Promise<unknown>) {
   const entry: ReplicaEntry = engineEntry('e');
   return new PromptPacing({
