Requests on an engine are told to its keeper, which tells the sum; frames for all are encoded once

Cause: each daemon told each other one all its requests by engine and adapter four times a second, each of these messages was encoded anew for each peer, and each change of an entry went to all. Change: a daemon tells the keeper of an engine its requests there, the keeper tells the sums to all, and a daemon adds what has changed with itself since. Uses of adapters, which only the keeper needs, go to it alone. A message for all is encoded once. An entry of a replica that differs only in what its engine holds is not passed on: the keeper tells that sooner.

--- a/packages/routing/src/core/choice/load.ts
+++ b/packages/routing/src/core/choice/load.ts
@@ -1,4 +1,9 @@
-/** Requests in progress on each replica: this daemon's own at once, the others' as their heartbeats tell. */
+/**
+ * Requests in progress on each replica: this daemon's own at once, the others' as they are told.
+ *
+ * Of an engine each daemon tells the one that keeps it, which tells the sum to all: so what is told grows with the work
+ * and not with the square of the daemons. Of a replica that nobody keeps, each daemon tells all others.
+ */
 import type { TimerService } from '@celeryyoke/core';
 
 /** Age at which what a peer told no longer counts, in milliseconds: some heartbeats. */
@@ -15,8 +20,11 @@
   ended(): void;
 }
 
-interface Counts {
+/** Requests on a replica. */
+export interface Counts {
+  /** Those in progress. */
   running: number;
+  /** Those of them that have no answer yet. */
   waiting: number;
 }
 
@@ -28,13 +36,20 @@
   begun: number;
 }
 
+/** What one daemon told of its requests. */
 interface Told {
   at: number;
-  loads: ReadonlyMap<string, Counts>;
+  readonly loads: Map<string, Counts>;
   /** Requests in progress by replica and `model/adapter`. */
   readonly uses: Map<string, Map<string, number>>;
 }
 
+/** What the keeper of an engine told of all daemons' requests, and this daemon's own part of it. */
+interface Total extends Counts {
+  readonly at: number;
+  readonly own: Counts;
+}
+
 /** Told when the number of this daemon's requests on an adapter changes. */
 export type UseListener = (replica: string, key: string, running: number) => void;
 
@@ -44,8 +59,15 @@
 
   private readonly ownUses = new Map<string, Map<string, Use>>();
 
+  /** By peer, its requests on engines that this daemon keeps. */
   private readonly told = new Map<string, Told>();
 
+  /** By peer, its requests on replicas that nobody keeps. */
+  private readonly open = new Map<string, Told>();
+
+  /** By engine, what its keeper told. */
+  private readonly totals = new Map<string, Total>();
+
   private readonly listeners: UseListener[] = [];
 
   /**
@@ -95,7 +117,7 @@
   }
 
   /**
-   * Takes what a peer told.
+   * Takes what a peer told of its requests on engines that this daemon keeps.
    * @param peer - Its address.
    * @param loads - Its requests in progress.
    * @param uses - Its adapters in use.
@@ -107,13 +129,43 @@
   }
 
   /**
-   * Takes a change of a peer's uses.
+   * Takes a change of a peer's uses of an engine that this daemon keeps.
    * @param peer - Its address.
    * @param line - Replica, adapter and the requests in progress now.
    */
   takeUse(peer: string, [replica, key, running]: UseLine): void {
-    const told = this.told.get(peer);
-    if (told !== undefined) setUse(told, replica, key, running);
+    const told = this.freshTold(peer);
+    const before = setUse(told, replica, key, running);
+    const counts = told.loads.get(replica) ?? { running: 0, waiting: 0 };
+    counts.running = Math.max(0, counts.running + running - before);
+    told.loads.set(replica, counts);
+  }
+
+  /**
+   * Takes what a peer told of its requests on replicas that nobody keeps.
+   * @param peer - Its address.
+   * @param loads - Its requests in progress.
+   */
+  takeOpen(peer: string, loads: readonly LoadLine[]): void {
+    this.open.set(peer, { at: this.timers.now(), loads: countsOf(loads), uses: new Map() });
+  }
+
+  /**
+   * Takes what the keeper of an engine told of all daemons' requests there.
+   * @param line - The engine and the sums.
+   */
+  takeTotal([replica, running, waiting]: LoadLine): void {
+    const own = this.own.get(replica);
+    const ownCounts = { running: own?.running ?? 0, waiting: own?.waiting ?? 0 };
+    this.totals.set(replica, { at: this.timers.now(), running, waiting, own: ownCounts });
+  }
+
+  /**
+   * Forgets a replica that is gone.
+   * @param replica - The replica.
+   */
+  forget(replica: string): void {
+    this.totals.delete(replica);
   }
 
   /**
@@ -121,16 +173,33 @@
    * @param replica - The replica.
    * @returns Those in progress, and those of them that have no answer yet.
    */
-  counts(replica: string): { running: number; waiting: number } {
+  counts(replica: string): Counts {
+    const total = this.totals.get(replica);
+    if (total === undefined || total.at <= this.timers.now() - STALE_MS) return this.sum(replica);
+    // What has changed here since is known, and not yet in the sum.
+    const own = this.own.get(replica);
+    return {
+      running: Math.max(own?.running ?? 0, total.running + (own?.running ?? 0) - total.own.running),
+      waiting: Math.max(own?.waiting ?? 0, total.waiting + (own?.waiting ?? 0) - total.own.waiting),
+    };
+  }
+
+  /**
+   * Sums what each daemon told itself, for the engines that this daemon keeps.
+   * @param replica - The replica.
+   * @returns Requests in progress, and those of them that have no answer yet.
+   */
+  sum(replica: string): Counts {
     const oldest = this.timers.now() - STALE_MS;
     const own = this.own.get(replica);
     const sum = { running: own?.running ?? 0, waiting: own?.waiting ?? 0 };
-    for (const { at, loads } of this.told.values()) {
-      const told = at > oldest ? loads.get(replica) : undefined;
-      if (told === undefined) continue;
-      sum.running += told.running;
-      sum.waiting += told.waiting;
-    }
+    for (const book of [this.told, this.open])
+      for (const { at, loads } of book.values()) {
+        const told = at > oldest ? loads.get(replica) : undefined;
+        if (told === undefined) continue;
+        sum.running += told.running;
+        sum.waiting += told.waiting;
+      }
     return sum;
   }
 
@@ -173,6 +242,16 @@
     return { loads, uses };
   }
 
+  /** What a peer told; nothing when that is too old. */
+  private freshTold(peer: string): Told {
+    const now = this.timers.now();
+    const known = this.told.get(peer);
+    if (known !== undefined && known.at > now - STALE_MS) return known;
+    const told: Told = { at: now, loads: new Map(), uses: new Map() };
+    this.told.set(peer, told);
+    return told;
+  }
+
   private tellUse(replica: string, key: string, running: number): void {
     for (const listener of this.listeners) listener(replica, key, running);
   }
@@ -190,9 +269,12 @@
   return new Map(lines.map(([replica, running, waiting]) => [replica, { running, waiting }]));
 }
 
-function setUse({ uses }: Told, replica: string, key: string, running: number): void {
+/** Notes a use; returns the requests that were known before. */
+function setUse({ uses }: Told, replica: string, key: string, running: number): number {
   const byKey = uses.get(replica) ?? new Map<string, number>();
   uses.set(replica, byKey);
+  const before = byKey.get(key) ?? 0;
   if (running > 0) byKey.set(key, running);
   else byKey.delete(key);
+  return before;
 }
--- a/packages/routing/src/core/cluster/cluster.ts
+++ b/packages/routing/src/core/cluster/cluster.ts
@@ -7,6 +7,7 @@
 import type { DecisionLog, TimerHandle, TimerService } from '@celeryyoke/core';
 import type { Server } from 'node:net';
 
+import { encodeFrame } from './frames.js';
 import { Link, LinkEnd } from './link.js';
 import { listenForPeers } from './listener.js';
 import { Peer } from './peer.js';
@@ -146,7 +147,8 @@
    * @param body - Plain data.
    */
   broadcast(type: MessageType, body: unknown): void {
-    for (const { link } of this.peers.values()) link?.send(type, body);
+    const frame = encodeFrame([type, 0, body]);
+    for (const { link } of this.peers.values()) link?.sendFrame(frame);
   }
 
   /**
@@ -176,11 +178,11 @@
   private tick(): void {
     const now = this.options.timers.now();
     for (const seed of this.options.seeds()) this.learn(seed);
-    const body = this.options.heartbeat();
-    for (const peer of this.peers.values()) this.tend(peer, now, body);
+    const frame = encodeFrame([MessageType.Heartbeat, 0, this.options.heartbeat()]);
+    for (const peer of this.peers.values()) this.tend(peer, now, frame);
   }
 
-  private tend(peer: Peer, now: number, heartbeat: unknown): void {
+  private tend(peer: Peer, now: number, heartbeat: Buffer): void {
     if (peer.state === MemberState.Alive && now - peer.heardAt > SILENT_MS)
       this.setState(peer, MemberState.Silent);
     if (peer.link !== undefined) {
--- a/packages/routing/src/core/cluster/link.ts
+++ b/packages/routing/src/core/cluster/link.ts
@@ -89,7 +89,15 @@
    * @param body - Plain data.
    */
   send(type: MessageType, body: unknown): void {
-    if (this.isUp) this.write([type, 0, body]);
+    this.sendFrame(encodeFrame([type, 0, body]));
+  }
+
+  /**
+   * Sends a message without an answer that is encoded already, as for several peers.
+   * @param frame - The frame.
+   */
+  sendFrame(frame: Buffer): void {
+    if (this.isUp) this.write(frame);
   }
 
   /**
@@ -110,18 +118,21 @@
         reject(new Error(`The peer did not answer within ${timeoutMs} ms.`));
       });
       this.waiting.set(number, { resolve, reject, timer });
-      this.write([type, number, body]);
+      this.write(encodeFrame([type, number, body]));
     });
   }
 
-  /** Sends a heartbeat, and ends the link when the peer has not answered the last ones. */
-  heartbeat(body: unknown): void {
+  /**
+   * Sends a heartbeat, and ends the link when the peer has not answered the last ones.
+   * @param frame - The encoded heartbeat.
+   */
+  heartbeat(frame: Buffer): void {
     if (!this.isUp) return;
     if (this.options.timers.now() - this.heardAt > SILENCE_MS) {
       this.end(LinkEnd.Lost, `silent for over ${SILENCE_MS} ms`);
       return;
     }
-    this.write([MessageType.Heartbeat, 0, body]);
+    this.write(frame);
   }
 
   /** Closes the link without telling that it ended. */
@@ -134,16 +145,16 @@
   private start(): void {
     this.isUp = true;
     this.heardAt = this.options.timers.now();
-    this.write([MessageType.Hello, 0, this.options.hello()]);
+    this.write(encodeFrame([MessageType.Hello, 0, this.options.hello()]));
     this.options.onUp();
   }
 
-  private write(frame: unknown): void {
+  private write(frame: Buffer): void {
     if (this.socket.writableLength > MAX_BACKLOG_BYTES) {
       this.end(LinkEnd.Lost, 'the peer does not read');
       return;
     }
-    this.socket.write(encodeFrame(frame));
+    this.socket.write(frame);
   }
 
   private receive(chunk: Buffer): void {
--- a/packages/routing/src/core/cluster/types.ts
+++ b/packages/routing/src/core/cluster/types.ts
@@ -47,6 +47,8 @@
   Start = 11,
   /** Asks the daemon that gives orders to an engine how long to hold a prompt back. */
   PromptTurn = 12,
+  /** The speaker's requests on the engines that the daemon spoken to keeps. */
+  Loads = 13,
 }
 
 /** Handles the messages of one type; what it returns or resolves to is the answer to a request. */
--- a/packages/routing/src/core/daemon/heartbeat.ts
+++ b/packages/routing/src/core/daemon/heartbeat.ts
@@ -14,14 +14,22 @@
   readonly upTo: number;
   /** How long ago that was confirmed, in milliseconds. */
   readonly ageMs: number;
-  readonly loads: readonly LoadLine[];
-  readonly uses: readonly UseLine[];
+  /** The speaker's requests on replicas that nobody keeps. */
+  readonly open: readonly LoadLine[];
+  /** All daemons' requests on the engines that the speaker keeps. */
+  readonly totals: readonly LoadLine[];
   /** Slots of the engines that the speaker gives orders to. */
   readonly rooms: readonly RoomLine[];
   /** Engines that the speaker gives orders to. */
   readonly claims: readonly Claim[];
 }
 
+/** What a daemon tells the keeper of some engines of its requests there. */
+interface KeptLoads {
+  readonly loads: LoadLine[];
+  readonly uses: UseLine[];
+}
+
 /** The parts that talk. */
 export interface TalkingParts {
   /** Address of this daemon. */
@@ -41,6 +49,9 @@
   /** Revision up to which each peer's view is complete, by its last word. */
   private readonly peerUpTo = new Map<string, number>();
 
+  /** Daemons that were last told of requests on their engines. */
+  private readonly toldKeepers = new Set<string>();
+
   /**
    * Registers the handlers of all messages.
    * @param parts - The parts that talk.
@@ -66,6 +77,7 @@
       parts.directory.noteStart(name, bornAt);
     });
     parts.loads.onUse((replica, key, running) => this.tellUse(replica, key, running));
+    cluster.handle(MessageType.Loads, (from, kept: KeptLoads) => this.takeLoads(from, kept));
     cluster.handle(MessageType.Ensure, (_from, wanted: EnsureWanted) => loader.ensureHere(wanted));
   }
 
@@ -75,13 +87,16 @@
    */
   heartbeat(): Heartbeat {
     const { view, loads, claims, loader } = this.parts;
-    const told = loads.tell();
-    for (const [replica, key, , begun] of told.uses) loader.use(replica, key, begun);
+    const open = this.tellLoads();
+    const totals = claims.mine().map(({ replica }): LoadLine => {
+      const { running, waiting } = loads.sum(replica);
+      return [replica, running, waiting];
+    });
     loader.refreshRunning((replica) => loads.runningByAdapter(replica));
     const ageMs = Number.isFinite(view.ageMs) ? Math.round(view.ageMs) : -1;
     const rooms = loader.rooms();
     for (const line of rooms) this.parts.holdings.takeRoom(line);
-    return { upTo: view.upTo, ageMs, ...told, rooms, claims: claims.mine() };
+    return { upTo: view.upTo, ageMs, open, totals, rooms, claims: claims.mine() };
   }
 
   /**
@@ -106,6 +121,46 @@
     }
   }
 
+  /**
+   * Tells each keeper of this daemon's requests on its engines.
+   * @returns The requests on replicas that nobody keeps, for all.
+   */
+  private tellLoads(): LoadLine[] {
+    const { self, cluster, claims, loader, loads } = this.parts;
+    const told = loads.tell();
+    const open: LoadLine[] = [];
+    const byKeeper = new Map<string, KeptLoads>();
+    // One that was told of requests hears also that there are none any more.
+    for (const keeper of this.toldKeepers) byKeeper.set(keeper, { loads: [], uses: [] });
+    const of = (keeper: string): KeptLoads => {
+      const kept = byKeeper.get(keeper) ?? { loads: [], uses: [] };
+      byKeeper.set(keeper, kept);
+      return kept;
+    };
+    for (const line of told.loads) {
+      const keeper = claims.of(line[0])?.holder;
+      if (keeper === undefined) open.push(line);
+      else if (keeper !== self) of(keeper).loads.push(line);
+    }
+    for (const line of told.uses) {
+      const [replica, key, , begun] = line;
+      const keeper = claims.of(replica)?.holder;
+      if (keeper === self) loader.use(replica, key, begun);
+      else if (keeper !== undefined) of(keeper).uses.push(line);
+    }
+    this.toldKeepers.clear();
+    for (const [keeper, kept] of byKeeper) {
+      cluster.send(keeper, MessageType.Loads, kept);
+      if (kept.loads.length > 0) this.toldKeepers.add(keeper);
+    }
+    return open;
+  }
+
+  private takeLoads(from: Member, { loads, uses }: KeptLoads): void {
+    this.parts.loads.take(from.address, loads, uses);
+    for (const [replica, key, , begun] of uses) this.parts.loader.use(replica, key, begun);
+  }
+
   /** Tells the keeper of an engine of a change at once; the others hear of it with the next heartbeat. */
   private tellUse(replica: string, key: string, running: number): void {
     const { claims, cluster } = this.parts;
@@ -121,10 +176,10 @@
   }
 
   private takeHeartbeat(from: Member, body: Heartbeat): void {
-    const { view, loads, claims, loader, cluster, holdings } = this.parts;
+    const { view, loads, claims, cluster, holdings } = this.parts;
     this.peerUpTo.set(from.address, body.upTo);
-    loads.take(from.address, body.loads, body.uses);
-    for (const [replica, key, , begun] of body.uses) loader.use(replica, key, begun);
+    loads.takeOpen(from.address, body.open);
+    for (const line of body.totals) loads.takeTotal(line);
     for (const claim of body.claims) claims.take(claim);
     for (const line of body.rooms) holdings.takeRoom(line);
     if (body.ageMs >= 0) view.confirm(body.upTo, body.ageMs);
--- a/packages/routing/src/core/daemon/services.ts
+++ b/packages/routing/src/core/daemon/services.ts
@@ -96,7 +96,7 @@
       ),
       part(
         PART.loader,
-        [PART.cluster, PART.claims, PART.directory, PART.holdings, PART.channels, PART.control],
+        [PART.cluster, PART.claims, PART.directory, PART.holdings, PART.loads, PART.channels, PART.control],
         (kernel) => this.makeLoader(kernel),
         (loader) => loader.close(),
       ),
@@ -231,8 +231,11 @@
       log,
     });
     const channels = kernel.get<ChannelPool>(PART.channels);
+    const loads = kernel.get<LoadBook>(PART.loads);
     directory.onReplica((id, entry) => {
-      if (entry === undefined) channels.forget(id);
+      if (entry !== undefined) return;
+      channels.forget(id);
+      loads.forget(id);
     });
     return loader;
   }
--- a/packages/routing/src/core/view/view.ts
+++ b/packages/routing/src/core/view/view.ts
@@ -6,7 +6,8 @@
  */
 import type { TimerService } from '@celeryyoke/core';
 
-import type { Change, Delta, ViewRecord } from './types.js';
+import type { Change, Delta, ReplicaEntry, ViewRecord } from './types.js';
+import { RecordKind } from './types.js';
 
 /** Changes kept for peers that lag; one that lags further gets the whole view. */
 const KEPT_CHANGES = 600;
@@ -102,7 +103,7 @@
     const known = this.known.get(change.key);
     if (known !== undefined && known.revision >= change.revision) return;
     this.known.set(change.key, { revision: change.revision, record: change.record });
-    this.remember(change);
+    if (isNews(known?.record, change.record)) this.remember(change);
     for (const listener of this.listeners) listener(change);
   }
 
@@ -127,3 +128,16 @@
     this.logFrom = this.upTo;
   }
 }
+
+/**
+ * Whether peers must hear of a change. A replica writes its entry about once a second; what an engine holds in it is
+ * told sooner by the daemon that gives it orders, and stands in whole copies.
+ */
+function isNews(before: ViewRecord | undefined, after: ViewRecord | undefined): boolean {
+  if (before?.kind !== RecordKind.Replica || after?.kind !== RecordKind.Replica) return true;
+  return gistOf(before.replica) !== gistOf(after.replica);
+}
+
+function gistOf({ models, ...rest }: ReplicaEntry): string {
+  return JSON.stringify([rest, models?.map(({ name, version }) => [name, version])]);
+}
--- a/packages/routing/test/view.test.ts
+++ b/packages/routing/test/view.test.ts
@@ -157,3 +157,29 @@
   t.deepEqual(ids(), ['a#2000']);
   t.false(directory.noteStart('a', 1500));
 });
+
+test('an entry that says nothing new is not passed on, and stands in a whole copy', (t) => {
+  const view = new SharedView(createManualTimers());
+  const holding = (revision: number, ...names: string[]): Change => {
+    const adapters = names.map((name) => ({ name, version: 1 }));
+    const models = [{ name: 'base', version: 1, adapters }];
+    return {
+      key: 'r/a',
+      revision,
+      record: { kind: RecordKind.Replica, replica: engineEntry('a', models) },
+    };
+  };
+  view.apply(whole(5, holding(2)));
+  view.apply(part(5, 6, holding(6, 'a1')));
+  view.apply(part(6, 7, replica('a', 7, ReplicaState.Leaving)));
+  t.deepEqual(
+    view.since(5).changes.map(({ revision }) => revision),
+    [7],
+  );
+  t.is(view.since(5).upTo, 7);
+  view.apply(part(7, 8, holding(8, 'a1')));
+  view.apply(part(8, 9, holding(9, 'a1', 'a2')));
+  t.deepEqual(view.since(8).changes, []);
+  const [entry] = view.since(0).changes;
+  t.is(entry?.revision, 9);
+});
