--- a/packages/routing/src/core/requests/journey.ts
+++ b/packages/routing/src/core/requests/journey.ts
@@ -124,7 +124,8 @@
   ) {
     const { head, route, res, arrivedAt } = options;
     this.deadlineAt = arrivedAt + Math.min(head.waitMs ?? route.timeoutMs, route.timeoutMs);
-    if (route.kind === RouteKind.Streaming) this.relay = new StreamRelay(res, head.lastEventId);
+    if (route.kind === RouteKind.Streaming)
+      this.relay = new StreamRelay(res, head.lastEventId, parts.timers.now);
     parts.callerTimes.note(route.name, this.deadlineAt - arrivedAt);
     this.finder = new ReplicaFinder(parts, {
       ...options,
@@ -240,6 +241,7 @@
     const delayMs = await pacing.delayMs(turn);
     if (delayMs <= 0) return;
     this.turnMs += Math.round(delayMs);
+    this.parts.metrics.heldBack(delayMs);
     await timers.sleep(delayMs, this.overSignal.signal).catch(() => undefined);
   }
 
@@ -288,6 +290,7 @@
       sentAfterMs: this.sentAfter,
       loadMs: this.finder.loadMs,
       turnMs: this.turnMs,
+      longestPauseMs: this.relay === undefined ? undefined : Math.round(this.relay.longestPauseMs),
       firstByteMs: firstByteMs === undefined ? undefined : Math.round(firstByteMs),
       lastedMs: Math.round(timers.now() - this.options.arrivedAt) - this.sentAfter,
       running: loads.counts(replica.id).running,
@@ -321,6 +324,7 @@
   /** The stream was passed on to its end. */
   onRelayed(): boolean {
     this.relay!.end();
+    this.parts.metrics.paused(this.relay!.longestPauseMs);
     this.outcome = 'streamed';
     this.isOver = true;
     return false;
--- a/packages/routing/src/core/requests/metrics.ts
+++ b/packages/routing/src/core/requests/metrics.ts
@@ -14,12 +14,24 @@
 
   private readonly loadWait: Histogram;
 
+  private readonly promptWait: Histogram;
+
+  private readonly streamPause: Histogram;
+
   /**
    * Registers the figures.
    * @param metrics - Where they are kept.
    */
   constructor(private readonly metrics: Metrics) {
     this.loadWait = metrics.histogram('router_adapter_wait_ms', 'Wait of a request for its adapter.');
+    this.promptWait = metrics.histogram(
+      'router_prompt_wait_ms',
+      'Time for which a prompt was held back so that the streams beside it keep their pauses.',
+    );
+    this.streamPause = metrics.histogram(
+      'router_stream_pause_ms',
+      'Longest pause between events of a stream.',
+    );
   }
 
   /**
@@ -60,6 +72,22 @@
     counter.add();
   }
 
+  /**
+   * Notes that a prompt was held back.
+   * @param ms - Milliseconds.
+   */
+  heldBack(ms: number): void {
+    this.promptWait.record(ms);
+  }
+
+  /**
+   * Notes a stream that came to its end.
+   * @param ms - Its longest pause, in milliseconds.
+   */
+  paused(ms: number): void {
+    this.streamPause.record(ms);
+  }
+
   /**
    * Notes a wait for an adapter.
    * @param ms - Milliseconds.
--- a/packages/routing/src/core/requests/relay.ts
+++ b/packages/routing/src/core/requests/relay.ts
@@ -18,6 +18,9 @@
   /** Number of the last event that the caller has; undefined before the first. */
   lastId: number | undefined;
 
+  /** Longest time between two pieces of it, in milliseconds; the first piece begins the count. */
+  longestPauseMs = 0;
+
   /** Whether the head was passed on. */
   hasBegun = false;
 
@@ -27,14 +30,19 @@
 
   private isResumed = false;
 
+  /** Monotonic time of the last piece. */
+  private heardAt: number | undefined;
+
   /**
    * Makes a relay that has passed nothing on.
    * @param res - The caller's answer.
    * @param firstId - Number of the last event that the caller says it has.
+   * @param now - Monotonic milliseconds.
    */
   constructor(
     private readonly res: ServerResponse,
     firstId: number | undefined,
+    private readonly now: () => number,
   ) {
     this.lastId = firstId;
   }
@@ -60,6 +68,7 @@
    * @returns Whether the stream fits what the caller has; if not, it must be broken off.
    */
   take(chunk: Buffer): boolean {
+    this.notePause();
     const bytes = this.rest.length === 0 ? chunk : Buffer.concat([this.rest, chunk]);
     let passFrom = 0;
     let start = 0;
@@ -90,6 +99,12 @@
     this.res.destroy();
   }
 
+  private notePause(): void {
+    const now = this.now();
+    if (this.heardAt !== undefined) this.longestPauseMs = Math.max(this.longestPauseMs, now - this.heardAt);
+    this.heardAt = now;
+  }
+
   private pass(bytes: Buffer, from: number, to: number): void {
     if (to > from) this.res.write(from === 0 && to === bytes.length ? bytes : bytes.subarray(from, to));
   }
--- a/packages/routing/test/relay.test.ts
+++ b/packages/routing/test/relay.test.ts
@@ -38,8 +38,9 @@
 
 function setUp(firstId?: number) {
   const res = new FakeAnswer();
-  const relay = new StreamRelay(res as unknown as ServerResponse, firstId);
-  return { res, relay };
+  const clock = { now: 0 };
+  const relay = new StreamRelay(res as unknown as ServerResponse, firstId, () => clock.now);
+  return { res, relay, clock };
 }
 
 const event = (id: number): string => `id: ${id}\ndata: t${id}\n\n`;
@@ -93,3 +94,20 @@
   t.false(relay.take(Buffer.from(events(5, 6))));
   t.is(res.text, events(1, 3));
 });
+
+test('the longest pause counts from the first piece on, over all replicas', (t) => {
+  const { relay, clock } = setUp();
+  relay.begin(200, FRAMED);
+  for (const [at, id] of [
+    [500, 1],
+    [600, 2],
+    [950, 3],
+  ] as const) {
+    clock.now = at;
+    relay.take(Buffer.from(event(id)));
+  }
+  relay.begin(200, FRAMED);
+  clock.now = 1400;
+  relay.take(Buffer.from(event(4)));
+  t.is(relay.longestPauseMs, 450);
+});
