Heartbeats further apart in a large fleet, and in a compact form

Cause: with what daemons tell of requests gone from them, heartbeats themselves were most of the messages: 24,000 a second at 78 daemons, each with a claim, a room and a sum for every engine under full names. Change: the interval is 250 ms for each 40 daemons, a second at most, and what counts as silent grows with it. A heartbeat is one list of numbers for each engine that the speaker keeps, under 60 bytes; a codec gives it names.

--- a/packages/routing/src/core/cluster/cluster.ts
+++ b/packages/routing/src/core/cluster/cluster.ts
@@ -2,7 +2,7 @@
  * Membership from seeds: the daemons find each other through a few addresses that may be stale or down, and then
  * judge each other by direct heartbeats.
  *
- * Every daemon keeps a link to every other one. At 70 daemons that is 70 small messages in each interval.
+ * Every daemon keeps a link to every other one. At 78 daemons that is 77 messages of some 80 bytes in half a second.
  */
 import type { DecisionLog, TimerHandle, TimerService } from '@celeryyoke/core';
 import type { Server } from 'node:net';
@@ -14,9 +14,15 @@
 import type { Member, MessageHandler } from './types.js';
 import { MemberState, MessageType } from './types.js';
 
-/** Interval of heartbeats in milliseconds: four are missed before a member counts as silent. */
+/** Interval of heartbeats in a small fleet, in milliseconds: four are missed before a member counts as silent. */
 const HEARTBEAT_MS = 250;
-/** Time after which a member that is not heard counts as silent, in milliseconds. */
+/**
+ * Daemons for which the interval grows by one more {@link HEARTBEAT_MS}: heartbeats go from each to each, and with more
+ * daemons a single one that falls silent matters less.
+ */
+const DAEMONS_PER_INTERVAL = 40;
+const MAX_INTERVALS = 4;
+/** Time after which a member that is not heard counts as silent in a small fleet, in milliseconds. */
 const SILENT_MS = 1100;
 /** Pause between two tries to reach a member that is down, in milliseconds. */
 const REDIAL_MS = 500;
@@ -47,6 +53,15 @@
   readonly known: readonly string[];
 }
 
+/**
+ * Tells how far apart heartbeats are.
+ * @param daemons - Daemons that are known, this one included.
+ * @returns Intervals of a small fleet's heartbeat.
+ */
+export function heartbeatIntervals(daemons: number): number {
+  return Math.min(MAX_INTERVALS, Math.ceil(daemons / DAEMONS_PER_INTERVAL));
+}
+
 /** The members that this daemon knows. */
 export class Cluster {
   private readonly peers = new Map<string, Peer>();
@@ -57,6 +72,9 @@
 
   private ticking: TimerHandle | undefined;
 
+  /** Times at which heartbeats could have been due. */
+  private ticks = 0;
+
   private isClosing = false;
 
   private isLeaving = false;
@@ -178,15 +196,18 @@
   private tick(): void {
     const now = this.options.timers.now();
     for (const seed of this.options.seeds()) this.learn(seed);
-    const frame = encodeFrame([MessageType.Heartbeat, 0, this.options.heartbeat()]);
-    for (const peer of this.peers.values()) this.tend(peer, now, frame);
+    const intervals = heartbeatIntervals(this.peers.size + 1);
+    this.ticks += 1;
+    const isDue = this.ticks % intervals === 0;
+    const frame = isDue ? encodeFrame([MessageType.Heartbeat, 0, this.options.heartbeat()]) : undefined;
+    for (const peer of this.peers.values()) this.tend(peer, now, intervals, frame);
   }
 
-  private tend(peer: Peer, now: number, heartbeat: Buffer): void {
-    if (peer.state === MemberState.Alive && now - peer.heardAt > SILENT_MS)
+  private tend(peer: Peer, now: number, intervals: number, heartbeat: Buffer | undefined): void {
+    if (peer.state === MemberState.Alive && now - peer.heardAt > SILENT_MS * intervals)
       this.setState(peer, MemberState.Silent);
     if (peer.link !== undefined) {
-      peer.link.heartbeat(heartbeat);
+      if (heartbeat !== undefined) peer.link.heartbeat(heartbeat, intervals);
       return;
     }
     const isForgotten = peer.state === MemberState.Ended && now - peer.downSince > FORGET_MS;
--- a/packages/routing/src/core/cluster/link.ts
+++ b/packages/routing/src/core/cluster/link.ts
@@ -13,7 +13,7 @@
 const CONNECT_TIMEOUT_MS = 600;
 /** Bytes that may wait for a peer that does not read before the link is cut. */
 const MAX_BACKLOG_BYTES = 4 * 1024 * 1024;
-/** Time without an answer to a heartbeat after which a link counts as silent, in milliseconds: three heartbeats. */
+/** Time without an answer to a heartbeat after which a link counts as silent, in milliseconds: three heartbeats of a small fleet. */
 const SILENCE_MS = 1000;
 
 /** How a link ended. */
@@ -125,11 +125,12 @@
   /**
    * Sends a heartbeat, and ends the link when the peer has not answered the last ones.
    * @param frame - The encoded heartbeat.
+   * @param intervals - Intervals of a small fleet's heartbeat between two.
    */
-  heartbeat(frame: Buffer): void {
+  heartbeat(frame: Buffer, intervals: number): void {
     if (!this.isUp) return;
-    if (this.options.timers.now() - this.heardAt > SILENCE_MS) {
-      this.end(LinkEnd.Lost, `silent for over ${SILENCE_MS} ms`);
+    if (this.options.timers.now() - this.heardAt > SILENCE_MS * intervals) {
+      this.end(LinkEnd.Lost, `silent for over ${SILENCE_MS * intervals} ms`);
       return;
     }
     this.write(frame);
--- a/packages/routing/src/core/daemon/heartbeat.ts
+++ b/packages/routing/src/core/daemon/heartbeat.ts
@@ -1,28 +1,14 @@
 /** Heartbeats and the other messages between router daemons: what each part tells and takes. */
 import type { DecisionLog } from '@celeryyoke/core';
 
-import type { EnsureWanted, Holdings, HoldingsBook, Loader, RoomLine } from '../adapters/index.js';
+import type { EnsureWanted, Holdings, HoldingsBook, Loader } from '../adapters/index.js';
 import type { Claim, Claims } from '../authority/index.js';
 import type { LoadBook, LoadLine, UseLine } from '../choice/index.js';
 import type { Cluster, Member } from '../cluster/index.js';
 import { MessageType } from '../cluster/index.js';
 import type { Delta, Directory, SharedView } from '../view/index.js';
-
-/** What a heartbeat carries. */
-export interface Heartbeat {
-  /** Revision up to which the speaker's view is complete. */
-  readonly upTo: number;
-  /** How long ago that was confirmed, in milliseconds. */
-  readonly ageMs: number;
-  /** The speaker's requests on replicas that nobody keeps. */
-  readonly open: readonly LoadLine[];
-  /** All daemons' requests on the engines that the speaker keeps. */
-  readonly totals: readonly LoadLine[];
-  /** Slots of the engines that the speaker gives orders to. */
-  readonly rooms: readonly RoomLine[];
-  /** Engines that the speaker gives orders to. */
-  readonly claims: readonly Claim[];
-}
+import type { EngineState, HeartbeatFrame } from './heartbeat-codec.js';
+import { decodeHeartbeat, encodeHeartbeat } from './heartbeat-codec.js';
 
 /** What a daemon tells the keeper of some engines of its requests there. */
 interface KeptLoads {
@@ -58,7 +44,7 @@
    */
   constructor(private readonly parts: TalkingParts) {
     const { cluster, claims, holdings, loader, view } = parts;
-    cluster.handle(MessageType.Heartbeat, (from, body: Heartbeat) => this.takeHeartbeat(from, body));
+    cluster.handle(MessageType.Heartbeat, (from, frame: HeartbeatFrame) => this.takeHeartbeat(from, frame));
     cluster.handle(MessageType.Delta, (from, delta: Delta) => this.takeDelta(from, delta));
     cluster.handle(MessageType.DeltaWanted, (from, upTo: number) => {
       cluster.send(from.address, MessageType.Delta, view.since(upTo));
@@ -85,18 +71,23 @@
    * Makes a heartbeat.
    * @returns Its body.
    */
-  heartbeat(): Heartbeat {
-    const { view, loads, claims, loader } = this.parts;
+  heartbeat(): HeartbeatFrame {
+    const { view, loads, loader } = this.parts;
     const open = this.tellLoads();
-    const totals = claims.mine().map(({ replica }): LoadLine => {
-      const { running, waiting } = loads.sum(replica);
-      return [replica, running, waiting];
-    });
     loader.refreshRunning((replica) => loads.runningByAdapter(replica));
     const ageMs = Number.isFinite(view.ageMs) ? Math.round(view.ageMs) : -1;
-    const rooms = loader.rooms();
-    for (const line of rooms) this.parts.holdings.takeRoom(line);
-    return { upTo: view.upTo, ageMs, open, totals, rooms, claims: claims.mine() };
+    return encodeHeartbeat({ upTo: view.upTo, ageMs, open, engines: this.engines() });
+  }
+
+  /** The engines that this daemon gives orders to. */
+  private engines(): EngineState[] {
+    const { loads, claims, loader, holdings } = this.parts;
+    const rooms = new Map(loader.rooms().map((line) => [line[0], line]));
+    return claims.mine().map(({ replica, token }) => {
+      const [, room, queued] = rooms.get(replica) ?? [replica, 0, 0];
+      holdings.takeRoom([replica, room, queued]);
+      return { replica, token, room, queued, ...loads.sum(replica) };
+    });
   }
 
   /**
@@ -175,15 +166,24 @@
     loader.setRunning(replica, () => loads.runningByAdapter(replica));
   }
 
-  private takeHeartbeat(from: Member, body: Heartbeat): void {
-    const { view, loads, claims, cluster, holdings } = this.parts;
-    this.peerUpTo.set(from.address, body.upTo);
-    loads.takeOpen(from.address, body.open);
-    for (const line of body.totals) loads.takeTotal(line);
-    for (const claim of body.claims) claims.take(claim);
-    for (const line of body.rooms) holdings.takeRoom(line);
-    if (body.ageMs >= 0) view.confirm(body.upTo, body.ageMs);
-    if (body.upTo > view.upTo) cluster.send(from.address, MessageType.DeltaWanted, view.upTo);
+  private takeHeartbeat(from: Member, frame: HeartbeatFrame): void {
+    const { view, loads, cluster } = this.parts;
+    const { upTo, ageMs, open, engines } = decodeHeartbeat(frame);
+    this.peerUpTo.set(from.address, upTo);
+    loads.takeOpen(from.address, open);
+    for (const engine of engines) this.takeEngine(from, engine);
+    if (ageMs >= 0) view.confirm(upTo, ageMs);
+    if (upTo > view.upTo) cluster.send(from.address, MessageType.DeltaWanted, view.upTo);
+  }
+
+  private takeEngine(
+    { address }: Member,
+    { replica, token, room, queued, running, waiting }: EngineState,
+  ): void {
+    const { claims, holdings, loads } = this.parts;
+    claims.take({ replica, holder: address, token });
+    holdings.takeRoom([replica, room, queued]);
+    loads.takeTotal([replica, running, waiting]);
   }
 
   private takeDelta(from: Member, delta: Delta): void {
--- a/packages/routing/test/load.test.ts
+++ b/packages/routing/test/load.test.ts
@@ -1,6 +1,7 @@
 /** What is known of requests in progress when each daemon tells only the keeper of an engine, and that one all others. */
-import { createManualTimers } from '@celeryyoke/core';
-import { LoadBook } from '@celeryyoke/routing';
+import { createManualTimers, decode, encode } from '@celeryyoke/core';
+import type { HeartbeatFrame, LoadLine } from '@celeryyoke/routing';
+import { decodeHeartbeat, encodeHeartbeat, heartbeatIntervals, LoadBook } from '@celeryyoke/routing';
 import test from 'ava';
 
 function setUp() {
@@ -76,3 +77,15 @@
   book.takeOpen('q', [['web', 1, 1]]);
   t.deepEqual(book.counts('web'), { running: 3, waiting: 2 });
 });
+
+test('a heartbeat reads as it was written, and says more of an engine in fewer bytes than names would take', (t) => {
+  const engine = { replica: 'i-0c3d9aaac9', token: 7, room: -1, queued: 2, running: 9, waiting: 3 };
+  const heartbeat = { upTo: 12, ageMs: 40, open: [['web', 1, 0]] as LoadLine[], engines: [engine] };
+  const frame = encode(encodeHeartbeat(heartbeat));
+  t.deepEqual(decodeHeartbeat(decode(frame) as HeartbeatFrame), heartbeat);
+  t.true(frame.length < 60, `${frame.length} bytes`);
+});
+
+test('heartbeats are further apart in a larger fleet, within a bound', (t) => {
+  t.deepEqual([1, 8, 40, 41, 78, 400, 10_000].map(heartbeatIntervals), [1, 1, 1, 2, 2, 4, 4]);
+});
