A replica that left while a prompt was held back gets no request; keeper, journey and heartbeat split

A prompt may be held back for some hundred milliseconds after its replica was chosen; the replica is looked up again before the send, and the choice made again if it takes no more work. The wait is a module of its own (requests/turn.ts), orders and what their failure tells too (adapters/orders.ts), and what keepers of engines are told (daemon/load-telling.ts). No other change of policy.

--- a/packages/routing/src/core/adapters/keeper.ts
+++ b/packages/routing/src/core/adapters/keeper.ts
@@ -4,24 +4,15 @@
  * Runs in the daemon that holds the engine's claim. Its table is exact, as only this daemon gives the engine orders;
  * it begins with the engine's own report, proved exact by an order that the engine accepts only if none came since.
  */
-import type { DecisionLog, TimerService } from '@celeryyoke/core';
-
 import type { EngineSpec } from '../catalog/index.js';
-import type { ReplicaEntry } from '../view/index.js';
 import { adapterPlaces } from './capacity.js';
+import type { EngineOrdersOptions } from './orders.js';
+import { EngineOrders } from './orders.js';
 import type { Wanted } from './queue.js';
 import { LoadQueue } from './queue.js';
 import type { Slot } from './slots.js';
 import { SlotState, SlotTable } from './slots.js';
-import type {
-  AdapterRef,
-  EngineControl,
-  EngineOrder,
-  EngineReport,
-  Holdings,
-  RoomLine,
-  Urgency,
-} from './types.js';
+import type { AdapterRef, EngineReport, Holdings, RoomLine, Urgency } from './types.js';
 import { adapterKey, AdapterUnavailable, OrderKind, OrderOutcome } from './types.js';
 
 /** Adapters that an engine takes in at once; the engines' protocol states it. */
@@ -48,35 +39,22 @@
 const REPEATED_LOAD_GUESS_MS = 25;
 /** Weight of a new measurement of a load time. */
 const GUESS_WEIGHT = 0.3;
-/** Time without an answer to an order after which the engine counts as unreachable, in milliseconds; it answers in some. */
-const SILENCE_MS = 400;
-/** Time for which an engine that could not be reached is left alone, in milliseconds. */
-const REST_MS = 400;
 /** Room that is told of an engine that can't be reached. */
 const NO_WAY = -1;
 /** Adapters remembered as loaded before on this engine. */
 const MAX_REMEMBERED = 400;
 
 /** Options of a keeper. */
-export interface KeeperOptions {
-  readonly replica: ReplicaEntry;
+export interface KeeperOptions extends Omit<EngineOrdersOptions, 'onUnreachable' | 'onEmpty'> {
   readonly engine: EngineSpec;
-  readonly self: string;
-  readonly control: EngineControl;
-  readonly timers: TimerService;
-  readonly log: DecisionLog;
-  /** Asked before each order; undefined when this daemon may give none. */
-  readonly authority: () => number | undefined;
-  /** Called when the engine refused a token. */
-  readonly onFenced: (token: number) => void;
-  /** Called when the engine says that it started later than this daemon knew. */
-  readonly onStart: (bornAt: number) => void;
   /** Called when what the engine holds has changed. */
   readonly onHoldings: (holdings: Holdings) => void;
 }
 
 /** The keeper of one engine. */
 export class Keeper {
+  private readonly orders: EngineOrders;
+
   private readonly slots: SlotTable;
 
   private readonly queue: LoadQueue;
@@ -93,19 +71,19 @@
 
   private isMakingRoom = false;
 
-  private isLookingAgain = false;
-
   /** Whether the engine was found without any model, whatever its entry says. */
   private isEmpty = false;
 
-  /** Monotonic time until which the engine counts as unreachable. */
-  private unreachableUntil = Number.NEGATIVE_INFINITY;
-
   /**
    * Makes a keeper that has not started.
    * @param options - The engine and how to talk to it.
    */
   constructor(private readonly options: KeeperOptions) {
+    this.orders = new EngineOrders({
+      ...options,
+      onUnreachable: () => this.queue.giveUp('The engine can’t be reached.'),
+      onEmpty: () => this.beginAnew(),
+    });
     this.slots = new SlotTable(options.timers);
     this.queue = new LoadQueue(options.timers);
   }
@@ -140,7 +118,7 @@
   async ensure(ref: AdapterRef, urgency: Urgency): Promise<RoomLine | undefined> {
     const key = adapterKey(ref.model, ref.adapter);
     if (this.isStopped) throw new AdapterUnavailable('The engine was given up.');
-    if (this.isUnreachable) throw new AdapterUnavailable('The engine can’t be reached.');
+    if (this.orders.isUnreachable) throw new AdapterUnavailable('The engine can’t be reached.');
     const slot = this.slots.get(key);
     if (slot?.state === SlotState.Held && slot.version >= (ref.version ?? 0)) {
       slot.usedAt = this.options.timers.now();
@@ -230,7 +208,7 @@
       return;
     }
     const report = (await this.reportOfNow(model)) ?? (await this.reportAfterLag(model));
-    if (this.hasStartedAgain(report)) throw new AdapterUnavailable('The engine has started again.');
+    if (this.orders.hasStartedAgain(report)) throw new AdapterUnavailable('The engine has started again.');
     for (const held of report.models) {
       this.models.add(held.name);
       for (const { name, version } of held.adapters)
@@ -250,13 +228,13 @@
     const report = await this.options.control.report(this.options.replica);
     if (report.sequence === undefined) return undefined;
     const base = { model, adapter: undefined, version: undefined };
-    const outcome = await this.order(OrderKind.Load, base, report.sequence);
+    const outcome = await this.orders.send(OrderKind.Load, base, report.sequence);
     return outcome === OrderOutcome.Done ? report : undefined;
   }
 
   /** Shuts older orders out, and takes a report when it must show what came before. */
   private async reportAfterLag(model: string): Promise<EngineReport> {
-    await this.order(OrderKind.Load, { model, adapter: undefined, version: undefined });
+    await this.orders.send(OrderKind.Load, { model, adapter: undefined, version: undefined });
     await this.options.timers.sleep(REPORT_LAG_MS);
     return this.options.control.report(this.options.replica);
   }
@@ -278,7 +256,11 @@
     log.info(`Engine ${replica.id} holds no model; loading ${model}.`);
     let wasAbsent = false;
     while (timers.now() < end && !this.isStopped) {
-      const outcome = await this.order(OrderKind.Load, { model, adapter: undefined, version: undefined });
+      const outcome = await this.orders.send(OrderKind.Load, {
+        model,
+        adapter: undefined,
+        version: undefined,
+      });
       if (outcome === OrderOutcome.Done) return wasAbsent;
       wasAbsent ||= outcome === OrderOutcome.Started;
       if (outcome === OrderOutcome.Misdirected || outcome === OrderOutcome.Fenced) break;
@@ -345,7 +327,7 @@
     let wasAccepted = false;
     let isFirstLook = true;
     while (timers.now() - startedAt < LOAD_LIMIT_MS && !this.isStopped) {
-      const outcome = await this.order(OrderKind.Load, wanted);
+      const outcome = await this.orders.send(OrderKind.Load, wanted);
       if (outcome === OrderOutcome.Done) return outcome;
       wasAccepted ||= outcome === OrderOutcome.Started || outcome === OrderOutcome.Unknown;
       if (outcome === OrderOutcome.Started) {
@@ -404,7 +386,7 @@
       return;
     }
     for (;;) {
-      const outcome = await this.order(OrderKind.Unload, ref);
+      const outcome = await this.orders.send(OrderKind.Unload, ref);
       if (outcome === OrderOutcome.Done) this.slots.free(victim.key);
       else if (outcome === OrderOutcome.Busy) this.takeBack(victim);
       else if (outcome === OrderOutcome.Started) void this.waitForDrop(victim.key, ref);
@@ -425,67 +407,17 @@
     for (;;) {
       await timers.sleep(DROP_POLL_MS);
       if (this.isStopped) return;
-      if ((await this.order(OrderKind.Unload, ref)) !== OrderOutcome.Done) continue;
+      if ((await this.orders.send(OrderKind.Unload, ref)) !== OrderOutcome.Done) continue;
       this.slots.free(key);
       this.pump();
       return;
     }
   }
 
-  private async order(
-    kind: OrderKind,
-    ref: Omit<AdapterRef, 'adapter'> & { adapter: string | undefined },
-    expected?: number,
-  ) {
-    const { authority, control, replica, self, timers, log, onFenced } = this.options;
-    const token = authority();
-    if (token === undefined) return OrderOutcome.Unknown;
-    const { model, adapter, version } = ref;
-    const order: EngineOrder = { kind, model, adapter, version, holder: self, token, expected };
-    const startedAt = timers.now();
-    const outcome = await control.order(replica, order);
-    if (outcome !== OrderOutcome.Done && outcome !== OrderOutcome.Started)
-      log.decide('order.failed', `An order to ${replica.id} ended: ${outcome}.`, {
-        replica: replica.id,
-        order: kind,
-        adapter: adapter === undefined ? model : adapterKey(model, adapter),
-        token,
-        outcome,
-        tookMs: Math.round(timers.now() - startedAt),
-      });
-    if (outcome === OrderOutcome.Fenced) onFenced(token);
-    if (outcome === OrderOutcome.Misdirected || outcome === OrderOutcome.Refused) void this.lookAgain();
-    const isSilent = outcome === OrderOutcome.Unknown && timers.now() - startedAt > SILENCE_MS;
-    if (outcome === OrderOutcome.Unreachable || isSilent) this.rest();
-    return outcome;
-  }
-
-  /** Whether a report is one of a later start; if so, it is told, and this keeper's engine is gone. */
-  private hasStartedAgain({ bornAt }: EngineReport): boolean {
-    const known = this.options.replica.bornAt;
-    if (bornAt === undefined || known === undefined || bornAt <= known) return false;
-    this.options.onStart(bornAt);
-    return true;
-  }
-
-  /** An engine that refuses an order as it lacks what the table has may have started again; its report tells. */
-  private async lookAgain(): Promise<void> {
-    const { control, replica, log } = this.options;
-    if (this.isLookingAgain || !this.isReady || this.isStopped) return;
-    this.isLookingAgain = true;
-    try {
-      const report = await control.report(replica);
-      if (!this.hasStartedAgain(report) && report.models.length === 0 && this.isReady) this.beginAnew();
-    } catch (err) {
-      log.debug(`Engine ${replica.id} gives no report: ${String(err)}.`);
-    } finally {
-      this.isLookingAgain = false;
-    }
-  }
-
   /** The engine holds no model any more, under the name and without word of a new start: what was known of it is void. */
   private beginAnew(): void {
     const { log, replica } = this.options;
+    if (!this.isReady || this.isStopped) return;
     log.decide('engine.empty', `Engine ${replica.id} holds nothing any more.`, { replica: replica.id });
     this.isReady = false;
     this.models.clear();
@@ -500,14 +432,10 @@
     return adapterPlaces(this.options.engine, this.models);
   }
 
-  private get isUnreachable(): boolean {
-    return this.options.timers.now() < this.unreachableUntil;
-  }
-
   /** How the engine's slots stand, for the heartbeat. */
   room(): RoomLine {
     const { replica } = this.options;
-    if (this.isUnreachable) return [replica.id, NO_WAY, 0];
+    if (this.orders.isUnreachable) return [replica.id, NO_WAY, 0];
     const free = this.places - this.slots.occupied + this.slots.evictable;
     return [replica.id, this.isReady ? Math.max(0, free - this.queue.size) : 0, this.queue.size];
   }
@@ -518,12 +446,6 @@
     return `${this.options.replica.id}: ${this.slots.occupied} slots (${states}), ${this.queue.size} wait`;
   }
 
-  /** Leaves an engine alone that can't be reached: what waits for it is better served elsewhere. */
-  private rest(): void {
-    this.unreachableUntil = this.options.timers.now() + REST_MS;
-    this.queue.giveUp('The engine can’t be reached.');
-  }
-
   private tell(): void {
     const holdings = this.holdings();
     if (holdings !== undefined) this.options.onHoldings(holdings);
--- /dev/null
+++ b/packages/routing/src/core/adapters/orders.ts
@@ -0,0 +1,123 @@
+/** Orders to one engine: under this daemon's token, with a log line for each that fails, and what a failure tells. */
+import type { DecisionLog, TimerService } from '@celeryyoke/core';
+
+import type { ReplicaEntry } from '../view/index.js';
+import type { AdapterRef, EngineControl, EngineOrder, EngineReport, OrderKind } from './types.js';
+import { adapterKey, OrderOutcome } from './types.js';
+
+/** Time without an answer to an order after which the engine counts as unreachable, in milliseconds; it answers in some. */
+const SILENCE_MS = 400;
+/** Time for which an engine that could not be reached is left alone, in milliseconds. */
+const REST_MS = 400;
+
+/** Options of the orders to an engine. */
+export interface EngineOrdersOptions {
+  readonly replica: ReplicaEntry;
+  /** Address of this daemon. */
+  readonly self: string;
+  readonly control: EngineControl;
+  readonly timers: TimerService;
+  readonly log: DecisionLog;
+  /** Asked before each order; undefined when this daemon may give none. */
+  readonly authority: () => number | undefined;
+  /** Called when the engine refused a token. */
+  readonly onFenced: (token: number) => void;
+  /** Called when the engine says that it started later than this daemon knew. */
+  readonly onStart: (bornAt: number) => void;
+  /** Called when the engine can't be reached. */
+  readonly onUnreachable: () => void;
+  /** Called when the engine refused an order and holds no model. */
+  readonly onEmpty: () => void;
+}
+
+/** What an order is about; without an adapter it is the base model. */
+export type OrderedRef = Omit<AdapterRef, 'adapter'> & { readonly adapter: string | undefined };
+
+/** The orders to one engine. */
+export class EngineOrders {
+  /** Monotonic time until which the engine counts as unreachable. */
+  private unreachableUntil = Number.NEGATIVE_INFINITY;
+
+  private isLookingAgain = false;
+
+  /**
+   * Makes one that has sent nothing.
+   * @param options - The engine and how to talk to it.
+   */
+  constructor(private readonly options: EngineOrdersOptions) {}
+
+  /** Whether the engine could not be reached a moment ago: what waits for it is better served elsewhere. */
+  get isUnreachable(): boolean {
+    return this.options.timers.now() < this.unreachableUntil;
+  }
+
+  /**
+   * Sends an order.
+   * @param kind - What to do.
+   * @param ref - With what.
+   * @param expected - Orders that the engine must have accepted before; undefined when any will do.
+   * @returns What became of it; unknown when this daemon may give none.
+   */
+  async send(kind: OrderKind, ref: OrderedRef, expected?: number): Promise<OrderOutcome> {
+    const { authority, control, replica, self, timers } = this.options;
+    const token = authority();
+    if (token === undefined) return OrderOutcome.Unknown;
+    const { model, adapter, version } = ref;
+    const order: EngineOrder = { kind, model, adapter, version, holder: self, token, expected };
+    const startedAt = timers.now();
+    const outcome = await control.order(replica, order);
+    const tookMs = timers.now() - startedAt;
+    if (outcome !== OrderOutcome.Done && outcome !== OrderOutcome.Started)
+      this.noteFailure(order, outcome, tookMs);
+    return outcome;
+  }
+
+  /**
+   * Tells whether a report is one of a later start; if so, that is told, and this engine is gone.
+   * @param report - The report.
+   */
+  hasStartedAgain({ bornAt }: EngineReport): boolean {
+    const known = this.options.replica.bornAt;
+    if (bornAt === undefined || known === undefined || bornAt <= known) return false;
+    this.options.onStart(bornAt);
+    return true;
+  }
+
+  private noteFailure(order: EngineOrder, outcome: OrderOutcome, tookMs: number): void {
+    const { replica, log, onFenced } = this.options;
+    const { kind, model, adapter, token } = order;
+    log.decide('order.failed', `An order to ${replica.id} ended: ${outcome}.`, {
+      replica: replica.id,
+      order: kind,
+      adapter: adapter === undefined ? model : adapterKey(model, adapter),
+      token,
+      outcome,
+      tookMs: Math.round(tookMs),
+    });
+    if (outcome === OrderOutcome.Fenced) onFenced(token);
+    if (outcome === OrderOutcome.Misdirected || outcome === OrderOutcome.Refused) void this.lookAgain();
+    const isSilent = outcome === OrderOutcome.Unknown && tookMs > SILENCE_MS;
+    if (outcome === OrderOutcome.Unreachable || isSilent) this.rest();
+  }
+
+  private rest(): void {
+    const { timers, onUnreachable } = this.options;
+    this.unreachableUntil = timers.now() + REST_MS;
+    onUnreachable();
+  }
+
+  /** An engine that refuses an order as it lacks what is believed of it may have started again; its report tells. */
+  private async lookAgain(): Promise<void> {
+    const { control, replica, log, onEmpty } = this.options;
+    if (this.isLookingAgain) return;
+    this.isLookingAgain = true;
+    try {
+      const report = await control.report(replica);
+      if (!this.hasStartedAgain(report) && report.models.length === 0) onEmpty();
+    } catch (err) {
+      log.debug(`Engine ${replica.id} gives no report: ${String(err)}.`);
+    } finally {
+      this.isLookingAgain = false;
+    }
+  }
+}
--- a/packages/routing/src/core/choice/chooser.ts
+++ b/packages/routing/src/core/choice/chooser.ts
@@ -139,6 +139,15 @@
     return isNew ? 0 : declared.version;
   }
 
+  /**
+   * Tells whether a replica still takes new work.
+   * @param replica - One that was chosen a while ago.
+   * @returns Whether it does, or did a moment ago and its service has no other.
+   */
+  takesWork({ id, service }: ReplicaEntry): boolean {
+    return this.options.directory.ready(service).some((ready) => ready.id === id);
+  }
+
   /** Replicas that can take the request, with the requests that they have. */
   private able(replicas: readonly ReplicaEntry[], need: Need): Candidate[] {
     const { holdings, loads } = this.options;
--- a/packages/routing/src/core/daemon/heartbeat.ts
+++ b/packages/routing/src/core/daemon/heartbeat.ts
@@ -3,18 +3,14 @@
 
 import type { EnsureWanted, Holdings, HoldingsBook, Loader } from '../adapters/index.js';
 import type { Claim, Claims } from '../authority/index.js';
-import type { LoadBook, LoadLine, UseLine } from '../choice/index.js';
+import type { LoadBook, UseLine } from '../choice/index.js';
 import type { Cluster, Member } from '../cluster/index.js';
 import { MessageType } from '../cluster/index.js';
 import type { Delta, Directory, SharedView } from '../view/index.js';
 import type { EngineState, HeartbeatFrame } from './heartbeat-codec.js';
 import { decodeHeartbeat, encodeHeartbeat } from './heartbeat-codec.js';
-
-/** What a daemon tells the keeper of some engines of its requests there. */
-interface KeptLoads {
-  readonly loads: LoadLine[];
-  readonly uses: UseLine[];
-}
+import type { KeptLoads } from './load-telling.js';
+import { LoadTelling } from './load-telling.js';
 
 /** The parts that talk. */
 export interface TalkingParts {
@@ -35,8 +31,7 @@
   /** Revision up to which each peer's view is complete, by its last word. */
   private readonly peerUpTo = new Map<string, number>();
 
-  /** Daemons that were last told of requests on their engines. */
-  private readonly toldKeepers = new Set<string>();
+  private readonly loadTelling: LoadTelling;
 
   /**
    * Registers the handlers of all messages.
@@ -44,6 +39,7 @@
    */
   constructor(private readonly parts: TalkingParts) {
     const { cluster, claims, holdings, loader, view } = parts;
+    this.loadTelling = new LoadTelling(parts);
     cluster.handle(MessageType.Heartbeat, (from, frame: HeartbeatFrame) => this.takeHeartbeat(from, frame));
     cluster.handle(MessageType.Delta, (from, delta: Delta) => this.takeDelta(from, delta));
     cluster.handle(MessageType.DeltaWanted, (from, upTo: number) => {
@@ -63,7 +59,7 @@
       parts.directory.noteStart(name, bornAt);
     });
     parts.loads.onUse((replica, key, running) => this.tellUse(replica, key, running));
-    cluster.handle(MessageType.Loads, (from, kept: KeptLoads) => this.takeLoads(from, kept));
+    cluster.handle(MessageType.Loads, (from, kept: KeptLoads) => this.loadTelling.take(from, kept));
     cluster.handle(MessageType.Ensure, (_from, wanted: EnsureWanted) => loader.ensureHere(wanted));
   }
 
@@ -73,7 +69,7 @@
    */
   heartbeat(): HeartbeatFrame {
     const { view, loads, loader } = this.parts;
-    const open = this.tellLoads();
+    const open = this.loadTelling.tell();
     loader.refreshRunning((replica) => loads.runningByAdapter(replica));
     const ageMs = Number.isFinite(view.ageMs) ? Math.round(view.ageMs) : -1;
     return encodeHeartbeat({ upTo: view.upTo, ageMs, open, engines: this.engines() });
@@ -112,46 +108,6 @@
     }
   }
 
-  /**
-   * Tells each keeper of this daemon's requests on its engines.
-   * @returns The requests on replicas that nobody keeps, for all.
-   */
-  private tellLoads(): LoadLine[] {
-    const { self, cluster, claims, loader, loads } = this.parts;
-    const told = loads.tell();
-    const open: LoadLine[] = [];
-    const byKeeper = new Map<string, KeptLoads>();
-    // One that was told of requests hears also that there are none any more.
-    for (const keeper of this.toldKeepers) byKeeper.set(keeper, { loads: [], uses: [] });
-    const of = (keeper: string): KeptLoads => {
-      const kept = byKeeper.get(keeper) ?? { loads: [], uses: [] };
-      byKeeper.set(keeper, kept);
-      return kept;
-    };
-    for (const line of told.loads) {
-      const keeper = claims.of(line[0])?.holder;
-      if (keeper === undefined) open.push(line);
-      else if (keeper !== self) of(keeper).loads.push(line);
-    }
-    for (const line of told.uses) {
-      const [replica, key, , begun] = line;
-      const keeper = claims.of(replica)?.holder;
-      if (keeper === self) loader.use(replica, key, begun);
-      else if (keeper !== undefined) of(keeper).uses.push(line);
-    }
-    this.toldKeepers.clear();
-    for (const [keeper, kept] of byKeeper) {
-      cluster.send(keeper, MessageType.Loads, kept);
-      if (kept.loads.length > 0) this.toldKeepers.add(keeper);
-    }
-    return open;
-  }
-
-  private takeLoads(from: Member, { loads, uses }: KeptLoads): void {
-    this.parts.loads.take(from.address, loads, uses);
-    for (const [replica, key, , begun] of uses) this.parts.loader.use(replica, key, begun);
-  }
-
   /** Tells the keeper of an engine of a change at once; the others hear of it with the next heartbeat. */
   private tellUse(replica: string, key: string, running: number): void {
     const { claims, cluster } = this.parts;
--- a/packages/routing/src/core/requests/journey.ts
+++ b/packages/routing/src/core/requests/journey.ts
@@ -11,17 +11,18 @@
 import type { Route } from '../catalog/index.js';
 import { RouteKind } from '../catalog/index.js';
 import type { ChannelPool } from '../channels/index.js';
-import type { Choice, LoadBook, Standings } from '../choice/index.js';
+import type { Choice, LoadBook, RunningNote, Standings } from '../choice/index.js';
 import { useKey } from '../choice/index.js';
 import type { PromptPacing } from '../pacing/index.js';
 import type { ReplicaEntry } from '../view/index.js';
 import { OwnAnswer, sendOwn } from './answers.js';
 import type { EngineStream, Evacuations, Moved } from './evacuation.js';
-import type { FinderParts } from './finder.js';
+import type { FinderParts, SoughtRequest } from './finder.js';
 import { ReplicaFinder } from './finder.js';
 import { beginAnswer } from './headers.js';
 import { StreamRelay } from './relay.js';
 import { Send } from './send.js';
+import { PromptWait } from './turn.js';
 import type { HeldAnswer, RequestDialect, RequestHead, SendResult } from './types.js';
 import { SendEnd } from './types.js';
 
@@ -34,19 +35,6 @@
 /** Most sends of one request that were refused without having run. */
 const MAX_REFUSALS = 4;
 const FIRST_FAILURE_STATUS = 500;
-/** Part of the time that is left of the objective for which a prompt may be held back; the rest covers what comes after. */
-const TURN_SHARE = 0.7;
-/** Part of its time for which the prompt of a late request may be held back: a later answer is as good. */
-const LATE_TURN_SHARE = 0.1;
-const LATE_TURN_PATIENCE_MS = 1000;
-/** The end of a send that was never begun. */
-const NOT_SENT: SendResult = {
-  end: SendEnd.Cancelled,
-  answer: undefined,
-  reason: 'The request was over before its turn.',
-  wasSent: false,
-  firstByteMs: undefined,
-};
 /** Outcome of a request whose caller left before an answer. */
 const LEFT = 'left';
 
@@ -81,6 +69,8 @@
 export class Journey {
   private readonly finder: ReplicaFinder;
 
+  private readonly promptWait: PromptWait;
+
   private readonly deadlineAt: number;
 
   private readonly relay: StreamRelay | undefined;
@@ -94,9 +84,6 @@
 
   private refusals = 0;
 
-  /** Time for which the prompt was held back, in milliseconds. */
-  private turnMs = 0;
-
   /** Ends a wait when the request is over. */
   private readonly overSignal = new AbortController();
 
@@ -127,12 +114,14 @@
     if (route.kind === RouteKind.Streaming)
       this.relay = new StreamRelay(res, head.lastEventId, parts.timers.now);
     parts.callerTimes.note(route.name, this.deadlineAt - arrivedAt);
-    this.finder = new ReplicaFinder(parts, {
+    const sought: SoughtRequest = {
       ...options,
       deadlineAt: this.deadlineAt,
       isOver: () => this.isOver,
       isUnderWay: () => this.relay?.hasBegun ?? false,
-    });
+    };
+    this.finder = new ReplicaFinder(parts, sought);
+    this.promptWait = new PromptWait(parts, sought);
   }
 
   /** Goes the whole way; the caller has its answer when it ends. */
@@ -175,24 +164,37 @@
       const { moved } = this;
       const choice = moved?.choice ?? (await this.finder.find());
       if (choice === undefined || this.isOver) break;
-      const result = await this.sendTo(choice, moved?.continuation);
-      if (!this.mayGoOn(choice, result)) break;
+      const result = await this.sendInTurn(choice, moved?.continuation);
+      if (result !== undefined && !this.mayGoOn(choice, result)) break;
     }
     if (!this.isOver) this.giveUp();
   }
 
+  /** Waits for the turn of the prompt and sends; undefined when the request is over or its replica has left meanwhile. */
+  private async sendInTurn(
+    choice: Choice,
+    continuation: string | undefined,
+  ): Promise<SendResult | undefined> {
+    const { loads, chooser } = this.parts;
+    const { replica } = choice;
+    // It counts from now on, so that its adapter stays.
+    const note = loads.begin(replica.id, this.useKey());
+    try {
+      const wasHeld = await this.promptWait.run(replica, this.finder.isLate, this.overSignal.signal);
+      if (this.isOver || (wasHeld && !chooser.takesWork(replica))) return undefined;
+      return await this.sendTo(choice, continuation, note);
+    } finally {
+      note.ended();
+    }
+  }
+
   private async sendTo(
     { replica, heldVersion }: Choice,
     continuation: string | undefined,
+    note: RunningNote,
   ): Promise<SendResult> {
-    const { dialect, pool, timers, loads, standings } = this.parts;
+    const { dialect, pool, timers, standings } = this.parts;
     const { head, body, route } = this.options;
-    const note = loads.begin(replica.id, this.useKey());
-    await this.waitForTurn(replica);
-    if (this.isOver) {
-      note.ended();
-      return NOT_SENT;
-    }
     const headers = dialect.upstreamHeaders(head, {
       waitMs: Math.max(1, Math.floor(this.deadlineAt - timers.now())),
       instance: replica.name,
@@ -218,7 +220,6 @@
     });
     const result = await this.resultOf(this.send, replica);
     this.send = undefined;
-    note.ended();
     standings.ended(replica.id);
     this.parts.metrics.sent(result.end);
     if (result.firstByteMs !== undefined && head.generation !== undefined)
@@ -230,32 +231,6 @@
     return result;
   }
 
-  /** Holds a prompt back while reading it would stretch the pauses of the streams on its engine. */
-  private async waitForTurn(replica: ReplicaEntry): Promise<void> {
-    const { pacing, timers } = this.parts;
-    const { head, route } = this.options;
-    const tokens = head.generation?.promptTokens ?? 0;
-    const patienceMs = this.turnPatienceMs(tokens);
-    if (tokens === 0 || route.maxPauseMs === undefined || patienceMs <= 0) return;
-    const turn = { replica: replica.id, tokens, maxPauseMs: route.maxPauseMs, patienceMs };
-    const delayMs = await pacing.delayMs(turn);
-    if (delayMs <= 0) return;
-    this.turnMs += Math.round(delayMs);
-    this.parts.metrics.heldBack(delayMs);
-    await timers.sleep(delayMs, this.overSignal.signal).catch(() => undefined);
-  }
-
-  /** How long a prompt may be held back: its first event stays on time. */
-  private turnPatienceMs(tokens: number): number {
-    const { route, arrivedAt, service } = this.options;
-    // A stream that has begun must not pause.
-    if (this.relay?.hasBegun) return 0;
-    if (this.finder.isLate) return Math.min(LATE_TURN_PATIENCE_MS, this.timeLeft() * LATE_TURN_SHARE);
-    const spentMs = this.parts.timers.now() - arrivedAt;
-    const readingMs = this.parts.pacing.readingMs(service, tokens);
-    return (route.objectiveMs - spentMs) * TURN_SHARE - readingMs;
-  }
-
   /** Waits for a send; a stream is moved meanwhile if its engine is taken away. */
   private async resultOf(send: Send, replica: ReplicaEntry): Promise<SendResult> {
     const { evacuations } = this.parts;
@@ -289,7 +264,7 @@
       send: this.sends,
       sentAfterMs: this.sentAfter,
       loadMs: this.finder.loadMs,
-      turnMs: this.turnMs,
+      heldBackMs: this.promptWait.heldMs,
       longestPauseMs: this.relay === undefined ? undefined : Math.round(this.relay.longestPauseMs),
       firstByteMs: firstByteMs === undefined ? undefined : Math.round(firstByteMs),
       lastedMs: Math.round(timers.now() - this.options.arrivedAt) - this.sentAfter,
--- a/packages/routing/test/chooser.test.ts
+++ b/packages/routing/test/chooser.test.ts
@@ -50,7 +50,7 @@
       isUnderWay: false,
       ...options,
     })?.replica.id;
-  return { fill, choose };
+  return { fill, choose, chooser, view };
 }
 
 test('an engine whose places are taken gets no more, whoever asks', (t) => {
@@ -76,3 +76,16 @@
   t.is(choose({ rank: 9, isLate: true }), undefined);
   t.is(choose(), 'e2');
 });
+
+test('a replica that left while a request waited for its turn takes no more', (t) => {
+  const { chooser, view } = setUp();
+  t.true(chooser.takesWork(engineEntry('e1')));
+  view.apply({
+    from: 2,
+    upTo: 3,
+    isWhole: false,
+    changes: [{ key: 'e1', revision: 3, record: undefined }],
+  });
+  t.false(chooser.takesWork(engineEntry('e1')));
+  t.true(chooser.takesWork(engineEntry('e2')));
+});
