A prompt is held back less the more of its engine's time goes to reading

First events were late by their waits (p50 427 ms of 500). Change: the keeper measures how much of an engine's time the prompts of the last two seconds take, and grants the part of a prompt's patience that is left of it; 0.85 of the longest pause in place of 0.7 may go to reading, and 0.9 of what is left of the objective in place of 0.7 to the wait.

--- a/packages/routing/src/core/pacing/pacer.ts
+++ b/packages/routing/src/core/pacing/pacer.ts
@@ -12,7 +12,9 @@
  * Part of the longest pause that may go to reading; the rest is for the tokens of the streams themselves and for what is
  * known late.
  */
-const READING_SHARE = 0.7;
+const READING_SHARE = 0.85;
+/** Time over which it is measured how much of an engine's time goes to reading, in milliseconds. */
+const USE_MS = 2000;
 
 interface Sent {
   /** Monotonic milliseconds. */
@@ -27,6 +29,11 @@
 
   private readonly rate: ReadingRate;
 
+  /** Reading that was asked for of late, in milliseconds, fading over {@link USE_MS}. */
+  private readingMs = 0;
+
+  private askedAt = 0;
+
   /**
    * Makes one that has sent nothing.
    * @param guess - Milliseconds for a token before enough is known of this engine.
@@ -45,11 +52,25 @@
     for (const reading of readings) this.rate.note(reading);
     this.recent = this.recent.filter(({ at }) => at > now - maxPauseMs);
     const most = (maxPauseMs * READING_SHARE) / this.rate.msPerToken;
-    const at = Math.min(this.earliest(tokens, most, maxPauseMs, now), now + patienceMs);
+    const longestMs = patienceMs * this.slack(tokens, now);
+    const at = Math.min(this.earliest(tokens, most, maxPauseMs, now), now + longestMs);
     this.insert({ at, tokens });
     return at - now;
   }
 
+  /**
+   * How much of its patience a prompt is to use, from 0 to 1. A burst drains while it is held back; where prompts come
+   * about as fast as they can be read, it never does, and all would be late by their waits. With full patience whatever
+   * comes, sites under such load earned 0.04 to 0.05 less than without any spacing.
+   */
+  private slack(tokens: number, now: number): number {
+    this.readingMs *= Math.exp((this.askedAt - now) / USE_MS);
+    this.askedAt = now;
+    const use = this.readingMs / USE_MS;
+    this.readingMs += tokens * this.rate.msPerToken;
+    return Math.max(0, 1 - use / READING_SHARE);
+  }
+
   /** The first moment at which a prompt fits behind those before it; a large one goes when it is alone. */
   private earliest(tokens: number, most: number, windowMs: number, now: number): number {
     let room = most - tokens;
--- a/packages/routing/src/core/requests/turn.ts
+++ b/packages/routing/src/core/requests/turn.ts
@@ -7,7 +7,7 @@
 import type { RequestMetrics } from './metrics.js';
 
 /** Part of the time that is left of the objective for which a prompt may be held back; the rest covers what comes after. */
-const PATIENCE_SHARE = 0.7;
+const PATIENCE_SHARE = 0.9;
 /** Part of its time for which the prompt of a late request may be held back: a later answer is as good. */
 const LATE_PATIENCE_SHARE = 0.1;
 const LATE_PATIENCE_MS = 1000;
