Sight: what a new keeper believes and why, orders that went well, and why a slot counts as free

Cause: the hypotheses of the incident can't be told apart from today's lines; only orders that failed leave one. Change: one line when an engine is taken over (report's number, proved or not, adapters on their way), and details for each answered order and each freed slot. No change of logic.

--- a/packages/routing/src/core/adapters/keeper.ts
+++ b/packages/routing/src/core/adapters/keeper.ts
@@ -149,7 +149,7 @@
     }
     // One that was accepted may still come in.
     if (outcome === OrderOutcome.Started) this.slots.mark(slot, SlotState.Held);
-    else this.slots.free(slot.key);
+    else this.free(slot.key, `a check ended as ${outcome}`);
     throw new AdapterUnavailable(`Checking ${slot.key} ended as ${outcome}.`);
   }
 
@@ -207,7 +207,8 @@
       this.becomeReady(model);
       return;
     }
-    const report = (await this.reportOfNow(model)) ?? (await this.reportAfterLag(model));
+    const proved = await this.reportOfNow(model);
+    const report = proved ?? (await this.reportAfterLag(model));
     if (this.orders.hasStartedAgain(report)) throw new AdapterUnavailable('The engine has started again.');
     for (const held of report.models) {
       this.models.add(held.name);
@@ -217,9 +218,23 @@
     for (const { model: base, adapter, version } of report.loading)
       this.slots.put(adapterKey(base, adapter), version, SlotState.Held);
     this.isReady = this.models.size > 0;
+    this.noteLearnt(report, proved !== undefined);
     this.tell();
   }
 
+  private noteLearnt(report: EngineReport, isProved: boolean): void {
+    const { log, replica, authority } = this.options;
+    log.decide('engine.learnt', `Knows what engine ${replica.id} holds.`, {
+      replica: replica.id,
+      token: authority(),
+      sequence: report.sequence,
+      isProved,
+      occupied: this.slots.occupied,
+      onTheirWay: report.loading.length,
+      places: this.places,
+    });
+  }
+
   /**
    * Takes a report and proves that it is exact: an order that changes nothing is accepted only if the engine has
    * accepted no other one since. It takes some milliseconds, where the report's lag is a third of a second.
@@ -312,7 +327,7 @@
     } else {
       // It may still come in; the slot stays counted until the engine itself shows what it holds.
       if (outcome === OrderOutcome.Started) this.slots.put(wanted.key, wanted.version ?? 1, SlotState.Held);
-      else this.slots.free(wanted.key);
+      else this.free(wanted.key, `its load ended as ${outcome}`);
       wanted.reject(new AdapterUnavailable(`Loading ${wanted.key} ended as ${outcome}.`));
     }
     this.pump();
@@ -387,7 +402,7 @@
     }
     for (;;) {
       const outcome = await this.orders.send(OrderKind.Unload, ref);
-      if (outcome === OrderOutcome.Done) this.slots.free(victim.key);
+      if (outcome === OrderOutcome.Done) this.free(victim.key, 'unloaded');
       else if (outcome === OrderOutcome.Busy) this.takeBack(victim);
       else if (outcome === OrderOutcome.Started) void this.waitForDrop(victim.key, ref);
       else if (outcome === OrderOutcome.Unreachable) this.takeBack(victim);
@@ -408,12 +423,25 @@
       await timers.sleep(DROP_POLL_MS);
       if (this.isStopped) return;
       if ((await this.orders.send(OrderKind.Unload, ref)) !== OrderOutcome.Done) continue;
-      this.slots.free(key);
+      this.free(key, 'unloaded when its last request had ended');
       this.pump();
       return;
     }
   }
 
+  /** Counts a slot as free; the line tells on what grounds, should the engine turn out to hold more than it can. */
+  private free(key: string, reason: string): void {
+    const { log, replica } = this.options;
+    this.slots.free(key);
+    if (!log.hasDetails) return;
+    log.detail('slot.freed', `The slot of ${key} is free.`, {
+      replica: replica.id,
+      adapter: key,
+      reason,
+      occupied: this.slots.occupied,
+    });
+  }
+
   /** The engine holds no model any more, under the name and without word of a new start: what was known of it is void. */
   private beginAnew(): void {
     const { log, replica } = this.options;
--- a/packages/routing/src/core/adapters/orders.ts
+++ b/packages/routing/src/core/adapters/orders.ts
@@ -1,5 +1,5 @@
 /** Orders to one engine: under this daemon's token, with a log line for each that fails, and what a failure tells. */
-import type { DecisionLog, TimerService } from '@celeryyoke/core';
+import type { DecisionLog, Facts, TimerService } from '@celeryyoke/core';
 
 import type { ReplicaEntry } from '../view/index.js';
 import type { AdapterRef, EngineControl, EngineOrder, EngineReport, OrderKind } from './types.js';
@@ -67,8 +67,9 @@
     const startedAt = timers.now();
     const outcome = await control.order(replica, order);
     const tookMs = timers.now() - startedAt;
-    if (outcome !== OrderOutcome.Done && outcome !== OrderOutcome.Started)
-      this.noteFailure(order, outcome, tookMs);
+    if (outcome === OrderOutcome.Done || outcome === OrderOutcome.Started)
+      this.noteAnswer(order, outcome, tookMs);
+    else this.noteFailure(order, outcome, tookMs);
     return outcome;
   }
 
@@ -83,21 +84,42 @@
     return true;
   }
 
+  private noteAnswer(order: EngineOrder, outcome: OrderOutcome, tookMs: number): void {
+    const { replica, log } = this.options;
+    if (!log.hasDetails) return;
+    log.detail(
+      'order.answered',
+      `An order to ${replica.id} ended: ${outcome}.`,
+      this.facts(order, outcome, tookMs),
+    );
+  }
+
   private noteFailure(order: EngineOrder, outcome: OrderOutcome, tookMs: number): void {
     const { replica, log, onFenced } = this.options;
-    const { kind, model, adapter, token } = order;
-    log.decide('order.failed', `An order to ${replica.id} ended: ${outcome}.`, {
-      replica: replica.id,
+    const { token } = order;
+    log.decide(
+      'order.failed',
+      `An order to ${replica.id} ended: ${outcome}.`,
+      this.facts(order, outcome, tookMs),
+    );
+    if (outcome === OrderOutcome.Fenced) onFenced(token);
+    if (outcome === OrderOutcome.Misdirected || outcome === OrderOutcome.Refused) void this.lookAgain();
+    const isSilent = outcome === OrderOutcome.Unknown && tookMs > SILENCE_MS;
+    if (outcome === OrderOutcome.Unreachable || isSilent) this.rest();
+  }
+
+  private facts(order: EngineOrder, outcome: OrderOutcome, tookMs: number): Facts {
+    const { kind, model, adapter, version, token, expected } = order;
+    return {
+      replica: this.options.replica.id,
       order: kind,
       adapter: adapter === undefined ? model : adapterKey(model, adapter),
+      version,
       token,
+      expected,
       outcome,
       tookMs: Math.round(tookMs),
-    });
-    if (outcome === OrderOutcome.Fenced) onFenced(token);
-    if (outcome === OrderOutcome.Misdirected || outcome === OrderOutcome.Refused) void this.lookAgain();
-    const isSilent = outcome === OrderOutcome.Unknown && tookMs > SILENCE_MS;
-    if (outcome === OrderOutcome.Unreachable || isSilent) this.rest();
+    };
   }
 
   private rest(): void {
