--- /dev/null
+++ b/packages/routing/test/orders/fleet.ts
@@ -0,0 +1,322 @@
+/**
+ * Plays an engine under random demand, keepers that follow one another, and trouble on the ways, on a virtual clock.
+ *
+ * A seed names the whole play: the engine's room, how long loads take, when keepers change and how late the former one hears
+ * of it, which calls get lost, when the engine starts again and which versions are declared.
+ */
+import type { ManualTimerService } from '@celeryyoke/core';
+import { createManualTimers } from '@celeryyoke/core';
+import type { EngineOrder, EngineSpec, ReplicaEntry } from '@celeryyoke/routing';
+import { Keeper } from '@celeryyoke/routing';
+
+import { engineEntry, log, MODEL } from '../fakes.js';
+import { OrderedEngine, RunAnswer } from './engine.js';
+import type { Random } from './random.js';
+import { createRandom } from './random.js';
+import { Way } from './way.js';
+
+/** Time for which trouble goes on, and then the time to settle before the last look, in milliseconds. */
+const TROUBLE_MS = 12_000;
+const SETTLE_MS = 9000;
+/** Longest wait of a request for its adapter, in milliseconds. */
+const PATIENCE_MS = 800;
+/** Longest time until a load that nothing stands against is done, in milliseconds. */
+const CALM_LIMIT_MS = 3000;
+/** Share of the changes at which the former keeper's process has ended. */
+const ENDED_SHARE = 0.3;
+const TOKEN_STEP = 4096;
+/** Lines kept for a play that fails. */
+const MAX_TRACE = 80;
+
+/** What a play shows. */
+export interface PlayResult {
+  /** Times the engine was ordered beyond its room. */
+  readonly overloads: number;
+  /** Requests that ran, so that a play in which nothing happens is noticed. */
+  readonly runs: number;
+  /** Whether an adapter can be had at the end, when nothing goes wrong any more. */
+  readonly servesAtEnd: boolean;
+  /** Slots that the last keeper takes for free or evictable at the end, when nothing runs; less than all is a leak. */
+  readonly roomAtEnd: number;
+  readonly places: number;
+  /** Last orders before the first overload, or of the whole play. */
+  readonly trace: readonly string[];
+}
+
+/** One daemon that keeps, or kept, the engine. */
+class Holder {
+  /** Undefined when it may give no orders. */
+  token: number | undefined;
+
+  readonly keeper: Keeper;
+
+  constructor(
+    readonly way: Way,
+    token: number,
+    makeKeeper: (holder: Holder) => Keeper,
+  ) {
+    this.token = token;
+    this.keeper = makeKeeper(this);
+  }
+
+  /** Hears that another daemon keeps the engine. */
+  retire(): void {
+    this.token = undefined;
+    this.keeper.stop();
+  }
+
+  /** Ends as a process does; what it has sent is still under way. */
+  end(): void {
+    this.way.hasEnded = true;
+    this.retire();
+  }
+}
+
+/** What a seed draws for a play. */
+interface Plan {
+  readonly places: number;
+  readonly adapters: number;
+  readonly loadMs: readonly [number, number];
+  readonly betweenRequestsMs: number;
+  readonly betweenKeepersMs: number;
+  readonly betweenRestartsMs: number;
+  readonly betweenVersionsMs: number;
+  readonly deafMs: number;
+  readonly lagMs: number;
+  readonly trouble: number;
+}
+
+function drawPlan(random: Random): Plan {
+  return {
+    places: random.pick([3, 5, 8]),
+    adapters: random.pick([9, 14, 30]),
+    loadMs: random.pick([
+      [20, 300],
+      [200, 1200],
+      [25, 2500],
+    ] as const),
+    betweenRequestsMs: random.pick([15, 40, 90]),
+    betweenKeepersMs: random.pick([400, 1200, 5000]),
+    betweenRestartsMs: random.pick([3000, 8000, 1e9]),
+    betweenVersionsMs: random.pick([500, 4000, 1e9]),
+    deafMs: random.pick([3, 300, 1500]),
+    lagMs: random.pick([2, 60, 260]),
+    trouble: random.pick([0, 0.02, 0.1, 0.3]),
+  };
+}
+
+/** One play. */
+class Play {
+  private readonly timers: ManualTimerService = createManualTimers();
+
+  private readonly random: Random;
+
+  private readonly plan: Plan;
+
+  private readonly engine: OrderedEngine;
+
+  private readonly running = new Map<string, number>();
+
+  private readonly trace: string[] = [];
+
+  private present: Holder;
+
+  private holders = 0;
+
+  private token = TOKEN_STEP;
+
+  private runs = 0;
+
+  private isCalm = false;
+
+  private readonly replica: ReplicaEntry = engineEntry('e');
+
+  private readonly spec: EngineSpec;
+
+  constructor(seed: string) {
+    this.random = createRandom(seed);
+    this.plan = drawPlan(this.random);
+    const { places, loadMs } = this.plan;
+    this.spec = {
+      slots: 8,
+      memoryMb: 1000,
+      adapterSlots: places,
+      modelLoadsPerSecond: 2,
+      models: [{ name: MODEL, weightsMb: 90, adapterMb: 1 }],
+    };
+    this.engine = new OrderedEngine({
+      timers: this.timers,
+      places,
+      loadMs: () => this.random.between(loadMs[0], loadMs[1]),
+    });
+    this.present = this.makeHolder();
+  }
+
+  async run(): Promise<PlayResult> {
+    const { plan, timers } = this;
+    this.again(plan.betweenRequestsMs, () => {
+      void this.request(this.adapter(), false);
+    });
+    this.again(plan.betweenKeepersMs, () => this.changeKeeper());
+    this.again(plan.betweenRestartsMs, () => this.engine.restart());
+    this.again(plan.betweenVersionsMs, () => this.declare());
+    while (timers.now() < TROUBLE_MS && this.engine.overloads === 0) await timers.advance(50);
+    this.isCalm = true;
+    if (this.engine.overloads > 0) return this.result(false);
+    await timers.advance(SETTLE_MS);
+    return this.result(await this.servesNow());
+  }
+
+  private result(servesAtEnd: boolean): PlayResult {
+    const { engine, runs, trace, plan } = this;
+    const [, roomAtEnd] = this.present.keeper.room();
+    return { overloads: engine.overloads, runs, servesAtEnd, roomAtEnd, places: plan.places, trace };
+  }
+
+  /** Whether an adapter that nobody asked for so far can be had. */
+  private async servesNow(): Promise<boolean> {
+    let isServed = false;
+    const ref = { model: MODEL, adapter: 'never-asked', version: undefined };
+    this.present.keeper.ensure(ref, urgency(CALM_LIMIT_MS)).then(
+      (line) => {
+        isServed = line === undefined;
+      },
+      () => undefined,
+    );
+    await this.timers.advance(CALM_LIMIT_MS);
+    return isServed;
+  }
+
+  private makeHolder(): Holder {
+    const { timers, random, engine, plan } = this;
+    this.holders += 1;
+    const name = `d${this.holders}`;
+    this.token += TOKEN_STEP;
+    const trouble = (): number => (this.isCalm ? 0 : plan.trouble);
+    const way = new Way({ timers, engine, random, trouble });
+    const makeKeeper = (holder: Holder): Keeper =>
+      new Keeper({
+        replica: this.replica,
+        engine: this.spec,
+        self: name,
+        control: {
+          order: (replica, order) => this.traced(name, order, way.order(replica, order)),
+          report: () => way.report(),
+        },
+        timers,
+        log,
+        authority: () => holder.token,
+        onFenced: () => holder.retire(),
+        onHoldings: () => undefined,
+        onStart: () => undefined,
+      });
+    const holder = new Holder(way, this.token, makeKeeper);
+    void holder.keeper.run();
+    return holder;
+  }
+
+  private async traced<T>(
+    name: string,
+    { kind, adapter, expected }: EngineOrder,
+    outcome: Promise<T>,
+  ): Promise<T> {
+    const sentAt = this.timers.now();
+    const answer = await outcome;
+    if (this.engine.overloads > 0) return answer;
+    const span = `${sentAt.toFixed(1)}-${this.timers.now().toFixed(1)}`;
+    const number = expected === undefined ? '' : ` #${expected}`;
+    const room = `${this.engine.occupied}/${this.plan.places}`;
+    this.trace.push(`${span} ${name} ${kind} ${adapter ?? MODEL}${number}: ${String(answer)} (${room})`);
+    if (this.trace.length > MAX_TRACE) this.trace.shift();
+    return answer;
+  }
+
+  /** Another daemon keeps the engine; the former one hears of it late, or has ended. */
+  private changeKeeper(): void {
+    const { random, timers, plan } = this;
+    const former = this.present;
+    if (random.chance(ENDED_SHARE)) former.end();
+    else timers.after(random.between(0, plan.deafMs), () => former.retire());
+    this.present = this.makeHolder();
+  }
+
+  private declare(): void {
+    const adapter = this.adapter();
+    const version = this.engine.newestOf(adapter) + 1;
+    this.engine.declare(adapter, version);
+    const { keeper } = this.present;
+    this.timers.after(this.random.between(0, this.plan.lagMs), () => {
+      if (!keeper.holdsOlder(`${MODEL}/${adapter}`, version)) return;
+      keeper.ensure({ model: MODEL, adapter, version }, urgency(PATIENCE_MS)).catch(() => undefined);
+    });
+  }
+
+  private async request(adapter: string, isDoubted: boolean): Promise<void> {
+    const { timers, random, engine } = this;
+    const { keeper } = this.present;
+    const version = engine.newestOf(adapter) > 1 ? engine.newestOf(adapter) : undefined;
+    try {
+      const ref = { model: MODEL, adapter, version, isDoubted };
+      if ((await keeper.ensure(ref, urgency(PATIENCE_MS))) !== undefined) return;
+    } catch {
+      return;
+    }
+    await timers.sleep(random.between(0, 3));
+    const answer = engine.begin(adapter);
+    if (answer === RunAnswer.NotHeld && !isDoubted) await this.request(adapter, true);
+    if (answer !== RunAnswer.Runs) return;
+    this.runs += 1;
+    this.count(adapter, 1);
+    await timers.sleep(random.between(20, 700));
+    engine.end(adapter);
+    this.count(adapter, -1);
+  }
+
+  /** The keeper hears of what runs a while later. */
+  private count(adapter: string, by: number): void {
+    const { timers, random, plan, running } = this;
+    const key = `${MODEL}/${adapter}`;
+    timers.after(random.between(0, plan.lagMs), () => {
+      running.set(key, (running.get(key) ?? 0) + by);
+      if (by > 0) this.present.keeper.use(key, by);
+      this.present.keeper.setRunning(running);
+    });
+  }
+
+  /** Few adapters are asked for often, many seldom. */
+  private adapter(): string {
+    const { random, plan } = this;
+    return `a${Math.floor(random.between(0, 1) ** 2 * plan.adapters)}`;
+  }
+
+  private again(everyMs: number, what: () => void): void {
+    const next = (): void => {
+      this.timers.after(this.random.between(0, 2 * everyMs), () => {
+        if (this.isCalm) return;
+        what();
+        next();
+      });
+    };
+    next();
+  }
+}
+
+function urgency(timeoutMs: number) {
+  return {
+    rank: 1,
+    waitedMs: 0,
+    dueInMs: timeoutMs,
+    lastCallMs: timeoutMs,
+    patienceMs: timeoutMs,
+    timeoutMs,
+  };
+}
+
+/**
+ * Plays one seed.
+ * @param seed - Names the play.
+ * @returns What it shows.
+ */
+export function play(seed: string): Promise<PlayResult> {
+  return new Play(seed).run();
+}
--- /dev/null
+++ b/packages/routing/test/orders/way.ts
@@ -0,0 +1,114 @@
+/** The way of one daemon's orders to an engine, on which orders and answers are held up and lost. */
+import type { TimerService } from '@celeryyoke/core';
+import type { EngineControl, EngineOrder, EngineReport, ReplicaEntry } from '@celeryyoke/routing';
+import { OrderOutcome } from '@celeryyoke/routing';
+
+import type { OrderedEngine } from './engine.js';
+import type { Random } from './random.js';
+
+/** Time after which a call without an answer is given up, in milliseconds. */
+const CALL_LIMIT_MS = 800;
+/** Longest ordinary time of one way, in milliseconds. */
+const ORDINARY_MS = 3;
+/** Time after which a connection that is not set up is given up, in milliseconds. */
+const CONNECT_LIMIT_MS = 500;
+
+/** What happens to a call. */
+enum Fate {
+  Ordinary,
+  /** No connection: not a byte was sent. */
+  NoConnection,
+  /** The connection is reset under way, before the engine has it. */
+  ResetBefore,
+  /** It gets lost, and nothing tells so. */
+  Lost,
+  /** The engine has it; the connection is reset before the answer. */
+  ResetAfter,
+  /** The engine has it; the answer gets lost, and nothing tells so. */
+  AnswerLost,
+  /** The call takes long, but less than it is waited for. */
+  SlowCall,
+  /** The answer takes long, but less than it is waited for. */
+  SlowAnswer,
+}
+
+const TROUBLES = [
+  Fate.NoConnection,
+  Fate.ResetBefore,
+  Fate.Lost,
+  Fate.ResetAfter,
+  Fate.AnswerLost,
+  Fate.SlowCall,
+  Fate.SlowAnswer,
+] as const;
+
+/** Options of a way. */
+export interface WayOptions {
+  readonly timers: TimerService;
+  readonly engine: OrderedEngine;
+  readonly random: Random;
+  /** Share of the calls that something happens to, at this moment. */
+  readonly trouble: () => number;
+}
+
+/** The way. */
+export class Way implements EngineControl {
+  /** Whether the daemon at its beginning has ended: what is under way arrives, answers reach nobody. */
+  hasEnded = false;
+
+  /**
+   * Makes a way.
+   * @param options - The engine at its end, and what goes wrong.
+   */
+  constructor(private readonly options: WayOptions) {}
+
+  async order(_replica: ReplicaEntry, order: EngineOrder): Promise<OrderOutcome> {
+    const outcome = await this.call(() => this.options.engine.take(order));
+    return outcome ?? OrderOutcome.Unknown;
+  }
+
+  async report(): Promise<EngineReport> {
+    const report = await this.call(() => this.options.engine.report());
+    if (report === undefined || typeof report === 'string') throw new Error('No report.');
+    return report;
+  }
+
+  /** Makes a call; undefined when there is no answer. */
+  private async call<T>(answer: () => T): Promise<T | OrderOutcome.Unreachable | undefined> {
+    const { engine, timers } = this.options;
+    const fate = engine.isDown ? Fate.NoConnection : this.draw();
+    if (fate === Fate.NoConnection) return this.noConnection();
+    await timers.sleep(fate === Fate.SlowCall ? this.long() : this.short());
+    if (fate === Fate.ResetBefore) return undefined;
+    if (fate === Fate.Lost || engine.isDown) return this.silence();
+    const given = answer();
+    if (this.hasEnded || fate === Fate.AnswerLost || engine.isDown) return this.silence();
+    await timers.sleep(fate === Fate.SlowAnswer ? this.long() : this.short());
+    return fate === Fate.ResetAfter ? undefined : given;
+  }
+
+  private async noConnection(): Promise<OrderOutcome.Unreachable> {
+    const { random, timers } = this.options;
+    await timers.sleep(random.chance(0.5) ? this.short() : CONNECT_LIMIT_MS);
+    return OrderOutcome.Unreachable;
+  }
+
+  private async silence(): Promise<undefined> {
+    await this.options.timers.sleep(CALL_LIMIT_MS);
+    return undefined;
+  }
+
+  private draw(): Fate {
+    const { random, trouble } = this.options;
+    return random.chance(trouble()) ? random.pick(TROUBLES) : Fate.Ordinary;
+  }
+
+  private short(): number {
+    return this.options.random.between(0, ORDINARY_MS);
+  }
+
+  /** Both ways together stay below the time for which a call is waited. */
+  private long(): number {
+    return this.options.random.between(ORDINARY_MS, CALL_LIMIT_MS - 2 * ORDINARY_MS);
+  }
+}
