--- a/packages/routing/src/core/adapters/keeper.ts
+++ b/packages/routing/src/core/adapters/keeper.ts
@@ -205,9 +205,11 @@
         adapters.map((adapter) => [adapterKey(name, adapter.name), adapter.version] as const),
       ),
     );
-    for (const slot of [...slots.all()])
-      if (!isMoving(slot) && !held.has(slot.key) && !loading.has(slot.key))
-        session.free(slot.key, 'not reported');
+    for (const slot of [...slots.all()]) {
+      const { key, version, state } = slot;
+      if (!isMoving(slot) && !held.has(key) && !loading.has(key)) session.free(key, 'not reported');
+      if (state === SlotState.Loading && session.hasOlder(key, version)) slot.isReplacement = true;
+    }
     for (const [key, version] of held) if (!loading.has(key)) this.putHeld(key, version);
     for (const ref of report.loading) this.follow(ref, held);
     this.noteLearnt(report);
--- a/packages/routing/src/core/adapters/session.ts
+++ b/packages/routing/src/core/adapters/session.ts
@@ -88,6 +88,16 @@
     return (this.reported.get(key) ?? 0) >= version;
   }
 
+  /**
+   * Tells whether an older version of an adapter takes up a slot of its own beside one that loads.
+   * @param key - `model/adapter`.
+   * @param version - The version that loads.
+   * @returns Whether the last report that was proved lists an older one.
+   */
+  hasOlder(key: string, version: number): boolean {
+    return (this.reported.get(key) ?? version) < version;
+  }
+
   /**
    * Counts a slot as free; the line tells on what grounds, should the engine turn out to hold more than it can.
    * @param key - `model/adapter`.
--- a/packages/routing/test/orders/on-its-way.test.ts
+++ b/packages/routing/test/orders/on-its-way.test.ts
@@ -28,9 +28,9 @@
   timeoutMs: 2000,
 };
 
-function setUp() {
+function setUp(isFenced = true) {
   const timers = createManualTimers();
-  const engine = new OrderedEngine({ timers, places: PLACES, loadMs: () => CROWDED_LOAD_MS });
+  const engine = new OrderedEngine({ timers, places: PLACES, isFenced, loadMs: () => CROWDED_LOAD_MS });
   const direct: EngineControl = {
     order: async (_replica, order): Promise<OrderOutcome> => engine.take(order),
     report: async (): Promise<EngineReport> => engine.report(),
@@ -96,3 +96,27 @@
   await timers.advance(6000);
   t.is(engine.overloads, 0);
 });
+
+test('an older version that a former keeper ordered meanwhile takes up a slot beside the newer one', async (t) => {
+  const { timers, engine, direct, makeKeeper, want } = setUp(false);
+  engine.declare('x', 2);
+  let isLost = false;
+  const keeper = makeKeeper(2, {
+    order: async (replica, order) => {
+      if (!isLost || order.adapter !== 'x') return direct.order(replica, order);
+      isLost = false;
+      engine.take({ ...order, version: 1, token: 1, expected: undefined });
+      return OrderOutcome.Unknown;
+    },
+    report: direct.report,
+  });
+  void keeper.run();
+  await timers.advance(400);
+  isLost = true;
+  keeper.ensure({ model: MODEL, adapter: 'x', version: 2 }, URGENCY).catch(() => undefined);
+  await timers.advance(600);
+  for (const adapter of ['y', 'z']) want(keeper, adapter);
+  await timers.advance(9000);
+  t.is(engine.overloads, 0);
+  t.true(engine.names().includes('x'));
+});
