A slot that an order concerns counts twice while a report lists another version beside it

On an engine that takes older tokens a former keeper loads a newer version of an adapter while this keeper's unload of it waits for its turn; the report that is proved meanwhile was passed over for that slot. Change: such a slot counts twice, an order decided before the report is not sent, and the report is proved once more; a load that was not accepted goes on with what another keeper has ordered of the same adapter. How a report is taken over has a module of its own (adopt.ts).

--- a/packages/routing/src/core/adapters/adapter-load.ts
+++ b/packages/routing/src/core/adapters/adapter-load.ts
@@ -6,11 +6,11 @@
  * adapter arrives all the same, and a slot that was counted as free meanwhile is one too many.
  */
 import type { LoadTimes } from './load-times.js';
+import type { OrderedRef } from './orders.js';
 import type { Wanted } from './queue.js';
 import type { EngineSession } from './session.js';
 import type { Slot } from './slots.js';
-import { SlotState } from './slots.js';
-import type { AdapterRef } from './types.js';
+import { refOf, SlotState } from './slots.js';
 import { AdapterUnavailable, OrderKind, OrderOutcome } from './types.js';
 
 /** Pause between two looks at a load, in milliseconds: a tenth of a first load, half of a repeated one. */
@@ -36,7 +36,6 @@
   readonly session: EngineSession;
   readonly times: LoadTimes;
   readonly slot: Slot;
-  readonly ref: AdapterRef;
   /** Requests that wait for it; undefined when a former keeper began it. */
   readonly wanted: Wanted | undefined;
   /** What the slot held before; undefined when it was free. */
@@ -54,6 +53,8 @@
 
   private proofsSeen: number;
 
+  private readonly proofsAtStart: number;
+
   /** Whether requests still wait for it. */
   private isAwaited: boolean;
 
@@ -66,6 +67,7 @@
     this.isAwaited = options.wanted !== undefined;
     this.wasAccepted = options.wanted === undefined;
     this.proofsSeen = options.session.proofs;
+    this.proofsAtStart = this.proofsSeen;
   }
 
   /** Orders the load and follows it until the adapter is in place, or the engine has not accepted it. */
@@ -82,8 +84,7 @@
         this.arrive();
         return;
       }
-      // A report that was proved meanwhile may show that another keeper has loaded it.
-      if (!isAccepted && !(await this.goesOn(outcome)) && !this.isAccepted()) {
+      if (!isAccepted && !(await this.goesOn(outcome)) && !this.followsReported(outcome)) {
         this.giveBack(outcome);
         return;
       }
@@ -99,11 +100,27 @@
     const { session, slot } = this.options;
     if (this.proofsSeen !== session.proofs) {
       this.proofsSeen = session.proofs;
-      this.wasAccepted = session.wasReported(slot.key, slot.version);
+      this.wasAccepted = (session.reportedVersion(slot.key) ?? 0) >= slot.version;
     }
     return this.wasAccepted;
   }
 
+  /**
+   * Goes on with what a report shows that was proved since the load was asked for: another keeper may have ordered the adapter,
+   * in this version or an older one, and the slot is taken by that.
+   */
+  private followsReported(outcome: OrderOutcome): boolean {
+    const { session, slot } = this.options;
+    const version = session.reportedVersion(slot.key);
+    if (this.proofsAtStart === session.proofs || version === undefined) return false;
+    if (version < slot.version) this.disappoint(`Loading ${slot.key} ended as ${outcome}.`);
+    slot.version = Math.min(version, slot.version);
+    slot.isReplacement = false;
+    this.proofsSeen = session.proofs;
+    this.wasAccepted = true;
+    return true;
+  }
+
   /** Whether a load that was not accepted so far is tried on, after what became of its order. */
   private async goesOn(outcome: OrderOutcome): Promise<boolean> {
     if (outcome === OrderOutcome.Started) {
@@ -123,14 +140,20 @@
   }
 
   private begin(): Promise<OrderOutcome> {
-    const { session, ref } = this.options;
+    const { session } = this.options;
     const { orders, slots, places } = session.parts;
     // A report that was proved since may have shown adapters that a former keeper ordered.
-    return orders.begin(OrderKind.Load, ref, () => slots.occupied <= places());
+    return orders.begin(OrderKind.Load, this.ref(), () => slots.occupied <= places());
   }
 
   private look(): Promise<OrderOutcome> {
-    return this.options.session.parts.orders.look(OrderKind.Load, this.options.ref);
+    return this.options.session.parts.orders.look(OrderKind.Load, this.ref());
+  }
+
+  /** An order that names no version asks for the newest: repeated after a newer one was declared, it would begin another load. */
+  private ref(): OrderedRef {
+    const { slot } = this.options;
+    return { ...refOf(slot), version: slot.version };
   }
 
   private async waitForProof(): Promise<boolean> {
--- a/packages/routing/src/core/adapters/keeper.ts
+++ b/packages/routing/src/core/adapters/keeper.ts
@@ -7,6 +7,7 @@
  */
 import type { EngineSpec } from '../catalog/index.js';
 import { AdapterLoad } from './adapter-load.js';
+import { adoptReport } from './adopt.js';
 import { adapterPlaces } from './capacity.js';
 import { LoadTimes } from './load-times.js';
 import { EngineEmptyError, NumberedOrders } from './numbered-orders.js';
@@ -16,7 +17,7 @@
 import { LoadQueue } from './queue.js';
 import { EngineSession } from './session.js';
 import type { Slot } from './slots.js';
-import { SlotState, SlotTable } from './slots.js';
+import { isMoving, SlotState, SlotTable } from './slots.js';
 import type { AdapterRef, EngineReport, Holdings, RoomLine, Urgency } from './types.js';
 import { adapterKey, AdapterUnavailable, OrderKind, OrderOutcome } from './types.js';
 import { Unloads } from './unloads.js';
@@ -197,41 +198,12 @@
 
   /** Takes over what a report says that was proved to be exact. */
   private take(report: EngineReport): void {
-    const { session, slots } = this;
-    session.note(report);
-    const loading = new Set(report.loading.map(({ model, adapter }) => adapterKey(model, adapter)));
-    const held = new Map(
-      report.models.flatMap(({ name, adapters }) =>
-        adapters.map((adapter) => [adapterKey(name, adapter.name), adapter.version] as const),
-      ),
-    );
-    for (const slot of [...slots.all()]) {
-      const { key, version, state } = slot;
-      if (!isMoving(slot) && !held.has(key) && !loading.has(key)) session.free(key, 'not reported');
-      if (state === SlotState.Loading && session.hasOlder(key, version)) slot.isReplacement = true;
-    }
-    for (const [key, version] of held) if (!loading.has(key)) this.putHeld(key, version);
-    for (const ref of report.loading) this.follow(ref, held);
+    adoptReport(this.session, report, (slot) => {
+      void this.makeLoad(slot, undefined, undefined).run();
+    });
     this.noteLearnt(report);
   }
 
-  private putHeld(key: string, version: number): void {
-    const known = this.slots.get(key);
-    if (known === undefined) this.slots.put(key, version, SlotState.Held);
-    else if (!isMoving(known))
-      Object.assign(known, { version, state: SlotState.Held } satisfies Partial<Slot>);
-  }
-
-  /** Follows a load that a former keeper ordered, or this one without an answer, until the adapter is in place. */
-  private follow(ref: EngineReport['loading'][number], held: ReadonlyMap<string, number>): void {
-    const key = adapterKey(ref.model, ref.adapter);
-    const known = this.slots.get(key);
-    if (known !== undefined && isMoving(known)) return;
-    const slot = this.slots.put(key, ref.version, SlotState.Loading);
-    slot.isReplacement = held.has(key);
-    void this.makeLoad(slot, ref, undefined, undefined).run();
-  }
-
   private noteLearnt(report: EngineReport): void {
     const { log, replica, authority } = this.options;
     log.decide('engine.learnt', `Knows what engine ${replica.id} holds.`, {
@@ -341,26 +313,12 @@
     const slot = this.slots.put(wanted.key, version, SlotState.Loading);
     slot.isReplacement = previousVersion !== undefined && version > previousVersion;
     if (previousVersion !== undefined) this.tell();
-    void this.makeLoad(slot, wanted, wanted, previousVersion).run();
+    void this.makeLoad(slot, wanted, previousVersion).run();
   }
 
-  private makeLoad(
-    slot: Slot,
-    { model, adapter }: AdapterRef,
-    wanted: Wanted | undefined,
-    previousVersion: number | undefined,
-  ): AdapterLoad {
+  private makeLoad(slot: Slot, wanted: Wanted | undefined, previousVersion: number | undefined): AdapterLoad {
     const { session, times } = this;
-    // An order that names no version asks for the newest: repeated after a newer one was declared, it would begin another load.
-    const ref = { model, adapter, version: slot.version };
-    return new AdapterLoad({
-      session,
-      times,
-      slot,
-      ref,
-      wanted,
-      previousVersion,
-    });
+    return new AdapterLoad({ session, times, slot, wanted, previousVersion });
   }
 
   /** The engine holds no model any more, under the name and without word of a new start: what was known of it is void. */
@@ -406,8 +364,3 @@
     if (holdings !== undefined) this.options.onHoldings(holdings);
   }
 }
-
-/** Whether an order concerns the adapter in a slot that the engine has not said to be done. */
-function isMoving({ state }: Slot): boolean {
-  return state === SlotState.Loading || state === SlotState.Dropping;
-}
--- a/packages/routing/src/core/adapters/numbered-orders.ts
+++ b/packages/routing/src/core/adapters/numbered-orders.ts
@@ -188,7 +188,8 @@
     else if (!this.isClosed) this.count = next;
   }
 
-  private doubt(): void {
+  /** Gives no order until a report has been proved anew. */
+  doubt(): void {
     if (this.count === undefined || this.isClosed) return;
     this.count = undefined;
     this.options.onDoubt();
--- a/packages/routing/src/core/adapters/session.ts
+++ b/packages/routing/src/core/adapters/session.ts
@@ -79,23 +79,12 @@
   }
 
   /**
-   * Tells whether the engine had accepted the load of an adapter when its last report was proved.
+   * Tells which version of an adapter was in place or on its way when the last report was proved.
    * @param key - `model/adapter`.
-   * @param version - Its version.
-   * @returns Whether it was in place or on its way.
+   * @returns The newest one, or undefined when there was none.
    */
-  wasReported(key: string, version: number): boolean {
-    return (this.reported.get(key) ?? 0) >= version;
-  }
-
-  /**
-   * Tells whether an older version of an adapter takes up a slot of its own beside one that loads.
-   * @param key - `model/adapter`.
-   * @param version - The version that loads.
-   * @returns Whether the last report that was proved lists an older one.
-   */
-  hasOlder(key: string, version: number): boolean {
-    return (this.reported.get(key) ?? version) < version;
+  reportedVersion(key: string): number | undefined {
+    return this.reported.get(key);
   }
 
   /**
--- a/packages/routing/src/core/adapters/slots.ts
+++ b/packages/routing/src/core/adapters/slots.ts
@@ -35,6 +35,25 @@
 /** Time after a load or use in which an adapter is no victim, in milliseconds: the request that waited is on its way. */
 const PROTECTED_MS = 300;
 
+/**
+ * Tells whether an order concerns the adapter in a slot that the engine has not said to be done.
+ * @param slot - The slot.
+ * @returns Whether it is on its way, in or out.
+ */
+export function isMoving({ state }: Slot): boolean {
+  return state === SlotState.Loading || state === SlotState.Dropping;
+}
+
+/**
+ * Names the adapter in a slot, as orders name it.
+ * @param slot - The slot.
+ * @returns Base model and adapter.
+ */
+export function refOf({ key }: Slot): { readonly model: string; readonly adapter: string } {
+  const slash = key.indexOf('/');
+  return { model: key.slice(0, slash), adapter: key.slice(slash + 1) };
+}
+
 /** The slots. */
 export class SlotTable {
   private readonly slots = new Map<string, Slot>();
--- a/packages/routing/src/core/adapters/unloads.ts
+++ b/packages/routing/src/core/adapters/unloads.ts
@@ -1,8 +1,8 @@
 /** Makes room on one engine: which adapter goes, and how. */
+import type { OrderedRef } from './orders.js';
 import type { EngineSession } from './session.js';
 import type { Slot } from './slots.js';
-import { SlotState } from './slots.js';
-import type { AdapterRef } from './types.js';
+import { refOf, SlotState } from './slots.js';
 import { OrderKind, OrderOutcome } from './types.js';
 
 /** Time from telling the others that an adapter goes until what they had sent before is known, in milliseconds: a few ways between failure domains. */
@@ -53,12 +53,18 @@
       this.takeBack(victim);
       return;
     }
-    const outcome = await orders.begin(OrderKind.Unload, refOf(victim), () => victim.running === 0);
+    const { proofs } = session;
+    const isStillRight = (): boolean => victim.running === 0 && session.proofs === proofs;
+    const outcome = await orders.begin(OrderKind.Unload, anyVersion(victim), isStillRight);
     if (session.isOver) return;
     if (outcome === OrderOutcome.Done) session.free(victim.key, 'unloaded');
     else if (outcome === OrderOutcome.Started) void this.waitForRuns(victim);
     // Without an answer it may be gone; it counts as in place until a report or a request shows that it is not.
-    else this.takeBack(victim);
+    else {
+      this.takeBack(victim);
+      // What a report meanwhile showed of this adapter was passed over, as it was on its way out.
+      if (session.proofs !== proofs) orders.doubt();
+    }
   }
 
   /** The adapter stays after all. */
@@ -74,7 +80,7 @@
     for (;;) {
       await timers.sleep(DROP_POLL_MS);
       if (session.isOver) return;
-      const outcome = await orders.look(OrderKind.Unload, refOf(slot));
+      const outcome = await orders.look(OrderKind.Unload, anyVersion(slot));
       if (session.isOver) return;
       if (outcome !== OrderOutcome.Done) continue;
       session.free(slot.key, 'unloaded when its last request had ended');
@@ -84,7 +90,7 @@
   }
 }
 
-function refOf({ key }: Slot): AdapterRef {
-  const slash = key.indexOf('/');
-  return { model: key.slice(0, slash), adapter: key.slice(slash + 1), version: undefined };
+/** An adapter is unloaded whatever its version. */
+function anyVersion(slot: Slot): OrderedRef {
+  return { ...refOf(slot), version: undefined };
 }
--- a/packages/routing/test/orders/orders.test.ts
+++ b/packages/routing/test/orders/orders.test.ts
@@ -54,3 +54,8 @@
   // Harsh seed 978: the waiting load was refused for want of room, and gave back the slot of an adapter that was in place.
   t.is(faultOf(await play('978', true)), undefined);
 });
+
+test('an adapter on its way out of which a report lists another version on its way in counts twice', async (t) => {
+  // Seed 3320, harsh: its unload was refused and the slot counted once, while a former keeper's load of a newer version came in.
+  t.is(faultOf(await play('3320', true)), undefined);
+});
