--- a/packages/routing/src/core/adapters/numbered-orders.ts
+++ b/packages/routing/src/core/adapters/numbered-orders.ts
@@ -73,17 +73,23 @@
     return this.count !== undefined;
   }
 
+  /** Whether an unload waits for the runs on its adapter, so that the engine would refuse every other order. */
+  get isBlocked(): boolean {
+    return this.isUnloadWaiting;
+  }
+
   /**
    * Gives an order that begins something.
    * @param kind - What to do.
    * @param ref - With what.
    * @param isStillRight - Asked when its turn has come; what was believed when the order was decided may have changed.
-   * @returns What became of it. When the count is not known, or it is not right any more, nothing is sent: busy and refused.
+   * @returns What became of it. Nothing is sent, and it is busy, while the count is not known or an unload waits for its runs;
+   *   nothing is sent, and it is refused, when it is not right any more.
    */
   begin(kind: OrderKind, ref: OrderedRef, isStillRight: () => boolean): Promise<OrderOutcome> {
     return this.inTurn(async () => {
       const { count } = this;
-      if (count === undefined) return OrderOutcome.Busy;
+      if (count === undefined || this.isUnloadWaiting) return OrderOutcome.Busy;
       if (!isStillRight()) return OrderOutcome.Refused;
       this.begun += 1;
       this.isBeginning = true;
@@ -181,7 +187,6 @@
   }
 
   private note(outcome: OrderOutcome, kind: OrderKind, count: number): void {
-    if (outcome === OrderOutcome.Busy && this.isUnloadWaiting) return;
     const next = COUNT_AFTER[outcome](count, kind);
     if (kind === OrderKind.Unload && outcome === OrderOutcome.Started) this.isUnloadWaiting = true;
     if (next === undefined) this.doubt();
--- a/packages/routing/src/core/adapters/unloads.ts
+++ b/packages/routing/src/core/adapters/unloads.ts
@@ -24,11 +24,11 @@
 
   /** Unloads the adapter that is missed least; the session hears when there may be room. */
   async makeRoom(): Promise<void> {
-    const { slots, timers, onRoom } = this.session.parts;
+    const { orders, slots, timers, onRoom } = this.session.parts;
     if (this.isMakingRoom) return;
     this.isMakingRoom = true;
     try {
-      const victim = slots.victim();
+      const victim = orders.isBlocked ? undefined : slots.victim();
       if (victim === undefined) await timers.sleep(BUSY_MS);
       else await this.unload(victim);
     } finally {
