Names and comments of the orders to an engine; a doubted adapter may be replaced by a newer version

Read as a newcomer: what a load does with the requests that wait says so, comments within the line. One change of behaviour: a newer version of an adapter that a request did not find was not begun until the doubt was settled.

--- a/packages/routing/src/core/adapters/adapter-load.ts
+++ b/packages/routing/src/core/adapters/adapter-load.ts
@@ -1,9 +1,9 @@
 /**
  * The load of one adapter into its slot.
  *
- * The slot counts as on its way until the engine says that the adapter is in place, however long that takes and whoever still
- * waits for it. An engine that is told to unload an adapter on its way has nothing to unload and says that it is done; the
- * adapter arrives all the same, and a slot that was counted as free meanwhile is one too many.
+ * The slot counts as on its way until the engine says that the adapter is in place, however long that takes and whoever
+ * still waits for it. An engine that is told to unload an adapter on its way has nothing to unload and says that it is
+ * done; the adapter arrives all the same, and a slot that was counted as free meanwhile is one too many.
  */
 import type { LoadTimes } from './load-times.js';
 import type { OrderedRef } from './orders.js';
@@ -77,14 +77,14 @@
       const isAccepted = this.isAccepted();
       const outcome = await (isAccepted ? this.look() : this.begin());
       if (session.isOver) {
-        this.disappoint('The engine was given up.');
+        this.rejectWaiting('The engine was given up.');
         return;
       }
       if (outcome === OrderOutcome.Done) {
         this.arrive();
         return;
       }
-      if (!isAccepted && !(await this.goesOn(outcome)) && !this.followsReported(outcome)) {
+      if (!isAccepted && !(await this.triesOn(outcome)) && !this.followsReported(outcome)) {
         this.giveBack(outcome);
         return;
       }
@@ -93,8 +93,8 @@
   }
 
   /**
-   * Whether the engine has accepted the load. What an earlier answer told is void once a later report was proved: where it does
-   * not list the adapter, to repeat the order would be to begin another load, for which there may be no room.
+   * Whether the engine has accepted the load. What an earlier answer told is void once a later report was proved: where
+   * it does not list the adapter, to repeat the order would be to begin another load, for which there may be no room.
    */
   private isAccepted(): boolean {
     const { session, slot } = this.options;
@@ -106,14 +106,14 @@
   }
 
   /**
-   * Goes on with what a report shows that was proved since the load was asked for: another keeper may have ordered the adapter,
-   * in this version or an older one, and the slot is taken by that.
+   * Goes on with what a report shows that was proved since the load was asked for: another keeper may have ordered the
+   * adapter, in this version or an older one, and the slot is taken by that.
    */
   private followsReported(outcome: OrderOutcome): boolean {
     const { session, slot } = this.options;
     const version = session.reportedVersion(slot.key);
     if (this.proofsAtStart === session.proofs || version === undefined) return false;
-    if (version < slot.version) this.disappoint(`Loading ${slot.key} ended as ${outcome}.`);
+    if (version < slot.version) this.rejectWaiting(`Loading ${slot.key} ended as ${outcome}.`);
     slot.version = Math.min(version, slot.version);
     slot.isReplacement = false;
     this.proofsSeen = session.proofs;
@@ -122,7 +122,7 @@
   }
 
   /** Whether a load that was not accepted so far is tried on, after what became of its order. */
-  private async goesOn(outcome: OrderOutcome): Promise<boolean> {
+  private async triesOn(outcome: OrderOutcome): Promise<boolean> {
     if (outcome === OrderOutcome.Started) {
       this.wasAccepted = true;
       await this.pause(outcome);
@@ -150,7 +150,10 @@
     return this.options.session.parts.orders.look(OrderKind.Load, this.ref());
   }
 
-  /** An order that names no version asks for the newest: repeated after a newer one was declared, it would begin another load. */
+  /**
+   * What is ordered. An order that names no version asks for the newest: repeated after a newer one was declared, it would
+   * begin another load.
+   */
   private ref(): OrderedRef {
     const { slot } = this.options;
     return { ...refOf(slot), version: slot.version };
@@ -161,7 +164,7 @@
     const { timers } = session.parts;
     const { proofs } = session;
     while (proofs === session.proofs && !session.isOver) {
-      if (this.isLate) this.disappoint('There was no answer to its load.');
+      if (this.isLate) this.rejectWaiting('There was no answer to its load.');
       await timers.sleep(BUSY_MS);
     }
     return this.isAwaited;
@@ -170,8 +173,8 @@
   private async pause(outcome: OrderOutcome): Promise<void> {
     const { session, slot, times } = this.options;
     const { timers } = session.parts;
-    if (!FOLLOWED.has(outcome)) this.disappoint(`Its load is ${outcome}.`);
-    if (this.isLate) this.disappoint('It did not load in time.');
+    if (!FOLLOWED.has(outcome)) this.rejectWaiting(`Its load is ${outcome}.`);
+    if (this.isLate) this.rejectWaiting('It did not load in time.');
     const pollMs = this.isAwaited ? POLL_MS : SLOW_POLL_MS;
     const untilGuess = this.startedAt + times.expectedMs(slot.key) * FIRST_LOOK_SHARE - timers.now();
     await timers.sleep(this.isFirstLook ? Math.max(pollMs, untilGuess) : pollMs);
@@ -210,11 +213,12 @@
       slot.isReplacement = false;
       onHoldings();
     }
-    this.disappoint(`Loading ${slot.key} ended as ${outcome}.`);
+    this.rejectWaiting(`Loading ${slot.key} ended as ${outcome}.`);
     onRoom();
   }
 
-  private disappoint(reason: string): void {
+  /** The requests that wait go elsewhere; the load itself is followed on. */
+  private rejectWaiting(reason: string): void {
     this.isAwaited = false;
     this.options.wanted?.reject(new AdapterUnavailable(reason));
   }
--- a/packages/routing/src/core/adapters/adopt.ts
+++ b/packages/routing/src/core/adapters/adopt.ts
@@ -9,8 +9,8 @@
 type Versions = ReadonlyMap<string, number>;
 
 /**
- * Takes over what a report lists. A slot that an order of this keeper concerns is left to the task that follows that order, and
- * counts twice while the report lists another version beside it.
+ * Takes over what a report lists. A slot that an order of this keeper concerns is left to the task that follows that
+ * order, and counts twice while the report lists another version beside it.
  * @param session - The engine's slots.
  * @param report - The report.
  * @param follow - Follows a load that this keeper does not follow yet.
--- a/packages/routing/src/core/adapters/keeper.ts
+++ b/packages/routing/src/core/adapters/keeper.ts
@@ -1,9 +1,10 @@
 /**
  * Keeps one engine's adapters: loads what requests wait for, and makes room.
  *
- * Runs in the daemon that holds the engine's claim. Its table never says less than the engine holds: it begins with a report that
- * is proved to be exact, a slot counts as free only when the engine has said so of an adapter that was in place, and each order
- * names the count of those that the engine has accepted. When an answer is lost the report is proved anew.
+ * Runs in the daemon that holds the engine's claim. Its table never says less than the engine holds: it begins with a
+ * report that is proved to be exact, a slot counts as free only when the engine has said so of an adapter that was in
+ * place, and each order names the count of those that the engine has accepted. When an answer is lost a report is
+ * proved anew.
  */
 import type { EngineSpec } from '../catalog/index.js';
 import { AdapterLoad } from './adapter-load.js';
@@ -292,9 +293,10 @@
     if (!this.isReady || this.isStopped) return;
     while (this.slots.loading < MAX_LOADING) {
       // What is on its way, in or out, must be there first, or two orders for one adapter could overtake each other.
-      const wanted = this.queue.next(
-        (key) => (this.slots.get(key)?.state ?? SlotState.Held) !== SlotState.Held,
-      );
+      const wanted = this.queue.next((key) => {
+        const slot = this.slots.get(key);
+        return slot !== undefined && isMoving(slot);
+      });
       if (wanted === undefined) return;
       // A newer version takes a slot of its own until the older one has gone.
       if (this.slots.occupied >= this.places) {
--- a/packages/routing/src/core/adapters/numbered-orders.ts
+++ b/packages/routing/src/core/adapters/numbered-orders.ts
@@ -1,10 +1,11 @@
 /**
  * Orders to one engine that it accepts only while this daemon knows all that it has accepted.
  *
- * An engine counts the orders that began something, and refuses one that names another count. Each order here names the count
- * that follows from the answers so far, so that an order that is late, that a former keeper gave, or that rests on an answer
- * that was lost can't be taken for one that fits: the engine itself holds the table of its slots to be exact. Without it 15 of 240 random
- * plays of the tests in `test/orders` order an engine beyond its room (120 seeds, plain and harsh), with it none of 3,000.
+ * An engine counts the orders that began something, and refuses one that names another count. Each order here names the
+ * count that follows from the answers so far. So an order that is late, that a former keeper gave, or that rests on an
+ * answer that was lost or belongs to another call is refused by the engine itself, and what it holds is found out anew.
+ * Without it 15 of 240 random plays in `test/orders` order an engine beyond its room (120 seeds, plain and harsh), with
+ * it none of 3,000.
  */
 import type { TimerService } from '@celeryyoke/core';
 
@@ -83,8 +84,8 @@
    * @param kind - What to do.
    * @param ref - With what.
    * @param isStillRight - Asked when its turn has come; what was believed when the order was decided may have changed.
-   * @returns What became of it. Nothing is sent, and it is busy, while the count is not known or an unload waits for its runs;
-   *   nothing is sent, and it is refused, when it is not right any more.
+   * @returns What became of it. Nothing is sent, and it is busy, while the count is not known or an unload waits for its
+   *   runs; nothing is sent, and it is refused, when it is not right any more.
    */
   begin(kind: OrderKind, ref: OrderedRef, isStillRight: () => boolean): Promise<OrderOutcome> {
     return this.inTurn(async () => {
@@ -110,7 +111,7 @@
     return kind === OrderKind.Load ? this.lookAtLoad(ref) : this.lookAtUnload(ref);
   }
 
-  /** A load names the count when it is repeated too: one that is late must not begin anew on an engine that has lost all. */
+  /** A repeated load names the count too: one that is late must not begin anew on an engine that has lost all. */
   private async lookAtLoad(ref: OrderedRef): Promise<OrderOutcome> {
     const { count, begun, isBeginning } = this;
     if (count === undefined) return OrderOutcome.Busy;
@@ -127,9 +128,9 @@
   }
 
   /**
-   * Finds out what the engine holds and how many orders it has accepted. A report is some hundred milliseconds old; it is exact
-   * when the engine then accepts an order, which changes nothing, under the report's count. From then on it refuses what earlier
-   * keepers ordered.
+   * Finds out what the engine holds and how many orders it has accepted. A report is some hundred milliseconds old; it
+   * is exact when the engine then accepts an order, which changes nothing, under the report's count. From then on it
+   * refuses what earlier keepers ordered.
    * @param model - A base model that the engine holds.
    * @param take - Takes the report that was proved, before any order is given that rests on it.
    * @throws EngineEmptyError when the engine holds no model.
@@ -152,6 +153,13 @@
     });
   }
 
+  /** Gives no order until a report has been proved anew. */
+  doubt(): void {
+    if (this.count === undefined || this.isClosed) return;
+    this.count = undefined;
+    this.options.onDoubt();
+  }
+
   /** Gives no order any more. */
   close(): void {
     this.isClosed = true;
@@ -193,13 +201,6 @@
     else if (!this.isClosed) this.count = next;
   }
 
-  /** Gives no order until a report has been proved anew. */
-  doubt(): void {
-    if (this.count === undefined || this.isClosed) return;
-    this.count = undefined;
-    this.options.onDoubt();
-  }
-
   private inTurn<T>(task: () => Promise<T>): Promise<T> {
     const ended = this.turn.then(task);
     this.turn = ended.catch(() => undefined);
