--- a/packages/routing/test/orders/fleet.ts
+++ b/packages/routing/test/orders/fleet.ts
@@ -79,29 +79,36 @@
   }
 }
 
-/** What a seed draws for a play. */
+/** What a seed draws for a play; times are in milliseconds, those between events are means. */
 interface Plan {
+  /** Whether the engine refuses older tokens. */
   readonly isFenced: boolean;
   /** Share of the orders that get the answer to another call. */
   readonly otherAnswers: number;
   readonly places: number;
+  /** Adapters that requests ask for. */
   readonly adapters: number;
+  /** Shortest and longest load. */
   readonly loadMs: readonly [number, number];
   readonly betweenRequestsMs: number;
   readonly betweenKeepersMs: number;
   readonly betweenRestartsMs: number;
   readonly betweenVersionsMs: number;
+  /** Longest time until a former keeper hears of its successor. */
   readonly deafMs: number;
+  /** Longest time until a keeper hears of a request that runs, or of a version. */
   readonly lagMs: number;
+  /** Share of the calls that something happens to. */
   readonly trouble: number;
 }
 
 /**
  * What may happen besides: engines that take orders with older tokens, and answers that belong to other calls.
  *
- * An engine that neither refuses older tokens nor starts again under another name can't tell an order to its former start, and
- * nothing in an order names the start; so engines without fences do not start again here. And the answer to another call that
- * says that a newer version is in place can't be told from the right one; so no versions are declared where answers get mixed up.
+ * An engine that neither refuses older tokens nor starts again under another name can't tell an order to its former start,
+ * and nothing in an order names the start; so engines without fences do not start again here. And the answer to another
+ * call that says that a newer version is in place can't be told from the right one; so no versions are declared where
+ * answers get mixed up.
  */
 function harshen(plan: Plan, random: Random): Plan {
   const isFenced = random.chance(FENCED_SHARE);
@@ -207,7 +214,7 @@
     return { overloads: engine.overloads, runs, servesAtEnd, roomAtEnd, places: plan.places, trace };
   }
 
-  /** Whether an adapter that nobody asked for so far can be had in time, by a caller that asks again when it is refused. */
+  /** Whether a caller that asks again when it is refused can have an adapter in time that nobody asked for so far. */
   private async servesNow(): Promise<boolean> {
     const { timers } = this;
     const endAt = timers.now() + CALM_LIMIT_MS;
--- a/packages/routing/test/orders/orders.test.ts
+++ b/packages/routing/test/orders/orders.test.ts
@@ -16,6 +16,8 @@
 
 /** Longest time for all plays of a long run, in milliseconds. */
 const LIMIT_MS = 3_600_000;
+/** Requests that run in a play on the average; fewer show that little was played. */
+const LEAST_RUNS = 5;
 /** Failed plays whose last orders are printed. */
 const MAX_TRACES = 3;
 
@@ -39,6 +41,7 @@
     if (failed.length <= MAX_TRACES) t.log(`seed ${seed}\n${result.trace.join('\n')}`);
   }
   t.log(`${PLAYS} plays, ${runs} runs`);
+  t.true(runs > PLAYS * LEAST_RUNS);
   return failed;
 }
 
@@ -50,12 +53,12 @@
   t.deepEqual(await playAll(t, true), []);
 });
 
-test('a load that waits for its turn while a report shows that another keeper has loaded the adapter keeps its slot', async (t) => {
+test('a load whose adapter another keeper has loaded meanwhile keeps its slot', async (t) => {
   // Harsh seed 978: the waiting load was refused for want of room, and gave back the slot of an adapter that was in place.
   t.is(faultOf(await play('978', true)), undefined);
 });
 
-test('an adapter on its way out of which a report lists another version on its way in counts twice', async (t) => {
+test('an adapter on its way out counts twice while another version of it is on its way in', async (t) => {
   // Seed 3320, harsh: its unload was refused and the slot counted once, while a former keeper's load of a newer version came in.
   t.is(faultOf(await play('3320', true)), undefined);
 });
