A load that was ordered right after a report was proved is not ordered again

A load that waits for its turn while a report is proved is ordered after that report; the report, which can't list it, was then taken to say that the engine had not accepted it. It was ordered again, and when that order could not be sent the slot was given back, though the adapter was on its way. Change: what is accepted counts from the reports known when it was ordered.

--- a/packages/routing/src/core/adapters/adapter-load.ts
+++ b/packages/routing/src/core/adapters/adapter-load.ts
@@ -125,6 +125,8 @@
   private async triesOn(outcome: OrderOutcome): Promise<boolean> {
     if (outcome === OrderOutcome.Started) {
       this.wasAccepted = true;
+      // Its turn may have come right after a report was proved, which can't list it.
+      this.proofsSeen = this.options.session.proofs;
       await this.pause(outcome);
       return true;
     }
--- a/packages/routing/test/orders/orders.test.ts
+++ b/packages/routing/test/orders/orders.test.ts
@@ -62,3 +62,8 @@
   // Seed 3320, harsh: its unload was refused and the slot counted once, while a former keeper's load of a newer version came in.
   t.is(faultOf(await play('3320', true)), undefined);
 });
+
+test('a load that was ordered right after a report was proved is not ordered again for want of it there', async (t) => {
+  // Harsh seed 31350: the second order could not be sent, and the slot of an adapter on its way was given back.
+  t.is(faultOf(await play('31350', true)), undefined);
+});
