--- a/packages/routing/test/orders/orders.test.ts
+++ b/packages/routing/test/orders/orders.test.ts
@@ -67,3 +67,8 @@
   // Harsh seed 31350: the second order could not be sent, and the slot of an adapter on its way was given back.
   t.is(faultOf(await play('31350', true)), undefined);
 });
+
+test('two answers to other calls, one after the other, do not make up for each other', async (t) => {
+  // Harsh seed 31061: a load that began was answered as done, then a refused unload of the same adapter too; the count fits again.
+  t.is(faultOf(await play('31061', true)), undefined);
+});
