--- a/packages/routing/test/orders/engine.ts
+++ b/packages/routing/test/orders/engine.ts
@@ -60,7 +60,7 @@
   isDown = false;
 
   /** Start of this life: what was set off in an earlier one has no effect. */
-  private life = 0;
+  life = 0;
 
   private sequence = 0;
 
--- a/packages/routing/test/orders/fleet.ts
+++ b/packages/routing/test/orders/fleet.ts
@@ -79,12 +79,29 @@
   }
 }
 
+/** What a play adds to the ordinary trouble. */
+export enum PlayKind {
+  Plain = 'plain',
+  /** Engines that take orders with older tokens, and answers to other calls in place of an order's own. */
+  Harsh = 'harsh',
+  /** The same engines, which also start again, and answers that are sent twice and put all later ones off by one. */
+  Shifted = 'shifted',
+  /** The same engines, versions, and answers to other calls in place of an order's own. */
+  Replaced = 'replaced',
+  /** The same with two or three such answers in a row. */
+  ReplacedInRow = 'replacedInRow',
+}
+
 /** What a seed draws for a play; times are in milliseconds, those between events are means. */
 interface Plan {
   /** Whether the engine refuses older tokens. */
   readonly isFenced: boolean;
   /** Share of the orders that get the answer to another call. */
   readonly otherAnswers: number;
+  /** How many orders in a row get one, at most. */
+  readonly inRow: number;
+  /** Share of the calls that are answered twice. */
+  readonly answeredTwice: number;
   readonly places: number;
   /** Adapters that requests ask for. */
   readonly adapters: number;
@@ -103,12 +120,8 @@
 }
 
 /**
- * What may happen besides: engines that take orders with older tokens, and answers that belong to other calls.
- *
- * An engine that neither refuses older tokens nor starts again under another name can't tell an order to its former start,
- * and nothing in an order names the start; so engines without fences do not start again here. And the answer to another
- * call that says that a newer version is in place can't be told from the right one; so no versions are declared where
- * answers get mixed up.
+ * What may happen besides: engines that take orders with older tokens, and answers that belong to other calls. Such engines
+ * do not start again here, and no versions are declared where answers get mixed up: the kept seeds were played so.
  */
 function harshen(plan: Plan, random: Random): Plan {
   const isFenced = random.chance(FENCED_SHARE);
@@ -118,10 +131,34 @@
   return { ...plan, isFenced, betweenRestartsMs, betweenVersionsMs, otherAnswers };
 }
 
+/** What each kind of play changes in a plan. */
+const KINDS: Readonly<Record<PlayKind, (plan: Plan, random: Random) => Plan>> = {
+  [PlayKind.Plain]: (plan) => plan,
+  [PlayKind.Harsh]: harshen,
+  [PlayKind.Shifted]: (plan, random) => ({
+    ...plan,
+    isFenced: random.chance(FENCED_SHARE),
+    answeredTwice: random.pick([0.01, 0.05, 0.2]),
+  }),
+  [PlayKind.Replaced]: (plan, random) => ({
+    ...plan,
+    isFenced: random.chance(FENCED_SHARE),
+    otherAnswers: 0.05,
+  }),
+  [PlayKind.ReplacedInRow]: (plan, random) => ({
+    ...plan,
+    isFenced: random.chance(FENCED_SHARE),
+    otherAnswers: 0.05,
+    inRow: 3,
+  }),
+};
+
 function drawPlan(random: Random): Plan {
   return {
     isFenced: true,
     otherAnswers: 0,
+    inRow: 1,
+    answeredTwice: 0,
     places: random.pick([3, 5, 8]),
     adapters: random.pick([9, 14, 30]),
     loadMs: random.pick([
@@ -166,15 +203,18 @@
 
   private isCalm = false;
 
+  /** Orders that still get the answers to other calls. */
+  private othersLeft = 0;
+
   private readonly replica: ReplicaEntry = engineEntry('e');
 
   private readonly spec: EngineSpec;
 
-  constructor(seed: string, isHarsh: boolean) {
+  constructor(seed: string, kind: PlayKind) {
     this.random = createRandom(seed);
     const plan = drawPlan(this.random);
     this.others = createRandom(`${seed} others`);
-    this.plan = isHarsh ? harshen(plan, this.others) : plan;
+    this.plan = KINDS[kind](plan, this.others);
     const { isFenced, places, loadMs } = this.plan;
     this.spec = {
       slots: 8,
@@ -238,8 +278,9 @@
     const name = `d${this.holders}`;
     this.token += TOKEN_STEP;
     const trouble = (): number => (this.isCalm ? 0 : plan.trouble);
-    const isOther = (): boolean => !this.isCalm && this.others.chance(plan.otherAnswers);
-    const way = new Way({ timers, engine, random, trouble, isOther });
+    const isTwice = (): boolean =>
+      !this.isCalm && plan.answeredTwice > 0 && this.others.chance(plan.answeredTwice);
+    const way = new Way({ timers, engine, random, trouble, isOther: () => this.isOther(), isTwice });
     const makeKeeper = (holder: Holder): Keeper =>
       new Keeper({
         replica: this.replica,
@@ -261,6 +302,19 @@
     return holder;
   }
 
+  /** Whether the next order gets the answer to another call. */
+  private isOther(): boolean {
+    const { plan, others } = this;
+    if (this.isCalm) return false;
+    if (this.othersLeft > 0) {
+      this.othersLeft -= 1;
+      return true;
+    }
+    const isOther = others.chance(plan.otherAnswers);
+    if (isOther && plan.inRow > 1) this.othersLeft = Math.floor(others.between(1, plan.inRow));
+    return isOther;
+  }
+
   private async traced<T>(
     name: string,
     { kind, adapter, expected }: EngineOrder,
@@ -365,9 +419,9 @@
 /**
  * Plays one seed.
  * @param seed - Names the play.
- * @param isHarsh - Whether engines may take orders with older tokens, and answers may belong to other calls.
+ * @param kind - What it adds to the ordinary trouble.
  * @returns What it shows.
  */
-export function play(seed: string, isHarsh = false): Promise<PlayResult> {
-  return new Play(seed, isHarsh).run();
+export function play(seed: string, kind = PlayKind.Plain): Promise<PlayResult> {
+  return new Play(seed, kind).run();
 }
--- a/packages/routing/test/orders/way.ts
+++ b/packages/routing/test/orders/way.ts
@@ -52,8 +52,38 @@
   readonly random: Random;
   /** Share of the calls that something happens to, at this moment. */
   readonly trouble: () => number;
-  /** Whether the next order gets the answer to another call on its connection. */
+  /** Whether the next order gets the answer to another call in place of its own; no connection does so by itself. */
   readonly isOther: () => boolean;
+  /** Whether the engine answers the next call twice; the second answer comes where the next one is expected. */
+  readonly isTwice: () => boolean;
+}
+
+/** What an engine may answer on a connection of its orders. */
+type Answer = OrderOutcome | EngineReport;
+
+/** A connection: answers come in their order, whichever call they belong to, and it ends with the engine's start. */
+class Connection {
+  readonly life: number;
+
+  /** Answers that have been sent and not been read. */
+  private readonly unread: Answer[] = [];
+
+  constructor(private readonly engine: OrderedEngine) {
+    this.life = engine.life;
+  }
+
+  /** Whether it still leads to the process that it was set up with. */
+  get isAlive(): boolean {
+    return !this.engine.isDown && this.life === this.engine.life;
+  }
+
+  /** Takes the engine's answer to a call, and hands out the one that is read in its place. */
+  pass(answer: Answer, isTwice: boolean): Answer {
+    this.unread.push(answer);
+    const read = this.unread.shift()!;
+    if (isTwice) this.unread.push(answer);
+    return read;
+  }
 }
 
 /** The way. */
@@ -61,6 +91,9 @@
   /** Whether the daemon at its beginning has ended: what is under way arrives, answers reach nobody. */
   hasEnded = false;
 
+  /** Undefined until the next call sets one up. */
+  private connection: Connection | undefined;
+
   /**
    * Makes a way.
    * @param options - The engine at its end, and what goes wrong.
@@ -72,36 +105,47 @@
     const outcome = await this.call(() => engine.take(order));
     if (outcome !== undefined && outcome !== OrderOutcome.Unreachable && isOther())
       return random.pick(OTHER_ANSWERS);
-    return outcome ?? OrderOutcome.Unknown;
+    // The body of a report is no answer to an order.
+    if (typeof outcome === 'object') this.connection = undefined;
+    return typeof outcome === 'string' ? outcome : OrderOutcome.Unknown;
   }
 
   async report(): Promise<EngineReport> {
     const report = await this.call(() => this.options.engine.report());
-    if (report === undefined || typeof report === 'string') throw new Error('No report.');
-    return report;
+    if (typeof report === 'object') return report;
+    this.connection = undefined;
+    throw new Error('No report.');
   }
 
   /** Makes a call; undefined when there is no answer. */
-  private async call<T>(answer: () => T): Promise<T | OrderOutcome.Unreachable | undefined> {
-    const { engine, timers } = this.options;
+  private async call(answer: () => Answer): Promise<Answer | undefined> {
+    const { engine, timers, isTwice } = this.options;
     const fate = engine.isDown ? Fate.NoConnection : this.draw();
     if (fate === Fate.NoConnection) return this.noConnection();
+    this.connection ??= new Connection(engine);
+    const { connection } = this;
     await timers.sleep(fate === Fate.SlowCall ? this.long() : this.short());
-    if (fate === Fate.ResetBefore) return undefined;
-    if (fate === Fate.Lost || engine.isDown) return this.silence();
-    const given = answer();
-    if (this.hasEnded || fate === Fate.AnswerLost || engine.isDown) return this.silence();
+    if (fate === Fate.ResetBefore) return this.broken();
+    if (fate === Fate.Lost || !connection.isAlive) return this.silence();
+    const read = connection.pass(answer(), isTwice());
+    if (this.hasEnded || fate === Fate.AnswerLost || !connection.isAlive) return this.silence();
     await timers.sleep(fate === Fate.SlowAnswer ? this.long() : this.short());
-    return fate === Fate.ResetAfter ? undefined : given;
+    return fate === Fate.ResetAfter ? this.broken() : read;
+  }
+
+  private broken(): undefined {
+    this.connection = undefined;
   }
 
   private async noConnection(): Promise<OrderOutcome.Unreachable> {
     const { random, timers } = this.options;
+    this.connection = undefined;
     await timers.sleep(random.chance(0.5) ? this.short() : CONNECT_LIMIT_MS);
     return OrderOutcome.Unreachable;
   }
 
   private async silence(): Promise<undefined> {
+    this.connection = undefined;
     await this.options.timers.sleep(CALL_LIMIT_MS);
     return undefined;
   }
