--- a/packages/routing/src/core/adapters/adapter-load.ts
+++ b/packages/routing/src/core/adapters/adapter-load.ts
@@ -1,6 +1,9 @@
 /**
  * The load of one adapter into its slot.
  *
+ * The slot's state says how far it is: reserved until the engine has accepted it, then loading. A report that is proved
+ * meanwhile sets the state too, and the load goes on from there.
+ *
  * The slot counts as on its way until the engine says that the adapter is in place, however long that takes and whoever
  * still waits for it. An engine that is told to unload an adapter on its way has nothing to unload and says that it is
  * done; the adapter arrives all the same, and a slot that was counted as free meanwhile is one too many.
@@ -38,120 +41,111 @@
   readonly slot: Slot;
   /** Requests that wait for it; undefined when a former keeper began it. */
   readonly wanted: Wanted | undefined;
-  /** What the slot held before; undefined when it was free. */
-  readonly previousVersion: number | undefined;
 }
 
 /** One load. */
 export class AdapterLoad {
   private readonly startedAt: number;
 
-  private isFirstLook = true;
-
-  /** Whether the engine has accepted it, as of the last report that was proved and the answers since. */
-  private wasAccepted: boolean;
+  /** Monotonic time at which the engine said that it had accepted it. */
+  private acceptedAt: number | undefined;
 
-  private proofsSeen: number;
+  private isFirstLook = true;
 
-  private readonly proofsAtStart: number;
+  /** Version that is wanted; a report may show that an older one is on its way. */
+  private readonly version: number;
 
   /** Whether requests still wait for it. */
   private isAwaited: boolean;
 
   /**
-   * Makes a load whose slot is marked as loading.
+   * Makes a load whose slot is reserved, or found to be loading.
    * @param options - The slot, and who waits.
    */
   constructor(private readonly options: AdapterLoadOptions) {
-    this.startedAt = options.session.parts.timers.now();
-    this.isAwaited = options.wanted !== undefined;
-    this.wasAccepted = options.wanted === undefined;
-    this.proofsSeen = options.session.proofs;
-    this.proofsAtStart = this.proofsSeen;
+    const { session, slot, wanted } = options;
+    this.startedAt = session.parts.timers.now();
+    this.isAwaited = wanted !== undefined;
+    this.version = slot.version;
+    slot.follower = this;
   }
 
   /** Orders the load and follows it until the adapter is in place, or the engine has not accepted it. */
   async run(): Promise<void> {
-    const { session } = this.options;
-    for (;;) {
-      const isAccepted = this.isAccepted();
-      const outcome = await (isAccepted ? this.look() : this.begin());
-      if (session.isOver) {
-        this.rejectWaiting('The engine was given up.');
-        return;
-      }
-      if (outcome === OrderOutcome.Done) {
-        this.arrive();
-        return;
-      }
-      if (!isAccepted && !(await this.triesOn(outcome)) && !this.followsReported(outcome)) {
-        this.giveBack(outcome);
-        return;
-      }
-      if (isAccepted) await this.pause(outcome);
+    const { session, slot } = this.options;
+    while (!session.isOver && slot.follower === this) {
+      if (slot.state === SlotState.Loading) await this.follow();
+      else if (slot.state === SlotState.Reserved) await this.begin();
+      else this.arrive();
     }
+    this.rejectWaiting('The engine was given up.');
   }
 
-  /**
-   * Whether the engine has accepted the load. What an earlier answer told is void once a later report was proved: where
-   * it does not list the adapter, to repeat the order would be to begin another load, for which there may be no room.
-   */
-  private isAccepted(): boolean {
+  /** Orders the load. */
+  private async begin(): Promise<void> {
+    const { session } = this.options;
+    const { orders, slots, places } = session.parts;
+    // A report that was proved since may have shown adapters that a former keeper ordered.
+    const isStillRight = (): boolean => this.isReserved && slots.occupied <= places();
+    const outcome = this.isAwaited
+      ? await orders.begin(OrderKind.Load, this.ref(), isStillRight)
+      : OrderOutcome.Refused;
+    if (session.isOver || !this.isReserved) return;
+    if (outcome === OrderOutcome.Started) {
+      this.accept();
+      await this.pause();
+    } else if (outcome === OrderOutcome.Done) await this.hearDone();
+    // Without an answer, the next report that is proved shows whether it was accepted.
+    else if (outcome === OrderOutcome.Unknown) await this.waitForProof();
+    else if (outcome === OrderOutcome.Busy && this.isAwaited && !this.isLate)
+      await session.parts.timers.sleep(BUSY_MS);
+    else this.giveBack(outcome);
+  }
+
+  private get isReserved(): boolean {
+    const { slot } = this.options;
+    return slot.follower === this && slot.state === SlotState.Reserved;
+  }
+
+  private accept(): void {
     const { session, slot } = this.options;
-    if (this.proofsSeen !== session.proofs) {
-      this.proofsSeen = session.proofs;
-      this.wasAccepted = (session.reportedVersion(slot.key) ?? 0) >= slot.version;
-    }
-    return this.wasAccepted;
+    session.parts.slots.mark(slot, SlotState.Loading);
+    this.acceptedAt = session.parts.timers.now();
   }
 
   /**
-   * Goes on with what a report shows that was proved since the load was asked for: another keeper may have ordered the
-   * adapter, in this version or an older one, and the slot is taken by that.
+   * The engine says that the adapter is in place already. That fits where a request did not find it and it is asked for
+   * anew; elsewhere the table says that it is not there, and one of both is wrong.
    */
-  private followsReported(outcome: OrderOutcome): boolean {
+  private async hearDone(): Promise<void> {
     const { session, slot } = this.options;
-    const version = session.reportedVersion(slot.key);
-    if (this.proofsAtStart === session.proofs || version === undefined) return false;
-    if (version < slot.version) this.rejectWaiting(`Loading ${slot.key} ended as ${outcome}.`);
-    slot.version = Math.min(version, slot.version);
-    slot.isReplacement = false;
-    this.proofsSeen = session.proofs;
-    this.wasAccepted = true;
-    return true;
+    if (slot.beneath === slot.version) {
+      slot.beneath = undefined;
+      this.arrive();
+      return;
+    }
+    session.parts.orders.doubt();
+    await this.waitForProof();
   }
 
-  /** Whether a load that was not accepted so far is tried on, after what became of its order. */
-  private async triesOn(outcome: OrderOutcome): Promise<boolean> {
-    if (outcome === OrderOutcome.Started) {
-      this.wasAccepted = true;
-      // Its turn may have come right after a report was proved, which can't list it.
-      this.proofsSeen = this.options.session.proofs;
-      await this.pause(outcome);
-      return true;
+  /** Looks whether the engine is done. */
+  private async follow(): Promise<void> {
+    const { session, slot } = this.options;
+    if (slot.version < this.version) this.rejectWaiting(`An older version of ${slot.key} is on its way.`);
+    const outcome = await session.parts.orders.look(OrderKind.Load, this.ref());
+    if (session.isOver || slot.state !== SlotState.Loading) return;
+    if (outcome === OrderOutcome.Done) {
+      this.arrive();
+      return;
     }
-    // Without an answer, the next report that is proved shows whether it was accepted.
-    if (outcome === OrderOutcome.Unknown) return this.waitForProof();
-    if (outcome !== OrderOutcome.Busy || !this.isAwaited || this.isLate) return false;
-    await this.options.session.parts.timers.sleep(BUSY_MS);
-    return true;
+    if (!FOLLOWED.has(outcome)) this.rejectWaiting(`Its load is ${outcome}.`);
+    await this.pause();
   }
 
   private get isLate(): boolean {
     return this.options.session.parts.timers.now() - this.startedAt >= LOAD_LIMIT_MS;
   }
 
-  private begin(): Promise<OrderOutcome> {
-    const { session } = this.options;
-    const { orders, slots, places } = session.parts;
-    // A report that was proved since may have shown adapters that a former keeper ordered.
-    return orders.begin(OrderKind.Load, this.ref(), () => slots.occupied <= places());
-  }
-
-  private look(): Promise<OrderOutcome> {
-    return this.options.session.parts.orders.look(OrderKind.Load, this.ref());
-  }
-
   /**
    * What is ordered. An order that names no version asks for the newest: repeated after a newer one was declared, it would
    * begin another load.
@@ -161,7 +155,7 @@
     return { ...refOf(slot), version: slot.version };
   }
 
-  private async waitForProof(): Promise<boolean> {
+  private async waitForProof(): Promise<void> {
     const { session } = this.options;
     const { timers } = session.parts;
     const { proofs } = session;
@@ -169,50 +163,59 @@
       if (this.isLate) this.rejectWaiting('There was no answer to its load.');
       await timers.sleep(BUSY_MS);
     }
-    return this.isAwaited;
   }
 
-  private async pause(outcome: OrderOutcome): Promise<void> {
+  private async pause(): Promise<void> {
     const { session, slot, times } = this.options;
     const { timers } = session.parts;
-    if (!FOLLOWED.has(outcome)) this.rejectWaiting(`Its load is ${outcome}.`);
     if (this.isLate) this.rejectWaiting('It did not load in time.');
     const pollMs = this.isAwaited ? POLL_MS : SLOW_POLL_MS;
-    const untilGuess = this.startedAt + times.expectedMs(slot.key) * FIRST_LOOK_SHARE - timers.now();
-    await timers.sleep(this.isFirstLook ? Math.max(pollMs, untilGuess) : pollMs);
+    const isFirst = this.isFirstLook && this.acceptedAt !== undefined;
     this.isFirstLook = false;
+    const guessedMs = isFirst ? times.expectedMs(slot.key) * FIRST_LOOK_SHARE : 0;
+    await timers.sleep(Math.max(pollMs, guessedMs));
   }
 
   private arrive(): void {
-    const { session, slot, times, wanted } = this.options;
-    const { slots, timers, log, replica, onArrival } = session.parts;
+    const { session, slot, wanted } = this.options;
+    const { slots, onArrival } = session.parts;
     slots.mark(slot, SlotState.Held);
-    slot.isReplacement = false;
-    const tookMs = timers.now() - this.startedAt;
-    if (wanted !== undefined) {
-      log.detail('adapter.loaded', `Loaded ${slot.key}.`, {
-        replica: replica.id,
-        adapter: slot.key,
-        version: slot.version,
-        tookMs: Math.round(tookMs),
-        queuedMs: Math.round(this.startedAt - wanted.askedAt),
-        wasHeldBefore: times.wasLoaded(slot.key),
-      });
-      times.learn(slot.key, tookMs);
+    slot.follower = undefined;
+    if (wanted !== undefined && this.isAwaited) {
+      this.noteLoaded(wanted);
+      this.isAwaited = false;
       wanted.resolve();
     }
+    slot.beneath = undefined;
     onArrival(slot);
   }
 
+  private noteLoaded(wanted: Wanted): void {
+    const { session, slot, times } = this.options;
+    const { timers, log, replica } = session.parts;
+    const tookMs = timers.now() - this.startedAt;
+    log.detail('adapter.loaded', `Loaded ${slot.key}.`, {
+      replica: replica.id,
+      adapter: slot.key,
+      version: slot.version,
+      tookMs: Math.round(tookMs),
+      queuedMs: Math.round(this.startedAt - wanted.askedAt),
+      wasHeldBefore: times.wasLoaded(slot.key),
+    });
+    times.learn(slot.key, tookMs);
+  }
+
   /** The engine has not accepted the load: the slot is as it was before. */
   private giveBack(outcome: OrderOutcome): void {
-    const { session, slot, previousVersion } = this.options;
+    const { session, slot } = this.options;
     const { slots, onHoldings, onRoom } = session.parts;
-    if (previousVersion === undefined) session.free(slot.key, `its load ended as ${outcome}`);
+    const { beneath, version } = slot;
+    slot.follower = undefined;
+    if (beneath === undefined) session.free(slot.key, `its load ended as ${outcome}`);
     else {
-      slots.mark(slot, slot.isReplacement ? SlotState.Held : SlotState.Doubted);
-      slot.version = previousVersion;
-      slot.isReplacement = false;
+      slots.mark(slot, beneath < version ? SlotState.Held : SlotState.Doubted);
+      slot.version = beneath;
+      slot.beneath = undefined;
       onHoldings();
     }
     this.rejectWaiting(`Loading ${slot.key} ended as ${outcome}.`);
@@ -221,6 +224,7 @@
 
   /** The requests that wait go elsewhere; the load itself is followed on. */
   private rejectWaiting(reason: string): void {
+    if (!this.isAwaited) return;
     this.isAwaited = false;
     this.options.wanted?.reject(new AdapterUnavailable(reason));
   }
--- a/packages/routing/src/core/adapters/adopt.ts
+++ b/packages/routing/src/core/adapters/adopt.ts
@@ -1,7 +1,7 @@
-/** Brings the table of an engine's slots in line with a report that was proved to be exact. */
+/** Makes the table of an engine's slots anew from a report that was proved to be exact. */
 import type { EngineSession } from './session.js';
 import type { Slot } from './slots.js';
-import { isMoving, SlotState } from './slots.js';
+import { SlotState } from './slots.js';
 import type { EngineReport } from './types.js';
 import { adapterKey } from './types.js';
 
@@ -9,11 +9,11 @@
 type Versions = ReadonlyMap<string, number>;
 
 /**
- * Takes over what a report lists. A slot that an order of this keeper concerns is left to the task that follows that
- * order, and counts twice while the report lists another version beside it.
+ * Takes over what a report lists. Nothing of what was known before stays but the loads that requests wait for, and that the
+ * engine has not accepted: they keep a slot.
  * @param session - The engine's slots.
- * @param report - The report.
- * @param follow - Follows a load that this keeper does not follow yet.
+ * @param report - The report; no order is under way that it does not cover.
+ * @param follow - Follows a load that no task follows yet.
  */
 export function adoptReport(
   session: EngineSession,
@@ -26,31 +26,28 @@
   session.note(report);
   for (const slot of [...slots.all()]) {
     const { key } = slot;
-    if (isMoving(slot)) slot.isReplacement ||= takesTwoSlots(slot, session, coming);
-    else if (!held.has(key) && !coming.has(key)) session.free(key, 'not reported');
+    if (coming.has(key) || isInPlace(slot, held)) continue;
+    if (slot.follower === undefined) session.free(key, 'not reported');
+    else Object.assign(slot, { state: SlotState.Reserved, beneath: held.get(key) } satisfies Partial<Slot>);
+  }
+  for (const [key, version] of held) {
+    const slot = slots.get(key);
+    if (slot === undefined) slots.put(key, version, SlotState.Held);
+    else if (isInPlace(slot, held))
+      Object.assign(slot, { version, state: SlotState.Held, beneath: undefined } satisfies Partial<Slot>);
   }
-  for (const [key, version] of held) if (!coming.has(key)) putHeld(session, key, version);
   for (const [key, version] of coming) {
-    const known = slots.get(key);
-    if (known !== undefined && isMoving(known)) continue;
     const slot = slots.put(key, version, SlotState.Loading);
-    slot.isReplacement = held.has(key);
-    follow(slot);
+    slot.beneath = held.get(key);
+    if (slot.follower === undefined) follow(slot);
   }
 }
 
-function putHeld(session: EngineSession, key: string, version: number): void {
-  const { slots } = session.parts;
-  const known = slots.get(key);
-  if (known === undefined) slots.put(key, version, SlotState.Held);
-  else if (!isMoving(known))
-    Object.assign(known, { version, state: SlotState.Held, isReplacement: false } satisfies Partial<Slot>);
-}
-
-/** Whether another version takes up room beside the one that a slot is about. */
-function takesTwoSlots({ key, version, state }: Slot, session: EngineSession, coming: Versions): boolean {
-  if (state === SlotState.Dropping) return coming.has(key);
-  return (session.reportedVersion(key) ?? version) < version;
+/** Whether a report shows what is wanted of a slot; an older version is not enough for a load that requests wait for. */
+function isInPlace({ key, version, follower }: Slot, held: Versions): boolean {
+  const inPlace = held.get(key);
+  if (inPlace === undefined) return false;
+  return follower === undefined || inPlace >= version;
 }
 
 function heldVersions({ models }: EngineReport): Versions {
--- a/packages/routing/src/core/adapters/index.ts
+++ b/packages/routing/src/core/adapters/index.ts
@@ -7,6 +7,7 @@
 export { SlotState, SlotTable } from './slots.js';
 export type {
   AdapterRef,
+  EngineConnection,
   EngineControl,
   EngineOrder,
   EngineReport,
--- a/packages/routing/src/core/adapters/keeper.ts
+++ b/packages/routing/src/core/adapters/keeper.ts
@@ -36,7 +36,10 @@
 const NO_WAY = -1;
 
 /** Options of a keeper. */
-export interface KeeperOptions extends Omit<EngineOrdersOptions, 'onUnreachable' | 'onEmpty'> {
+export interface KeeperOptions extends Omit<
+  EngineOrdersOptions,
+  'onUnreachable' | 'onEmpty' | 'onDisconnect'
+> {
   readonly engine: EngineSpec;
   /** Called when what the engine holds has changed. */
   readonly onHoldings: (holdings: Holdings) => void;
@@ -73,6 +76,7 @@
       ...options,
       onUnreachable: () => this.queue.giveUp('The engine can’t be reached.'),
       onEmpty: () => this.beginAnew(),
+      onDisconnect: () => this.session.parts.orders.doubt(),
     });
     this.queue = new LoadQueue(options.timers);
     this.session = this.makeSession();
@@ -99,6 +103,7 @@
   stop(): void {
     this.isStopped = true;
     this.session.end();
+    this.orders.disconnect();
     this.queue.giveUp('The engine was given up.');
   }
 
@@ -195,12 +200,14 @@
     else await orders.prove(model, (report) => this.take(report));
     this.isReady = !session.isOver;
     this.tell();
+    // The connection may have ended right after.
+    if (!orders.isExact) void this.proveAgain();
   }
 
   /** Takes over what a report says that was proved to be exact. */
   private take(report: EngineReport): void {
     adoptReport(this.session, report, (slot) => {
-      void this.makeLoad(slot, undefined, undefined).run();
+      void this.makeLoad(slot, undefined).run();
     });
     this.noteLearnt(report);
   }
@@ -243,7 +250,7 @@
   }
 
   private makeSession(): EngineSession {
-    const { replica, control, timers, log } = this.options;
+    const { replica, timers, log } = this.options;
     const onDoubt = (): void => {
       void this.proveAgain();
     };
@@ -251,7 +258,7 @@
       replica,
       timers,
       log,
-      orders: new NumberedOrders({ replica, control, timers, orders: this.orders, onDoubt }),
+      orders: new NumberedOrders({ replica, timers, orders: this.orders, onDoubt }),
       slots: new SlotTable(timers),
       places: () => this.places,
       onHoldings: () => this.tell(),
@@ -275,6 +282,7 @@
     log.info(`Engine ${replica.id} holds no model; loading ${model}.`);
     let wasAbsent = false;
     while (timers.now() < end && !this.isStopped) {
+      this.orders.connect();
       const outcome = await this.orders.send(OrderKind.Load, {
         model,
         adapter: undefined,
@@ -311,16 +319,16 @@
     this.queue.begin(wanted);
     const previous = this.slots.get(wanted.key);
     const previousVersion = previous?.version;
-    const version = wanted.version ?? previousVersion ?? FIRST_VERSION;
-    const slot = this.slots.put(wanted.key, version, SlotState.Loading);
-    slot.isReplacement = previousVersion !== undefined && version > previousVersion;
+    const version = Math.max(wanted.version ?? FIRST_VERSION, previousVersion ?? FIRST_VERSION);
+    const slot = this.slots.put(wanted.key, version, SlotState.Reserved);
+    slot.beneath = previousVersion;
     if (previousVersion !== undefined) this.tell();
-    void this.makeLoad(slot, wanted, previousVersion).run();
+    void this.makeLoad(slot, wanted).run();
   }
 
-  private makeLoad(slot: Slot, wanted: Wanted | undefined, previousVersion: number | undefined): AdapterLoad {
+  private makeLoad(slot: Slot, wanted: Wanted | undefined): AdapterLoad {
     const { session, times } = this;
-    return new AdapterLoad({ session, times, slot, wanted, previousVersion });
+    return new AdapterLoad({ session, times, slot, wanted });
   }
 
   /** The engine holds no model any more, under the name and without word of a new start: what was known of it is void. */
@@ -331,6 +339,7 @@
     this.isReady = false;
     this.isProving = false;
     this.session.end();
+    this.orders.disconnect();
     this.queue.giveUp('The engine has lost its model.');
     this.isEmpty = true;
     this.session = this.makeSession();
--- a/packages/routing/src/core/adapters/numbered-orders.ts
+++ b/packages/routing/src/core/adapters/numbered-orders.ts
@@ -4,14 +4,15 @@
  * An engine counts the orders that began something, and refuses one that names another count. Each order here names the
  * count that follows from the answers so far. So an order that is late, that a former keeper gave, or that rests on an
  * answer that was lost or belongs to another call is refused by the engine itself, and what it holds is found out anew.
- * Without it 15 of 240 random plays in `test/orders` order an engine beyond its room (120 seeds, plain and harsh), with
- * it 1 of 3,000 (1,500 seeds from 30000 on), in which two answers in a row belong to other calls.
+ *
+ * What is known rests on one connection. Its end, and any answer that does not fit, makes it void: then a report is
+ * proved on a connection that is in step.
  */
 import type { TimerService } from '@celeryyoke/core';
 
 import type { ReplicaEntry } from '../view/index.js';
 import type { EngineOrders, OrderedRef } from './orders.js';
-import type { EngineControl, EngineReport } from './types.js';
+import type { EngineReport } from './types.js';
 import { AdapterUnavailable, OrderKind, OrderOutcome } from './types.js';
 
 /** Pause between two tries to prove a report, in milliseconds: a quarter of the lag of a report. */
@@ -27,9 +28,10 @@
   [OrderOutcome.Unknown]: () => undefined,
   [OrderOutcome.Busy]: () => undefined,
   [OrderOutcome.Fenced]: (count) => count,
-  [OrderOutcome.Misdirected]: (count) => count,
-  [OrderOutcome.Refused]: (count) => count,
-  [OrderOutcome.Unreachable]: (count) => count,
+  // Each of these says that something is other than is known here, or that the connection has ended.
+  [OrderOutcome.Misdirected]: () => undefined,
+  [OrderOutcome.Refused]: () => undefined,
+  [OrderOutcome.Unreachable]: () => undefined,
 };
 
 /** An engine that holds no model: what was known of it is void. */
@@ -38,7 +40,6 @@
 /** Options of the numbered orders. */
 export interface NumberedOrdersOptions {
   readonly replica: ReplicaEntry;
-  readonly control: EngineControl;
   readonly timers: TimerService;
   readonly orders: EngineOrders;
   /** Called when the count is not known any more, and {@link NumberedOrders.prove} must find it out. */
@@ -122,11 +123,21 @@
   }
 
   private async lookAtUnload(ref: OrderedRef): Promise<OrderOutcome> {
+    if (this.count === undefined) return OrderOutcome.Busy;
     const outcome = await this.options.orders.send(OrderKind.Unload, ref);
     if (outcome === OrderOutcome.Done) this.isUnloadWaiting = false;
     return outcome;
   }
 
+  /**
+   * Shows that the answers so far were those to their orders. To be asked before a slot counts as free: an answer that
+   * only takes up room does no harm when it belongs to another order, as the count does not fit then.
+   * @returns The engine's report, some hundred milliseconds old; undefined when nothing is shown.
+   */
+  confirm(): Promise<EngineReport | undefined> {
+    return this.options.orders.confirm();
+  }
+
   /**
    * Finds out what the engine holds and how many orders it has accepted. A report is some hundred milliseconds old; it
    * is exact when the engine then accepts an order, which changes nothing, under the report's count. From then on it
@@ -147,7 +158,8 @@
    */
   proveFresh(model: string): Promise<boolean> {
     return this.inTurn(async () => {
-      const isFresh = (await this.sendModel(model, ONLY_ITS_MODEL)) === OrderOutcome.Done;
+      const isDone = (await this.sendModel(model, ONLY_ITS_MODEL)) === OrderOutcome.Done;
+      const isFresh = isDone && (await this.confirm()) !== undefined;
       if (isFresh && !this.isClosed) this.count = ONLY_ITS_MODEL;
       return isFresh;
     });
@@ -167,10 +179,10 @@
   }
 
   private async proveNow(model: string, take: (report: EngineReport) => void): Promise<void> {
-    const { control, replica, orders, timers } = this.options;
+    const { replica, orders, timers } = this.options;
     let isFenceRaised = false;
     while (!this.isClosed) {
-      const report = await control.report(replica);
+      const report = await orders.report();
       if (orders.hasStartedAgain(report)) throw new AdapterUnavailable('The engine has started again.');
       if (report.models.length === 0) throw new EngineEmptyError(`Engine ${replica.id} holds no model.`);
       const outcome = await this.sendModel(model, report.sequence);
@@ -181,10 +193,11 @@
         take(report);
         return;
       }
-      if (outcome !== OrderOutcome.Busy)
+      if (outcome !== OrderOutcome.Busy && orders.isConnected)
         throw new AdapterUnavailable(`The report’s proof ended as ${outcome}.`);
       // An order that is refused leaves the fence as it was, so that a former keeper could go on.
-      if (!isFenceRaised) isFenceRaised = (await this.sendModel(model, undefined)) === OrderOutcome.Done;
+      if (!isFenceRaised && orders.isConnected)
+        isFenceRaised = (await this.sendModel(model, undefined)) === OrderOutcome.Done;
       await timers.sleep(PROOF_PAUSE_MS);
     }
     throw new AdapterUnavailable('The engine was given up.');
@@ -198,7 +211,8 @@
     const next = COUNT_AFTER[outcome](count, kind);
     if (kind === OrderKind.Unload && outcome === OrderOutcome.Started) this.isUnloadWaiting = true;
     if (next === undefined) this.doubt();
-    else if (!this.isClosed) this.count = next;
+    // It may have been doubted meanwhile, as the connection has ended.
+    else if (this.count === count) this.count = next;
   }
 
   private inTurn<T>(task: () => Promise<T>): Promise<T> {
--- a/packages/routing/src/core/adapters/orders.ts
+++ b/packages/routing/src/core/adapters/orders.ts
@@ -1,8 +1,18 @@
-/** Orders to one engine: under this daemon's token, with a log line for each that fails, and what a failure tells. */
+/**
+ * Orders to one engine: under this daemon's token, on a connection of their own, with a log line for each that fails, and
+ * what a failure tells.
+ */
 import type { DecisionLog, Facts, TimerService } from '@celeryyoke/core';
 
 import type { ReplicaEntry } from '../view/index.js';
-import type { AdapterRef, EngineControl, EngineOrder, EngineReport, OrderKind } from './types.js';
+import type {
+  AdapterRef,
+  EngineConnection,
+  EngineControl,
+  EngineOrder,
+  EngineReport,
+  OrderKind,
+} from './types.js';
 import { adapterKey, OrderOutcome } from './types.js';
 
 /** Time without an answer to an order after which the engine counts as unreachable, in milliseconds; it answers in some. */
@@ -10,6 +20,9 @@
 /** Time for which an engine that could not be reached is left alone, in milliseconds. */
 const REST_MS = 400;
 
+/** Outcomes that are no answer of the engine. */
+const UNANSWERED: ReadonlySet<OrderOutcome> = new Set([OrderOutcome.Unknown, OrderOutcome.Unreachable]);
+
 /** Options of the orders to an engine. */
 export interface EngineOrdersOptions {
   readonly replica: ReplicaEntry;
@@ -26,6 +39,8 @@
   readonly onStart: (bornAt: number) => void;
   /** Called when the engine can't be reached. */
   readonly onUnreachable: () => void;
+  /** Called when the connection has ended: what its answers told can't be built on any more. */
+  readonly onDisconnect: () => void;
   /** Called when the engine refused an order and holds no model. */
   readonly onEmpty: () => void;
 }
@@ -40,6 +55,14 @@
 
   private isLookingAgain = false;
 
+  /** Latest start that was told, as Unix milliseconds. */
+  private toldStart = 0;
+
+  private connection: EngineConnection | undefined;
+
+  /** Whether the connection has brought an answer, so that the engine was reached. */
+  private hasAnswered = false;
+
   /**
    * Makes one that has sent nothing.
    * @param options - The engine and how to talk to it.
@@ -51,22 +74,83 @@
     return this.options.timers.now() < this.unreachableUntil;
   }
 
+  /** Whether the connection on which the last report came is still there. */
+  get isConnected(): boolean {
+    return this.connection?.isOpen ?? false;
+  }
+
+  /** Sets up a connection where there is none. */
+  connect(): EngineConnection {
+    const { control, replica, onDisconnect } = this.options;
+    if (this.connection?.isOpen) return this.connection;
+    this.hasAnswered = false;
+    const connection = control.connect(replica, () => {
+      if (this.connection === connection) onDisconnect();
+    });
+    this.connection = connection;
+    return connection;
+  }
+
+  /** Ends the connection. */
+  disconnect(): void {
+    const { connection } = this;
+    this.connection = undefined;
+    connection?.close();
+  }
+
+  /**
+   * Asks for a report, on a new connection where there is none.
+   * @returns The report.
+   * @throws Error when there is none.
+   */
+  async report(): Promise<EngineReport> {
+    const connection = this.connect();
+    try {
+      const report = await connection.report();
+      this.hasAnswered = true;
+      return report;
+    } catch (err) {
+      if (!this.hasAnswered && connection === this.connection) this.rest();
+      throw err;
+    }
+  }
+
+  /**
+   * Shows that the answers so far were those to their orders, by a report that comes where one is due.
+   * @returns The report; undefined when nothing is shown: the connection has ended, and with it what its answers told.
+   */
+  async confirm(): Promise<EngineReport | undefined> {
+    const { connection } = this;
+    if (!connection?.isOpen) return undefined;
+    try {
+      const report = await connection.report();
+      return connection === this.connection && !this.hasStartedAgain(report) ? report : undefined;
+    } catch (err) {
+      const { log, replica } = this.options;
+      log.warn(`The answers of engine ${replica.id} to orders can't be relied on: ${String(err)}.`);
+      return undefined;
+    }
+  }
+
   /**
-   * Sends an order.
+   * Sends an order on the connection that there is.
    * @param kind - What to do.
    * @param ref - With what.
    * @param expected - Orders that must have begun something on the engine before; undefined when any will do.
-   * @returns What became of it; unknown when this daemon may give none.
+   * @returns What became of it; unknown when this daemon may give none, unreachable when there is no connection.
    */
   async send(kind: OrderKind, ref: OrderedRef, expected?: number): Promise<OrderOutcome> {
-    const { authority, control, replica, self, timers } = this.options;
+    const { authority, self, timers } = this.options;
+    const { connection } = this;
     const token = authority();
     if (token === undefined) return OrderOutcome.Unknown;
+    if (!connection?.isOpen) return OrderOutcome.Unreachable;
     const { model, adapter, version } = ref;
     const order: EngineOrder = { kind, model, adapter, version, holder: self, token, expected };
     const startedAt = timers.now();
-    const outcome = await control.order(replica, order);
+    const outcome = await connection.order(order);
     const tookMs = timers.now() - startedAt;
+    if (!UNANSWERED.has(outcome)) this.hasAnswered = true;
     if (outcome === OrderOutcome.Done || outcome === OrderOutcome.Started)
       this.noteAnswer(order, outcome, tookMs);
     else this.noteFailure(order, outcome, tookMs);
@@ -78,9 +162,10 @@
    * @param report - The report.
    */
   hasStartedAgain({ bornAt }: EngineReport): boolean {
-    const known = this.options.replica.bornAt;
-    if (bornAt === undefined || known === undefined || bornAt <= known) return false;
-    this.options.onStart(bornAt);
+    const { replica, onStart } = this.options;
+    if (bornAt === undefined || replica.bornAt === undefined || bornAt <= replica.bornAt) return false;
+    if (bornAt > this.toldStart) onStart(bornAt);
+    this.toldStart = Math.max(this.toldStart, bornAt);
     return true;
   }
 
@@ -105,7 +190,8 @@
     if (outcome === OrderOutcome.Fenced) onFenced(token);
     if (outcome === OrderOutcome.Misdirected || outcome === OrderOutcome.Refused) void this.lookAgain();
     const isSilent = outcome === OrderOutcome.Unknown && tookMs > SILENCE_MS;
-    if (outcome === OrderOutcome.Unreachable || isSilent) this.rest();
+    const wasNeverReached = outcome === OrderOutcome.Unreachable && !this.hasAnswered;
+    if (wasNeverReached || isSilent) this.rest();
   }
 
   private facts(order: EngineOrder, outcome: OrderOutcome, tookMs: number): Facts {
--- a/packages/routing/src/core/adapters/session.ts
+++ b/packages/routing/src/core/adapters/session.ts
@@ -9,7 +9,6 @@
 import type { NumberedOrders } from './numbered-orders.js';
 import type { Slot, SlotTable } from './slots.js';
 import type { EngineReport } from './types.js';
-import { adapterKey } from './types.js';
 
 /** What a session needs of its keeper. */
 export interface SessionOptions {
@@ -38,9 +37,6 @@
   /** Reports that were proved. */
   private reports = 0;
 
-  /** Adapters in place or on their way in the last report that was proved, and their newest version there. */
-  private reported = new Map<string, number>();
-
   /**
    * Makes a session of which nothing is known yet.
    * @param parts - The engine, its slots and its orders.
@@ -58,7 +54,7 @@
     this.parts.orders.close();
   }
 
-  /** How many reports were proved; a load that was accepted before the last one may have been undone by a former keeper. */
+  /** How many reports were proved. */
   get proofs(): number {
     return this.reports;
   }
@@ -69,22 +65,7 @@
    */
   note(report: EngineReport): void {
     this.reports += 1;
-    this.reported = new Map();
-    for (const { name, adapters } of report.models) {
-      this.models.add(name);
-      for (const adapter of adapters) this.reported.set(adapterKey(name, adapter.name), adapter.version);
-    }
-    for (const { model, adapter, version } of report.loading)
-      this.reported.set(adapterKey(model, adapter), version);
-  }
-
-  /**
-   * Tells which version of an adapter was in place or on its way when the last report was proved.
-   * @param key - `model/adapter`.
-   * @returns The newest one, or undefined when there was none.
-   */
-  reportedVersion(key: string): number | undefined {
-    return this.reported.get(key);
+    for (const { name } of report.models) this.models.add(name);
   }
 
   /**
--- a/packages/routing/src/core/adapters/slots.ts
+++ b/packages/routing/src/core/adapters/slots.ts
@@ -3,7 +3,9 @@
 
 /** What is in a slot. */
 export enum SlotState {
-  /** On its way, or it may be: the engine has not said yet that it is in place. It must not be ordered away. */
+  /** Kept for a load that is not known to have been accepted. */
+  Reserved = 'reserved',
+  /** On its way: the engine has not said yet that it is in place. It must not be ordered away. */
   Loading = 'loading',
   Held = 'held',
   /** It was in place, a request did not find it, and the engine could not be asked. */
@@ -14,6 +16,9 @@
 
 /** States in which an adapter may be ordered away when no request runs on it. */
 const EVICTABLE: ReadonlySet<SlotState> = new Set([SlotState.Held, SlotState.Doubted]);
+/** States in which a load counts towards those that the engine takes in at once. */
+const COMING: ReadonlySet<SlotState> = new Set([SlotState.Reserved, SlotState.Loading]);
+const MOVING: ReadonlySet<SlotState> = new Set([...COMING, SlotState.Dropping]);
 
 /** One occupied slot. */
 export interface Slot {
@@ -26,8 +31,10 @@
   running: number;
   /** Uses that fade over {@link FADE_MS}. */
   uses: number;
-  /** Whether another version is still in place while this one loads; it takes a second slot. */
-  isReplacement: boolean;
+  /** Version that is, or may be, in place beside this one; another one takes a second slot. */
+  beneath: number | undefined;
+  /** The task that follows the load into it. */
+  follower: object | undefined;
 }
 
 /** Time over which uses fade, in milliseconds: demand moves on within seconds. */
@@ -41,7 +48,20 @@
  * @returns Whether it is on its way, in or out.
  */
 export function isMoving({ state }: Slot): boolean {
-  return state === SlotState.Loading || state === SlotState.Dropping;
+  return MOVING.has(state);
+}
+
+/**
+ * Counts the slots that an adapter takes.
+ * @param slot - Its slot.
+ * @returns Two while another version of it is, or may be, in place.
+ */
+export function slotsTaken({ version, beneath }: Slot): number {
+  return beneath === undefined || beneath === version ? 1 : 2;
+}
+
+function isEvictable({ state, running, beneath }: Slot): boolean {
+  return EVICTABLE.has(state) && running === 0 && beneath === undefined;
 }
 
 /**
@@ -66,23 +86,22 @@
 
   /** Occupied slots, whatever is in them. */
   get occupied(): number {
-    let count = this.slots.size;
-    for (const { isReplacement } of this.slots.values()) if (isReplacement) count += 1;
+    let count = 0;
+    for (const slot of this.slots.values()) count += slotsTaken(slot);
     return count;
   }
 
   /** Adapters that no request runs on. */
   get evictable(): number {
     let count = 0;
-    for (const { state, running } of this.slots.values())
-      if (EVICTABLE.has(state) && running === 0) count += 1;
+    for (const slot of this.slots.values()) if (isEvictable(slot)) count += 1;
     return count;
   }
 
   /** Adapters on their way. */
   get loading(): number {
     let count = 0;
-    for (const { state } of this.slots.values()) if (state === SlotState.Loading) count += 1;
+    for (const { state } of this.slots.values()) if (COMING.has(state)) count += 1;
     return count;
   }
 
@@ -154,7 +173,7 @@
     let least: Slot | undefined;
     let leastScore = Number.POSITIVE_INFINITY;
     for (const slot of this.slots.values()) {
-      if (!EVICTABLE.has(slot.state) || slot.running > 0 || now - slot.usedAt < PROTECTED_MS) continue;
+      if (!isEvictable(slot) || now - slot.usedAt < PROTECTED_MS) continue;
       const score = this.faded(slot);
       if (score < leastScore || (score === leastScore && slot.usedAt < least!.usedAt)) {
         least = slot;
@@ -165,7 +184,8 @@
   }
 
   private make(key: string, version: number, state: SlotState): Slot {
-    return { key, version, state, usedAt: this.timers.now(), running: 0, uses: 0, isReplacement: false };
+    const usedAt = this.timers.now();
+    return { key, version, state, usedAt, running: 0, uses: 0, beneath: undefined, follower: undefined };
   }
 
   private faded(slot: Slot): number {
--- a/packages/routing/src/core/adapters/types.ts
+++ b/packages/routing/src/core/adapters/types.ts
@@ -56,17 +56,46 @@
   readonly loading: readonly { readonly model: string; readonly adapter: string; readonly version: number }[];
 }
 
-/** Talks to engines; a dialect implements it. */
-export interface EngineControl {
+/**
+ * A connection to an engine on which nothing but the orders of one keeper goes.
+ *
+ * It leads to one start of the engine and ends with it. Calls go one after the other, and answers come in the order of
+ * the calls; but an engine may answer a call twice, and then each later answer is the one to the call before. An answer
+ * to an order names no order, so it can't be told from another one's; a report can be told from any other answer. So a
+ * report that comes where a report is due shows that all answers before it were those to their calls.
+ *
+ * It closes with the first call that fails, and with an answer that is none to its kind of call.
+ */
+export interface EngineConnection {
+  /** Whether it can take another call. */
+  readonly isOpen: boolean;
   /**
    * Gives an order.
-   * @param replica - The engine.
    * @param order - The order.
-   * @returns What became of it; it does not reject.
+   * @returns What became of it as far as the answer tells; unreachable when it was not sent. It does not reject.
    */
-  order(replica: ReplicaEntry, order: EngineOrder): Promise<OrderOutcome>;
+  order(order: EngineOrder): Promise<OrderOutcome>;
   /**
    * Asks for a report.
+   * @returns The report.
+   * @throws Error when there is none; the connection is closed then.
+   */
+  report(): Promise<EngineReport>;
+  /** Ends it; what is under way on it is given up. */
+  close(): void;
+}
+
+/** Talks to engines; a dialect implements it. */
+export interface EngineControl {
+  /**
+   * Opens a connection for orders.
+   * @param replica - The engine.
+   * @param onClosed - Called once when the connection is of no further use.
+   * @returns The connection; it is set up with its first call.
+   */
+  connect(replica: ReplicaEntry, onClosed: () => void): EngineConnection;
+  /**
+   * Asks for a report on any connection.
    * @param replica - The engine.
    * @returns The report.
    * @throws Error when there is none.
--- a/packages/routing/src/core/adapters/unloads.ts
+++ b/packages/routing/src/core/adapters/unloads.ts
@@ -53,37 +53,48 @@
       this.takeBack(victim);
       return;
     }
-    const { proofs } = session;
-    const isStillRight = (): boolean => victim.running === 0 && session.proofs === proofs;
+    const isStillRight = (): boolean => victim.running === 0 && this.isDropping(victim);
     const outcome = await orders.begin(OrderKind.Unload, anyVersion(victim), isStillRight);
     if (session.isOver) return;
-    if (outcome === OrderOutcome.Done) session.free(victim.key, 'unloaded');
+    if (outcome === OrderOutcome.Done) await this.free(victim, 'unloaded');
     else if (outcome === OrderOutcome.Started) void this.waitForRuns(victim);
     // Without an answer it may be gone; it counts as in place until a report or a request shows that it is not.
-    else {
-      this.takeBack(victim);
-      // What a report meanwhile showed of this adapter was passed over, as it was on its way out.
-      if (session.proofs !== proofs) orders.doubt();
-    }
+    else this.takeBack(victim);
   }
 
-  /** The adapter stays after all. */
+  /** The adapter stays after all, unless a report that was proved meanwhile has said what became of it. */
   private takeBack(slot: Slot): void {
     const { slots, onHoldings } = this.session.parts;
+    if (!this.isDropping(slot)) return;
     slots.mark(slot, SlotState.Held);
     onHoldings();
   }
 
+  /**
+   * Counts the slot as free once the answer is known to be the one to this order: it would be filled at once, and where
+   * the engine still holds the adapter, it would be ordered beyond its room.
+   */
+  private async free(slot: Slot, reason: string): Promise<void> {
+    const { session } = this;
+    const isShown = (await session.parts.orders.confirm()) !== undefined;
+    if (isShown && !session.isOver && this.isDropping(slot)) session.free(slot.key, reason);
+  }
+
+  /** Whether it is still on its way out, as far as no report has said otherwise. */
+  private isDropping(slot: Slot): boolean {
+    return slot.state === SlotState.Dropping && this.session.parts.slots.get(slot.key) === slot;
+  }
+
   private async waitForRuns(slot: Slot): Promise<void> {
     const { session } = this;
     const { orders, timers, onRoom } = session.parts;
-    for (;;) {
+    while (this.isDropping(slot)) {
       await timers.sleep(DROP_POLL_MS);
       if (session.isOver) return;
       const outcome = await orders.look(OrderKind.Unload, anyVersion(slot));
       if (session.isOver) return;
       if (outcome !== OrderOutcome.Done) continue;
-      session.free(slot.key, 'unloaded when its last request had ended');
+      await this.free(slot, 'unloaded when its last request had ended');
       onRoom();
       return;
     }
--- a/packages/routing/src/core/channels/channel.ts
+++ b/packages/routing/src/core/channels/channel.ts
@@ -119,6 +119,11 @@
 
   private connect(callback: (...args: [null, Socket] | [Error, null]) => void): void {
     const { host, port, connectTimeoutMs } = this.options;
+    // What is known of the process at the other end holds for one connection only; the library would set up another.
+    if (this.socket !== undefined) {
+      callback(new Error('The connection has ended.'), null);
+      return;
+    }
     const socket = connect({
       host,
       port,
--- a/packages/routing/src/core/channels/pool.ts
+++ b/packages/routing/src/core/channels/pool.ts
@@ -1,5 +1,6 @@
 /** The connections to all replicas; an idle one is used again, the latest first. */
 import { Channel } from './channel.js';
+import { ExclusiveChannel } from './exclusive.js';
 import type { AnswerSink, RunningExchange, UpstreamCall } from './types.js';
 import { ChannelFailure } from './types.js';
 
@@ -48,6 +49,16 @@
     });
   }
 
+  /**
+   * Opens a connection that nothing else uses.
+   * @param upstream - The replica.
+   * @param onClosed - Called once when it is of no further use.
+   * @returns The connection; it is set up with its first exchange.
+   */
+  openExclusive(upstream: UpstreamAddress, onClosed: () => void): ExclusiveChannel {
+    return new ExclusiveChannel(this.make(upstream, onClosed));
+  }
+
   /**
    * Closes the idle connections to a replica that is gone.
    * @param id - The replica.
@@ -69,13 +80,14 @@
     return this.make(upstream);
   }
 
-  private make({ id, host, port }: UpstreamAddress): Channel {
+  private make({ id, host, port }: UpstreamAddress, tell?: () => void): Channel {
     this.opened += 1;
     const channels = this.open.get(id) ?? new Set();
     this.open.set(id, channels);
     const onClosed = (closed: Channel): void => {
       channels.delete(closed);
       if (channels.size === 0) this.open.delete(id);
+      tell?.();
     };
     const channel = new Channel({ host, port, connectTimeoutMs: CONNECT_TIMEOUT_MS, onClosed });
     channels.add(channel);
--- a/packages/routing/src/core/channels/whole.ts
+++ b/packages/routing/src/core/channels/whole.ts
@@ -2,7 +2,7 @@
 import type { TimerService } from '@celeryyoke/core';
 
 import type { ChannelPool, UpstreamAddress } from './pool.js';
-import type { ChannelFailure, HeaderMap, UpstreamCall } from './types.js';
+import type { AnswerSink, ChannelFailure, HeaderMap, RunningExchange, UpstreamCall } from './types.js';
 
 /** A whole answer. */
 export interface WholeAnswer {
@@ -26,8 +26,17 @@
   }
 }
 
+/** Limits of an exchange. */
+export interface ReadOptions {
+  readonly timers: TimerService;
+  /** Longest time until the whole answer has come, in milliseconds. */
+  readonly timeoutMs: number;
+  /** Ends the exchange early. */
+  readonly signal?: AbortSignal;
+}
+
 /**
- * Sends a request and reads the whole answer.
+ * Sends a request on a connection of the pool and reads the whole answer.
  * @param pool - The connections.
  * @param upstream - Where to.
  * @param call - The request.
@@ -39,13 +48,27 @@
   pool: ChannelPool,
   upstream: UpstreamAddress,
   call: UpstreamCall,
-  options: { readonly timers: TimerService; readonly timeoutMs: number; readonly signal?: AbortSignal },
+  options: ReadOptions,
+): Promise<WholeAnswer> {
+  return readWhole((sink) => pool.send(upstream, call, sink), options);
+}
+
+/**
+ * Reads the whole answer of an exchange.
+ * @param start - Sends the request.
+ * @param options - Time, its limit in milliseconds, and a signal that ends the call early.
+ * @returns The answer.
+ * @throws ExchangeError when it did not come whole and in time.
+ */
+export function readWhole(
+  start: (sink: AnswerSink) => RunningExchange,
+  options: ReadOptions,
 ): Promise<WholeAnswer> {
   return new Promise((resolve, reject) => {
     const chunks: Buffer[] = [];
     let status = 0;
     let headers: HeaderMap = {};
-    const exchange = pool.send(upstream, call, {
+    const exchange = start({
       onSent: () => undefined,
       onHead: (code, fields) => {
         status = code;
--- a/packages/routing/test/fakes.ts
+++ b/packages/routing/test/fakes.ts
@@ -2,6 +2,7 @@
 import type { TimerService } from '@celeryyoke/core';
 import { createSilentLog } from '@celeryyoke/core';
 import type {
+  EngineConnection,
   EngineControl,
   EngineOrder,
   EngineReport,
@@ -77,6 +78,33 @@
   };
 }
 
+/** What an engine answers, whatever the connection. */
+export interface EngineAnswers {
+  readonly order: (order: EngineOrder) => Promise<OrderOutcome>;
+  readonly report: () => Promise<EngineReport>;
+}
+
+/** Makes a connection to an engine; it ends when an order gets no answer. */
+export function makeConnection({ order, report }: EngineAnswers, onClosed: () => void): EngineConnection {
+  let isOpen = true;
+  const close = (): void => {
+    if (isOpen) onClosed();
+    isOpen = false;
+  };
+  return {
+    get isOpen() {
+      return isOpen;
+    },
+    order: async (given) => {
+      const outcome = isOpen ? await order(given) : OrderOutcome.Unreachable;
+      if (outcome === OrderOutcome.Unknown || outcome === OrderOutcome.Unreachable) close();
+      return outcome;
+    },
+    report,
+    close,
+  };
+}
+
 interface FakeSlot {
   isLoading: boolean;
   running: number;
@@ -120,7 +148,9 @@
     private readonly loadMs = 100,
   ) {}
 
-  order = async (_replica: ReplicaEntry, order: EngineOrder): Promise<OrderOutcome> => {
+  connect: EngineControl['connect'] = (_replica, onClosed) => makeConnection(this, onClosed);
+
+  order = async (order: EngineOrder): Promise<OrderOutcome> => {
     this.orders.push(order);
     const scripted = this.script.shift();
     if (scripted !== undefined) return scripted;
--- a/packages/routing/test/keeper.test.ts
+++ b/packages/routing/test/keeper.test.ts
@@ -211,11 +211,12 @@
 
 test('a load that was accepted stays counted when the engine can then not be reached', async (t) => {
   const { timers, control, ensure } = await setUp();
-  control.script = [OrderOutcome.Started, OrderOutcome.Unreachable];
   const note = watch(ensure('x'));
-  await timers.advance(800);
+  await timers.advance(20);
+  t.true(control.slots.get('x')!.isLoading);
+  control.script = [OrderOutcome.Unreachable];
+  await timers.advance(780);
   t.is(note.state, 'unavailable');
-  control.slots.set('x', { isLoading: false, running: 0 });
   for (const adapter of ['y', 'z', 'w']) {
     void watch(ensure(adapter));
     await timers.advance(600);
--- a/packages/routing/test/orders/fleet.ts
+++ b/packages/routing/test/orders/fleet.ts
@@ -6,7 +6,7 @@
  */
 import type { ManualTimerService } from '@celeryyoke/core';
 import { createManualTimers } from '@celeryyoke/core';
-import type { EngineOrder, EngineSpec, ReplicaEntry } from '@celeryyoke/routing';
+import type { EngineControl, EngineOrder, EngineSpec, ReplicaEntry } from '@celeryyoke/routing';
 import { Keeper } from '@celeryyoke/routing';
 
 import { engineEntry, log, MODEL } from '../fakes.js';
@@ -286,10 +286,7 @@
         replica: this.replica,
         engine: this.spec,
         self: name,
-        control: {
-          order: (replica, order) => this.traced(name, order, way.order(replica, order)),
-          report: () => way.report(),
-        },
+        control: this.tracedControl(name, way),
         timers,
         log,
         authority: () => holder.token,
@@ -315,6 +312,23 @@
     return isOther;
   }
 
+  private tracedControl(name: string, way: Way): EngineControl {
+    return {
+      connect: (replica, onClosed) => {
+        const connection = way.connect(replica, onClosed);
+        return {
+          get isOpen() {
+            return connection.isOpen;
+          },
+          order: (order) => this.traced(name, order, connection.order(order)),
+          report: () => connection.report(),
+          close: () => connection.close(),
+        };
+      },
+      report: (replica) => way.report(replica),
+    };
+  }
+
   private async traced<T>(
     name: string,
     { kind, adapter, expected }: EngineOrder,
--- a/packages/routing/test/orders/on-its-way.test.ts
+++ b/packages/routing/test/orders/on-its-way.test.ts
@@ -9,11 +9,12 @@
  * Proved by asking an engine: an order to unload an adapter that is on its way is answered as done, and the adapter comes.
  */
 import { createManualTimers } from '@celeryyoke/core';
-import type { EngineControl, EngineOrder, EngineReport } from '@celeryyoke/routing';
+import type { EngineReport } from '@celeryyoke/routing';
 import { Keeper, OrderKind, OrderOutcome } from '@celeryyoke/routing';
 import test from 'ava';
 
-import { engineEntry, log, MODEL } from '../fakes.js';
+import type { EngineAnswers } from '../fakes.js';
+import { engineEntry, log, makeConnection, MODEL } from '../fakes.js';
 import { OrderedEngine } from './engine.js';
 
 const PLACES = 3;
@@ -31,11 +32,11 @@
 function setUp(isFenced = true) {
   const timers = createManualTimers();
   const engine = new OrderedEngine({ timers, places: PLACES, isFenced, loadMs: () => CROWDED_LOAD_MS });
-  const direct: EngineControl = {
-    order: async (_replica, order): Promise<OrderOutcome> => engine.take(order),
+  const direct: EngineAnswers = {
+    order: async (order): Promise<OrderOutcome> => engine.take(order),
     report: async (): Promise<EngineReport> => engine.report(),
   };
-  const makeKeeper = (token: number, control = direct): Keeper =>
+  const makeKeeper = (token: number, answers = direct): Keeper =>
     new Keeper({
       replica: engineEntry('e'),
       engine: {
@@ -46,7 +47,10 @@
         models: [{ name: MODEL, weightsMb: 90, adapterMb: 1 }],
       },
       self: `d${token}`,
-      control,
+      control: {
+        connect: (_replica, onClosed) => makeConnection(answers, onClosed),
+        report: answers.report,
+      },
       timers,
       log,
       authority: () => token,
@@ -80,8 +84,8 @@
   const { timers, engine, direct, makeKeeper, want } = setUp();
   let isCut = false;
   const keeper = makeKeeper(1, {
-    order: async (replica, order: EngineOrder) =>
-      isCut && order.kind === OrderKind.Load ? OrderOutcome.Unreachable : direct.order(replica, order),
+    order: async (order) =>
+      isCut && order.kind === OrderKind.Load ? OrderOutcome.Unreachable : direct.order(order),
     report: direct.report,
   });
   void keeper.run();
@@ -102,8 +106,8 @@
   engine.declare('x', 2);
   let isLost = false;
   const keeper = makeKeeper(2, {
-    order: async (replica, order) => {
-      if (!isLost || order.adapter !== 'x') return direct.order(replica, order);
+    order: async (order) => {
+      if (!isLost || order.adapter !== 'x') return direct.order(order);
       isLost = false;
       engine.take({ ...order, version: 1, token: 1, expected: undefined });
       return OrderOutcome.Unknown;
--- a/packages/routing/test/orders/way.ts
+++ b/packages/routing/test/orders/way.ts
@@ -1,6 +1,12 @@
 /** The way of one daemon's orders to an engine, on which orders and answers are held up and lost. */
 import type { TimerService } from '@celeryyoke/core';
-import type { EngineControl, EngineOrder, EngineReport, ReplicaEntry } from '@celeryyoke/routing';
+import type {
+  EngineConnection,
+  EngineControl,
+  EngineOrder,
+  EngineReport,
+  ReplicaEntry,
+} from '@celeryyoke/routing';
 import { OrderOutcome } from '@celeryyoke/routing';
 
 import type { OrderedEngine } from './engine.js';
@@ -61,106 +67,130 @@
 /** What an engine may answer on a connection of its orders. */
 type Answer = OrderOutcome | EngineReport;
 
-/** A connection: answers come in their order, whichever call they belong to, and it ends with the engine's start. */
-class Connection {
-  readonly life: number;
-
-  /** Answers that have been sent and not been read. */
-  private readonly unread: Answer[] = [];
-
-  constructor(private readonly engine: OrderedEngine) {
-    this.life = engine.life;
-  }
-
-  /** Whether it still leads to the process that it was set up with. */
-  get isAlive(): boolean {
-    return !this.engine.isDown && this.life === this.engine.life;
-  }
-
-  /** Takes the engine's answer to a call, and hands out the one that is read in its place. */
-  pass(answer: Answer, isTwice: boolean): Answer {
-    this.unread.push(answer);
-    const read = this.unread.shift()!;
-    if (isTwice) this.unread.push(answer);
-    return read;
-  }
-}
-
 /** The way. */
 export class Way implements EngineControl {
   /** Whether the daemon at its beginning has ended: what is under way arrives, answers reach nobody. */
   hasEnded = false;
 
-  /** Undefined until the next call sets one up. */
-  private connection: Connection | undefined;
-
   /**
    * Makes a way.
    * @param options - The engine at its end, and what goes wrong.
    */
-  constructor(private readonly options: WayOptions) {}
+  constructor(readonly options: WayOptions) {}
+
+  connect(_replica: ReplicaEntry, onClosed: () => void): EngineConnection {
+    return new WayConnection(this, onClosed);
+  }
+
+  report(replica: ReplicaEntry): Promise<EngineReport> {
+    return this.connect(replica, () => undefined).report();
+  }
+}
+
+/** A connection: answers come in their order, whichever call they belong to, and it ends with the engine's start. */
+class WayConnection implements EngineConnection {
+  isOpen = true;
 
-  async order(_replica: ReplicaEntry, order: EngineOrder): Promise<OrderOutcome> {
-    const { engine, random, isOther } = this.options;
-    const outcome = await this.call(() => engine.take(order));
-    if (outcome !== undefined && outcome !== OrderOutcome.Unreachable && isOther())
+  /** The start that it was set up with; undefined until its first call. */
+  private life: number | undefined;
+
+  /** Answers that have been sent and not been read. */
+  private readonly unread: Answer[] = [];
+
+  private turn: Promise<unknown> = Promise.resolve();
+
+  constructor(
+    private readonly way: Way,
+    private readonly onClosed: () => void,
+  ) {}
+
+  async order(order: EngineOrder): Promise<OrderOutcome> {
+    const { engine, random, isOther } = this.way.options;
+    const answer = await this.call(() => engine.take(order));
+    if (answer !== undefined && answer !== OrderOutcome.Unreachable && isOther())
       return random.pick(OTHER_ANSWERS);
+    if (typeof answer === 'string') return answer;
     // The body of a report is no answer to an order.
-    if (typeof outcome === 'object') this.connection = undefined;
-    return typeof outcome === 'string' ? outcome : OrderOutcome.Unknown;
+    this.close();
+    return OrderOutcome.Unknown;
   }
 
   async report(): Promise<EngineReport> {
-    const report = await this.call(() => this.options.engine.report());
-    if (typeof report === 'object') return report;
-    this.connection = undefined;
+    const answer = await this.call(() => this.way.options.engine.report());
+    if (typeof answer === 'object') return answer;
+    this.close();
     throw new Error('No report.');
   }
 
-  /** Makes a call; undefined when there is no answer. */
-  private async call(answer: () => Answer): Promise<Answer | undefined> {
-    const { engine, timers, isTwice } = this.options;
-    const fate = engine.isDown ? Fate.NoConnection : this.draw();
+  close(): void {
+    if (!this.isOpen) return;
+    this.isOpen = false;
+    this.onClosed();
+  }
+
+  /** Makes a call when the ones before have ended; undefined when there is no answer. */
+  private call(answer: () => Answer): Promise<Answer | undefined> {
+    const answered = this.turn.then(() => this.callNow(answer));
+    this.turn = answered;
+    return answered;
+  }
+
+  private async callNow(answer: () => Answer): Promise<Answer | undefined> {
+    const { engine, timers } = this.way.options;
+    if (!this.isOpen) return OrderOutcome.Unreachable;
+    const fate = engine.isDown || this.hasLostEngine ? Fate.NoConnection : this.draw();
     if (fate === Fate.NoConnection) return this.noConnection();
-    this.connection ??= new Connection(engine);
-    const { connection } = this;
+    this.life ??= engine.life;
     await timers.sleep(fate === Fate.SlowCall ? this.long() : this.short());
     if (fate === Fate.ResetBefore) return this.broken();
-    if (fate === Fate.Lost || !connection.isAlive) return this.silence();
-    const read = connection.pass(answer(), isTwice());
-    if (this.hasEnded || fate === Fate.AnswerLost || !connection.isAlive) return this.silence();
+    if (fate === Fate.Lost || this.hasLostEngine) return this.silence();
+    const read = this.pass(answer());
+    if (this.way.hasEnded || fate === Fate.AnswerLost || this.hasLostEngine) return this.silence();
     await timers.sleep(fate === Fate.SlowAnswer ? this.long() : this.short());
     return fate === Fate.ResetAfter ? this.broken() : read;
   }
 
+  /** Whether the process that it was set up with has ended. */
+  private get hasLostEngine(): boolean {
+    const { engine } = this.way.options;
+    return engine.isDown || (this.life !== undefined && this.life !== engine.life);
+  }
+
+  /** Takes the engine's answer to a call, and hands out the one that is read in its place. */
+  private pass(answer: Answer): Answer {
+    this.unread.push(answer);
+    const read = this.unread.shift()!;
+    if (this.way.options.isTwice()) this.unread.push(answer);
+    return read;
+  }
+
   private broken(): undefined {
-    this.connection = undefined;
+    this.close();
   }
 
   private async noConnection(): Promise<OrderOutcome.Unreachable> {
-    const { random, timers } = this.options;
-    this.connection = undefined;
+    const { random, timers } = this.way.options;
     await timers.sleep(random.chance(0.5) ? this.short() : CONNECT_LIMIT_MS);
+    this.close();
     return OrderOutcome.Unreachable;
   }
 
   private async silence(): Promise<undefined> {
-    this.connection = undefined;
-    await this.options.timers.sleep(CALL_LIMIT_MS);
-    return undefined;
+    await this.way.options.timers.sleep(CALL_LIMIT_MS);
+    this.close();
   }
 
   private draw(): Fate {
-    const { random, trouble } = this.options;
+    const { random, trouble } = this.way.options;
     return random.chance(trouble()) ? random.pick(TROUBLES) : Fate.Ordinary;
   }
 
   private short(): number {
-    return this.options.random.between(0, ORDINARY_MS);
+    return this.way.options.random.between(0, ORDINARY_MS);
   }
 
   /** Both ways together stay below the time for which a call is waited. */
   private long(): number {
-    return this.options.random.between(ORDINARY_MS, CALL_LIMIT_MS - 2 * ORDINARY_MS);
+    return this.way.options.random.between(ORDINARY_MS, CALL_LIMIT_MS - 2 * ORDINARY_MS);
   }
 }
