The time of a load is learnt only where the load was seen through

The time counts from the engine's acceptance now, and where a report had to be proved meanwhile it is not learnt.

--- a/packages/routing/src/core/adapters/adapter-load.ts
+++ b/packages/routing/src/core/adapters/adapter-load.ts
@@ -50,6 +50,9 @@
   /** Monotonic time at which the engine said that it had accepted it. */
   private acceptedAt: number | undefined;
 
+  /** Reports that were proved when the engine accepted it. */
+  private proofsAtAcceptance = 0;
+
   private isFirstLook = true;
 
   /** Version that is wanted; a report may show that an older one is on its way. */
@@ -111,6 +114,7 @@
     const { session, slot } = this.options;
     session.parts.slots.mark(slot, SlotState.Loading);
     this.acceptedAt = session.parts.timers.now();
+    this.proofsAtAcceptance = session.proofs;
   }
 
   /**
@@ -193,7 +197,7 @@
   private noteLoaded(wanted: Wanted): void {
     const { session, slot, times } = this.options;
     const { timers, log, replica } = session.parts;
-    const tookMs = timers.now() - this.startedAt;
+    const tookMs = timers.now() - (this.acceptedAt ?? this.startedAt);
     log.detail('adapter.loaded', `Loaded ${slot.key}.`, {
       replica: replica.id,
       adapter: slot.key,
@@ -202,7 +206,9 @@
       queuedMs: Math.round(this.startedAt - wanted.askedAt),
       wasHeldBefore: times.wasLoaded(slot.key),
     });
-    times.learn(slot.key, tookMs);
+    // Where the engine was lost sight of, the time tells nothing of the load, and would put off the looks at later ones.
+    const wasSeenThrough = this.acceptedAt !== undefined && this.proofsAtAcceptance === session.proofs;
+    if (wasSeenThrough) times.learn(slot.key, tookMs);
   }
 
   /** The engine has not accepted the load: the slot is as it was before. */
