The slot of an older version is free when a report says that the version has gone

An engine was ordered beyond its room by one single answer that was another order's: that a newer version is in place freed the slot of the older one, and as such a look begins nothing, no count told that it was not so. The requests that wait for the newer version are served as before; the second slot is free when a report lists the one and not the other on its way.

--- a/packages/routing/src/core/adapters/adapter-load.ts
+++ b/packages/routing/src/core/adapters/adapter-load.ts
@@ -14,7 +14,8 @@
 import type { EngineSession } from './session.js';
 import type { Slot } from './slots.js';
 import { refOf, SlotState } from './slots.js';
-import { AdapterUnavailable, OrderKind, OrderOutcome } from './types.js';
+import type { EngineReport } from './types.js';
+import { adapterKey, AdapterUnavailable, OrderKind, OrderOutcome } from './types.js';
 
 /** Pause between two looks at a load, in milliseconds: a tenth of a first load, half of a repeated one. */
 const POLL_MS = 12;
@@ -24,6 +25,8 @@
 const BUSY_MS = 15;
 /** Longest time for which requests wait for a load, in milliseconds; a crowded store takes some times the usual quarter second. */
 const LOAD_LIMIT_MS = 4000;
+/** Pause between two looks at the report that shows that a newer version has taken an older one's place, in milliseconds. */
+const REPLACED_POLL_MS = 100;
 /** Part of the expected load time after which the first look is taken: later ones would never learn that it is shorter. */
 const FIRST_LOOK_SHARE = 0.85;
 
@@ -50,14 +53,14 @@
   /** Monotonic time at which the engine said that it had accepted it. */
   private acceptedAt: number | undefined;
 
-  /** Reports that were proved when the engine accepted it. */
-  private proofsAtAcceptance = 0;
-
   private isFirstLook = true;
 
   /** Version that is wanted; a report may show that an older one is on its way. */
   private readonly version: number;
 
+  /** Reports that were proved when the engine accepted it. */
+  private proofsAtAcceptance = 0;
+
   /** Whether requests still wait for it. */
   private isAwaited: boolean;
 
@@ -190,7 +193,7 @@
       this.isAwaited = false;
       wanted.resolve();
     }
-    slot.beneath = undefined;
+    if (slot.beneath !== undefined) void this.freeBeneath();
     onArrival(slot);
   }
 
@@ -211,6 +214,28 @@
     if (wasSeenThrough) times.learn(slot.key, tookMs);
   }
 
+  /**
+   * Counts the slot of the older version as free when a report says that it is gone. The answer that the newer one is in
+   * place does not show it: no count would tell if it were the answer to another order.
+   */
+  private async freeBeneath(): Promise<void> {
+    const { session, slot } = this.options;
+    const { orders, timers, onRoom } = session.parts;
+    const { version } = slot;
+    const isWaiting = (): boolean =>
+      !session.isOver &&
+      slot.state === SlotState.Held &&
+      slot.version === version &&
+      slot.beneath !== undefined;
+    while (isWaiting()) {
+      await timers.sleep(REPLACED_POLL_MS);
+      const report = isWaiting() ? await orders.confirm() : undefined;
+      if (report === undefined || !isWaiting() || !showsInPlace(report, slot)) continue;
+      slot.beneath = undefined;
+      onRoom();
+    }
+  }
+
   /** The engine has not accepted the load: the slot is as it was before. */
   private giveBack(outcome: OrderOutcome): void {
     const { session, slot } = this.options;
@@ -235,3 +260,12 @@
     this.options.wanted?.reject(new AdapterUnavailable(reason));
   }
 }
+
+/** Whether a report lists the adapter of a slot as in place, and no other version of it on its way. */
+function showsInPlace({ models, loading }: EngineReport, { key, version }: Slot): boolean {
+  const isComing = loading.some(({ model, adapter }) => adapterKey(model, adapter) === key);
+  if (isComing) return false;
+  return models.some(({ name, adapters }) =>
+    adapters.some((held) => adapterKey(name, held.name) === key && held.version >= version),
+  );
+}
