An adapter whose load is still followed is not chosen to make room

Nothing was served at the end of some plays, though all trouble was over: a proved report said that an adapter was in place while the task that followed its load still slept; the adapter was ordered away, and the task woke up and marked it as in place. Nobody asked any more whether the unload was done, and the keeper held the engine for blocked.

--- a/packages/routing/src/core/adapters/slots.ts
+++ b/packages/routing/src/core/adapters/slots.ts
@@ -60,8 +60,9 @@
   return beneath === undefined || beneath === version ? 1 : 2;
 }
 
-function isEvictable({ state, running, beneath }: Slot): boolean {
-  return EVICTABLE.has(state) && running === 0 && beneath === undefined;
+/** One whose load is still followed is left to that task: it may not have heard yet that the adapter is in place. */
+function isEvictable({ state, running, beneath, follower }: Slot): boolean {
+  return EVICTABLE.has(state) && running === 0 && beneath === undefined && follower === undefined;
 }
 
 /**
