--- a/packages/routing/src/core/adapters/keeper.ts
+++ b/packages/routing/src/core/adapters/keeper.ts
@@ -220,6 +220,7 @@
       sequence: report.sequence,
       occupied: this.slots.occupied,
       onTheirWay: report.loading.length,
+      running: report.running,
       places: this.places,
     });
   }
--- a/packages/routing/src/core/adapters/session.ts
+++ b/packages/routing/src/core/adapters/session.ts
@@ -37,6 +37,8 @@
   /** Reports that were proved. */
   private reports = 0;
 
+  private provedAt = 0;
+
   /**
    * Makes a session of which nothing is known yet.
    * @param parts - The engine, its slots and its orders.
@@ -54,6 +56,11 @@
     this.parts.orders.close();
   }
 
+  /** Time since the last report was proved, in milliseconds. */
+  get sinceProofMs(): number {
+    return this.parts.timers.now() - this.provedAt;
+  }
+
   /** How many reports were proved. */
   get proofs(): number {
     return this.reports;
@@ -65,6 +72,7 @@
    */
   note(report: EngineReport): void {
     this.reports += 1;
+    this.provedAt = this.parts.timers.now();
     for (const { name } of report.models) this.models.add(name);
   }
 
--- a/packages/routing/src/core/adapters/types.ts
+++ b/packages/routing/src/core/adapters/types.ts
@@ -49,6 +49,8 @@
   readonly bornAt: number | undefined;
   /** Orders that had begun something on it by then, since its start. */
   readonly sequence: number;
+  /** Requests that ran on it; undefined when it does not say. */
+  readonly running: number | undefined;
   /** Time after which it is gone whatever it runs, in milliseconds; undefined unless it is taken away at short notice. */
   readonly remainingMs: number | undefined;
   readonly models: readonly HeldModel[];
--- a/packages/routing/src/core/adapters/unloads.ts
+++ b/packages/routing/src/core/adapters/unloads.ts
@@ -80,6 +80,16 @@
     if (isShown && !session.isOver && this.isDropping(slot)) session.free(slot.key, reason);
   }
 
+  private noteWaited(slot: Slot, waitedMs: number): void {
+    const { log, replica } = this.session.parts;
+    log.decide('unload.waited', `Engine ${replica.id} took no orders until ${slot.key} was out of use.`, {
+      replica: replica.id,
+      adapter: slot.key,
+      waitedMs: Math.round(waitedMs),
+      sinceLearntMs: Math.round(this.session.sinceProofMs),
+    });
+  }
+
   /** Whether it is still on its way out, as far as no report has said otherwise. */
   private isDropping(slot: Slot): boolean {
     return slot.state === SlotState.Dropping && this.session.parts.slots.get(slot.key) === slot;
@@ -88,12 +98,14 @@
   private async waitForRuns(slot: Slot): Promise<void> {
     const { session } = this;
     const { orders, timers, onRoom } = session.parts;
+    const startedAt = timers.now();
     while (this.isDropping(slot)) {
       await timers.sleep(DROP_POLL_MS);
       if (session.isOver) return;
       const outcome = await orders.look(OrderKind.Unload, anyVersion(slot));
       if (session.isOver) return;
       if (outcome !== OrderOutcome.Done) continue;
+      this.noteWaited(slot, timers.now() - startedAt);
       await this.free(slot, 'unloaded when its last request had ended');
       onRoom();
       return;
--- a/packages/routing/test/fakes.ts
+++ b/packages/routing/test/fakes.ts
@@ -168,6 +168,7 @@
   current = (): EngineReport => ({
     bornAt: this.bornAt,
     sequence: this.sequence,
+    running: undefined,
     remainingMs: undefined,
     models: [
       {
--- a/packages/routing/test/orders/engine.ts
+++ b/packages/routing/test/orders/engine.ts
@@ -267,6 +267,7 @@
     const report: EngineReport = {
       bornAt: undefined,
       sequence: this.sequence,
+      running: undefined,
       remainingMs: undefined,
       models: this.hasModel ? [{ name: MODEL, version: 1, adapters }] : [],
       loading,
