An unload that is answered as done is not counted on where engines take older tokens and the adapter may have been gone

An engine without fences was ordered beyond its room: an unload that waits for its runs ends without being counted, so that a proved report may list an adapter that has gone since. To order it away is answered as done and not counted, the keeper counted it, and the next order of a former keeper made the count right again while the tables differed. A slot is known to be taken when the engine said so to a load, or when a report shows a later order of this keeper; else, where tokens are not checked, a report is proved anew after the unload. Where they are checked, a count that is too high is refused, as before.

--- a/packages/routing/src/core/adapters/adapter-load.ts
+++ b/packages/routing/src/core/adapters/adapter-load.ts
@@ -128,6 +128,7 @@
     const { session, slot } = this.options;
     if (slot.beneath === slot.version) {
       slot.beneath = undefined;
+      slot.isSeen = true;
       this.arrive();
       return;
     }
@@ -142,6 +143,7 @@
     const outcome = await session.parts.orders.look(OrderKind.Load, this.ref());
     if (session.isOver || slot.state !== SlotState.Loading) return;
     if (outcome === OrderOutcome.Done) {
+      slot.isSeen = true;
       this.arrive();
       return;
     }
--- a/packages/routing/src/core/adapters/adopt.ts
+++ b/packages/routing/src/core/adapters/adopt.ts
@@ -35,6 +35,8 @@
     if (slot === undefined) slots.put(key, version, SlotState.Held);
     else if (isInPlace(slot, held))
       Object.assign(slot, { version, state: SlotState.Held, beneath: undefined } satisfies Partial<Slot>);
+    // The report is some hundred milliseconds old.
+    slots.get(key)!.isSeen = false;
   }
   for (const [key, version] of coming) {
     const slot = slots.put(key, version, SlotState.Loading);
@@ -43,6 +45,20 @@
   }
 }
 
+/**
+ * Notes which adapters are known to be in place, from a report that shows an order of this keeper: then it is later than
+ * the proof that the keeper began with, since when no unload can have waited but its own.
+ * @param session - The engine's slots.
+ * @param report - The report.
+ */
+export function noteSeen(session: EngineSession, report: EngineReport): void {
+  if (report.sequence <= session.provedSequence) return;
+  for (const [key] of heldVersions(report)) {
+    const slot = session.parts.slots.get(key);
+    if (slot?.state === SlotState.Held) slot.isSeen = true;
+  }
+}
+
 /** Whether a report shows what is wanted of a slot; an older version is not enough for a load that requests wait for. */
 function isInPlace({ key, version, follower }: Slot, held: Versions): boolean {
   const inPlace = held.get(key);
--- a/packages/routing/src/core/adapters/keeper.ts
+++ b/packages/routing/src/core/adapters/keeper.ts
@@ -41,6 +41,8 @@
   'onUnreachable' | 'onEmpty' | 'onDisconnect'
 > {
   readonly engine: EngineSpec;
+  /** Whether the engine refuses orders with older tokens. */
+  readonly isFenced: boolean;
   /** Called when what the engine holds has changed. */
   readonly onHoldings: (holdings: Holdings) => void;
 }
@@ -251,7 +253,7 @@
   }
 
   private makeSession(): EngineSession {
-    const { replica, timers, log } = this.options;
+    const { replica, timers, log, isFenced } = this.options;
     const onDoubt = (): void => {
       void this.proveAgain();
     };
@@ -261,6 +263,7 @@
       log,
       orders: new NumberedOrders({ replica, timers, orders: this.orders, onDoubt }),
       slots: new SlotTable(timers),
+      isFenced,
       places: () => this.places,
       onHoldings: () => this.tell(),
       onArrival: ({ key, version }) => {
--- a/packages/routing/src/core/adapters/loader.ts
+++ b/packages/routing/src/core/adapters/loader.ts
@@ -22,6 +22,8 @@
   readonly directory: Directory;
   readonly holdings: HoldingsBook;
   readonly control: EngineControl;
+  /** Whether engines refuse orders with older tokens. */
+  readonly isFenced: boolean;
   readonly timers: TimerService;
   readonly log: DecisionLog;
 }
@@ -110,7 +112,7 @@
    * @param claim - This daemon's claim.
    */
   gain(claim: Claim): void {
-    const { directory, claims, control, timers, log, self } = this.options;
+    const { directory, claims, control, isFenced, timers, log, self } = this.options;
     const replica = directory.replica(claim.replica);
     const engine = replica && directory.table?.service(replica.service)?.engine;
     if (replica?.state !== ReplicaState.Ready || engine === undefined) return;
@@ -119,6 +121,7 @@
       engine,
       self,
       control,
+      isFenced,
       timers,
       log,
       authority: () => claims.authority(replica.id),
--- a/packages/routing/src/core/adapters/session.ts
+++ b/packages/routing/src/core/adapters/session.ts
@@ -17,6 +17,8 @@
   readonly log: DecisionLog;
   readonly orders: NumberedOrders;
   readonly slots: SlotTable;
+  /** Whether the engine refuses orders with older tokens, so that no other keeper can give any. */
+  readonly isFenced: boolean;
   /** Adapters for which the engine has room. */
   readonly places: () => number;
   /** Called when what is in place has changed. */
@@ -39,6 +41,9 @@
 
   private provedAt = 0;
 
+  /** Orders that the engine had accepted when the last report was proved. */
+  provedSequence = 0;
+
   /**
    * Makes a session of which nothing is known yet.
    * @param parts - The engine, its slots and its orders.
@@ -73,6 +78,7 @@
   note(report: EngineReport): void {
     this.reports += 1;
     this.provedAt = this.parts.timers.now();
+    this.provedSequence = report.sequence;
     for (const { name } of report.models) this.models.add(name);
   }
 
--- a/packages/routing/src/core/adapters/slots.ts
+++ b/packages/routing/src/core/adapters/slots.ts
@@ -35,6 +35,11 @@
   beneath: number | undefined;
   /** The task that follows the load into it. */
   follower: object | undefined;
+  /**
+   * Whether it is known to be in place now. A report alone does not show it: an unload that waited for its runs may have
+   * ended since, and the engine does not count that.
+   */
+  isSeen: boolean;
 }
 
 /** Time over which uses fade, in milliseconds: demand moves on within seconds. */
@@ -186,7 +191,18 @@
 
   private make(key: string, version: number, state: SlotState): Slot {
     const usedAt = this.timers.now();
-    return { key, version, state, usedAt, running: 0, uses: 0, beneath: undefined, follower: undefined };
+    const isSeen = false;
+    return {
+      key,
+      version,
+      state,
+      usedAt,
+      running: 0,
+      uses: 0,
+      beneath: undefined,
+      follower: undefined,
+      isSeen,
+    };
   }
 
   private faded(slot: Slot): number {
--- a/packages/routing/src/core/adapters/unloads.ts
+++ b/packages/routing/src/core/adapters/unloads.ts
@@ -1,4 +1,5 @@
 /** Makes room on one engine: which adapter goes, and how. */
+import { noteSeen } from './adopt.js';
 import type { OrderedRef } from './orders.js';
 import type { EngineSession } from './session.js';
 import type { Slot } from './slots.js';
@@ -45,7 +46,7 @@
    */
   private async unload(victim: Slot): Promise<void> {
     const { session } = this;
-    const { slots, orders, timers, onHoldings } = session.parts;
+    const { slots, orders, timers, isFenced, onHoldings } = session.parts;
     slots.mark(victim, SlotState.Dropping);
     onHoldings();
     await timers.sleep(WITHDRAWAL_MS);
@@ -56,8 +57,11 @@
     const isStillRight = (): boolean => victim.running === 0 && this.isDropping(victim);
     const outcome = await orders.begin(OrderKind.Unload, anyVersion(victim), isStillRight);
     if (session.isOver) return;
-    if (outcome === OrderOutcome.Done) await this.free(victim, 'unloaded');
-    else if (outcome === OrderOutcome.Started) void this.waitForRuns(victim);
+    if (outcome === OrderOutcome.Done) {
+      // Was it gone before, the engine has not counted the order; another keeper's next one would make up for that.
+      if (!isFenced && !victim.isSeen) orders.doubt();
+      await this.free(victim, 'unloaded');
+    } else if (outcome === OrderOutcome.Started) void this.waitForRuns(victim);
     // Without an answer it may be gone; it counts as in place until a report or a request shows that it is not.
     else this.takeBack(victim);
   }
@@ -76,8 +80,10 @@
    */
   private async free(slot: Slot, reason: string): Promise<void> {
     const { session } = this;
-    const isShown = (await session.parts.orders.confirm()) !== undefined;
-    if (isShown && !session.isOver && this.isDropping(slot)) session.free(slot.key, reason);
+    const report = await session.parts.orders.confirm();
+    if (report === undefined || session.isOver || !this.isDropping(slot)) return;
+    session.free(slot.key, reason);
+    noteSeen(session, report);
   }
 
   private noteWaited(slot: Slot, waitedMs: number): void {
--- a/packages/routing/src/core/daemon/services.ts
+++ b/packages/routing/src/core/daemon/services.ts
@@ -227,6 +227,7 @@
       directory,
       holdings: kernel.get(PART.holdings),
       control: kernel.get(PART.control),
+      isFenced: this.options.settings.isFenced,
       timers,
       log,
     });
--- a/packages/routing/test/keeper.test.ts
+++ b/packages/routing/test/keeper.test.ts
@@ -26,6 +26,7 @@
     replica: engineEntry('e'),
     engine: sampleDocument(1).services[1]!.engine!,
     self: 'a',
+    isFenced: true,
     log,
     authority: () => 5,
     onFenced: () => undefined,
--- a/packages/routing/test/orders/fleet.ts
+++ b/packages/routing/test/orders/fleet.ts
@@ -287,6 +287,7 @@
         engine: this.spec,
         self: name,
         control: this.tracedControl(name, way),
+        isFenced: plan.isFenced,
         timers,
         log,
         authority: () => holder.token,
--- a/packages/routing/test/orders/on-its-way.test.ts
+++ b/packages/routing/test/orders/on-its-way.test.ts
@@ -47,6 +47,7 @@
         models: [{ name: MODEL, weightsMb: 90, adapterMb: 1 }],
       },
       self: `d${token}`,
+      isFenced,
       control: {
         connect: (_replica, onClosed) => makeConnection(answers, onClosed),
         report: answers.report,
