An engine tells no room while it takes no orders for an adapter in use

After the end of all daemons a new keeper orders adapters away on which runs of before go on, and can't know: the report counts the runs and names no adapter. The engine then takes no order until they end, up to 7.3 s, and its keeper told requests all the while that there was room; they waited there. They go elsewhere now, at once.

Not tried: to order nothing away until a report counts no more runs than the daemons know of. Of 13 engines two to four are hit, and all would wait two seconds and more.

--- a/packages/routing/src/core/adapters/keeper.ts
+++ b/packages/routing/src/core/adapters/keeper.ts
@@ -148,8 +148,16 @@
 
   /** Whether one more load could begin now. */
   private get canBegin(): boolean {
-    const free = this.places - this.slots.occupied + this.slots.evictable;
-    return this.isReady && this.queue.size < Math.min(free, MAX_LOADING - this.slots.loading);
+    return this.queue.size < Math.min(this.free, MAX_LOADING - this.slots.loading);
+  }
+
+  /**
+   * Slots that are free or could be freed at once. There are none while an unload waits for its runs: that may take
+   * seconds, in which the engine takes no order, and requests are better served elsewhere.
+   */
+  private get free(): number {
+    if (!this.isReady || this.session.parts.orders.isBlocked) return 0;
+    return this.places - this.slots.occupied + this.slots.evictable;
   }
 
   /**
@@ -364,8 +372,7 @@
   room(): RoomLine {
     const { replica } = this.options;
     if (this.orders.isUnreachable) return [replica.id, NO_WAY, 0];
-    const free = this.places - this.slots.occupied + this.slots.evictable;
-    return [replica.id, this.isReady ? Math.max(0, free - this.queue.size) : 0, this.queue.size];
+    return [replica.id, Math.max(0, this.free - this.queue.size), this.queue.size];
   }
 
   /** One line on what the slots hold. */
--- a/packages/routing/test/keeper.test.ts
+++ b/packages/routing/test/keeper.test.ts
@@ -242,6 +242,25 @@
   t.is(control.overloads, 0);
 });
 
+test('an engine that takes no orders until an adapter is out of use tells that it has no room', async (t) => {
+  const { timers, control, keeper, ensure } = await setUp();
+  for (const adapter of ['x', 'y', 'z']) {
+    void ensure(adapter);
+    await timers.advance(400);
+  }
+  // Runs that no daemon knows of, as after the end of all.
+  for (const slot of control.slots.values()) slot.running = 1;
+  void watch(ensure('w'));
+  await timers.advance(100);
+  t.is(control.blocked.size, 1);
+  t.is(keeper.room()[1], 0);
+  t.deepEqual(await ensure('v', { ...URGENCY, patienceMs: 0 }), ['e', 0, 1]);
+  for (const slot of control.slots.values()) slot.running = 0;
+  await timers.advance(1000);
+  t.is(control.overloads, 0);
+  t.true(control.slots.has('w'));
+});
+
 test('a load that nobody waits for any more is not begun', async (t) => {
   const { timers, control, keeper, ensure } = await setUp();
   for (const adapter of ['x', 'y', 'z']) {
