Where engines take older tokens, each answer that changes the count is shown to be the order's own; an idle connection's end costs nothing

Where tokens are checked nothing changes.

The end of a connection made every keeper prove a report at once, each few hundred milliseconds with engines that name no idle time. Now the next order, or a look at one, has it proved.

--- a/packages/routing/src/core/adapters/adopt.ts
+++ b/packages/routing/src/core/adapters/adopt.ts
@@ -46,8 +46,8 @@
 }
 
 /**
- * Notes which adapters are known to be in place, from a report that shows an order of this keeper: then it is later than
- * the proof that the keeper began with, since when no unload can have waited but its own.
+ * Notes which adapters are known to be in place, where a report shows an order of this keeper: then it is later than the
+ * proof, and no unload of a former keeper can still have waited.
  * @param session - The engine's slots.
  * @param report - The report.
  */
--- a/packages/routing/src/core/adapters/keeper.ts
+++ b/packages/routing/src/core/adapters/keeper.ts
@@ -78,7 +78,7 @@
       ...options,
       onUnreachable: () => this.queue.giveUp('The engine can’t be reached.'),
       onEmpty: () => this.beginAnew(),
-      onDisconnect: () => this.session.parts.orders.doubt(),
+      onDisconnect: () => this.session.parts.orders.lapse(),
     });
     this.queue = new LoadQueue(options.timers);
     this.session = this.makeSession();
@@ -210,8 +210,6 @@
     else await orders.prove(model, (report) => this.take(report));
     this.isReady = !session.isOver;
     this.tell();
-    // The connection may have ended right after.
-    if (!orders.isExact) void this.proveAgain();
   }
 
   /** Takes over what a report says that was proved to be exact. */
@@ -269,7 +267,7 @@
       replica,
       timers,
       log,
-      orders: new NumberedOrders({ replica, timers, orders: this.orders, onDoubt }),
+      orders: new NumberedOrders({ replica, timers, orders: this.orders, isFenced, onDoubt }),
       slots: new SlotTable(timers),
       isFenced,
       places: () => this.places,
--- a/packages/routing/src/core/adapters/numbered-orders.ts
+++ b/packages/routing/src/core/adapters/numbered-orders.ts
@@ -42,7 +42,9 @@
   readonly replica: ReplicaEntry;
   readonly timers: TimerService;
   readonly orders: EngineOrders;
-  /** Called when the count is not known any more, and {@link NumberedOrders.prove} must find it out. */
+  /** Whether the engine refuses orders with older tokens, so that no other keeper can give any. */
+  readonly isFenced: boolean;
+  /** Called when the count is needed and not known, and {@link NumberedOrders.prove} must find it out; also more than once. */
   readonly onDoubt: () => void;
 }
 
@@ -91,6 +93,7 @@
   begin(kind: OrderKind, ref: OrderedRef, isStillRight: () => boolean): Promise<OrderOutcome> {
     return this.inTurn(async () => {
       const { count } = this;
+      if (count === undefined) this.doubt();
       if (count === undefined || this.isUnloadWaiting) return OrderOutcome.Busy;
       if (!isStillRight()) return OrderOutcome.Refused;
       this.begun += 1;
@@ -98,10 +101,22 @@
       const outcome = await this.options.orders.send(kind, ref, count);
       this.isBeginning = false;
       this.note(outcome, kind, count);
-      return outcome;
+      return (await this.isReliable(outcome)) ? outcome : OrderOutcome.Unknown;
     });
   }
 
+  /**
+   * Whether an answer can be built on. Where the engine refuses older tokens, a count that is wrong fits no order. Elsewhere
+   * a former keeper's order may make it fit, so each answer that changes the count is shown to be the order's own.
+   */
+  private async isReliable(outcome: OrderOutcome): Promise<boolean> {
+    const changesCount = outcome === OrderOutcome.Started || outcome === OrderOutcome.Done;
+    if (this.options.isFenced || !changesCount) return true;
+    const isShown = (await this.confirm()) !== undefined;
+    if (!isShown) this.doubt();
+    return isShown;
+  }
+
   /**
    * Repeats an order that the engine has accepted, to learn whether it is done.
    * @param kind - What was ordered.
@@ -115,7 +130,10 @@
   /** A repeated load names the count too: one that is late must not begin anew on an engine that has lost all. */
   private async lookAtLoad(ref: OrderedRef): Promise<OrderOutcome> {
     const { count, begun, isBeginning } = this;
-    if (count === undefined) return OrderOutcome.Busy;
+    if (count === undefined) {
+      this.doubt();
+      return OrderOutcome.Busy;
+    }
     const outcome = await this.options.orders.send(OrderKind.Load, ref, count);
     const isCountOwn = !isBeginning && begun === this.begun;
     if (outcome === OrderOutcome.Busy && isCountOwn && !this.isUnloadWaiting) this.doubt();
@@ -123,7 +141,10 @@
   }
 
   private async lookAtUnload(ref: OrderedRef): Promise<OrderOutcome> {
-    if (this.count === undefined) return OrderOutcome.Busy;
+    if (this.count === undefined) {
+      this.doubt();
+      return OrderOutcome.Busy;
+    }
     const outcome = await this.options.orders.send(OrderKind.Unload, ref);
     if (outcome === OrderOutcome.Done) this.isUnloadWaiting = false;
     return outcome;
@@ -134,8 +155,10 @@
    * only takes up room does no harm when it belongs to another order, as the count does not fit then.
    * @returns The engine's report, some hundred milliseconds old; undefined when nothing is shown.
    */
-  confirm(): Promise<EngineReport | undefined> {
-    return this.options.orders.confirm();
+  async confirm(): Promise<EngineReport | undefined> {
+    const { orders } = this.options;
+    if (!orders.isConnected) this.doubt();
+    return orders.confirm();
   }
 
   /**
@@ -165,13 +188,18 @@
     });
   }
 
-  /** Gives no order until a report has been proved anew. */
+  /** Gives no order until a report has been proved anew, and has that done. */
   doubt(): void {
-    if (this.count === undefined || this.isClosed) return;
+    if (this.isClosed) return;
     this.count = undefined;
     this.options.onDoubt();
   }
 
+  /** The connection has ended: the next order, or look at one, has a report proved first. An idle engine is left alone. */
+  lapse(): void {
+    this.count = undefined;
+  }
+
   /** Gives no order any more. */
   close(): void {
     this.isClosed = true;
--- a/packages/routing/test/channels.test.ts
+++ b/packages/routing/test/channels.test.ts
@@ -1,11 +1,12 @@
 /** What is known of an exchange, whatever the replica does, shown over raw sockets. */
 import { EventEmitter, once } from 'node:events';
 
-import type { AnswerSink } from '@celeryyoke/routing';
-import { ChannelFailure, ChannelPool } from '@celeryyoke/routing';
+import { createSystemTimers } from '@celeryyoke/core';
+import type { AnswerSink, ExclusiveChannel } from '@celeryyoke/routing';
+import { ChannelFailure, ChannelPool, ExchangeError } from '@celeryyoke/routing';
 import test from 'ava';
 
-import type { RawRequest } from './raw.js';
+import type { RawReplica, RawRequest } from './raw.js';
 import { startReplica } from './raw.js';
 
 interface Outcome {
@@ -199,3 +200,57 @@
       t.is(connections(), 2);
     },
   ));
+
+const WHOLE = 'HTTP/1.1 200 OK\r\nKeep-Alive: timeout=10\r\nContent-Length: 0\r\n\r\n';
+const CALL = { method: 'GET', path: '/x', headers: ['host', 'h'], body: undefined };
+const READ_OPTIONS = { timers: createSystemTimers(), timeoutMs: 800 };
+
+/** Opens a connection of its own to a replica that does as told. */
+async function withExclusive(
+  answer: (req: RawRequest, number: number) => void,
+  use: (channel: ExclusiveChannel, raw: RawReplica) => Promise<void>,
+): Promise<void> {
+  const raw = await startReplica(answer);
+  const pool = new ChannelPool();
+  try {
+    const upstream = { id: 'i', host: '127.0.0.1', port: raw.port };
+    await use(
+      pool.openExclusive(upstream, () => undefined),
+      raw,
+    );
+  } finally {
+    pool.close();
+    await raw.close();
+  }
+}
+
+test('calls on a connection of one’s own go one after the other', (t) =>
+  withExclusive(
+    ({ socket }) => {
+      setTimeout(() => socket.write(WHOLE), 30);
+    },
+    async (channel, raw) => {
+      const first = channel.call(CALL, READ_OPTIONS);
+      const second = channel.call(CALL, READ_OPTIONS);
+      await first;
+      t.is(raw.seen.length, 1);
+      await second;
+      t.is(raw.seen.length, 2);
+      t.is(raw.connections(), 1);
+    },
+  ));
+
+test('a connection of one’s own that has ended is not set up again', (t) =>
+  withExclusive(
+    ({ socket }) => {
+      socket.end(WHOLE);
+    },
+    async (channel, raw) => {
+      await channel.call(CALL, READ_OPTIONS);
+      await once(raw.seen[0]!.socket, 'close');
+      const err = await t.throwsAsync(channel.call(CALL, READ_OPTIONS), { instanceOf: ExchangeError });
+      t.is(err?.failure, ChannelFailure.NotSent);
+      t.false(channel.isOpen);
+      t.is(raw.connections(), 1);
+    },
+  ));
