--- a/packages/routing/test/orders/orders.test.ts
+++ b/packages/routing/test/orders/orders.test.ts
@@ -80,22 +80,95 @@
   t.is(faultOf(await play('31350', PlayKind.Harsh)), undefined);
 });
 
+/*
+ * An engine is ordered beyond its room, and ends with all that it runs. An answer to an order names no order. Two that belong
+ * to other calls make up for each other: the load of an adapter that began is answered as done, then its refused unload too,
+ * and the keeper's count is the engine's again while its table lacks the adapter. The last orders of the play show it: the
+ * same count names both, and the engine holds one adapter more after each.
+ */
 test('two answers to other calls, one after the other, do not make up for each other', async (t) => {
-  // Harsh seed 31061: a load that began was answered as done, then a refused unload of the same adapter too; the count fits again.
+  // Harsh seed 31061.
   t.is(faultOf(await play('31061', PlayKind.Harsh)), undefined);
 });
 
+/*
+ * An engine without fences is ordered beyond its room. A former keeper proves a report; an adapter is listed in place in one
+ * version and on its way in another. The slot was followed by a task and kept what that had heard last, so it counted once.
+ * The play's last lines show the engine with the adapter twice, and the keeper one slot short.
+ */
 test('what a former keeper believes of a version on its way is what the proved report says', async (t) => {
-  // Harsh seed 770168: an engine without fences is ordered beyond its room.
+  // Harsh seed 770168.
   t.is(faultOf(await play('770168', PlayKind.Harsh)), undefined);
 });
 
+/* An engine is ordered beyond its room: as in seed 31061, with the wrong answers around the proof of a report. */
 test('answers to other calls around a proof do not free a slot', async (t) => {
-  // Harsh seed 770944: an engine is ordered beyond its room.
+  // Harsh seed 770944.
   t.is(faultOf(await play('770944', PlayKind.Harsh)), undefined);
 });
 
+/*
+ * Nothing is served at the end, though all trouble is over. A load whose answers were lost took seconds; that was learnt as
+ * the usual time, and the first look at each later load was put off by it. The play's last lines show looks up to 4 s apart.
+ */
 test('a load that took long for want of answers does not put off the looks at later ones', async (t) => {
-  // Harsh seed 771274: nothing is served at the end, though all trouble is over.
+  // Harsh seed 771274.
   t.is(faultOf(await play('771274', PlayKind.Harsh)), undefined);
 });
+
+/*
+ * An engine without fences is ordered beyond its room. An unload that waited for its runs has ended, which no count tells, and
+ * the proved report still lists the adapter. To order it away is answered as done and does not count on the engine; the keeper
+ * counted it, and another keeper's order made the count fit.
+ */
+test('an unload of what may be gone is not counted on where older tokens are taken', async (t) => {
+  for (const seed of ['40361', '40715', '770401'])
+    t.is(faultOf(await play(seed, PlayKind.Harsh)), undefined, seed);
+  t.is(faultOf(await play('40656', PlayKind.Shifted)), undefined);
+});
+
+/*
+ * The same by an answer that came one late: it counted a load that the engine had not begun, and another keeper's load made
+ * the count fit.
+ */
+test('an answer that came one late is not counted on where older tokens are taken', async (t) => {
+  for (const seed of ['50794', '51369', '770817'])
+    t.is(faultOf(await play(seed, PlayKind.Shifted)), undefined, seed);
+});
+
+/*
+ * Nothing is served at the end. A proved report said that an adapter is in place while the task that followed its load still
+ * slept; the adapter was ordered away, the task woke up and marked it as in place, and nobody asked whether it had gone.
+ */
+test('an adapter whose load is still followed is not ordered away', async (t) => {
+  for (const seed of ['770008', '770109', '770264', '770364'])
+    t.is(faultOf(await play(seed, PlayKind.Shifted)), undefined, seed);
+});
+
+/*
+ * Open. An engine without fences, two keepers at a time, and an answer to another call in place of an order's own: the load of
+ * another keeper makes up for one that was refused and read as begun. A connection shifts answers, it replaces none.
+ */
+test('an answer in place of a refusal does not count while another keeper orders too', async (t) => {
+  // Harsh seed 51476.
+  t.is(faultOf(await play('51476', PlayKind.Harsh)), undefined);
+});
+
+/* Open: the same while versions are declared. */
+test('an answer in place of a refusal does not count while versions are declared', async (t) => {
+  t.is(faultOf(await play('50541', PlayKind.Replaced)), undefined);
+});
+
+/* Open: two or three answers in a row that belong to other calls, each in place of an order's own. */
+test('up to three answers in a row in place of the orders’ own free no slot', async (t) => {
+  t.is(faultOf(await play('60068', PlayKind.ReplacedInRow)), undefined);
+});
+
+/*
+ * Open. An idle engine starts again under its name and says no start; its keeper notices with the first order, 9 s later, and
+ * then has the connection, the base model and the adapter to wait for: longer than 3 s when the load is slow.
+ */
+test('an idle engine that starts again without a word is noticed before the next order', async (t) => {
+  // Harsh seed 770993.
+  t.is(faultOf(await play('770993', PlayKind.Harsh)), undefined);
+});
