--- a/packages/routing/test/orders/orders.test.ts
+++ b/packages/routing/test/orders/orders.test.ts
@@ -8,7 +8,8 @@
 import test from 'ava';
 
 import type { PlayResult } from './fleet.js';
-import { play, PlayKind } from './fleet.js';
+import { play } from './fleet.js';
+import { PlayKind } from './plan.js';
 
 /** First seed and number of plays; the environment overrides them. */
 const SEED = Number(process.env.CELERYYOKE_SOAK_SEED ?? 1);
