--- a/packages/routing/src/core/adapters/numbered-orders.ts
+++ b/packages/routing/src/core/adapters/numbered-orders.ts
@@ -5,8 +5,8 @@
  * count that follows from the answers so far. So an order that is late, that a former keeper gave, or that rests on an
  * answer that was lost or belongs to another call is refused by the engine itself, and what it holds is found out anew.
  *
- * What is known rests on one connection. Its end, and any answer that does not fit, makes it void: then a report is
- * proved on a connection that is in step.
+ * What is known rests on one connection. Its end, and any answer that does not fit, make it void: then a report is proved
+ * anew, on a new connection where the old one has ended.
  */
 import type { TimerService } from '@celeryyoke/core';
 
--- a/packages/routing/src/core/adapters/orders.ts
+++ b/packages/routing/src/core/adapters/orders.ts
@@ -79,7 +79,10 @@
     return this.connection?.isOpen ?? false;
   }
 
-  /** Sets up a connection where there is none. */
+  /**
+   * Opens a connection where there is none.
+   * @returns The connection; no order is given on it before a report, but for loads of a base model.
+   */
   connect(): EngineConnection {
     const { control, replica, onDisconnect } = this.options;
     if (this.connection?.isOpen) return this.connection;
--- a/packages/routing/src/core/adapters/slots.ts
+++ b/packages/routing/src/core/adapters/slots.ts
@@ -61,7 +61,7 @@
  * @param slot - Its slot.
  * @returns Two while another version of it is, or may be, in place.
  */
-export function slotsTaken({ version, beneath }: Slot): number {
+function slotsTaken({ version, beneath }: Slot): number {
   return beneath === undefined || beneath === version ? 1 : 2;
 }
 
