timers: let repeated timers share their wake-ups

Each repeated timer had a phase of its own, so an idle daemon woke about 95 times a second. Ticks now fall on multiples of their interval.

--- a/packages/core/src/core/time/system.ts
+++ b/packages/core/src/core/time/system.ts
@@ -9,9 +9,25 @@
   return { cancel: () => clearTimeout(timer) };
 }
 
+/**
+ * Ticks fall on multiples of their interval, so that intervals with a common multiple share their wake-ups: a process
+ * that does nothing else pays mostly for those.
+ */
 function repeat(ms: number, callback: (now: number) => void): TimerHandle {
-  const timer = setInterval(() => callback(performance.now()), ms);
-  return { cancel: () => clearInterval(timer) };
+  let timer: NodeJS.Timeout;
+  let dueAt = 0;
+  const schedule = (tick: () => void): void => {
+    const now = performance.now();
+    // A timer may fire a little early; after a pause the ticks that were missed are left out.
+    dueAt = Math.max(dueAt + ms, (Math.floor(now / ms) + 1) * ms);
+    timer = setTimeout(tick, Math.ceil(dueAt - now));
+  };
+  const tick = (): void => {
+    schedule(tick);
+    callback(performance.now());
+  };
+  schedule(tick);
+  return { cancel: () => clearTimeout(timer) };
 }
 
 /**
--- a/packages/core/test/time.test.ts
+++ b/packages/core/test/time.test.ts
@@ -53,6 +53,24 @@
   t.is(seen.length, 3);
 });
 
+test('repeated timers of a process tick once for each multiple of their interval, so that they wake it together', async (t) => {
+  const timers = createSystemTimers();
+  const seen: number[] = [];
+  const handle = timers.repeat(20, (now) => seen.push(now));
+  await timers.sleep(230);
+  handle.cancel();
+  t.true(seen.length >= 2);
+  // A timer may fire up to a millisecond early.
+  const multiples = seen.map((now) => Math.floor((now + 1) / 20));
+  t.deepEqual(
+    multiples,
+    [...new Set(multiples)].sort((left, right) => left - right),
+  );
+  const count = seen.length;
+  await timers.sleep(50);
+  t.is(seen.length, count);
+});
+
 test('ticks come as long as someone observes them', async (t) => {
   const timers = createManualTimers();
   const seen: number[] = [];
