--- a/packages/routing/src/core/adapters/keeper.ts
+++ b/packages/routing/src/core/adapters/keeper.ts
@@ -188,6 +188,19 @@
     return slot?.state === SlotState.Held && slot.version < version;
   }
 
+  /**
+   * Tells whether a request may be sent for an adapter; one that is in place counts as used.
+   * @param key - `model/adapter`.
+   * @returns Undefined while it is not known what the engine holds.
+   */
+  isResident(key: string): boolean | undefined {
+    if (!this.isReady) return undefined;
+    const slot = this.slots.get(key);
+    if (slot === undefined || isMoving(slot)) return false;
+    slot.usedAt = this.options.timers.now();
+    return true;
+  }
+
   /** What the engine holds. */
   holdings(): Holdings | undefined {
     const token = this.options.authority();
--- a/packages/routing/src/core/adapters/loader.ts
+++ b/packages/routing/src/core/adapters/loader.ts
@@ -7,7 +7,7 @@
 import type { Claim, Claims } from '../authority/index.js';
 import type { Cluster } from '../cluster/index.js';
 import { MessageType } from '../cluster/index.js';
-import type { Directory, ReplicaEntry } from '../view/index.js';
+import type { Directory, ReplicaEntry, ReplicaStart } from '../view/index.js';
 import { ReplicaState } from '../view/index.js';
 import type { HoldingsBook } from './holdings.js';
 import { Keeper } from './keeper.js';
@@ -17,7 +17,7 @@
 /** Options of the loader. */
 export interface LoaderOptions {
   readonly self: string;
-  readonly cluster: Cluster;
+  readonly cluster: Pick<Cluster, 'request'>;
   readonly claims: Claims;
   readonly directory: Directory;
   readonly holdings: HoldingsBook;
@@ -26,6 +26,10 @@
   readonly isFenced: boolean;
   readonly timers: TimerService;
   readonly log: DecisionLog;
+  /** Publishes what an engine of this daemon holds. */
+  readonly publishHoldings: (holdings: Holdings) => void;
+  /** Publishes that a replica has started again. */
+  readonly publishStart: (start: ReplicaStart) => void;
 }
 
 /** Body of a request to the daemon that keeps an engine. */
@@ -194,6 +198,16 @@
     this.keepers.get(replica)?.setRunning(running());
   }
 
+  /**
+   * Tells whether an adapter is in place on an engine that this daemon keeps.
+   * @param replica - The engine.
+   * @param key - `model/adapter`.
+   * @returns Undefined when it is not known.
+   */
+  isResident(replica: string, key: string): boolean | undefined {
+    return this.keepers.get(replica)?.isResident(key);
+  }
+
   /** How the slots of this daemon's engines stand. */
   rooms(): RoomLine[] {
     return [...this.keepers.values()].map((keeper) => keeper.room());
@@ -211,10 +225,10 @@
 
   /** All daemons hear at once that an engine has started again; each then holds it for a new one. */
   private tellStart({ id, name }: ReplicaEntry, bornAt: number): void {
-    const { cluster, directory, log } = this.options;
-    if (!directory.noteStart(name, bornAt)) return;
+    const { directory, log, publishStart } = this.options;
+    if (!directory.noteStart({ name, bornAt })) return;
     log.decide('replica.started-again', `Replica ${id} has started again.`, { replica: id, bornAt });
-    cluster.broadcast(MessageType.Start, [name, bornAt]);
+    publishStart({ name, bornAt });
   }
 
   private drop(replica: string): void {
@@ -224,6 +238,6 @@
 
   private tell(holdings: Holdings): void {
     this.options.holdings.take(holdings);
-    this.options.cluster.broadcast(MessageType.Holdings, holdings);
+    this.options.publishHoldings(holdings);
   }
 }
--- a/packages/routing/src/core/authority/claims.ts
+++ b/packages/routing/src/core/authority/claims.ts
@@ -46,7 +46,7 @@
 /** What claims need to know of the fleet. */
 export interface FleetView {
   /** Addresses of the living daemons. */
-  alive(): string[];
+  alive(): readonly string[];
   /** Number of daemons that may live. */
   possible(): number;
   state(address: string): MemberState;
@@ -64,6 +64,8 @@
   readonly isFenced: boolean;
   /** Whether this daemon must first renew what it believes. */
   readonly isRecovering: () => boolean;
+  /** Whether this daemon has heard of the fleet so recently that no other one can have taken an engine over unheard. */
+  readonly isUpToDate: () => boolean;
   /** Called when this daemon gains or loses an engine. */
   readonly onGain: (claim: Claim) => void;
   readonly onLoss: (claim: Claim, reason: string) => void;
@@ -81,7 +83,7 @@
   private lastToken = 0;
 
   /** The living daemons at the last review, and the monotonic time of their last change. */
-  private aliveBefore = '';
+  private aliveBefore: readonly string[] = [];
 
   private changedAt = Number.NEGATIVE_INFINITY;
 
@@ -108,6 +110,11 @@
     return this.claims.get(replica);
   }
 
+  /** All known claims. */
+  all(): Claim[] {
+    return [...this.claims.values()];
+  }
+
   /** The claims of this daemon. */
   mine(): Claim[] {
     return [...this.claims.values()].filter(({ holder }) => holder === this.options.self);
@@ -121,19 +128,23 @@
   authority(replica: string): number | undefined {
     const claim = this.claims.get(replica);
     if (this.isClosed || claim?.holder !== this.options.self) return undefined;
+    const { isFenced, isUpToDate } = this.options;
+    if (!isFenced && !isUpToDate()) return undefined;
     return this.options.isRecovering() || !this.isMajority(MINORITY_LEASES) ? undefined : claim.token;
   }
 
   /**
    * Takes a claim that another daemon told.
    * @param claim - The claim.
+   * @returns Whether it was news.
    */
-  take(claim: Claim): void {
+  take(claim: Claim): boolean {
     const known = this.claims.get(claim.replica);
-    if (known !== undefined && known.token >= claim.token) return;
+    if (known !== undefined && known.token >= claim.token) return false;
     this.claims.set(claim.replica, claim);
     if (known?.holder === this.options.self && claim.holder !== this.options.self)
       this.options.onLoss(known, `claimed by ${claim.holder}`);
+    return true;
   }
 
   /**
@@ -188,9 +199,8 @@
   /** Whether the others had time to tell who they are and what they hold. */
   private hasSettled(alive: readonly string[]): boolean {
     const now = this.options.timers.now();
-    const names = alive.join(' ');
-    if (names !== this.aliveBefore) {
-      this.aliveBefore = names;
+    if (!isSameList(alive, this.aliveBefore)) {
+      this.aliveBefore = alive;
       this.changedAt = now;
     }
     const age = now - this.startedAt;
@@ -245,6 +255,10 @@
   }
 }
 
+function isSameList(left: readonly string[], right: readonly string[]): boolean {
+  return left === right || (left.length === right.length && left.every((name, at) => name === right[at]));
+}
+
 /** The daemon that comes first for an engine by rendezvous hashing. */
 function firstFor(replica: string, members: readonly string[]): string | undefined {
   let first: string | undefined;
--- a/packages/routing/src/core/authority/pauses.ts
+++ b/packages/routing/src/core/authority/pauses.ts
@@ -2,7 +2,7 @@
 import type { TimerHandle, TimerService } from '@celeryyoke/core';
 
 /** How often the clocks are compared, in milliseconds. */
-const LOOK_MS = 50;
+const LOOK_MS = 100;
 /** Gap that counts as a pause, in milliseconds; garbage collection and start-up stay below it. */
 const PAUSE_MS = 350;
 /** Time after a pause until peers have been heard again, in milliseconds: two heartbeats. */
--- a/packages/routing/src/core/choice/chooser.ts
+++ b/packages/routing/src/core/choice/chooser.ts
@@ -10,7 +10,7 @@
 import type { HoldingsBook } from '../adapters/index.js';
 import { adapterKey } from '../adapters/index.js';
 import type { Directory, ReplicaEntry } from '../view/index.js';
-import type { LoadBook } from './load.js';
+import type { InFlightTable } from './in-flight.js';
 import type { Standings } from './standing.js';
 
 /** Wait that a request without an answer adds on an engine, in milliseconds: its prompt is read first. */
@@ -28,6 +28,11 @@
 const PLACES_LEFT_BY_LATE = 0.12;
 /** Wait that a full set of slots adds on a plain service, in milliseconds. */
 const SERVICE_FULL_MS = 60;
+/**
+ * Most that chance adds on a plain service, in milliseconds. Daemons know only their own requests there, so without it
+ * all of them would choose the same replica among equal ones.
+ */
+const SERVICE_CHANCE_MS = 20;
 /** Cost of loading an adapter that the engine held of late, in milliseconds. */
 const RELOAD_COST_MS = 40;
 /** Cost of a first load, in milliseconds: it is priced like a third of a request, and takes a quarter second. */
@@ -90,12 +95,14 @@
 export interface ChooserOptions {
   readonly directory: Directory;
   readonly holdings: HoldingsBook;
-  readonly loads: LoadBook;
+  readonly inFlight: InFlightTable;
   readonly standings: Standings;
   /** Failure domain of this daemon. */
   readonly zone: string;
   /** Monotonic milliseconds. */
   readonly now: () => number;
+  /** A number from 0 to 1, drawn anew with each call. */
+  readonly random: () => number;
 }
 
 /** Chooses replicas. */
@@ -150,9 +157,9 @@
 
   /** Replicas that can take the request, with the requests that they have. */
   private able(replicas: readonly ReplicaEntry[], need: Need): Candidate[] {
-    const { holdings, loads } = this.options;
+    const { holdings, inFlight } = this.options;
     const { model } = need;
-    const count = (replica: ReplicaEntry): Candidate => ({ replica, ...loads.counts(replica.id) });
+    const count = (replica: ReplicaEntry): Candidate => ({ replica, ...inFlight.counts(replica.id) });
     if (model === undefined) return replicas.map(count);
     const holders = replicas.filter((replica) => holdings.holdsModel(replica, model));
     return holders.map(count).filter((candidate) => hasPlace(candidate, need));
@@ -165,7 +172,7 @@
     const isEngine = need.model !== undefined;
     let cost = isEngine
       ? running * RUNNING_MS + waiting * WAITING_MS
-      : (running / replica.slots) * SERVICE_FULL_MS;
+      : (running / replica.slots) * SERVICE_FULL_MS + this.options.random() * SERVICE_CHANCE_MS;
     cost += standings.failureRate(id) * FAILURE_COST_MS;
     if (standings.isResting(id)) cost += REST_COST_MS;
     const firstByte = standings.firstByteMs(id);
--- a/packages/routing/src/core/cluster/cluster.ts
+++ b/packages/routing/src/core/cluster/cluster.ts
@@ -1,89 +1,107 @@
 /**
- * Membership from seeds: the daemons find each other through a few addresses that may be stale or down, and then
- * judge each other by direct heartbeats.
+ * Membership of the fleet, and the links between daemons.
  *
- * Every daemon keeps a link to every other one. At 78 daemons that is 77 messages of some 80 bytes in half a second.
+ * Each daemon finds the others through a few seeds and probes only its successors on a ring of all members; what it
+ * finds out is published to the fleet. Links to other daemons are opened when there is something to say and closed
+ * when they are idle. So the cost of an idle daemon does not grow with the fleet.
  */
 import type { DecisionLog, TimerHandle, TimerService } from '@celeryyoke/core';
-import type { Server } from 'node:net';
 
-import { encodeFrame } from './frames.js';
-import { Link, LinkEnd } from './link.js';
-import { listenForPeers } from './listener.js';
-import { Peer } from './peer.js';
-import type { Member, MessageHandler } from './types.js';
-import { MemberState, MessageType } from './types.js';
-
-/** Interval of heartbeats in a small fleet, in milliseconds: four are missed before a member counts as silent. */
-const HEARTBEAT_MS = 250;
+import type { MemberFrame } from './member-codec.js';
+import { decodeMember, encodeMember } from './member-codec.js';
+import type { MemberListener } from './members.js';
+import { MemberTable } from './members.js';
+import type {
+  LinkEvents,
+  Member,
+  MemberRecord,
+  MessageHandler,
+  PeerChannel,
+  PeerLink,
+  PeerTransport,
+} from './types.js';
+import { LinkEnd, MemberState, MessageType } from './types.js';
+
+/** Interval of heartbeats to probed members, in milliseconds. */
+const HEARTBEAT_MS = 400;
+/** Members that each daemon probes. */
+const PROBED_MEMBERS = 3;
 /**
- * Daemons for which the interval grows by one more {@link HEARTBEAT_MS}: heartbeats go from each to each, and with more
- * daemons a single one that falls silent matters less.
+ * Most members that are probed at once. While half of those probed are silent the number grows, so that a daemon on
+ * the small side of a partition learns within a few seconds that it is there.
  */
-const DAEMONS_PER_INTERVAL = 40;
-const MAX_INTERVALS = 4;
-/** Time after which a member that is not heard counts as silent in a small fleet, in milliseconds. */
-const SILENT_MS = 1100;
+const MAX_PROBED_MEMBERS = 96;
+const PROBING_GROWTH = 4;
 /** Pause between two tries to reach a member that is down, in milliseconds. */
 const REDIAL_MS = 500;
 /** Pause before a link that ended is made again, in milliseconds. */
 const RETRY_MS = 5;
-/** Time after which a member that ended is no longer dialled, in milliseconds; it comes back by a seed. */
+/** Time after which a link that carries nothing but heartbeats of the past is closed, in milliseconds. */
+const IDLE_LINK_MS = 10_000;
+/** Time after which a member that ended is forgotten, in milliseconds. */
 const FORGET_MS = 60_000;
-
-/** States in which a member may give orders. */
-const COUNTED: ReadonlySet<MemberState> = new Set([MemberState.Alive, MemberState.Silent]);
+/** Longest wait for a seed's members, in milliseconds. */
+const JOIN_TIMEOUT_MS = 1000;
+/** Pauses between two tries to join a seed that is not alive, in milliseconds: at first, and at last. */
+const FIRST_JOIN_PAUSE_MS = 300;
+const LAST_JOIN_PAUSE_MS = 5000;
 
 /** Options of the cluster. */
 export interface ClusterOptions {
   readonly self: Member;
   readonly seeds: () => readonly string[];
   readonly timers: TimerService;
+  readonly transport: PeerTransport;
   readonly log: DecisionLog;
-  /** Makes the body of a heartbeat. */
-  readonly heartbeat: () => unknown;
-  /** Called when a link to a member came up, to tell it what it can't know. */
-  readonly onPeer: (address: string) => void;
-  /** Called when the state of a member changed. */
-  readonly onState: (address: string, state: MemberState) => void;
+  /** Called when something became known of a member; publishes it to the fleet. */
+  readonly onChange: MemberListener;
 }
 
-interface Hello {
-  readonly self: Member;
-  readonly known: readonly string[];
+/** Attempts to reach one address. */
+interface Outgoing {
+  link: PeerLink | undefined;
+  /** Monotonic time before which it is not dialled by itself. */
+  dialAt: number;
 }
 
-/**
- * Tells how far apart heartbeats are.
- * @param daemons - Daemons that are known, this one included.
- * @returns Intervals of a small fleet's heartbeat.
- */
-export function heartbeatIntervals(daemons: number): number {
-  return Math.min(MAX_INTERVALS, Math.ceil(daemons / DAEMONS_PER_INTERVAL));
+interface SeedAttempts {
+  pauseMs: number;
+  nextAt: number;
 }
 
-/** The members that this daemon knows. */
+/** The members that this daemon knows, and its links to them. */
 export class Cluster {
-  private readonly peers = new Map<string, Peer>();
+  private readonly members: MemberTable;
+
+  private readonly outgoing = new Map<string, Outgoing>();
 
   private readonly handlers = new Map<MessageType, MessageHandler>();
 
-  private server: Server | undefined;
+  private readonly seedAttempts = new Map<string, SeedAttempts>();
 
-  private ticking: TimerHandle | undefined;
+  private readonly linkEndListeners: ((address: string) => void)[] = [];
 
-  /** Times at which heartbeats could have been due. */
-  private ticks = 0;
+  private readonly channelCloseListeners: ((channel: PeerChannel) => void)[] = [];
 
-  private isClosing = false;
+  private pushHandler: ((from: string, body: unknown) => void) | undefined;
 
-  private isLeaving = false;
+  private probedMembers = PROBED_MEMBERS;
+
+  private stopListening: (() => void) | undefined;
+
+  private ticking: TimerHandle | undefined;
+
+  private isClosing = false;
 
   /**
    * Makes a cluster that has not started.
    * @param options - Who this daemon is, and whom to ask first.
    */
-  constructor(private readonly options: ClusterOptions) {}
+  constructor(private readonly options: ClusterOptions) {
+    const { self, timers, onChange } = options;
+    this.members = new MemberTable({ ...self, version: 0, state: MemberState.Alive }, timers, onChange);
+    this.handle(MessageType.Join, (_from, frames: MemberFrame[]) => this.exchange(frames));
+  }
 
   /**
    * Registers the handler of a type of message.
@@ -94,23 +112,46 @@
     this.handlers.set(type, handler);
   }
 
-  /** Starts to listen and to dial. */
+  /**
+   * Registers the handler of what peers push over links that this daemon has opened.
+   * @param handler - Called with the peer's address and the body.
+   */
+  handlePush(handler: (from: string, body: unknown) => void): void {
+    this.pushHandler = handler;
+  }
+
+  /**
+   * Subscribes to ends of links that this daemon had opened.
+   * @param listener - Called with the peer's address.
+   */
+  onLinkEnd(listener: (address: string) => void): void {
+    this.linkEndListeners.push(listener);
+  }
+
+  /**
+   * Subscribes to ends of connections that peers had opened.
+   * @param listener - Called with the channel that is closed.
+   */
+  onChannelClose(listener: (channel: PeerChannel) => void): void {
+    this.channelCloseListeners.push(listener);
+  }
+
+  /** Starts to listen, to join and to probe. */
   async start(): Promise<void> {
-    const [host = '', port = ''] = this.options.self.address.split(':');
-    this.server = await listenForPeers(host, Number(port), {
-      onHello: (body) => this.greet(body as Hello),
-      onMessage: (peer, type, body) => this.receive(peer, type, body),
-      onClose: (address) => this.noteClosed(address),
-      onProblem: (peer, err) => this.options.log.debug(`Link from ${peer ?? 'a stranger'}: ${err.message}.`),
+    const { transport, timers, log } = this.options;
+    this.stopListening = await transport.listen({
+      onHello: (body) => this.handleHello(decodeMember(body as MemberFrame)),
+      onMessage: (peer, type, body, channel) => this.receive(peer, type, body, channel),
+      onClose: (peer, channel, isOrderly) => this.handleClose(peer, channel, isOrderly),
+      onProblem: (peer, err) => log.debug(`Connection of ${peer ?? 'an unknown peer'}: ${err.message}.`),
     });
     this.tick();
-    this.ticking = this.options.timers.repeat(HEARTBEAT_MS, () => this.tick());
+    this.ticking = timers.repeat(HEARTBEAT_MS, () => this.tick());
   }
 
-  /** Says that this daemon ends; its links stay for the requests that it still serves. */
+  /** Tells the fleet that this daemon is shutting down; its links stay for the requests that it still serves. */
   leave(): void {
-    this.isLeaving = true;
-    this.broadcast(MessageType.Goodbye, null);
+    this.members.leave();
   }
 
   /** Closes all links. */
@@ -118,23 +159,37 @@
     if (this.isClosing) return;
     this.isClosing = true;
     this.ticking?.cancel();
-    for (const { link } of this.peers.values()) link?.close();
-    this.server?.close();
+    for (const { link } of this.outgoing.values()) link?.close();
+    this.stopListening?.();
   }
 
-  /** Addresses of the members that live, this daemon's included, in a fixed order. */
-  alive(): string[] {
-    const found = [this.options.self.address];
-    for (const peer of this.peers.values()) if (peer.state === MemberState.Alive) found.push(peer.address);
-    return found.sort();
+  /** Addresses of the living members in a fixed order, this daemon included. */
+  alive(): readonly string[] {
+    return this.members.alive();
   }
 
-  /** Members that may live: those that are alive and those that are silent, this daemon included. */
+  /** Members that may be running: those that are alive and those that are silent, this daemon included. */
   possible(): number {
-    let count = 1;
-    for (const { state, member } of this.peers.values())
-      if (member !== undefined && COUNTED.has(state)) count += 1;
-    return count;
+    return this.members.possible();
+  }
+
+  /** A number that two daemons share when they know the same of all members that have not ended. */
+  digest(): number {
+    return this.members.digest();
+  }
+
+  /** All that is known of the members. */
+  records(): MemberRecord[] {
+    return this.members.records();
+  }
+
+  /**
+   * Finds a member.
+   * @param address - Its name.
+   * @returns Its record, or undefined.
+   */
+  member(address: string): MemberRecord | undefined {
+    return this.members.get(address);
   }
 
   /**
@@ -143,8 +198,7 @@
    * @returns The state; an unknown one counts as ended.
    */
   state(address: string): MemberState {
-    if (address === this.options.self.address) return MemberState.Alive;
-    return this.peers.get(address)?.state ?? MemberState.Ended;
+    return this.members.get(address)?.state ?? MemberState.Ended;
   }
 
   /**
@@ -153,20 +207,23 @@
    * @returns Milliseconds; 0 when it is alive, Infinity when it was never known.
    */
   downForMs(address: string): number {
-    if (address === this.options.self.address) return 0;
-    const peer = this.peers.get(address);
-    if (peer === undefined) return Number.POSITIVE_INFINITY;
-    return peer.state === MemberState.Alive ? 0 : this.options.timers.now() - peer.downSince;
+    return this.members.downForMs(address);
+  }
+
+  /** Time since anything was heard over a link of this daemon, in milliseconds; Infinity when there is none. */
+  heardAgoMs(): number {
+    let heardAt = Number.NEGATIVE_INFINITY;
+    for (const { link } of this.outgoing.values()) if (link?.isUp) heardAt = Math.max(heardAt, link.heardAt);
+    return this.options.timers.now() - heardAt;
   }
 
   /**
-   * Sends a message to every member with a link.
-   * @param type - Its type.
-   * @param body - Plain data.
+   * Takes what another daemon says of a member.
+   * @param record - Its record.
+   * @returns Whether it was news.
    */
-  broadcast(type: MessageType, body: unknown): void {
-    const frame = encodeFrame([type, 0, body]);
-    for (const { link } of this.peers.values()) link?.sendFrame(frame);
+  merge(record: MemberRecord): boolean {
+    return this.members.merge(record);
   }
 
   /**
@@ -176,7 +233,7 @@
    * @param body - Plain data.
    */
   send(address: string, type: MessageType, body: unknown): void {
-    this.peers.get(address)?.link?.send(type, body);
+    this.linkTo(address)?.send(type, body);
   }
 
   /**
@@ -189,119 +246,150 @@
    * @throws Error when it can't be reached or does not answer in time.
    */
   request(address: string, type: MessageType, body: unknown, timeoutMs: number): Promise<unknown> {
-    const link = this.peers.get(address)?.link;
-    return link?.request(type, body, timeoutMs) ?? Promise.reject(new Error(`${address} has no link.`));
+    const link = this.linkTo(address);
+    return link?.request(type, body, timeoutMs) ?? Promise.reject(new Error(`${address} can't be reached.`));
   }
 
   private tick(): void {
     const now = this.options.timers.now();
-    for (const seed of this.options.seeds()) this.learn(seed);
-    const intervals = heartbeatIntervals(this.peers.size + 1);
-    this.ticks += 1;
-    const isDue = this.ticks % intervals === 0;
-    const frame = isDue ? encodeFrame([MessageType.Heartbeat, 0, this.options.heartbeat()]) : undefined;
-    for (const peer of this.peers.values()) this.tend(peer, now, intervals, frame);
-  }
-
-  private tend(peer: Peer, now: number, intervals: number, heartbeat: Buffer | undefined): void {
-    if (peer.state === MemberState.Alive && now - peer.heardAt > SILENT_MS * intervals)
-      this.setState(peer, MemberState.Silent);
-    if (peer.link !== undefined) {
-      if (heartbeat !== undefined) peer.link.heartbeat(heartbeat, intervals);
+    for (const seed of this.options.seeds()) this.joinSeed(seed, now);
+    const targets = this.members.successors(this.probedMembers);
+    for (const target of targets) this.probe(target, now);
+    this.adjustProbing(targets);
+    this.closeIdle(targets, now);
+    this.members.forgetEnded(FORGET_MS);
+  }
+
+  private adjustProbing(targets: readonly MemberRecord[]): void {
+    const silent = targets.filter(({ state }) => state === MemberState.Silent).length;
+    const isMostlySilent = silent > 0 && silent * 2 >= targets.length;
+    this.probedMembers = isMostlySilent
+      ? Math.min(MAX_PROBED_MEMBERS, this.probedMembers * PROBING_GROWTH)
+      : PROBED_MEMBERS;
+  }
+
+  private probe(target: MemberRecord, now: number): void {
+    const { link, dialAt } = this.outgoingTo(target.address);
+    if (link === undefined) {
+      if (now >= dialAt) this.dial(target.address);
       return;
     }
-    const isForgotten = peer.state === MemberState.Ended && now - peer.downSince > FORGET_MS;
-    if (isForgotten && !this.options.seeds().includes(peer.address)) this.peers.delete(peer.address);
-    else if (now >= peer.dialAt) this.dial(peer);
-  }
-
-  private learn(address: string): Peer | undefined {
-    if (address === this.options.self.address) return undefined;
-    let peer = this.peers.get(address);
-    if (peer === undefined) {
-      peer = new Peer(address, this.options.timers.now());
-      this.peers.set(address, peer);
-      if (this.server !== undefined) this.dial(peer);
+    // One that answers and is held for silent must hear of it, so that it refutes it.
+    if (target.state === MemberState.Silent && link.isUp) void this.join(target.address);
+    link.heartbeat();
+  }
+
+  private closeIdle(targets: readonly MemberRecord[], now: number): void {
+    const probed = new Set(targets.map(({ address }) => address));
+    for (const [address, { link, dialAt }] of this.outgoing) {
+      if (probed.has(address) || now - Math.max(dialAt, link?.usedAt ?? 0) < IDLE_LINK_MS) continue;
+      link?.close();
+      this.outgoing.delete(address);
     }
-    return peer;
   }
 
-  private dial(peer: Peer): void {
-    if (this.isClosing) return;
-    const { timers, self, onPeer } = this.options;
-    const link = new Link({
-      address: peer.address,
-      timers,
-      hello: (): Hello => ({ self, known: this.knownAddresses() }),
-      onUp: () => {
-        // One that has just started has not heard the goodbye.
-        if (this.isLeaving) peer.link?.send(MessageType.Goodbye, null);
-        onPeer(peer.address);
-      },
-      onDown: (end, wasUp) => this.noteDown(peer, end, wasUp),
-    });
-    peer.connect(link);
+  private joinSeed(seed: string, now: number): void {
+    if (seed === this.options.self.address || this.state(seed) === MemberState.Alive) {
+      this.seedAttempts.delete(seed);
+      return;
+    }
+    const attempts = this.seedAttempts.get(seed) ?? { pauseMs: FIRST_JOIN_PAUSE_MS, nextAt: now };
+    this.seedAttempts.set(seed, attempts);
+    if (now < attempts.nextAt) return;
+    attempts.nextAt = now + attempts.pauseMs;
+    // A daemon alone has nobody else to ask.
+    const isAlone = this.alive().length === 1;
+    attempts.pauseMs = isAlone ? FIRST_JOIN_PAUSE_MS : Math.min(LAST_JOIN_PAUSE_MS, attempts.pauseMs * 2);
+    void this.join(seed);
+  }
+
+  /** Exchanges the known members with a daemon. */
+  private async join(address: string): Promise<void> {
+    try {
+      const link = this.linkTo(address, true);
+      const known = this.members.records().map(encodeMember);
+      const answer = await link?.request(MessageType.Join, known, JOIN_TIMEOUT_MS);
+      for (const frame of (answer ?? []) as MemberFrame[]) this.members.merge(decodeMember(frame));
+    } catch (err) {
+      this.options.log.debug(`${address} could not be joined: ${String(err)}.`);
+    }
+  }
+
+  private exchange(frames: readonly MemberFrame[]): MemberFrame[] {
+    for (const frame of frames) this.members.merge(decodeMember(frame));
+    return this.members.records().map(encodeMember);
   }
 
-  private knownAddresses(): string[] {
-    const found: string[] = [];
-    for (const peer of this.peers.values()) if (peer.state !== MemberState.Ended) found.push(peer.address);
-    return found;
+  private outgoingTo(address: string): Outgoing {
+    const known = this.outgoing.get(address);
+    if (known !== undefined) return known;
+    const made: Outgoing = { link: undefined, dialAt: 0 };
+    this.outgoing.set(address, made);
+    return made;
   }
 
   /**
-   * A link that was up says nothing when it ends: connections are reset also between living daemons. The next try
-   * shows whether the process still runs.
+   * Finds or opens the link to a peer.
+   * @param address - Its address.
+   * @param isForced - Whether to dial also a member that is not known to run.
    */
-  private noteDown(peer: Peer, end: LinkEnd, wasUp: boolean): void {
-    const { timers } = this.options;
-    peer.disconnect(timers.now() + (wasUp ? 0 : REDIAL_MS));
-    if (wasUp) timers.after(RETRY_MS, () => this.redial(peer));
-    else if (end === LinkEnd.Refused) this.setState(peer, MemberState.Ended);
-    else if (peer.state === MemberState.Alive) this.setState(peer, MemberState.Silent);
+  private linkTo(address: string, isForced = false): PeerLink | undefined {
+    const outgoing = this.outgoingTo(address);
+    if (outgoing.link === undefined && (isForced || this.mayBeReached(address, outgoing))) this.dial(address);
+    return outgoing.link;
   }
 
-  private redial(peer: Peer): void {
-    if (peer.link === undefined) this.dial(peer);
+  private mayBeReached(address: string, { dialAt }: Outgoing): boolean {
+    const state = this.state(address);
+    if (state === MemberState.Ended) return false;
+    return state !== MemberState.Silent || this.options.timers.now() >= dialAt;
   }
 
-  /** The peer's own link to this daemon closed: dial again at once to learn whether its process still runs. */
-  private noteClosed(address: string): void {
-    const peer = this.peers.get(address);
-    if (peer !== undefined && peer.link === undefined) peer.disconnect(0);
+  private dial(address: string): void {
+    if (this.isClosing || address === this.options.self.address) return;
+    const { transport } = this.options;
+    const events: LinkEvents = {
+      hello: () => encodeMember(this.members.self),
+      onPush: (body) => this.pushHandler?.(address, body),
+      onEnd: (end, wasUp) => this.handleEnd(address, end, wasUp),
+    };
+    this.outgoingTo(address).link = transport.connect(address, events);
   }
 
-  private greet({ self, known }: Hello): string {
-    const peer = this.learn(self.address);
-    if (peer === undefined) throw new Error('A daemon spoke with this one’s own address.');
-    const isNewLife = peer.member?.incarnation !== self.incarnation;
-    if (isNewLife && peer.state !== MemberState.Ended) this.setState(peer, MemberState.Ended);
-    peer.meet(self);
-    this.hear(peer);
-    for (const address of known) this.learn(address);
-    if (peer.link === undefined) this.dial(peer);
-    return self.address;
+  /**
+   * A link that was up says little when it ends, as connections are reset also between living daemons: the next try
+   * shows whether the process still runs.
+   */
+  private handleEnd(address: string, end: LinkEnd, wasUp: boolean): void {
+    const { timers } = this.options;
+    const outgoing = this.outgoingTo(address);
+    outgoing.link = undefined;
+    outgoing.dialAt = timers.now() + (wasUp ? 0 : REDIAL_MS);
+    if (end === LinkEnd.Refused) this.members.declare(address, MemberState.Ended);
+    else if (end === LinkEnd.Silent) this.members.declare(address, MemberState.Silent);
+    if (wasUp && end === LinkEnd.Closed) timers.after(RETRY_MS, () => this.linkTo(address));
+    for (const listener of this.linkEndListeners) listener(address);
   }
 
-  private receive(address: string, type: MessageType, body: unknown): unknown {
-    const peer = this.peers.get(address);
-    if (peer?.member === undefined) return undefined;
-    if (type === MessageType.Goodbye) {
-      this.setState(peer, MemberState.Leaving);
-      return undefined;
-    }
-    this.hear(peer);
-    return this.handlers.get(type)?.(peer.member, body as never);
+  /** A connection that ends without a goodbye may tell the end of its process: dial to learn that. */
+  private handleClose(address: string, channel: PeerChannel, isOrderly: boolean): void {
+    for (const listener of this.channelCloseListeners) listener(channel);
+    if (!isOrderly && !this.isClosing && this.state(address) !== MemberState.Ended) this.linkTo(address);
   }
 
-  private hear(peer: Peer): void {
-    peer.hear(this.options.timers.now());
-    // One that leaves stays so until its next life.
-    if (peer.state !== MemberState.Leaving) this.setState(peer, MemberState.Alive);
+  private handleHello(said: MemberRecord): string {
+    if (said.address === this.options.self.address)
+      throw new Error('A daemon spoke with this one’s own address.');
+    this.members.merge(said);
+    // It does not know what is said of it.
+    if (said.state === MemberState.Alive && this.state(said.address) !== MemberState.Alive)
+      void this.join(said.address);
+    return said.address;
   }
 
-  private setState(peer: Peer, state: MemberState): void {
-    if (!peer.become(state, this.options.timers.now())) return;
-    this.options.onState(peer.address, state);
+  private receive(address: string, type: MessageType, body: unknown, channel: PeerChannel): unknown {
+    const member = this.members.get(address);
+    if (member === undefined) return undefined;
+    return this.handlers.get(type)?.(member, body as never, channel);
   }
 }
--- a/packages/routing/src/core/cluster/frames.ts
+++ b/packages/routing/src/core/cluster/frames.ts
@@ -1,9 +1,11 @@
-/** Frames of a link between daemons: a length of four bytes, then MessagePack. */
+/** Frames of a connection between daemons: a length of four bytes, then MessagePack. */
 import { decode, encode } from '@celeryyoke/core';
 
 const LENGTH_BYTES = 4;
 /** Largest frame in bytes; a whole view of 1,000 routes and 900 replicas is under 1 MB. */
 const MAX_FRAME_BYTES = 8 * 1024 * 1024;
+/** Number of a message that answers no request. */
+export const PUSH_NUMBER = -1;
 
 /**
  * Encodes a frame.
@@ -18,6 +20,15 @@
   return frame;
 }
 
+/**
+ * Encodes a message that the listening side sends without having been asked.
+ * @param body - Plain data.
+ * @returns The frame.
+ */
+export function encodePush(body: unknown): Buffer {
+  return encodeFrame([PUSH_NUMBER, body]);
+}
+
 /** Cuts a byte stream into frames. */
 export class FrameReader {
   private rest: Buffer = Buffer.alloc(0);
--- a/packages/routing/src/core/cluster/index.ts
+++ b/packages/routing/src/core/cluster/index.ts
@@ -1,5 +1,19 @@
-/** Membership from seeds, and messages between daemons. */
+/** Membership of the fleet, and messages between daemons. */
 export type { ClusterOptions } from './cluster.js';
-export { Cluster, heartbeatIntervals } from './cluster.js';
-export type { Member, MessageHandler } from './types.js';
-export { MemberState, MessageType } from './types.js';
+export { Cluster } from './cluster.js';
+export { encodePush } from './frames.js';
+export type { MemberFrame } from './member-codec.js';
+export { decodeMember, encodeMember } from './member-codec.js';
+export { MemberTable, supersedes } from './members.js';
+export { createTcpTransport } from './tcp.js';
+export type {
+  LinkEvents,
+  ListenerEvents,
+  Member,
+  MemberRecord,
+  MessageHandler,
+  PeerChannel,
+  PeerLink,
+  PeerTransport,
+} from './types.js';
+export { LinkEnd, MemberState, MessageType } from './types.js';
--- a/packages/routing/src/core/cluster/link.ts
+++ b/packages/routing/src/core/cluster/link.ts
@@ -1,40 +1,19 @@
-/**
- * The outgoing link to one peer: one task that connects, sends and reconnects.
- *
- * Each daemon dials every other one, so that a link carries messages one way and answers the other.
- */
+/** The TCP link to one peer: connects, sends, and matches answers to requests. */
 import type { TimerHandle, TimerService } from '@celeryyoke/core';
 import { connect, type Socket } from 'node:net';
 
-import { encodeFrame, FrameReader } from './frames.js';
-import { MessageType } from './types.js';
+import { encodeFrame, FrameReader, PUSH_NUMBER } from './frames.js';
+import type { LinkEvents, PeerLink } from './types.js';
+import { LinkEnd, MessageType } from './types.js';
 
-/** Longest time to set up a link, in milliseconds; the longest way in a deployment is some ten milliseconds. */
+/** Longest time to set up a link, in milliseconds. */
 const CONNECT_TIMEOUT_MS = 600;
 /** Bytes that may wait for a peer that does not read before the link is cut. */
 const MAX_BACKLOG_BYTES = 4 * 1024 * 1024;
-/** Time without an answer to a heartbeat after which a link counts as silent, in milliseconds: three heartbeats of a small fleet. */
-const SILENCE_MS = 1000;
-
-/** How a link ended. */
-export enum LinkEnd {
-  /** The peer's host refused or reset it: the process is gone. */
-  Refused = 'refused',
-  /** It closed or went silent. */
-  Lost = 'lost',
-}
-
-/** Options of a link. */
-export interface LinkOptions {
-  readonly address: string;
-  readonly timers: TimerService;
-  /** Makes the first message. */
-  readonly hello: () => unknown;
-  /** Called when the link is up. */
-  readonly onUp: () => void;
-  /** Called when the link ended or could not be made. */
-  readonly onDown: (end: LinkEnd, wasUp: boolean) => void;
-}
+/** Heartbeats without an answer after which a link counts as silent; counted, as a paused process sends none. */
+const MAX_UNANSWERED = 3;
+const HEARTBEAT = encodeFrame([MessageType.Heartbeat, 0]);
+const GOODBYE = encodeFrame([MessageType.Goodbye, 0]);
 
 interface Waiting {
   readonly resolve: (value: unknown) => void;
@@ -42,13 +21,17 @@
   readonly timer: TimerHandle;
 }
 
-/** A link that is being made or is up; it ends once. */
-export class Link {
+/** Answer to a request, or a push. */
+type Incoming = readonly [number: number, body: unknown, problem?: string];
+
+/** A link over TCP; it ends once. */
+export class TcpLink implements PeerLink {
   isUp = false;
 
-  /** Monotonic time of the last bytes from the peer. */
   heardAt: number;
 
+  usedAt: number;
+
   private readonly socket: Socket;
 
   private readonly reader = new FrameReader();
@@ -57,63 +40,54 @@
 
   private nextNumber = 1;
 
+  /** Heartbeats sent since the last bytes from the peer. */
+  private unanswered = 0;
+
   private hasEnded = false;
 
   /**
    * Begins to connect.
-   * @param options - Address, time and callbacks.
+   * @param address - `host:port`.
+   * @param timers - Time.
+   * @param events - Callbacks.
    */
-  constructor(private readonly options: LinkOptions) {
-    const [host = '', port = ''] = options.address.split(':');
-    this.heardAt = options.timers.now();
+  constructor(
+    address: string,
+    private readonly timers: TimerService,
+    private readonly events: LinkEvents,
+  ) {
+    const [host = '', port = ''] = address.split(':');
+    this.heardAt = timers.now();
+    this.usedAt = this.heardAt;
     this.socket = connect({ host, port: Number(port), noDelay: true });
-    const timer = options.timers.after(CONNECT_TIMEOUT_MS, () => this.end(LinkEnd.Lost, 'connect timeout'));
+    const timer = timers.after(CONNECT_TIMEOUT_MS, () => this.end(LinkEnd.Silent, 'connect timeout'));
     this.socket.on('connect', () => {
       timer.cancel();
-      this.start();
+      this.isUp = true;
+      this.heardAt = timers.now();
     });
     this.socket.on('data', (chunk) => this.receive(chunk));
-    this.socket.on('error', (err: NodeJS.ErrnoException) => {
-      const isGone = err.code === 'ECONNREFUSED' || err.code === 'ECONNRESET' || err.code === 'EPIPE';
-      this.end(isGone ? LinkEnd.Refused : LinkEnd.Lost, err.message);
-    });
+    this.socket.on('error', (err: NodeJS.ErrnoException) => this.end(endOf(err, this.isUp), err.message));
     this.socket.on('close', () => {
       timer.cancel();
-      this.end(LinkEnd.Refused, 'closed by the peer');
+      this.end(LinkEnd.Closed, 'closed by the peer');
     });
+    // Node keeps what is written before the connection is established.
+    this.write(encodeFrame([MessageType.Hello, 0, events.hello()]));
   }
 
-  /**
-   * Sends a message without an answer.
-   * @param type - What it is about.
-   * @param body - Plain data.
-   */
   send(type: MessageType, body: unknown): void {
-    this.sendFrame(encodeFrame([type, 0, body]));
+    this.usedAt = this.timers.now();
+    this.write(encodeFrame([type, 0, body]));
   }
 
-  /**
-   * Sends a message without an answer that is encoded already, as for several peers.
-   * @param frame - The frame.
-   */
-  sendFrame(frame: Buffer): void {
-    if (this.isUp) this.write(frame);
-  }
-
-  /**
-   * Sends a message and waits for the answer.
-   * @param type - What it is about.
-   * @param body - Plain data.
-   * @param timeoutMs - Longest wait.
-   * @returns The answer.
-   * @throws Error when the link is down, ends or the time is over.
-   */
   request(type: MessageType, body: unknown, timeoutMs: number): Promise<unknown> {
-    if (!this.isUp) return Promise.reject(new Error('The link is down.'));
+    if (this.hasEnded) return Promise.reject(new Error('The link has ended.'));
+    this.usedAt = this.timers.now();
     const number = this.nextNumber;
     this.nextNumber += 1;
     return new Promise((resolve, reject) => {
-      const timer = this.options.timers.after(timeoutMs, () => {
+      const timer = this.timers.after(timeoutMs, () => {
         this.waiting.delete(number);
         reject(new Error(`The peer did not answer within ${timeoutMs} ms.`));
       });
@@ -122,52 +96,47 @@
     });
   }
 
-  /**
-   * Sends a heartbeat, and ends the link when the peer has not answered the last ones.
-   * @param frame - The encoded heartbeat.
-   * @param intervals - Intervals of a small fleet's heartbeat between two.
-   */
-  heartbeat(frame: Buffer, intervals: number): void {
+  heartbeat(): void {
     if (!this.isUp) return;
-    if (this.options.timers.now() - this.heardAt > SILENCE_MS * intervals) {
-      this.end(LinkEnd.Lost, `silent for over ${SILENCE_MS * intervals} ms`);
+    if (this.unanswered >= MAX_UNANSWERED) {
+      this.end(LinkEnd.Silent, `${this.unanswered} heartbeats were not answered`);
       return;
     }
-    this.write(frame);
+    this.unanswered += 1;
+    this.write(HEARTBEAT);
   }
 
-  /** Closes the link without telling that it ended. */
   close(): void {
+    if (this.hasEnded) return;
     this.hasEnded = true;
-    this.socket.end();
+    this.isUp = false;
+    if (this.socket.writable) this.socket.end(GOODBYE);
+    else this.socket.destroy();
     this.failWaiting('The link was closed.');
   }
 
-  private start(): void {
-    this.isUp = true;
-    this.heardAt = this.options.timers.now();
-    this.write(encodeFrame([MessageType.Hello, 0, this.options.hello()]));
-    this.options.onUp();
-  }
-
   private write(frame: Buffer): void {
-    if (this.socket.writableLength > MAX_BACKLOG_BYTES) {
-      this.end(LinkEnd.Lost, 'the peer does not read');
-      return;
-    }
-    this.socket.write(frame);
+    if (this.hasEnded) return;
+    if (this.socket.writableLength > MAX_BACKLOG_BYTES) this.end(LinkEnd.Silent, 'the peer does not read');
+    else this.socket.write(frame);
   }
 
   private receive(chunk: Buffer): void {
-    this.heardAt = this.options.timers.now();
+    this.heardAt = this.timers.now();
+    this.unanswered = 0;
     try {
-      for (const value of this.reader.take(chunk)) this.settle(value as [number, unknown, string?]);
+      for (const value of this.reader.take(chunk)) this.handle(value as Incoming);
     } catch (err) {
-      this.end(LinkEnd.Lost, String(err));
+      this.end(LinkEnd.Closed, String(err));
     }
   }
 
-  private settle([number, body, problem]: [number, unknown, string?]): void {
+  private handle([number, body, problem]: Incoming): void {
+    if (number === PUSH_NUMBER) {
+      this.usedAt = this.heardAt;
+      if (!this.hasEnded) this.events.onPush(body);
+      return;
+    }
     const waiting = this.waiting.get(number);
     if (waiting === undefined) return;
     this.waiting.delete(number);
@@ -183,7 +152,7 @@
     this.isUp = false;
     this.socket.destroy();
     this.failWaiting(reason);
-    this.options.onDown(end, wasUp);
+    this.events.onEnd(end, wasUp);
   }
 
   private failWaiting(reason: string): void {
@@ -194,3 +163,9 @@
     this.waiting.clear();
   }
 }
+
+/** A reset shows that no process listens only while the connection is being set up. */
+function endOf({ code }: NodeJS.ErrnoException, wasUp: boolean): LinkEnd {
+  if (code === 'ECONNREFUSED' || (code === 'ECONNRESET' && !wasUp)) return LinkEnd.Refused;
+  return code === 'ETIMEDOUT' || code === 'EHOSTUNREACH' ? LinkEnd.Silent : LinkEnd.Closed;
+}
--- a/packages/routing/src/core/cluster/listener.ts
+++ b/packages/routing/src/core/cluster/listener.ts
@@ -1,70 +1,86 @@
-/** Accepts the links that peers make: one task for each, which hands messages on and answers them. */
+/** Accepts the connections of peers: hands their messages on and answers them. */
 import { createServer, type Server, type Socket } from 'node:net';
 
 import { startListening } from '@celeryyoke/core';
 
 import { encodeFrame, FrameReader } from './frames.js';
+import type { ListenerEvents, PeerChannel } from './types.js';
 import { MessageType } from './types.js';
 
-/** What the listener does with what it hears. */
-export interface ListenerOptions {
-  /**
-   * Called with the first message of a link.
-   * @returns Identifies the peer for the link's further messages.
-   */
-  readonly onHello: (body: unknown) => string;
-  /** Called with each further message; the answer is sent when one is due. */
-  readonly onMessage: (peer: string, type: MessageType, body: unknown) => unknown;
-  /** Called when a link ended. */
-  readonly onClose: (peer: string) => void;
-  /** Called with what went wrong on a link. */
-  readonly onProblem: (peer: string | undefined, err: Error) => void;
-}
+/** Answer to a heartbeat: the number stands for no request. */
+const HEARTBEAT_ANSWER = encodeFrame([0]);
+/** Bytes that may wait for a peer that does not read before its connection is cut. */
+const MAX_BACKLOG_BYTES = 4 * 1024 * 1024;
 
-/** Answer to a heartbeat: the number that stands for no request. */
-const HEARTBEAT_ANSWER = encodeFrame([0, 0]);
+type Message = readonly [type: MessageType, number: number, body: unknown];
 
 /**
  * Starts to listen for peers.
  * @param host - Address of this daemon.
  * @param port - Port.
- * @param options - What to do with messages.
+ * @param events - What to do with messages.
  * @returns The server, once it listens.
  */
-export async function listenForPeers(host: string, port: number, options: ListenerOptions): Promise<Server> {
-  const server = createServer({ noDelay: true }, (socket) => serve(socket, options));
+export async function listenForPeers(host: string, port: number, events: ListenerEvents): Promise<Server> {
+  const server = createServer({ noDelay: true }, (socket) => {
+    new PeerConnection(socket, events).serve();
+  });
   await startListening(server, { host, port });
   return server;
 }
 
-function serve(socket: Socket, options: ListenerOptions): void {
-  const reader = new FrameReader();
-  let peer: string | undefined;
-  const answer = async (type: MessageType, number: number, body: unknown): Promise<void> => {
+/** One accepted connection. */
+class PeerConnection implements PeerChannel {
+  private readonly reader = new FrameReader();
+
+  private peer: string | undefined;
+
+  private isOrderly = false;
+
+  constructor(
+    private readonly socket: Socket,
+    private readonly events: ListenerEvents,
+  ) {}
+
+  serve(): void {
+    const { socket, events } = this;
+    socket.on('data', (chunk) => this.receive(chunk));
+    socket.on('error', (err) => events.onProblem(this.peer, err));
+    socket.on('close', () => {
+      if (this.peer !== undefined) events.onClose(this.peer, this, this.isOrderly);
+    });
+  }
+
+  push(frame: Buffer): void {
+    if (!this.socket.writable) return;
+    if (this.socket.writableLength > MAX_BACKLOG_BYTES) this.socket.destroy();
+    else this.socket.write(frame);
+  }
+
+  private receive(chunk: Buffer): void {
     try {
-      const result = await options.onMessage(peer!, type, body);
-      if (number > 0 && socket.writable) socket.write(encodeFrame([number, result ?? null]));
+      for (const value of this.reader.take(chunk)) this.handle(value as Message);
     } catch (err) {
-      if (number > 0 && socket.writable) socket.write(encodeFrame([number, null, String(err)]));
-      else options.onProblem(peer, err as Error);
+      this.events.onProblem(this.peer, err as Error);
+      this.socket.destroy();
     }
-  };
-  socket.on('data', (chunk) => {
+  }
+
+  private handle([type, number, body]: Message): void {
+    if (type === MessageType.Hello) this.peer = this.events.onHello(body);
+    else if (this.peer === undefined) throw new Error('A message came before the hello.');
+    else if (type === MessageType.Goodbye) this.isOrderly = true;
+    else if (type === MessageType.Heartbeat) this.push(HEARTBEAT_ANSWER);
+    else void this.answer(this.peer, type, number, body);
+  }
+
+  private async answer(peer: string, type: MessageType, number: number, body: unknown): Promise<void> {
     try {
-      for (const value of reader.take(chunk)) {
-        const [type, number, body] = value as [MessageType, number, unknown];
-        if (type === MessageType.Hello) peer = options.onHello(body);
-        else if (peer === undefined) throw new Error('A message came before the hello.');
-        else void answer(type, number, body);
-        if (type === MessageType.Heartbeat) socket.write(HEARTBEAT_ANSWER);
-      }
+      const result = await this.events.onMessage(peer, type, body, this);
+      if (number > 0) this.push(encodeFrame([number, result ?? null]));
     } catch (err) {
-      options.onProblem(peer, err as Error);
-      socket.destroy();
+      if (number > 0) this.push(encodeFrame([number, null, String(err)]));
+      else this.events.onProblem(peer, err as Error);
     }
-  });
-  socket.on('error', (err) => options.onProblem(peer, err));
-  socket.on('close', () => {
-    if (peer !== undefined) options.onClose(peer);
-  });
+  }
 }
--- a/packages/routing/src/core/daemon/in-flight-reporter.ts
+++ b/packages/routing/src/core/daemon/in-flight-reporter.ts
@@ -1,88 +1,145 @@
-/** Tells each daemon that keeps engines of this daemon's requests there. */
+/**
+ * Reports this daemon's requests to the owners of the engines on which they run.
+ *
+ * A change is reported soon after it, together with others for the same owner; the whole now and then, so that an owner
+ * that is new, or has missed a report, comes to know all of it.
+ */
+import type { TimerHandle, TimerService } from '@celeryyoke/core';
+
 import type { Loader } from '../adapters/index.js';
 import type { Claims } from '../authority/index.js';
-import type { LoadBook, LoadLine, UseLine } from '../choice/index.js';
-import type { Cluster, Member } from '../cluster/index.js';
+import type { AdapterInFlight, InFlightReport, InFlightTable, ReplicaInFlight } from '../choice/index.js';
+import { encodeInFlight } from '../choice/index.js';
+import type { Cluster } from '../cluster/index.js';
 import { MessageType } from '../cluster/index.js';
 
-/** What a daemon tells the keeper of some engines of its requests there. */
-export interface KeptLoads {
-  readonly loads: LoadLine[];
-  readonly uses: UseLine[];
-}
+/** Time for which changes are collected, in milliseconds. */
+const BATCH_MS = 15;
+/** Interval of whole reports, in milliseconds. */
+const WHOLE_REPORT_MS = 1000;
 
-/** What the telling uses of the daemon. */
-export interface LoadTellingParts {
+/** What the reporter uses of the daemon. */
+export interface InFlightReporterOptions {
   /** Address of this daemon. */
   readonly self: string;
-  readonly cluster: Cluster;
-  readonly claims: Claims;
-  readonly loader: Loader;
-  readonly loads: LoadBook;
+  readonly cluster: Pick<Cluster, 'send'>;
+  readonly claims: Pick<Claims, 'of'>;
+  readonly loader: Pick<Loader, 'setRunning' | 'use'>;
+  readonly inFlight: InFlightTable;
+  readonly timers: TimerService;
 }
 
-/** What this daemon tells the keepers of engines, and hears as one. */
-export class LoadTelling {
-  /** Daemons that were last told of requests on their engines. */
-  private toldKeepers: readonly string[] = [];
+interface OpenReport {
+  readonly replicas: ReplicaInFlight[];
+  readonly adapters: AdapterInFlight[];
+}
 
-  /**
-   * Makes one that has told nothing.
-   * @param parts - The daemon's parts.
-   */
-  constructor(private readonly parts: LoadTellingParts) {}
+/** Reports requests in flight. */
+export class InFlightReporter {
+  /** Adapters whose counts have changed since they were reported, by replica. */
+  private readonly changed = new Map<string, Set<string>>();
+
+  /** Owners that know of requests of this daemon by the last whole report. */
+  private informedOwners: readonly string[] = [];
+
+  private flushTimer: TimerHandle | undefined;
+
+  private readonly ticking: TimerHandle;
 
   /**
-   * Tells each keeper of this daemon's requests on its engines.
-   * @returns The requests on replicas that nobody keeps, for all.
+   * Makes a reporter that follows the table.
+   * @param options - The daemon's parts.
    */
-  tell(): LoadLine[] {
-    const { cluster, loads } = this.parts;
-    const told = loads.tell();
-    const byKeeper = new Map<string, KeptLoads>();
-    // One that was told of requests hears also that there are none any more.
-    for (const keeper of this.toldKeepers) byKeeper.set(keeper, { loads: [], uses: [] });
-    const open = this.sortLoads(told.loads, byKeeper);
-    this.sortUses(told.uses, byKeeper);
-    for (const [keeper, kept] of byKeeper) cluster.send(keeper, MessageType.Loads, kept);
-    this.toldKeepers = [...byKeeper].filter(([, kept]) => kept.loads.length > 0).map(([keeper]) => keeper);
-    return open;
+  constructor(private readonly options: InFlightReporterOptions) {
+    const { inFlight, timers } = options;
+    inFlight.onChange((replica, key) => this.noteChange(replica, key));
+    this.ticking = timers.repeat(WHOLE_REPORT_MS, () => this.reportAll());
+  }
+
+  /** Ends the reports. */
+  stop(): void {
+    this.ticking.cancel();
+    this.flushTimer?.cancel();
   }
 
   /**
-   * Takes what a peer tells of its requests on this daemon's engines.
-   * @param from - The peer.
-   * @param kept - Its requests.
+   * Takes the changes on one replica out, to be sent along with another message to its owner.
+   * @param replica - The replica.
+   * @returns The changes that are not reported yet.
    */
-  take(from: Member, { loads, uses }: KeptLoads): void {
-    this.parts.loads.take(from.address, loads, uses);
-    for (const [replica, key, , begun] of uses) this.parts.loader.use(replica, key, begun);
+  takeChanges(replica: string): InFlightReport {
+    const { inFlight } = this.options;
+    const keys = [...(this.changed.get(replica) ?? [])];
+    this.changed.delete(replica);
+    const adapters = keys.map((key) => inFlight.takeOwnUse(replica, key));
+    return { isWhole: false, replicas: [inFlight.ownOf(replica)], adapters };
+  }
+
+  private noteChange(replica: string, key: string | undefined): void {
+    const { claims, self, timers, loader, inFlight } = this.options;
+    const owner = claims.of(replica)?.holder;
+    if (owner === undefined) return;
+    if (owner === self) {
+      if (key !== undefined) this.countHere(replica, key);
+      loader.setRunning(replica, () => inFlight.runningByAdapter(replica));
+      return;
+    }
+    const keys = this.changed.get(replica) ?? new Set<string>();
+    this.changed.set(replica, keys);
+    if (key !== undefined) keys.add(key);
+    this.flushTimer ??= timers.after(BATCH_MS, () => this.flush());
+  }
+
+  private countHere(replica: string, key: string): void {
+    const { begun } = this.options.inFlight.takeOwnUse(replica, key);
+    if (begun > 0) this.options.loader.use(replica, key, begun);
   }
 
-  private sortLoads(lines: readonly LoadLine[], byKeeper: Map<string, KeptLoads>): LoadLine[] {
-    const { claims, self } = this.parts;
-    const open: LoadLine[] = [];
-    for (const line of lines) {
-      const keeper = claims.of(line[0])?.holder;
-      if (keeper === undefined) open.push(line);
-      else if (keeper !== self) keptBy(keeper, byKeeper).loads.push(line);
+  private flush(): void {
+    this.flushTimer = undefined;
+    const reports = new Map<string, OpenReport>();
+    for (const replica of [...this.changed.keys()]) {
+      const owner = this.options.claims.of(replica)?.holder;
+      const { replicas, adapters } = this.takeChanges(replica);
+      if (owner !== undefined && owner !== this.options.self) add(reports, owner, replicas, adapters);
+    }
+    this.send(reports, false);
+  }
+
+  private reportAll(): void {
+    const { inFlight, claims, self } = this.options;
+    const reports = new Map<string, OpenReport>();
+    // One that was told of requests hears also that there are none any more.
+    for (const owner of this.informedOwners) add(reports, owner, [], []);
+    for (const replica of inFlight.ownReplicas()) {
+      const owner = claims.of(replica)?.holder;
+      if (owner === undefined || owner === self) continue;
+      this.changed.delete(replica);
+      const adapters = inFlight.ownKeys(replica).map((key) => inFlight.takeOwnUse(replica, key));
+      add(reports, owner, [inFlight.ownOf(replica)], adapters);
     }
-    return open;
+    this.send(reports, true);
+    this.informedOwners = [...reports]
+      .filter(([, { replicas }]) => replicas.length > 0)
+      .map(([owner]) => owner);
   }
 
-  private sortUses(lines: readonly UseLine[], byKeeper: Map<string, KeptLoads>): void {
-    const { claims, loader, self } = this.parts;
-    for (const line of lines) {
-      const [replica, key, , begun] = line;
-      const keeper = claims.of(replica)?.holder;
-      if (keeper === self) loader.use(replica, key, begun);
-      else if (keeper !== undefined) keptBy(keeper, byKeeper).uses.push(line);
+  private send(reports: ReadonlyMap<string, OpenReport>, isWhole: boolean): void {
+    for (const [owner, { replicas, adapters }] of reports) {
+      const report: InFlightReport = { isWhole, replicas, adapters };
+      this.options.cluster.send(owner, MessageType.InFlight, encodeInFlight(report));
     }
   }
 }
 
-function keptBy(keeper: string, byKeeper: Map<string, KeptLoads>): KeptLoads {
-  const kept = byKeeper.get(keeper) ?? { loads: [], uses: [] };
-  byKeeper.set(keeper, kept);
-  return kept;
+function add(
+  reports: Map<string, OpenReport>,
+  owner: string,
+  replicas: readonly ReplicaInFlight[],
+  adapters: readonly AdapterInFlight[],
+): void {
+  const report = reports.get(owner) ?? { replicas: [], adapters: [] };
+  reports.set(owner, report);
+  report.replicas.push(...replicas);
+  report.adapters.push(...adapters);
 }
--- a/packages/routing/src/core/daemon/index.ts
+++ b/packages/routing/src/core/daemon/index.ts
@@ -1,5 +1,7 @@
 /** The router daemon. */
-export type { EngineState, Heartbeat, HeartbeatFrame } from './heartbeat-codec.js';
-export { decodeHeartbeat, encodeHeartbeat } from './heartbeat-codec.js';
+export { decodeResidency, encodeResidency } from './engine-rows.js';
+export type { ResidencyRow } from './engine-rows.js';
+export { InFlightReporter } from './in-flight-reporter.js';
+export { PeerProtocol } from './peer-protocol.js';
 export { Router } from './router.js';
 export type { RouterOptions, RouterSettings } from './types.js';
--- /dev/null
+++ b/packages/routing/src/core/daemon/peer-protocol.ts
@@ -0,0 +1,220 @@
+/** What router daemons tell each other: the topics of the shared state, and the questions to owners of engines. */
+import type { TimerHandle, TimerService } from '@celeryyoke/core';
+
+import type { EnsureWanted, Holdings, HoldingsBook, Loader } from '../adapters/index.js';
+import type { Claim, Claims } from '../authority/index.js';
+import type { InFlightFrame, InFlightReport, InFlightTable } from '../choice/index.js';
+import { decodeInFlight } from '../choice/index.js';
+import type { Cluster, MemberFrame, MemberRecord } from '../cluster/index.js';
+import { decodeMember, encodeMember, MessageType } from '../cluster/index.js';
+import type { DisseminationTree, TopicHandler } from '../dissemination/index.js';
+import { Topic, VersionedTable } from '../dissemination/index.js';
+import type { Directory, ReplicaStart } from '../view/index.js';
+import type { EngineLoadRow, ResidencyRow } from './engine-rows.js';
+import { decodeEngineLoad, decodeResidency, encodeEngineLoad, encodeResidency } from './engine-rows.js';
+
+/** How often an owner looks whether the load of its engines has changed, in milliseconds. */
+const LOAD_MS = 200;
+/** Longest time between two rows on the load of an engine, in milliseconds, so that an old row shows that its owner is gone. */
+const LOAD_REFRESH_MS = 800;
+
+/** The parts that talk. */
+export interface PeerProtocolOptions {
+  readonly cluster: Cluster;
+  readonly tree: DisseminationTree;
+  readonly directory: Directory;
+  readonly claims: Claims;
+  readonly loader: Loader;
+  readonly holdings: HoldingsBook;
+  readonly inFlight: InFlightTable;
+  readonly timers: TimerService;
+}
+
+interface PublishedLoad {
+  readonly row: EngineLoadRow;
+  /** Monotonic milliseconds. */
+  readonly at: number;
+}
+
+/** What the parts of the daemons tell each other. */
+export class PeerProtocol {
+  private readonly loads: VersionedTable<EngineLoadRow>;
+
+  private readonly residency: VersionedTable<ResidencyRow>;
+
+  /** What this daemon published last of each of its engines. */
+  private readonly published = new Map<string, PublishedLoad>();
+
+  private sequence = 0;
+
+  private readonly ticking: TimerHandle;
+
+  /**
+   * Registers the topics and the handlers of all messages.
+   * @param options - The parts that talk.
+   */
+  constructor(private readonly options: PeerProtocolOptions) {
+    const { cluster, directory, loader, tree, timers } = options;
+    const isListed = (replica: string): boolean => directory.replica(replica) !== undefined;
+    this.loads = new VersionedTable(isListed);
+    this.residency = new VersionedTable(isListed);
+    tree.register(Topic.Member, this.memberTopic());
+    tree.register(Topic.Claim, this.claimTopic());
+    tree.register(Topic.EngineLoad, this.loadTopic());
+    tree.register(Topic.Residency, this.residencyTopic());
+    tree.register(Topic.Start, this.startTopic());
+    cluster.handle(MessageType.Ensure, (_from, wanted: EnsureWanted) => loader.ensureHere(wanted));
+    cluster.handle(MessageType.InFlight, ({ address }, frame: InFlightFrame) =>
+      this.takeReport(address, decodeInFlight(frame)),
+    );
+    directory.onReplica((id, entry) => {
+      if (entry !== undefined) return;
+      this.loads.forget(id);
+      this.residency.forget(id);
+      this.published.delete(id);
+    });
+    this.ticking = timers.repeat(LOAD_MS, () => this.publishLoads());
+  }
+
+  /** Ends what runs by time. */
+  stop(): void {
+    this.ticking.cancel();
+  }
+
+  /**
+   * Takes what a peer told of its requests on engines that this daemon owns.
+   * @param peer - Its address.
+   * @param report - Its requests.
+   */
+  takeReport(peer: string, report: InFlightReport): void {
+    const { inFlight, loader } = this.options;
+    inFlight.take(peer, report);
+    for (const { replica, key, begun } of report.adapters) if (begun > 0) loader.use(replica, key, begun);
+    for (const { replica } of report.replicas)
+      loader.setRunning(replica, () => inFlight.runningByAdapter(replica));
+  }
+
+  /**
+   * Publishes what an engine of this daemon holds.
+   * @param holdings - Models and adapters in place.
+   */
+  publishHoldings(holdings: Holdings): void {
+    const row: ResidencyRow = { ...holdings, sequence: this.nextSequence() };
+    this.residency.merge(row);
+    this.options.tree.publish(Topic.Residency, row);
+  }
+
+  private publishLoads(): void {
+    const { claims, loader, inFlight, timers } = this.options;
+    loader.refreshRunning((replica) => inFlight.runningByAdapter(replica));
+    const rooms = new Map(loader.rooms().map((line) => [line[0], line]));
+    const now = timers.now();
+    for (const { replica, token } of claims.mine()) {
+      const [, room, queued] = rooms.get(replica) ?? [replica, 0, 0];
+      const row = { replica, token, sequence: 0, room, queued, ...inFlight.sum(replica) };
+      const last = this.published.get(replica);
+      if (last !== undefined && now - last.at < LOAD_REFRESH_MS && isSameLoad(last.row, row)) continue;
+      this.publishLoad({ ...row, sequence: this.nextSequence() }, now);
+    }
+  }
+
+  private publishLoad(row: EngineLoadRow, at: number): void {
+    this.published.set(row.replica, { row, at });
+    this.loads.merge(row);
+    this.applyLoad(row);
+    this.options.tree.publish(Topic.EngineLoad, row);
+  }
+
+  private applyLoad(row: EngineLoadRow): void {
+    const { holdings, inFlight } = this.options;
+    holdings.takeRoom([row.replica, row.room, row.queued]);
+    inFlight.takeTotal(row);
+  }
+
+  private nextSequence(): number {
+    this.sequence += 1;
+    return this.sequence;
+  }
+
+  private memberTopic(): TopicHandler<MemberRecord> {
+    const { cluster } = this.options;
+    return {
+      isUrgent: true,
+      keyOf: ({ address }) => address,
+      merge: (record) => cluster.merge(record),
+      snapshot: () => cluster.records(),
+      encode: encodeMember,
+      decode: (wire) => decodeMember(wire as MemberFrame),
+    };
+  }
+
+  private claimTopic(): TopicHandler<Claim> {
+    const { claims } = this.options;
+    return {
+      isUrgent: true,
+      keyOf: ({ replica }) => replica,
+      merge: (claim) => claims.take(claim),
+      snapshot: () => claims.all(),
+      encode: ({ replica, holder, token }) => [replica, holder, token],
+      decode: (wire) => {
+        const [replica, holder, token] = wire as [string, string, number];
+        return { replica, holder, token };
+      },
+    };
+  }
+
+  private loadTopic(): TopicHandler<EngineLoadRow> {
+    return {
+      isUrgent: false,
+      keyOf: ({ replica }) => replica,
+      merge: (row) => {
+        const isNews = this.loads.merge(row);
+        if (isNews) this.applyLoad(row);
+        return isNews;
+      },
+      snapshot: () => this.loads.snapshot(),
+      encode: encodeEngineLoad,
+      decode: decodeEngineLoad,
+    };
+  }
+
+  private residencyTopic(): TopicHandler<ResidencyRow> {
+    return {
+      isUrgent: false,
+      keyOf: ({ replica }) => replica,
+      merge: (row) => {
+        const isNews = this.residency.merge(row);
+        if (isNews) this.options.holdings.take(row);
+        return isNews;
+      },
+      snapshot: () => this.residency.snapshot(),
+      encode: encodeResidency,
+      decode: decodeResidency,
+    };
+  }
+
+  private startTopic(): TopicHandler<ReplicaStart> {
+    const { directory } = this.options;
+    return {
+      isUrgent: true,
+      keyOf: ({ name }) => name,
+      merge: (start) => directory.noteStart(start),
+      snapshot: () => [],
+      encode: ({ name, bornAt }) => [name, bornAt],
+      decode: (wire) => {
+        const [name, bornAt] = wire as [string, number];
+        return { name, bornAt };
+      },
+    };
+  }
+}
+
+function isSameLoad(left: EngineLoadRow, right: EngineLoadRow): boolean {
+  return (
+    left.token === right.token &&
+    left.room === right.room &&
+    left.queued === right.queued &&
+    left.running === right.running &&
+    left.waiting === right.waiting
+  );
+}
--- a/packages/routing/src/core/daemon/services.ts
+++ b/packages/routing/src/core/daemon/services.ts
@@ -13,20 +13,26 @@
 import { Claims, PauseWatch } from '../authority/index.js';
 import { RepeatBudget } from '../budget/index.js';
 import { ChannelPool } from '../channels/index.js';
-import { Chooser, LoadBook, Standings } from '../choice/index.js';
-import { Cluster, MessageType } from '../cluster/index.js';
-import { PromptPacing } from '../pacing/index.js';
+import { Chooser, InFlightTable, Standings } from '../choice/index.js';
+import type { MemberRecord } from '../cluster/index.js';
+import { Cluster, createTcpTransport, MemberState } from '../cluster/index.js';
+import { DisseminationTree, Topic } from '../dissemination/index.js';
+import { PromptAdmission } from '../pacing/index.js';
 import { CallerTimes, Evacuations, RequestMetrics, RequestServer } from '../requests/index.js';
 import { Directory, Follower, RecordKind, SharedView } from '../view/index.js';
 import { listenForFigures, registerFigures } from './figures.js';
-import { Conversation } from './heartbeat.js';
+import { InFlightReporter } from './in-flight-reporter.js';
 import { PART } from './names.js';
+import { PeerProtocol } from './peer-protocol.js';
 import type { ReadinessServer } from './readiness.js';
 import { listenForReadiness } from './readiness.js';
 import type { RouterOptions } from './types.js';
 
 /** How often claims are reviewed, in milliseconds. */
 const REVIEW_MS = 100;
+/** Age of what is heard of the fleet beyond which a daemon gives no orders to engines that check no tokens, in milliseconds. */
+const UP_TO_DATE_MS = 1500;
+
 /** What changes while a daemon runs. */
 export interface RouterState {
   /** Peers to ask first; a reload changes them. */
@@ -69,7 +75,7 @@
         (pool) => pool.close(),
       ),
       part(PART.control, [PART.channels], (kernel) => this.options.control(kernel.get(PART.channels))),
-      part(PART.loads, [], () => new LoadBook(timers)),
+      part(PART.inFlight, [], () => new InFlightTable(timers)),
       part(PART.standings, [], () => new Standings(timers)),
       part(
         PART.pauses,
@@ -85,9 +91,15 @@
         () => this.makeCluster(),
         (cluster) => cluster.close(),
       ),
+      part(
+        PART.tree,
+        [PART.cluster, PART.view, PART.holdings],
+        (kernel) => this.makeTree(kernel),
+        (tree) => tree.stop(),
+      ),
       part(
         PART.claims,
-        [PART.cluster, PART.pauses, PART.directory],
+        [PART.cluster, PART.tree, PART.pauses, PART.directory],
         (kernel) => this.makeClaims(kernel),
         (claims) => claims.close(),
       ),
@@ -96,31 +108,47 @@
       ),
       part(
         PART.loader,
-        [PART.cluster, PART.claims, PART.directory, PART.holdings, PART.loads, PART.channels, PART.control],
+        [
+          PART.cluster,
+          PART.claims,
+          PART.directory,
+          PART.holdings,
+          PART.inFlight,
+          PART.channels,
+          PART.control,
+        ],
         (kernel) => this.makeLoader(kernel),
         (loader) => loader.close(),
       ),
       part(
-        PART.pacing,
-        [PART.cluster, PART.claims, PART.directory],
-        (kernel) =>
-          new PromptPacing({
-            self: selfOf(this.options),
-            cluster: kernel.get(PART.cluster),
-            claims: kernel.get(PART.claims),
-            directory: kernel.get(PART.directory),
-            timers,
-            log: this.options.log,
-          }),
+        PART.reporter,
+        [PART.cluster, PART.claims, PART.loader, PART.inFlight],
+        (kernel) => this.makeReporter(kernel),
+        (reporter) => reporter.stop(),
       ),
       part(
-        PART.conversation,
-        [PART.cluster, PART.view, PART.directory, PART.claims, PART.loader, PART.holdings, PART.loads],
-        (kernel) => startConversation(kernel, this.options),
+        PART.protocol,
+        [
+          PART.cluster,
+          PART.tree,
+          PART.view,
+          PART.directory,
+          PART.claims,
+          PART.loader,
+          PART.holdings,
+          PART.inFlight,
+        ],
+        (kernel) => this.makeProtocol(kernel),
+        (protocol) => protocol.stop(),
+      ),
+      part(
+        PART.admission,
+        [PART.cluster, PART.claims, PART.directory, PART.loader, PART.reporter, PART.protocol],
+        (kernel) => this.makeAdmission(kernel),
       ),
       part(
         PART.follower,
-        [PART.view, PART.cluster, PART.conversation],
+        [PART.view, PART.cluster, PART.tree, PART.protocol],
         (kernel) => this.startFollower(kernel),
         (follower) => follower.stop(),
       ),
@@ -131,12 +159,13 @@
           PART.view,
           PART.directory,
           PART.holdings,
-          PART.loads,
+          PART.inFlight,
           PART.standings,
           PART.channels,
           PART.control,
           PART.loader,
-          PART.pacing,
+          PART.admission,
+          PART.tree,
           PART.cluster,
         ],
         (kernel) => this.startRequests(kernel),
@@ -175,10 +204,80 @@
       self: { address, zone: settings.zone, incarnation: timers.wall() },
       seeds: () => this.state.seeds,
       timers,
+      transport: createTcpTransport(address, timers),
+      log,
+      onChange: (record, before) => this.handleMember(record, before),
+    });
+  }
+
+  private handleMember(record: MemberRecord, before: MemberRecord | undefined): void {
+    const { address, state } = record;
+    const isOwn = address === selfOf(this.options);
+    this.get<DisseminationTree>(PART.tree).publish(Topic.Member, record, isOwn);
+    const isNewLife = before !== undefined && before.incarnation !== record.incarnation;
+    if (state === MemberState.Ended || isNewLife) this.get<InFlightTable>(PART.inFlight).forgetPeer(address);
+    if (state === before?.state && !isNewLife) return;
+    this.options.log.decide('peer.state', `Peer ${address} is ${state}.`, {
+      peer: address,
+      state,
+      incarnation: record.incarnation,
+      version: record.version,
+    });
+  }
+
+  private makeTree(kernel: ServiceFinder): DisseminationTree {
+    const { timers, log } = this.options;
+    const holdings = kernel.get<HoldingsBook>(PART.holdings);
+    return new DisseminationTree({
+      self: selfOf(this.options),
+      cluster: kernel.get(PART.cluster),
+      view: kernel.get(PART.view),
+      timers,
       log,
-      heartbeat: () => this.get<Conversation>(PART.conversation).heartbeat(),
-      onPeer: (peer) => this.get<Conversation>(PART.conversation).welcome(peer),
-      onState: (peer, state) => log.decide('peer.state', `Peer ${peer} is ${state}.`, { peer, state }),
+      recent: () => holdings.allRecent(),
+      takeRecent: (replica, keys) => holdings.takeRecent(replica, keys),
+    });
+  }
+
+  private makeReporter(kernel: ServiceFinder): InFlightReporter {
+    return new InFlightReporter({
+      self: selfOf(this.options),
+      cluster: kernel.get(PART.cluster),
+      claims: kernel.get(PART.claims),
+      loader: kernel.get(PART.loader),
+      inFlight: kernel.get(PART.inFlight),
+      timers: this.options.timers,
+    });
+  }
+
+  private makeProtocol(kernel: ServiceFinder): PeerProtocol {
+    return new PeerProtocol({
+      cluster: kernel.get(PART.cluster),
+      tree: kernel.get(PART.tree),
+      directory: kernel.get(PART.directory),
+      claims: kernel.get(PART.claims),
+      loader: kernel.get(PART.loader),
+      holdings: kernel.get(PART.holdings),
+      inFlight: kernel.get(PART.inFlight),
+      timers: this.options.timers,
+    });
+  }
+
+  private makeAdmission(kernel: ServiceFinder): PromptAdmission {
+    const { timers, log } = this.options;
+    const reporter = kernel.get<InFlightReporter>(PART.reporter);
+    const protocol = kernel.get<PeerProtocol>(PART.protocol);
+    const loader = kernel.get<Loader>(PART.loader);
+    return new PromptAdmission({
+      self: selfOf(this.options),
+      cluster: kernel.get(PART.cluster),
+      claims: kernel.get(PART.claims),
+      directory: kernel.get(PART.directory),
+      timers,
+      log,
+      takeChanges: (replica) => reporter.takeChanges(replica),
+      takeReport: (peer, report) => protocol.takeReport(peer, report),
+      isResident: (replica, key) => loader.isResident(replica, key),
     });
   }
 
@@ -187,6 +286,8 @@
     const cluster = kernel.get<Cluster>(PART.cluster);
     const directory = kernel.get<Directory>(PART.directory);
     const pauses = kernel.get<PauseWatch>(PART.pauses);
+    const tree = kernel.get<DisseminationTree>(PART.tree);
+    const isHeard = (): boolean => cluster.alive().length <= 1 || cluster.heardAgoMs() < UP_TO_DATE_MS;
     const claims = new Claims({
       self: selfOf(this.options),
       fleet: cluster,
@@ -194,12 +295,13 @@
       leaseMs: settings.leaseMs,
       isFenced: settings.isFenced,
       isRecovering: () => pauses.isRecovering,
+      isUpToDate: () => tree.ageMs < UP_TO_DATE_MS && isHeard(),
       onGain: (claim) => {
         log.decide('claim.gained', `Gives orders to ${claim.replica}.`, {
           replica: claim.replica,
           token: claim.token,
         });
-        cluster.broadcast(MessageType.Claim, claim);
+        tree.publish(Topic.Claim, claim);
         this.get<Loader>(PART.loader).gain(claim);
       },
       onLoss: (claim, reason) => {
@@ -230,13 +332,15 @@
       isFenced: this.options.settings.isFenced,
       timers,
       log,
+      publishHoldings: (told) => this.get<PeerProtocol>(PART.protocol).publishHoldings(told),
+      publishStart: (start) => this.get<DisseminationTree>(PART.tree).publish(Topic.Start, start),
     });
     const channels = kernel.get<ChannelPool>(PART.channels);
-    const loads = kernel.get<LoadBook>(PART.loads);
+    const inFlight = kernel.get<InFlightTable>(PART.inFlight);
     directory.onReplica((id, entry) => {
       if (entry !== undefined) return;
       channels.forget(id);
-      loads.forget(id);
+      inFlight.forget(id);
     });
     return loader;
   }
@@ -245,7 +349,7 @@
     const { timers, log, source } = this.options;
     const view = kernel.get<SharedView>(PART.view);
     const cluster = kernel.get<Cluster>(PART.cluster);
-    const conversation = kernel.get<Conversation>(PART.conversation);
+    const tree = kernel.get<DisseminationTree>(PART.tree);
     const self = selfOf(this.options);
     view.onChange(({ record }) => {
       if (record?.kind !== RecordKind.AdapterVersion) return;
@@ -262,11 +366,12 @@
       source,
       timers,
       rank: () => cluster.alive().indexOf(self),
-      publish: () => conversation.publish(),
+      isAlone: () => cluster.alive().length <= 1,
+      publish: (isNews) => tree.publishView(isNews),
       onSource: (isReachable, reason) =>
         log.warn(isReachable ? 'The platform answers again.' : `The platform does not answer: ${reason}.`),
     });
-    void follower.run();
+    follower.start();
     return follower;
   }
 
@@ -274,7 +379,7 @@
     const { settings, timers, log, dialect } = this.options;
     const directory = kernel.get<Directory>(PART.directory);
     const holdings = kernel.get<HoldingsBook>(PART.holdings);
-    const loads = kernel.get<LoadBook>(PART.loads);
+    const inFlight = kernel.get<InFlightTable>(PART.inFlight);
     const standings = kernel.get<Standings>(PART.standings);
     const loader = kernel.get<Loader>(PART.loader);
     const cluster = kernel.get<Cluster>(PART.cluster);
@@ -282,10 +387,11 @@
     const chooser = new Chooser({
       directory,
       holdings,
-      loads,
+      inFlight,
       standings,
       zone: settings.zone,
       now: timers.now,
+      random: Math.random,
     });
     directory.onReplica((id, entry, before) => {
       if (entry?.state === before?.state) return;
@@ -314,12 +420,12 @@
         dialect,
         chooser,
         pool: kernel.get(PART.channels),
-        loads,
+        inFlight,
         standings,
         timers,
         log,
         ensure,
-        pacing: kernel.get(PART.pacing),
+        admission: kernel.get(PART.admission),
         callerTimes: new CallerTimes(),
         evacuations: new Evacuations({
           directory,
@@ -337,6 +443,7 @@
     });
     await server.listen();
     await cluster.start();
+    kernel.get<DisseminationTree>(PART.tree).start();
     return server;
   }
 
@@ -430,20 +537,6 @@
   return pauses;
 }
 
-function startConversation(kernel: ServiceFinder, options: RouterOptions): Conversation {
-  return new Conversation({
-    self: selfOf(options),
-    cluster: kernel.get(PART.cluster),
-    view: kernel.get(PART.view),
-    directory: kernel.get(PART.directory),
-    claims: kernel.get(PART.claims),
-    loader: kernel.get(PART.loader),
-    holdings: kernel.get(PART.holdings),
-    loads: kernel.get(PART.loads),
-    log: options.log,
-  });
-}
-
 /** Incarnations of all engines. */
 function* enginesOf(directory: Directory): Generator<string> {
   for (const { id, service } of directory.all())
--- /dev/null
+++ b/packages/routing/src/core/dissemination/index.ts
@@ -0,0 +1,10 @@
+/** State that all daemons share, kept the same over a tree of subscriptions. */
+export type { Batch, SubscriptionAnswer } from './batch.js';
+export { FAN_OUT, chooseParent } from './topology.js';
+export type { TopologyInput } from './topology.js';
+export { DisseminationTree } from './tree.js';
+export type { DisseminationOptions } from './tree.js';
+export type { TopicHandler } from './types.js';
+export { Topic } from './types.js';
+export type { EngineRow } from './versioned-table.js';
+export { VersionedTable } from './versioned-table.js';
--- a/packages/routing/src/core/pacing/admission.ts
+++ b/packages/routing/src/core/pacing/admission.ts
@@ -1,27 +1,33 @@
 /**
- * When a daemon may send a prompt to an engine: the daemon that gives the engine its orders spaces the prompts of all.
+ * Admits prompts to engines: one question to the owner of the engine for each generation.
  *
- * One question for each generation, whatever the number of daemons; without an answer the prompt goes at once.
+ * The owner knows which adapters are resident and what all daemons have in flight, so its answer is exact where the
+ * sender's own view is a little old. The request counts at the owner from then on, so that its adapter stays. Without
+ * an answer the prompt goes at once.
  */
 import type { DecisionLog, TimerService } from '@celeryyoke/core';
 
 import type { Claims } from '../authority/index.js';
+import type { InFlightReport } from '../choice/index.js';
 import type { Cluster } from '../cluster/index.js';
 import { MessageType } from '../cluster/index.js';
 import type { Directory, ReplicaEntry } from '../view/index.js';
+import type { AdmissionFrame, DecisionFrame } from './admission-codec.js';
+import { decodeAdmission, decodeDecision, encodeAdmission, encodeDecision } from './admission-codec.js';
 import { PromptPacer } from './pacer.js';
 import { ReadingRate } from './reading-rate.js';
-import type { PromptTurn, Reading } from './types.js';
+import type { AdmissionDecision, AdmissionRequest, Prompt, Reading } from './types.js';
 
-/** Longest wait for the answer of the daemon that spaces an engine's prompts, in milliseconds: some ways between failure domains. */
+/** Longest wait for the owner's answer, in milliseconds. */
 const ANSWER_MS = 40;
-/** Milliseconds for a token before anything is measured: engines of this kind read 19 to 39 tokens in one. */
+/** Milliseconds for a token before anything is measured. */
 const FIRST_GUESS_MS = 0.04;
 /** Readings kept of an engine until it is next asked for. */
 const MAX_READINGS = 8;
+const AT_ONCE: AdmissionDecision = { delayMs: 0, isResident: undefined };
 
-/** What pacing uses of the daemon. */
-export interface PromptPacingParts {
+/** What admission uses of the daemon. */
+export interface PromptAdmissionOptions {
   /** Address of this daemon. */
   readonly self: string;
   readonly cluster: Pick<Cluster, 'request' | 'handle'>;
@@ -29,10 +35,16 @@
   readonly directory: Pick<Directory, 'onReplica' | 'replica'>;
   readonly timers: TimerService;
   readonly log: DecisionLog;
+  /** Takes the changes of this daemon's requests on an engine out, to be sent along. */
+  readonly takeChanges: (replica: string) => InFlightReport;
+  /** Takes what a peer told of its requests on an engine that this daemon owns. */
+  readonly takeReport: (peer: string, report: InFlightReport) => void;
+  /** Tells whether an adapter is resident on an engine that this daemon owns; undefined when it does not know. */
+  readonly isResident: (replica: string, key: string) => boolean | undefined;
 }
 
-/** Spaces prompts, for the engines that this daemon gives orders to, and asks for those of the others. */
-export class PromptPacing {
+/** Admits prompts to the engines that this daemon owns, and asks for those of the others. */
+export class PromptAdmission {
   private readonly pacers = new Map<string, PromptPacer>();
 
   /** What this daemon has seen of engines and has not told yet. */
@@ -43,11 +55,16 @@
 
   /**
    * Makes one that knows nothing yet.
-   * @param parts - The daemon's parts.
+   * @param options - The daemon's parts.
    */
-  constructor(private readonly parts: PromptPacingParts) {
-    parts.cluster.handle(MessageType.PromptTurn, (_from, turn: PromptTurn) => this.decide(turn));
-    parts.directory.onReplica((id, entry) => {
+  constructor(private readonly options: PromptAdmissionOptions) {
+    const { cluster, directory, takeReport } = options;
+    cluster.handle(MessageType.Admission, ({ address }, frame: AdmissionFrame) => {
+      const request = decodeAdmission(frame);
+      takeReport(address, request.inFlight);
+      return encodeDecision(this.decide(request));
+    });
+    directory.onReplica((id, entry) => {
       if (entry !== undefined) return;
       this.pacers.delete(id);
       this.readings.delete(id);
@@ -55,22 +72,27 @@
   }
 
   /**
-   * Asks how long to hold a prompt back.
+   * Asks the owner of an engine to admit a prompt.
+   * @param replica - The engine.
+   * @param key - `model/adapter`, where the prompt needs an adapter.
    * @param prompt - The prompt.
-   * @returns Milliseconds; 0 when nobody tells.
+   * @returns The owner's decision; at once when nobody answers.
    */
-  async delayMs(prompt: Omit<PromptTurn, 'readings'>): Promise<number> {
-    const { claims, self, cluster, log } = this.parts;
-    const holder = claims.of(prompt.replica)?.holder;
-    if (holder === undefined) return 0;
-    const turn: PromptTurn = { ...prompt, readings: this.readings.get(prompt.replica) ?? [] };
-    this.readings.delete(prompt.replica);
-    if (holder === self) return this.decide(turn);
+  async admit(replica: string, key: string | undefined, prompt: Prompt): Promise<AdmissionDecision> {
+    const { claims, self, cluster, log, takeChanges } = this.options;
+    const owner = claims.of(replica)?.holder;
+    if (owner === undefined) return AT_ONCE;
+    const readings = this.readings.get(replica) ?? [];
+    this.readings.delete(replica);
+    const request: AdmissionRequest = { ...prompt, replica, key, readings, inFlight: takeChanges(replica) };
+    if (owner === self) return this.decide(request);
     try {
-      return Number(await cluster.request(holder, MessageType.PromptTurn, turn, ANSWER_MS));
+      const frame = encodeAdmission(request);
+      const answer = await cluster.request(owner, MessageType.Admission, frame, ANSWER_MS);
+      return decodeDecision(answer as DecisionFrame);
     } catch (err) {
-      log.debug(`No turn for a prompt on ${turn.replica}: ${String(err)}.`);
-      return 0;
+      log.debug(`No admission to ${replica} from ${owner}: ${String(err)}.`);
+      return AT_ONCE;
     }
   }
 
@@ -95,13 +117,15 @@
     return this.rate(service).msPerToken * tokens;
   }
 
-  private decide(turn: PromptTurn): number {
-    const { directory, timers } = this.parts;
-    const service = directory.replica(turn.replica)?.service;
-    if (service === undefined) return 0;
-    const pacer = this.pacers.get(turn.replica) ?? new PromptPacer(() => this.rate(service).msPerToken);
-    this.pacers.set(turn.replica, pacer);
-    return pacer.delayMs(turn, timers.now());
+  private decide(request: AdmissionRequest): AdmissionDecision {
+    const { directory, timers, isResident } = this.options;
+    const { replica, key } = request;
+    const service = directory.replica(replica)?.service;
+    if (service === undefined) return AT_ONCE;
+    if (key !== undefined && isResident(replica, key) === false) return { delayMs: 0, isResident: false };
+    const pacer = this.pacers.get(replica) ?? new PromptPacer(() => this.rate(service).msPerToken);
+    this.pacers.set(replica, pacer);
+    return { delayMs: pacer.delayMs(request, timers.now()), isResident: true };
   }
 
   private rate(service: string): ReadingRate {
--- a/packages/routing/src/core/pacing/pacer.ts
+++ b/packages/routing/src/core/pacing/pacer.ts
@@ -6,7 +6,10 @@
  * second to spare. So no more is sent within the longest pause than the engine reads in a part of it.
  */
 import { ReadingRate } from './reading-rate.js';
-import type { PromptTurn } from './types.js';
+import type { AdmissionRequest } from './types.js';
+
+/** What the pacer looks at of a request for admission. */
+type PacedPrompt = Pick<AdmissionRequest, 'tokens' | 'maxPauseMs' | 'patienceMs' | 'readings'>;
 
 /**
  * Part of the longest pause that may go to reading; the rest is for the tokens of the streams themselves and for what is
@@ -44,11 +47,11 @@
 
   /**
    * Gives a prompt its time.
-   * @param turn - The prompt and its bounds.
+   * @param prompt - The prompt and its bounds.
    * @param now - Monotonic milliseconds.
    * @returns How long to hold it back, in milliseconds.
    */
-  delayMs({ tokens, maxPauseMs, patienceMs, readings }: PromptTurn, now: number): number {
+  delayMs({ tokens, maxPauseMs, patienceMs, readings }: PacedPrompt, now: number): number {
     for (const reading of readings) this.rate.note(reading);
     this.recent = this.recent.filter(({ at }) => at > now - maxPauseMs);
     const most = (maxPauseMs * READING_SHARE) / this.rate.msPerToken;
--- a/packages/routing/src/core/pacing/types.ts
+++ b/packages/routing/src/core/pacing/types.ts
@@ -1,4 +1,5 @@
 /** When prompts may be sent to engines. */
+import type { InFlightReport } from '../choice/index.js';
 
 /** How long an engine took to the first event of an answer. */
 export interface Reading {
@@ -9,15 +10,31 @@
 }
 
 /** A prompt that is to be sent to an engine. */
-export interface PromptTurn {
-  /** The engine. */
-  readonly replica: string;
+export interface Prompt {
   /** Tokens to read. */
   readonly tokens: number;
   /** Longest pause between two events of a stream for which its answer is still on time, in milliseconds. */
   readonly maxPauseMs: number;
   /** Longest time for which the prompt may be held back, in milliseconds. */
   readonly patienceMs: number;
+}
+
+/** Asks the owner of an engine to admit a prompt there. */
+export interface AdmissionRequest extends Prompt {
+  /** The engine. */
+  readonly replica: string;
+  /** `model/adapter`; undefined where the prompt needs the base model only. */
+  readonly key: string | undefined;
   /** What the sender has seen of this engine since it asked last; engines of one service differ in speed. */
   readonly readings: readonly Reading[];
+  /** Changes of the sender's requests on the engine, this one included. */
+  readonly inFlight: InFlightReport;
+}
+
+/** The owner's answer. */
+export interface AdmissionDecision {
+  /** How long to hold the prompt back, in milliseconds. */
+  readonly delayMs: number;
+  /** Whether the adapter is resident; undefined when the owner does not know. */
+  readonly isResident: boolean | undefined;
 }
--- a/packages/routing/src/core/requests/journey.ts
+++ b/packages/routing/src/core/requests/journey.ts
@@ -11,18 +11,19 @@
 import type { Route } from '../catalog/index.js';
 import { RouteKind } from '../catalog/index.js';
 import type { ChannelPool } from '../channels/index.js';
-import type { Choice, LoadBook, RunningNote, Standings } from '../choice/index.js';
+import type { Choice, InFlightTable, RunningNote, Standings } from '../choice/index.js';
 import { useKey } from '../choice/index.js';
-import type { PromptPacing } from '../pacing/index.js';
+import type { PromptAdmission } from '../pacing/index.js';
 import type { ReplicaEntry } from '../view/index.js';
 import { OwnAnswer, sendOwn } from './answers.js';
 import type { EngineStream, Evacuations, Moved } from './evacuation.js';
 import type { FinderParts, SoughtRequest } from './finder.js';
 import { ReplicaFinder } from './finder.js';
 import { beginAnswer } from './headers.js';
+import { PrefillAdmission, PrefillWait } from './prefill-wait.js';
 import { StreamRelay } from './relay.js';
 import { Send } from './send.js';
-import { PromptWait } from './turn.js';
+
 import type { HeldAnswer, RequestDialect, RequestHead, SendResult } from './types.js';
 import { SendEnd } from './types.js';
 
@@ -42,10 +43,10 @@
 export interface JourneyParts extends FinderParts {
   readonly dialect: RequestDialect;
   readonly pool: ChannelPool;
-  readonly loads: LoadBook;
+  readonly inFlight: InFlightTable;
   readonly standings: Standings;
   readonly evacuations: Evacuations;
-  readonly pacing: PromptPacing;
+  readonly admission: PromptAdmission;
   /** Notes that an engine does not hold an adapter. */
   readonly notHeld: (replica: string, key: string) => void;
   /** Age of what is known of the platform, in milliseconds. */
@@ -69,7 +70,7 @@
 export class Journey {
   private readonly finder: ReplicaFinder;
 
-  private readonly promptWait: PromptWait;
+  private readonly prefillWait: PrefillWait;
 
   private readonly deadlineAt: number;
 
@@ -121,7 +122,7 @@
       isUnderWay: () => this.relay?.hasBegun ?? false,
     };
     this.finder = new ReplicaFinder(parts, sought);
-    this.promptWait = new PromptWait(parts, sought);
+    this.prefillWait = new PrefillWait(parts, sought);
   }
 
   /** Goes the whole way; the caller has its answer when it ends. */
@@ -170,18 +171,25 @@
     if (!this.isOver) this.giveUp();
   }
 
-  /** Waits for the turn of the prompt and sends; undefined when the request is over or its replica has left meanwhile. */
+  /** Has the prompt admitted and sends it; undefined when the request is over or its replica can't take it any more. */
   private async sendInTurn(
     choice: Choice,
     continuation: string | undefined,
   ): Promise<SendResult | undefined> {
-    const { loads, chooser } = this.parts;
+    const { inFlight, chooser, notHeld } = this.parts;
     const { replica } = choice;
+    const key = this.useKey();
     // It counts from now on, so that its adapter stays.
-    const note = loads.begin(replica.id, this.useKey());
+    const note = inFlight.begin(replica.id, key);
     try {
-      const wasHeld = await this.promptWait.run(replica, this.finder.isLate, this.overSignal.signal);
-      if (this.isOver || (wasHeld && !chooser.takesWork(replica))) return undefined;
+      const { isLate } = this.finder;
+      const admission = await this.prefillWait.run(replica, key, isLate, this.overSignal.signal);
+      if (this.isOver) return undefined;
+      if (admission === PrefillAdmission.NotResident) {
+        notHeld(replica.id, key!);
+        return undefined;
+      }
+      if (admission === PrefillAdmission.Delayed && !chooser.takesWork(replica)) return undefined;
       return await this.sendTo(choice, continuation, note);
     } finally {
       note.ended();
@@ -223,7 +231,7 @@
     standings.ended(replica.id);
     this.parts.metrics.sent(result.end);
     if (result.firstByteMs !== undefined && head.generation !== undefined)
-      this.parts.pacing.noteFirstEvent(replica, {
+      this.parts.admission.noteFirstEvent(replica, {
         tokens: head.generation.promptTokens,
         ms: result.firstByteMs,
       });
@@ -247,7 +255,7 @@
 
   /** One line for each send that did not simply succeed; the others are told as details. */
   private tellSend(replica: ReplicaEntry, { end, answer, reason, wasSent, firstByteMs }: SendResult): void {
-    const { log, budget, loads, timers, viewAgeMs } = this.parts;
+    const { log, budget, inFlight, timers, viewAgeMs } = this.parts;
     const { head, route, service } = this.options;
     const isOrdinary =
       end === SendEnd.Relayed || (answer !== undefined && answer.status < FIRST_FAILURE_STATUS);
@@ -264,11 +272,11 @@
       send: this.sends,
       sentAfterMs: this.sentAfter,
       loadMs: this.finder.loadMs,
-      heldBackMs: this.promptWait.heldMs,
+      heldBackMs: this.prefillWait.heldMs,
       longestPauseMs: this.relay === undefined ? undefined : Math.round(this.relay.longestPauseMs),
       firstByteMs: firstByteMs === undefined ? undefined : Math.round(firstByteMs),
       lastedMs: Math.round(timers.now() - this.options.arrivedAt) - this.sentAfter,
-      running: loads.counts(replica.id).running,
+      running: inFlight.counts(replica.id).running,
       budgetLeft: Math.floor(budget(service).left()),
       viewAgeMs: viewAgeMs(),
     });
--- a/packages/routing/src/core/requests/metrics.ts
+++ b/packages/routing/src/core/requests/metrics.ts
@@ -16,6 +16,8 @@
 
   private readonly promptWait: Histogram;
 
+  private readonly admissionWait: Histogram;
+
   private readonly streamPause: Histogram;
 
   /**
@@ -28,6 +30,10 @@
       'router_prompt_wait_ms',
       'Time for which a prompt was held back so that the streams beside it keep their pauses.',
     );
+    this.admissionWait = metrics.histogram(
+      'router_admission_ms',
+      'Time until the owner of an engine answered whether a prompt is admitted.',
+    );
     this.streamPause = metrics.histogram(
       'router_stream_pause_ms',
       'Longest pause between events of a stream.',
@@ -72,6 +78,14 @@
     counter.add();
   }
 
+  /**
+   * Notes the answer of an engine's owner.
+   * @param ms - Time until it came, in milliseconds.
+   */
+  admitted(ms: number): void {
+    this.admissionWait.record(ms);
+  }
+
   /**
    * Notes that a prompt was held back.
    * @param ms - Milliseconds.
--- a/packages/routing/src/core/requests/prefill-wait.ts
+++ b/packages/routing/src/core/requests/prefill-wait.ts
@@ -1,7 +1,7 @@
-/** Holds the prompt of one request back while reading it would stretch the pauses of the streams on its engine. */
+/** Has the prompt of one request admitted to its engine, and holds it back as long as the owner asks. */
 import type { TimerService } from '@celeryyoke/core';
 
-import type { PromptPacing } from '../pacing/index.js';
+import type { PromptAdmission } from '../pacing/index.js';
 import type { ReplicaEntry } from '../view/index.js';
 import type { SoughtRequest } from './finder.js';
 import type { RequestMetrics } from './metrics.js';
@@ -12,15 +12,25 @@
 const LATE_PATIENCE_SHARE = 0.1;
 const LATE_PATIENCE_MS = 1000;
 
+/** Result of a wait. */
+export enum PrefillAdmission {
+  /** The prompt goes without having waited. */
+  AtOnce = 'at-once',
+  /** It goes, some time after its engine was chosen. */
+  Delayed = 'delayed',
+  /** The owner of the engine says that the adapter is not resident. */
+  NotResident = 'not-resident',
+}
+
 /** What a wait uses of the daemon. */
-export interface PromptWaitParts {
-  readonly pacing: PromptPacing;
+export interface PrefillWaitParts {
+  readonly admission: PromptAdmission;
   readonly timers: TimerService;
   readonly metrics: RequestMetrics;
 }
 
-/** The waits of one request for the turn of its prompt. */
-export class PromptWait {
+/** The waits of one request for the admission of its prompt. */
+export class PrefillWait {
   /** Time for which the prompt was held back, in milliseconds. */
   heldMs = 0;
 
@@ -30,30 +40,39 @@
    * @param sought - The request.
    */
   constructor(
-    private readonly parts: PromptWaitParts,
+    private readonly parts: PrefillWaitParts,
     private readonly sought: SoughtRequest,
   ) {}
 
   /**
    * Waits until the prompt may go.
    * @param replica - The engine.
+   * @param key - `model/adapter`, where the prompt needs an adapter.
    * @param isLate - Whether its answer will be late whatever is done.
    * @param signal - Ends the wait.
-   * @returns Whether it was held back.
+   * @returns Whether and how the prompt may go.
    */
-  async run(replica: ReplicaEntry, isLate: boolean, signal: AbortSignal): Promise<boolean> {
-    const { pacing, timers, metrics } = this.parts;
+  async run(
+    replica: ReplicaEntry,
+    key: string | undefined,
+    isLate: boolean,
+    signal: AbortSignal,
+  ): Promise<PrefillAdmission> {
+    const { admission, timers, metrics } = this.parts;
     const { head, route } = this.sought;
     const tokens = head.generation?.promptTokens ?? 0;
     const patienceMs = this.patienceMs(tokens, isLate);
-    if (tokens === 0 || route.maxPauseMs === undefined || patienceMs <= 0) return false;
-    const turn = { replica: replica.id, tokens, maxPauseMs: route.maxPauseMs, patienceMs };
-    const delayMs = await pacing.delayMs(turn);
-    if (delayMs <= 0) return false;
+    if (tokens === 0 || route.maxPauseMs === undefined || patienceMs <= 0) return PrefillAdmission.AtOnce;
+    const askedAt = timers.now();
+    const prompt = { tokens, maxPauseMs: route.maxPauseMs, patienceMs };
+    const { delayMs, isResident } = await admission.admit(replica.id, key, prompt);
+    metrics.admitted(timers.now() - askedAt);
+    if (isResident === false) return PrefillAdmission.NotResident;
+    if (delayMs <= 0) return PrefillAdmission.AtOnce;
     this.heldMs += Math.round(delayMs);
     metrics.heldBack(delayMs);
     await timers.sleep(delayMs, signal).catch(() => undefined);
-    return true;
+    return PrefillAdmission.Delayed;
   }
 
   /** How long the prompt may be held back: its first event stays on time. */
@@ -63,7 +82,7 @@
     // A stream that has begun must not pause.
     if (isUnderWay()) return 0;
     if (isLate) return Math.min(LATE_PATIENCE_MS, (deadlineAt - now) * LATE_PATIENCE_SHARE);
-    const readingMs = this.parts.pacing.readingMs(service, tokens);
+    const readingMs = this.parts.admission.readingMs(service, tokens);
     return (route.objectiveMs - (now - arrivedAt)) * PATIENCE_SHARE - readingMs;
   }
 }
--- a/packages/routing/src/core/view/directory.ts
+++ b/packages/routing/src/core/view/directory.ts
@@ -2,7 +2,7 @@
 import type { TimerService } from '@celeryyoke/core';
 
 import { RouteTable } from '../catalog/index.js';
-import type { Change, ReplicaEntry } from './types.js';
+import type { Change, ReplicaEntry, ReplicaStart } from './types.js';
 import { RecordKind, replicaId, ReplicaState } from './types.js';
 import type { SharedView } from './view.js';
 
@@ -142,11 +142,10 @@
 
   /**
    * Notes that a replica has started again, as itself or a peer says before its entry does. The new start holds nothing.
-   * @param name - What the platform calls it.
-   * @param bornAt - Unix milliseconds of the start.
+   * @param start - The replica and its start.
    * @returns Whether this was news.
    */
-  noteStart(name: string, bornAt: number): boolean {
+  noteStart({ name, bornAt }: ReplicaStart): boolean {
     if (bornAt <= (this.starts.get(name) ?? Number.NEGATIVE_INFINITY)) return false;
     this.rememberStart(name, bornAt);
     for (const [key, id] of this.idOfKey) {
--- a/packages/routing/src/core/view/follow.ts
+++ b/packages/routing/src/core/view/follow.ts
@@ -5,7 +5,7 @@
  * One reader costs one call for each batch of changes instead of one for each daemon; a call is priced, and the
  * source's rate does not grow with the fleet.
  */
-import type { TimerService } from '@celeryyoke/core';
+import type { TimerHandle, TimerService } from '@celeryyoke/core';
 
 import type { Delta, RecordSource } from './types.js';
 import type { SharedView } from './view.js';
@@ -20,22 +20,32 @@
 const BATCH_MS = 120;
 /** Pause after a failed call, in milliseconds. */
 const RETRY_MS = 150;
-/** Age of the view at which the daemon next in rank reads for itself, in milliseconds; later ones wait a step more each. */
+/** Age of the view at which the daemon next in rank reads for itself, in milliseconds. */
 const TAKE_OVER_AGE_MS = 1000;
-const TAKE_OVER_STEP_MS = 120;
-const MAX_STEPS = 5;
+/**
+ * Time by which those further down in rank wait longer, in milliseconds for each doubling of the rank: so a few take
+ * over first, and many that can't read delay the others by little.
+ */
+const TAKE_OVER_STEP_MS = 250;
+/**
+ * Time after its start in which a daemon that knows no other waits for word of one, in milliseconds: where all start
+ * at once, one of them reads for all.
+ */
+const ALONE_MS = 400;
 /** How often a daemon that does not read looks at the view's age, in milliseconds. */
-const LOOK_MS = 60;
+const LOOK_MS = 100;
 
 /** Options of a follower. */
 export interface FollowOptions {
   readonly view: SharedView;
   readonly source: RecordSource;
   readonly timers: TimerService;
-  /** Place of this daemon among those that live, from 0; the first reads for all. */
+  /** Place of this daemon among those that live, from 0; the first reads for all. Below 0 when it is leaving. */
   readonly rank: () => number;
-  /** Gives what was read to the peers. */
-  readonly publish: () => void;
+  /** Whether this daemon knows no other. */
+  readonly isAlone: () => boolean;
+  /** Gives what was read to the peers; told whether there were changes. */
+  readonly publish: (isNews: boolean) => void;
   /** Told when the source is lost or regained. */
   readonly onSource: (isReachable: boolean, reason: string) => void;
 }
@@ -44,44 +54,60 @@
 export class Follower {
   private readonly stopping = new AbortController();
 
+  private readonly startedAt: number;
+
+  private looking: TimerHandle | undefined;
+
+  private isReading = false;
+
   private isReachable = true;
 
   /**
    * Makes a follower that has not started.
    * @param options - View, source, rank.
    */
-  constructor(private readonly options: FollowOptions) {}
-
-  /** Runs until it is stopped. */
-  async run(): Promise<void> {
-    const { timers } = this.options;
-    while (!this.stopping.signal.aborted) {
-      if (this.isMyTurn()) await this.readOnce();
-      else await timers.sleep(LOOK_MS);
-    }
+  constructor(private readonly options: FollowOptions) {
+    this.startedAt = options.timers.now();
+  }
+
+  /** Follows the source until it is stopped. */
+  start(): void {
+    this.looking = this.options.timers.repeat(LOOK_MS, () => {
+      if (!this.isReading && this.isMyTurn()) void this.read();
+    });
   }
 
   /** Ends the task; a call that waits is given up. */
   stop(): void {
+    this.looking?.cancel();
     this.stopping.abort();
   }
 
+  /** Reads as long as it is this daemon's turn. */
+  private async read(): Promise<void> {
+    this.isReading = true;
+    while (!this.stopping.signal.aborted && this.isMyTurn()) await this.readOnce();
+    this.isReading = false;
+  }
+
   private isMyTurn(): boolean {
-    const { view, rank } = this.options;
-    if (view.upTo === 0) return true;
+    const { view, rank, isAlone, timers } = this.options;
+    const sinceStartMs = timers.now() - this.startedAt;
     const place = rank();
-    if (place === 0) return true;
-    return view.ageMs > TAKE_OVER_AGE_MS + TAKE_OVER_STEP_MS * Math.min(place, MAX_STEPS);
+    if (place === 0) return !isAlone() || sinceStartMs >= ALONE_MS;
+    const doublings = place < 0 ? 0 : Math.floor(Math.log2(place + 1));
+    return Math.min(view.ageMs, sinceStartMs) > TAKE_OVER_AGE_MS + TAKE_OVER_STEP_MS * doublings;
   }
 
   private async readOnce(): Promise<void> {
     const { view, timers, publish } = this.options;
     try {
+      const { newsCount } = view;
       const delta = await this.fetch();
       view.apply(delta);
       view.confirm(view.upTo, 0);
       this.note(true, '');
-      publish();
+      publish(view.newsCount > newsCount);
       await timers.sleep(BATCH_MS);
     } catch (err) {
       this.note(false, String(err));
--- a/packages/routing/src/core/view/index.ts
+++ b/packages/routing/src/core/view/index.ts
@@ -10,6 +10,7 @@
   HeldModel,
   RecordSource,
   ReplicaEntry,
+  ReplicaStart,
   ViewRecord,
 } from './types.js';
 export { RecordKind, replicaId, ReplicaState } from './types.js';
--- a/packages/routing/src/core/view/types.ts
+++ b/packages/routing/src/core/view/types.ts
@@ -52,6 +52,14 @@
   return bornAt === undefined ? name : `${name}#${bornAt}`;
 }
 
+/** A start of a replica under a name that an earlier start had. */
+export interface ReplicaStart {
+  /** What the platform calls it. */
+  readonly name: string;
+  /** Unix milliseconds. */
+  readonly bornAt: number;
+}
+
 /** What a record is about. */
 export enum RecordKind {
   Document = 'document',
--- a/packages/routing/src/core/view/view.ts
+++ b/packages/routing/src/core/view/view.ts
@@ -25,6 +25,9 @@
   /** Revision up to which nothing is missing; 0 before the first whole read. */
   upTo = 0;
 
+  /** Changes since the start that peers must hear of. */
+  newsCount = 0;
+
   /** Monotonic time at which the view was last known to be complete, in milliseconds. */
   confirmedAt = Number.NEGATIVE_INFINITY;
 
@@ -117,6 +120,7 @@
   }
 
   private remember(change: Change): void {
+    this.newsCount += 1;
     this.log.push(change);
     if (this.log.length <= KEPT_CHANGES) return;
     const dropped = this.log.shift()!;
