--- a/packages/routing/test/chooser.test.ts
+++ b/packages/routing/test/chooser.test.ts
@@ -91,3 +91,16 @@
   t.false(chooser.takesWork(engineEntry('e1')));
   t.true(chooser.takesWork(engineEntry('e2')));
 });
+
+test('daemons that know only their own requests spread over equal replicas of a plain service', (t) => {
+  const { choose, draws, fill } = setUp();
+  const need = { model: undefined };
+  draws.push(0.9, 0.1);
+  t.is(choose(need), 'e2');
+  draws.push(0.1, 0.9);
+  t.is(choose(need), 'e1');
+  // Chance does not outweigh a replica that is full of this daemon's requests.
+  fill('e1', PLACES);
+  draws.push(0, 1);
+  t.is(choose(need), 'e2');
+});
