pacing: let the owner refuse prompts beyond an engine's places

Cause: daemons choose by counts that are some tenths of a second old, so engines got up to 21 requests for 16 places; the newest of the least urgent ones was preempted in mid-stream, which makes its pause late. Change: a request for admission names the places that its urgency leaves; the owner, who has counted all requests, refuses one beyond them and tells the counts, by which the choice is made again. Changes of members are logged together, and the links, the age of the shared state and the time of an admission are measured.

--- a/packages/routing/src/core/choice/chooser.ts
+++ b/packages/routing/src/core/choice/chooser.ts
@@ -201,11 +201,22 @@
   }
 }
 
+/**
+ * Tells how many requests an engine may have in flight with one more.
+ * @param slots - Requests that the engine works on at once.
+ * @param need - Urgency of the request.
+ * @returns Places, not whole; Infinity for a request that must go on.
+ */
+export function placesFor(slots: number, need: Pick<Need, 'rank' | 'isLate' | 'isUnderWay'>): number {
+  if (need.isUnderWay) return Number.POSITIVE_INFINITY;
+  const byRank = slots * PLACES_LEFT_BY_RANK * Math.min(need.rank, MAX_PLACES_RANK);
+  const byLate = need.isLate ? Math.max(1, slots * PLACES_LEFT_BY_LATE) : 0;
+  return Math.ceil(slots - byRank - byLate);
+}
+
 /** Whether an engine has a place for the request. */
-function hasPlace({ replica: { slots }, running }: Candidate, { rank, isLate, isUnderWay }: Need): boolean {
-  const byRank = slots * PLACES_LEFT_BY_RANK * Math.min(rank, MAX_PLACES_RANK);
-  const byLate = isLate ? Math.max(1, slots * PLACES_LEFT_BY_LATE) : 0;
-  return isUnderWay || running < slots - byRank - byLate;
+function hasPlace({ replica: { slots }, running }: Candidate, need: Need): boolean {
+  return running < placesFor(slots, need);
 }
 
 /** Ranks replicas for an adapter by rendezvous hashing. */
--- a/packages/routing/src/core/choice/index.ts
+++ b/packages/routing/src/core/choice/index.ts
@@ -1,6 +1,6 @@
 /** Which replica a request goes to. */
 export type { Choice, ChooserOptions, Need } from './chooser.js';
-export { Chooser, useKey } from './chooser.js';
+export { Chooser, placesFor, useKey } from './chooser.js';
 export type { InFlightFrame } from './in-flight-codec.js';
 export { decodeInFlight, encodeInFlight } from './in-flight-codec.js';
 export type { AdapterInFlight, Counts, InFlightReport, ReplicaInFlight, RunningNote } from './in-flight.js';
--- a/packages/routing/src/core/cluster/cluster.ts
+++ b/packages/routing/src/core/cluster/cluster.ts
@@ -210,6 +210,13 @@
     return this.members.downForMs(address);
   }
 
+  /** Links that this daemon has opened and that are up. */
+  get links(): number {
+    let count = 0;
+    for (const { link } of this.outgoing.values()) if (link?.isUp) count += 1;
+    return count;
+  }
+
   /** Time since anything was heard over a link of this daemon, in milliseconds; Infinity when there is none. */
   heardAgoMs(): number {
     let heardAt = Number.NEGATIVE_INFINITY;
--- a/packages/routing/src/core/daemon/figures.ts
+++ b/packages/routing/src/core/daemon/figures.ts
@@ -8,6 +8,7 @@
 import type { Claims, PauseWatch } from '../authority/index.js';
 import type { ChannelPool } from '../channels/index.js';
 import type { Cluster } from '../cluster/index.js';
+import type { DisseminationTree } from '../dissemination/index.js';
 import type { SharedView } from '../view/index.js';
 
 const OK = 200;
@@ -17,6 +18,7 @@
   readonly metrics: Metrics;
   readonly view: SharedView;
   readonly cluster: Cluster;
+  readonly tree: DisseminationTree;
   readonly claims: Claims;
   readonly channels: ChannelPool;
   readonly pauses: PauseWatch;
@@ -30,12 +32,20 @@
  * @param parts - What they are read from.
  */
 export function registerFigures(parts: FigureParts): void {
-  const { metrics, view, cluster, claims, channels, pauses, requests, droppedLines, configVersion } = parts;
+  const { metrics, view, cluster, tree, claims, channels, pauses, requests, droppedLines, configVersion } =
+    parts;
   const counter = { isCounter: true };
   metrics.sample('router_requests_running', 'Requests in progress.', () => requests.running);
   metrics.sample('router_view_age_ms', 'Age of what is known of the platform.', () => view.ageMs);
   metrics.sample('router_config_version', 'Version of the configuration in force.', configVersion);
   metrics.sample('router_peers_alive', 'Living daemons, this one included.', () => cluster.alive().length);
+  metrics.sample('router_peer_links', 'Links that this daemon has open to others.', () => cluster.links);
+  metrics.sample('router_state_age_ms', 'Age of the last batch of shared state.', () => tree.ageMs);
+  metrics.sample(
+    'router_state_subscribers',
+    'Daemons that get the shared state from this one.',
+    () => tree.subscribers,
+  );
   metrics.sample(
     'router_engines_kept',
     'Engines that this daemon gives orders to.',
--- a/packages/routing/src/core/daemon/services.ts
+++ b/packages/routing/src/core/daemon/services.ts
@@ -22,6 +22,7 @@
 import { Directory, Follower, RecordKind, SharedView } from '../view/index.js';
 import { listenForFigures, registerFigures } from './figures.js';
 import { InFlightReporter } from './in-flight-reporter.js';
+import { MemberLog } from './member-log.js';
 import { PART } from './names.js';
 import { PeerProtocol } from './peer-protocol.js';
 import type { ReadinessServer } from './readiness.js';
@@ -47,6 +48,8 @@
 export class RouterServices {
   private readonly budgets = new Map<string, RepeatBudget>();
 
+  private readonly memberLog: MemberLog;
+
   /**
    * Makes the list's maker.
    * @param options - Settings, time, logs and the adapters to the platform.
@@ -57,7 +60,10 @@
     private readonly options: RouterOptions,
     private readonly state: RouterState,
     private readonly kernel: ServiceFinder,
-  ) {}
+  ) {
+    const { log, timers } = options;
+    this.memberLog = new MemberLog(log, timers, () => this.get<Cluster>(PART.cluster).alive().length);
+  }
 
   /**
    * Lists the services in the order of their needs.
@@ -143,7 +149,7 @@
       ),
       part(
         PART.admission,
-        [PART.cluster, PART.claims, PART.directory, PART.loader, PART.reporter, PART.protocol],
+        [PART.cluster, PART.claims, PART.directory, PART.loader, PART.reporter, PART.protocol, PART.inFlight],
         (kernel) => this.makeAdmission(kernel),
       ),
       part(
@@ -177,6 +183,7 @@
           PART.metrics,
           PART.view,
           PART.cluster,
+          PART.tree,
           PART.claims,
           PART.channels,
           PART.pauses,
@@ -216,13 +223,7 @@
     this.get<DisseminationTree>(PART.tree).publish(Topic.Member, record, isOwn);
     const isNewLife = before !== undefined && before.incarnation !== record.incarnation;
     if (state === MemberState.Ended || isNewLife) this.get<InFlightTable>(PART.inFlight).forgetPeer(address);
-    if (state === before?.state && !isNewLife) return;
-    this.options.log.decide('peer.state', `Peer ${address} is ${state}.`, {
-      peer: address,
-      state,
-      incarnation: record.incarnation,
-      version: record.version,
-    });
+    if (!isOwn && (state !== before?.state || isNewLife)) this.memberLog.note(record);
   }
 
   private makeTree(kernel: ServiceFinder): DisseminationTree {
@@ -268,6 +269,7 @@
     const reporter = kernel.get<InFlightReporter>(PART.reporter);
     const protocol = kernel.get<PeerProtocol>(PART.protocol);
     const loader = kernel.get<Loader>(PART.loader);
+    const inFlight = kernel.get<InFlightTable>(PART.inFlight);
     return new PromptAdmission({
       self: selfOf(this.options),
       cluster: kernel.get(PART.cluster),
@@ -278,6 +280,7 @@
       takeChanges: (replica) => reporter.takeChanges(replica),
       takeReport: (peer, report) => protocol.takeReport(peer, report),
       isResident: (replica, key) => loader.isResident(replica, key),
+      counts: (replica) => inFlight.sum(replica),
     });
   }
 
@@ -464,6 +467,7 @@
       metrics,
       view: kernel.get(PART.view),
       cluster: kernel.get(PART.cluster),
+      tree: kernel.get(PART.tree),
       claims: kernel.get(PART.claims),
       channels: kernel.get(PART.channels),
       pauses: kernel.get(PART.pauses),
--- a/packages/routing/src/core/pacing/admission-codec.ts
+++ b/packages/routing/src/core/pacing/admission-codec.ts
@@ -1,12 +1,13 @@
 /** The compact form of a request for admission and of its answer: one of each goes with every generation. */
 import type { InFlightFrame } from '../choice/index.js';
 import { decodeInFlight, encodeInFlight } from '../choice/index.js';
-import type { AdmissionDecision, AdmissionRequest } from './types.js';
+import type { AdmissionDecision, AdmissionRequest, Verdict } from './types.js';
 
 /** A request for admission between daemons. */
 export type AdmissionFrame = readonly [
   replica: string,
   key: string | null,
+  places: number,
   tokens: number,
   maxPauseMs: number,
   patienceMs: number,
@@ -15,7 +16,7 @@
 ];
 
 /** An answer between daemons. */
-export type DecisionFrame = readonly [delayMs: number, isResident: boolean | null];
+export type DecisionFrame = readonly [verdict: Verdict, delayMs: number, running: number, waiting: number];
 
 /**
  * Encodes a request for admission.
@@ -23,9 +24,18 @@
  * @returns Its compact form.
  */
 export function encodeAdmission(request: AdmissionRequest): AdmissionFrame {
-  const { replica, key, tokens, maxPauseMs, patienceMs, readings, inFlight } = request;
+  const { replica, key, places, tokens, maxPauseMs, patienceMs, readings, inFlight } = request;
   const times = readings.map((reading) => [reading.tokens, Math.round(reading.ms)] as const);
-  return [replica, key ?? null, tokens, maxPauseMs, Math.round(patienceMs), times, encodeInFlight(inFlight)];
+  return [
+    replica,
+    key ?? null,
+    places,
+    tokens,
+    maxPauseMs,
+    Math.round(patienceMs),
+    times,
+    encodeInFlight(inFlight),
+  ];
 }
 
 /**
@@ -34,10 +44,11 @@
  * @returns The request.
  */
 export function decodeAdmission(frame: AdmissionFrame): AdmissionRequest {
-  const [replica, key, tokens, maxPauseMs, patienceMs, readings, inFlight] = frame;
+  const [replica, key, places, tokens, maxPauseMs, patienceMs, readings, inFlight] = frame;
   return {
     replica,
     key: key ?? undefined,
+    places,
     tokens,
     maxPauseMs,
     patienceMs,
@@ -51,8 +62,8 @@
  * @param decision - The answer.
  * @returns Its compact form.
  */
-export function encodeDecision({ delayMs, isResident }: AdmissionDecision): DecisionFrame {
-  return [Math.round(delayMs), isResident ?? null];
+export function encodeDecision({ verdict, delayMs, counts }: AdmissionDecision): DecisionFrame {
+  return [verdict, Math.round(delayMs), counts?.running ?? 0, counts?.waiting ?? 0];
 }
 
 /**
@@ -60,6 +71,6 @@
  * @param frame - Its compact form.
  * @returns The answer.
  */
-export function decodeDecision([delayMs, isResident]: DecisionFrame): AdmissionDecision {
-  return { delayMs, isResident: isResident ?? undefined };
+export function decodeDecision([verdict, delayMs, running, waiting]: DecisionFrame): AdmissionDecision {
+  return { verdict, delayMs, counts: { running, waiting } };
 }
--- a/packages/routing/src/core/pacing/admission.ts
+++ b/packages/routing/src/core/pacing/admission.ts
@@ -8,7 +8,7 @@
 import type { DecisionLog, TimerService } from '@celeryyoke/core';
 
 import type { Claims } from '../authority/index.js';
-import type { InFlightReport } from '../choice/index.js';
+import type { Counts, InFlightReport } from '../choice/index.js';
 import type { Cluster } from '../cluster/index.js';
 import { MessageType } from '../cluster/index.js';
 import type { Directory, ReplicaEntry } from '../view/index.js';
@@ -17,6 +17,7 @@
 import { PromptPacer } from './pacer.js';
 import { ReadingRate } from './reading-rate.js';
 import type { AdmissionDecision, AdmissionRequest, Prompt, Reading } from './types.js';
+import { Verdict } from './types.js';
 
 /** Longest wait for the owner's answer, in milliseconds. */
 const ANSWER_MS = 40;
@@ -24,7 +25,7 @@
 const FIRST_GUESS_MS = 0.04;
 /** Readings kept of an engine until it is next asked for. */
 const MAX_READINGS = 8;
-const AT_ONCE: AdmissionDecision = { delayMs: 0, isResident: undefined };
+const UNHEARD: AdmissionDecision = { verdict: Verdict.Admitted, delayMs: 0, counts: undefined };
 
 /** What admission uses of the daemon. */
 export interface PromptAdmissionOptions {
@@ -41,6 +42,8 @@
   readonly takeReport: (peer: string, report: InFlightReport) => void;
   /** Tells whether an adapter is resident on an engine that this daemon owns; undefined when it does not know. */
   readonly isResident: (replica: string, key: string) => boolean | undefined;
+  /** Counts the requests of all daemons on an engine that this daemon owns. */
+  readonly counts: (replica: string) => Counts;
 }
 
 /** Admits prompts to the engines that this daemon owns, and asks for those of the others. */
@@ -75,16 +78,23 @@
    * Asks the owner of an engine to admit a prompt.
    * @param replica - The engine.
    * @param key - `model/adapter`, where the prompt needs an adapter.
+   * @param places - Most requests that the engine may have in flight with this one.
    * @param prompt - The prompt.
    * @returns The owner's decision; at once when nobody answers.
    */
-  async admit(replica: string, key: string | undefined, prompt: Prompt): Promise<AdmissionDecision> {
+  async admit(
+    replica: string,
+    key: string | undefined,
+    places: number,
+    prompt: Prompt,
+  ): Promise<AdmissionDecision> {
     const { claims, self, cluster, log, takeChanges } = this.options;
     const owner = claims.of(replica)?.holder;
-    if (owner === undefined) return AT_ONCE;
+    if (owner === undefined) return UNHEARD;
     const readings = this.readings.get(replica) ?? [];
     this.readings.delete(replica);
-    const request: AdmissionRequest = { ...prompt, replica, key, readings, inFlight: takeChanges(replica) };
+    const inFlight = takeChanges(replica);
+    const request: AdmissionRequest = { ...prompt, replica, key, places, readings, inFlight };
     if (owner === self) return this.decide(request);
     try {
       const frame = encodeAdmission(request);
@@ -92,7 +102,7 @@
       return decodeDecision(answer as DecisionFrame);
     } catch (err) {
       log.debug(`No admission to ${replica} from ${owner}: ${String(err)}.`);
-      return AT_ONCE;
+      return UNHEARD;
     }
   }
 
@@ -119,13 +129,16 @@
 
   private decide(request: AdmissionRequest): AdmissionDecision {
     const { directory, timers, isResident } = this.options;
-    const { replica, key } = request;
+    const { replica, key, places } = request;
     const service = directory.replica(replica)?.service;
-    if (service === undefined) return AT_ONCE;
-    if (key !== undefined && isResident(replica, key) === false) return { delayMs: 0, isResident: false };
+    if (service === undefined) return UNHEARD;
+    const counts = this.options.counts(replica);
+    if (key !== undefined && isResident(replica, key) === false)
+      return { verdict: Verdict.NotResident, delayMs: 0, counts };
+    if (counts.running > places) return { verdict: Verdict.Full, delayMs: 0, counts };
     const pacer = this.pacers.get(replica) ?? new PromptPacer(() => this.rate(service).msPerToken);
     this.pacers.set(replica, pacer);
-    return { delayMs: pacer.delayMs(request, timers.now()), isResident: true };
+    return { verdict: Verdict.Admitted, delayMs: pacer.delayMs(request, timers.now()), counts };
   }
 
   private rate(service: string): ReadingRate {
--- a/packages/routing/src/core/pacing/index.ts
+++ b/packages/routing/src/core/pacing/index.ts
@@ -4,3 +4,4 @@
 export { PromptPacer } from './pacer.js';
 export { ReadingRate } from './reading-rate.js';
 export type { AdmissionDecision, AdmissionRequest, Prompt, Reading } from './types.js';
+export { Verdict } from './types.js';
--- a/packages/routing/src/core/requests/journey.ts
+++ b/packages/routing/src/core/requests/journey.ts
@@ -189,6 +189,7 @@
         notHeld(replica.id, key!);
         return undefined;
       }
+      if (admission === PrefillAdmission.Full) return undefined;
       if (admission === PrefillAdmission.Delayed && !chooser.takesWork(replica)) return undefined;
       return await this.sendTo(choice, continuation, note);
     } finally {
--- a/packages/routing/src/core/requests/prefill-wait.ts
+++ b/packages/routing/src/core/requests/prefill-wait.ts
@@ -1,7 +1,10 @@
 /** Has the prompt of one request admitted to its engine, and holds it back as long as the owner asks. */
 import type { TimerService } from '@celeryyoke/core';
 
+import type { InFlightTable } from '../choice/index.js';
+import { placesFor } from '../choice/index.js';
 import type { PromptAdmission } from '../pacing/index.js';
+import { Verdict } from '../pacing/index.js';
 import type { ReplicaEntry } from '../view/index.js';
 import type { SoughtRequest } from './finder.js';
 import type { RequestMetrics } from './metrics.js';
@@ -20,11 +23,19 @@
   Delayed = 'delayed',
   /** The owner of the engine says that the adapter is not resident. */
   NotResident = 'not-resident',
+  /** The owner says that the engine has no place. */
+  Full = 'full',
 }
 
+const REFUSALS = {
+  [Verdict.NotResident]: PrefillAdmission.NotResident,
+  [Verdict.Full]: PrefillAdmission.Full,
+} as const;
+
 /** What a wait uses of the daemon. */
 export interface PrefillWaitParts {
   readonly admission: PromptAdmission;
+  readonly inFlight: InFlightTable;
   readonly timers: TimerService;
   readonly metrics: RequestMetrics;
 }
@@ -58,16 +69,19 @@
     isLate: boolean,
     signal: AbortSignal,
   ): Promise<PrefillAdmission> {
-    const { admission, timers, metrics } = this.parts;
+    const { admission, inFlight, timers, metrics } = this.parts;
     const { head, route } = this.sought;
     const tokens = head.generation?.promptTokens ?? 0;
     const patienceMs = this.patienceMs(tokens, isLate);
     if (tokens === 0 || route.maxPauseMs === undefined || patienceMs <= 0) return PrefillAdmission.AtOnce;
     const askedAt = timers.now();
     const prompt = { tokens, maxPauseMs: route.maxPauseMs, patienceMs };
-    const { delayMs, isResident } = await admission.admit(replica.id, key, prompt);
+    const places = placesFor(replica.slots, { rank: route.rank, isLate, isUnderWay: false });
+    const { verdict, delayMs, counts } = await admission.admit(replica.id, key, places, prompt);
     metrics.admitted(timers.now() - askedAt);
-    if (isResident === false) return PrefillAdmission.NotResident;
+    // The choice that follows a refusal goes by what the owner has just said.
+    if (counts !== undefined) inFlight.takeTotal({ replica: replica.id, ...counts });
+    if (verdict !== Verdict.Admitted) return REFUSALS[verdict];
     if (delayMs <= 0) return PrefillAdmission.AtOnce;
     this.heldMs += Math.round(delayMs);
     metrics.heldBack(delayMs);
--- a/packages/routing/test/pacing.test.ts
+++ b/packages/routing/test/pacing.test.ts
@@ -6,7 +6,7 @@
  */
 import { createManualTimers } from '@celeryyoke/core';
 import type { AdmissionRequest, Member, PeerChannel, ReplicaEntry } from '@celeryyoke/routing';
-import { PromptPacer, PromptAdmission, ReadingRate } from '@celeryyoke/routing';
+import { InFlightTable, PromptAdmission, PromptPacer, ReadingRate, Verdict } from '@celeryyoke/routing';
 import test from 'ava';
 import fc from 'fast-check';
 
@@ -103,13 +103,16 @@
 });
 
 const KEY = 'base/a1';
-const AT_ONCE = { delayMs: 0, isResident: undefined };
+const UNHEARD = { verdict: Verdict.Admitted, delayMs: 0, counts: undefined };
+const PLACES = 8;
+const COUNTS = { running: 3, waiting: 1 };
 const NO_CHANGES = { isWhole: false, replicas: [], adapters: [] };
 
 function makeAdmission(
   holder: string | undefined,
   request: (address: string) => Promise<unknown>,
   isResident: boolean | undefined = true,
+  counts = COUNTS,
 ) {
   const entry: ReplicaEntry = engineEntry('e');
   return new PromptAdmission({
@@ -122,35 +125,69 @@
     takeChanges: () => NO_CHANGES,
     takeReport: () => undefined,
     isResident: () => isResident,
+    counts: () => counts,
   });
 }
 
 test('the owner of an engine spaces the prompts of all daemons', async (t) => {
   const own = makeAdmission('a', () => Promise.reject(new Error('unused')));
-  t.deepEqual(await own.admit('e', KEY, turn(5000)), { delayMs: 0, isResident: true });
-  t.true((await own.admit('e', KEY, turn(5000))).delayMs > 0);
-  const asked = makeAdmission('b', () => Promise.resolve([120, true]));
-  t.deepEqual(await asked.admit('e', KEY, turn(5000)), { delayMs: 120, isResident: true });
+  t.deepEqual(await own.admit('e', KEY, PLACES, turn(5000)), {
+    verdict: Verdict.Admitted,
+    delayMs: 0,
+    counts: COUNTS,
+  });
+  t.true((await own.admit('e', KEY, PLACES, turn(5000))).delayMs > 0);
+  const asked = makeAdmission('b', () => Promise.resolve([Verdict.Admitted, 120, 3, 1]));
+  t.deepEqual(await asked.admit('e', KEY, PLACES, turn(5000)), {
+    verdict: Verdict.Admitted,
+    delayMs: 120,
+    counts: COUNTS,
+  });
 });
 
 test('a prompt goes at once when nobody owns its engine or no answer comes', async (t) => {
-  const nobody = makeAdmission(undefined, () => Promise.resolve([99, true]));
-  t.deepEqual(await nobody.admit('e', KEY, turn(5000)), AT_ONCE);
+  const nobody = makeAdmission(undefined, () => Promise.resolve([Verdict.Admitted, 99, 3, 1]));
+  t.deepEqual(await nobody.admit('e', KEY, PLACES, turn(5000)), UNHEARD);
   const silent = makeAdmission('b', () => Promise.reject(new Error('The link is down.')));
-  t.deepEqual(await silent.admit('e', KEY, turn(5000)), AT_ONCE);
+  t.deepEqual(await silent.admit('e', KEY, PLACES, turn(5000)), UNHEARD);
 });
 
 test('a prompt whose adapter was taken away is not sent, and takes no room from those that are', async (t) => {
   const own = makeAdmission('a', () => Promise.reject(new Error('unused')), false);
   for (let index = 0; index < 5; index += 1)
-    t.deepEqual(await own.admit('e', KEY, turn(5000)), { delayMs: 0, isResident: false });
-  const asked = makeAdmission('b', () => Promise.resolve([0, false]));
-  t.deepEqual(await asked.admit('e', KEY, turn(5000)), { delayMs: 0, isResident: false });
+    t.deepEqual(await own.admit('e', KEY, PLACES, turn(5000)), {
+      verdict: Verdict.NotResident,
+      delayMs: 0,
+      counts: COUNTS,
+    });
+  const asked = makeAdmission('b', () => Promise.resolve([Verdict.NotResident, 0, 3, 1]));
+  t.deepEqual(await asked.admit('e', KEY, PLACES, turn(5000)), {
+    verdict: Verdict.NotResident,
+    delayMs: 0,
+    counts: COUNTS,
+  });
+});
+
+test('a burst from daemons that have not heard of each other does not fill an engine beyond its places', async (t) => {
+  // By what each of them knows, all of the engine is free; only its owner has counted them all.
+  const inFlight = new InFlightTable(createManualTimers());
+  const decisions: Verdict[] = [];
+  for (let index = 0; index < 3 * PLACES; index += 1) {
+    const peer = `p${index}`;
+    const line = { replica: 'e', running: 1, waiting: 1 };
+    inFlight.take(peer, { isWhole: false, replicas: [line], adapters: [] });
+    const own = makeAdmission('a', () => Promise.reject(new Error('unused')), true, inFlight.sum('e'));
+    const { verdict, counts } = await own.admit('e', KEY, PLACES, turn(10));
+    decisions.push(verdict);
+    t.is(counts!.running, Math.min(index, PLACES) + 1);
+    if (verdict === Verdict.Full) inFlight.forgetPeer(peer);
+  }
+  t.is(decisions.filter((verdict) => verdict === Verdict.Admitted).length, PLACES);
 });
 
 test('an owner that does not know what its engine holds lets prompts go', async (t) => {
   const own = makeAdmission('a', () => Promise.reject(new Error('unused')), undefined);
-  t.is((await own.admit('e', KEY, turn(5000))).delayMs, 0);
+  t.is((await own.admit('e', KEY, PLACES, turn(5000))).delayMs, 0);
 });
 
 test('the owner hears of a request before it answers, so that the adapter stays', async (t) => {
@@ -174,12 +211,13 @@
       order.push('residency');
       return true;
     },
+    counts: () => COUNTS,
   });
-  const sender = makeAdmission('b', (_address) => Promise.resolve([0, true]));
-  t.is((await sender.admit('e', KEY, turn(10))).delayMs, 0);
+  const sender = makeAdmission('b', () => Promise.resolve([Verdict.Admitted, 0, 3, 1]));
+  t.is((await sender.admit('e', KEY, PLACES, turn(10))).delayMs, 0);
   t.truthy(owner);
   const from: Member = { address: 'p', zone: 'z', incarnation: 1 };
-  const frame = ['e', KEY, 5000, PAUSE_MS, 100, [], [false, [['e', 1, 1]], [['e', KEY, 1, 1]]]];
-  t.deepEqual(handler!(from, frame as never, { push: () => undefined }), [0, true]);
+  const frame = ['e', KEY, PLACES, 5000, PAUSE_MS, 100, [], [false, [['e', 1, 1]], [['e', KEY, 1, 1]]]];
+  t.deepEqual(handler!(from, frame as never, { push: () => undefined }), [Verdict.Admitted, 0, 3, 1]);
   t.deepEqual(order, ['report of p', 'residency']);
 });
