view, in-flight: recover at once when all daemons start again

(2) Requests that began while nobody owned an engine were reported a second later; the new owner ordered adapters away that were in use, which blocks the engine (181 failed orders in 8.5 s, 8 before). Change: a daemon that starts again reads the store after 60 ms without a view, seeds are tried each 100 ms for 2 s, and a new owner hears at once of what runs.

--- a/packages/routing/src/core/cluster/cluster.ts
+++ b/packages/routing/src/core/cluster/cluster.ts
@@ -43,8 +43,10 @@
 /** Longest wait for a seed's members, in milliseconds. */
 const JOIN_TIMEOUT_MS = 1000;
 /** Pauses between two tries to join a seed that is not alive, in milliseconds: at first, and at last. */
-const FIRST_JOIN_PAUSE_MS = 300;
+const FIRST_JOIN_PAUSE_MS = 100;
 const LAST_JOIN_PAUSE_MS = 5000;
+/** Time after the start in which seeds are tried without longer pauses, in milliseconds: all may be starting. */
+const JOINING_MS = 2000;
 
 /** Options of the cluster. */
 export interface ClusterOptions {
@@ -91,6 +93,8 @@
 
   private ticking: TimerHandle | undefined;
 
+  private joining: TimerHandle | undefined;
+
   private isClosing = false;
 
   /**
@@ -145,8 +149,13 @@
       onClose: (peer, channel, isOrderly) => this.handleClose(peer, channel, isOrderly),
       onProblem: (peer, err) => log.debug(`Connection of ${peer ?? 'an unknown peer'}: ${err.message}.`),
     });
+    const startedAt = timers.now();
     this.tick();
     this.ticking = timers.repeat(HEARTBEAT_MS, () => this.tick());
+    this.joining = timers.repeat(FIRST_JOIN_PAUSE_MS, (now) => {
+      this.joinSeeds(now, true);
+      if (now - startedAt > JOINING_MS) this.joining?.cancel();
+    });
   }
 
   /** Tells the fleet that this daemon is shutting down; its links stay for the requests that it still serves. */
@@ -159,6 +168,7 @@
     if (this.isClosing) return;
     this.isClosing = true;
     this.ticking?.cancel();
+    this.joining?.cancel();
     for (const { link } of this.outgoing.values()) link?.close();
     this.stopListening?.();
   }
@@ -259,7 +269,7 @@
 
   private tick(): void {
     const now = this.options.timers.now();
-    for (const seed of this.options.seeds()) this.joinSeed(seed, now);
+    this.joinSeeds(now, this.alive().length === 1);
     const targets = this.members.successors(this.probedMembers);
     for (const target of targets) this.probe(target, now);
     this.adjustProbing(targets);
@@ -295,7 +305,11 @@
     }
   }
 
-  private joinSeed(seed: string, now: number): void {
+  private joinSeeds(now: number, isHurried: boolean): void {
+    for (const seed of this.options.seeds()) this.joinSeed(seed, now, isHurried);
+  }
+
+  private joinSeed(seed: string, now: number, isHurried: boolean): void {
     if (seed === this.options.self.address || this.state(seed) === MemberState.Alive) {
       this.seedAttempts.delete(seed);
       return;
@@ -303,10 +317,8 @@
     const attempts = this.seedAttempts.get(seed) ?? { pauseMs: FIRST_JOIN_PAUSE_MS, nextAt: now };
     this.seedAttempts.set(seed, attempts);
     if (now < attempts.nextAt) return;
+    attempts.pauseMs = isHurried ? FIRST_JOIN_PAUSE_MS : Math.min(LAST_JOIN_PAUSE_MS, attempts.pauseMs * 2);
     attempts.nextAt = now + attempts.pauseMs;
-    // A daemon alone has nobody else to ask.
-    const isAlone = this.alive().length === 1;
-    attempts.pauseMs = isAlone ? FIRST_JOIN_PAUSE_MS : Math.min(LAST_JOIN_PAUSE_MS, attempts.pauseMs * 2);
     void this.join(seed);
   }
 
--- a/packages/routing/src/core/daemon/in-flight-reporter.ts
+++ b/packages/routing/src/core/daemon/in-flight-reporter.ts
@@ -75,6 +75,16 @@
     return { isWhole: false, replicas: [inFlight.ownOf(replica)], adapters };
   }
 
+  /**
+   * Reports all requests on a replica that has another owner: that one may take an adapter away which it believes unused.
+   * @param replica - The replica.
+   */
+  noteOwner(replica: string): void {
+    const { inFlight } = this.options;
+    for (const key of inFlight.ownKeys(replica)) this.noteChange(replica, key);
+    if (inFlight.ownOf(replica).running > 0) this.noteChange(replica, undefined);
+  }
+
   private noteChange(replica: string, key: string | undefined): void {
     const { claims, self, timers, loader, inFlight } = this.options;
     const owner = claims.of(replica)?.holder;
--- a/packages/routing/src/core/daemon/peer-protocol.ts
+++ b/packages/routing/src/core/daemon/peer-protocol.ts
@@ -12,6 +12,7 @@
 import type { Directory, ReplicaStart } from '../view/index.js';
 import type { EngineLoadRow, ResidencyRow } from './engine-rows.js';
 import { decodeEngineLoad, decodeResidency, encodeEngineLoad, encodeResidency } from './engine-rows.js';
+import type { InFlightReporter } from './in-flight-reporter.js';
 
 /** How often an owner looks whether the load of its engines has changed, in milliseconds. */
 const LOAD_MS = 200;
@@ -27,6 +28,7 @@
   readonly loader: Loader;
   readonly holdings: HoldingsBook;
   readonly inFlight: InFlightTable;
+  readonly reporter: InFlightReporter;
   readonly timers: TimerService;
 }
 
@@ -149,11 +151,15 @@
   }
 
   private claimTopic(): TopicHandler<Claim> {
-    const { claims } = this.options;
+    const { claims, reporter } = this.options;
     return {
       isUrgent: true,
       keyOf: ({ replica }) => replica,
-      merge: (claim) => claims.take(claim),
+      merge: (claim) => {
+        const isNews = claims.take(claim);
+        if (isNews) reporter.noteOwner(claim.replica);
+        return isNews;
+      },
       snapshot: () => claims.all(),
       encode: ({ replica, holder, token }) => [replica, holder, token],
       decode: (wire) => {
--- a/packages/routing/src/core/daemon/services.ts
+++ b/packages/routing/src/core/daemon/services.ts
@@ -143,6 +143,7 @@
           PART.loader,
           PART.holdings,
           PART.inFlight,
+          PART.reporter,
         ],
         (kernel) => this.makeProtocol(kernel),
         (protocol) => protocol.stop(),
@@ -260,6 +261,7 @@
       loader: kernel.get(PART.loader),
       holdings: kernel.get(PART.holdings),
       inFlight: kernel.get(PART.inFlight),
+      reporter: kernel.get(PART.reporter),
       timers: this.options.timers,
     });
   }
@@ -370,6 +372,7 @@
       timers,
       rank: () => cluster.alive().indexOf(self),
       isAlone: () => cluster.alive().length <= 1,
+      isFirstStart: this.options.settings.isFirstStart,
       publish: (isNews) => tree.publishView(isNews),
       onSource: (isReachable, reason) =>
         log.warn(isReachable ? 'The platform answers again.' : `The platform does not answer: ${reason}.`),
--- a/packages/routing/src/core/daemon/types.ts
+++ b/packages/routing/src/core/daemon/types.ts
@@ -22,6 +22,8 @@
   readonly metricsPort: number | undefined;
   /** Peers to ask first, as `host:port`; they may be stale or down. */
   readonly seeds: readonly string[];
+  /** Whether the whole fleet starts for the first time, before any caller. */
+  readonly isFirstStart: boolean;
   /** Time for a graceful shutdown in milliseconds. */
   readonly graceMs: number;
   /** Lease of the right to give orders, in milliseconds. */
--- a/packages/routing/src/core/view/follow.ts
+++ b/packages/routing/src/core/view/follow.ts
@@ -28,12 +28,16 @@
  */
 const TAKE_OVER_STEP_MS = 250;
 /**
- * Time after its start in which a daemon that knows no other waits for word of one, in milliseconds: where all start
- * at once, one of them reads for all.
+ * Time after its start in which a daemon that knows no other waits for word of one, in milliseconds: where the whole
+ * fleet starts for the first time, one of them reads for all.
  */
 const ALONE_MS = 400;
+/** Time in which a daemon that starts again waits for the view of a peer, in milliseconds: callers may be waiting. */
+const RESTART_WAIT_MS = 60;
 /** How often a daemon that does not read looks at the view's age, in milliseconds. */
 const LOOK_MS = 100;
+/** The same until it has a view, in milliseconds. */
+const FIRST_LOOK_MS = 20;
 
 /** Options of a follower. */
 export interface FollowOptions {
@@ -44,6 +48,8 @@
   readonly rank: () => number;
   /** Whether this daemon knows no other. */
   readonly isAlone: () => boolean;
+  /** Whether the whole fleet starts for the first time, before any caller. */
+  readonly isFirstStart: boolean;
   /** Gives what was read to the peers; told whether there were changes. */
   readonly publish: (isNews: boolean) => void;
   /** Told when the source is lost or regained. */
@@ -72,9 +78,20 @@
 
   /** Follows the source until it is stopped. */
   start(): void {
-    this.looking = this.options.timers.repeat(LOOK_MS, () => {
-      if (!this.isReading && this.isMyTurn()) void this.read();
-    });
+    const { timers } = this.options;
+    this.looking = timers.repeat(LOOK_MS, () => this.look());
+    void this.lookForFirst();
+  }
+
+  private async lookForFirst(): Promise<void> {
+    while (this.options.view.upTo === 0 && !this.stopping.signal.aborted) {
+      this.look();
+      await this.options.timers.sleep(FIRST_LOOK_MS);
+    }
+  }
+
+  private look(): void {
+    if (!this.isReading && this.isMyTurn()) void this.read();
   }
 
   /** Ends the task; a call that waits is given up. */
@@ -91,8 +108,9 @@
   }
 
   private isMyTurn(): boolean {
-    const { view, rank, isAlone, timers } = this.options;
+    const { view, rank, isAlone, isFirstStart, timers } = this.options;
     const sinceStartMs = timers.now() - this.startedAt;
+    if (view.upTo === 0 && !isFirstStart) return sinceStartMs >= RESTART_WAIT_MS;
     const place = rank();
     if (place === 0) return !isAlone() || sinceStartMs >= ALONE_MS;
     const doublings = place < 0 ? 0 : Math.floor(Math.log2(place + 1));
--- /dev/null
+++ b/packages/routing/test/follow.test.ts
@@ -0,0 +1,103 @@
+/** Who reads the platform's store: one for all, and others when that one does not. */
+import { createManualTimers } from '@celeryyoke/core';
+import type { Delta } from '@celeryyoke/routing';
+import { Follower, SharedView } from '@celeryyoke/routing';
+import test from 'ava';
+
+interface Options {
+  readonly rank?: () => number;
+  readonly isAlone?: () => boolean;
+  readonly isFirstStart?: boolean;
+  readonly fails?: boolean;
+}
+
+function setUp({ rank = () => 0, isAlone = () => false, isFirstStart = false, fails = false }: Options) {
+  const timers = createManualTimers();
+  const view = new SharedView(timers);
+  const calls = { list: 0, watch: 0 };
+  const answer = (delta: Delta): Promise<Delta> =>
+    fails ? Promise.reject(new Error('down')) : Promise.resolve(delta);
+  const follower = new Follower({
+    view,
+    timers,
+    rank,
+    isAlone,
+    isFirstStart,
+    source: {
+      list: () => {
+        calls.list += 1;
+        return answer({ from: 0, upTo: 7, isWhole: true, changes: [] });
+      },
+      watch: async (after) => {
+        calls.watch += 1;
+        await timers.sleep(600);
+        return answer({ from: after, upTo: after, isWhole: false, changes: [] });
+      },
+    },
+    publish: () => undefined,
+    onSource: () => undefined,
+  });
+  follower.start();
+  const takeView = (): void => {
+    view.apply({ from: 0, upTo: 7, isWhole: true, changes: [] });
+    view.confirm(7, 0);
+  };
+  return { timers, view, calls, follower, takeView };
+}
+
+test('where the fleet starts for the first time, only the first of the daemons lists the store', async (t) => {
+  let lists = 0;
+  for (let place = 0; place < 195; place += 1) {
+    const { timers, calls, follower, takeView } = setUp({ rank: () => place, isFirstStart: true });
+    await timers.advance(300);
+    // The others have the view from the first one by then.
+    if (place > 0) takeView();
+    await timers.advance(400);
+    follower.stop();
+    lists += calls.list;
+  }
+  t.is(lists, 1);
+});
+
+test('a daemon that knows no other yet waits for one at a first start', async (t) => {
+  const { timers, calls } = setUp({ isAlone: () => true, isFirstStart: true });
+  await timers.advance(350);
+  t.is(calls.list, 0);
+  await timers.advance(150);
+  t.is(calls.list, 1);
+});
+
+test('a daemon that starts again reads at once unless a peer has told it', async (t) => {
+  const { timers, view } = setUp({ rank: () => 5 });
+  await timers.advance(120);
+  t.is(view.upTo, 7);
+  const told = setUp({ rank: () => 5 });
+  await told.timers.advance(30);
+  told.takeView();
+  await told.timers.advance(500);
+  t.deepEqual(told.calls, { list: 0, watch: 0 });
+});
+
+test('when the first one can’t read, a few others do, and more the longer it lasts', async (t) => {
+  const readers: number[] = [];
+  for (const afterMs of [1150, 1400, 1900, 3500]) {
+    let reading = 0;
+    for (let place = 1; place < 195; place += 1) {
+      const { timers, calls, follower, takeView } = setUp({ rank: () => place });
+      takeView();
+      await timers.advance(afterMs);
+      follower.stop();
+      if (calls.watch > 0) reading += 1;
+    }
+    readers.push(reading);
+  }
+  const [first = 0, second = 0, third = 0] = readers;
+  t.true(first === 0 && second <= 2 && third <= 14, readers.join());
+  t.is(readers[3], 194);
+});
+
+test('an outage does not end the watch for its end', async (t) => {
+  const { timers, calls } = setUp({ fails: true });
+  await timers.advance(1000);
+  t.true(calls.list >= 4 && calls.list <= 8, `${calls.list} calls`);
+});
--- a/packages/routing/test/in-flight.test.ts
+++ b/packages/routing/test/in-flight.test.ts
@@ -119,7 +119,8 @@
 });
 
 /** A reporter before one engine with an owner. */
-function makeReporter(owner: string) {
+function makeReporter(owner: string | undefined) {
+  const owners = { current: owner };
   const timers = createManualTimers();
   const inFlight = new InFlightTable(timers);
   const sent: { to: string; report: InFlightReport }[] = [];
@@ -130,7 +131,10 @@
     cluster: {
       send: (to, _type, body) => sent.push({ to, report: decodeInFlight(body as InFlightFrame) }),
     },
-    claims: { of: (replica) => ({ replica, holder: owner, token: 1 }) },
+    claims: {
+      of: (replica) =>
+        owners.current === undefined ? undefined : { replica, holder: owners.current, token: 1 },
+    },
     loader: {
       use: (_replica, _key, uses) => used.push(uses),
       setRunning: (_replica, count) => running.push(count().get(KEY) ?? 0),
@@ -138,7 +142,7 @@
     inFlight,
     timers,
   });
-  return { timers, inFlight, sent, used, running, reporter };
+  return { timers, inFlight, sent, used, running, reporter, owners };
 }
 
 test('many requests that begin together are one message to the owner of their engine', async (t) => {
@@ -174,6 +178,18 @@
   t.is(sent.length, count);
 });
 
+test('after all daemons have started again, a new owner hears at once what already runs on its engine', async (t) => {
+  // Until somebody owns the engine, requests go to the adapters that its entry names.
+  const { timers, inFlight, sent, reporter, owners } = makeReporter(undefined);
+  inFlight.begin('e', KEY);
+  await timers.advance(100);
+  t.deepEqual(sent, []);
+  owners.current = 'b';
+  reporter.noteOwner('e');
+  await timers.advance(20);
+  t.deepEqual(sent, [{ to: 'b', report: report([onReplica(1, 1)], [onAdapter(KEY, 1, 1)], false) }]);
+});
+
 test('requests on an engine of this daemon are counted without a message', async (t) => {
   const { timers, inFlight, sent, used, running } = makeReporter('a');
   inFlight.begin('e', KEY).ended();
