ownership: take no leases before those of the others are known

A daemon that has just started took engines that fell to it by hashing as soon as its members were quiet, also when the state of the others had not reached it. It now waits until it is the root or has the whole state of its parent.

--- a/packages/routing/src/core/daemon/services.ts
+++ b/packages/routing/src/core/daemon/services.ts
@@ -298,6 +298,7 @@
       leaseMs: settings.leaseMs,
       isFenced: settings.isFenced,
       isRecovering: () => pauses.isRecovering,
+      isInformed: () => tree.isPlaced,
       isUpToDate: () => tree.ageMs < UP_TO_DATE_MS && isHeard(),
       onGain: (lease) => {
         log.decide('lease.gained', `Gives orders to ${lease.replica}.`, {
--- a/packages/routing/src/core/dissemination/tree.ts
+++ b/packages/routing/src/core/dissemination/tree.ts
@@ -167,6 +167,11 @@
     return this.isRoot ? 0 : this.options.timers.now() - this.rootHeardAt;
   }
 
+  /** Whether this daemon is the root, or has the whole state from its parent. */
+  get isPlaced(): boolean {
+    return this.isRoot || this.isSubscribed;
+  }
+
   /** Daemons that subscribe to this one. */
   get subscribers(): number {
     return this.children.size;
--- a/packages/routing/src/core/ownership/engine-leases.ts
+++ b/packages/routing/src/core/ownership/engine-leases.ts
@@ -66,6 +66,8 @@
   readonly isRecovering: () => boolean;
   /** Whether this daemon has heard of the fleet so recently that no other one can have taken an engine over unheard. */
   readonly isUpToDate: () => boolean;
+  /** Whether this daemon has been told of the leases that others hold, where there are others. */
+  readonly isInformed: () => boolean;
   /** Called when this daemon gains or loses an engine. */
   readonly onGain: (lease: EngineLease) => void;
   readonly onLoss: (lease: EngineLease, reason: string) => void;
@@ -205,7 +207,8 @@
     }
     const age = now - this.startedAt;
     const least = alive.length === 1 ? ALONE_SETTLE_MS : SETTLE_MS;
-    return age >= MAX_SETTLE_MS || (age >= least && now - this.changedAt >= QUIET_MS);
+    const isQuiet = age >= least && now - this.changedAt >= QUIET_MS && this.options.isInformed();
+    return age >= MAX_SETTLE_MS || isQuiet;
   }
 
   private isOrphan(replica: string): boolean {
--- a/packages/routing/test/engine-leases.test.ts
+++ b/packages/routing/test/engine-leases.test.ts
@@ -39,7 +39,7 @@
   const fleet = new FakeFleet(self, others);
   const gained: EngineLease[] = [];
   const lost: string[] = [];
-  const flags = { isRecovering: false, isUpToDate: true };
+  const flags = { isRecovering: false, isUpToDate: true, isInformed: true };
   const leases = new EngineLeases({
     self,
     fleet,
@@ -48,6 +48,7 @@
     isFenced,
     isRecovering: () => flags.isRecovering,
     isUpToDate: () => flags.isUpToDate,
+    isInformed: () => flags.isInformed,
     onGain: (lease) => gained.push(lease),
     onLoss: (lease) => lost.push(lease.replica),
   });
@@ -215,6 +216,7 @@
     isFenced: false,
     isRecovering: () => false,
     isUpToDate: () => true,
+    isInformed: () => true,
     onGain: (lease) => claimed.push(lease),
     onLoss: () => undefined,
   });
@@ -224,3 +226,29 @@
   leases.review(['y']);
   t.true(claimed[1]!.token > claimed[0]!.token);
 });
+
+test('a daemon that has not been told of the others’ leases takes none, though they are silent about them', (t) => {
+  const { timers, leases, gained, flags } = setUp();
+  flags.isInformed = false;
+  leases.review(engines);
+  timers.advanceSync(1000);
+  leases.review(engines);
+  t.deepEqual(gained, []);
+  flags.isInformed = true;
+  leases.review(engines);
+  t.true(gained.length > 0);
+});
+
+test('where engines check no tokens, a daemon that has not heard of the fleet gives no orders', (t) => {
+  const { timers, leases, flags } = setUp('a', []);
+  timers.advanceSync(SETTLED_MS);
+  leases.review(['x']);
+  t.not(leases.authority('x'), undefined);
+  flags.isUpToDate = false;
+  t.is(leases.authority('x'), undefined);
+  const fenced = setUp('a', [], true);
+  fenced.timers.advanceSync(SETTLED_MS);
+  fenced.leases.review(['x']);
+  fenced.flags.isUpToDate = false;
+  t.not(fenced.leases.authority('x'), undefined);
+});
