adapters: name the fields of an engine's slot availability

The tuple [replica, room, queued] is SlotAvailability with freeSlots; two tests expect the named form of the same values. Nothing else changes.

--- a/packages/routing/src/core/adapters/engine-owner.ts
+++ b/packages/routing/src/core/adapters/engine-owner.ts
@@ -19,7 +19,7 @@
 import { EngineSession } from './session.js';
 import type { Slot } from './slots.js';
 import { isMoving, SlotState, SlotTable } from './slots.js';
-import type { AdapterRef, EngineReport, Holdings, RoomLine, Urgency } from './types.js';
+import type { AdapterRef, EngineReport, Holdings, SlotAvailability, Urgency } from './types.js';
 import { adapterKey, AdapterUnavailable, OrderKind, OrderOutcome } from './types.js';
 import { Unloads } from './unloads.js';
 
@@ -32,8 +32,8 @@
 const MODEL_POLL_MS = 200;
 /** Version of an adapter of which no newer one was declared. */
 const FIRST_VERSION = 1;
-/** Availability that is told of an engine that can't be reached. */
-const NO_WAY = -1;
+/** Free slots that are published of an engine that can't be reached. */
+const UNREACHABLE_SLOTS = -1;
 
 /** Options of an owner. */
 export interface EngineOwnerOptions extends Omit<
@@ -116,7 +116,7 @@
    * @returns Nothing when it is in place; how the slots stand when its turn has not come.
    * @throws AdapterUnavailable when it can't be had.
    */
-  async ensure(ref: AdapterRef, urgency: Urgency): Promise<RoomLine | undefined> {
+  async ensure(ref: AdapterRef, urgency: Urgency): Promise<SlotAvailability | undefined> {
     const key = adapterKey(ref.model, ref.adapter);
     if (this.isStopped) throw new AdapterUnavailable('The engine was given up.');
     if (this.orders.isUnreachable) throw new AdapterUnavailable('The engine can’t be reached.');
@@ -127,11 +127,11 @@
       return undefined;
     }
     const known = this.queue.find(key);
-    if (known === undefined && urgency.patienceMs === 0 && !this.canBegin) return this.room();
+    if (known === undefined && urgency.patienceMs === 0 && !this.canBegin) return this.availability();
     const wanted = known ?? this.queue.add(ref);
     this.queue.hasten(wanted, urgency);
     if (known === undefined) this.pump();
-    if (!(await this.queue.turnOf(wanted))) return this.room();
+    if (!(await this.queue.turnOf(wanted))) return this.availability();
     await wanted.promise;
     return undefined;
   }
@@ -379,11 +379,12 @@
     return adapterPlaces(this.options.engine, this.session.models);
   }
 
-  /** How the engine's slots stand, for the heartbeat. */
-  room(): RoomLine {
+  /** How the engine's slots stand. */
+  availability(): SlotAvailability {
     const { replica } = this.options;
-    if (this.orders.isUnreachable) return [replica.id, NO_WAY, 0];
-    return [replica.id, Math.max(0, this.free - this.queue.size), this.queue.size];
+    if (this.orders.isUnreachable) return { replica: replica.id, freeSlots: UNREACHABLE_SLOTS, queued: 0 };
+    const queued = this.queue.size;
+    return { replica: replica.id, freeSlots: Math.max(0, this.free - queued), queued };
   }
 
   /** One line on what the slots hold. */
--- a/packages/routing/src/core/adapters/index.ts
+++ b/packages/routing/src/core/adapters/index.ts
@@ -13,8 +13,7 @@
   EngineReport,
   EnsureAdapter,
   Holdings,
-  Room,
-  RoomLine,
+  SlotAvailability,
   Urgency,
 } from './types.js';
 export { adapterKey, AdapterUnavailable, OrderKind, OrderOutcome } from './types.js';
--- a/packages/routing/src/core/adapters/loader.ts
+++ b/packages/routing/src/core/adapters/loader.ts
@@ -11,7 +11,7 @@
 import { ReplicaState } from '../view/index.js';
 import type { ResidencyTable } from './residency.js';
 import { EngineOwner } from './engine-owner.js';
-import type { AdapterRef, EngineControl, Holdings, RoomLine, Urgency } from './types.js';
+import type { AdapterRef, EngineControl, Holdings, SlotAvailability, Urgency } from './types.js';
 import { adapterKey, AdapterUnavailable } from './types.js';
 
 /** Options of the loader. */
@@ -74,15 +74,15 @@
     const { leases, self, cluster, residency } = this.options;
     const lease = leases.of(replica.id);
     if (lease === undefined) throw new AdapterUnavailable('Nobody gives this engine orders now.');
-    residency.useRoom(replica.id);
+    residency.takeSlot(replica.id);
     const wanted: EnsureWanted = { ...ref, ...urgency, replica: replica.id };
-    const line =
+    const slots =
       lease.holder === self
         ? await this.ensureHere(wanted)
         : await cluster.request(lease.holder, MessageType.Ensure, wanted, urgency.timeoutMs);
     // MessagePack has no undefined.
-    if (line === undefined || line === null) return true;
-    residency.takeRoom(line as RoomLine);
+    if (slots === undefined || slots === null) return true;
+    residency.updateSlots(slots as SlotAvailability);
     return false;
   }
 
@@ -92,7 +92,7 @@
    * @returns Nothing when it is in place; how the slots stand when its turn has not come.
    * @throws AdapterUnavailable when it can't be had in time.
    */
-  async ensureHere(wanted: EnsureWanted): Promise<RoomLine | undefined> {
+  async ensureHere(wanted: EnsureWanted): Promise<SlotAvailability | undefined> {
     const { replica, model, adapter, version, isDoubted, timeoutMs } = wanted;
     const owner = this.owners.get(replica);
     if (owner === undefined) throw new AdapterUnavailable('This daemon does not keep the engine.');
@@ -209,8 +209,8 @@
   }
 
   /** How the slots of this daemon's engines stand. */
-  rooms(): RoomLine[] {
-    return [...this.owners.values()].map((owner) => owner.room());
+  slots(): SlotAvailability[] {
+    return [...this.owners.values()].map((owner) => owner.availability());
   }
 
   /** What the engines of this daemon hold. */
--- a/packages/routing/src/core/adapters/residency.ts
+++ b/packages/routing/src/core/adapters/residency.ts
@@ -1,18 +1,17 @@
 /** What each engine holds, as far as this daemon knows: from the daemon that gives it orders, or from the registry. */
 import type { ReplicaRegistry, ReplicaEntry } from '../view/index.js';
-import type { Holdings, Room, RoomLine } from './types.js';
+import type { Holdings, SlotAvailability } from './types.js';
 import { adapterKey } from './types.js';
 
 /** Adapters remembered for each slot of an engine: it keeps copies of about that many in its host's memory. */
 const REMEMBERED_PER_SLOT = 6;
 const LEAST_REMEMBERED = 48;
-const NO_ROOM: Room = { room: 0, queued: 0 };
 
 /** The book of residency. */
 export class ResidencyTable {
   private readonly told = new Map<string, Holdings>();
 
-  private readonly rooms = new Map<string, Room>();
+  private readonly availability = new Map<string, SlotAvailability>();
 
   /** Adapters that each engine held of late, the latest last; they load ten times as fast there and cost nothing. */
   private readonly recent = new Map<string, Set<string>>();
@@ -25,7 +24,7 @@
     registry.onReplica((id, entry) => {
       if (entry !== undefined) return;
       this.told.delete(id);
-      this.rooms.delete(id);
+      this.availability.delete(id);
       this.recent.delete(id);
     });
   }
@@ -71,28 +70,30 @@
 
   /**
    * Takes what an owner tells of its engine's slots.
-   * @param line - The engine and its slots.
+   * @param slots - The engine and its slots.
    */
-  takeRoom([replica, room, queued]: RoomLine): void {
-    this.rooms.set(replica, { room, queued });
+  updateSlots(slots: SlotAvailability): void {
+    this.availability.set(slots.replica, slots);
   }
 
   /**
    * Notes that a load is asked for, until the owner tells anew.
    * @param replica - The engine.
    */
-  useRoom(replica: string): void {
-    const { room, queued } = this.room(replica);
-    this.rooms.set(replica, room > 0 ? { room: room - 1, queued } : { room, queued: queued + 1 });
+  takeSlot(replica: string): void {
+    const slots = this.slots(replica);
+    const { freeSlots, queued } = slots;
+    const after = freeSlots > 0 ? { freeSlots: freeSlots - 1 } : { queued: queued + 1 };
+    this.availability.set(replica, { ...slots, ...after });
   }
 
   /**
    * Tells how an engine's slots stand.
    * @param replica - The engine.
-   * @returns No room when nobody tells.
+   * @returns None free when nobody tells.
    */
-  room(replica: string): Room {
-    return this.rooms.get(replica) ?? NO_ROOM;
+  slots(replica: string): SlotAvailability {
+    return this.availability.get(replica) ?? { replica, freeSlots: 0, queued: 0 };
   }
 
   /**
--- a/packages/routing/src/core/adapters/types.ts
+++ b/packages/routing/src/core/adapters/types.ts
@@ -147,13 +147,11 @@
   readonly adapters: Readonly<Record<string, number>>;
 }
 
-/** How an engine's slots stand, as its owner tells with each heartbeat; a room below 0 says that it can't be reached. */
-export type RoomLine = readonly [replica: string, room: number, queued: number];
-
-/** How an engine's slots stand. */
-export interface Room {
+/** How an engine's adapter slots stand. */
+export interface SlotAvailability {
+  readonly replica: string;
   /** Slots that are free or could be freed at once; below 0 when the engine can't be reached. */
-  readonly room: number;
+  readonly freeSlots: number;
   /** Loads that wait for a slot. */
   readonly queued: number;
 }
--- a/packages/routing/src/core/choice/chooser.ts
+++ b/packages/routing/src/core/choice/chooser.ts
@@ -190,9 +190,9 @@
   private loadCost(replica: string, key: string): number {
     const { residency } = this.options;
     const load = residency.wasHeld(replica, key) ? RELOAD_COST_MS : FIRST_LOAD_COST_MS;
-    const { room, queued } = residency.room(replica);
-    if (room < 0) return REST_COST_MS;
-    return load + SLOT_COST_MS[Math.min(room, SLOT_COST_MS.length - 1)]! + queued * QUEUED_COST_MS;
+    const { freeSlots, queued } = residency.slots(replica);
+    if (freeSlots < 0) return REST_COST_MS;
+    return load + SLOT_COST_MS[Math.min(freeSlots, SLOT_COST_MS.length - 1)]! + queued * QUEUED_COST_MS;
   }
 
   private heldVersion(replica: ReplicaEntry, model: string, adapter: string): number | undefined {
--- a/packages/routing/src/core/daemon/engine-rows.ts
+++ b/packages/routing/src/core/daemon/engine-rows.ts
@@ -5,7 +5,7 @@
 /** Free slots of an engine and the requests in flight on it. */
 export interface EngineLoadRow extends EngineRow {
   /** Adapter slots that are free or could be freed at once; below 0 when the engine can't be reached. */
-  readonly room: number;
+  readonly freeSlots: number;
   /** Loads that wait for a slot. */
   readonly queued: number;
   /** Requests in flight, over all daemons. */
@@ -35,7 +35,7 @@
  * @returns Its compact form.
  */
 export function encodeEngineLoad(row: EngineLoadRow): LoadFrame {
-  return [row.replica, row.token, row.sequence, row.room, row.queued, row.running, row.waiting];
+  return [row.replica, row.token, row.sequence, row.freeSlots, row.queued, row.running, row.waiting];
 }
 
 /**
@@ -44,8 +44,8 @@
  * @returns The row.
  */
 export function decodeEngineLoad(wire: unknown): EngineLoadRow {
-  const [replica, token, sequence, room, queued, running, waiting] = wire as LoadFrame;
-  return { replica, token, sequence, room, queued, running, waiting };
+  const [replica, token, sequence, freeSlots, queued, running, waiting] = wire as LoadFrame;
+  return { replica, token, sequence, freeSlots, queued, running, waiting };
 }
 
 /**
--- a/packages/routing/src/core/daemon/peer-protocol.ts
+++ b/packages/routing/src/core/daemon/peer-protocol.ts
@@ -109,11 +109,11 @@
   private publishLoads(): void {
     const { leases, loader, inFlight, timers } = this.options;
     loader.refreshRunning((replica) => inFlight.runningByAdapter(replica));
-    const rooms = new Map(loader.rooms().map((line) => [line[0], line]));
+    const slots = new Map(loader.slots().map((availability) => [availability.replica, availability]));
     const now = timers.now();
     for (const { replica, token } of leases.mine()) {
-      const [, room, queued] = rooms.get(replica) ?? [replica, 0, 0];
-      const row = { replica, token, sequence: 0, room, queued, ...inFlight.sum(replica) };
+      const { freeSlots, queued } = slots.get(replica) ?? { freeSlots: 0, queued: 0 };
+      const row = { replica, token, sequence: 0, freeSlots, queued, ...inFlight.sum(replica) };
       const last = this.published.get(replica);
       if (last !== undefined && now - last.at < LOAD_REFRESH_MS && isSameLoad(last.row, row)) continue;
       this.publishLoad({ ...row, sequence: this.nextSequence() }, now);
@@ -129,7 +129,7 @@
 
   private applyLoad(row: EngineLoadRow): void {
     const { residency, inFlight } = this.options;
-    residency.takeRoom([row.replica, row.room, row.queued]);
+    residency.updateSlots(row);
     inFlight.takeTotal(row);
   }
 
@@ -218,7 +218,7 @@
 function isSameLoad(left: EngineLoadRow, right: EngineLoadRow): boolean {
   return (
     left.token === right.token &&
-    left.room === right.room &&
+    left.freeSlots === right.freeSlots &&
     left.queued === right.queued &&
     left.running === right.running &&
     left.waiting === right.waiting
--- a/packages/routing/test/engine-owner.test.ts
+++ b/packages/routing/test/engine-owner.test.ts
@@ -1,6 +1,6 @@
 /** A owner never orders more onto an engine than it holds, and never blocks it. */
 import { createManualTimers } from '@celeryyoke/core';
-import type { Holdings, EngineOwnerOptions, RoomLine } from '@celeryyoke/routing';
+import type { Holdings, EngineOwnerOptions, SlotAvailability } from '@celeryyoke/routing';
 import { AdapterUnavailable, EngineOwner, OrderKind, OrderOutcome } from '@celeryyoke/routing';
 import test from 'ava';
 import fc from 'fast-check';
@@ -121,7 +121,7 @@
 });
 
 /** Notes how a promise ended. */
-function watch(promise: Promise<RoomLine | undefined>): { state: string } {
+function watch(promise: Promise<SlotAvailability | undefined>): { state: string } {
   const note = { state: 'waiting' };
   promise.then(
     (line) => {
@@ -236,7 +236,7 @@
   const running = new Map(['x', 'y', 'z'].map((name) => [`${MODEL}/${name}`, 1]));
   owner.setRunning(running);
   const atOnce = { ...URGENCY, patienceMs: 0 };
-  t.deepEqual(await ensure('w', atOnce), ['e', 0, 0]);
+  t.deepEqual(await ensure('w', atOnce), { replica: 'e', freeSlots: 0, queued: 0 });
   owner.setRunning(new Map([...running].slice(1)));
   const note = watch(ensure('w', atOnce));
   await timers.advance(1000);
@@ -255,8 +255,8 @@
   void watch(ensure('w'));
   await timers.advance(100);
   t.is(control.blocked.size, 1);
-  t.is(owner.room()[1], 0);
-  t.deepEqual(await ensure('v', { ...URGENCY, patienceMs: 0 }), ['e', 0, 1]);
+  t.is(owner.availability().freeSlots, 0);
+  t.deepEqual(await ensure('v', { ...URGENCY, patienceMs: 0 }), { replica: 'e', freeSlots: 0, queued: 1 });
   for (const slot of control.slots.values()) slot.running = 0;
   await timers.advance(1000);
   t.is(control.overloads, 0);
--- a/packages/routing/test/orders/fleet.ts
+++ b/packages/routing/test/orders/fleet.ts
@@ -152,7 +152,7 @@
 
   private result(servesAtEnd: boolean): PlayResult {
     const { engine, runs, trace, plan } = this;
-    const [, roomAtEnd] = this.present.owner.room();
+    const { freeSlots: roomAtEnd } = this.present.owner.availability();
     return { overloads: engine.overloads, runs, servesAtEnd, roomAtEnd, places: plan.places, trace };
   }
 
