--- a/packages/routing/src/core/dissemination/tree.ts
+++ b/packages/routing/src/core/dissemination/tree.ts
@@ -8,13 +8,16 @@
 import type { DecisionLog, TimerHandle, TimerService } from '@celeryyoke/core';
 
 import type { Cluster, Member, PeerChannel } from '../cluster/index.js';
-import { encodePush, MemberState, MessageType } from '../cluster/index.js';
+import { MemberState, MessageType } from '../cluster/index.js';
 import type { Delta, ReplicatedStore } from '../view/index.js';
-import type { Batch, EncodedRows, Subscription, SubscriptionAnswer, ViewAge } from './batch.js';
+import type { Batch, EncodedRows, Subscription, SubscriptionAnswer } from './batch.js';
 import { decodeBatch, encodeBatch } from './batch.js';
+import { BatchTimer } from './batch-timer.js';
+import { Subscribers } from './subscribers.js';
 import { RowSet, TopicRegistry } from './topics.js';
 import { chooseParent } from './topology.js';
 import type { Topic, TopicHandler } from './types.js';
+import { ViewFeed } from './view-feed.js';
 
 /** How often a daemon looks at its place in the tree, in milliseconds. */
 const REVIEW_MS = 100;
@@ -24,8 +27,6 @@
 const UP_BATCH_MS = 30;
 /** Time for which urgent changes are collected, in milliseconds. */
 const URGENT_BATCH_MS = 2;
-/** Least time between two batches of one daemon, in milliseconds. */
-const LEAST_GAP_MS = 25;
 /** Longest time between two batches of the root, and between two signs of life of any parent, in milliseconds. */
 const BEAT_MS = 300;
 /** Time without a batch after which a parent counts as failed, in milliseconds. */
@@ -78,7 +79,11 @@
 
   private readonly pending = new RowSet();
 
-  private readonly children = new Map<string, PeerChannel>();
+  private readonly subscriberList: Subscribers;
+
+  private readonly viewFeed: ViewFeed;
+
+  private readonly batchTimer: BatchTimer;
 
   /** Members that failed as a parent, and until when they are not chosen. */
   private readonly excludedUntil = new Map<string, number>();
@@ -93,8 +98,6 @@
   /** Whether rows are merged that came from the parent: they need not go up again. */
   private isApplyingPush = false;
 
-  private isAskingForView = false;
-
   private isSeekingRoot = false;
 
   /** Monotonic times of the parent's last batch, and of the last batch of a root. */
@@ -110,17 +113,8 @@
   /** Digests of the root and of this daemon that differed when they were last compared. */
   private differingDigests: string | undefined;
 
-  private pushedAt = 0;
-
-  private flushedAt = 0;
-
-  /** Revision up to which the next daemon towards the root, or all daemons below a root, have the view. */
-  private sentUpTo = 0;
-
   private misplacedSince: number | undefined;
 
-  private flushTimer: { readonly dueAt: number; readonly handle: TimerHandle } | undefined;
-
   private reviewing: TimerHandle | undefined;
 
   /**
@@ -128,17 +122,20 @@
    * @param options - The members, the platform's view and time.
    */
   constructor(private readonly options: DisseminationOptions) {
-    const { cluster } = options;
+    const { cluster, timers } = options;
+    this.subscriberList = new Subscribers(timers);
+    this.viewFeed = new ViewFeed(options);
+    this.batchTimer = new BatchTimer(timers, () => this.sendBatch());
     cluster.handle(MessageType.Subscribe, (from, body: Subscription, channel) =>
       this.accept(from, body, channel),
     );
-    cluster.handle(MessageType.Unsubscribe, (from) => this.children.delete(from.address));
+    cluster.handle(MessageType.Unsubscribe, (from) => this.subscriberList.remove(from.address));
     cluster.handle(MessageType.Update, (_from, body) => this.handleUpdate(decodeBatch(body)));
     cluster.handle(MessageType.RootAge, () => Math.round(this.ageMs));
     cluster.handle(MessageType.ViewChanges, (_from, upTo: number) => options.view.since(upTo));
     cluster.handlePush((from, body) => this.handlePush(from, decodeBatch(body)));
     cluster.onLinkEnd((address) => this.handleLinkEnd(address));
-    cluster.onChannelClose((channel) => this.handleChannelClose(channel));
+    cluster.onChannelClose((channel) => this.subscriberList.removeChannel(channel));
   }
 
   /**
@@ -159,7 +156,7 @@
   /** Leaves the place. */
   stop(): void {
     this.reviewing?.cancel();
-    this.flushTimer?.handle.cancel();
+    this.batchTimer.cancel();
   }
 
   /** Age of the last batch of a root, in milliseconds; 0 for the root itself. */
@@ -174,7 +171,7 @@
 
   /** Daemons that subscribe to this one. */
   get subscribers(): number {
-    return this.children.size;
+    return this.subscriberList.size;
   }
 
   /**
@@ -207,17 +204,10 @@
   }
 
   private schedule(delayMs: number): void {
-    const { timers } = this.options;
-    const now = timers.now();
-    const dueAt = Math.max(now + delayMs, this.flushedAt + LEAST_GAP_MS);
-    if (this.flushTimer !== undefined && this.flushTimer.dueAt <= dueAt) return;
-    this.flushTimer?.handle.cancel();
-    this.flushTimer = { dueAt, handle: timers.after(dueAt - now, () => this.flush()) };
+    this.batchTimer.schedule(delayMs);
   }
 
-  private flush(): void {
-    this.flushTimer = undefined;
-    this.flushedAt = this.options.timers.now();
+  private sendBatch(): void {
     if (this.isRoot) this.pushAsRoot();
     else if (this.isSubscribed && this.parent !== undefined) this.sendUp(this.parent);
     // Without a parent the rows wait; the next one gets the whole state.
@@ -226,48 +216,41 @@
   private pushAsRoot(): void {
     this.beat += 1;
     const rows = this.topics.encode(this.pending.drain());
-    const digest = this.flushedAt - this.digestAt < DIGEST_MS ? undefined : this.options.cluster.digest();
-    if (digest !== undefined) this.digestAt = this.flushedAt;
-    this.push({ ...this.viewAge(), rows, delta: this.takeDelta(), beat: this.beat, digest });
+    this.push({
+      ...this.viewFeed.age(),
+      rows,
+      delta: this.viewFeed.takeUnsent(),
+      beat: this.beat,
+      digest: this.takeDigest(),
+    });
   }
 
   private sendUp(parent: string): void {
     const rows = this.topics.encode(this.pending.drain());
-    const batch: Batch = { ...this.signOfLife(), rows, delta: this.takeDelta() };
+    const batch: Batch = { ...this.signOfLife(), rows, delta: this.viewFeed.takeUnsent() };
     this.options.cluster.send(parent, MessageType.Update, encodeBatch(batch));
   }
 
+  /** Digest of the members, if it is time to tell it again. */
+  private takeDigest(): number | undefined {
+    const now = this.options.timers.now();
+    if (now - this.digestAt < DIGEST_MS) return undefined;
+    this.digestAt = now;
+    return this.options.cluster.digest();
+  }
+
   private push(batch: Batch): void {
-    this.pushedAt = this.options.timers.now();
-    if (this.children.size === 0) return;
-    const frame = encodePush(encodeBatch(batch));
-    for (const channel of this.children.values()) channel.push(frame);
+    this.subscriberList.push(batch);
   }
 
   /** A batch that says nothing but that this daemon lives, and how fresh its view is. */
   private signOfLife(): Batch {
-    return { ...this.viewAge(), rows: [], delta: undefined, beat: undefined, digest: undefined };
-  }
-
-  private viewAge(): ViewAge {
-    const { view } = this.options;
-    return { upTo: view.upTo, ageMs: Number.isFinite(view.ageMs) ? Math.round(view.ageMs) : -1 };
-  }
-
-  /** Changes of the platform's view that have not been sent. */
-  private takeDelta(): Delta | undefined {
-    const { view } = this.options;
-    if (view.upTo <= this.sentUpTo) return undefined;
-    const delta = view.since(this.sentUpTo);
-    this.sentUpTo = view.upTo;
-    return delta;
+    return { ...this.viewFeed.age(), rows: [], delta: undefined, beat: undefined, digest: undefined };
   }
 
   private handleUpdate(batch: Batch): void {
     this.topics.merge(batch.rows, (topic, key, row) => this.enqueue(topic, key, row));
-    const { upTo } = this.options.view;
-    this.takeView(batch, undefined);
-    if (this.options.view.upTo > upTo) this.schedule(URGENT_BATCH_MS);
+    if (this.viewFeed.takeFromBelow(batch)) this.schedule(URGENT_BATCH_MS);
   }
 
   private handlePush(from: string, batch: Batch): void {
@@ -277,8 +260,7 @@
     if (batch.beat !== undefined) this.rootHeardAt = this.heardAt;
     this.push(batch);
     this.merge(batch.rows);
-    this.sentUpTo = Math.max(this.sentUpTo, batch.upTo);
-    this.takeView(batch, from);
+    this.viewFeed.takeFromAbove(batch, from);
     if (batch.digest !== undefined) this.compare(batch.digest, from);
   }
 
@@ -302,28 +284,6 @@
     }
   }
 
-  /** Takes a newer view, and asks for what is missing before it. */
-  private takeView({ delta, upTo, ageMs }: Batch, source: string | undefined): void {
-    const { view } = this.options;
-    if (delta !== undefined && !view.apply(delta) && source !== undefined) void this.askForView(source);
-    else if (upTo > view.upTo && source !== undefined) void this.askForView(source);
-    if (ageMs >= 0) view.confirm(upTo, ageMs);
-  }
-
-  private async askForView(source: string): Promise<void> {
-    const { cluster, view, log } = this.options;
-    if (this.isAskingForView) return;
-    this.isAskingForView = true;
-    try {
-      const delta = await cluster.request(source, MessageType.ViewChanges, view.upTo, SUBSCRIBE_TIMEOUT_MS);
-      view.apply(delta as Delta);
-    } catch (err) {
-      log.debug(`No changes of the view from ${source}: ${String(err)}.`);
-    } finally {
-      this.isAskingForView = false;
-    }
-  }
-
   private accept(
     { address }: Member,
     { rows, upTo }: Subscription,
@@ -331,10 +291,10 @@
   ): Omit<SubscriptionAnswer, 'delta'> & { delta: Delta | null } {
     if (address === this.parent) this.takeOver(address);
     this.topics.merge(rows, (topic, key, row) => this.enqueue(topic, key, row));
-    this.children.set(address, channel);
+    this.subscriberList.add(address, channel);
     const { view, recent } = this.options;
     const delta = view.upTo > upTo ? view.since(upTo) : null;
-    return { ...this.viewAge(), rows: this.topics.snapshot(), delta, recent: recent() };
+    return { ...this.viewFeed.age(), rows: this.topics.snapshot(), delta, recent: recent() };
   }
 
   /** The parent wants to be fed by this daemon: right when this daemon is to be the root, a circle otherwise. */
@@ -351,10 +311,6 @@
     this.options.timers.after(REVIEW_MS / 4, () => this.review());
   }
 
-  private handleChannelClose(channel: PeerChannel): void {
-    for (const [address, known] of this.children) if (known === channel) this.children.delete(address);
-  }
-
   private review(): void {
     const now = this.options.timers.now();
     this.checkParent(now);
@@ -363,8 +319,8 @@
     else if (this.hasPatience(now)) this.misplacedSince ??= now;
     else if (place === undefined) void this.becomeRoot();
     else this.attach(place);
-    if (now - this.pushedAt < BEAT_MS) return;
-    if (this.isRoot) this.flush();
+    if (now - this.subscriberList.pushedAt < BEAT_MS) return;
+    if (this.isRoot) this.batchTimer.fire();
     else this.push(this.signOfLife());
   }
 
@@ -380,7 +336,7 @@
 
   /** Whether a place that works is kept for now although it is another one than the members say. */
   private hasPatience(now: number): boolean {
-    if (this.isRoot && this.children.size === 0) return false;
+    if (this.isRoot && this.subscribers === 0) return false;
     if (!this.isRoot && this.parent === undefined) return false;
     const patienceMs = this.isRoot ? ROOT_REBALANCE_MS : REBALANCE_MS;
     return now - (this.misplacedSince ?? now) < patienceMs;
@@ -466,7 +422,7 @@
     this.isSubscribed = true;
     this.heardAt = timers.now();
     this.rootHeardAt = this.heardAt;
-    this.sentUpTo = upTo;
+    this.viewFeed.noteSent(upTo);
     this.merge(rows);
     for (const [replica, keys] of recent) takeRecent(replica, keys);
     if (delta !== undefined && delta !== null) view.apply(delta);
