--- a/packages/routing/src/core/dissemination/tree.ts
+++ b/packages/routing/src/core/dissemination/tree.ts
@@ -105,6 +105,7 @@
 
   private rootHeardAt = 0;
 
+  /** Batches that this daemon has sent as the root. */
   private beat = 0;
 
   /** Monotonic time of the last digest that this daemon told as the root. */
@@ -113,6 +114,7 @@
   /** Digests of the root and of this daemon that differed when they were last compared. */
   private differingDigests: string | undefined;
 
+  /** Monotonic time since which the members' list says that its place is elsewhere. */
   private misplacedSince: number | undefined;
 
   private reviewing: TimerHandle | undefined;
@@ -360,8 +362,8 @@
     try {
       const ageMs = await cluster.request(witness, MessageType.RootAge, null, ROOT_AGE_TIMEOUT_MS);
       this.attach(Number(ageMs) < FRESH_ROOT_MS ? witness : undefined);
-    } catch {
-      // Without a witness there is no root to be heard of.
+    } catch (err) {
+      this.options.log.debug(`${witness} does not say whether it hears of a root: ${String(err)}.`);
       this.attach(undefined);
     } finally {
       this.isSeekingRoot = false;
