cluster: exchange members with a probed daemon that knows others

One daemon held two members for ended for over 10 s. Cause: the stand-in dropped the end of a connection of a frozen daemon, which a process hears when it goes on; it is kept until then now. Beside that, a daemon that takes itself for the only root had no way to hear that it is wrong but its seeds. Change: the answer to a heartbeat bears a digest of the members; one that differs in the same way for 2 s leads to an exchange of the tables.

--- a/packages/routing/src/core/cluster/cluster.ts
+++ b/packages/routing/src/core/cluster/cluster.ts
@@ -40,6 +40,8 @@
 const IDLE_LINK_MS = 10_000;
 /** Time after which a member that ended is forgotten, in milliseconds. */
 const FORGET_MS = 60_000;
+/** Time for which a probed daemon may know other members before the tables are exchanged, in milliseconds. */
+const DIFFERENCE_MS = 2000;
 /** Longest wait for a seed's members, in milliseconds. */
 const JOIN_TIMEOUT_MS = 1000;
 /** Pauses between two tries to join a seed that is not alive, in milliseconds: at first, and at last. */
@@ -66,6 +68,14 @@
   dialAt: number;
 }
 
+/** Two daemons that know different members. */
+interface Difference {
+  /** Both digests. */
+  readonly digests: string;
+  /** Monotonic time since which they are these, in milliseconds. */
+  readonly since: number;
+}
+
 interface SeedAttempts {
   pauseMs: number;
   nextAt: number;
@@ -81,6 +91,9 @@
 
   private readonly seedAttempts = new Map<string, SeedAttempts>();
 
+  /** Probed daemons that know other members than this one. */
+  private readonly differences = new Map<string, Difference>();
+
   private readonly linkEndListeners: ((address: string) => void)[] = [];
 
   private readonly channelCloseListeners: ((channel: PeerChannel) => void)[] = [];
@@ -144,6 +157,7 @@
   async start(): Promise<void> {
     const { transport, timers, log } = this.options;
     this.stopListening = await transport.listen({
+      digest: () => this.members.digest(),
       onHello: (body) => this.handleHello(decodeMember(body as MemberFrame)),
       onMessage: (peer, type, body, channel) => this.receive(peer, type, body, channel),
       onClose: (peer, channel, isOrderly) => this.handleClose(peer, channel, isOrderly),
@@ -339,6 +353,26 @@
     return this.members.records().map(encodeMember);
   }
 
+  /**
+   * Exchanges the members with a daemon that has known others for a while. News travel over the shared state; this mends
+   * what was missed there, whoever is cut off from its root.
+   */
+  private compare(address: string, digest: number): void {
+    const own = this.members.digest();
+    if (digest === own) {
+      this.differences.delete(address);
+      return;
+    }
+    const now = this.options.timers.now();
+    const digests = `${digest} ${own}`;
+    const known = this.differences.get(address);
+    if (known?.digests !== digests) this.differences.set(address, { digests, since: now });
+    else if (now - known.since >= DIFFERENCE_MS) {
+      this.differences.delete(address);
+      void this.join(address);
+    }
+  }
+
   private outgoingTo(address: string): Outgoing {
     const known = this.outgoing.get(address);
     if (known !== undefined) return known;
@@ -370,6 +404,7 @@
     const events: LinkEvents = {
       hello: () => encodeMember(this.members.self),
       onPush: (body) => this.pushHandler?.(address, body),
+      onDigest: (digest) => this.compare(address, digest),
       onEnd: (end, wasUp) => this.handleEnd(address, end, wasUp),
     };
     this.outgoingTo(address).link = transport.connect(address, events);
--- a/packages/routing/src/core/cluster/frames.ts
+++ b/packages/routing/src/core/cluster/frames.ts
@@ -6,6 +6,8 @@
 const MAX_FRAME_BYTES = 8 * 1024 * 1024;
 /** Number of a message that answers no request. */
 export const PUSH_NUMBER = -1;
+/** Number of the answer to a heartbeat. */
+export const HEARTBEAT_NUMBER = 0;
 
 /**
  * Encodes a frame.
--- a/packages/routing/src/core/cluster/link.ts
+++ b/packages/routing/src/core/cluster/link.ts
@@ -2,7 +2,7 @@
 import type { TimerHandle, TimerService } from '@celeryyoke/core';
 import { connect, type Socket } from 'node:net';
 
-import { encodeFrame, FrameReader, PUSH_NUMBER } from './frames.js';
+import { encodeFrame, FrameReader, HEARTBEAT_NUMBER, PUSH_NUMBER } from './frames.js';
 import type { LinkEvents, PeerLink } from './types.js';
 import { LinkEnd, MessageType } from './types.js';
 
@@ -137,6 +137,10 @@
       if (!this.hasEnded) this.events.onPush(body);
       return;
     }
+    if (number === HEARTBEAT_NUMBER) {
+      this.events.onDigest(Number(body));
+      return;
+    }
     const waiting = this.waiting.get(number);
     if (waiting === undefined) return;
     this.waiting.delete(number);
--- a/packages/routing/src/core/cluster/listener.ts
+++ b/packages/routing/src/core/cluster/listener.ts
@@ -3,12 +3,10 @@
 
 import { startListening } from '@celeryyoke/core';
 
-import { encodeFrame, FrameReader } from './frames.js';
+import { encodeFrame, FrameReader, HEARTBEAT_NUMBER } from './frames.js';
 import type { ListenerEvents, PeerChannel } from './types.js';
 import { MessageType } from './types.js';
 
-/** Answer to a heartbeat: the number stands for no request. */
-const HEARTBEAT_ANSWER = encodeFrame([0]);
 /** Bytes that may wait for a peer that does not read before its connection is cut. */
 const MAX_BACKLOG_BYTES = 4 * 1024 * 1024;
 
@@ -70,7 +68,7 @@
     if (type === MessageType.Hello) this.peer = this.events.onHello(body);
     else if (this.peer === undefined) throw new Error('A message came before the hello.');
     else if (type === MessageType.Goodbye) this.isOrderly = true;
-    else if (type === MessageType.Heartbeat) this.push(HEARTBEAT_ANSWER);
+    else if (type === MessageType.Heartbeat) this.push(encodeFrame([HEARTBEAT_NUMBER, this.events.digest()]));
     else void this.answer(this.peer, type, number, body);
   }
 
--- a/packages/routing/src/core/cluster/types.ts
+++ b/packages/routing/src/core/cluster/types.ts
@@ -84,6 +84,8 @@
   readonly hello: () => unknown;
   /** Called with each message that the peer pushes. */
   readonly onPush: (body: unknown) => void;
+  /** Called with the digest of the members that the peer knows, which it answers to a heartbeat. */
+  readonly onDigest: (digest: number) => void;
   /** Called once, when the link ended or could not be made; not after {@link PeerLink.close}. */
   readonly onEnd: (end: LinkEnd, wasUp: boolean) => void;
 }
@@ -117,6 +119,8 @@
    * @returns Address of the peer.
    */
   readonly onHello: (body: unknown) => string;
+  /** Digest of the members that this daemon knows; the answer to a heartbeat. */
+  readonly digest: () => number;
   /** Called with each further message; what it returns is the answer. */
   readonly onMessage: (peer: string, type: MessageType, body: unknown, channel: PeerChannel) => unknown;
   /** Called when a connection ended; orderly when the peer had said goodbye. */
--- a/packages/routing/test/fleet/fleet.test.ts
+++ b/packages/routing/test/fleet/fleet.test.ts
@@ -288,6 +288,13 @@
             { kind: 'thaw', target: 10, other: 0, waitMs: 333 },
           ],
         ],
+        [
+          [
+            { kind: 'freeze', target: 6, other: 0, waitMs: 0 },
+            { kind: 'kill', target: 3, other: 0, waitMs: 0 },
+            { kind: 'kill', target: 0, other: 0, waitMs: 624 },
+          ],
+        ],
       ],
     },
   );
--- a/packages/routing/test/fleet/network.ts
+++ b/packages/routing/test/fleet/network.ts
@@ -7,6 +7,8 @@
 const LATENCY_MS = 1;
 const CONNECT_TIMEOUT_MS = 600;
 const MAX_UNANSWERED = 3;
+/** How often a callback that is due in a frozen daemon is looked at again, in milliseconds. */
+const FROZEN_LOOK_MS = 10;
 
 interface Listening {
   readonly events: ListenerEvents;
@@ -97,6 +99,12 @@
     this.release();
   }
 
+  /** Has something happen in a process, after it goes on if it is frozen. */
+  whenRunning(address: string, callback: () => void): void {
+    if (!this.isFrozen(address)) callback();
+    else this.timers.after(FROZEN_LOOK_MS, () => this.whenRunning(address, callback));
+  }
+
   isFrozen(address: string): boolean {
     return this.frozen.has(address);
   }
@@ -130,19 +138,12 @@
   }
 }
 
-/** How often a callback that is due in a frozen daemon is looked at again, in milliseconds. */
-const FROZEN_LOOK_MS = 10;
-
 /** Time of one daemon: what becomes due while it is frozen runs when it goes on. */
 export function timersOf(network: MemoryNetwork, self: string): TimerService {
   const { timers } = network;
-  const run = (callback: () => void): void => {
-    if (network.isFrozen(self)) timers.after(FROZEN_LOOK_MS, () => run(callback));
-    else callback();
-  };
   return {
     ...timers,
-    after: (ms, callback) => timers.after(ms, () => run(callback)),
+    after: (ms, callback) => timers.after(ms, () => network.whenRunning(self, callback)),
     repeat: (ms, callback) =>
       timers.repeat(ms, (now) => {
         if (!network.isFrozen(self)) callback(now);
@@ -223,7 +224,12 @@
     }
     this.unanswered += 1;
     this.network.carry(this.from, this.to, MessageType.Heartbeat, () => {
-      this.network.carry(this.to, this.from, 0, () => this.hear());
+      const digest = this.network.listening.get(this.to)?.events.digest();
+      if (digest === undefined) return;
+      this.network.carry(this.to, this.from, [0, digest], () => {
+        this.hear();
+        if (!this.hasEnded) this.events.onDigest(digest);
+      });
     });
   }
 
@@ -252,7 +258,7 @@
     this.network.links.delete(this);
     this.fail();
     this.closeRemote(false);
-    if (!this.network.isFrozen(this.from)) this.events.onEnd(end, wasUp);
+    this.network.whenRunning(this.from, () => this.events.onEnd(end, wasUp));
   }
 
   private open(hello: unknown): void {
