--- a/packages/routing/src/core/adapters/engine-owner.ts
+++ b/packages/routing/src/core/adapters/engine-owner.ts
@@ -94,7 +94,7 @@
         await this.learn();
       } catch (err) {
         if (err instanceof EngineEmptyError) this.isEmpty = true;
-        log.warn(`Engine ${replica.id} can't be kept yet: ${String(err)}.`);
+        log.warn(`Engine ${replica.id} can't be taken over yet: ${String(err)}.`);
         await timers.sleep(LEARN_PAUSE_MS);
       }
     }
--- a/packages/routing/src/core/adapters/loader.ts
+++ b/packages/routing/src/core/adapters/loader.ts
@@ -67,7 +67,7 @@
    * @param replica - The engine.
    * @param ref - The adapter.
    * @param urgency - Rank and longest waits.
-   * @returns Whether it is in place; if not, the book of residency knows how the engine's slots stand.
+   * @returns Whether it is in place; if not, the residency table knows the engine's free slots.
    * @throws AdapterUnavailable or Error when it can't be had there.
    */
   async ensure(replica: ReplicaEntry, ref: AdapterRef, urgency: Urgency): Promise<boolean> {
--- a/packages/routing/src/core/adapters/residency.ts
+++ b/packages/routing/src/core/adapters/residency.ts
@@ -7,7 +7,7 @@
 const REMEMBERED_PER_SLOT = 6;
 const LEAST_REMEMBERED = 48;
 
-/** The book of residency. */
+/** Adapters resident on engines, and their free slots. */
 export class ResidencyTable {
   private readonly told = new Map<string, Holdings>();
 
@@ -17,7 +17,7 @@
   private readonly recent = new Map<string, Set<string>>();
 
   /**
-   * Makes an empty book.
+   * Makes an empty table.
    * @param registry - The registry's view, used where no daemon tells more.
    */
   constructor(private readonly registry: ReplicaRegistry) {
--- a/packages/routing/src/core/choice/chooser.ts
+++ b/packages/routing/src/core/choice/chooser.ts
@@ -231,7 +231,7 @@
 }
 
 /**
- * Names what a request uses, for the book of loads.
+ * Names the adapter that a request uses, as in the table of requests in flight.
  * @param need - What it needs.
  * @returns `model/adapter`, or undefined.
  */
--- a/packages/routing/src/core/choice/replica-health.ts
+++ b/packages/routing/src/core/choice/replica-health.ts
@@ -29,14 +29,14 @@
   since: number;
 }
 
-/** The standing of all replicas. */
+/** Failures, latencies and ejections of all replicas. */
 export class ReplicaHealth {
   private readonly records = new Map<string, Record>();
 
   private readonly hearings = new Map<string, Hearing>();
 
   /**
-   * Makes an empty book.
+   * Makes a table that knows of no replica.
    * @param timers - Time.
    */
   constructor(private readonly timers: TimerService) {}
--- a/packages/routing/src/core/daemon/peer-protocol.ts
+++ b/packages/routing/src/core/daemon/peer-protocol.ts
@@ -19,7 +19,7 @@
 /** Longest time between two rows on the load of an engine, in milliseconds, so that an old row shows that its owner is gone. */
 const LOAD_REFRESH_MS = 800;
 
-/** The parts that talk. */
+/** What the protocol uses of the daemon. */
 export interface PeerProtocolOptions {
   readonly cluster: Cluster;
   readonly tree: DisseminationTree;
@@ -38,7 +38,7 @@
   readonly at: number;
 }
 
-/** What the parts of the daemons tell each other. */
+/** The protocol between router daemons. */
 export class PeerProtocol {
   private readonly loads: VersionedTable<EngineLoadRow>;
 
@@ -61,7 +61,7 @@
     this.loads = new VersionedTable(isListed);
     this.residencyRows = new VersionedTable(isListed);
     tree.register(Topic.Member, this.memberTopic());
-    tree.register(Topic.EngineLease, this.claimTopic());
+    tree.register(Topic.EngineLease, this.leaseTopic());
     tree.register(Topic.EngineLoad, this.loadTopic());
     tree.register(Topic.Residency, this.residencyTopic());
     tree.register(Topic.Start, this.startTopic());
@@ -150,7 +150,7 @@
     };
   }
 
-  private claimTopic(): TopicHandler<EngineLease> {
+  private leaseTopic(): TopicHandler<EngineLease> {
     const { leases, reporter } = this.options;
     return {
       isUrgent: true,
--- a/packages/routing/src/core/ownership/engine-leases.ts
+++ b/packages/routing/src/core/ownership/engine-leases.ts
@@ -3,8 +3,8 @@
  *
  * A lease carries a fencing token that no two daemons can both use: the time of day in its high part, a number of
  * the daemon's own in its low part. The holder keeps its lease while it lives; a new daemon takes nothing from it.
- * An engine without a holder is claimed by the living daemon that comes first for it by rendezvous hashing: at once
- * when the holder's process has ended, after the lease when it is only silent. The higher token wins.
+ * The lease of an engine without an owner is taken by the living daemon that comes first for it by rendezvous hashing:
+ * at once when the holder's process has ended, after the lease when it is only silent. The higher token wins.
  */
 import type { TimerService } from '@celeryyoke/core';
 import { hash32 } from '@celeryyoke/core';
@@ -13,7 +13,7 @@
 
 /** Low part of a token: a number of the daemon's own. 2^12 keeps the token a safe integer until the year 2039. */
 const TOKEN_FACTOR = 4096;
-/** Least time after the start before anything is claimed, in milliseconds: links to the seeds are up by then. */
+/** Least time after the start before any lease is taken, in milliseconds: links to the seeds are up by then. */
 const SETTLE_MS = 350;
 /** Time without a change among the living daemons before the first lease, in milliseconds: links take less. */
 const QUIET_MS = 200;
@@ -96,7 +96,7 @@
   private isLeaving = false;
 
   /**
-   * Makes an empty book of leases.
+   * Makes a table without leases.
    * @param options - The fleet and what to call.
    */
   constructor(private readonly options: EngineLeasesOptions) {
--- a/packages/routing/src/core/requests/migration.ts
+++ b/packages/routing/src/core/requests/migration.ts
@@ -193,7 +193,7 @@
   private readonly running = new Map<string, Set<StreamMigration>>();
 
   /**
-   * Makes an empty book.
+   * Makes a list without streams.
    * @param parts - The daemon's parts.
    */
   constructor(private readonly parts: StreamMigrationParts) {
