--- a/packages/routing/src/core/dissemination/topics.ts
+++ b/packages/routing/src/core/dissemination/topics.ts
@@ -6,10 +6,6 @@
 export class RowSet {
   private readonly byTopic = new Map<Topic, Map<string, unknown>>();
 
-  get isEmpty(): boolean {
-    return this.byTopic.size === 0;
-  }
-
   /**
    * Adds a row.
    * @param topic - Its topic.
