accounts: count a quota over the window that the users state

Cause: a bucket that refills at the rate alone admits rate x window in the long run, while an account may use that and its burst in each window.

Change: the bucket refills rate + burst / window, and a sliding sum keeps each window within rate x window + burst. The guard goes by whichever of both has less room. A new owner takes a window for used up that an earlier one guarded. Daemons together admit at most a quarter of the burst before the owner knows of it.

--- a/packages/routing/src/core/accounts/quota-ledger.ts
+++ b/packages/routing/src/core/accounts/quota-ledger.ts
@@ -6,6 +6,7 @@
  */
 import type { DecisionLog, TimerService } from '@celeryyoke/core';
 
+import { SlidingSum } from '../budget/index.js';
 import type { QuotaRow, QuotaTable } from './quota-rows.js';
 import type { BucketLimit } from './token-bucket.js';
 import { TokenBucket } from './token-bucket.js';
@@ -31,8 +32,7 @@
 /** The same when the fleet has just started again: what was used before is not known. */
 const RESTART_FILL = 0.25;
 const FULL_FILL = 1;
-/** How much of the limit beyond their part daemons in a partition may use, as a factor. */
-const PARTITION_FACTOR = 1.1;
+const MS_PER_SECOND = 1000;
 
 /** What became of a request at the owner of its account. */
 export interface ChargeResult {
@@ -63,6 +63,8 @@
 export interface QuotaLedgerOptions {
   /** Address of this daemon. */
   readonly self: string;
+  /** Window within which an account may use its rate over the window and its burst, in milliseconds. */
+  readonly windowMs: number;
   readonly timers: TimerService;
   readonly log: DecisionLog;
   readonly rows: QuotaTable;
@@ -76,7 +78,10 @@
 }
 
 interface Entry {
+  quota: AccountQuota;
   readonly bucket: TokenBucket;
+  /** Units used within the window. */
+  readonly used: SlidingSum;
   isGuarded: boolean;
   /** Monotonic milliseconds. */
   publishedAt: number;
@@ -110,13 +115,19 @@
   charge(account: string, quota: AccountQuota, units: number): ChargeResult {
     const now = this.options.timers.now();
     const entry = this.entry(account, quota, now);
-    const isAdmitted = entry.bucket.take(units, now);
-    if (isAdmitted) entry.charged += units;
+    const { bucket, used } = entry;
+    const isWindowFull = used.total(now) >= this.mostInWindow(quota);
+    const isAdmitted = !isWindowFull && bucket.take(units, now);
+    if (isAdmitted) count(entry, units, now);
     else entry.backlog += units;
     this.review(account, entry, now);
     if (isAdmitted) return { isAdmitted, retryAfterMs: 0, blockedMs: 0 };
-    const { bucket, backlog } = entry;
-    return { isAdmitted, retryAfterMs: bucket.waitMs(backlog, now), blockedMs: bucket.waitMs(0, now) };
+    const windowMs = isWindowFull ? used.nextChangeMs(now) : 0;
+    return {
+      isAdmitted,
+      retryAfterMs: windowMs + bucket.waitMs(entry.backlog, now),
+      blockedMs: Math.max(windowMs, bucket.waitMs(0, now)),
+    };
   }
 
   /**
@@ -129,7 +140,7 @@
     const now = this.options.timers.now();
     const entry = this.entry(account, quota, now);
     entry.bucket.charge(units, now);
-    entry.charged += units;
+    count(entry, units, now);
     this.review(account, entry, now);
   }
 
@@ -143,7 +154,11 @@
     const now = this.options.timers.now();
     const before = entry.chargedElsewhere.get(owner);
     if (before === undefined) entry.bucket.lowerTo(level, now);
-    else entry.bucket.charge(Math.max(0, charged - before), now);
+    else {
+      const units = Math.max(0, charged - before);
+      entry.bucket.charge(units, now);
+      entry.used.add(units, now);
+    }
     entry.chargedElsewhere.set(owner, charged);
     entry.contestedUntil = now + CONTESTED_MS;
   }
@@ -159,38 +174,52 @@
   }
 
   private entry(account: string, quota: AccountQuota, now: number): Entry {
-    const limit = this.limit(quota);
-    let entry = this.entries.get(account);
-    if (entry === undefined) {
-      const bucket = this.makeBucket(account, limit, now);
-      entry = makeEntry(bucket, now);
-      this.entries.set(account, entry);
-    } else entry.bucket.setLimit(limit, now);
+    const entry = this.entries.get(account) ?? this.begin(account, quota, now);
+    this.entries.set(account, entry);
+    entry.quota = quota;
+    entry.bucket.setLimit(this.limit(quota), now);
     entry.backlog *= Math.exp((entry.usedAt - now) / BACKLOG_MS);
     entry.usedAt = now;
     return entry;
   }
 
-  /** The part of the limit that the daemons on this side of a partition may use. */
+  /**
+   * The bucket's limit. Over a window an account may use its burst beside its rate, so the burst is refilled in that time
+   * beside the rate. Daemons on one side of a partition have their part of it.
+   */
   private limit({ ratePerSecond, burst }: AccountQuota): BucketLimit {
-    const share = Math.min(1, PARTITION_FACTOR * this.options.aliveShare());
-    return { ratePerSecond: ratePerSecond * share, burst: burst * share };
+    const { aliveShare, windowMs } = this.options;
+    const refill = ratePerSecond + (burst / windowMs) * MS_PER_SECOND;
+    return { ratePerSecond: refill * aliveShare(), burst: burst * aliveShare() };
   }
 
-  private makeBucket(account: string, limit: BucketLimit, now: number): TokenBucket {
-    const known = this.options.rows.get(account);
-    if (known === undefined || now - known.heardAt > HANDOVER_MS)
-      return new TokenBucket(limit, FILLS[this.options.start()], now);
+  private mostInWindow({ ratePerSecond, burst }: AccountQuota): number {
+    const { aliveShare, windowMs } = this.options;
+    return (ratePerSecond * (windowMs / MS_PER_SECOND) + burst) * aliveShare();
+  }
+
+  /**
+   * Begins to keep an account. Where an earlier owner may have admitted all that the window allows, what it admitted
+   * counts as spread evenly over the window.
+   */
+  private begin(account: string, quota: AccountQuota, now: number): Entry {
+    const { rows, start, windowMs } = this.options;
+    const limit = this.limit(quota);
+    const known = rows.get(account);
+    const isHandover = known !== undefined && now - known.heardAt <= HANDOVER_MS;
     // What was refilled after the last row has been used as well while the earlier owner ran.
-    const refilledFrom = Math.min(now, known.heardAt + REPEAT_MS);
-    const bucket = new TokenBucket(limit, FULL_FILL, refilledFrom);
-    bucket.lowerTo(known.row.level, refilledFrom);
-    return bucket;
+    const refilledFrom = isHandover ? Math.min(now, known.heardAt + REPEAT_MS) : now;
+    const bucket = new TokenBucket(limit, isHandover ? FULL_FILL : FILLS[start()], refilledFrom);
+    if (isHandover) bucket.lowerTo(known.row.level, refilledFrom);
+    const entry = makeEntry(quota, bucket, windowMs, now);
+    const wasAtLimit = isHandover ? known.row.isGuarded : start() === LedgerStart.Restarted;
+    if (wasAtLimit) entry.used.assume(this.mostInWindow(quota), now);
+    return entry;
   }
 
   private review(account: string, entry: Entry, now: number): void {
     const { bucket, isGuarded, publishedAt, contestedUntil } = entry;
-    const share = bucket.level(now) / bucket.capacity;
+    const share = this.headroom(entry, now) / bucket.capacity;
     const shouldGuard = isGuarded ? share < OPEN_ABOVE : share < GUARD_BELOW;
     const repeatMs = now < contestedUntil ? REPEAT_CONTESTED_MS : REPEAT_MS;
     if (shouldGuard === isGuarded && !(isGuarded && now - publishedAt >= repeatMs)) return;
@@ -199,6 +228,11 @@
     this.publish(account, entry, now);
   }
 
+  /** Units that could be admitted at once. */
+  private headroom({ bucket, used, quota }: Entry, now: number): number {
+    return Math.min(bucket.level(now), this.mostInWindow(quota) - used.total(now));
+  }
+
   private publish(account: string, { bucket, charged, isGuarded }: Entry, now: number): void {
     const { self, timers, rows, publish } = this.options;
     const last = rows.get(account)?.row.sequence ?? 0;
@@ -222,9 +256,11 @@
   }
 }
 
-function makeEntry(bucket: TokenBucket, now: number): Entry {
+function makeEntry(quota: AccountQuota, bucket: TokenBucket, windowMs: number, now: number): Entry {
   return {
+    quota,
     bucket,
+    used: new SlidingSum(windowMs),
     isGuarded: false,
     publishedAt: Number.NEGATIVE_INFINITY,
     usedAt: now,
@@ -234,3 +270,9 @@
     chargedElsewhere: new Map(),
   };
 }
+
+function count(entry: Entry, units: number, now: number): void {
+  const counted = entry;
+  counted.charged += units;
+  counted.used.add(units, now);
+}
--- a/packages/routing/src/core/accounts/quotas.ts
+++ b/packages/routing/src/core/accounts/quotas.ts
@@ -45,6 +45,8 @@
 const ASSUMED_DAEMONS = 64;
 /** Part of its burst that a daemon's own part begins with: the owner may have admitted all that there was. */
 const OWN_PART_FILL = 0.1;
+/** Part of the burst that all daemons together may admit before the owner knows of it, beside one request each. */
+const MAX_UNCONFIRMED_SHARE = 0.25;
 /** Time without a request after which a daemon forgets its part of an account, in milliseconds. */
 const FORGET_MS = 30_000;
 /** Least time after which a refused client may come back, in milliseconds. */
@@ -76,6 +78,8 @@
   readonly self: string;
   readonly cluster: Pick<Cluster, 'alive' | 'possible' | 'request' | 'handle'>;
   readonly tree: Pick<DisseminationTree, 'register' | 'publish' | 'ageMs' | 'isPlaced'>;
+  /** Window of the quotas, in milliseconds. */
+  readonly windowMs: number;
   readonly timers: TimerService;
   readonly log: DecisionLog;
   /** Finds an account in the configuration in force. */
@@ -117,11 +121,12 @@
    * @param options - The daemon's parts.
    */
   constructor(private readonly options: AccountQuotasOptions) {
-    const { self, cluster, tree, timers, log } = options;
+    const { self, cluster, tree, timers, log, windowMs } = options;
     this.startedAt = timers.now();
     this.owners = new AccountOwners(() => cluster.alive());
     this.ledger = new QuotaLedger({
       self,
+      windowMs,
       timers,
       log,
       rows: this.rows,
@@ -228,13 +233,14 @@
 
   /**
    * Whether it is known that the bucket is well filled, and its owner hears of what is used: what all daemons together
-   * have admitted without its knowledge stays below the burst.
+   * have admitted without its knowledge stays below a part of the burst.
    */
   private isOpen(name: string, { burst }: AccountQuota): boolean {
     const { tree, timers, cluster } = this.options;
     if (!tree.isPlaced || tree.ageMs > MAX_STATE_AGE_MS) return false;
     if (this.rows.isGuarded(name, timers.now()) || this.reporter.isUnreachable(name)) return false;
-    return this.reporter.unconfirmed(name) <= burst / cluster.possible();
+    const most = (burst * MAX_UNCONFIRMED_SHARE) / cluster.possible();
+    return this.reporter.unconfirmed(name) <= most;
   }
 
   private async ask(owner: string, account: string, units: number): Promise<ChargeResult | undefined> {
--- a/packages/routing/src/core/budget/budget.ts
+++ b/packages/routing/src/core/budget/budget.ts
@@ -7,8 +7,8 @@
  */
 import type { TimerService } from '@celeryyoke/core';
 
-/** Parts into which the window is cut; a finer cut counts more exactly. */
-const BUCKETS = 20;
+import { SlidingSum } from './sliding-sum.js';
+
 /** Part of the allowance that is used: the other side counts in windows that begin elsewhere. */
 const CAUTION = 0.8;
 
@@ -21,37 +21,11 @@
   readonly slack: number;
 }
 
-/** Counts in a window that slides. */
-class SlidingCount {
-  private readonly counts = new Array<number>(BUCKETS).fill(0);
-
-  private bucket = 0;
-
-  constructor(private readonly bucketMs: number) {}
-
-  add(now: number): void {
-    this.slide(now);
-    this.counts[this.bucket % BUCKETS]! += 1;
-  }
-
-  sum(now: number): number {
-    this.slide(now);
-    return this.counts.reduce((total, count) => total + count, 0);
-  }
-
-  private slide(now: number): void {
-    const bucket = Math.floor(now / this.bucketMs);
-    const steps = Math.min(BUCKETS, bucket - this.bucket);
-    for (let step = 1; step <= steps; step += 1) this.counts[(this.bucket + step) % BUCKETS] = 0;
-    this.bucket = Math.max(bucket, this.bucket);
-  }
-}
-
 /** The budget of one service in one daemon. */
 export class RepeatBudget {
-  private readonly requests: SlidingCount;
+  private readonly requests: SlidingSum;
 
-  private readonly repeats: SlidingCount;
+  private readonly repeats: SlidingSum;
 
   /**
    * Makes a budget.
@@ -64,13 +38,13 @@
     private readonly daemons: () => number,
     private readonly timers: TimerService,
   ) {
-    this.requests = new SlidingCount(bounds.windowMs / BUCKETS);
-    this.repeats = new SlidingCount(bounds.windowMs / BUCKETS);
+    this.requests = new SlidingSum(bounds.windowMs);
+    this.repeats = new SlidingSum(bounds.windowMs);
   }
 
   /** Counts a request. */
   earn(): void {
-    this.requests.add(this.timers.now());
+    this.requests.add(1, this.timers.now());
   }
 
   /**
@@ -80,14 +54,14 @@
   spend(): boolean {
     const now = this.timers.now();
     if (this.left(now) < 1) return false;
-    this.repeats.add(now);
+    this.repeats.add(1, now);
     return true;
   }
 
   /** Repeats that are left. */
   left(now = this.timers.now()): number {
     const { ratio, slack } = this.bounds;
-    const allowed = ratio * this.requests.sum(now) + slack / Math.max(1, this.daemons());
-    return CAUTION * allowed - this.repeats.sum(now);
+    const allowed = ratio * this.requests.total(now) + slack / Math.max(1, this.daemons());
+    return CAUTION * allowed - this.repeats.total(now);
   }
 }
--- a/packages/routing/src/core/daemon/services.ts
+++ b/packages/routing/src/core/daemon/services.ts
@@ -312,6 +312,7 @@
       self: selfOf(this.options),
       cluster: kernel.get(PART.cluster),
       tree: kernel.get(PART.tree),
+      windowMs: settings.quotaWindowMs,
       timers,
       log,
       account: (name) => registry.table?.account(name),
--- a/packages/routing/src/core/daemon/types.ts
+++ b/packages/routing/src/core/daemon/types.ts
@@ -31,6 +31,8 @@
   /** Whether engines refuse an order with a fencing token that is lower than one they have seen. */
   readonly isFenced: boolean;
   readonly budget: BudgetBounds;
+  /** Window in which a client account may use its rate over the window and its burst, in milliseconds. */
+  readonly quotaWindowMs: number;
 }
 
 /** Options of a router daemon. */
--- a/packages/routing/test/quotas/fleet.ts
+++ b/packages/routing/test/quotas/fleet.ts
@@ -148,6 +148,7 @@
         self: address,
         cluster,
         tree,
+        windowMs: WINDOW_MS,
         timers,
         log,
         account: (name) => (this.account?.name === name ? this.account : undefined),
