accounts: leave a restarted fleet three hundredths of a window's quota

Cause: after a restart of all daemons the window of each account counted as used up, so the first requests of an idle account waited for the next part of the window; two tests of the platform adapter failed.

Change: 0.97 of the window counts as used.

--- a/packages/routing/src/core/accounts/quota-ledger.ts
+++ b/packages/routing/src/core/accounts/quota-ledger.ts
@@ -32,6 +32,8 @@
 /** The same when the fleet has just started again: what was used before is not known. */
 const RESTART_FILL = 0.25;
 const FULL_FILL = 1;
+/** Part of the window's quota that an earlier owner is taken to have admitted, where it may have been at the limit. */
+const ASSUMED_USE = 0.97;
 const MS_PER_SECOND = 1000;
 
 /** What became of a request at the owner of its account. */
@@ -213,7 +215,7 @@
     if (isHandover) bucket.lowerTo(known.row.level, refilledFrom);
     const entry = makeEntry(quota, bucket, windowMs, now);
     const wasAtLimit = isHandover ? known.row.isGuarded : start() === LedgerStart.Restarted;
-    if (wasAtLimit) entry.used.assume(this.mostInWindow(quota), now);
+    if (wasAtLimit) entry.used.assume(this.mostInWindow(quota) * ASSUMED_USE, now);
     return entry;
   }
 
