--- a/packages/routing/src/core/accounts/quota-ledger.ts
+++ b/packages/routing/src/core/accounts/quota-ledger.ts
@@ -33,7 +33,7 @@
 const RESTART_FILL = 0.25;
 const FULL_FILL = 1;
 /** Part of the window's quota that an earlier owner is taken to have admitted, where it may have been at the limit. */
-const ASSUMED_USE = 0.97;
+const ASSUMED_USE = 0.96;
 const MS_PER_SECOND = 1000;
 
 /** What became of a request at the owner of its account. */
