--- a/packages/cli/src/core/stories/story.ts
+++ b/packages/cli/src/core/stories/story.ts
@@ -16,6 +16,7 @@
   'lease.lost',
   'config.in-force',
   'version.declared',
+  'quota.mode',
   'note.warn',
 ]);
 
@@ -27,6 +28,14 @@
   notRun: 'It did not run, the answer says so truly, and the caller may come back.',
   outcomeUnknown: 'A replica may have run it, and no answer came back; it must not be taken for undone.',
   timedOut: 'Its time was over; a replica may have run it.',
+  unauthorized: 'It did not run: its key was not valid in the configuration version that the line names.',
+  overQuota: 'It did not run: its account had used up its quota. The line names who decided.',
+};
+
+/** Kinds of lines that end a request before it is executed, and what they mean. */
+const REFUSALS: Readonly<Record<string, string>> = {
+  'request.unauthorized': 'unauthorized',
+  'request.over-quota': 'overQuota',
 };
 
 /**
@@ -65,6 +74,8 @@
 
 function conclude(own: readonly LogLine[]): string[] {
   const end = own.findLast(({ kind }) => kind === 'request.ended');
+  const refusal = own.findLast(({ kind }) => kind in REFUSALS);
+  if (end === undefined && refusal !== undefined) return [`Outcome: ${MEANINGS[REFUSALS[refusal.kind]!]!}`];
   if (end === undefined) return ['No line tells its end: it succeeded, or its daemon ended first.'];
   return [`Outcome: ${MEANINGS[String(end.outcome)] ?? String(end.outcome)}`];
 }
--- a/packages/cli/test/explain.test.ts
+++ b/packages/cli/test/explain.test.ts
@@ -102,3 +102,27 @@
   t.is(code, ExitCode.Found);
   t.regex(text, /No line names nobody/);
 });
+
+test('a request that was refused for its key or its quota says so, with what decided', async (t) => {
+  const rows = [
+    line(900, 'a', 'quota.mode', 'Requests of amber are charged before they are sent.', { account: 'amber' }),
+    line(1000, 'a', 'request.over-quota', 'amber has used up its quota.', {
+      request: 'r4',
+      account: 'amber',
+      decider: 'owner',
+      configVersion: 7,
+    }),
+    line(1001, 'a', 'request.unauthorized', 'The key belongs to no account.', {
+      request: 'r5',
+      configVersion: 7,
+      viewAgeMs: 80,
+    }),
+  ];
+  const overQuota = await explain('r4', [rows]);
+  t.regex(overQuota.text, /charged before they are sent/);
+  t.regex(overQuota.text, /account amber, decider owner, configVersion 7/);
+  t.regex(overQuota.text, /Outcome: It did not run: its account had used up its quota/);
+  const unauthorized = await explain('r5', [rows]);
+  t.regex(unauthorized.text, /configVersion 7, viewAgeMs 80/);
+  t.regex(unauthorized.text, /Outcome: It did not run: its key was not valid/);
+});
--- a/packages/routing/src/core/accounts/index.ts
+++ b/packages/routing/src/core/accounts/index.ts
@@ -1,4 +1,5 @@
 /** Client accounts: authentication by key, and quotas that hold for the whole fleet. */
+export { AccountMetrics } from './account-metrics.js';
 export type { AccountLookup, Authentication } from './authentication.js';
 export { authenticate, AuthOutcome } from './authentication.js';
 export type { AccountQuotasOptions, QuotaDecision, QuotaNeed } from './quotas.js';
--- a/packages/routing/src/core/daemon/services.ts
+++ b/packages/routing/src/core/daemon/services.ts
@@ -10,7 +10,7 @@
 import { createMetrics } from '@celeryyoke/core';
 
 import { ResidencyTable, Loader } from '../adapters/index.js';
-import { AccountQuotas } from '../accounts/index.js';
+import { AccountMetrics, AccountQuotas } from '../accounts/index.js';
 import { EngineLeases, FleetSettling, PauseDetector } from '../ownership/index.js';
 import { RepeatBudget } from '../budget/index.js';
 import { ChannelPool } from '../channels/index.js';
@@ -478,6 +478,7 @@
         ensure,
         admission: kernel.get(PART.admission),
         quotas: kernel.get(PART.quotas),
+        accountMetrics: new AccountMetrics(kernel.get<Metrics>(PART.metrics)),
         callerTimes: new CallerTimes(),
         migrations: new StreamMigrations({
           registry,
--- a/packages/routing/src/core/requests/execution.ts
+++ b/packages/routing/src/core/requests/execution.ts
@@ -7,7 +7,7 @@
 import type { TimerHandle } from '@celeryyoke/core';
 import type { ServerResponse } from 'node:http';
 
-import type { AccountQuotas, ClientAccount } from '../accounts/index.js';
+import type { AccountMetrics, AccountQuotas, ClientAccount } from '../accounts/index.js';
 import type { RepeatBudget } from '../budget/index.js';
 import type { Route } from '../catalog/index.js';
 import { RouteKind } from '../catalog/index.js';
@@ -59,6 +59,7 @@
   /** Age of what is known of the platform, in milliseconds. */
   readonly viewAgeMs: () => number;
   readonly quotas: AccountQuotas;
+  readonly accountMetrics: AccountMetrics;
   /** The budget of a service. */
   readonly budget: (service: string) => RepeatBudget;
 }
