view: log who reads the platform in place of others, and the age in force

Nothing told which daemon read the platform's store for a fleet whose first one is refused, nor how old a view was when a configuration came into force, so a late configuration could not be explained from the logs. view.take-over and two fields of config.in-force say so. Test: store-watcher.

--- a/packages/routing/src/core/daemon/services.ts
+++ b/packages/routing/src/core/daemon/services.ts
@@ -421,6 +421,13 @@
       publish: (isNews) => tree.publishView(isNews),
       onSource: (isReachable, reason) =>
         log.warn(isReachable ? 'The platform answers again.' : `The platform does not answer: ${reason}.`),
+      onTakeOver: ({ rank, ageMs }) =>
+        log.decide('view.take-over', 'Reads the platform in place of those before it.', {
+          rank,
+          viewAgeMs: roundAge(ageMs),
+          revision: view.upTo,
+          peers: cluster.alive().length - 1,
+        }),
     });
     watcher.start();
     return watcher;
@@ -458,6 +465,8 @@
     registry.onTable(({ document }) =>
       log.decide('config.in-force', `Configuration ${document.version} is in force.`, {
         version: document.version,
+        revision: view.upTo,
+        viewAgeMs: roundAge(view.ageMs),
       }),
     );
     const ensure = loader.ensure.bind(loader);
@@ -490,7 +499,7 @@
         }),
         notHeld: (replica, key) => residency.drop(replica, key),
         metrics: new RequestMetrics(kernel.get<Metrics>(PART.metrics)),
-        viewAgeMs: () => Math.round(Math.min(view.ageMs, Number.MAX_SAFE_INTEGER)),
+        viewAgeMs: () => roundAge(view.ageMs),
         budget: (service) => this.budget(service, cluster),
       },
     });
@@ -548,6 +557,11 @@
   }
 }
 
+/** An age for the log, in whole milliseconds. */
+function roundAge(ageMs: number): number {
+  return Math.round(Math.min(ageMs, Number.MAX_SAFE_INTEGER));
+}
+
 /** Address of this daemon among its peers. */
 function selfOf({ settings: { host, peerPort } }: RouterOptions): string {
   return `${host}:${peerPort}`;
--- a/packages/routing/src/core/view/index.ts
+++ b/packages/routing/src/core/view/index.ts
@@ -1,6 +1,7 @@
 /** What the daemons know of the platform, kept fresh by one reader and shared between them. */
 export type { DeclaredVersion } from './registry.js';
 export { ReplicaRegistry } from './registry.js';
+export type { TakeOver } from './store-watcher.js';
 export { StoreWatcher } from './store-watcher.js';
 export type {
   AdapterVersion,
--- a/packages/routing/src/core/view/store-watcher.ts
+++ b/packages/routing/src/core/view/store-watcher.ts
@@ -54,6 +54,16 @@
   readonly publish: (isNews: boolean) => void;
   /** Told when the source is lost or regained. */
   readonly onSource: (isReachable: boolean, reason: string) => void;
+  /** Told when this daemon begins to read in place of those before it. */
+  readonly onTakeOver: (takeOver: TakeOver) => void;
+}
+
+/** Why a daemon reads although another one is to read for all. */
+export interface TakeOver {
+  /** Its place among those that live; below 0 when it is leaving. */
+  readonly rank: number;
+  /** Age of its view, in milliseconds; Infinity when it has none. */
+  readonly ageMs: number;
 }
 
 /** The task that follows the source. */
@@ -102,7 +112,9 @@
 
   /** Reads as long as it is this daemon's turn. */
   private async read(): Promise<void> {
+    const { rank, view, onTakeOver } = this.options;
     this.isReading = true;
+    if (rank() !== 0) onTakeOver({ rank: rank(), ageMs: view.ageMs });
     while (!this.stopping.signal.aborted && this.isMyTurn()) await this.readOnce();
     this.isReading = false;
   }
--- a/packages/routing/test/store-watcher.test.ts
+++ b/packages/routing/test/store-watcher.test.ts
@@ -1,6 +1,6 @@
 /** Who reads the platform's store: one for all, and others when that one does not. */
 import { createManualTimers } from '@celeryyoke/core';
-import type { Delta } from '@celeryyoke/routing';
+import type { Delta, TakeOver } from '@celeryyoke/routing';
 import { StoreWatcher, ReplicatedStore } from '@celeryyoke/routing';
 import test from 'ava';
 
@@ -15,6 +15,7 @@
   const timers = createManualTimers();
   const view = new ReplicatedStore(timers);
   const calls = { list: 0, watch: 0 };
+  const takeOvers: TakeOver[] = [];
   const answer = (delta: Delta): Promise<Delta> =>
     fails ? Promise.reject(new Error('down')) : Promise.resolve(delta);
   const watcher = new StoreWatcher({
@@ -36,13 +37,14 @@
     },
     publish: () => undefined,
     onSource: () => undefined,
+    onTakeOver: (takeOver) => takeOvers.push(takeOver),
   });
   watcher.start();
   const takeView = (): void => {
     view.apply({ from: 0, upTo: 7, isWhole: true, changes: [] });
     view.confirm(7, 0);
   };
-  return { timers, view, calls, watcher, takeView };
+  return { timers, view, calls, takeOvers, watcher, takeView };
 }
 
 test('where the fleet starts for the first time, only the first of the daemons lists the store', async (t) => {
@@ -101,3 +103,14 @@
   await timers.advance(1000);
   t.true(calls.list >= 4 && calls.list <= 8, `${calls.list} calls`);
 });
+
+test('a daemon that reads in place of another one says so, with its rank and the age of its view', async (t) => {
+  const { timers, takeOvers, takeView } = setUp({ rank: () => 1 });
+  takeView();
+  await timers.advance(1200);
+  t.deepEqual(takeOvers, []);
+  await timers.advance(200);
+  const [first] = takeOvers;
+  t.is(first?.rank, 1);
+  t.true(first!.ageMs > 1250, `${first!.ageMs} ms`);
+});
