--- /dev/null
+++ b/packages/routing/test/fleet/freshness.test.ts
@@ -0,0 +1,124 @@
+/** How old the view of the platform is on each daemon, and that no daemon takes it for fresher than it is. */
+import { StoreWatcher } from '@celeryyoke/routing';
+import test from 'ava';
+
+import type { TestDaemon } from './daemons.js';
+import { TestFleet } from './daemons.js';
+import { timersOf } from './network.js';
+import { TestStore } from './store.js';
+
+/** Bound on the time from a change in the store to its being in force, of the smallest fleets, in milliseconds. */
+const IN_FORCE_MS = 2000;
+/** Rounding of ages on the wire and of the play's steps, in milliseconds. */
+const ROUNDING_MS = 5;
+const STEP_MS = 20;
+const ZONES = 3;
+
+/** A fleet whose daemons follow a store that changes all the time. */
+class FollowingFleet {
+  readonly fleet: TestFleet;
+
+  readonly store: TestStore;
+
+  private readonly watchers: StoreWatcher[] = [];
+
+  constructor() {
+    this.fleet = new TestFleet(ZONES, ZONES, (daemon) => this.follow(daemon));
+    this.store = new TestStore(this.fleet.network, this.fleet.timers);
+  }
+
+  async settle(count: number): Promise<void> {
+    await this.fleet.startAll(count);
+    await this.fleet.timers.advance(7000);
+  }
+
+  /** Lets time go by while the store changes. */
+  async play(forMs: number, everyMs: number, look: () => void): Promise<void> {
+    for (let atMs = 0; atMs < forMs; atMs += STEP_MS) {
+      if (atMs % everyMs === 0) this.store.write();
+      await this.fleet.timers.advance(STEP_MS);
+      look();
+    }
+  }
+
+  /** By how much a daemon takes its view for fresher than it is, in milliseconds. */
+  overstatedMs({ view }: TestDaemon): number {
+    return this.store.staleMs(view.upTo) - view.ageMs;
+  }
+
+  stop(): void {
+    for (const watcher of this.watchers) watcher.stop();
+  }
+
+  private follow(daemon: TestDaemon): void {
+    const { address, view, cluster, tree } = daemon;
+    const watcher = new StoreWatcher({
+      view,
+      source: this.store.sourceOf(address),
+      timers: timersOf(this.fleet.network, address),
+      rank: () => cluster.alive().indexOf(address),
+      isAlone: () => cluster.alive().length <= 1,
+      isFirstStart: true,
+      publish: (isNews) => tree.publishView(isNews),
+      onSource: () => undefined,
+      onTakeOver: () => undefined,
+    });
+    this.watchers.push(watcher);
+    watcher.start();
+  }
+}
+
+/** What a play shows of some daemons. */
+interface Ages {
+  /** Longest time for which a view was not the newest one, in milliseconds. */
+  staleMs: number;
+  /** Longest time by which a daemon took its view for fresher than it was, in milliseconds. */
+  overstatedMs: number;
+}
+
+/** Plays ten seconds in which the store changes all the time. */
+async function play(following: FollowingFleet, daemons: readonly TestDaemon[]): Promise<Ages> {
+  const ages: Ages = { staleMs: 0, overstatedMs: 0 };
+  await following.play(10_000, 100, () => {
+    for (const daemon of daemons) {
+      ages.staleMs = Math.max(ages.staleMs, following.store.staleMs(daemon.view.upTo));
+      ages.overstatedMs = Math.max(ages.overstatedMs, following.overstatedMs(daemon));
+    }
+  });
+  following.stop();
+  return ages;
+}
+
+for (const [name, slowIndex] of [
+  ['the root', 0],
+  ['one that passes batches on', 1],
+] as const)
+  // Guards against a change that is in force late on a sound daemon, as what reached it over a slow one counted as new.
+  test(`a change is in force on all others in time while ${name} handles all late`, async (t) => {
+    const following = new FollowingFleet();
+    const { fleet } = following;
+    await following.settle(24);
+    const slow = fleet.daemon(slowIndex);
+    t.true(slow.tree.subscribers > 0);
+    fleet.network.slow(slow.address, 1100);
+    const ages = await play(
+      following,
+      fleet.running().filter((daemon) => daemon !== slow),
+    );
+    t.log(ages);
+    t.true(ages.overstatedMs <= ROUNDING_MS);
+    t.true(ages.staleMs < IN_FORCE_MS);
+  });
+
+// Guards against ages that lose the time on the way whenever they go round between a daemon and its parent.
+test('a change is in force in time while the store refuses the root and all handle messages late', async (t) => {
+  const following = new FollowingFleet();
+  const { fleet, store } = following;
+  await following.settle(24);
+  for (const daemon of fleet.running()) fleet.network.slow(daemon.address, 100);
+  store.refused.add(fleet.daemon(0).address);
+  const ages = await play(following, fleet.running());
+  t.log(ages);
+  t.true(ages.overstatedMs <= ROUNDING_MS);
+  t.true(ages.staleMs < IN_FORCE_MS);
+});
--- a/packages/routing/test/fleet/network.ts
+++ b/packages/routing/test/fleet/network.ts
@@ -2,7 +2,7 @@
 import type { ManualTimerService, TimerService } from '@celeryyoke/core';
 import { decode, encode } from '@celeryyoke/core';
 import type { LinkEvents, ListenerEvents, PeerChannel, PeerLink, PeerTransport } from '@celeryyoke/routing';
-import { LinkEnd, MessageType } from '@celeryyoke/routing';
+import { FrameReader, LinkEnd, MessageType } from '@celeryyoke/routing';
 
 const LATENCY_MS = 1;
 const CONNECT_TIMEOUT_MS = 600;
@@ -35,6 +35,9 @@
 
   private readonly frozen = new Set<string>();
 
+  /** Time by which daemons handle all that reaches them late, in milliseconds. */
+  private readonly lags = new Map<string, number>();
+
   /** Messages that are still to be lost between two daemons. */
   private readonly losses = new Map<string, number>();
 
@@ -99,6 +102,16 @@
     this.release();
   }
 
+  /** Has a daemon handle all that reaches it late, as one without processor time does. */
+  slow(address: string, lagMs: number): void {
+    this.lags.set(address, lagMs);
+  }
+
+  /** Time by which a daemon handles what reaches it late, in milliseconds. */
+  lagOf(address: string): number {
+    return this.lags.get(address) ?? 0;
+  }
+
   /** Has something happen in a process, after it goes on if it is frozen. */
   whenRunning(address: string, callback: () => void): void {
     if (!this.isFrozen(address)) callback();
@@ -114,7 +127,7 @@
     if (this.frozen.has(from)) return;
     this.sent.set(from, (this.sent.get(from) ?? 0) + 1);
     this.bytes.set(from, (this.bytes.get(from) ?? 0) + encode(body).length + 4);
-    this.timers.after(LATENCY_MS, () => this.arrive(`${from}>${to}`, to, deliver));
+    this.timers.after(LATENCY_MS + this.lagOf(to), () => this.arrive(`${from}>${to}`, to, deliver));
   }
 
   private arrive(way: string, to: string, deliver: () => void): void {
@@ -303,7 +316,7 @@
 
   private carryPush(frame: Buffer): void {
     if (!this.channel.isOpen || this.hasEnded) return;
-    const [, body] = decode(frame.subarray(4)) as [number, unknown];
+    const [[, body]] = [...new FrameReader().take(frame)] as [[number, unknown]];
     this.network.carry(this.to, this.from, body, () => {
       if (this.hasEnded) return;
       this.hear();
--- /dev/null
+++ b/packages/routing/test/fleet/store.ts
@@ -0,0 +1,90 @@
+/** A platform's store on the virtual clock, as each daemon of a test reaches it. */
+import type { TimerService } from '@celeryyoke/core';
+import type { Change, Delta, RecordSource } from '@celeryyoke/routing';
+import { RecordKind } from '@celeryyoke/routing';
+
+import { engineEntry } from '../fakes.js';
+import type { MemoryNetwork } from './network.js';
+
+const LATENCY_MS = 2;
+/** How often a watch that waits looks for changes, in milliseconds. */
+const LOOK_MS = 5;
+/** First revision, which all daemons can read from the start. */
+const FIRST_REVISION = 1;
+
+/** Revisions and when they were written. */
+export class TestStore {
+  private readonly changes: Change[] = [];
+
+  private readonly writtenAt = new Map<number, number>();
+
+  /** Daemons that get no answer. */
+  readonly unreachable = new Set<string>();
+
+  /** Daemons whose calls are refused at once. */
+  readonly refused = new Set<string>();
+
+  constructor(
+    private readonly network: MemoryNetwork,
+    private readonly timers: TimerService,
+  ) {
+    this.write();
+  }
+
+  get revision(): number {
+    return this.changes.length;
+  }
+
+  /** Writes a record; the result is its revision. */
+  write(): number {
+    const revision = this.revision + FIRST_REVISION;
+    const record = { kind: RecordKind.Replica as const, replica: engineEntry(`e${revision}`) };
+    this.changes.push({ key: `e${revision}`, revision, record });
+    this.writtenAt.set(revision, this.timers.now());
+    return revision;
+  }
+
+  /** How long ago a view that is complete up to a revision ceased to be the newest one, in milliseconds. */
+  staleMs(upTo: number): number {
+    const nextAt = this.writtenAt.get(upTo + 1);
+    return nextAt === undefined ? 0 : this.timers.now() - nextAt;
+  }
+
+  /** The store as one daemon reaches it; a slow daemon handles answers late. */
+  sourceOf(daemon: string): RecordSource {
+    return {
+      list: (signal) =>
+        this.refused.has(daemon)
+          ? this.refuse(daemon)
+          : this.answer(daemon, signal, () => this.delta(0, true)),
+      watch: async (after, waitMs, signal) => {
+        if (this.refused.has(daemon)) return this.refuse(daemon);
+        const endAt = this.timers.now() + LATENCY_MS + waitMs;
+        while (this.revision <= after && this.timers.now() < endAt && !signal.aborted)
+          await this.timers.sleep(LOOK_MS);
+        return this.answer(daemon, signal, () => this.delta(after, false));
+      },
+    };
+  }
+
+  private async refuse(daemon: string): Promise<never> {
+    await this.timers.sleep(2 * LATENCY_MS + this.network.lagOf(daemon));
+    throw new Error('The store is busy.');
+  }
+
+  private async answer(daemon: string, signal: AbortSignal, read: () => Delta): Promise<Delta> {
+    await this.timers.sleep(LATENCY_MS);
+    if (this.unreachable.has(daemon)) {
+      await new Promise((resolve) => signal.addEventListener('abort', resolve, { once: true }));
+      throw signal.reason;
+    }
+    const delta = read();
+    await this.timers.sleep(LATENCY_MS + this.network.lagOf(daemon));
+    signal.throwIfAborted();
+    return delta;
+  }
+
+  private delta(from: number, isWhole: boolean): Delta {
+    return { from, upTo: this.revision, isWhole, changes: this.changes.slice(from) };
+  }
+}
