dissemination: count the time on the way in the age of the view

What callers saw: requests routed by version 3 of the configuration 3.4 s after the store had acknowledged version 5; 3 s are allowed.

Cause: the age of the platform's view travelled as it was when a batch was sent, and was taken as it was when the batch was handled. Parent and child confirm each other's view, so each round made it younger by two ways. Where the store refuses the root, the next in rank reads when its view is 1.25 s old, but the view did not grow old: the slower the daemons, the later.

Change: batches bear the parent's monotonic clock. A child bounds the difference of the two clocks by its subscription and a question each 2 s, and converts times to the older bound, down and up. A watch counts from its start, as its answer may have been handled late. A copy that has at least as much as a confirmed one is confirmed too.

--- a/packages/routing/src/core/cluster/types.ts
+++ b/packages/routing/src/core/cluster/types.ts
@@ -58,6 +58,8 @@
   QuotaCharge = 13,
   /** What the speaker has admitted of accounts that the receiver owns. */
   QuotaUsage = 14,
+  /** Asks for the monotonic clock. */
+  Clock = 15,
 }
 
 /** The listening end of a link, over which messages can be pushed to the daemon that dialled. */
--- a/packages/routing/src/core/dissemination/batch.ts
+++ b/packages/routing/src/core/dissemination/batch.ts
@@ -9,8 +9,10 @@
 export interface ViewAge {
   /** Revision up to which the view is complete. */
   readonly upTo: number;
-  /** How long ago that was confirmed, in milliseconds; below 0 when it never was. */
+  /** How long before {@link ViewAge.clock} that was confirmed, in milliseconds; below 0 when it never was. */
   readonly ageMs: number;
+  /** Time of sending on the monotonic clock of whichever of the two daemons is the parent; undefined when it is not known. */
+  readonly clock: number | undefined;
 }
 
 /** Rows and changes of the platform's view that travel together. */
@@ -38,15 +40,23 @@
   readonly recent: readonly (readonly [replica: string, keys: readonly string[]])[];
 }
 
-type BatchFrame = readonly [EncodedRows, Delta | null, number, number, number | null, number | null];
+type BatchFrame = readonly [
+  EncodedRows,
+  Delta | null,
+  number,
+  number,
+  number | null,
+  number | null,
+  number | null,
+];
 
 /**
  * Encodes a batch.
  * @param batch - The batch.
  * @returns Its compact form.
  */
-export function encodeBatch({ rows, delta, upTo, ageMs, beat, digest }: Batch): BatchFrame {
-  return [rows, delta ?? null, upTo, ageMs, beat ?? null, digest ?? null];
+export function encodeBatch({ rows, delta, upTo, ageMs, clock, beat, digest }: Batch): BatchFrame {
+  return [rows, delta ?? null, upTo, ageMs, clock ?? null, beat ?? null, digest ?? null];
 }
 
 /**
@@ -55,12 +65,13 @@
  * @returns The batch.
  */
 export function decodeBatch(frame: unknown): Batch {
-  const [rows, delta, upTo, ageMs, beat, digest] = frame as BatchFrame;
+  const [rows, delta, upTo, ageMs, clock, beat, digest] = frame as BatchFrame;
   return {
     rows,
     delta: delta ?? undefined,
     upTo,
     ageMs,
+    clock: clock ?? undefined,
     beat: beat ?? undefined,
     digest: digest ?? undefined,
   };
--- a/packages/routing/src/core/dissemination/tree.ts
+++ b/packages/routing/src/core/dissemination/tree.ts
@@ -10,9 +10,10 @@
 import type { Cluster, Member, PeerChannel } from '../cluster/index.js';
 import { MemberState, MessageType } from '../cluster/index.js';
 import type { Delta, ReplicatedStore } from '../view/index.js';
-import type { Batch, EncodedRows, Subscription, SubscriptionAnswer } from './batch.js';
+import type { Batch, EncodedRows, Subscription, SubscriptionAnswer, ViewAge } from './batch.js';
 import { decodeBatch, encodeBatch } from './batch.js';
 import { BatchTimer } from './batch-timer.js';
+import { ParentClock } from './parent-clock.js';
 import { Subscribers } from './subscribers.js';
 import { RowSet, TopicRegistry } from './topics.js';
 import { chooseParent } from './topology.js';
@@ -46,6 +47,11 @@
 /** Age of the last batch of a root up to which that root is believed to work, in milliseconds. */
 const FRESH_ROOT_MS = 800;
 
+/** Interval in which a daemon asks its parent for its clock, in milliseconds. */
+const CLOCK_MS = 2000;
+/** Longest wait for that answer, in milliseconds. */
+const CLOCK_TIMEOUT_MS = 1000;
+
 /** Interval in which the root tells a digest of the members, in milliseconds. */
 const DIGEST_MS = 2000;
 
@@ -91,6 +97,11 @@
   /** The daemon that this one subscribes to; undefined for a root, and while there is none. */
   private parent: string | undefined;
 
+  private parentClock = new ParentClock();
+
+  /** Monotonic time at which the parent was last asked for its clock. */
+  private clockAskedAt = 0;
+
   private isRoot = false;
 
   private isSubscribed = false;
@@ -133,6 +144,7 @@
     );
     cluster.handle(MessageType.Unsubscribe, (from) => this.subscriberList.remove(from.address));
     cluster.handle(MessageType.Update, (_from, body) => this.handleUpdate(decodeBatch(body)));
+    cluster.handle(MessageType.Clock, () => timers.now());
     cluster.handle(MessageType.RootAge, () => Math.round(this.ageMs));
     cluster.handle(MessageType.ViewChanges, (_from, upTo: number) => options.view.since(upTo));
     cluster.handlePush((from, body) => this.handlePush(from, decodeBatch(body)));
@@ -219,7 +231,7 @@
     this.beat += 1;
     const rows = this.topics.encode(this.pending.drain());
     this.push({
-      ...this.viewFeed.age(),
+      ...this.viewFeed.age(this.options.timers.now()),
       rows,
       delta: this.viewFeed.takeUnsent(),
       beat: this.beat,
@@ -229,7 +241,9 @@
 
   private sendUp(parent: string): void {
     const rows = this.topics.encode(this.pending.drain());
-    const batch: Batch = { ...this.signOfLife(), rows, delta: this.viewFeed.takeUnsent() };
+    const clock = this.parentClock.toParent(this.options.timers.now());
+    const delta = this.viewFeed.takeUnsent();
+    const batch: Batch = { ...this.viewFeed.age(clock), rows, delta, beat: undefined, digest: undefined };
     this.options.cluster.send(parent, MessageType.Update, encodeBatch(batch));
   }
 
@@ -247,25 +261,43 @@
 
   /** A batch that says nothing but that this daemon lives, and how fresh its view is. */
   private signOfLife(): Batch {
-    return { ...this.viewFeed.age(), rows: [], delta: undefined, beat: undefined, digest: undefined };
+    const age = this.viewFeed.age(this.options.timers.now());
+    return { ...age, rows: [], delta: undefined, beat: undefined, digest: undefined };
   }
 
   private handleUpdate(batch: Batch): void {
     this.topics.merge(batch.rows, (topic, key, row) => this.enqueue(topic, key, row));
-    if (this.viewFeed.takeFromBelow(batch)) this.schedule(URGENT_BATCH_MS);
+    const { clock } = batch;
+    const onWayMs = clock === undefined ? Number.POSITIVE_INFINITY : this.options.timers.now() - clock;
+    if (this.viewFeed.takeFromBelow(batch, onWayMs)) this.schedule(URGENT_BATCH_MS);
   }
 
   private handlePush(from: string, batch: Batch): void {
     if (from !== this.parent) return;
     this.heardAt = this.options.timers.now();
+    const onWayMs = this.noteWay(batch);
     if (batch.beat === undefined && batch.rows.length === 0) return;
     if (batch.beat !== undefined) this.rootHeardAt = this.heardAt;
-    this.push(batch);
+    this.passOn(batch, onWayMs);
     this.merge(batch.rows);
-    this.viewFeed.takeFromAbove(batch, from);
+    this.viewFeed.takeFromAbove(batch, onWayMs, from);
     if (batch.digest !== undefined) this.compare(batch.digest, from);
   }
 
+  /** Learns from the clock in a batch of the parent; the result is how long the batch was on its way, in milliseconds. */
+  private noteWay({ clock }: ViewAge): number {
+    if (clock === undefined) return Number.POSITIVE_INFINITY;
+    this.parentClock.noteMessage(clock, this.heardAt);
+    return this.parentClock.elapsedMs(clock, this.heardAt);
+  }
+
+  /** Sends a batch of the parent to those below, whose parent is this daemon. */
+  private passOn(batch: Batch, onWayMs: number): void {
+    const isKnown = batch.ageMs >= 0 && Number.isFinite(onWayMs);
+    const ageMs = isKnown ? Math.ceil(batch.ageMs + onWayMs) : -1;
+    this.push({ ...batch, ageMs, clock: this.heardAt });
+  }
+
   /** Subscribes anew when the root has known other members than this daemon for a while: something was missed. */
   private compare(digest: number, parent: string): void {
     const pair = `${digest} ${this.options.cluster.digest()}`;
@@ -296,7 +328,8 @@
     this.subscriberList.add(address, channel);
     const { view, recent } = this.options;
     const delta = view.upTo > upTo ? view.since(upTo) : null;
-    return { ...this.viewFeed.age(), rows: this.topics.snapshot(), delta, recent: recent() };
+    const age = this.viewFeed.age(this.options.timers.now());
+    return { ...age, rows: this.topics.snapshot(), delta, recent: recent() };
   }
 
   /** The parent wants to be fed by this daemon: right when this daemon is to be the root, a circle otherwise. */
@@ -321,11 +354,31 @@
     else if (this.hasPatience(now)) this.misplacedSince ??= now;
     else if (place === undefined) void this.becomeRoot();
     else this.attach(place);
+    this.askForClock(now);
     if (now - this.subscriberList.pushedAt < BEAT_MS) return;
     if (this.isRoot) this.batchTimer.fire();
     else this.push(this.signOfLife());
   }
 
+  /** Asks the parent for its clock now and then: either clock may have stood still. */
+  private askForClock(now: number): void {
+    const { parent, parentClock } = this;
+    if (parent === undefined || !this.isSubscribed || now - this.clockAskedAt < CLOCK_MS) return;
+    this.clockAskedAt = now;
+    void this.exchangeClocks(parent, parentClock);
+  }
+
+  private async exchangeClocks(parent: string, parentClock: ParentClock): Promise<void> {
+    const { cluster, timers, log } = this.options;
+    const sentAt = timers.now();
+    try {
+      const answer = await cluster.request(parent, MessageType.Clock, null, CLOCK_TIMEOUT_MS);
+      parentClock.noteExchange(sentAt, Number(answer), timers.now());
+    } catch (err) {
+      log.debug(`${parent} does not tell its clock: ${String(err)}.`);
+    }
+  }
+
   private checkParent(now: number): void {
     const { parent } = this;
     if (parent === undefined) return;
@@ -403,15 +456,17 @@
       return;
     }
     this.parent = parent;
+    this.parentClock = new ParentClock();
     void this.subscribe(parent);
   }
 
   private async subscribe(parent: string): Promise<void> {
     const { cluster, view, timers, log } = this.options;
     const subscription: Subscription = { rows: this.topics.snapshot(), upTo: view.upTo };
+    const sentAt = timers.now();
     try {
       const answer = await cluster.request(parent, MessageType.Subscribe, subscription, SUBSCRIBE_TIMEOUT_MS);
-      if (this.parent === parent) this.handleAnswer(answer as SubscriptionAnswer);
+      if (this.parent === parent) this.handleAnswer(answer as SubscriptionAnswer, sentAt);
     } catch (err) {
       log.debug(`${parent} can't be subscribed to: ${String(err)}.`);
       this.excludedUntil.set(parent, timers.now() + EXCLUSION_MS);
@@ -419,16 +474,22 @@
     }
   }
 
-  private handleAnswer({ rows, delta, recent, upTo, ageMs }: SubscriptionAnswer): void {
+  private handleAnswer(
+    { rows, delta, recent, upTo, ageMs, clock }: SubscriptionAnswer,
+    sentAt: number,
+  ): void {
     const { view, timers, takeRecent } = this.options;
     this.isSubscribed = true;
     this.heardAt = timers.now();
     this.rootHeardAt = this.heardAt;
+    if (clock !== undefined) this.parentClock.noteExchange(sentAt, clock, this.heardAt);
+    const onWayMs =
+      clock === undefined ? Number.POSITIVE_INFINITY : this.parentClock.elapsedMs(clock, this.heardAt);
     this.viewFeed.noteSent(upTo);
     this.merge(rows);
     for (const [replica, keys] of recent) takeRecent(replica, keys);
     if (delta !== undefined && delta !== null) view.apply(delta);
-    if (ageMs >= 0) view.confirm(upTo, ageMs);
+    if (ageMs >= 0) view.confirm(upTo, ageMs + onWayMs);
     // Those below this daemon may have missed more than it has: what it learnt in other ways is no news to it.
     this.push({ ...this.signOfLife(), rows });
     // What changed while the answer was on its way, and a newer view, go up.
--- a/packages/routing/src/core/dissemination/view-feed.ts
+++ b/packages/routing/src/core/dissemination/view-feed.ts
@@ -29,10 +29,13 @@
    */
   constructor(private readonly options: ViewFeedOptions) {}
 
-  /** How fresh this daemon's view is. */
-  age(): ViewAge {
+  /**
+   * Tells how fresh this daemon's view is.
+   * @param clock - Time of telling it; see {@link ViewAge.clock}.
+   */
+  age(clock: number | undefined): ViewAge {
     const { view } = this.options;
-    return { upTo: view.upTo, ageMs: Number.isFinite(view.ageMs) ? Math.round(view.ageMs) : -1 };
+    return { upTo: view.upTo, ageMs: Number.isFinite(view.ageMs) ? Math.ceil(view.ageMs) : -1, clock };
   }
 
   /**
@@ -58,29 +61,31 @@
   /**
    * Takes what came with a batch from below.
    * @param batch - The batch.
+   * @param onWayMs - How long it was on its way, in milliseconds.
    * @returns Whether the view is newer for it.
    */
-  takeFromBelow(batch: Batch): boolean {
+  takeFromBelow(batch: Batch, onWayMs: number): boolean {
     const { upTo } = this.options.view;
-    this.take(batch, undefined);
+    this.take(batch, onWayMs, undefined);
     return this.options.view.upTo > upTo;
   }
 
   /**
    * Takes what came with a batch from the parent, and asks it for what is missing before.
    * @param batch - The batch.
+   * @param onWayMs - How long it was on its way, in milliseconds.
    * @param parent - Who sent it.
    */
-  takeFromAbove(batch: Batch, parent: string): void {
+  takeFromAbove(batch: Batch, onWayMs: number, parent: string): void {
     this.sentUpTo = Math.max(this.sentUpTo, batch.upTo);
-    this.take(batch, parent);
+    this.take(batch, onWayMs, parent);
   }
 
-  private take({ delta, upTo, ageMs }: ViewAge & Pick<Batch, 'delta'>, source: string | undefined): void {
+  private take({ delta, upTo, ageMs }: Batch, onWayMs: number, source: string | undefined): void {
     const { view } = this.options;
     const isTaken = delta === undefined || view.apply(delta);
     if (source !== undefined && (!isTaken || upTo > view.upTo)) void this.ask(source);
-    if (ageMs >= 0) view.confirm(upTo, ageMs);
+    if (ageMs >= 0) view.confirm(upTo, ageMs + onWayMs);
   }
 
   private async ask(source: string): Promise<void> {
--- a/packages/routing/src/core/view/replicated-store.ts
+++ b/packages/routing/src/core/view/replicated-store.ts
@@ -60,12 +60,12 @@
   }
 
   /**
-   * Notes that a view at a revision was complete some time ago.
+   * Notes that a view at a revision was complete some time ago; so was this one if it has as much.
    * @param upTo - The revision.
    * @param ageMs - How long ago, in milliseconds.
    */
   confirm(upTo: number, ageMs: number): void {
-    if (upTo !== this.upTo || this.upTo === 0) return;
+    if (upTo > this.upTo || this.upTo === 0) return;
     this.confirmedAt = Math.max(this.confirmedAt, this.timers.now() - ageMs);
   }
 
--- a/packages/routing/src/core/view/store-watcher.ts
+++ b/packages/routing/src/core/view/store-watcher.ts
@@ -66,6 +66,13 @@
   readonly ageMs: number;
 }
 
+/** What the source has told. */
+interface Reading {
+  readonly delta: Delta;
+  /** Monotonic time at which the source had no more than that, or a moment before, in milliseconds. */
+  readonly readAt: number;
+}
+
 /** The task that follows the source. */
 export class StoreWatcher {
   private readonly stopping = new AbortController();
@@ -133,9 +140,9 @@
     const { view, timers, publish } = this.options;
     try {
       const { newsCount } = view;
-      const delta = await this.fetch();
+      const { delta, readAt } = await this.fetch();
       view.apply(delta);
-      view.confirm(view.upTo, 0);
+      view.confirm(delta.upTo, timers.now() - readAt);
       this.note(true, '');
       publish(view.newsCount > newsCount);
       await timers.sleep(BATCH_MS);
@@ -145,13 +152,23 @@
     }
   }
 
-  private async fetch(): Promise<Delta> {
-    const { view, source } = this.options;
-    if (view.upTo === 0) return this.within(LIST_TIMEOUT_MS, (signal) => source.list(signal));
+  private async fetch(): Promise<Reading> {
+    const { view, source, timers } = this.options;
+    if (view.upTo === 0) return this.list();
+    const startedAt = timers.now();
     const delta = await this.within(WATCH_WAIT_MS + SILENCE_MS, (signal) =>
       source.watch(view.upTo, WATCH_WAIT_MS, signal),
     );
-    return delta ?? this.within(LIST_TIMEOUT_MS, (signal) => source.list(signal));
+    if (delta === undefined) return this.list();
+    // An answer that came late may have been given early, unless the source had nothing to say until its wait was over.
+    const hasWaited = delta.changes.length === 0 && timers.now() - startedAt >= WATCH_WAIT_MS;
+    return { delta, readAt: hasWaited ? startedAt + WATCH_WAIT_MS : startedAt };
+  }
+
+  private async list(): Promise<Reading> {
+    const readAt = this.options.timers.now();
+    const delta = await this.within(LIST_TIMEOUT_MS, (signal) => this.options.source.list(signal));
+    return { delta, readAt };
   }
 
   private async within<T>(ms: number, call: (signal: AbortSignal) => Promise<T>): Promise<T> {
--- a/packages/routing/test/fleet/store.ts
+++ b/packages/routing/test/fleet/store.ts
@@ -75,7 +75,9 @@
   private async answer(daemon: string, signal: AbortSignal, read: () => Delta): Promise<Delta> {
     await this.timers.sleep(LATENCY_MS);
     if (this.unreachable.has(daemon)) {
-      await new Promise((resolve) => signal.addEventListener('abort', resolve, { once: true }));
+      await new Promise<void>((resolve) => {
+        signal.addEventListener('abort', () => resolve(), { once: true });
+      });
       throw signal.reason;
     }
     const delta = read();
