dissemination: send what is read in place of the root down at once

Cause: what another daemon read went up to the root and came down again, so a root that handles all late delayed everyone until each had read for itself: up to 2 s with 24 daemons, 2.5 s with 69.

Change: the first daemons of the failure domains rank before all others among those that read in place of the root, and a daemon that has changes from its own reading or from below passes them on to those below at once.

--- a/packages/routing/src/core/daemon/services.ts
+++ b/packages/routing/src/core/daemon/services.ts
@@ -17,7 +17,7 @@
 import { Chooser, InFlightTable, ReplicaHealth } from '../choice/index.js';
 import type { MemberRecord } from '../cluster/index.js';
 import { Cluster, createTcpTransport, MemberState } from '../cluster/index.js';
-import { DisseminationTree, Topic } from '../dissemination/index.js';
+import { DisseminationTree, readingRank, Topic } from '../dissemination/index.js';
 import { PromptAdmission } from '../pacing/index.js';
 import { CallerTimes, StreamMigrations, RequestMetrics, RequestServer } from '../requests/index.js';
 import { ReplicaRegistry, StoreWatcher, RecordKind, ReplicatedStore } from '../view/index.js';
@@ -415,7 +415,7 @@
       view,
       source,
       timers,
-      rank: () => cluster.alive().indexOf(self),
+      rank: () => readingRank(self, cluster.alive(), (address) => cluster.member(address)?.zone),
       isAlone: () => cluster.alive().length <= 1,
       isFirstStart: this.options.settings.isFirstStart,
       publish: (isNews) => tree.publishView(isNews),
--- a/packages/routing/src/core/dissemination/topology.ts
+++ b/packages/routing/src/core/dissemination/topology.ts
@@ -37,3 +37,31 @@
   const place = neighbours.indexOf(self);
   return place <= 0 ? root : neighbours[Math.floor((place - 1) / FAN_OUT)];
 }
+
+/**
+ * Tells a daemon's place among those that read the platform in place of each other.
+ *
+ * Those that feed a failure domain come first, as what they read goes to all of it at once.
+ * @param self - The daemon.
+ * @param alive - Living members in the fixed order.
+ * @param zoneOf - Failure domain of a member.
+ * @returns The place, from 0 for the root; below 0 when the daemon does not live.
+ */
+export function readingRank(
+  self: string,
+  alive: readonly string[],
+  zoneOf: (address: string) => string | undefined,
+): number {
+  const place = alive.indexOf(self);
+  if (place < 0) return place;
+  const zones = new Set<string | undefined>();
+  let firstsBefore = 0;
+  let isFirst = false;
+  for (const [index, address] of alive.entries()) {
+    const known = zones.size;
+    zones.add(zoneOf(address));
+    if (index === place) isFirst = zones.size > known;
+    else if (index < place) firstsBefore = zones.size;
+  }
+  return isFirst ? firstsBefore : zones.size + place - firstsBefore;
+}
--- a/packages/routing/src/core/dissemination/tree.ts
+++ b/packages/routing/src/core/dissemination/tree.ts
@@ -205,6 +205,7 @@
    * @param isNews - Whether it found changes.
    */
   publishView(isNews: boolean): void {
+    if (!this.isRoot) this.passView();
     this.schedule(isNews ? URGENT_BATCH_MS : this.batchMs);
   }
 
@@ -259,7 +260,6 @@
     this.subscriberList.push(batch);
   }
 
-  /** A batch that says nothing but that this daemon lives, and how fresh its view is. */
   private signOfLife(): Batch {
     const age = this.viewFeed.age(this.options.timers.now());
     return { ...age, rows: [], delta: undefined, beat: undefined, digest: undefined };
@@ -269,16 +269,23 @@
     this.topics.merge(batch.rows, (topic, key, row) => this.enqueue(topic, key, row));
     const { clock } = batch;
     const onWayMs = clock === undefined ? Number.POSITIVE_INFINITY : this.options.timers.now() - clock;
-    if (this.viewFeed.takeFromBelow(batch, onWayMs)) this.schedule(URGENT_BATCH_MS);
+    if (!this.viewFeed.takeFromBelow(batch, onWayMs)) return;
+    if (!this.isRoot) this.passView();
+    this.schedule(URGENT_BATCH_MS);
+  }
+
+  /** Sends a view that did not come from the parent to those below: the way over the root may be slow or broken. */
+  private passView(): void {
+    const delta = this.viewFeed.takeUnpassed();
+    this.push({ ...this.signOfLife(), delta });
   }
 
   private handlePush(from: string, batch: Batch): void {
     if (from !== this.parent) return;
     this.heardAt = this.options.timers.now();
     const onWayMs = this.noteWay(batch);
-    if (batch.beat === undefined && batch.rows.length === 0) return;
     if (batch.beat !== undefined) this.rootHeardAt = this.heardAt;
-    this.passOn(batch, onWayMs);
+    if (!isSignOfLife(batch)) this.passOn(batch, onWayMs);
     this.merge(batch.rows);
     this.viewFeed.takeFromAbove(batch, onWayMs, from);
     if (batch.digest !== undefined) this.compare(batch.digest, from);
@@ -295,6 +302,7 @@
   private passOn(batch: Batch, onWayMs: number): void {
     const isKnown = batch.ageMs >= 0 && Number.isFinite(onWayMs);
     const ageMs = isKnown ? Math.ceil(batch.ageMs + onWayMs) : -1;
+    this.viewFeed.notePassed(batch.upTo);
     this.push({ ...batch, ageMs, clock: this.heardAt });
   }
 
@@ -496,3 +504,8 @@
     this.schedule(UP_BATCH_MS);
   }
 }
+
+/** Whether a batch says nothing but that its sender lives, and how fresh the sender's view is. */
+function isSignOfLife({ beat, rows, delta }: Batch): boolean {
+  return beat === undefined && rows.length === 0 && delta === undefined;
+}
--- a/packages/routing/src/core/dissemination/view-feed.ts
+++ b/packages/routing/src/core/dissemination/view-feed.ts
@@ -18,9 +18,12 @@
 
 /** The platform's view on its way between daemons. */
 export class ViewFeed {
-  /** Revision up to which those that this daemon sends to have the view. */
+  /** Revision up to which those that this daemon sends to have the view: its parent, or those below a root. */
   private sentUpTo = 0;
 
+  /** Revision up to which those below this daemon were sent the view, whoever found the changes. */
+  private passedUpTo = 0;
+
   private isAsking = false;
 
   /**
@@ -50,6 +53,26 @@
     return delta;
   }
 
+  /**
+   * Takes the changes out that have not been sent to those below.
+   * @returns The changes, or undefined when there are none.
+   */
+  takeUnpassed(): Delta | undefined {
+    const { view } = this.options;
+    if (view.upTo <= this.passedUpTo) return undefined;
+    const delta = view.since(this.passedUpTo);
+    this.passedUpTo = view.upTo;
+    return delta;
+  }
+
+  /**
+   * Notes that those below were sent the view.
+   * @param upTo - Up to this revision.
+   */
+  notePassed(upTo: number): void {
+    this.passedUpTo = Math.max(this.passedUpTo, upTo);
+  }
+
   /**
    * Notes that those that this daemon sends to have the view.
    * @param upTo - Up to this revision.
--- a/packages/routing/test/fleet/freshness.test.ts
+++ b/packages/routing/test/fleet/freshness.test.ts
@@ -1,5 +1,5 @@
 /** How old the view of the platform is on each daemon, and that no daemon takes it for fresher than it is. */
-import { StoreWatcher } from '@celeryyoke/routing';
+import { readingRank, StoreWatcher } from '@celeryyoke/routing';
 import test from 'ava';
 
 import type { TestDaemon } from './daemons.js';
@@ -56,7 +56,7 @@
       view,
       source: this.store.sourceOf(address),
       timers: timersOf(this.fleet.network, address),
-      rank: () => cluster.alive().indexOf(address),
+      rank: () => readingRank(address, cluster.alive(), (member) => cluster.member(member)?.zone),
       isAlone: () => cluster.alive().length <= 1,
       isFirstStart: true,
       publish: (isNews) => tree.publishView(isNews),
--- a/packages/routing/test/fleet/topology.test.ts
+++ b/packages/routing/test/fleet/topology.test.ts
@@ -1,5 +1,5 @@
 /** Where a daemon subscribes: one root, one feed into each failure domain, few children each. */
-import { chooseParent, FAN_OUT } from '@celeryyoke/routing';
+import { chooseParent, FAN_OUT, readingRank } from '@celeryyoke/routing';
 import test from 'ava';
 import fc from 'fast-check';
 
@@ -63,3 +63,20 @@
   const parent = chooseParent({ self: nameOf(1, 2), alive, zoneOf, isExcluded: () => false });
   t.is(parent, nameOf(1, 0));
 });
+
+test('those that feed a failure domain read the platform before all others, the root first', (t) => {
+  fc.assert(
+    fc.property(fleets, (alive) => {
+      const ranks = alive.map((self) => readingRank(self, alive, zoneOf));
+      t.deepEqual(
+        [...ranks].sort((left, right) => left - right),
+        alive.map((_, index) => index),
+      );
+      const zones = new Set(alive.map(zoneOf)).size;
+      const firsts = alive.filter((_, index) => ranks[index]! < zones);
+      t.is(new Set(firsts.map(zoneOf)).size, zones);
+      t.is(ranks[0], 0);
+    }),
+  );
+  t.is(readingRank('10.9.0.1:1', ['10.1.0.1:1'], zoneOf), -1);
+});
