budget: give a restarted daemon no fixed part for one window

Cause: a daemon's budget is its own memory. One that started again had its part of the fixed number anew, so restarts within a window multiplied it; one that knew no other daemon yet took all of it.

Evidence: four lives of eight daemons within ten seconds spend 160 repeats, allowed 54 (budget.test.ts, failed before).

--- a/packages/routing/src/core/budget/budget.ts
+++ b/packages/routing/src/core/budget/budget.ts
@@ -3,7 +3,8 @@
  *
  * The users allow, in any window, a share of the requests plus a fixed number, summed over all daemons. The share is
  * spent where the requests are; of the fixed number each daemon takes an equal part, so that the sum holds in any
- * partition of the fleet.
+ * partition of the fleet. A daemon that starts again may have spent its part in the same window, so it has none for the
+ * length of one.
  */
 import type { TimerService } from '@celeryyoke/core';
 
@@ -21,6 +22,16 @@
   readonly slack: number;
 }
 
+/** Options of a budget. */
+export interface RepeatBudgetOptions {
+  readonly bounds: BudgetBounds;
+  /** Number of daemons that share it. */
+  readonly daemons: () => number;
+  /** Monotonic time before which this daemon has no part of the fixed number, in milliseconds. */
+  readonly fixedPartFrom: number;
+  readonly timers: TimerService;
+}
+
 /** The budget of one service in one daemon. */
 export class RepeatBudget {
   private readonly requests: SlidingSum;
@@ -29,22 +40,17 @@
 
   /**
    * Makes a budget.
-   * @param bounds - What the users allow.
-   * @param daemons - Number of daemons that share it.
-   * @param timers - Time.
+   * @param options - What the users allow, and how it is shared.
    */
-  constructor(
-    private readonly bounds: BudgetBounds,
-    private readonly daemons: () => number,
-    private readonly timers: TimerService,
-  ) {
-    this.requests = new SlidingSum(bounds.windowMs);
-    this.repeats = new SlidingSum(bounds.windowMs);
+  constructor(private readonly options: RepeatBudgetOptions) {
+    const { windowMs } = options.bounds;
+    this.requests = new SlidingSum(windowMs);
+    this.repeats = new SlidingSum(windowMs);
   }
 
   /** Counts a request. */
   earn(): void {
-    this.requests.add(1, this.timers.now());
+    this.requests.add(1, this.options.timers.now());
   }
 
   /**
@@ -52,16 +58,20 @@
    * @returns Whether it is allowed; it then counts as spent.
    */
   spend(): boolean {
-    const now = this.timers.now();
+    const now = this.options.timers.now();
     if (this.left(now) < 1) return false;
     this.repeats.add(1, now);
     return true;
   }
 
   /** Repeats that are left. */
-  left(now = this.timers.now()): number {
-    const { ratio, slack } = this.bounds;
-    const allowed = ratio * this.requests.total(now) + slack / Math.max(1, this.daemons());
+  left(now = this.options.timers.now()): number {
+    const allowed = this.options.bounds.ratio * this.requests.total(now) + this.fixedPart(now);
     return CAUTION * allowed - this.repeats.total(now);
   }
+
+  private fixedPart(now: number): number {
+    const { bounds, daemons, fixedPartFrom } = this.options;
+    return now < fixedPartFrom ? 0 : bounds.slack / Math.max(1, daemons());
+  }
 }
--- a/packages/routing/src/core/budget/index.ts
+++ b/packages/routing/src/core/budget/index.ts
@@ -1,4 +1,4 @@
 /** Repeated sends. */
-export type { BudgetBounds } from './budget.js';
+export type { BudgetBounds, RepeatBudgetOptions } from './budget.js';
 export { RepeatBudget } from './budget.js';
 export { SlidingSum } from './sliding-sum.js';
--- a/packages/routing/src/core/daemon/services.ts
+++ b/packages/routing/src/core/daemon/services.ts
@@ -49,6 +49,8 @@
 export class RouterServices {
   private readonly budgets = new Map<string, RepeatBudget>();
 
+  private readonly startedAt: number;
+
   private readonly memberLog: MemberLog;
 
   /**
@@ -63,6 +65,7 @@
     private readonly kernel: ServiceFinder,
   ) {
     const { log, timers } = options;
+    this.startedAt = timers.now();
     this.memberLog = new MemberLog(log, timers, () => this.get<Cluster>(PART.cluster).alive().length);
   }
 
@@ -510,12 +513,17 @@
   }
 
   private budget(service: string, cluster: Cluster): RepeatBudget {
-    let budget = this.budgets.get(service);
-    if (budget === undefined) {
-      budget = new RepeatBudget(this.options.settings.budget, () => cluster.possible(), this.options.timers);
-      this.budgets.set(service, budget);
-    }
-    return budget;
+    const known = this.budgets.get(service);
+    if (known !== undefined) return known;
+    const { settings, timers } = this.options;
+    const made = new RepeatBudget({
+      bounds: settings.budget,
+      daemons: () => cluster.possible(),
+      fixedPartFrom: settings.isFirstStart ? this.startedAt : this.startedAt + settings.budget.windowMs,
+      timers,
+    });
+    this.budgets.set(service, made);
+    return made;
   }
 
   private async startFigures(kernel: ServiceFinder): Promise<Server | undefined> {
--- a/packages/routing/test/budget.test.ts
+++ b/packages/routing/test/budget.test.ts
@@ -1,13 +1,20 @@
 /** Repeats stay within the users' allowance, in every window and over all daemons. */
+import type { TimerService } from '@celeryyoke/core';
 import { createManualTimers } from '@celeryyoke/core';
 import { RepeatBudget } from '@celeryyoke/routing';
 import test from 'ava';
 
 const BOUNDS = { ratio: 0.2, windowMs: 10_000, slack: 54 };
 
+/** A daemon's budget; one that starts for the first time has its fixed part at once. */
+function makeBudget(timers: TimerService, daemons: () => number, isFirstStart = true): RepeatBudget {
+  const fixedPartFrom = timers.now() + (isFirstStart ? 0 : BOUNDS.windowMs);
+  return new RepeatBudget({ bounds: BOUNDS, daemons, fixedPartFrom, timers });
+}
+
 test('the fixed part is divided between the daemons', (t) => {
   const timers = createManualTimers();
-  const budgets = Array.from({ length: 7 }, () => new RepeatBudget(BOUNDS, () => 7, timers));
+  const budgets = Array.from({ length: 7 }, () => makeBudget(timers, () => 7));
   let spent = 0;
   for (const budget of budgets) while (budget.spend()) spent += 1;
   t.true(spent <= BOUNDS.slack);
@@ -16,7 +23,7 @@
 
 test('no window holds more than the requests of a window allow', async (t) => {
   const timers = createManualTimers();
-  const budget = new RepeatBudget(BOUNDS, () => 1, timers);
+  const budget = makeBudget(timers, () => 1);
   const spentAt: number[] = [];
   for (let second = 0; second < 60; second += 1) {
     for (let count = 0; count < 10; count += 1) budget.earn();
@@ -30,3 +37,41 @@
   }
   t.true(spentAt.length > 100, 'what was spent comes back');
 });
+
+/** Spends all that some budgets allow; the result is the number of repeats. */
+function spendAll(budgets: readonly RepeatBudget[]): number {
+  let spent = 0;
+  for (const budget of budgets) while (budget.spend()) spent += 1;
+  return spent;
+}
+
+// Guards against a fixed part that each life of a process gets anew, so that restarts within a window multiply it.
+test('daemons that start again within a window have no fixed part left to spend', async (t) => {
+  const timers = createManualTimers();
+  let spent = 0;
+  for (let life = 0; life < 4; life += 1) {
+    const budgets = Array.from({ length: 8 }, () => makeBudget(timers, () => 8, life === 0));
+    spent += spendAll(budgets);
+    await timers.advance(2400);
+  }
+  t.log(spent);
+  t.true(spent <= BOUNDS.slack);
+  const restarted = makeBudget(timers, () => 8, false);
+  await timers.advance(BOUNDS.windowMs);
+  t.true(spendAll([restarted]) >= 5);
+});
+
+// Guards against the survivors taking over shares that the daemons which ended have spent.
+test('the fixed part of those that ended is not spent again by the others in the same window', async (t) => {
+  const timers = createManualTimers();
+  let alive = 8;
+  const budgets = Array.from({ length: 8 }, () => makeBudget(timers, () => alive));
+  let spent = spendAll(budgets);
+  alive = 1;
+  await timers.advance(1000);
+  spent += spendAll(budgets.slice(0, 1));
+  t.log(spent);
+  t.true(spent <= BOUNDS.slack);
+  await timers.advance(BOUNDS.windowMs + 1000);
+  t.true(spendAll(budgets.slice(0, 1)) >= 30);
+});
