budget: count daemons that ended among the sharers for one window

Cause: the fixed number was divided by the daemons that may be running now. Those that survive an end of the others took over parts that had been spent in the same window.

Change: the number is divided by the most daemons that lived within the window (SlidingMax).

--- a/packages/routing/src/core/budget/budget.ts
+++ b/packages/routing/src/core/budget/budget.ts
@@ -3,11 +3,12 @@
  *
  * The users allow, in any window, a share of the requests plus a fixed number, summed over all daemons. The share is
  * spent where the requests are; of the fixed number each daemon takes an equal part, so that the sum holds in any
- * partition of the fleet. A daemon that starts again may have spent its part in the same window, so it has none for the
+ * partition of the fleet; those that ended count for the length of a window, as they may have spent theirs. A daemon that starts again may have spent its part in the same window, so it has none for the
  * length of one.
  */
 import type { TimerService } from '@celeryyoke/core';
 
+import { SlidingMax } from './sliding-max.js';
 import { SlidingSum } from './sliding-sum.js';
 
 /** Part of the allowance that is used: the other side counts in windows that begin elsewhere. */
@@ -38,6 +39,8 @@
 
   private readonly repeats: SlidingSum;
 
+  private readonly daemons: SlidingMax;
+
   /**
    * Makes a budget.
    * @param options - What the users allow, and how it is shared.
@@ -46,11 +49,14 @@
     const { windowMs } = options.bounds;
     this.requests = new SlidingSum(windowMs);
     this.repeats = new SlidingSum(windowMs);
+    this.daemons = new SlidingMax(windowMs);
   }
 
   /** Counts a request. */
   earn(): void {
-    this.requests.add(1, this.options.timers.now());
+    const now = this.options.timers.now();
+    this.daemons.note(this.options.daemons(), now);
+    this.requests.add(1, now);
   }
 
   /**
@@ -72,6 +78,7 @@
 
   private fixedPart(now: number): number {
     const { bounds, daemons, fixedPartFrom } = this.options;
-    return now < fixedPartFrom ? 0 : bounds.slack / Math.max(1, daemons());
+    const sharers = this.daemons.note(daemons(), now);
+    return now < fixedPartFrom ? 0 : bounds.slack / Math.max(1, sharers);
   }
 }
--- a/packages/routing/src/core/budget/index.ts
+++ b/packages/routing/src/core/budget/index.ts
@@ -1,4 +1,5 @@
 /** Repeated sends. */
 export type { BudgetBounds, RepeatBudgetOptions } from './budget.js';
 export { RepeatBudget } from './budget.js';
+export { SlidingMax } from './sliding-max.js';
 export { SlidingSum } from './sliding-sum.js';
