limits: keep replicas within the rates that they state

Cause: nothing read Server-Limit.

Change: the limit of an answer is published to all daemons. One daemon for each replica, by rendezvous hashing, spaces the requests of all; the others ask it before each send and choose another replica when refused.

--- a/packages/routing/src/core/choice/chooser.ts
+++ b/packages/routing/src/core/choice/chooser.ts
@@ -99,6 +99,8 @@
   readonly residency: ResidencyTable;
   readonly inFlight: InFlightTable;
   readonly health: ReplicaHealth;
+  /** Whether a replica may get a request now, by the limit that it states. */
+  readonly mayTake: (replica: string) => boolean;
   /** Failure domain of this daemon. */
   readonly zone: string;
   /** Monotonic milliseconds. */
@@ -121,7 +123,7 @@
    * @returns The choice, or undefined when no replica can take it.
    */
   choose(need: Need): Choice | undefined {
-    const ready = this.options.registry.ready(need.service);
+    const ready = this.options.registry.ready(need.service).filter(({ id }) => this.options.mayTake(id));
     const untried = ready.filter(({ id }) => !need.tried.has(id));
     const able = this.able(untried.length > 0 ? untried : ready, need);
     const ranks = need.adapter === undefined ? undefined : rankOf(need.adapter, able);
--- a/packages/routing/src/core/cluster/types.ts
+++ b/packages/routing/src/core/cluster/types.ts
@@ -60,6 +60,8 @@
   QuotaUsage = 14,
   /** Asks for the monotonic clock. */
   Clock = 15,
+  /** Asks whether a request may be sent to a replica that states a limit. */
+  SendPermit = 16,
 }
 
 /** The listening end of a link, over which messages can be pushed to the daemon that dialled. */
--- a/packages/routing/src/core/daemon/names.ts
+++ b/packages/routing/src/core/daemon/names.ts
@@ -19,6 +19,7 @@
   tree: 'tree',
   settling: 'settling',
   quotas: 'quotas',
+  limits: 'limits',
   watcher: 'follower',
   requests: 'requests',
   readiness: 'readiness',
--- a/packages/routing/src/core/daemon/services.ts
+++ b/packages/routing/src/core/daemon/services.ts
@@ -17,6 +17,7 @@
 import { Chooser, InFlightTable, ReplicaHealth } from '../choice/index.js';
 import type { MemberRecord } from '../cluster/index.js';
 import { Cluster, createTcpTransport, MemberState } from '../cluster/index.js';
+import { ReplicaLimits } from '../limits/index.js';
 import { DisseminationTree, readingRank, Topic } from '../dissemination/index.js';
 import { PromptAdmission } from '../pacing/index.js';
 import { CallerTimes, StreamMigrations, RequestMetrics, RequestServer } from '../requests/index.js';
@@ -114,6 +115,7 @@
         (kernel) => this.makeQuotas(kernel),
         (quotas) => quotas.stop(),
       ),
+      part(PART.limits, [PART.cluster, PART.tree, PART.registry], (kernel) => this.makeLimits(kernel)),
       part(
         PART.leases,
         [PART.cluster, PART.tree, PART.pauses, PART.registry, PART.settling],
@@ -182,6 +184,7 @@
           PART.loader,
           PART.admission,
           PART.quotas,
+          PART.limits,
           PART.tree,
           PART.cluster,
         ],
@@ -326,6 +329,18 @@
     });
   }
 
+  private makeLimits(kernel: ServiceFinder): ReplicaLimits {
+    const { timers, log } = this.options;
+    return new ReplicaLimits({
+      self: selfOf(this.options),
+      cluster: kernel.get(PART.cluster),
+      tree: kernel.get(PART.tree),
+      registry: kernel.get(PART.registry),
+      timers,
+      log,
+    });
+  }
+
   /** Whether this daemon has heard of the fleet a moment ago. */
   private isUpToDate(): boolean {
     const cluster = this.get<Cluster>(PART.cluster);
@@ -445,11 +460,13 @@
     const loader = kernel.get<Loader>(PART.loader);
     const cluster = kernel.get<Cluster>(PART.cluster);
     const view = kernel.get<ReplicatedStore>(PART.view);
+    const limits = kernel.get<ReplicaLimits>(PART.limits);
     const chooser = new Chooser({
       registry,
       residency,
       inFlight,
       health,
+      mayTake: (replica) => limits.mayTake(replica),
       zone: settings.zone,
       now: timers.now,
       random: Math.random,
@@ -490,6 +507,7 @@
         ensure,
         admission: kernel.get(PART.admission),
         quotas: kernel.get(PART.quotas),
+        limits,
         accountMetrics: new AccountMetrics(kernel.get<Metrics>(PART.metrics)),
         callerTimes: new CallerTimes(),
         migrations: new StreamMigrations({
--- a/packages/routing/src/core/dissemination/types.ts
+++ b/packages/routing/src/core/dissemination/types.ts
@@ -14,6 +14,8 @@
   Start = 5,
   /** Buckets of client accounts. */
   AccountQuota = 6,
+  /** Rates that replicas state. */
+  ReplicaLimit = 7,
 }
 
 /** How the rows of one topic are merged and written. */
--- /dev/null
+++ b/packages/routing/src/core/limits/index.ts
@@ -0,0 +1,6 @@
+/** Rates that replicas in need state, kept by the whole fleet. */
+export { LimitTable } from './limit-table.js';
+export type { ReplicaLimitsOptions } from './replica-limits.js';
+export { ReplicaLimits } from './replica-limits.js';
+export { SendPacer } from './send-pacer.js';
+export type { ReplicaLimitRow, SendPermit } from './types.js';
--- a/packages/routing/src/core/requests/attempt.ts
+++ b/packages/routing/src/core/requests/attempt.ts
@@ -28,6 +28,8 @@
   readonly onAnswer: () => void;
   /** Called with each piece that comes from the replica. */
   readonly onHeard: () => void;
+  /** Called with the limit that the answer names; undefined when it names none. */
+  readonly onLimit: (limitPerSecond: number | undefined) => void;
 }
 
 /** A send in progress. */
@@ -89,9 +91,11 @@
     this.status = status;
     this.headers = headers;
     this.notes = this.options.dialect.readAnswer(status, headers);
-    const isForeign = this.notes.requestId !== undefined && this.notes.requestId !== this.options.requestId;
+    const { requestId, limitPerSecond } = this.notes;
+    const isForeign = requestId !== undefined && requestId !== this.options.requestId;
+    if (!isForeign) this.options.onLimit(limitPerSecond);
     const isSuccess = status >= OK && status < SUCCESS_BELOW;
-    const lacksProof = isSuccess && (this.notes.requestId === undefined || !this.notes.isSigned);
+    const lacksProof = isSuccess && (requestId === undefined || !this.notes.isSigned);
     if (isForeign || lacksProof) {
       this.giveUp(isForeign ? 'The answer belongs to another request.' : 'The answer lacks its signature.');
       return;
--- a/packages/routing/src/core/requests/execution.ts
+++ b/packages/routing/src/core/requests/execution.ts
@@ -14,6 +14,7 @@
 import type { ChannelPool } from '../channels/index.js';
 import type { Choice, InFlightTable, RunningNote, ReplicaHealth } from '../choice/index.js';
 import { useKey } from '../choice/index.js';
+import type { ReplicaLimits } from '../limits/index.js';
 import type { PromptAdmission } from '../pacing/index.js';
 import type { ReplicaEntry } from '../view/index.js';
 import { LocalReply, sendLocalReply } from './local-reply.js';
@@ -54,6 +55,7 @@
   readonly health: ReplicaHealth;
   readonly migrations: StreamMigrations;
   readonly admission: PromptAdmission;
+  readonly limits: ReplicaLimits;
   /** Notes that an engine does not hold an adapter. */
   readonly notHeld: (replica: string, key: string) => void;
   /** Age of what is known of the platform, in milliseconds. */
@@ -211,6 +213,7 @@
       }
       if (admission === PrefillAdmission.Full || admission === PrefillAdmission.Crowded) return undefined;
       if (admission === PrefillAdmission.Delayed && !chooser.takesWork(replica)) return undefined;
+      if (!(await this.parts.limits.admit(replica.id)) || this.isOver) return undefined;
       return await this.sendTo(choice, continuation, note);
     } finally {
       note.ended();
@@ -222,7 +225,7 @@
     continuation: string | undefined,
     note: RunningNote,
   ): Promise<AttemptResult> {
-    const { dialect, pool, timers, health } = this.parts;
+    const { dialect, pool, timers, health, limits } = this.parts;
     const { head, body, hasAccounts, account } = this.options;
     const headers = dialect.upstreamHeaders(head, {
       waitMs: Math.max(1, Math.floor(this.deadlineAt - timers.now())),
@@ -236,7 +239,8 @@
     });
     const call = { method: head.method, path: head.target, headers, body };
     this.sends += 1;
-    this.sentAfter = Math.round(timers.now() - this.options.arrivedAt);
+    const sentAt = timers.now();
+    this.sentAfter = Math.round(sentAt - this.options.arrivedAt);
     health.sent(replica.id);
     this.send = new Attempt({
       pool,
@@ -248,6 +252,7 @@
       relay: this.relay,
       onAnswer: note.answered,
       onHeard: () => health.heard(replica.id),
+      onLimit: (limitPerSecond) => limits.noteAnswer(replica.id, limitPerSecond, sentAt),
     });
     const result = await this.resultOf(this.send, replica);
     this.send = undefined;
--- a/packages/routing/src/core/requests/types.ts
+++ b/packages/routing/src/core/requests/types.ts
@@ -86,6 +86,8 @@
   readonly isNotRun: boolean;
   /** Whether it is another replica, or lacks the adapter or the version. */
   readonly isMisdirected: boolean;
+  /** Requests a second that the replica takes from all daemons together; undefined when it states no limit. */
+  readonly limitPerSecond: number | undefined;
 }
 
 /** The header words of callers and replicas; the adapter to a platform implements it. */
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -9,6 +9,7 @@
 export * from './core/cluster/index.js';
 export * from './core/daemon/index.js';
 export * from './core/dissemination/index.js';
+export * from './core/limits/index.js';
 export * from './core/pacing/index.js';
 export * from './core/requests/index.js';
 export * from './core/view/index.js';
--- a/packages/routing/test/chooser.test.ts
+++ b/packages/routing/test/chooser.test.ts
@@ -28,11 +28,13 @@
   view.apply({ from: 0, upTo: 2, isWhole: true, changes });
   const loads = new InFlightTable(timers);
   const draws: number[] = [];
+  const limited = new Set<string>();
   const chooser = new Chooser({
     registry,
     residency: new ResidencyTable(registry),
     inFlight: loads,
     health: new ReplicaHealth(timers),
+    mayTake: (replica) => !limited.has(replica),
     zone: 'a',
     now: timers.now,
     random: () => draws.shift() ?? 0,
@@ -53,7 +55,7 @@
       isUnderWay: false,
       ...options,
     })?.replica.id;
-  return { fill, choose, chooser, view, draws };
+  return { fill, choose, chooser, view, draws, limited };
 }
 
 test('an engine whose places are taken gets no more, whoever asks', (t) => {
@@ -116,3 +118,11 @@
   fill('e2', 4);
   t.is(choose({ crowded: new Map([['e1', 120]]) }), 'e1');
 });
+
+test('a replica that takes no request now is passed over, also where it is the only one', (t) => {
+  const { choose, limited } = setUp();
+  limited.add('e1');
+  t.is(choose(), 'e2');
+  limited.add('e2');
+  t.is(choose(), undefined);
+});
