limits: let a moved stream go on at an engine that states a limit

Found on reading the change: a stream whose memory had been moved asked again and again for leave to go on at an engine that refused it, without giving the event loop a turn, so the daemon stood still.

migration.test.ts shows it: with the code before, all four tests of the file fail, as their process stands still. A moved stream can go on nowhere else, so it goes.

--- a/packages/routing/src/core/requests/execution.ts
+++ b/packages/routing/src/core/requests/execution.ts
@@ -213,7 +213,9 @@
       }
       if (admission === PrefillAdmission.Full || admission === PrefillAdmission.Crowded) return undefined;
       if (admission === PrefillAdmission.Delayed && !chooser.takesWork(replica)) return undefined;
-      if (!(await this.parts.limits.admit(replica.id)) || this.isOver) return undefined;
+      // A stream whose memory has been moved can go on nowhere else.
+      const isAdmitted = await this.parts.limits.admit(replica.id);
+      if (this.isOver || (!isAdmitted && continuation === undefined)) return undefined;
       return await this.sendTo(choice, continuation, note);
     } finally {
       note.ended();
