view: keep reading in place of a root that the store refuses

What callers saw: while the store refuses the first daemon for seconds, a change came into force up to 1.4 s late again and again, and replicas that leave were noticed as late.

Cause: a daemon that read in place of others read once and then waited until the view was old again.

Change: it goes on until it hears of a later reading than its own. Its pauses are drawn, so that two readers do not stay in step.

One daemon reads again when the root is served.

--- a/packages/routing/src/core/daemon/services.ts
+++ b/packages/routing/src/core/daemon/services.ts
@@ -436,6 +436,7 @@
       rank: () => readingRank(self, cluster.alive(), (address) => cluster.member(address)?.zone),
       isAlone: () => cluster.alive().length <= 1,
       isFirstStart: this.options.settings.isFirstStart,
+      random: Math.random,
       publish: (isNews) => tree.publishView(isNews),
       onSource: (isReachable, reason) =>
         log.warn(isReachable ? 'The platform answers again.' : `The platform does not answer: ${reason}.`),
--- a/packages/routing/src/core/view/store-watcher.ts
+++ b/packages/routing/src/core/view/store-watcher.ts
@@ -18,6 +18,12 @@
 const LIST_TIMEOUT_MS = 1500;
 /** Pause between two watches, in milliseconds: changes of that time come in one call. */
 const BATCH_MS = 120;
+/**
+ * Least part of that pause, and what chance adds to it, for a daemon that reads in place of others. It stops when it hears
+ * of a later reading than its own, so two that read must not stay in step.
+ */
+const LEAST_PAUSE_SHARE = 0.4;
+const CHANCE_PAUSE_SHARE = 1.6;
 /** Pause after a failed call, in milliseconds. */
 const RETRY_MS = 150;
 /** Age of the view at which the daemon next in rank reads for itself, in milliseconds. */
@@ -50,6 +56,8 @@
   readonly isAlone: () => boolean;
   /** Whether the whole fleet starts for the first time, before any caller. */
   readonly isFirstStart: boolean;
+  /** A number from 0 to 1, drawn anew with each call. */
+  readonly random: () => number;
   /** Gives what was read to the peers; told whether there were changes. */
   readonly publish: (isNews: boolean) => void;
   /** Told when the source is lost or regained. */
@@ -85,6 +93,9 @@
 
   private isReachable = true;
 
+  /** Monotonic time up to which this daemon's own readings confirm the view, in milliseconds. */
+  private ownReadAt = Number.NEGATIVE_INFINITY;
+
   /**
    * Makes a watcher that has not started.
    * @param options - View, source, rank.
@@ -122,10 +133,16 @@
     const { rank, view, onTakeOver } = this.options;
     this.isReading = true;
     if (rank() !== 0) onTakeOver({ rank: rank(), ageMs: view.ageMs });
-    while (!this.stopping.signal.aborted && this.isMyTurn()) await this.readOnce();
+    while (!this.stopping.signal.aborted && (this.isMyTurn() || this.isNewestReader())) await this.readOnce();
     this.isReading = false;
   }
 
+  /** Whether nobody has read later than this daemon, so that the view would grow old if it stopped. */
+  private isNewestReader(): boolean {
+    const { view, rank } = this.options;
+    return rank() >= 0 && view.confirmedAt <= this.ownReadAt;
+  }
+
   private isMyTurn(): boolean {
     const { view, rank, isAlone, isFirstStart, timers } = this.options;
     const sinceStartMs = timers.now() - this.startedAt;
@@ -143,15 +160,21 @@
       const { delta, readAt } = await this.fetch();
       view.apply(delta);
       view.confirm(delta.upTo, timers.now() - readAt);
+      this.ownReadAt = readAt;
       this.note(true, '');
       publish(view.newsCount > newsCount);
-      await timers.sleep(BATCH_MS);
+      await timers.sleep(this.pauseMs());
     } catch (err) {
       this.note(false, String(err));
       await timers.sleep(RETRY_MS);
     }
   }
 
+  private pauseMs(): number {
+    const { rank, random } = this.options;
+    return rank() === 0 ? BATCH_MS : BATCH_MS * (LEAST_PAUSE_SHARE + random() * CHANCE_PAUSE_SHARE);
+  }
+
   private async fetch(): Promise<Reading> {
     const { view, source, timers } = this.options;
     if (view.upTo === 0) return this.list();
--- a/packages/routing/test/fleet/freshness.test.ts
+++ b/packages/routing/test/fleet/freshness.test.ts
@@ -4,6 +4,7 @@
 
 import type { TestDaemon } from './daemons.js';
 import { TestFleet } from './daemons.js';
+import { createRandom } from '../orders/random.js';
 import { timersOf } from './network.js';
 import { TestStore } from './store.js';
 
@@ -22,6 +23,8 @@
 
   private readonly watchers: StoreWatcher[] = [];
 
+  private readonly random = createRandom('freshness');
+
   constructor() {
     this.fleet = new TestFleet(ZONES, ZONES, (daemon) => this.follow(daemon));
     this.store = new TestStore(this.fleet.network, this.fleet.timers);
@@ -59,6 +62,7 @@
       rank: () => readingRank(address, cluster.alive(), (member) => cluster.member(member)?.zone),
       isAlone: () => cluster.alive().length <= 1,
       isFirstStart: true,
+      random: () => this.random.between(0, 1),
       publish: (isNews) => tree.publishView(isNews),
       onSource: () => undefined,
       onTakeOver: () => undefined,
@@ -76,16 +80,16 @@
   overstatedMs: number;
 }
 
-/** Plays ten seconds in which the store changes all the time. */
-async function play(following: FollowingFleet, daemons: readonly TestDaemon[]): Promise<Ages> {
+/** Plays ten seconds in which the store changes all the time; a part at the beginning may be left out of the ages. */
+async function play(following: FollowingFleet, daemons: readonly TestDaemon[], leftOutMs = 0): Promise<Ages> {
   const ages: Ages = { staleMs: 0, overstatedMs: 0 };
+  await following.play(leftOutMs, 100, () => undefined);
   await following.play(10_000, 100, () => {
     for (const daemon of daemons) {
       ages.staleMs = Math.max(ages.staleMs, following.store.staleMs(daemon.view.upTo));
       ages.overstatedMs = Math.max(ages.overstatedMs, following.overstatedMs(daemon));
     }
   });
-  following.stop();
   return ages;
 }
 
@@ -96,6 +100,7 @@
   // Guards against a change that is in force late on a sound daemon, as what reached it over a slow one counted as new.
   test(`a change is in force on all others in time while ${name} handles all late`, async (t) => {
     const following = new FollowingFleet();
+    t.teardown(() => following.stop());
     const { fleet } = following;
     await following.settle(24);
     const slow = fleet.daemon(slowIndex);
@@ -113,6 +118,7 @@
 // Guards against ages that lose the time on the way whenever they go round between a daemon and its parent.
 test('a change is in force in time while the store refuses the root and all handle messages late', async (t) => {
   const following = new FollowingFleet();
+  t.teardown(() => following.stop());
   const { fleet, store } = following;
   await following.settle(24);
   for (const daemon of fleet.running()) fleet.network.slow(daemon.address, 100);
@@ -122,3 +128,27 @@
   t.true(ages.overstatedMs <= ROUNDING_MS);
   t.true(ages.staleMs < IN_FORCE_MS);
 });
+
+/** Time in which another daemon takes the reading over, in milliseconds. */
+const TAKE_OVER_MS = 2000;
+/** Bound on the age of views while one daemon reads, in milliseconds; a reader's pause and the way down. */
+const READ_MS = 800;
+
+// Guards against a daemon that reads once in place of the root and then waits until the view is old again.
+test('views stay fresh while the store refuses the root for long', async (t) => {
+  const following = new FollowingFleet();
+  t.teardown(() => following.stop());
+  const { fleet, store } = following;
+  await following.settle(24);
+  store.refused.add(fleet.daemon(0).address);
+  const ages = await play(following, fleet.running(), TAKE_OVER_MS);
+  t.log(ages);
+  t.true(ages.staleMs < READ_MS);
+  store.refused.clear();
+  await following.play(2000, 100, () => undefined);
+  const callsBefore = store.watches;
+  await following.play(4000, 100, () => undefined);
+  const perSecond = (store.watches - callsBefore) / 4;
+  t.log({ perSecond });
+  t.true(perSecond <= 1000 / 120);
+});
--- a/packages/routing/test/fleet/store.ts
+++ b/packages/routing/test/fleet/store.ts
@@ -21,6 +21,9 @@
   /** Daemons that get no answer. */
   readonly unreachable = new Set<string>();
 
+  /** Watches that were begun. */
+  watches = 0;
+
   /** Daemons whose calls are refused at once. */
   readonly refused = new Set<string>();
 
@@ -58,6 +61,7 @@
           ? this.refuse(daemon)
           : this.answer(daemon, signal, () => this.delta(0, true)),
       watch: async (after, waitMs, signal) => {
+        this.watches += 1;
         if (this.refused.has(daemon)) return this.refuse(daemon);
         const endAt = this.timers.now() + LATENCY_MS + waitMs;
         while (this.revision <= after && this.timers.now() < endAt && !signal.aborted)
--- a/packages/routing/test/store-watcher.test.ts
+++ b/packages/routing/test/store-watcher.test.ts
@@ -24,6 +24,7 @@
     rank,
     isAlone,
     isFirstStart,
+    random: () => 0.5,
     source: {
       list: () => {
         calls.list += 1;
