dissemination: understand batches of daemons that send no clock

The clock of a batch stood between older fields, so while a fleet is upgraded a daemon of either release would have read a wrong digest or beat from one of the other. It is the last field now; a batch without it confirms nothing, and a peer that does not answer the question for its clock teaches nothing. Found on reading the change; parent-clock.test.ts.

--- a/packages/routing/src/core/dissemination/batch.ts
+++ b/packages/routing/src/core/dissemination/batch.ts
@@ -40,14 +40,15 @@
   readonly recent: readonly (readonly [replica: string, keys: readonly string[]])[];
 }
 
+/** The clock came last: a daemon of an earlier release sends none, and its word confirms nothing. */
 type BatchFrame = readonly [
-  EncodedRows,
-  Delta | null,
-  number,
-  number,
-  number | null,
-  number | null,
-  number | null,
+  rows: EncodedRows,
+  delta: Delta | null,
+  upTo: number,
+  ageMs: number,
+  beat: number | null,
+  digest: number | null,
+  clock?: number | null,
 ];
 
 /**
@@ -56,7 +57,7 @@
  * @returns Its compact form.
  */
 export function encodeBatch({ rows, delta, upTo, ageMs, clock, beat, digest }: Batch): BatchFrame {
-  return [rows, delta ?? null, upTo, ageMs, clock ?? null, beat ?? null, digest ?? null];
+  return [rows, delta ?? null, upTo, ageMs, beat ?? null, digest ?? null, clock ?? null];
 }
 
 /**
@@ -65,7 +66,7 @@
  * @returns The batch.
  */
 export function decodeBatch(frame: unknown): Batch {
-  const [rows, delta, upTo, ageMs, clock, beat, digest] = frame as BatchFrame;
+  const [rows, delta, upTo, ageMs, beat, digest, clock] = frame as BatchFrame;
   return {
     rows,
     delta: delta ?? undefined,
--- a/packages/routing/src/core/dissemination/index.ts
+++ b/packages/routing/src/core/dissemination/index.ts
@@ -1,6 +1,7 @@
 /** State that all daemons share, kept the same over a tree of subscriptions. */
-export { ParentClock } from './parent-clock.js';
 export type { Batch, SubscriptionAnswer } from './batch.js';
+export { decodeBatch, encodeBatch } from './batch.js';
+export { ParentClock } from './parent-clock.js';
 export { FAN_OUT, chooseParent, readingRank } from './topology.js';
 export type { TopologyInput } from './topology.js';
 export { DisseminationTree } from './tree.js';
--- a/packages/routing/src/core/dissemination/tree.ts
+++ b/packages/routing/src/core/dissemination/tree.ts
@@ -381,7 +381,7 @@
     const sentAt = timers.now();
     try {
       const answer = await cluster.request(parent, MessageType.Clock, null, CLOCK_TIMEOUT_MS);
-      parentClock.noteExchange(sentAt, Number(answer), timers.now());
+      if (typeof answer === 'number') parentClock.noteExchange(sentAt, answer, timers.now());
     } catch (err) {
       log.debug(`${parent} does not tell its clock: ${String(err)}.`);
     }
--- a/packages/routing/test/fleet/parent-clock.test.ts
+++ b/packages/routing/test/fleet/parent-clock.test.ts
@@ -1,5 +1,5 @@
 /** Ages that travel between two clocks are never made younger. */
-import { ParentClock } from '@celeryyoke/routing';
+import { decodeBatch, encodeBatch, ParentClock } from '@celeryyoke/routing';
 import test from 'ava';
 import fc from 'fast-check';
 
@@ -42,3 +42,10 @@
   t.true(clock.elapsedMs(19_000, OFFSET_MS + 21_010) <= 12);
   t.true(clock.toParent(OFFSET_MS + 21_000)! <= 19_000);
 });
+
+test('a batch reads as it was written, and one of a daemon that sends no clock has none', (t) => {
+  const batch = { rows: [], delta: undefined, upTo: 7, ageMs: 40, clock: 123, beat: 5, digest: undefined };
+  const frame = encodeBatch(batch);
+  t.deepEqual(decodeBatch(frame), batch);
+  t.deepEqual(decodeBatch(frame.slice(0, 6)), { ...batch, clock: undefined });
+});
