budget: give no fixed part to a daemon that meets no other

A daemon that is cut off from all others since its start counted itself alone and, one window later, took the whole fixed number of repeats, beside the parts of the others. One that meets none of those that its seeds name has no fixed part.

--- a/packages/routing/src/core/daemon/services.ts
+++ b/packages/routing/src/core/daemon/services.ts
@@ -12,7 +12,7 @@
 import { ResidencyTable, Loader } from '../adapters/index.js';
 import { AccountMetrics, AccountQuotas } from '../accounts/index.js';
 import { EngineLeases, FleetSettling, PauseDetector } from '../ownership/index.js';
-import { RepeatBudget } from '../budget/index.js';
+import { countSharers, RepeatBudget } from '../budget/index.js';
 import { ChannelPool } from '../channels/index.js';
 import { Chooser, InFlightTable, ReplicaHealth } from '../choice/index.js';
 import type { MemberRecord } from '../cluster/index.js';
@@ -537,7 +537,8 @@
     const { settings, timers } = this.options;
     const made = new RepeatBudget({
       bounds: settings.budget,
-      daemons: () => cluster.possible(),
+      daemons: () =>
+        countSharers({ possible: cluster.possible(), self: selfOf(this.options), seeds: this.state.seeds }),
       fixedPartFrom: settings.isFirstStart ? this.startedAt : this.startedAt + settings.budget.windowMs,
       timers,
     });
--- a/packages/routing/test/budget.test.ts
+++ b/packages/routing/test/budget.test.ts
@@ -1,7 +1,7 @@
 /** Repeats stay within the users' allowance, in every window and over all daemons. */
 import type { TimerService } from '@celeryyoke/core';
 import { createManualTimers } from '@celeryyoke/core';
-import { RepeatBudget } from '@celeryyoke/routing';
+import { countSharers, RepeatBudget } from '@celeryyoke/routing';
 import test from 'ava';
 
 const BOUNDS = { ratio: 0.2, windowMs: 10_000, slack: 54 };
@@ -75,3 +75,13 @@
   await timers.advance(BOUNDS.windowMs + 1000);
   t.true(spendAll(budgets.slice(0, 1)) >= 30);
 });
+
+// Guards against a daemon that is cut off from its start on and takes the whole fixed part for its own.
+test('a daemon that meets none of the others has no fixed part', (t) => {
+  const timers = createManualTimers();
+  const sharersOf = (possible: number, seeds: readonly string[]) =>
+    countSharers({ possible, self: 'a:1', seeds });
+  t.is(spendAll([makeBudget(timers, () => sharersOf(1, ['a:1', 'b:1']))]), 0);
+  t.true(spendAll([makeBudget(timers, () => sharersOf(7, ['a:1', 'b:1']))]) > 0);
+  t.true(spendAll([makeBudget(timers, () => sharersOf(1, ['a:1']))]) >= 30);
+});
