--- a/packages/routing/src/core/budget/budget.ts
+++ b/packages/routing/src/core/budget/budget.ts
@@ -3,8 +3,8 @@
  *
  * The users allow, in any window, a share of the requests plus a fixed number, summed over all daemons. The share is
  * spent where the requests are; of the fixed number each daemon takes an equal part, so that the sum holds in any
- * partition of the fleet; those that ended count for the length of a window, as they may have spent theirs. A daemon that starts again may have spent its part in the same window, so it has none for the
- * length of one.
+ * partition of the fleet. What was spent stays spent for the length of a window: daemons that ended count as sharers that
+ * long, and one that starts again has no part that long.
  */
 import type { TimerService } from '@celeryyoke/core';
 
--- a/packages/routing/src/core/dissemination/batch.ts
+++ b/packages/routing/src/core/dissemination/batch.ts
@@ -40,7 +40,7 @@
   readonly recent: readonly (readonly [replica: string, keys: readonly string[]])[];
 }
 
-/** The clock came last: a daemon of an earlier release sends none, and its word confirms nothing. */
+/** Fields by position. Daemons of earlier releases send no clock, so it is the last one. */
 type BatchFrame = readonly [
   rows: EncodedRows,
   delta: Delta | null,
--- a/packages/routing/src/core/limits/replica-limits.ts
+++ b/packages/routing/src/core/limits/replica-limits.ts
@@ -80,6 +80,7 @@
   /**
    * Tells whether a replica may get a request of this daemon, as far as is known without asking.
    * @param replica - One start of it.
+   * @returns False for a while after a refusal.
    */
   mayTake(replica: string): boolean {
     if (this.table.rate(replica) === undefined) return true;
