--- a/packages/routing/test/fleet/freshness.test.ts
+++ b/packages/routing/test/fleet/freshness.test.ts
@@ -1,6 +1,7 @@
 /** How old the view of the platform is on each daemon, and that no daemon takes it for fresher than it is. */
 import { readingRank, StoreWatcher } from '@celeryyoke/routing';
 import test from 'ava';
+import fc from 'fast-check';
 
 import type { TestDaemon } from './daemons.js';
 import { TestFleet } from './daemons.js';
@@ -152,3 +153,56 @@
   t.log({ perSecond });
   t.true(perSecond <= 1000 / 120);
 });
+
+const DAEMONS = 12;
+/** Random plays in CI; more by hand with CELERYYOKE_SOAK_PLAYS, from CELERYYOKE_SOAK_SEED on. */
+const PLAYS = Number(process.env.CELERYYOKE_SOAK_PLAYS ?? 25);
+const SEED = Number(process.env.CELERYYOKE_SOAK_SEED ?? 1);
+
+/** What a step of a random play does to a daemon. */
+const STEPS = {
+  kill: ({ fleet }, target) => {
+    if (!fleet.daemon(target).isStopped) fleet.daemon(target).kill();
+  },
+  start: async ({ fleet }, target) => {
+    if (fleet.daemon(target).isStopped) await fleet.start(target);
+  },
+  freeze: ({ fleet }, target) => fleet.network.freeze(fleet.name(target)),
+  thaw: ({ fleet }, target) => fleet.network.thaw(fleet.name(target)),
+  slow: ({ fleet }, target, other) => fleet.network.slow(fleet.name(target), other * 150),
+  cut: ({ fleet }, target, other) => fleet.network.cut(fleet.name(target), fleet.name(other)),
+  heal: ({ fleet }) => fleet.network.heal(),
+  refuse: ({ store, fleet }, target) => store.refused.add(fleet.name(target)),
+  serve: ({ store, fleet }, target) => store.refused.delete(fleet.name(target)),
+} satisfies Record<string, (following: FollowingFleet, target: number, other: number) => unknown>;
+
+// Guards against any other way in which an age loses time between daemons.
+test('no daemon takes its view for fresher than it is, whatever ends, stops, is slow or cut off', async (t) => {
+  const step = fc.record({
+    kind: fc.constantFrom(...(Object.keys(STEPS) as (keyof typeof STEPS)[])),
+    target: fc.nat(DAEMONS - 1),
+    other: fc.nat(DAEMONS - 1),
+    waitMs: fc.integer({ min: 0, max: 1500 }),
+  });
+  await fc.assert(
+    fc.asyncProperty(fc.array(step, { maxLength: 12 }), async (steps) => {
+      const following = new FollowingFleet();
+      const { fleet } = following;
+      await following.settle(DAEMONS);
+      let overstatedMs = 0;
+      const look = (): void => {
+        const awake = fleet.running().filter(({ address }) => !fleet.network.isFrozen(address));
+        overstatedMs = Math.max(overstatedMs, ...awake.map((daemon) => following.overstatedMs(daemon)));
+      };
+      for (const { kind, target, other, waitMs } of steps) {
+        await STEPS[kind](following, target, other);
+        await following.play(waitMs, 100, look);
+      }
+      await following.play(2000, 100, look);
+      following.stop();
+      return overstatedMs <= ROUNDING_MS;
+    }),
+    { numRuns: PLAYS, seed: SEED },
+  );
+  t.pass();
+});
