budget, requests: show when repeats are paid and by how many divided

The hypotheses on repeats beyond the budget can't be told apart from the logs: a line of a send says neither how long ago it was paid for nor among how many daemons the fixed part is divided. Both are in request.send now; router_repeats_total and router_repeat_wait_ms count repeats asked, refused and sent. No decision changes.

--- a/packages/routing/src/core/budget/budget.ts
+++ b/packages/routing/src/core/budget/budget.ts
@@ -76,9 +76,13 @@
     return CAUTION * allowed - this.repeats.total(now);
   }
 
+  /** Daemons among which this one divides the fixed number. */
+  get sharers(): number {
+    return this.daemons.note(this.options.daemons(), this.options.timers.now());
+  }
+
   private fixedPart(now: number): number {
-    const { bounds, daemons, fixedPartFrom } = this.options;
-    const sharers = this.daemons.note(daemons(), now);
-    return now < fixedPartFrom ? 0 : bounds.slack / Math.max(1, sharers);
+    const { bounds, fixedPartFrom } = this.options;
+    return now < fixedPartFrom ? 0 : bounds.slack / Math.max(1, this.sharers);
   }
 }
--- a/packages/routing/src/core/requests/execution.ts
+++ b/packages/routing/src/core/requests/execution.ts
@@ -113,6 +113,12 @@
 
   private sentAfter = 0;
 
+  /** Monotonic time at which the next send was paid from the budget, in milliseconds; undefined for a first send. */
+  private paidAt: number | undefined;
+
+  /** Time from that payment to the last send, in milliseconds. */
+  private paidAgoMs: number | undefined;
+
   private isOver = false;
 
   /** What the caller got, for the figures. */
@@ -243,6 +249,7 @@
     this.sends += 1;
     const sentAt = timers.now();
     this.sentAfter = Math.round(sentAt - this.options.arrivedAt);
+    this.notePayment(sentAt);
     health.sent(replica.id);
     this.send = new Attempt({
       pool,
@@ -270,6 +277,13 @@
     return result;
   }
 
+  /** Notes how long a repeat was paid for before it is sent. */
+  private notePayment(sentAt: number): void {
+    this.paidAgoMs = this.paidAt === undefined ? undefined : Math.round(sentAt - this.paidAt);
+    this.paidAt = undefined;
+    if (this.paidAgoMs !== undefined) this.parts.metrics.repeated(this.paidAgoMs);
+  }
+
   /** Waits for a send; a stream is moved meanwhile if its engine is taken away. */
   private async resultOf(send: Attempt, replica: ReplicaEntry): Promise<AttemptResult> {
     const { migrations } = this.parts;
@@ -311,7 +325,9 @@
       firstByteMs: firstByteMs === undefined ? undefined : Math.round(firstByteMs),
       lastedMs: Math.round(timers.now() - this.options.arrivedAt) - this.sentAfter,
       running: inFlight.counts(replica.id).running,
+      paidAgoMs: this.paidAgoMs,
       budgetLeft: Math.floor(budget(service).left()),
+      budgetSharers: budget(service).sharers,
       viewAgeMs: viewAgeMs(),
     });
   }
@@ -392,7 +408,11 @@
   }
 
   private pay(): boolean {
-    return this.parts.budget(this.options.service).spend();
+    const { budget, metrics, timers } = this.parts;
+    const isPaid = budget(this.options.service).spend();
+    metrics.paid(isPaid);
+    if (isPaid) this.paidAt = timers.now();
+    return isPaid;
   }
 
   private timeLeft(): number {
--- a/packages/routing/src/core/requests/metrics.ts
+++ b/packages/routing/src/core/requests/metrics.ts
@@ -12,6 +12,10 @@
 
   private readonly times = new Map<string, Histogram>();
 
+  private readonly repeats = new Map<boolean, Counter>();
+
+  private readonly repeatWait: Histogram;
+
   private readonly loadWait: Histogram;
 
   private readonly promptWait: Histogram;
@@ -25,6 +29,10 @@
    * @param metrics - Where they are kept.
    */
   constructor(private readonly metrics: Metrics) {
+    this.repeatWait = metrics.histogram(
+      'router_repeat_wait_ms',
+      'Time from the payment of a repeat to its send.',
+    );
     this.loadWait = metrics.histogram('router_adapter_wait_ms', 'Wait of a request for its adapter.');
     this.promptWait = metrics.histogram(
       'router_prompt_wait_ms',
@@ -78,6 +86,28 @@
     counter.add();
   }
 
+  /**
+   * Notes that a repeat was asked of the budget.
+   * @param isPaid - Whether the budget allowed it.
+   */
+  paid(isPaid: boolean): void {
+    let counter = this.repeats.get(isPaid);
+    if (counter === undefined) {
+      const labels = { outcome: isPaid ? 'paid' : 'refused' };
+      counter = this.metrics.counter('router_repeats_total', 'Repeats asked of the budget.', labels);
+      this.repeats.set(isPaid, counter);
+    }
+    counter.add();
+  }
+
+  /**
+   * Notes that a repeat is sent.
+   * @param ms - Time since it was paid for, in milliseconds.
+   */
+  repeated(ms: number): void {
+    this.repeatWait.record(ms);
+  }
+
   /**
    * Notes the answer of an engine's owner.
    * @param ms - Time until it came, in milliseconds.
