--- a/packages/routing/src/core/requests/index.ts
+++ b/packages/routing/src/core/requests/index.ts
@@ -5,7 +5,8 @@
 export { StreamMigration, StreamMigrations } from './migration.js';
 export type { FinderParts, SoughtRequest } from './finder.js';
 export { ReplicaFinder } from './finder.js';
-export type { RequestExecutionParts } from './execution.js';
+export type { RequestExecutionOptions, RequestExecutionParts } from './execution.js';
+export { RequestExecution } from './execution.js';
 export { RequestMetrics } from './metrics.js';
 export { StreamRelay } from './relay.js';
 export type { RequestServerOptions } from './server.js';
