--- a/eslint.config.js
+++ b/eslint.config.js
@@ -65,7 +65,13 @@
     },
   },
   {
-    files: ['**/test/**/*.ts', 'packages/bench/**/*.ts', 'packages/cli/**/*.ts', 'scripts/**'],
+    files: [
+      '**/test/**/*.ts',
+      'packages/bench/**/*.ts',
+      'packages/soak/**/*.ts',
+      'packages/cli/**/*.ts',
+      'scripts/**',
+    ],
     rules: { 'no-console': 'off' },
   },
 ];
--- a/packages/routing/test/raw.ts
+++ b/packages/routing/test/raw.ts
@@ -32,7 +32,12 @@
   return line?.slice(line.indexOf(':') + 1).trim();
 }
 
-function takeRequest(text: string): { head: string; body: string; rest: string } | undefined {
+/**
+ * Takes the first whole request off the bytes of a connection.
+ * @param text - The bytes.
+ * @returns The request and what follows it; undefined while it is not whole.
+ */
+export function takeRequest(text: string): { head: string; body: string; rest: string } | undefined {
   const end = text.indexOf(HEAD_END);
   if (end < 0) return undefined;
   const head = text.slice(0, end);
--- /dev/null
+++ b/packages/soak/src/core/callers/callers.ts
@@ -0,0 +1,156 @@
+/** Callers: they keep their connections, send requests at random moments, and come back once after a failure. */
+import { MODEL } from '@celeryyoke/adapter/testing';
+import type { Random } from '@celeryyoke/routing/testing';
+import { Agent, request } from 'undici';
+
+import type { DaemonAddress, SoakRoute } from '../site/index.js';
+import { CALLER_HOST, ROUTES } from '../site/index.js';
+import type { Balancer } from './balancer.js';
+
+const MS_PER_SECOND = 1000;
+/** Part of its time for which a caller waits at most before it comes back. */
+const MAX_RETRY_SHARE = 1 / 3;
+const OK = 200;
+const PROMISES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
+/** What a caller got. */
+export enum CallerOutcome {
+  Served = 'served',
+  /** An answer that promises that the request did not run and never will. */
+  Refused = 'refused',
+  Failed = 'failed',
+}
+
+/** One attempt of a caller. */
+export interface CallerAttempt {
+  readonly id: string;
+  readonly route: SoakRoute;
+  /** Unix milliseconds. */
+  readonly sentAt: number;
+  outcome: CallerOutcome | undefined;
+}
+
+/** What callers need. */
+export interface CallersOptions {
+  readonly balancer: Balancer;
+  readonly random: Random;
+  readonly requestsPerSecond: number;
+  /** Adapters that they ask for. */
+  readonly adapters: number;
+  /** Whether they come back once after a failure. */
+  readonly hasRetries: boolean;
+}
+
+/** All callers of a run. */
+export class Callers {
+  readonly attempts: CallerAttempt[] = [];
+
+  private readonly agent = new Agent({ pipelining: 1, connections: 64 });
+
+  private readonly open = new Set<Promise<void>>();
+
+  private isStopped = false;
+
+  constructor(private readonly options: CallersOptions) {}
+
+  /** Sends requests until {@link stop}. */
+  async run(): Promise<void> {
+    const { random, requestsPerSecond } = this.options;
+    let nextAt = performance.now();
+    while (!this.isStopped) {
+      nextAt += (-Math.log(1 - random.between(0, 1)) * MS_PER_SECOND) / requestsPerSecond;
+      const waitMs = nextAt - performance.now();
+      if (waitMs > 0) await pause(waitMs);
+      this.begin();
+    }
+  }
+
+  /** Sends no more, and waits for what is under way. */
+  async stop(): Promise<void> {
+    this.isStopped = true;
+    await Promise.all(this.open);
+    await this.agent.destroy();
+  }
+
+  private begin(): void {
+    const route = pickRoute(this.options.random);
+    const task = this.callWithRetry(route).finally(() => this.open.delete(task));
+    this.open.add(task);
+  }
+
+  private async callWithRetry(route: SoakRoute): Promise<void> {
+    const deadlineAt = Date.now() + route.timeoutMs;
+    const first = await this.call(route, deadlineAt);
+    const mayRetry = first.outcome === CallerOutcome.Refused || route.kind !== 'unsafe';
+    if (first.outcome === CallerOutcome.Served || !mayRetry) return;
+    if (!this.options.hasRetries || this.isStopped) return;
+    await pause(Math.min(first.retryAfterMs, (deadlineAt - Date.now()) * MAX_RETRY_SHARE));
+    if (Date.now() < deadlineAt) await this.call(route, deadlineAt);
+  }
+
+  private async call(route: SoakRoute, deadlineAt: number) {
+    const { balancer, random } = this.options;
+    const daemon = random.pick(balancer.inRotation());
+    const attempt: CallerAttempt = {
+      id: `c${this.attempts.length}`,
+      route,
+      sentAt: Date.now(),
+      outcome: undefined,
+    };
+    this.attempts.push(attempt);
+    const leftMs = Math.max(1, deadlineAt - Date.now());
+    const { outcome, retryAfterMs } = await this.send(daemon, attempt, leftMs).catch(() => ({
+      outcome: CallerOutcome.Failed,
+      retryAfterMs: 0,
+    }));
+    attempt.outcome = outcome;
+    return { outcome, retryAfterMs };
+  }
+
+  private async send({ callers }: DaemonAddress, { id, route }: CallerAttempt, leftMs: number) {
+    const { statusCode, headers, body } = await request(`http://${callers}/${route.name}/x`, {
+      dispatcher: this.agent,
+      method: route.kind === 'safe' ? 'GET' : 'POST',
+      headers: this.headersOf(id, route, leftMs),
+      signal: AbortSignal.timeout(leftMs),
+    });
+    await body.dump();
+    const retryAfterMs = Number(headers['retry-after'] ?? 0) * MS_PER_SECOND;
+    return { outcome: outcomeOf(statusCode), retryAfterMs };
+  }
+
+  private headersOf(id: string, { kind }: SoakRoute, leftMs: number): Record<string, string> {
+    const { random, adapters } = this.options;
+    const adapter = Math.floor(random.between(0, adapters));
+    const generation = {
+      'celeryyoke-model': `${MODEL}/a${adapter}`,
+      'celeryyoke-token-count': '200,60',
+    };
+    return {
+      host: CALLER_HOST,
+      'celeryyoke-request-id': id,
+      'celeryyoke-deadline-remaining': String(Math.floor(leftMs)),
+      ...(kind === 'streaming' ? generation : {}),
+    };
+  }
+}
+
+function outcomeOf(status: number): CallerOutcome {
+  if (status === OK) return CallerOutcome.Served;
+  return PROMISES.has(status) ? CallerOutcome.Refused : CallerOutcome.Failed;
+}
+
+function pickRoute(random: Random): SoakRoute {
+  const sum = ROUTES.reduce((total, { weight }) => total + weight, 0);
+  let place = random.between(0, sum);
+  return ROUTES.find(({ weight }) => {
+    place -= weight;
+    return place < 0;
+  })!;
+}
+
+function pause(ms: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, Math.max(0, ms));
+  });
+}
--- /dev/null
+++ b/packages/soak/src/core/checks/checks.ts
@@ -0,0 +1,88 @@
+/** Checks of the promises, from what callers and replicas saw. */
+import type { RepeatWindow } from '@celeryyoke/routing/testing';
+import { RepeatRecord } from '@celeryyoke/routing/testing';
+
+import type { CallerAttempt } from '../callers/index.js';
+import { CallerOutcome } from '../callers/index.js';
+import type { Arrival } from '../replicas/index.js';
+import { ENGINE_SERVICE, PLAIN_SERVICE, REPEAT_BOUNDS } from '../site/index.js';
+
+/** What a run showed of the repeats of one service. */
+export interface RepeatFigures {
+  readonly service: string;
+  readonly requests: number;
+  readonly arrivals: number;
+  readonly repeats: number;
+  /** The window with the most repeats beyond what is allowed, or the fewest below; undefined without any repeat. */
+  readonly worst: RepeatWindow | undefined;
+  /** Windows beyond what is allowed that do not overlap. */
+  readonly violations: readonly RepeatWindow[];
+}
+
+/** What a run showed. */
+export interface SoakFigures {
+  readonly repeats: readonly RepeatFigures[];
+  /** Requests that may run once and ran more often. */
+  readonly ranTwice: readonly string[];
+  /** Requests that ran although their callers were promised that they did not. */
+  readonly ranThoughRefused: readonly string[];
+}
+
+/**
+ * Checks a run.
+ * @param attempts - What callers sent and got.
+ * @param arrivals - What replicas read.
+ * @returns What it showed.
+ */
+export function checkRun(attempts: readonly CallerAttempt[], arrivals: readonly Arrival[]): SoakFigures {
+  const runs = new Map<string, number>();
+  for (const { request, hasRun } of arrivals) if (hasRun) runs.set(request, (runs.get(request) ?? 0) + 1);
+  const once = attempts.filter(({ route }) => route.kind !== 'safe' && !route.isResumable);
+  const refused = attempts.filter(({ outcome }) => outcome === CallerOutcome.Refused);
+  return {
+    repeats: [ENGINE_SERVICE, PLAIN_SERVICE].map((service) => checkRepeats(service, attempts, arrivals)),
+    ranTwice: once.filter(({ id }) => (runs.get(id) ?? 0) > 1).map(({ id }) => id),
+    ranThoughRefused: refused
+      .filter(({ id, route }) => route.kind !== 'safe' && !route.isResumable && runs.has(id))
+      .map(({ id }) => id),
+  };
+}
+
+/** Whether a run broke no promise. */
+export function isClean({ repeats, ranTwice, ranThoughRefused }: SoakFigures): boolean {
+  const areRepeatsWithin = repeats.every(({ violations }) => violations.length === 0);
+  return areRepeatsWithin && ranTwice.length === 0 && ranThoughRefused.length === 0;
+}
+
+function checkRepeats(
+  service: string,
+  attempts: readonly CallerAttempt[],
+  arrivals: readonly Arrival[],
+): RepeatFigures {
+  const record = new RepeatRecord();
+  const own = new Map(
+    attempts.filter(({ route }) => route.service === service).map((sent) => [sent.id, sent]),
+  );
+  for (const { sentAt } of own.values()) record.request(sentAt);
+  const arrived = arrivals.filter(({ request }) => own.has(request));
+  for (const { request, at } of arrived) record.arrive(request, at);
+  const windows = record.windows(REPEAT_BOUNDS);
+  return {
+    service,
+    requests: own.size,
+    arrivals: arrived.length,
+    repeats: record.repeats().length,
+    worst: windows[0],
+    violations: withoutOverlap(windows.filter(({ repeats, allowed }) => repeats > allowed)),
+  };
+}
+
+/** Keeps the worst of windows that overlap. */
+function withoutOverlap(windows: readonly RepeatWindow[]): RepeatWindow[] {
+  const kept: RepeatWindow[] = [];
+  for (const window of windows) {
+    const isApart = kept.every(({ from }) => Math.abs(from - window.from) >= REPEAT_BOUNDS.windowMs);
+    if (isApart) kept.push(window);
+  }
+  return kept;
+}
--- /dev/null
+++ b/packages/soak/src/core/plan/plan.ts
@@ -0,0 +1,51 @@
+/** Draws a plan from a seed. */
+import { createRandom } from '@celeryyoke/routing/testing';
+
+import type { Fault, SoakPlan, SoakSize } from './types.js';
+import { FaultKind } from './types.js';
+
+const MS_PER_SECOND = 1000;
+/** Share of the seeds whose daemons come up slowly while callers send already. */
+const SLOW_START_CHANCE = 0.4;
+const SLOW_START_MS = 20_000;
+/** Share of the seeds whose callers come back after a failure. */
+const RETRIES_CHANCE = 0.7;
+const START_MS = 1500;
+/** Time that the last daemon has before the traffic of a plan that starts quickly, in milliseconds. */
+const SETTLE_MS = 3000;
+/** Few adapters are resident on many engines, many on one or none. */
+const ADAPTERS = [50, 300, 2000] as const;
+/** Kinds that make callers' requests fail, so that daemons ask for repeats. */
+const FAILURES = [FaultKind.Shed, FaultKind.Errors, FaultKind.Reset, FaultKind.Hang] as const;
+/** Mean time between two faults, in seconds. */
+const SECONDS_PER_FAULT = 4;
+
+/**
+ * Draws a plan. Replicas refuse requests for most of the time, so that the budget binds; other faults overlap with that.
+ * @param seed - The same seed and size give the same plan.
+ * @param size - How large the run is.
+ * @returns The plan.
+ */
+export function createPlan(seed: number, size: SoakSize): SoakPlan {
+  const random = createRandom(`soak-${seed}`);
+  const isSlowStart = random.chance(SLOW_START_CHANCE);
+  const startSpreadMs = isSlowStart ? SLOW_START_MS : START_MS;
+  const lengthMs = size.seconds * MS_PER_SECOND;
+  const draw = (kinds: readonly FaultKind[], longestMs: number): Fault => {
+    const atMs = Math.round(random.between(0, lengthMs));
+    const forMs = Math.round(random.between(500, longestMs));
+    return { kind: random.pick(kinds), atMs, forMs, share: random.between(0.1, 0.9) };
+  };
+  const count = Math.max(2, Math.round(size.seconds / SECONDS_PER_FAULT));
+  const failures = Array.from({ length: count }, () => draw(FAILURES, lengthMs / 2));
+  const others = Array.from({ length: count }, () => draw(Object.values(FaultKind), lengthMs / 4));
+  return {
+    ...size,
+    seed,
+    startSpreadMs,
+    trafficAfterMs: isSlowStart ? START_MS : startSpreadMs + SETTLE_MS,
+    adapters: random.pick(ADAPTERS),
+    hasRetries: random.chance(RETRIES_CHANCE),
+    faults: [...failures, ...others].sort((left, right) => left.atMs - right.atMs),
+  };
+}
--- /dev/null
+++ b/packages/soak/src/core/plan/types.ts
@@ -0,0 +1,60 @@
+/** What a run of the soak does, and when. */
+
+/** What goes wrong. */
+export enum FaultKind {
+  /** Replicas refuse most of their requests without running them. */
+  Shed = 'shed',
+  /** Replicas fail most of their requests. */
+  Errors = 'errors',
+  /** Replicas reset the connections of most of their requests. */
+  Reset = 'reset',
+  /** Replicas never answer most of their requests. */
+  Hang = 'hang',
+  /** What daemons send to replicas waits on the way until the fault ends. */
+  HoldWay = 'hold-way',
+  /** Replicas take orders and answer them only when the fault ends. */
+  HoldOrders = 'hold-orders',
+  /** Processes of replicas are stopped and go on. */
+  FreezeReplicas = 'freeze-replicas',
+  /** Daemons are killed, and start again when the fault ends. */
+  KillDaemons = 'kill-daemons',
+  /** Daemons are told to shut down, and start again when the fault ends. */
+  TermDaemons = 'term-daemons',
+  /** Daemons are stopped and go on. */
+  FreezeDaemons = 'freeze-daemons',
+}
+
+/** One fault of a plan. */
+export interface Fault {
+  readonly kind: FaultKind;
+  /** Time from the start of the traffic, in milliseconds. */
+  readonly atMs: number;
+  readonly forMs: number;
+  /** Part of the replicas or daemons that it hits, from 0 to 1. */
+  readonly share: number;
+}
+
+/** How large a run is. */
+export interface SoakSize {
+  readonly daemons: number;
+  readonly engines: number;
+  /** Replicas of the plain service. */
+  readonly plains: number;
+  readonly requestsPerSecond: number;
+  /** Length of the traffic, in seconds. */
+  readonly seconds: number;
+}
+
+/** A whole run. */
+export interface SoakPlan extends SoakSize {
+  readonly seed: number;
+  /** Time over which the daemons are started one after another, in milliseconds. */
+  readonly startSpreadMs: number;
+  /** Time from the first daemon's start to the traffic, in milliseconds. */
+  readonly trafficAfterMs: number;
+  /** Adapters that callers ask for, all as often. */
+  readonly adapters: number;
+  /** Whether callers come back once after a failure. */
+  readonly hasRetries: boolean;
+  readonly faults: readonly Fault[];
+}
--- /dev/null
+++ b/packages/soak/src/core/replicas/main.ts
@@ -0,0 +1,49 @@
+/** A process of some replicas, driven by messages of the run that started it. */
+import type { Arrival, ReplicaCommand, ReplicaNews, ReplicaOptions } from './messages.js';
+import { SoakReplica } from './replica.js';
+
+/** Interval at which arrivals are told, in milliseconds. */
+const TELL_MS = 200;
+
+const replicas = new Map<string, SoakReplica>();
+const arrivals: Arrival[] = [];
+
+function noteArrival(arrival: Arrival): void {
+  arrivals.push(arrival);
+}
+
+function tell(news: ReplicaNews): void {
+  process.send?.(news);
+}
+
+async function start(options: readonly ReplicaOptions[]): Promise<void> {
+  const ports: [string, number][] = [];
+  for (const option of options) {
+    const replica = new SoakReplica(option, noteArrival);
+    replicas.set(option.id, replica);
+    ports.push([option.id, await replica.listen()]);
+  }
+  tell({ type: 'started', ports });
+}
+
+const COMMANDS: {
+  readonly [Type in ReplicaCommand['type']]: (command: Extract<ReplicaCommand, { type: Type }>) => void;
+} = {
+  start: (command) => {
+    void start(command.replicas);
+  },
+  behave: ({ ids, behaviour }) => {
+    for (const id of ids) Object.assign(replicas.get(id) ?? {}, { behaviour });
+  },
+  hold: ({ ids, what, isHeld }) => {
+    for (const id of ids) replicas.get(id)?.hold(what, isHeld);
+  },
+};
+
+process.on('message', (command: ReplicaCommand) => COMMANDS[command.type](command as never));
+// The run has ended.
+process.on('disconnect', () => process.exit(0));
+setInterval(() => {
+  if (arrivals.length === 0) return;
+  tell({ type: 'arrivals', arrivals: arrivals.splice(0) });
+}, TELL_MS);
--- /dev/null
+++ b/packages/soak/src/core/replicas/replica.ts
@@ -0,0 +1,205 @@
+/** One replica: reads requests when their way is open, answers as it is told to, and notes what arrived. */
+import type { AddressInfo, Server, Socket } from 'node:net';
+import { createServer } from 'node:net';
+
+import {
+  answerMisdirected,
+  answerNotRun,
+  answerOrder,
+  answerReport,
+  answerWhole,
+  beginStream,
+  EngineLife,
+  sendChunk,
+} from '@celeryyoke/adapter/testing';
+import type { Random, RawRequest } from '@celeryyoke/routing/testing';
+import { createRandom, headerIn, takeRequest } from '@celeryyoke/routing/testing';
+
+import type { Arrival, ReplicaOptions } from './messages.js';
+import { Behaviour, Holdable } from './messages.js';
+
+const HOST = '127.0.0.1';
+/** Part of the requests that a replica which misbehaves treats so. */
+const MISBEHAVED_SHARE = 0.9;
+const EVENTS = 6;
+const EVENT_MS = 60;
+const PLAIN_MS = 20;
+const ERROR = '500 Internal Server Error';
+
+/** Bytes of one connection that the replica has not read yet. */
+class Connection {
+  /** What came while the way was held up. */
+  private held: string[] = [];
+
+  private unread = '';
+
+  constructor(readonly socket: Socket) {}
+
+  hold(text: string): void {
+    this.held.push(text);
+  }
+
+  /** Loses what is held, as its sender has reset the connection. */
+  lose(): void {
+    this.held = [];
+  }
+
+  /** Takes what was held up. */
+  release(): string {
+    return this.held.splice(0).join('');
+  }
+
+  /** Adds bytes and takes the requests that are whole. */
+  read(text: string): RawRequest[] {
+    this.unread += text;
+    const requests: RawRequest[] = [];
+    for (let next = takeRequest(this.unread); next !== undefined; next = takeRequest(this.unread)) {
+      this.unread = next.rest;
+      requests.push({ head: next.head, body: next.body, socket: this.socket });
+    }
+    return requests;
+  }
+}
+
+/** A replica of a service. */
+export class SoakReplica {
+  behaviour = Behaviour.Serve;
+
+  private readonly held = new Set<Holdable>();
+
+  private heldOrders: RawRequest[] = [];
+
+  private running = 0;
+
+  private readonly life = new EngineLife();
+
+  private readonly connections = new Set<Connection>();
+
+  private readonly random: Random;
+
+  private readonly server: Server;
+
+  constructor(
+    private readonly options: ReplicaOptions,
+    private readonly onArrival: (arrival: Arrival) => void,
+  ) {
+    this.random = createRandom(options.id);
+    this.server = createServer((socket) => this.accept(socket));
+  }
+
+  /** Starts to listen; resolves to the port. */
+  async listen(): Promise<number> {
+    await new Promise<void>((resolve) => {
+      this.server.listen(0, HOST, resolve);
+    });
+    return (this.server.address() as AddressInfo).port;
+  }
+
+  /** Holds up what comes, or reads all that was held up. What a sender has reset meanwhile is lost. */
+  hold(what: Holdable, isHeld: boolean): void {
+    if (isHeld) {
+      this.held.add(what);
+      return;
+    }
+    this.held.delete(what);
+    this.readHeld();
+  }
+
+  private readHeld(): void {
+    const { heldOrders } = this;
+    this.heldOrders = [];
+    for (const order of heldOrders) this.takeOrder(order);
+    if (this.held.has(Holdable.Everything)) return;
+    for (const connection of this.connections) this.read(connection, connection.release());
+  }
+
+  private accept(socket: Socket): void {
+    const connection = new Connection(socket);
+    this.connections.add(connection);
+    socket.on('error', () => connection.lose());
+    socket.on('close', () => this.connections.delete(connection));
+    socket.on('data', (chunk) => {
+      const text = chunk.toString('latin1');
+      if (this.held.has(Holdable.Everything)) connection.hold(text);
+      else this.read(connection, text);
+    });
+  }
+
+  private read(connection: Connection, text: string): void {
+    for (const req of connection.read(text)) this.take(req);
+  }
+
+  private take(req: RawRequest): void {
+    const [, path] = req.head.split(' ');
+    if (path === '/v1/order') this.takeOrder(req);
+    else if (path === '/v1/report') answerReport(req, this.life);
+    else if (headerIn(req.head, 'celeryyoke-expect-instance') !== this.options.id) {
+      this.note(req, false);
+      answerMisdirected(req);
+    } else this.serve(req);
+  }
+
+  private takeOrder(req: RawRequest): void {
+    if (this.held.has(Holdable.Orders)) this.heldOrders.push(req);
+    else if (!req.socket.destroyed) answerOrder(req, this.life);
+  }
+
+  private serve(req: RawRequest): void {
+    const isMisbehaved = this.behaviour !== Behaviour.Serve && this.random.chance(MISBEHAVED_SHARE);
+    const behaviour = isMisbehaved ? this.behaviour : Behaviour.Serve;
+    const isFull = this.running >= this.options.slots;
+    const hasRun = !isFull && behaviour !== Behaviour.Shed;
+    this.note(req, hasRun);
+    if (hasRun) answer(behaviour, this, req);
+    else answerNotRun(req);
+  }
+
+  /** Serves a request to its end. */
+  async run(req: RawRequest): Promise<void> {
+    this.running += 1;
+    await (this.options.isEngine ? stream(req) : answerLater(req));
+    this.running -= 1;
+  }
+
+  private note({ head }: RawRequest, hasRun: boolean): void {
+    const request = headerIn(head, 'celeryyoke-request-id') ?? '';
+    this.onArrival({ request, replica: this.options.id, at: Date.now(), hasRun });
+  }
+}
+
+function pause(ms: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+}
+
+async function answerLater(req: RawRequest): Promise<void> {
+  await pause(PLAIN_MS);
+  answerWhole(req);
+}
+
+async function stream(req: RawRequest): Promise<void> {
+  const lastId = Number(headerIn(req.head, 'last-event-id') ?? 0);
+  await pause(EVENT_MS);
+  beginStream(req);
+  for (let id = lastId + 1; id <= EVENTS && !req.socket.destroyed; id += 1) {
+    sendChunk(req, `id: ${id}\ndata: t${id}\n\n`);
+    await pause(EVENT_MS);
+  }
+  if (!req.socket.destroyed) sendChunk(req, '');
+}
+
+/** What each behaviour does with a request that has begun to run. */
+const ANSWERS: Readonly<Record<Behaviour, (replica: SoakReplica, req: RawRequest) => void>> = {
+  [Behaviour.Serve]: (replica, req) => {
+    void replica.run(req);
+  },
+  [Behaviour.Shed]: (_replica, req) => answerNotRun(req),
+  [Behaviour.Errors]: (_replica, req) => answerWhole(req, ERROR),
+  [Behaviour.Reset]: (_replica, { socket }) => socket.resetAndDestroy(),
+  [Behaviour.Hang]: () => undefined,
+};
+
+function answer(behaviour: Behaviour, replica: SoakReplica, req: RawRequest): void {
+  ANSWERS[behaviour](replica, req);
+}
--- /dev/null
+++ b/packages/soak/src/core/run/daemons.ts
@@ -0,0 +1,69 @@
+/** The daemons of a run: the bundled program, started as the deploy file does. */
+import { writeFileSync } from 'node:fs';
+import { join } from 'node:path';
+
+import type { ProcessGroup, RunningProcess } from '../processes/index.js';
+import type { DaemonAddress } from '../site/index.js';
+import { daemonAddress, settingsOf } from '../site/index.js';
+
+const FLAGS = [
+  '--max-old-space-size=200',
+  '--max-semi-space-size=1',
+  '--liftoff-only',
+  '--optimize-for-size',
+  '--single-threaded',
+] as const;
+
+/** What the daemons need. */
+export interface DaemonsOptions {
+  readonly processes: ProcessGroup;
+  /** The bundled program. */
+  readonly program: string;
+  /** Directory of settings and logs. */
+  readonly dir: string;
+  readonly storePort: number;
+  readonly count: number;
+}
+
+/** The daemons. */
+export class Daemons {
+  readonly addresses: readonly DaemonAddress[];
+
+  private readonly running = new Map<string, RunningProcess>();
+
+  constructor(private readonly options: DaemonsOptions) {
+    this.addresses = Array.from({ length: options.count }, (_, index) => daemonAddress(index));
+  }
+
+  /**
+   * Starts a daemon unless it runs.
+   * @param daemon - The daemon.
+   * @param isFirstStart - Whether the whole fleet starts for the first time.
+   */
+  start(daemon: DaemonAddress, isFirstStart: boolean): void {
+    if (this.running.has(daemon.name)) return;
+    const { processes, program, dir, storePort } = this.options;
+    const settingsFile = join(dir, `${daemon.name}.conf`);
+    writeFileSync(settingsFile, settingsOf(daemon, storePort, isFirstStart));
+    const started = processes.start({
+      name: daemon.name,
+      args: [...FLAGS, program],
+      env: { CELERYYOKE_NODE_FILE: settingsFile },
+      logFile: join(dir, `${daemon.name}.log`),
+    });
+    this.running.set(daemon.name, started);
+    void started.ended.then(() => this.running.delete(daemon.name));
+  }
+
+  /**
+   * Sends a signal to a daemon that runs.
+   * @param daemon - The daemon.
+   * @param signal - The signal.
+   * @returns Its end; resolved where it does not run.
+   */
+  signal({ name }: DaemonAddress, signal: NodeJS.Signals): Promise<void> {
+    const running = this.running.get(name);
+    running?.child.kill(signal);
+    return running?.ended ?? Promise.resolve();
+  }
+}
--- /dev/null
+++ b/packages/soak/src/core/run/faults.ts
@@ -0,0 +1,96 @@
+/** What each kind of fault does to a run. */
+import type { Random } from '@celeryyoke/routing/testing';
+
+import type { Fault } from '../plan/index.js';
+import { FaultKind } from '../plan/index.js';
+import type { ReplicaFleet } from '../replicas/index.js';
+import { Behaviour, Holdable } from '../replicas/index.js';
+import { GRACE_S } from '../site/index.js';
+import type { Daemons } from './daemons.js';
+
+const MS_PER_SECOND = 1000;
+
+/** What faults act on. */
+export interface FaultTargets {
+  readonly daemons: Daemons;
+  readonly replicas: ReplicaFleet;
+  readonly random: Random;
+}
+
+/** Brings a fault about; what it returns ends it. */
+type FaultHandler = (targets: FaultTargets, share: number) => () => void;
+
+function choose<T>(items: readonly T[], share: number, random: Random): T[] {
+  return items.filter(() => random.chance(share));
+}
+
+function misbehave(behaviour: Behaviour): FaultHandler {
+  return ({ replicas, random }, share) => {
+    const ids = choose(replicas.ids, share, random);
+    replicas.behave(ids, behaviour);
+    return () => replicas.behave(ids, Behaviour.Serve);
+  };
+}
+
+function hold(what: Holdable): FaultHandler {
+  return ({ replicas, random }, share) => {
+    const ids = choose(replicas.ids, share, random);
+    replicas.hold(ids, what, true);
+    return () => replicas.hold(ids, what, false);
+  };
+}
+
+/** Ends daemons with a signal; they start again when the fault ends, and are killed if they still run then. */
+function restart(signal: NodeJS.Signals): FaultHandler {
+  return ({ daemons, random }, share) => {
+    const hit = choose(daemons.addresses, share, random);
+    const ends = hit.map((daemon) => daemons.signal(daemon, signal));
+    return () => {
+      for (const [index, daemon] of hit.entries()) {
+        const kill = (): void => {
+          void daemons.signal(daemon, 'SIGKILL');
+        };
+        const late = setTimeout(kill, GRACE_S * MS_PER_SECOND);
+        void ends[index]!.then(() => {
+          clearTimeout(late);
+          daemons.start(daemon, false);
+        });
+      }
+    };
+  };
+}
+
+/** All kinds. */
+export const FAULTS: Readonly<Record<FaultKind, FaultHandler>> = {
+  [FaultKind.Shed]: misbehave(Behaviour.Shed),
+  [FaultKind.Errors]: misbehave(Behaviour.Errors),
+  [FaultKind.Reset]: misbehave(Behaviour.Reset),
+  [FaultKind.Hang]: misbehave(Behaviour.Hang),
+  [FaultKind.HoldWay]: hold(Holdable.Everything),
+  [FaultKind.HoldOrders]: hold(Holdable.Orders),
+  [FaultKind.FreezeReplicas]: ({ replicas, random }, share) => {
+    const hit = choose(replicas.processes, share, random);
+    for (const { child } of hit) child.kill('SIGSTOP');
+    return () => {
+      for (const { child } of hit) child.kill('SIGCONT');
+    };
+  },
+  [FaultKind.KillDaemons]: restart('SIGKILL'),
+  [FaultKind.TermDaemons]: restart('SIGTERM'),
+  [FaultKind.FreezeDaemons]: ({ daemons, random }, share) => {
+    const hit = choose(daemons.addresses, share, random);
+    for (const daemon of hit) void daemons.signal(daemon, 'SIGSTOP');
+    return () => {
+      for (const daemon of hit) void daemons.signal(daemon, 'SIGCONT');
+    };
+  },
+};
+
+/**
+ * Brings a fault about and ends it when its time is over.
+ * @param targets - What it acts on.
+ * @param fault - The fault.
+ */
+export function inject(targets: FaultTargets, { kind, forMs, share }: Fault): void {
+  setTimeout(FAULTS[kind](targets, share), forMs);
+}
--- /dev/null
+++ b/packages/soak/src/core/run/index.ts
@@ -0,0 +1,3 @@
+/** Runs of the soak. */
+export type { SoakOptions, SoakResult } from './run.js';
+export { runSoak } from './run.js';
--- /dev/null
+++ b/packages/soak/src/core/run/run.ts
@@ -0,0 +1,115 @@
+/** One run: starts the platform, the replicas, the daemons and the callers, brings the faults about, and checks. */
+import { join } from 'node:path';
+
+import { createRandom } from '@celeryyoke/routing/testing';
+
+import type { CallerAttempt } from '../callers/index.js';
+import { Balancer, Callers } from '../callers/index.js';
+import type { SoakFigures } from '../checks/index.js';
+import { checkRun } from '../checks/index.js';
+import type { SoakPlan } from '../plan/index.js';
+import { ProcessGroup } from '../processes/index.js';
+import type { Arrival, ReplicaOptions } from '../replicas/index.js';
+import { ReplicaFleet } from '../replicas/index.js';
+import { ENGINE_SLOTS, listReplica, PLAIN_SLOTS, startStore } from '../site/index.js';
+import { Daemons } from './daemons.js';
+import { inject } from './faults.js';
+
+const MS_PER_SECOND = 1000;
+/** Replicas for each of their processes. */
+const REPLICAS_PER_PROCESS = 16;
+/** Time after the traffic in which held requests still arrive, in milliseconds. */
+const SETTLE_MS = 1000;
+
+/** What a run needs beside its plan. */
+export interface SoakOptions {
+  /** The bundled program of the daemons. */
+  readonly program: string;
+  /** Directory of settings and logs; it exists. */
+  readonly dir: string;
+}
+
+/** What a run showed, with what it was shown by. */
+export interface SoakResult {
+  readonly figures: SoakFigures;
+  readonly outcomes: ReadonlyMap<string, number>;
+  readonly attempts: readonly CallerAttempt[];
+  readonly arrivals: readonly Arrival[];
+}
+
+/**
+ * Plays a plan.
+ * @param plan - The plan.
+ * @param options - The program, and where settings and logs go.
+ * @returns What it showed; all processes have ended.
+ */
+export async function runSoak(plan: SoakPlan, { program, dir }: SoakOptions): Promise<SoakResult> {
+  const processes = new ProcessGroup();
+  const arrivals: Arrival[] = [];
+  const store = await startStore();
+  const replicas = new ReplicaFleet({
+    processes,
+    replicas: replicasOf(plan),
+    processCount: Math.ceil((plan.engines + plan.plains) / REPLICAS_PER_PROCESS),
+    logFile: (name) => join(dir, `${name}.log`),
+    onArrival: (arrival) => arrivals.push(arrival),
+  });
+  const daemons = new Daemons({ processes, program, dir, storePort: store.port, count: plan.daemons });
+  const balancer = new Balancer(daemons.addresses);
+  const random = createRandom(`run-${plan.seed}`);
+  const { requestsPerSecond, adapters, hasRetries } = plan;
+  const callers = new Callers({ balancer, random, requestsPerSecond, adapters, hasRetries });
+  try {
+    await replicas.start();
+    for (const option of replicasOf(plan)) listReplica(store, option, replicas.ports.get(option.id)!);
+    startAll(plan, daemons);
+    await pause(plan.trafficAfterMs);
+    for (const fault of plan.faults)
+      setTimeout(() => inject({ daemons, replicas, random }, fault), fault.atMs);
+    void callers.run();
+    await pause(plan.seconds * MS_PER_SECOND);
+    await callers.stop();
+    await pause(SETTLE_MS);
+  } finally {
+    balancer.stop();
+    await processes.stop();
+    await store.close();
+  }
+  const { attempts } = callers;
+  return { figures: checkRun(attempts, arrivals), outcomes: countOutcomes(callers), attempts, arrivals };
+}
+
+function replicasOf({ engines, plains }: SoakPlan): ReplicaOptions[] {
+  const engineOptions = Array.from({ length: engines }, (_, index) => ({
+    id: `e-${index}`,
+    isEngine: true,
+    slots: ENGINE_SLOTS,
+  }));
+  const plainOptions = Array.from({ length: plains }, (_, index) => ({
+    id: `p-${index}`,
+    isEngine: false,
+    slots: PLAIN_SLOTS,
+  }));
+  return [...engineOptions, ...plainOptions];
+}
+
+function startAll({ startSpreadMs }: SoakPlan, daemons: Daemons): void {
+  const { addresses } = daemons;
+  for (const [index, daemon] of addresses.entries())
+    setTimeout(() => daemons.start(daemon, true), (startSpreadMs * index) / addresses.length);
+}
+
+function countOutcomes({ attempts }: Callers): Map<string, number> {
+  const counts = new Map<string, number>();
+  for (const { route, outcome } of attempts) {
+    const key = `${route.name} ${outcome ?? 'open'}`;
+    counts.set(key, (counts.get(key) ?? 0) + 1);
+  }
+  return counts;
+}
+
+function pause(ms: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+}
--- /dev/null
+++ b/packages/soak/src/core/site/index.ts
@@ -0,0 +1,16 @@
+/** The platform of a run. */
+export type { DaemonAddress, SoakRoute } from './site.js';
+export {
+  CALLER_HOST,
+  daemonAddress,
+  ENGINE_SERVICE,
+  ENGINE_SLOTS,
+  GRACE_S,
+  listReplica,
+  PLAIN_SERVICE,
+  PLAIN_SLOTS,
+  REPEAT_BOUNDS,
+  ROUTES,
+  settingsOf,
+  startStore,
+} from './site.js';
--- /dev/null
+++ b/packages/soak/src/core/site/site.ts
@@ -0,0 +1,218 @@
+/** What the platform tells daemons of a run: the configuration, the replicas, and the settings of a process. */
+import { MODEL, StoreStandIn } from '@celeryyoke/adapter/testing';
+import type { RepeatBounds } from '@celeryyoke/routing/testing';
+
+import type { ReplicaOptions } from '../replicas/index.js';
+
+const REPLICA_HOST = '127.0.0.1';
+const CALLER_PORT = 8149;
+const READINESS_PORT = 8141;
+const PEER_PORT = 8144;
+const FIRST_FREE_PORT = 7380;
+const LAST_FREE_PORT = 7395;
+const HOSTS_PER_ZONE = 200;
+/** Loopback networks of runs, three each, so that several can be played on one machine. */
+const FIRST_NETWORK = 10;
+const RUNS = 70;
+const NETWORK = FIRST_NETWORK + (process.pid % RUNS) * 3;
+const MS_PER_SECOND = 1000;
+export const ZONES = ['a', 'b', 'c'] as const;
+export const CALLER_HOST = 'app.example';
+export const ENGINE_SERVICE = 'llm';
+export const PLAIN_SERVICE = 'web';
+export const ENGINE_SLOTS = 16;
+export const PLAIN_SLOTS = 40;
+/** What is allowed of repeats, for each service. */
+export const REPEAT_BOUNDS: RepeatBounds = { ratio: 0.2, windowMs: 10_000, slack: 196 };
+/** Time for a graceful shutdown, in seconds. */
+export const GRACE_S = 8;
+
+/** A route of the configuration, and how callers use it. */
+export interface SoakRoute {
+  readonly name: string;
+  readonly kind: 'streaming' | 'safe' | 'unsafe';
+  readonly service: string;
+  readonly timeoutMs: number;
+  readonly objectiveMs: number;
+  readonly maxAttempts: number;
+  readonly isResumable: boolean;
+  /** Share of all requests, against the other routes. */
+  readonly weight: number;
+}
+
+/** The routes. */
+export const ROUTES: readonly SoakRoute[] = [
+  {
+    name: 'live',
+    kind: 'streaming',
+    service: ENGINE_SERVICE,
+    timeoutMs: 12_000,
+    objectiveMs: 600,
+    maxAttempts: 2,
+    isResumable: true,
+    weight: 6,
+  },
+  {
+    name: 'batch',
+    kind: 'streaming',
+    service: ENGINE_SERVICE,
+    timeoutMs: 20_000,
+    objectiveMs: 1000,
+    maxAttempts: 1,
+    isResumable: false,
+    weight: 1,
+  },
+  {
+    name: 'short',
+    kind: 'streaming',
+    service: ENGINE_SERVICE,
+    timeoutMs: 3000,
+    objectiveMs: 1000,
+    maxAttempts: 2,
+    isResumable: true,
+    weight: 3,
+  },
+  {
+    name: 'notice',
+    kind: 'unsafe',
+    service: PLAIN_SERVICE,
+    timeoutMs: 2500,
+    objectiveMs: 200,
+    maxAttempts: 1,
+    isResumable: false,
+    weight: 2,
+  },
+  {
+    name: 'read',
+    kind: 'safe',
+    service: PLAIN_SERVICE,
+    timeoutMs: 2500,
+    objectiveMs: 200,
+    maxAttempts: 2,
+    isResumable: false,
+    weight: 2,
+  },
+];
+
+/** Addresses of one daemon. */
+export interface DaemonAddress {
+  readonly name: string;
+  readonly zone: string;
+  readonly host: string;
+  readonly callers: string;
+  readonly readiness: string;
+  readonly peers: string;
+}
+
+/**
+ * Names a daemon; each has a loopback address of its own.
+ * @param index - Its number.
+ */
+export function daemonAddress(index: number): DaemonAddress {
+  const zoneIndex = index % ZONES.length;
+  const place = Math.floor(index / ZONES.length);
+  const host = `127.${NETWORK + zoneIndex}.${Math.floor(place / HOSTS_PER_ZONE)}.${1 + (place % HOSTS_PER_ZONE)}`;
+  return {
+    name: `front-${ZONES[zoneIndex]}-${place}`,
+    zone: ZONES[zoneIndex]!,
+    host,
+    callers: `${host}:${CALLER_PORT}`,
+    readiness: `${host}:${READINESS_PORT}`,
+    peers: `${host}:${PEER_PORT}`,
+  };
+}
+
+/**
+ * Writes the settings file of a daemon.
+ * @param daemon - The daemon.
+ * @param storePort - Port of the store.
+ * @param isFirstStart - Whether the whole fleet starts for the first time.
+ */
+export function settingsOf(daemon: DaemonAddress, storePort: number, isFirstStart: boolean): string {
+  const seeds = ZONES.map((_zone, index) => daemonAddress(index).peers);
+  const { ratio, windowMs, slack } = REPEAT_BOUNDS;
+  return [
+    `node=${daemon.name}`,
+    `ip=${daemon.host}`,
+    `zone=${daemon.zone}`,
+    `listen.front=${daemon.callers}`,
+    `listen.ready=${daemon.readiness}`,
+    `listen.control=${daemon.peers}`,
+    `port_range=${FIRST_FREE_PORT},${LAST_FREE_PORT}`,
+    `seeds=${seeds.join(',')}`,
+    `bootstrap=${isFirstStart}`,
+    `bounds.grace_s=${GRACE_S}`,
+    'bounds.lease_ms=3000',
+    'bounds.require_fence=true',
+    `bounds.retry_budget_ratio=${ratio}`,
+    `bounds.budget_window_s=${windowMs / MS_PER_SECOND}`,
+    `bounds.budget_slack=${slack}`,
+    `platform.address=${REPLICA_HOST}:${storePort}`,
+    '',
+  ].join('\n');
+}
+
+/** Starts the store with the configuration in it. */
+export async function startStore(): Promise<StoreStandIn> {
+  const store = new StoreStandIn();
+  await store.start();
+  store.put('op/config', {
+    version: 1,
+    routes: ROUTES.map(wireRoute),
+    services: [
+      { name: PLAIN_SERVICE, max_connections: 500 },
+      {
+        name: ENGINE_SERVICE,
+        engine: {
+          slots: ENGINE_SLOTS,
+          weights_mb: 1000,
+          adapter_slots: 100,
+          loads_per_s: 27,
+          models: [{ name: MODEL, weights_mb: 90, adapter_mb: 1 }],
+        },
+      },
+    ],
+    limits: {
+      max_header_bytes: 16_384,
+      max_body_bytes: 65_536,
+      header_timeout_ms: 5000,
+      idle_timeout_ms: 15_000,
+    },
+  });
+  return store;
+}
+
+function wireRoute({ name, kind, service, timeoutMs, objectiveMs, maxAttempts, isResumable }: SoakRoute) {
+  return {
+    name,
+    host: CALLER_HOST,
+    prefix: `/${name}/`,
+    kind,
+    timeout_ms: timeoutMs,
+    target_latency_ms: objectiveMs,
+    priority: 1,
+    service,
+    max_attempts: maxAttempts,
+    resumable: isResumable,
+    ...(kind === 'streaming' ? { gap_aim_ms: 300 } : {}),
+  };
+}
+
+/** Lists a replica in the store. */
+export function listReplica(
+  store: StoreStandIn,
+  { id, isEngine, slots }: ReplicaOptions,
+  port: number,
+): void {
+  const models = isEngine ? { models: [{ name: MODEL, version: 1, adapters: [] }] } : {};
+  store.put(`servers/${id}`, {
+    service: isEngine ? ENGINE_SERVICE : PLAIN_SERVICE,
+    address: `${REPLICA_HOST}:${port}`,
+    zone: ZONES[0],
+    version: 'v1',
+    slots,
+    state: 'ready',
+    sequence: 1,
+    ...models,
+  });
+}
--- /dev/null
+++ b/packages/soak/src/main.ts
@@ -0,0 +1,103 @@
+#!/usr/bin/env node
+/** Entry of the soak: `npm run soak -- --seed N`. */
+import { mkdirSync, mkdtempSync, readFileSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+
+import { cac } from 'cac';
+import Table from 'cli-table3';
+
+import type { SoakFigures, SoakPlan, SoakResult } from './index.js';
+import { createPlan, isClean, runSoak } from './index.js';
+
+const EXIT_BROKEN = 1;
+
+interface Flags {
+  readonly seed: number;
+  readonly plays: number;
+  readonly seconds: number;
+  readonly daemons: number;
+  readonly engines: number;
+  readonly plains: number;
+  readonly load: number;
+  readonly program: string;
+  readonly plan?: string;
+  readonly out?: string;
+}
+
+function showRepeats({ repeats }: SoakFigures): string {
+  const table = new Table({
+    head: ['service', 'requests', 'arrivals', 'repeats', 'worst window', 'allowed', 'violations'],
+    style: { head: [], border: [], compact: true },
+  });
+  for (const { service, requests, arrivals, repeats: count, worst, violations } of repeats)
+    table.push([
+      service,
+      requests,
+      arrivals,
+      count,
+      worst?.repeats ?? 0,
+      Math.floor(worst?.allowed ?? 0),
+      violations.length,
+    ]);
+  return table.toString();
+}
+
+function show({ seed }: SoakPlan, { figures, outcomes }: SoakResult): void {
+  console.log(`seed ${seed}: ${isClean(figures) ? 'clean' : 'BROKEN'}`);
+  console.log(showRepeats(figures));
+  console.log([...outcomes].map(([key, count]) => `${key} ${count}`).join(', '));
+  const { ranTwice, ranThoughRefused } = figures;
+  if (ranTwice.length > 0) console.log(`ran more than once: ${ranTwice.join(', ')}`);
+  if (ranThoughRefused.length > 0) console.log(`ran though refused: ${ranThoughRefused.join(', ')}`);
+}
+
+/** Writes what callers sent and got, and what replicas read, a line each. */
+function keep(dir: string, { attempts, arrivals }: SoakResult): void {
+  const lines = (rows: readonly object[]): string => rows.map((row) => JSON.stringify(row)).join('\n');
+  writeFileSync(join(dir, 'attempts.jsonl'), lines(attempts));
+  writeFileSync(join(dir, 'arrivals.jsonl'), lines(arrivals));
+}
+
+function* plansOf(flags: Flags): Generator<SoakPlan> {
+  if (flags.plan !== undefined) {
+    yield JSON.parse(readFileSync(flags.plan, 'utf8')) as SoakPlan;
+    return;
+  }
+  const { daemons, engines, plains, load, seconds } = flags;
+  const { seed: first, plays } = flags;
+  for (let seed = first; seed < first + plays; seed += 1)
+    yield createPlan(seed, { daemons, engines, plains, requestsPerSecond: load, seconds });
+}
+
+async function play(flags: Flags): Promise<void> {
+  const out = flags.out ?? mkdtempSync(join(tmpdir(), 'celeryyoke-soak-'));
+  for (const plan of plansOf(flags)) {
+    const dir = join(out, `seed-${plan.seed}`);
+    mkdirSync(dir, { recursive: true });
+    writeFileSync(join(dir, 'plan.json'), JSON.stringify(plan, undefined, 2));
+    const result = await runSoak(plan, { program: flags.program, dir });
+    show(plan, result);
+    keep(dir, result);
+    if (!isClean(result.figures)) process.exitCode = EXIT_BROKEN;
+  }
+  console.log(`Plans, settings and logs: ${out}`);
+}
+
+const cli = cac('celeryyoke-soak');
+cli
+  .command('', 'Plays seeded faults against the built program and checks what callers and replicas saw.')
+  .option('--seed <n>', 'First seed', { default: 1 })
+  .option('--plays <n>', 'Number of seeds', { default: 1 })
+  .option('--seconds <n>', 'Length of the traffic', { default: 40 })
+  .option('--daemons <n>', 'Daemons', { default: 8 })
+  .option('--engines <n>', 'Engines', { default: 13 })
+  .option('--plains <n>', 'Replicas of the plain service', { default: 3 })
+  .option('--load <n>', 'Requests a second', { default: 100 })
+  .option('--program <file>', 'Bundled program of the daemons', { default: 'target/celeryyoke.mjs' })
+  .option('--plan <file>', 'Plays a written plan in place of seeds')
+  .option('--out <dir>', 'Where plans, settings and logs go; a temporary directory when left out')
+  .action((flags: Flags) => play(flags));
+cli.help();
+cli.parse(process.argv, { run: false });
+await cli.runMatchedCommand();
--- /dev/null
+++ b/packages/soak/test/checks.test.ts
@@ -0,0 +1,76 @@
+/** The checks of the soak fire on what breaks a promise, and on nothing else. */
+import { checkRun, createPlan, isClean } from '@celeryyoke/soak';
+import test from 'ava';
+
+import type { CallerAttempt } from '../src/core/callers/index.js';
+import { CallerOutcome } from '../src/core/callers/index.js';
+import type { Arrival } from '../src/core/replicas/index.js';
+import { REPEAT_BOUNDS, ROUTES } from '../src/core/site/index.js';
+
+const REQUESTS = 1000;
+const INTERVAL_MS = 20;
+
+function routeOf(kind: string) {
+  return ROUTES.find((route) => route.kind === kind)!;
+}
+
+/** Requests of one route that were served, each a moment after the one before it. */
+function served(kind: string): CallerAttempt[] {
+  return Array.from({ length: REQUESTS }, (_, index) => ({
+    id: `c${index}`,
+    route: routeOf(kind),
+    sentAt: index * INTERVAL_MS,
+    outcome: CallerOutcome.Served,
+  }));
+}
+
+function arrivalOf({ id, sentAt }: CallerAttempt, laterMs = 1, hasRun = true): Arrival {
+  return { request: id, replica: 'p-0', at: sentAt + laterMs, hasRun };
+}
+
+test('a run without repeats is clean', (t) => {
+  const attempts = served('unsafe');
+  t.true(
+    isClean(
+      checkRun(
+        attempts,
+        attempts.map((attempt) => arrivalOf(attempt)),
+      ),
+    ),
+  );
+});
+
+test('repeats beyond the allowance of a window are found', (t) => {
+  const attempts = served('safe');
+  const first = attempts.map((attempt) => arrivalOf(attempt));
+  const inWindow = REPEAT_BOUNDS.windowMs / INTERVAL_MS;
+  const allowed = REPEAT_BOUNDS.ratio * inWindow + REPEAT_BOUNDS.slack;
+  const repeat = (count: number): Arrival[] =>
+    attempts.slice(inWindow, inWindow + count).map((attempt) => arrivalOf(attempt, 2));
+  t.true(isClean(checkRun(attempts, [...first, ...repeat(allowed)])));
+  const { repeats } = checkRun(attempts, [...first, ...repeat(allowed + 5)]);
+  t.deepEqual(
+    repeats.map(({ violations }) => violations.length),
+    [0, 1],
+  );
+});
+
+test('a request that may run once and runs again is found', (t) => {
+  const attempts = served('unsafe');
+  const arrivals = attempts.map((attempt) => arrivalOf(attempt));
+  t.deepEqual(checkRun(attempts, [...arrivals, arrivalOf(attempts[3]!, 5, false)]).ranTwice, []);
+  t.deepEqual(checkRun(attempts, [...arrivals, arrivalOf(attempts[3]!, 5)]).ranTwice, ['c3']);
+});
+
+test('a request that runs though its caller was promised that it does not is found', (t) => {
+  const attempts = served('unsafe');
+  const arrivals = attempts.map((attempt) => arrivalOf(attempt));
+  attempts[7]!.outcome = CallerOutcome.Refused;
+  t.deepEqual(checkRun(attempts, arrivals).ranThoughRefused, ['c7']);
+});
+
+test('a seed gives the same plan each time', (t) => {
+  const size = { daemons: 6, engines: 8, plains: 2, requestsPerSecond: 50, seconds: 30 };
+  t.deepEqual(createPlan(5, size), createPlan(5, size));
+  t.notDeepEqual(createPlan(5, size).faults, createPlan(6, size).faults);
+});
