budget: count a repeat until a window after its arrival

Callers' repeats arrived in windows that did not allow them: a repeat left the count a window after it was paid for, and reached its replica seconds later, after a load, a free place or the end of a cut. With those that were sent at once in the next window they were more than the users allow.

A repeat is reserved now and counts until a window after the first byte of its answer or the end of its attempt; one that was never sent is given back. Whatever lies between reservation and arrival, no window can hold more arrivals than are reserved.

--- a/packages/routing/src/core/budget/budget.ts
+++ b/packages/routing/src/core/budget/budget.ts
@@ -5,9 +5,13 @@
  * spent where the requests are; of the fixed number each daemon takes an equal part, so that the sum holds in any
  * partition of the fleet. What was spent stays spent for the length of a window: daemons that ended count as sharers that
  * long, and one that starts again has no part that long.
+ *
+ * The users count a repeat when it arrives at a replica. How long that takes is not known beforehand, so a repeat counts
+ * from its reservation until a window after the moment by which it must have arrived.
  */
 import type { TimerService } from '@celeryyoke/core';
 
+import { RepeatPermit } from './permit.js';
 import { SlidingMax } from './sliding-max.js';
 import { SlidingSum } from './sliding-sum.js';
 
@@ -37,7 +41,11 @@
 export class RepeatBudget {
   private readonly requests: SlidingSum;
 
-  private readonly repeats: SlidingSum;
+  /** Repeats that are reserved and may still arrive. */
+  private pending = 0;
+
+  /** Repeats that have arrived. */
+  private readonly settled: SlidingSum;
 
   private readonly daemons: SlidingMax;
 
@@ -48,7 +56,7 @@
   constructor(private readonly options: RepeatBudgetOptions) {
     const { windowMs } = options.bounds;
     this.requests = new SlidingSum(windowMs);
-    this.repeats = new SlidingSum(windowMs);
+    this.settled = new SlidingSum(windowMs);
     this.daemons = new SlidingMax(windowMs);
   }
 
@@ -61,19 +69,26 @@
 
   /**
    * Asks for one repeat.
-   * @returns Whether it is allowed; it then counts as spent.
+   * @returns The permit, which must be settled or released; undefined where no repeat is allowed.
    */
-  spend(): boolean {
-    const now = this.options.timers.now();
-    if (this.left(now) < 1) return false;
-    this.repeats.add(1, now);
-    return true;
+  reserve(): RepeatPermit | undefined {
+    if (this.left() < 1) return undefined;
+    this.pending += 1;
+    return new RepeatPermit({
+      settled: () => {
+        this.pending -= 1;
+        this.settled.add(1, this.options.timers.now());
+      },
+      released: () => {
+        this.pending -= 1;
+      },
+    });
   }
 
   /** Repeats that are left. */
   left(now = this.options.timers.now()): number {
     const allowed = this.options.bounds.ratio * this.requests.total(now) + this.fixedPart(now);
-    return CAUTION * allowed - this.repeats.total(now);
+    return CAUTION * allowed - this.pending - this.settled.total(now);
   }
 
   /** Daemons among which this one divides the fixed number. */
--- a/packages/routing/src/core/requests/execution.ts
+++ b/packages/routing/src/core/requests/execution.ts
@@ -2,13 +2,13 @@
  * One request's way: choose a replica, have the adapter there, send, and decide what a failure allows.
  *
  * A request that may have run is sent again only where its route allows that; one that is proved not to have run may
- * go to another replica in any case. Every repeat is paid from the budget.
+ * go to another replica in any case. Every repeat is reserved in the budget.
  */
 import type { TimerHandle } from '@celeryyoke/core';
 import type { ServerResponse } from 'node:http';
 
 import type { AccountMetrics, AccountQuotas, ClientAccount } from '../accounts/index.js';
-import type { RepeatBudget } from '../budget/index.js';
+import type { RepeatBudget, RepeatPermit } from '../budget/index.js';
 import type { Route } from '../catalog/index.js';
 import { RouteKind } from '../catalog/index.js';
 import type { ChannelPool } from '../channels/index.js';
@@ -113,11 +113,14 @@
 
   private sentAfter = 0;
 
-  /** Monotonic time at which the next send was paid from the budget, in milliseconds; undefined for a first send. */
-  private paidAt: number | undefined;
+  /** Leave for the next send; undefined for a first one. */
+  private permit: RepeatPermit | undefined;
 
-  /** Time from that payment to the last send, in milliseconds. */
-  private paidAgoMs: number | undefined;
+  /** Monotonic time at which that was reserved, in milliseconds. */
+  private reservedAt = 0;
+
+  /** Time from the reservation to the last send, in milliseconds; undefined when that was a first one. */
+  private reservedAgoMs: number | undefined;
 
   private isOver = false;
 
@@ -163,6 +166,7 @@
     try {
       await this.goOn();
     } finally {
+      this.permit?.release();
       timer.cancel();
       res.off('close', onClose);
       this.parts.metrics.ended(
@@ -249,7 +253,7 @@
     this.sends += 1;
     const sentAt = timers.now();
     this.sentAfter = Math.round(sentAt - this.options.arrivedAt);
-    this.notePayment(sentAt);
+    const permit = this.takePermit(sentAt);
     health.sent(replica.id);
     this.send = new Attempt({
       pool,
@@ -260,11 +264,16 @@
       requestId: head.id,
       relay: this.relay,
       onAnswer: note.answered,
-      onHeard: () => health.heard(replica.id),
+      onHeard: () => {
+        permit?.settle();
+        health.heard(replica.id);
+      },
       onLimit: (limitPerSecond) => limits.noteAnswer(replica.id, limitPerSecond, sentAt),
     });
     const result = await this.resultOf(this.send, replica);
     this.send = undefined;
+    if (result.wasSent) permit?.settle();
+    else permit?.release();
     if (!PROVED_NOT_RUN.has(result.end) && result.wasSent) this.mayHaveRun = true;
     health.ended(replica.id);
     this.parts.metrics.sent(result.end);
@@ -277,11 +286,13 @@
     return result;
   }
 
-  /** Notes how long a repeat was paid for before it is sent. */
-  private notePayment(sentAt: number): void {
-    this.paidAgoMs = this.paidAt === undefined ? undefined : Math.round(sentAt - this.paidAt);
-    this.paidAt = undefined;
-    if (this.paidAgoMs !== undefined) this.parts.metrics.repeated(this.paidAgoMs);
+  /** Takes the permit of a repeat for the send that begins. */
+  private takePermit(sentAt: number): RepeatPermit | undefined {
+    const { permit } = this;
+    this.permit = undefined;
+    this.reservedAgoMs = permit === undefined ? undefined : Math.round(sentAt - this.reservedAt);
+    if (this.reservedAgoMs !== undefined) this.parts.metrics.repeated(this.reservedAgoMs);
+    return permit;
   }
 
   /** Waits for a send; a stream is moved meanwhile if its engine is taken away. */
@@ -325,7 +336,7 @@
       firstByteMs: firstByteMs === undefined ? undefined : Math.round(firstByteMs),
       lastedMs: Math.round(timers.now() - this.options.arrivedAt) - this.sentAfter,
       running: inFlight.counts(replica.id).running,
-      paidAgoMs: this.paidAgoMs,
+      reservedAgoMs: this.reservedAgoMs,
       budgetLeft: Math.floor(budget(service).left()),
       budgetSharers: budget(service).sharers,
       viewAgeMs: viewAgeMs(),
@@ -346,7 +357,7 @@
     const { kind, maxAttempts } = this.options.route;
     const isFailure = answer.status >= FIRST_FAILURE_STATUS;
     const canRepeat = kind === RouteKind.Safe && this.runs < maxAttempts && this.timeLeft() > 0;
-    if (isFailure && canRepeat && this.pay()) {
+    if (isFailure && canRepeat && this.reserve()) {
       this.held = answer;
       return true;
     }
@@ -367,7 +378,7 @@
   onNotRun(): boolean {
     this.refusals += 1;
     if (this.runs > 0 && !this.isRepeatable) return false;
-    return this.refusals < MAX_REFUSALS && this.canPay();
+    return this.refusals < MAX_REFUSALS && this.mayRepeat();
   }
 
   /** The replica is gone or lacks the adapter: what was believed of it is corrected, and the choice made again. */
@@ -383,7 +394,7 @@
   /** It may have run: only a safe request goes on. */
   onUnknown(): boolean {
     this.runs += 1;
-    return this.isRepeatable && this.runs < this.options.route.maxAttempts && this.canPay();
+    return this.isRepeatable && this.runs < this.options.route.maxAttempts && this.mayRepeat();
   }
 
   /** A stream broke: it goes on where it was moved, or behind the last event where the route allows it. */
@@ -392,10 +403,10 @@
     if (this.moved !== undefined) {
       // It is the same run that goes on, on any route.
       this.runs = Math.max(1, this.runs);
-      return this.canPay();
+      return this.mayRepeat();
     }
     this.runs += 1;
-    return isResumable && this.runs < maxAttempts && this.canPay();
+    return isResumable && this.runs < maxAttempts && this.mayRepeat();
   }
 
   private get isRepeatable(): boolean {
@@ -403,16 +414,17 @@
     return kind === RouteKind.Safe || (kind === RouteKind.Streaming && isResumable);
   }
 
-  private canPay(): boolean {
-    return this.timeLeft() > 0 && this.pay();
+  private mayRepeat(): boolean {
+    return this.timeLeft() > 0 && this.reserve();
   }
 
-  private pay(): boolean {
+  /** Reserves the next send in the budget. */
+  private reserve(): boolean {
     const { budget, metrics, timers } = this.parts;
-    const isPaid = budget(this.options.service).spend();
-    metrics.paid(isPaid);
-    if (isPaid) this.paidAt = timers.now();
-    return isPaid;
+    this.permit = budget(this.options.service).reserve();
+    metrics.asked(this.permit !== undefined);
+    this.reservedAt = timers.now();
+    return this.permit !== undefined;
   }
 
   private timeLeft(): number {
--- a/packages/routing/src/core/requests/metrics.ts
+++ b/packages/routing/src/core/requests/metrics.ts
@@ -31,7 +31,7 @@
   constructor(private readonly metrics: Metrics) {
     this.repeatWait = metrics.histogram(
       'router_repeat_wait_ms',
-      'Time from the payment of a repeat to its send.',
+      'Time from the reservation of a repeat to its send.',
     );
     this.loadWait = metrics.histogram('router_adapter_wait_ms', 'Wait of a request for its adapter.');
     this.promptWait = metrics.histogram(
@@ -88,21 +88,21 @@
 
   /**
    * Notes that a repeat was asked of the budget.
-   * @param isPaid - Whether the budget allowed it.
+   * @param isAllowed - Whether the budget allowed it.
    */
-  paid(isPaid: boolean): void {
-    let counter = this.repeats.get(isPaid);
+  asked(isAllowed: boolean): void {
+    let counter = this.repeats.get(isAllowed);
     if (counter === undefined) {
-      const labels = { outcome: isPaid ? 'paid' : 'refused' };
+      const labels = { outcome: isAllowed ? 'reserved' : 'refused' };
       counter = this.metrics.counter('router_repeats_total', 'Repeats asked of the budget.', labels);
-      this.repeats.set(isPaid, counter);
+      this.repeats.set(isAllowed, counter);
     }
     counter.add();
   }
 
   /**
    * Notes that a repeat is sent.
-   * @param ms - Time since it was paid for, in milliseconds.
+   * @param ms - Time since it was reserved, in milliseconds.
    */
   repeated(ms: number): void {
     this.repeatWait.record(ms);
--- a/packages/routing/test/budget.test.ts
+++ b/packages/routing/test/budget.test.ts
@@ -6,6 +6,13 @@
 
 const BOUNDS = { ratio: 0.2, windowMs: 10_000, slack: 54 };
 
+/** Has a repeat arrive at once, if it is allowed. */
+function spend(budget: RepeatBudget): boolean {
+  const permit = budget.reserve();
+  permit?.settle();
+  return permit !== undefined;
+}
+
 /** A daemon's budget; one that starts for the first time has its fixed part at once. */
 function makeBudget(timers: TimerService, daemons: () => number, isFirstStart = true): RepeatBudget {
   const fixedPartFrom = timers.now() + (isFirstStart ? 0 : BOUNDS.windowMs);
@@ -16,7 +23,7 @@
   const timers = createManualTimers();
   const budgets = Array.from({ length: 7 }, () => makeBudget(timers, () => 7));
   let spent = 0;
-  for (const budget of budgets) while (budget.spend()) spent += 1;
+  for (const budget of budgets) while (spend(budget)) spent += 1;
   t.true(spent <= BOUNDS.slack);
   t.true(spent >= 30);
 });
@@ -27,7 +34,7 @@
   const spentAt: number[] = [];
   for (let second = 0; second < 60; second += 1) {
     for (let count = 0; count < 10; count += 1) budget.earn();
-    while (budget.spend()) spentAt.push(timers.now());
+    while (spend(budget)) spentAt.push(timers.now());
     await timers.advance(1000);
   }
   const allowed = BOUNDS.ratio * 110 + BOUNDS.slack;
@@ -41,7 +48,7 @@
 /** Spends all that some budgets allow; the result is the number of repeats. */
 function spendAll(budgets: readonly RepeatBudget[]): number {
   let spent = 0;
-  for (const budget of budgets) while (budget.spend()) spent += 1;
+  for (const budget of budgets) while (spend(budget)) spent += 1;
   return spent;
 }
 
@@ -85,3 +92,23 @@
   t.true(spendAll([makeBudget(timers, () => sharersOf(7, ['a:1', 'b:1']))]) > 0);
   t.true(spendAll([makeBudget(timers, () => sharersOf(1, ['a:1']))]) >= 30);
 });
+
+// Guards against repeats that leave the count a window after they were asked for, and arrive later than that.
+test('a repeat counts from its reservation until a window after its arrival', async (t) => {
+  const timers = createManualTimers();
+  const budget = makeBudget(timers, () => 1);
+  const before = budget.left();
+  const [late, unsent] = [budget.reserve()!, budget.reserve()!];
+  t.is(budget.left(), before - 2);
+  unsent.release();
+  unsent.settle();
+  t.is(budget.left(), before - 1);
+  await timers.advance(3 * BOUNDS.windowMs);
+  t.is(budget.left(), before - 1);
+  late.settle();
+  late.settle();
+  await timers.advance(BOUNDS.windowMs - 1);
+  t.is(budget.left(), before - 1);
+  await timers.advance(BOUNDS.windowMs / 10);
+  t.is(budget.left(), before);
+});
--- a/packages/routing/test/repeats/fleet.ts
+++ b/packages/routing/test/repeats/fleet.ts
@@ -59,7 +59,9 @@
   private repeat(address: string): void {
     if (this.fleet.network.isFrozen(address)) return;
     const now = this.fleet.timers.now();
-    while (this.budgets.get(address)!.spend()) {
+    const budget = this.budgets.get(address)!;
+    for (let permit = budget.reserve(); permit !== undefined; permit = budget.reserve()) {
+      permit.settle();
       this.lastId += 1;
       // The first arrival of each request is long past.
       this.record.arrive(`r${this.lastId}`, Number.MIN_SAFE_INTEGER);
