requests: run nothing that was refused as too late

Callers were told 408, a promise that the request never runs, and it ran: the answer ended only the daemon's half of the connection, and the parser went on to read. Node.js counts the time of a head from the connection's acceptance, so a daemon that is short of processor time refuses requests whose bytes lie in its socket, and reads them right after.

A connection that was refused is remembered, and what is still read of it is dropped.

--- a/packages/routing/src/core/requests/server.ts
+++ b/packages/routing/src/core/requests/server.ts
@@ -61,6 +61,9 @@
 
   private readonly server: Server;
 
+  /** Connections that were told that what comes on them is not run. */
+  private readonly refused = new WeakSet<Socket>();
+
   private isDraining = false;
 
   /** Whether no further request is taken. */
@@ -84,7 +87,10 @@
         void this.serve(req, res);
       },
     );
-    this.server.on('clientError', (err: NodeJS.ErrnoException, socket: Socket) => refuse(err, socket));
+    this.server.on('clientError', (err: NodeJS.ErrnoException, socket: Socket) => {
+      this.refused.add(socket);
+      refuse(err, socket);
+    });
     options.registry.onTable(({ document }) => {
       this.server.headersTimeout = document.bounds.headerTimeoutMs;
       this.server.keepAliveTimeout = document.bounds.idleTimeoutMs;
@@ -127,6 +133,11 @@
   }
 
   private async serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    if (this.refused.has(req.socket)) {
+      // The rest of a request that came after its refusal.
+      req.resume();
+      return;
+    }
     this.answers.add(res);
     res.on('error', (err) => this.options.log.debug(`An answer could not be written: ${err.message}.`));
     if (this.isDraining) res.shouldKeepAlive = false;
@@ -207,7 +218,7 @@
     accepted: Omit<RequestExecutionOptions, 'body'>,
   ): Promise<boolean> {
     const body = await readCallerBody(req, maxBodyBytes);
-    if (body === BodyProblem.Broken) return false;
+    if (body === BodyProblem.Broken || this.refused.has(req.socket)) return false;
     if (body === BodyProblem.TooLarge) {
       sendLocalReply(accepted.res, LocalReply.BodyTooLarge, 'The body is too large.');
       return false;
--- a/packages/soak/src/core/callers/callers.ts
+++ b/packages/soak/src/core/callers/callers.ts
@@ -28,6 +28,8 @@
   /** Unix milliseconds. */
   readonly sentAt: number;
   outcome: CallerOutcome | undefined;
+  /** Status of the answer; undefined when there was none. */
+  status: number | undefined;
 }
 
 /** What callers need. */
@@ -96,14 +98,16 @@
       route,
       sentAt: Date.now(),
       outcome: undefined,
+      status: undefined,
     };
     this.attempts.push(attempt);
     const leftMs = Math.max(1, deadlineAt - Date.now());
-    const { outcome, retryAfterMs } = await this.send(daemon, attempt, leftMs).catch(() => ({
+    const { outcome, status, retryAfterMs } = await this.send(daemon, attempt, leftMs).catch(() => ({
       outcome: CallerOutcome.Failed,
+      status: undefined,
       retryAfterMs: 0,
     }));
-    attempt.outcome = outcome;
+    Object.assign(attempt, { outcome, status });
     return { outcome, retryAfterMs };
   }
 
@@ -116,7 +120,7 @@
     });
     await body.dump();
     const retryAfterMs = Number(headers['retry-after'] ?? 0) * MS_PER_SECOND;
-    return { outcome: outcomeOf(statusCode), retryAfterMs };
+    return { outcome: outcomeOf(statusCode), status: statusCode, retryAfterMs };
   }
 
   private headersOf(id: string, { kind }: SoakRoute, leftMs: number): Record<string, string> {
--- a/packages/soak/test/checks.test.ts
+++ b/packages/soak/test/checks.test.ts
@@ -21,6 +21,7 @@
     route: routeOf(kind),
     sentAt: index * INTERVAL_MS,
     outcome: CallerOutcome.Served,
+    status: 200,
   }));
 }
 
