requests: refuse a late head only after it could be read

On a machine short of processor time callers got 408 for requests that they had sent at once: Node.js looks for late heads in its timers, which come before what can be read, and a daemon that stood still longer than the time for a head refuses what lies in its socket.

A head that is late is refused 100 ms later, unless it has been read by then.

--- a/packages/routing/src/core/requests/server.ts
+++ b/packages/routing/src/core/requests/server.ts
@@ -3,7 +3,7 @@
 import { createServer } from 'node:http';
 import type { Socket } from 'node:net';
 
-import type { DecisionLog, TimerService } from '@celeryyoke/core';
+import type { DecisionLog, TimerHandle, TimerService } from '@celeryyoke/core';
 import { hash32, startListening } from '@celeryyoke/core';
 
 import type { ClientAccount } from '../accounts/index.js';
@@ -28,11 +28,15 @@
 const MAX_HEAD_BYTES = 16_384;
 /** How often slow heads are looked for, in milliseconds. */
 const HEAD_CHECK_MS = 500;
+/** Time that a late head has to be read from its socket, in milliseconds. */
+const LATE_HEAD_GRACE_MS = 100;
 /** Time in which a body must have come, in milliseconds. */
 const BODY_TIMEOUT_MS = 30_000;
 /** Connections that wait to be accepted. */
 const BACKLOG = 1024;
 const WEIGHT_SCALE = 1_000_000;
+/** Error of a connection whose request is not whole in time. */
+const LATE_CODE = 'ERR_HTTP_REQUEST_TIMEOUT';
 
 /** Why a key is not accepted. */
 type KeyProblem = Exclude<AuthOutcome, AuthOutcome.Accepted>;
@@ -61,6 +65,9 @@
 
   private readonly server: Server;
 
+  /** Connections on which a head is late, until it has come or is refused. */
+  private readonly lateHeads = new Map<Socket, TimerHandle>();
+
   /** Connections that were told that what comes on them is not run. */
   private readonly refused = new WeakSet<Socket>();
 
@@ -87,10 +94,9 @@
         void this.serve(req, res);
       },
     );
-    this.server.on('clientError', (err: NodeJS.ErrnoException, socket: Socket) => {
-      this.refused.add(socket);
-      refuse(err, socket);
-    });
+    this.server.on('clientError', (err: NodeJS.ErrnoException, socket: Socket) =>
+      this.handleClientError(err, socket),
+    );
     options.registry.onTable(({ document }) => {
       this.server.headersTimeout = document.bounds.headerTimeoutMs;
       this.server.keepAliveTimeout = document.bounds.idleTimeoutMs;
@@ -132,7 +138,24 @@
     this.server.closeIdleConnections();
   }
 
+  /**
+   * Refuses what is no request. A head that is late may lie in the socket, where a process that stood still has not read it
+   * yet: it is refused only if it has not come after some more turns of the event loop.
+   */
+  private handleClientError(err: NodeJS.ErrnoException, socket: Socket): void {
+    const refuseNow = (): void => {
+      this.lateHeads.delete(socket);
+      this.refused.add(socket);
+      refuse(err, socket);
+    };
+    const isAnswering = [...this.answers].some((res) => res.socket === socket);
+    if (err.code !== LATE_CODE || isAnswering) refuseNow();
+    else this.lateHeads.set(socket, this.options.timers.after(LATE_HEAD_GRACE_MS, refuseNow));
+  }
+
   private async serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    this.lateHeads.get(req.socket)?.cancel();
+    this.lateHeads.delete(req.socket);
     if (this.refused.has(req.socket)) {
       // The rest of a request that came after its refusal.
       req.resume();
@@ -305,7 +328,7 @@
 
 const CLIENT_ERRORS: Readonly<Record<string, string>> = {
   HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
-  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
+  [LATE_CODE]: '408 Request Timeout',
 };
 
 /** Answers bytes that are no request. */
