limits, quotas: reproduce shares of parts that never met as failing tests

Three parts of a fleet that never met send a replica in need 243 requests in 4 s where 125 are allowed, the sides of a partition 242. Four of twelve daemons that start again behind a cut know only each other and use an account's whole quota: 899,563 tokens in a window, allowed 686,000.

--- a/packages/routing/test/limits/limits.test.ts
+++ b/packages/routing/test/limits/limits.test.ts
@@ -48,6 +48,37 @@
   t.true(pressed.arrivals.filter((at) => at > fleet.timers.now() - 4000).length > 0);
 });
 
+for (const [what, hasMet] of [
+  ['sides of a partition', true],
+  ['parts of a fleet that never met', false],
+] as const)
+  // Guards against one daemon on each side that spaces the requests of its side at the whole rate.
+  test(`${what} together send a replica no more than it takes`, async (t) => {
+    const pressed = new PressedFleet();
+    const { fleet } = pressed;
+    const names = Array.from({ length: 12 }, (_, index) => fleet.name(index));
+    const part = (zone: number): string[] => names.filter((_name, index) => index % 3 === zone);
+    const cut = (): void => {
+      for (const [left, right] of [
+        [0, 1],
+        [0, 2],
+        [1, 2],
+      ] as const)
+        fleet.network.split(part(left), part(right));
+    };
+    if (!hasMet) cut();
+    await pressed.start(names.length);
+    if (hasMet) cut();
+    pressed.limitPerSecond = 20;
+    await pressed.press(5000);
+    const from = fleet.timers.now();
+    await pressed.press(15_000);
+    const most = pressed.busiestWindow(from);
+    t.log({ most, allowed: pressed.allowed() });
+    t.true(most <= pressed.allowed());
+    t.true(most >= pressed.limitPerSecond * 4 * 0.4, 'the replica still gets much of what it takes');
+  });
+
 test('a limit ends for all when answers name it no more', async (t) => {
   const pressed = new PressedFleet();
   await pressed.start(7);
--- a/packages/routing/test/quotas/quotas.test.ts
+++ b/packages/routing/test/quotas/quotas.test.ts
@@ -130,6 +130,23 @@
   t.true(quotas.worstWindow() <= allowedInWindow(), `${quotas.worstWindow()} of ${allowedInWindow()}`);
 });
 
+// Guards against daemons that start again behind a cut, know only each other, and use the whole quota beside the others.
+test('daemons that start again behind a cut stay within the rule together with the others', async (t) => {
+  const quotas = await settled('islands');
+  const { fleet } = quotas;
+  quotas.press(RATE * 4, 12);
+  const indices = Array.from({ length: 12 }, (_, index) => index);
+  const behind = indices.filter((index) => index % 3 === 2);
+  const namesOf = (wanted: readonly number[]): string[] => wanted.map((index) => fleet.name(index));
+  fleet.network.split(namesOf(behind), namesOf(indices.filter((index) => !behind.includes(index))));
+  for (const index of behind) {
+    quotas.kill(index);
+    await fleet.start(index);
+  }
+  await quotas.play(WINDOW_MS * 3);
+  t.true(quotas.worstWindow() <= allowedInWindow(), `${quotas.worstWindow()} of ${allowedInWindow()}`);
+});
+
 interface Step {
   readonly kind: string;
   readonly target: number;
