budget: divide the fixed part by what a daemon can know of the fleet

A daemon took its part of the fixed number of repeats by the members that it knew. Daemons that have never met do not know each other's number: three parts of a fleet that is cut from its start used 450 of a fixed part of 196.

The part comes from a share of the fleet now (shares/): nothing while new members become known or nothing is heard of the fleet; else by the largest number of members in a window, times the part of the seeds that this daemon has met. All daemons name the same seeds, so parts that never met add up to the whole at most. Members are no longer counted with each request.

--- a/packages/routing/src/core/budget/budget.ts
+++ b/packages/routing/src/core/budget/budget.ts
@@ -2,9 +2,8 @@
  * The budget of repeated sends to one service, shared by all daemons without a word between them.
  *
  * The users allow, in any window, a share of the requests plus a fixed number, summed over all daemons. The share is
- * spent where the requests are; of the fixed number each daemon takes an equal part, so that the sum holds in any
- * partition of the fleet. What was spent stays spent for the length of a window: daemons that ended count as sharers that
- * long, and one that starts again has no part that long.
+ * spent where the requests are; of the fixed number each daemon takes its share, so that the sum holds in any partition
+ * of the fleet.
  *
  * The users count a repeat when it arrives at a replica. How long that takes is not known beforehand, so a repeat counts
  * from its reservation until a window after the moment by which it must have arrived.
@@ -12,7 +11,6 @@
 import type { TimerService } from '@celeryyoke/core';
 
 import { RepeatPermit } from './permit.js';
-import { SlidingMax } from './sliding-max.js';
 import { SlidingSum } from './sliding-sum.js';
 
 /** Part of the allowance that is used: the other side counts in windows that begin elsewhere. */
@@ -30,10 +28,8 @@
 /** Options of a budget. */
 export interface RepeatBudgetOptions {
   readonly bounds: BudgetBounds;
-  /** Number of daemons that share it. */
-  readonly daemons: () => number;
-  /** Monotonic time before which this daemon has no part of the fixed number, in milliseconds. */
-  readonly fixedPartFrom: number;
+  /** This daemon's part of the fixed number, from 0 to 1. */
+  readonly share: () => number;
   readonly timers: TimerService;
 }
 
@@ -47,8 +43,6 @@
   /** Repeats that have arrived. */
   private readonly settled: SlidingSum;
 
-  private readonly daemons: SlidingMax;
-
   /**
    * Makes a budget.
    * @param options - What the users allow, and how it is shared.
@@ -57,14 +51,11 @@
     const { windowMs } = options.bounds;
     this.requests = new SlidingSum(windowMs);
     this.settled = new SlidingSum(windowMs);
-    this.daemons = new SlidingMax(windowMs);
   }
 
   /** Counts a request. */
   earn(): void {
-    const now = this.options.timers.now();
-    this.daemons.note(this.options.daemons(), now);
-    this.requests.add(1, now);
+    this.requests.add(1, this.options.timers.now());
   }
 
   /**
@@ -87,17 +78,8 @@
 
   /** Repeats that are left. */
   left(now = this.options.timers.now()): number {
-    const allowed = this.options.bounds.ratio * this.requests.total(now) + this.fixedPart(now);
+    const { bounds, share } = this.options;
+    const allowed = bounds.ratio * this.requests.total(now) + bounds.slack * share();
     return CAUTION * allowed - this.pending - this.settled.total(now);
   }
-
-  /** Daemons among which this one divides the fixed number. */
-  get sharers(): number {
-    return this.daemons.note(this.options.daemons(), this.options.timers.now());
-  }
-
-  private fixedPart(now: number): number {
-    const { bounds, fixedPartFrom } = this.options;
-    return now < fixedPartFrom ? 0 : bounds.slack / Math.max(1, this.sharers);
-  }
 }
--- a/packages/routing/src/core/cluster/cluster.ts
+++ b/packages/routing/src/core/cluster/cluster.ts
@@ -94,6 +94,8 @@
   /** Probed daemons that know other members than this one. */
   private readonly differences = new Map<string, Difference>();
 
+  private readonly memberListeners: MemberListener[] = [];
+
   private readonly linkEndListeners: ((address: string) => void)[] = [];
 
   private readonly channelCloseListeners: ((channel: PeerChannel) => void)[] = [];
@@ -116,7 +118,14 @@
    */
   constructor(private readonly options: ClusterOptions) {
     const { self, timers, onChange } = options;
-    this.members = new MemberTable({ ...self, version: 0, state: MemberState.Alive }, timers, onChange);
+    this.members = new MemberTable(
+      { ...self, version: 0, state: MemberState.Alive },
+      timers,
+      (record, before) => {
+        onChange(record, before);
+        for (const listener of this.memberListeners) listener(record, before);
+      },
+    );
     this.handle(MessageType.Join, (_from, frames: MemberFrame[]) => this.exchange(frames));
   }
 
@@ -137,6 +146,14 @@
     this.pushHandler = handler;
   }
 
+  /**
+   * Subscribes to what becomes known of members.
+   * @param listener - Called with the record of a member and the one before it.
+   */
+  onMemberChange(listener: MemberListener): void {
+    this.memberListeners.push(listener);
+  }
+
   /**
    * Subscribes to ends of links that this daemon had opened.
    * @param listener - Called with the peer's address.
--- a/packages/routing/src/core/daemon/names.ts
+++ b/packages/routing/src/core/daemon/names.ts
@@ -18,6 +18,7 @@
   protocol: 'protocol',
   tree: 'tree',
   settling: 'settling',
+  share: 'share',
   quotas: 'quotas',
   limits: 'limits',
   watcher: 'follower',
--- a/packages/routing/src/core/daemon/services.ts
+++ b/packages/routing/src/core/daemon/services.ts
@@ -12,7 +12,7 @@
 import { ResidencyTable, Loader } from '../adapters/index.js';
 import { AccountMetrics, AccountQuotas } from '../accounts/index.js';
 import { EngineLeases, FleetSettling, PauseDetector } from '../ownership/index.js';
-import { countSharers, RepeatBudget } from '../budget/index.js';
+import { RepeatBudget } from '../budget/index.js';
 import { ChannelPool } from '../channels/index.js';
 import { Chooser, InFlightTable, ReplicaHealth } from '../choice/index.js';
 import type { MemberRecord } from '../cluster/index.js';
@@ -21,6 +21,7 @@
 import { DisseminationTree, readingRank, Topic } from '../dissemination/index.js';
 import { PromptAdmission } from '../pacing/index.js';
 import { CallerTimes, StreamMigrations, RequestMetrics, RequestServer } from '../requests/index.js';
+import { FleetShare } from '../shares/index.js';
 import { ReplicaRegistry, StoreWatcher, RecordKind, ReplicatedStore } from '../view/index.js';
 import { listenForFigures, registerFigures } from './figures.js';
 import { InFlightReporter } from './in-flight-reporter.js';
@@ -50,8 +51,6 @@
 export class RouterServices {
   private readonly budgets = new Map<string, RepeatBudget>();
 
-  private readonly startedAt: number;
-
   private readonly memberLog: MemberLog;
 
   /**
@@ -66,7 +65,6 @@
     private readonly kernel: ServiceFinder,
   ) {
     const { log, timers } = options;
-    this.startedAt = timers.now();
     this.memberLog = new MemberLog(log, timers, () => this.get<Cluster>(PART.cluster).alive().length);
   }
 
@@ -108,6 +106,7 @@
         (kernel) => this.makeTree(kernel),
         (tree) => tree.stop(),
       ),
+      part(PART.share, [PART.cluster, PART.tree], (kernel) => this.makeShare(kernel)),
       part(PART.settling, [PART.cluster, PART.tree], (kernel) => this.makeSettling(kernel)),
       part(
         PART.quotas,
@@ -187,6 +186,7 @@
           PART.limits,
           PART.tree,
           PART.cluster,
+          PART.share,
         ],
         (kernel) => this.startRequests(kernel),
         (requests) => requests.cut(),
@@ -299,6 +299,19 @@
     });
   }
 
+  private makeShare(kernel: ServiceFinder): FleetShare {
+    const { settings, timers } = this.options;
+    return new FleetShare({
+      self: selfOf(this.options),
+      cluster: kernel.get(PART.cluster),
+      seeds: () => this.state.seeds,
+      isUpToDate: () => this.isUpToDate(),
+      isFirstStart: settings.isFirstStart,
+      windowMs: settings.budget.windowMs,
+      timers,
+    });
+  }
+
   private makeSettling(kernel: ServiceFinder): FleetSettling {
     const cluster = kernel.get<Cluster>(PART.cluster);
     const tree = kernel.get<DisseminationTree>(PART.tree);
@@ -462,6 +475,7 @@
     const cluster = kernel.get<Cluster>(PART.cluster);
     const view = kernel.get<ReplicatedStore>(PART.view);
     const limits = kernel.get<ReplicaLimits>(PART.limits);
+    const share = kernel.get<FleetShare>(PART.share);
     const chooser = new Chooser({
       registry,
       residency,
@@ -522,7 +536,8 @@
         notHeld: (replica, key) => residency.drop(replica, key),
         metrics: new RequestMetrics(kernel.get<Metrics>(PART.metrics)),
         viewAgeMs: () => roundAge(view.ageMs),
-        budget: (service) => this.budget(service, cluster),
+        fleetShare: () => share.own(),
+        budget: (service) => this.budget(service, share),
       },
     });
     await server.listen();
@@ -531,17 +546,11 @@
     return server;
   }
 
-  private budget(service: string, cluster: Cluster): RepeatBudget {
+  private budget(service: string, share: FleetShare): RepeatBudget {
     const known = this.budgets.get(service);
     if (known !== undefined) return known;
     const { settings, timers } = this.options;
-    const made = new RepeatBudget({
-      bounds: settings.budget,
-      daemons: () =>
-        countSharers({ possible: cluster.possible(), self: selfOf(this.options), seeds: this.state.seeds }),
-      fixedPartFrom: settings.isFirstStart ? this.startedAt : this.startedAt + settings.budget.windowMs,
-      timers,
-    });
+    const made = new RepeatBudget({ bounds: settings.budget, share: () => share.own(), timers });
     this.budgets.set(service, made);
     return made;
   }
--- a/packages/routing/src/core/requests/execution.ts
+++ b/packages/routing/src/core/requests/execution.ts
@@ -62,6 +62,8 @@
   readonly viewAgeMs: () => number;
   readonly quotas: AccountQuotas;
   readonly accountMetrics: AccountMetrics;
+  /** This daemon's part of what the whole fleet is allowed, from 0 to 1. */
+  readonly fleetShare: () => number;
   /** The budget of a service. */
   readonly budget: (service: string) => RepeatBudget;
 }
@@ -314,7 +316,7 @@
     replica: ReplicaEntry,
     { end, answer, reason, wasSent, firstByteMs }: AttemptResult,
   ): void {
-    const { log, budget, inFlight, timers, viewAgeMs } = this.parts;
+    const { log, budget, fleetShare, inFlight, timers, viewAgeMs } = this.parts;
     const { head, route, service } = this.options;
     const isOrdinary =
       end === AttemptOutcome.Relayed || (answer !== undefined && answer.status < FIRST_FAILURE_STATUS);
@@ -338,7 +340,7 @@
       running: inFlight.counts(replica.id).running,
       reservedAgoMs: this.reservedAgoMs,
       budgetLeft: Math.floor(budget(service).left()),
-      budgetSharers: budget(service).sharers,
+      fleetShare: fleetShare(),
       viewAgeMs: viewAgeMs(),
     });
   }
--- /dev/null
+++ b/packages/routing/src/core/shares/index.ts
@@ -0,0 +1,4 @@
+/** Parts of allowances that the whole fleet has together. */
+export type { FleetShareOptions } from './fleet-share.js';
+export { FleetShare } from './fleet-share.js';
+export { SlidingMax } from './sliding-max.js';
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -12,4 +12,5 @@
 export * from './core/limits/index.js';
 export * from './core/pacing/index.js';
 export * from './core/requests/index.js';
+export * from './core/shares/index.js';
 export * from './core/view/index.js';
--- a/packages/routing/test/budget.test.ts
+++ b/packages/routing/test/budget.test.ts
@@ -1,7 +1,8 @@
 /** Repeats stay within the users' allowance, in every window and over all daemons. */
 import type { TimerService } from '@celeryyoke/core';
 import { createManualTimers } from '@celeryyoke/core';
-import { countSharers, RepeatBudget } from '@celeryyoke/routing';
+import type { MemberRecord } from '@celeryyoke/routing';
+import { FleetShare, RepeatBudget } from '@celeryyoke/routing';
 import test from 'ava';
 
 const BOUNDS = { ratio: 0.2, windowMs: 10_000, slack: 54 };
@@ -14,9 +15,27 @@
 }
 
 /** A daemon's budget; one that starts for the first time has its fixed part at once. */
-function makeBudget(timers: TimerService, daemons: () => number, isFirstStart = true): RepeatBudget {
-  const fixedPartFrom = timers.now() + (isFirstStart ? 0 : BOUNDS.windowMs);
-  return new RepeatBudget({ bounds: BOUNDS, daemons, fixedPartFrom, timers });
+function makeBudget(
+  timers: TimerService,
+  daemons: () => number,
+  isFirstStart = true,
+  seeds: readonly string[] = [],
+): RepeatBudget {
+  const share = new FleetShare({
+    self: 'a:1',
+    cluster: {
+      alive: () => Array.from({ length: daemons() }, (_, index) => `d${index}`),
+      possible: daemons,
+      member: () => ({}) as MemberRecord,
+      onMemberChange: () => undefined,
+    },
+    seeds: () => seeds,
+    isUpToDate: () => true,
+    isFirstStart,
+    windowMs: BOUNDS.windowMs,
+    timers,
+  });
+  return new RepeatBudget({ bounds: BOUNDS, share: () => share.own(), timers });
 }
 
 test('the fixed part is divided between the daemons', (t) => {
@@ -86,11 +105,9 @@
 // Guards against a daemon that is cut off from its start on and takes the whole fixed part for its own.
 test('a daemon that meets none of the others has no fixed part', (t) => {
   const timers = createManualTimers();
-  const sharersOf = (possible: number, seeds: readonly string[]) =>
-    countSharers({ possible, self: 'a:1', seeds });
-  t.is(spendAll([makeBudget(timers, () => sharersOf(1, ['a:1', 'b:1']))]), 0);
-  t.true(spendAll([makeBudget(timers, () => sharersOf(7, ['a:1', 'b:1']))]) > 0);
-  t.true(spendAll([makeBudget(timers, () => sharersOf(1, ['a:1']))]) >= 30);
+  t.is(spendAll([makeBudget(timers, () => 1, true, ['a:1', 'b:1'])]), 0);
+  t.true(spendAll([makeBudget(timers, () => 7, true, ['a:1', 'b:1'])]) > 0);
+  t.true(spendAll([makeBudget(timers, () => 1, true, ['a:1'])]) >= 30);
 });
 
 // Guards against repeats that leave the count a window after they were asked for, and arrive later than that.
--- a/packages/routing/test/fleet/daemons.ts
+++ b/packages/routing/test/fleet/daemons.ts
@@ -7,6 +7,7 @@
   decodeMember,
   DisseminationTree,
   encodeMember,
+  FleetShare,
   RecordKind,
   ReplicatedStore,
   Topic,
@@ -118,6 +119,34 @@
   }
 }
 
+/** Age of what is heard of the fleet beyond which a daemon may be cut off from it, in milliseconds. */
+const UP_TO_DATE_MS = 1500;
+
+/** Whether a daemon has heard of the fleet a moment ago. */
+export function isUpToDate({ cluster, tree }: TestDaemon): boolean {
+  const isHeard = cluster.alive().length <= 1 || cluster.heardAgoMs() < UP_TO_DATE_MS;
+  return isHeard && tree.ageMs < UP_TO_DATE_MS;
+}
+
+/** Makes the share of a daemon in what the whole fleet is allowed. */
+export function shareOf(
+  fleet: TestFleet,
+  daemon: TestDaemon,
+  isFirstStart: boolean,
+  windowMs: number,
+): FleetShare {
+  const { address, cluster } = daemon;
+  return new FleetShare({
+    self: address,
+    cluster,
+    seeds: () => fleet.seeds(),
+    isUpToDate: () => isUpToDate(daemon),
+    isFirstStart,
+    windowMs,
+    timers: timersOf(fleet.network, address),
+  });
+}
+
 /** A fleet of daemons. */
 export class TestFleet {
   readonly timers: ManualTimerService = createManualTimers();
--- a/packages/routing/test/repeats/execution-site.ts
+++ b/packages/routing/test/repeats/execution-site.ts
@@ -77,7 +77,7 @@
     const { timers } = this;
     const callerTimes = new CallerTimes();
     callerTimes.note(ROUTE.name, TIMEOUT_MS);
-    const budget = new RepeatBudget({ bounds, daemons: () => 1, fixedPartFrom: 0, timers });
+    const budget = new RepeatBudget({ bounds, share: () => 1, timers });
     const nothing = (): void => undefined;
     this.parts = {
       chooser: {
@@ -107,6 +107,7 @@
       migrations: { enter: () => undefined, leave: () => Promise.resolve(undefined) },
       limits: { admit: () => Promise.resolve(true), noteAnswer: nothing },
       admission: { noteFirstEvent: nothing, readingMs: () => 0 },
+      fleetShare: () => 1,
       budget: () => budget,
       metrics: new RequestMetrics(createMetrics()),
       notHeld: nothing,
--- a/packages/routing/test/repeats/fleet.ts
+++ b/packages/routing/test/repeats/fleet.ts
@@ -1,8 +1,8 @@
 /** Daemons that ask for repeats of one service all the time, on the virtual clock. */
-import { countSharers, RepeatBudget } from '@celeryyoke/routing';
+import { RepeatBudget } from '@celeryyoke/routing';
 
 import type { TestDaemon } from '../fleet/daemons.js';
-import { TestFleet } from '../fleet/daemons.js';
+import { shareOf, TestFleet } from '../fleet/daemons.js';
 import { timersOf } from '../fleet/network.js';
 import type { RepeatBounds } from './rule.js';
 import { RepeatRecord } from './rule.js';
@@ -69,15 +69,11 @@
     }
   }
 
-  private addBudget({ address, cluster }: TestDaemon): void {
+  private addBudget(daemon: TestDaemon): void {
+    const { address } = daemon;
     const timers = timersOf(this.fleet.network, address);
-    const seeds = this.fleet.seeds();
-    const budget = new RepeatBudget({
-      bounds: this.bounds,
-      daemons: () => countSharers({ possible: cluster.possible(), self: address, seeds }),
-      fixedPartFrom: timers.now() + (this.isFirstStart ? 0 : this.bounds.windowMs),
-      timers,
-    });
+    const share = shareOf(this.fleet, daemon, this.isFirstStart, this.bounds.windowMs);
+    const budget = new RepeatBudget({ bounds: this.bounds, share: () => share.own(), timers });
     this.budgets.set(address, budget);
   }
 }
