limits, quotas: take parts by what a daemon can know of the fleet

A replica in need got 243 requests in 4 s from three parts of a fleet that never met, 242 from the sides of a partition (allowed 125); an account used 899,563 tokens in a window that allows 686,000, where daemons had started again behind a cut. Each part counted only the members that it knew, as the fixed part of the budget did, and the daemon that spaces the requests of a side did so at the whole rate.

Both use the share of the fleet now: a side has its part of the members, times the part of the seeds that it has met. Seeds that were not met for 30 s count as gone rather than cut off, so that a stale list refuses nobody for long; the fixed part of the budget keeps to them.

The fixture of one daemon alone now names no daemons that do not exist; what those do is a test of its own: the whole rate after 30 s.

--- a/packages/routing/src/core/accounts/local-share.ts
+++ b/packages/routing/src/core/accounts/local-share.ts
@@ -49,13 +49,13 @@
   /**
    * Admits a request on this daemon's part alone: an equal one, or what it has used of late.
    * @param quota - The account's quota.
-   * @param daemons - Daemons that may be running.
+   * @param part - The equal part, from 0 to 1.
    * @param units - Cost of the request.
    * @param now - Monotonic milliseconds.
    * @returns Whether it is admitted.
    */
-  take(quota: AccountQuota, daemons: number, units: number, now: number): boolean {
-    const limit = this.limit(quota, daemons, now);
+  take(quota: AccountQuota, part: number, units: number, now: number): boolean {
+    const limit = this.limit(quota, part, now);
     if (this.bucket === undefined) this.bucket = new TokenBucket(limit, this.fill, now);
     else this.bucket.setLimit(limit, now);
     return this.bucket.take(units, now);
@@ -70,10 +70,10 @@
     return this.bucket?.waitMs(0, now) ?? 0;
   }
 
-  private limit({ ratePerSecond, burst }: AccountQuota, daemons: number, now: number): BucketLimit {
+  private limit({ ratePerSecond, burst }: AccountQuota, part: number, now: number): BucketLimit {
     this.note(0, now);
     const usedPerSecond = (this.used / USAGE_MS) * MS_PER_SECOND;
     const kept = Math.min(usedPerSecond, ratePerSecond * MAX_KEPT_SHARE);
-    return { ratePerSecond: Math.max(ratePerSecond / daemons, kept), burst: burst / daemons };
+    return { ratePerSecond: Math.max(ratePerSecond * part, kept), burst: burst * part };
   }
 }
--- a/packages/routing/src/core/accounts/quotas.ts
+++ b/packages/routing/src/core/accounts/quotas.ts
@@ -11,6 +11,8 @@
 import { MessageType } from '../cluster/index.js';
 import type { DisseminationTree, TopicHandler } from '../dissemination/index.js';
 import { Topic } from '../dissemination/index.js';
+import type { FleetShare } from '../shares/index.js';
+import { CUT_OFF_MS } from '../shares/index.js';
 import { AccountOwners } from './account-owners.js';
 import { LocalShare } from './local-share.js';
 import type { ChargeResult } from './quota-ledger.js';
@@ -42,13 +44,8 @@
 const MAX_STATE_AGE_MS = 1500;
 /** Time since its start from which a daemon would have heard of each account that was guarded before, in milliseconds. */
 const RUNNING_AFTER_MS = 5000;
-/**
- * Time in which a daemon that has started again and meets no other believes that it is cut off rather than alone, in
- * milliseconds.
- */
-const CUT_OFF_MS = 30_000;
-/** Daemons that a daemon counts with while it does not know the fleet yet. */
-const ASSUMED_DAEMONS = 64;
+/** Part of a quota that a daemon takes for its own at most while it does not know the fleet yet. */
+const MOST_UNSETTLED_PART = 1 / 64;
 /** Part of its burst that a daemon's own part begins with: the owner may have admitted all that there was. */
 const OWN_PART_FILL = 0.1;
 /** Part of the burst that all daemons together may admit before the owner knows of it, beside one request each. */
@@ -100,8 +97,8 @@
   readonly account: (name: string) => ClientAccount | undefined;
   /** Whether this daemon knows the fleet and believes what it knows. */
   readonly isSettled: () => boolean;
-  /** Whether this daemon has heard of the fleet a moment ago. */
-  readonly isUpToDate: () => boolean;
+  /** What part of a quota falls to whom by what this daemon knows of the fleet. */
+  readonly share: Pick<FleetShare, 'side' | 'one'>;
   /** Addresses of daemons that there should be. */
   readonly seeds: () => readonly string[];
   /** Whether the whole fleet starts for the first time, before any client. */
@@ -135,7 +132,7 @@
    * @param options - The daemon's parts.
    */
   constructor(private readonly options: AccountQuotasOptions) {
-    const { self, cluster, tree, timers, log, windowMs } = options;
+    const { self, cluster, tree, timers, log, windowMs, share } = options;
     this.startedAt = timers.now();
     this.owners = new AccountOwners(() => cluster.alive());
     this.ledger = new QuotaLedger({
@@ -146,7 +143,7 @@
       rows: this.rows,
       owns: (account) => this.owners.of(account) === self,
       start: () => this.ledgerStart(),
-      aliveShare: () => this.aliveShare(),
+      aliveShare: () => share.side(),
       publish: (row) => tree.publish(Topic.AccountQuota, row),
     });
     this.reporter = new UsageReporter({
@@ -223,20 +220,14 @@
     units: number,
     { share }: LocalAccount,
   ): QuotaDecision {
-    const { timers, cluster } = this.options;
-    const now = timers.now();
-    const daemons = this.knowsFleet() ? cluster.possible() : Math.max(ASSUMED_DAEMONS, cluster.possible());
-    if (!share.take(quota, daemons, units, now)) return refused(QuotaDecider.OwnPart, share.waitMs(now));
+    const now = this.options.timers.now();
+    const part = this.options.share.one();
+    const own = this.knowsFleet() ? part : Math.min(MOST_UNSETTLED_PART, part);
+    if (!share.take(quota, own, units, now)) return refused(QuotaDecider.OwnPart, share.waitMs(now));
     this.reporter.add(name, units);
     return admitted(QuotaDecider.OwnPart);
   }
 
-  /** Part of the fleet that this daemon decides for: a daemon that hears nothing of it may be cut off from all others. */
-  private aliveShare(): number {
-    const { cluster, isUpToDate } = this.options;
-    return (isUpToDate() ? cluster.alive().length : 1) / Math.max(1, cluster.possible());
-  }
-
   /** Whether this daemon can tell who owns what. */
   private knowsFleet(): boolean {
     const { self, cluster, timers, isSettled, seeds, isFirstStart } = this.options;
--- a/packages/routing/src/core/daemon/services.ts
+++ b/packages/routing/src/core/daemon/services.ts
@@ -110,11 +110,13 @@
       part(PART.settling, [PART.cluster, PART.tree], (kernel) => this.makeSettling(kernel)),
       part(
         PART.quotas,
-        [PART.cluster, PART.tree, PART.pauses, PART.registry, PART.settling],
+        [PART.cluster, PART.tree, PART.share, PART.pauses, PART.registry, PART.settling],
         (kernel) => this.makeQuotas(kernel),
         (quotas) => quotas.stop(),
       ),
-      part(PART.limits, [PART.cluster, PART.tree, PART.registry], (kernel) => this.makeLimits(kernel)),
+      part(PART.limits, [PART.cluster, PART.tree, PART.share, PART.registry], (kernel) =>
+        this.makeLimits(kernel),
+      ),
       part(
         PART.leases,
         [PART.cluster, PART.tree, PART.pauses, PART.registry, PART.settling],
@@ -336,7 +338,7 @@
       log,
       account: (name) => registry.table?.account(name),
       isSettled: () => settling.hasSettled() && !pauses.isRecovering,
-      isUpToDate: () => this.isUpToDate(),
+      share: kernel.get(PART.share),
       seeds: () => this.state.seeds,
       isFirstStart: settings.isFirstStart,
     });
@@ -348,6 +350,7 @@
       self: selfOf(this.options),
       cluster: kernel.get(PART.cluster),
       tree: kernel.get(PART.tree),
+      share: kernel.get(PART.share),
       registry: kernel.get(PART.registry),
       timers,
       log,
--- a/packages/routing/src/core/limits/replica-limits.ts
+++ b/packages/routing/src/core/limits/replica-limits.ts
@@ -2,7 +2,8 @@
  * Keeps the fleet within the rates that replicas in need state.
  *
  * Whoever hears of a limit publishes it. One daemon for each replica, found by rendezvous hashing, spaces the requests of
- * all to it; the others ask that daemon before each send. One that can't reach it sends its own part of the rate.
+ * all to it; the others ask that daemon before each send. One that can't reach it sends its own part of the rate, and the
+ * sides of a partition their parts.
  */
 import type { DecisionLog, TimerService } from '@celeryyoke/core';
 
@@ -11,6 +12,7 @@
 import type { DisseminationTree, TopicHandler } from '../dissemination/index.js';
 import { Topic } from '../dissemination/index.js';
 import { firstFor } from '../ownership/index.js';
+import type { FleetShare } from '../shares/index.js';
 import type { ReplicaRegistry } from '../view/index.js';
 import type { LimitFrame, PermitFrame } from './limit-codec.js';
 import { decodeLimit, decodePermit, encodeLimit, encodePermit } from './limit-codec.js';
@@ -22,13 +24,16 @@
 const ANSWER_MS = 40;
 /** Least rate of all daemons together, in requests a second: without any request nobody hears that a limit is over. */
 const LEAST_RATE = 0.2;
+/** Least part of a rate that one daemon spaces its requests by. */
+const LEAST_PART = 0.001;
 const GRANTED: SendPermit = { isGranted: true, waitMs: 0 };
 
 /** What the limits use of the daemon. */
 export interface ReplicaLimitsOptions {
   /** Address of this daemon. */
   readonly self: string;
-  readonly cluster: Pick<Cluster, 'alive' | 'possible' | 'request' | 'handle'>;
+  readonly cluster: Pick<Cluster, 'alive' | 'request' | 'handle'>;
+  readonly share: Pick<FleetShare, 'side' | 'one'>;
   readonly tree: Pick<DisseminationTree, 'register' | 'publish'>;
   readonly registry: Pick<ReplicaRegistry, 'onReplica' | 'replica'>;
   readonly timers: TimerService;
@@ -125,14 +130,16 @@
     return encodePermit(this.pace(this.table.get(row.replica)!));
   }
 
+  /** Spaces the requests of all daemons that reach this one. */
   private pace({ replica, ratePerSecond }: ReplicaLimitRow): SendPermit {
     if (ratePerSecond === undefined) return GRANTED;
-    return this.take(this.pacers, replica, Math.max(LEAST_RATE, ratePerSecond));
+    const part = this.options.share.side();
+    return this.take(this.pacers, replica, Math.max(LEAST_RATE, ratePerSecond * part));
   }
 
   private paceOwnPart({ replica, ratePerSecond }: ReplicaLimitRow): SendPermit {
-    const daemons = Math.max(1, this.options.cluster.possible());
-    return this.take(this.ownParts, replica, Math.max(LEAST_RATE, ratePerSecond!) / daemons);
+    const part = Math.max(LEAST_PART, this.options.share.one());
+    return this.take(this.ownParts, replica, Math.max(LEAST_RATE, ratePerSecond!) * part);
   }
 
   private take(pacers: Map<string, SendPacer>, replica: string, ratePerSecond: number): SendPermit {
--- a/packages/routing/src/core/shares/fleet-share.ts
+++ b/packages/routing/src/core/shares/fleet-share.ts
@@ -10,6 +10,11 @@
 import type { Cluster, MemberRecord } from '../cluster/index.js';
 import { SlidingMax } from './sliding-max.js';
 
+/**
+ * Time after its start in which a daemon takes those that it has not met for cut off rather than gone, in milliseconds.
+ */
+export const CUT_OFF_MS = 30_000;
+
 /** Options of a share. */
 export interface FleetShareOptions {
   /** Address of this daemon. */
@@ -26,10 +31,13 @@
   readonly timers: TimerService;
 }
 
-/** The part of one daemon, and that of the daemons that reach it. */
+/** The parts of one daemon and of the daemons that reach it. */
 export class FleetShare {
   private readonly members: SlidingMax;
 
+  /** Monotonic milliseconds. */
+  private readonly startedAt: number;
+
   /** Monotonic time up to which a former life of this daemon may have used its part, in milliseconds. */
   private readonly usedBeforeUntil: number;
 
@@ -42,9 +50,10 @@
    */
   constructor(private readonly options: FleetShareOptions) {
     const { cluster, timers, isFirstStart, windowMs } = options;
+    this.startedAt = timers.now();
     this.members = new SlidingMax(windowMs);
     this.members.note(cluster.possible(), timers.now());
-    this.usedBeforeUntil = isFirstStart ? Number.NEGATIVE_INFINITY : timers.now() + windowMs;
+    this.usedBeforeUntil = isFirstStart ? Number.NEGATIVE_INFINITY : this.startedAt + windowMs;
     cluster.onMemberChange((_record, before) => this.noteMember(before));
   }
 
@@ -68,7 +77,17 @@
   side(): number {
     const { cluster, isUpToDate } = this.options;
     const reached = isUpToDate() ? cluster.alive().length : 1;
-    return (this.metSeeds() * reached) / Math.max(1, cluster.possible());
+    return this.one() * reached;
+  }
+
+  /**
+   * The part of one daemon that can't reach the one which decides for all.
+   * @returns From 0 to 1.
+   */
+  one(): number {
+    const { cluster, timers } = this.options;
+    const isMeeting = timers.now() - this.startedAt < CUT_OFF_MS;
+    return (isMeeting ? this.metSeeds() : 1) / Math.max(1, cluster.possible());
   }
 
   /** Part of the seeds that this daemon has met; 1 where there are none besides itself. */
--- a/packages/routing/test/limits/fleet.ts
+++ b/packages/routing/test/limits/fleet.ts
@@ -3,7 +3,7 @@
 
 import { log } from '../fakes.js';
 import type { TestDaemon } from '../fleet/daemons.js';
-import { TestFleet } from '../fleet/daemons.js';
+import { shareOf, TestFleet } from '../fleet/daemons.js';
 import { timersOf } from '../fleet/network.js';
 
 export const REPLICA = 'e1';
@@ -28,8 +28,8 @@
 
   private readonly limits = new Map<string, ReplicaLimits>();
 
-  constructor(zones = 3) {
-    this.fleet = new TestFleet(zones, undefined, (daemon) => this.addLimits(daemon));
+  constructor(seeds = 3) {
+    this.fleet = new TestFleet(3, seeds, (daemon) => this.addLimits(daemon));
   }
 
   async start(count: number): Promise<void> {
@@ -70,10 +70,15 @@
     timers.after(ANSWER_MS, () => limits.noteAnswer(REPLICA, named, sentAt));
   }
 
-  private addLimits({ address, cluster, tree, view }: TestDaemon): void {
+  private addLimits(daemon: TestDaemon): void {
+    const { address, cluster, tree, view } = daemon;
     const timers = timersOf(this.fleet.network, address);
     const registry = new ReplicaRegistry(view, timers);
+    const share = shareOf(this.fleet, daemon, true, WINDOW_MS);
     registry.replica = () => ({}) as ReturnType<ReplicaRegistry['replica']>;
-    this.limits.set(address, new ReplicaLimits({ self: address, cluster, tree, registry, timers, log }));
+    this.limits.set(
+      address,
+      new ReplicaLimits({ self: address, cluster, tree, share, registry, timers, log }),
+    );
   }
 }
--- a/packages/routing/test/limits/limits.test.ts
+++ b/packages/routing/test/limits/limits.test.ts
@@ -1,10 +1,12 @@
 /** The rate that a replica in need states holds for all daemons together. */
-import { firstFor, LimitTable, SendPacer } from '@celeryyoke/routing';
+import { CUT_OFF_MS, firstFor, LimitTable, SendPacer } from '@celeryyoke/routing';
 import { createManualTimers } from '@celeryyoke/core';
 import test from 'ava';
 
 import { PressedFleet, REPLICA } from './fleet.js';
 
+/** Daemons that the settings name to a large fleet. */
+const SEEDS = 3;
 /** Time in which all daemons hear of a limit, in milliseconds. */
 const HEARD_MS = 1000;
 
@@ -16,7 +18,7 @@
 ] as const)
   // Guards against daemons that each keep to a limit by themselves, so that their number multiplies it.
   test(`${count} daemons that press together send a replica no more than ${rate} a second`, async (t) => {
-    const pressed = new PressedFleet();
+    const pressed = new PressedFleet(Math.min(SEEDS, count));
     await pressed.start(count);
     pressed.limitPerSecond = rate;
     await pressed.press(HEARD_MS);
@@ -79,6 +81,20 @@
     t.true(most >= pressed.limitPerSecond * 4 * 0.4, 'the replica still gets much of what it takes');
   });
 
+// Guards against a daemon that takes others for cut off for ever, though the settings name daemons that are gone.
+test('a daemon that meets none of the others sends the whole rate in the end', async (t) => {
+  const pressed = new PressedFleet(SEEDS);
+  await pressed.start(1);
+  pressed.limitPerSecond = 20;
+  await pressed.press(CUT_OFF_MS);
+  const from = pressed.fleet.timers.now();
+  await pressed.press(10_000);
+  const most = pressed.busiestWindow(from);
+  t.log({ most, allowed: pressed.allowed() });
+  t.true(most <= pressed.allowed());
+  t.true(most >= pressed.limitPerSecond * 4 * 0.6);
+});
+
 test('a limit ends for all when answers name it no more', async (t) => {
   const pressed = new PressedFleet();
   await pressed.start(7);
--- a/packages/routing/test/quotas/fleet.ts
+++ b/packages/routing/test/quotas/fleet.ts
@@ -3,7 +3,8 @@
 import { AccountQuotas, FleetSettling, QuotaDecider, QuotaUnit } from '@celeryyoke/routing';
 
 import { log } from '../fakes.js';
-import { TestDaemon, TestFleet } from '../fleet/daemons.js';
+import type { TestDaemon } from '../fleet/daemons.js';
+import { shareOf, TestFleet } from '../fleet/daemons.js';
 import { timersOf } from '../fleet/network.js';
 import type { Random } from '../orders/random.js';
 import { createRandom } from '../orders/random.js';
@@ -20,8 +21,6 @@
 /** What the rule leaves beyond the quota: a part of it, and units besides. */
 const RULE_OVER = 0.25;
 const RULE_SLACK = 11_000;
-/** As the daemon has it, in milliseconds. */
-const UP_TO_DATE_MS = 1500;
 /** Refill of the account of the plays, in tokens a second; its burst is as large. */
 export const RATE = 60_000;
 
@@ -137,7 +136,8 @@
     this.admitted.splice(index, 0, sent);
   }
 
-  private addQuotas({ address, cluster, tree }: TestDaemon): void {
+  private addQuotas(daemon: TestDaemon): void {
+    const { address, cluster, tree } = daemon;
     const timers = timersOf(this.fleet.network, address);
     const settling = new FleetSettling({
       alive: () => cluster.alive(),
@@ -155,8 +155,7 @@
         log,
         account: (name) => (this.account?.name === name ? this.account : undefined),
         isSettled: () => settling.hasSettled(),
-        isUpToDate: () =>
-          tree.ageMs < UP_TO_DATE_MS && (cluster.alive().length <= 1 || cluster.heardAgoMs() < UP_TO_DATE_MS),
+        share: shareOf(this.fleet, daemon, this.isFirstStart, WINDOW_MS),
         seeds: () => this.fleet.seeds(),
         isFirstStart: this.isFirstStart,
       }),
