timers, channels: handle what has come before late timers

On a machine short of processor time a daemon took its own pauses for the silence of others: Node.js fires timers before it reads sockets, so an answer that lay in a socket counted as missing, and a connection that was set up as refused, which cost a second connection and a repeat.

A timer that fires 20 ms late or more lets one turn of the event loop read first; so does the time-out of a connection.

--- a/packages/core/src/core/time/system.ts
+++ b/packages/core/src/core/time/system.ts
@@ -4,9 +4,26 @@
 import { createTicks } from './ticks.js';
 import type { TimerHandle, TimerService } from './types.js';
 
-function after(ms: number, callback: () => void): TimerHandle {
-  const timer = setTimeout(callback, ms);
-  return { cancel: () => clearTimeout(timer) };
+/**
+ * Lateness from which the process counts as having stood still, in milliseconds. The event loop fires timers before it reads
+ * sockets, so what came meanwhile would count as missing.
+ */
+const LATE_MS = 20;
+
+/** A timer that, when it is late, fires after what has come meanwhile was handled. */
+function fireAfterInput(ms: number, callback: () => void): TimerHandle {
+  const dueAt = performance.now() + ms;
+  let immediate: NodeJS.Immediate | undefined;
+  const timer = setTimeout(() => {
+    if (performance.now() - dueAt < LATE_MS) callback();
+    else immediate = setImmediate(callback);
+  }, ms);
+  return {
+    cancel: () => {
+      clearTimeout(timer);
+      clearImmediate(immediate);
+    },
+  };
 }
 
 /**
@@ -14,20 +31,20 @@
  * that does nothing else pays mostly for those.
  */
 function repeat(ms: number, callback: (now: number) => void): TimerHandle {
-  let timer: NodeJS.Timeout;
+  let handle: TimerHandle;
   let dueAt = 0;
   const schedule = (tick: () => void): void => {
     const now = performance.now();
     // A timer may fire a little early; after a pause the ticks that were missed are left out.
     dueAt = Math.max(dueAt + ms, (Math.floor(now / ms) + 1) * ms);
-    timer = setTimeout(tick, Math.ceil(dueAt - now));
+    handle = fireAfterInput(Math.ceil(dueAt - now), tick);
   };
   const tick = (): void => {
     schedule(tick);
     callback(performance.now());
   };
   schedule(tick);
-  return { cancel: () => clearTimeout(timer) };
+  return { cancel: () => handle.cancel() };
 }
 
 /**
@@ -64,9 +81,9 @@
   return {
     now: () => performance.now(),
     wall: () => Date.now(),
-    after,
+    after: fireAfterInput,
     repeat,
     every: (ms) => createTicks(repeat, ms),
-    sleep: (ms, signal) => sleepWith(after, ms, signal),
+    sleep: (ms, signal) => sleepWith(fireAfterInput, ms, signal),
   };
 }
--- a/packages/routing/src/core/channels/channel.ts
+++ b/packages/routing/src/core/channels/channel.ts
@@ -145,10 +145,13 @@
       this.wasReset = true;
       settle(err);
     });
-    socket.setTimeout(connectTimeoutMs, () => {
+    const giveUp = (): void => {
+      if (isSettled) return;
       settle(new Error(`No connection within ${connectTimeoutMs} ms.`));
       socket.destroy();
-    });
+    };
+    // After a turn of the event loop: the connection may have been set up while the process stood still.
+    socket.setTimeout(connectTimeoutMs, () => setImmediate(giveUp));
     socket.once('connect', () => settle(undefined));
   }
 }
