channels: give a connection up that took too long, as before

A request whose connection was set up while the daemon stood still went out with the time that was left before, so its replica was told more than is left by the length of the pause; a send that is given up and made again states what is left, and costs no repeat as nothing has arrived.

--- a/packages/routing/src/core/channels/channel.ts
+++ b/packages/routing/src/core/channels/channel.ts
@@ -145,13 +145,10 @@
       this.wasReset = true;
       settle(err);
     });
-    const giveUp = (): void => {
-      if (isSettled) return;
+    socket.setTimeout(connectTimeoutMs, () => {
       settle(new Error(`No connection within ${connectTimeoutMs} ms.`));
       socket.destroy();
-    };
-    // After a turn of the event loop: the connection may have been set up while the process stood still.
-    socket.setTimeout(connectTimeoutMs, () => setImmediate(giveUp));
+    });
     socket.once('connect', () => settle(undefined));
   }
 }
