serving: run nothing that was refused as too late

A connection that was refused is remembered, and what is still read of it is dropped. The test fails without the change: one call at the engine, none with it.

--- a/packages/serving/src/core/server/server.ts
+++ b/packages/serving/src/core/server/server.ts
@@ -1,7 +1,7 @@
 /** The callers' server: an HTTP listener that can be drained. */
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { createServer } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
 import { Server as NetServer } from 'node:net';
 
 import { CeleryyokeError } from '@celeryyoke/core';
@@ -49,6 +49,9 @@
 
   private readonly drainer: Drainer;
 
+  /** Connections that were told that what comes on them is not run. */
+  private readonly refused = new WeakSet<Socket>();
+
   private connections = 0;
 
   private readonly idleListeners: (() => void)[] = [];
@@ -143,11 +146,19 @@
         this.connections -= 1;
       });
     });
-    server.on('clientError', refuseConnection);
+    server.on('clientError', (err: NodeJS.ErrnoException, socket: Socket) => {
+      this.refused.add(socket);
+      refuseConnection(err, socket);
+    });
     return server;
   }
 
   private readonly onRequest = (req: IncomingMessage, res: ServerResponse): void => {
+    if (this.refused.has(req.socket)) {
+      // The rest of a request that came after its refusal.
+      req.resume();
+      return;
+    }
     this.answers.add(res);
     this.metrics.inFlight(this.answers.size);
     res.once('close', () => {
--- a/packages/serving/test/server.test.ts
+++ b/packages/serving/test/server.test.ts
@@ -76,6 +76,23 @@
   await bed.server.close();
 });
 
+// Guards against a request that runs after its caller was told with a 408 that it was not run.
+test('a request whose headers come after its refusal is not run', async (t) => {
+  const bed = await startBed({
+    scripts: [(call) => whole(call, { choices: [] })],
+    settings: { headersTimeoutMs: 40 },
+  });
+  const socket = await openSocket(bed, HEAD);
+  const [refusal] = (await once(socket, 'data')) as [Buffer];
+  t.regex(String(refusal), /^HTTP\/1.1 408 /);
+  const body = JSON.stringify(PROMPT);
+  socket.write(`content-type: application/json\r\ncontent-length: ${body.length}\r\n\r\n${body}`);
+  await once(socket, 'close');
+  while (bed.server.inFlight() > 0) await bed.timers.advance(0);
+  t.is(bed.engines.calls.length, 0);
+  await bed.server.close();
+});
+
 test('a drain interrupts no stream, answers kept connections once more, then says Draining', async (t) => {
   const bed = await startBed({ scripts: [streamed], settings: { drainGraceMs: 500 } });
   const [busy, prompt, idle] = [new Client(bed.url), new Client(bed.url), new Client(bed.url)];
