--- a/packages/soak/src/core/callers/balancer.ts
+++ b/packages/soak/src/core/callers/balancer.ts
@@ -1,4 +1,5 @@
 /** Which daemons get new requests of callers: those that say that they are ready, as a platform's balancer asks them. */
+import type { TimerHandle, TimerService } from '@celeryyoke/core';
 import { request } from 'undici';
 
 import type { DaemonAddress } from '../site/index.js';
@@ -12,13 +13,16 @@
 export class Balancer {
   private readonly misses = new Map<string, number>();
 
-  private readonly asking: NodeJS.Timeout;
+  private readonly asking: TimerHandle;
 
-  constructor(private readonly daemons: readonly DaemonAddress[]) {
+  constructor(
+    private readonly daemons: readonly DaemonAddress[],
+    timers: TimerService,
+  ) {
     for (const { name } of daemons) this.misses.set(name, MISSES);
-    this.asking = setInterval(() => {
+    this.asking = timers.repeat(ASK_MS, () => {
       for (const daemon of daemons) void this.ask(daemon);
-    }, ASK_MS);
+    });
   }
 
   /** Daemons in rotation; all of them where there is none. */
@@ -29,7 +33,7 @@
 
   /** Ends the questions. */
   stop(): void {
-    clearInterval(this.asking);
+    this.asking.cancel();
   }
 
   private async ask({ name, readiness }: DaemonAddress): Promise<void> {
--- a/packages/soak/src/core/callers/callers.ts
+++ b/packages/soak/src/core/callers/callers.ts
@@ -1,5 +1,6 @@
 /** Callers: they keep their connections, send requests at random moments, and come back once after a failure. */
 import { MODEL } from '@celeryyoke/adapter/testing';
+import type { TimerService } from '@celeryyoke/core';
 import type { Random } from '@celeryyoke/routing/testing';
 import { Agent, request } from 'undici';
 
@@ -36,6 +37,7 @@
 export interface CallersOptions {
   readonly balancer: Balancer;
   readonly random: Random;
+  readonly timers: TimerService;
   readonly requestsPerSecond: number;
   /** Adapters that they ask for. */
   readonly adapters: number;
@@ -57,12 +59,12 @@
 
   /** Sends requests until {@link stop}. */
   async run(): Promise<void> {
-    const { random, requestsPerSecond } = this.options;
-    let nextAt = performance.now();
+    const { random, requestsPerSecond, timers } = this.options;
+    let nextAt = timers.now();
     while (!this.isStopped) {
       nextAt += (-Math.log(1 - random.between(0, 1)) * MS_PER_SECOND) / requestsPerSecond;
-      const waitMs = nextAt - performance.now();
-      if (waitMs > 0) await pause(waitMs);
+      const waitMs = nextAt - timers.now();
+      if (waitMs > 0) await timers.sleep(waitMs);
       this.begin();
     }
   }
@@ -81,27 +83,29 @@
   }
 
   private async callWithRetry(route: SoakRoute): Promise<void> {
-    const deadlineAt = Date.now() + route.timeoutMs;
+    const { timers, hasRetries } = this.options;
+    const deadlineAt = timers.now() + route.timeoutMs;
     const first = await this.call(route, deadlineAt);
     const mayRetry = first.outcome === CallerOutcome.Refused || route.kind !== 'unsafe';
     if (first.outcome === CallerOutcome.Served || !mayRetry) return;
-    if (!this.options.hasRetries || this.isStopped) return;
-    await pause(Math.min(first.retryAfterMs, (deadlineAt - Date.now()) * MAX_RETRY_SHARE));
-    if (Date.now() < deadlineAt) await this.call(route, deadlineAt);
+    if (!hasRetries || this.isStopped) return;
+    const leftMs = Math.max(0, deadlineAt - timers.now());
+    await timers.sleep(Math.min(first.retryAfterMs, leftMs * MAX_RETRY_SHARE));
+    if (timers.now() < deadlineAt) await this.call(route, deadlineAt);
   }
 
   private async call(route: SoakRoute, deadlineAt: number) {
-    const { balancer, random } = this.options;
+    const { balancer, random, timers } = this.options;
     const daemon = random.pick(balancer.inRotation());
     const attempt: CallerAttempt = {
       id: `c${this.attempts.length}`,
       route,
-      sentAt: Date.now(),
+      sentAt: timers.wall(),
       outcome: undefined,
       status: undefined,
     };
     this.attempts.push(attempt);
-    const leftMs = Math.max(1, deadlineAt - Date.now());
+    const leftMs = Math.max(1, Math.floor(deadlineAt - timers.now()));
     const { outcome, status, retryAfterMs } = await this.send(daemon, attempt, leftMs).catch(() => ({
       outcome: CallerOutcome.Failed,
       status: undefined,
@@ -133,7 +137,7 @@
     return {
       host: CALLER_HOST,
       'celeryyoke-request-id': id,
-      'celeryyoke-deadline-remaining': String(Math.floor(leftMs)),
+      'celeryyoke-deadline-remaining': String(leftMs),
       ...(kind === 'streaming' ? generation : {}),
     };
   }
@@ -152,9 +156,3 @@
     return place < 0;
   })!;
 }
-
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, Math.max(0, ms));
-  });
-}
--- a/packages/soak/src/core/replicas/main.ts
+++ b/packages/soak/src/core/replicas/main.ts
@@ -1,4 +1,6 @@
 /** A process of some replicas, driven by messages of the run that started it. */
+import { createSystemTimers } from '@celeryyoke/core';
+
 import type { Arrival, ReplicaCommand, ReplicaNews, ReplicaOptions } from './messages.js';
 import { SoakReplica } from './replica.js';
 
@@ -43,7 +45,6 @@
 process.on('message', (command: ReplicaCommand) => COMMANDS[command.type](command as never));
 // The run has ended.
 process.on('disconnect', () => process.exit(0));
-setInterval(() => {
-  if (arrivals.length === 0) return;
-  tell({ type: 'arrivals', arrivals: arrivals.splice(0) });
-}, TELL_MS);
+createSystemTimers().repeat(TELL_MS, () => {
+  if (arrivals.length > 0) tell({ type: 'arrivals', arrivals: arrivals.splice(0) });
+});
--- a/packages/soak/src/core/replicas/replica.ts
+++ b/packages/soak/src/core/replicas/replica.ts
@@ -12,6 +12,7 @@
   EngineLife,
   sendChunk,
 } from '@celeryyoke/adapter/testing';
+import { createSystemTimers } from '@celeryyoke/core';
 import type { Random, RawRequest } from '@celeryyoke/routing/testing';
 import { createRandom, headerIn, takeRequest } from '@celeryyoke/routing/testing';
 
@@ -26,6 +27,8 @@
 const PLAIN_MS = 20;
 const ERROR = '500 Internal Server Error';
 
+const timers = createSystemTimers();
+
 /** Bytes of one connection that the replica has not read yet. */
 class Connection {
   /** What came while the way was held up. */
@@ -163,28 +166,22 @@
 
   private note({ head }: RawRequest, hasRun: boolean): void {
     const request = headerIn(head, 'celeryyoke-request-id') ?? '';
-    this.onArrival({ request, replica: this.options.id, at: Date.now(), hasRun });
+    this.onArrival({ request, replica: this.options.id, at: timers.wall(), hasRun });
   }
 }
 
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-}
-
 async function answerLater(req: RawRequest): Promise<void> {
-  await pause(PLAIN_MS);
+  await timers.sleep(PLAIN_MS);
   answerWhole(req);
 }
 
 async function stream(req: RawRequest): Promise<void> {
   const lastId = Number(headerIn(req.head, 'last-event-id') ?? 0);
-  await pause(EVENT_MS);
+  await timers.sleep(EVENT_MS);
   beginStream(req);
   for (let id = lastId + 1; id <= EVENTS && !req.socket.destroyed; id += 1) {
     sendChunk(req, `id: ${id}\ndata: t${id}\n\n`);
-    await pause(EVENT_MS);
+    await timers.sleep(EVENT_MS);
   }
   if (!req.socket.destroyed) sendChunk(req, '');
 }
--- a/packages/soak/src/core/run/faults.ts
+++ b/packages/soak/src/core/run/faults.ts
@@ -1,4 +1,5 @@
 /** What each kind of fault does to a run. */
+import type { TimerService } from '@celeryyoke/core';
 import type { Random } from '@celeryyoke/routing/testing';
 
 import type { Fault } from '../plan/index.js';
@@ -15,6 +16,7 @@
   readonly daemons: Daemons;
   readonly replicas: ReplicaFleet;
   readonly random: Random;
+  readonly timers: TimerService;
 }
 
 /** Brings a fault about; what it returns ends it. */
@@ -42,7 +44,7 @@
 
 /** Ends daemons with a signal; they start again when the fault ends, and are killed if they still run then. */
 function restart(signal: NodeJS.Signals): FaultHandler {
-  return ({ daemons, random }, share) => {
+  return ({ daemons, random, timers }, share) => {
     const hit = choose(daemons.addresses, share, random);
     const ends = hit.map((daemon) => daemons.signal(daemon, signal));
     return () => {
@@ -50,9 +52,9 @@
         const kill = (): void => {
           void daemons.signal(daemon, 'SIGKILL');
         };
-        const late = setTimeout(kill, GRACE_S * MS_PER_SECOND);
+        const late = timers.after(GRACE_S * MS_PER_SECOND, kill);
         void ends[index]!.then(() => {
-          clearTimeout(late);
+          late.cancel();
           daemons.start(daemon, false);
         });
       }
@@ -92,5 +94,5 @@
  * @param fault - The fault.
  */
 export function inject(targets: FaultTargets, { kind, forMs, share }: Fault): void {
-  setTimeout(FAULTS[kind](targets, share), forMs);
+  targets.timers.after(forMs, FAULTS[kind](targets, share));
 }
--- a/packages/soak/src/core/run/run.ts
+++ b/packages/soak/src/core/run/run.ts
@@ -1,6 +1,8 @@
 /** One run: starts the platform, the replicas, the daemons and the callers, brings the faults about, and checks. */
 import { join } from 'node:path';
 
+import type { TimerService } from '@celeryyoke/core';
+import { createSystemTimers } from '@celeryyoke/core';
 import { createRandom } from '@celeryyoke/routing/testing';
 
 import type { CallerAttempt } from '../callers/index.js';
@@ -44,6 +46,7 @@
  * @returns What it showed; all processes have ended.
  */
 export async function runSoak(plan: SoakPlan, { program, dir }: SoakOptions): Promise<SoakResult> {
+  const timers = createSystemTimers();
   const processes = new ProcessGroup();
   const arrivals: Arrival[] = [];
   const store = await startStore();
@@ -55,21 +58,21 @@
     onArrival: (arrival) => arrivals.push(arrival),
   });
   const daemons = new Daemons({ processes, program, dir, storePort: store.port, count: plan.daemons });
-  const balancer = new Balancer(daemons.addresses);
+  const balancer = new Balancer(daemons.addresses, timers);
   const random = createRandom(`run-${plan.seed}`);
   const { requestsPerSecond, adapters, hasRetries } = plan;
-  const callers = new Callers({ balancer, random, requestsPerSecond, adapters, hasRetries });
+  const callers = new Callers({ balancer, random, timers, requestsPerSecond, adapters, hasRetries });
   try {
     await replicas.start();
     for (const option of replicasOf(plan)) listReplica(store, option, replicas.ports.get(option.id)!);
-    startAll(plan, daemons);
-    await pause(plan.trafficAfterMs);
+    startAll(plan, daemons, timers);
+    await timers.sleep(plan.trafficAfterMs);
     for (const fault of plan.faults)
-      setTimeout(() => inject({ daemons, replicas, random }, fault), fault.atMs);
+      timers.after(fault.atMs, () => inject({ daemons, replicas, random, timers }, fault));
     void callers.run();
-    await pause(plan.seconds * MS_PER_SECOND);
+    await timers.sleep(plan.seconds * MS_PER_SECOND);
     await callers.stop();
-    await pause(SETTLE_MS);
+    await timers.sleep(SETTLE_MS);
   } finally {
     balancer.stop();
     await processes.stop();
@@ -93,10 +96,10 @@
   return [...engineOptions, ...plainOptions];
 }
 
-function startAll({ startSpreadMs }: SoakPlan, daemons: Daemons): void {
+function startAll({ startSpreadMs }: SoakPlan, daemons: Daemons, timers: TimerService): void {
   const { addresses } = daemons;
   for (const [index, daemon] of addresses.entries())
-    setTimeout(() => daemons.start(daemon, true), (startSpreadMs * index) / addresses.length);
+    timers.after((startSpreadMs * index) / addresses.length, () => daemons.start(daemon, true));
 }
 
 function countOutcomes({ attempts }: Callers): Map<string, number> {
@@ -107,9 +110,3 @@
   }
   return counts;
 }
-
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-}
