soak, platform: show requests to replicas that leave or want a rest

The stand-ins say Server-Leaving in all responses of a replica that leaves, and Retry-After with refusals. The soak has replicas leave while the registry lists them as ready, and refuse with Retry-After, drawn apart from the other faults, whose draws stay the same; it checks both rules for each daemon and replica from what callers and replicas saw.

--- a/packages/soak/src/core/callers/callers.ts
+++ b/packages/soak/src/core/callers/callers.ts
@@ -26,8 +26,12 @@
 export interface CallerAttempt {
   readonly id: string;
   readonly route: SoakRoute;
+  /** Name of the daemon that it was sent to. */
+  readonly daemon: string;
   /** Unix milliseconds. */
   readonly sentAt: number;
+  /** Unix milliseconds of a response that says that its replica leaves; undefined when none does. */
+  toldLeavingAt: number | undefined;
   outcome: CallerOutcome | undefined;
   /** Status of the response; undefined when there was none. */
   status: number | undefined;
@@ -100,7 +104,9 @@
     const attempt: CallerAttempt = {
       id: `c${this.attempts.length}`,
       route,
+      daemon: daemon.name,
       sentAt: timers.wall(),
+      toldLeavingAt: undefined,
       outcome: undefined,
       status: undefined,
     };
@@ -115,13 +121,16 @@
     return { outcome, retryAfterMs };
   }
 
-  private async send({ callers }: DaemonAddress, { id, route }: CallerAttempt, leftMs: number) {
+  private async send({ callers }: DaemonAddress, attempt: CallerAttempt, leftMs: number) {
+    const { id, route } = attempt;
     const { statusCode, headers, body } = await request(`http://${callers}/${route.name}/x`, {
       dispatcher: this.agent,
       method: route.kind === 'safe' ? 'GET' : 'POST',
       headers: this.headersOf(id, route, leftMs),
       signal: AbortSignal.timeout(leftMs),
     });
+    if (headers['server-leaving'] === '1')
+      Object.assign(attempt, { toldLeavingAt: this.options.timers.wall() });
     await body.dump();
     const retryAfterMs = Number(headers['retry-after'] ?? 0) * MS_PER_SECOND;
     return { outcome: outcomeOf(statusCode), status: statusCode, retryAfterMs };
--- a/packages/soak/src/core/checks/checks.ts
+++ b/packages/soak/src/core/checks/checks.ts
@@ -6,6 +6,8 @@
 import { CallerOutcome } from '../callers/index.js';
 import type { Arrival } from '../replicas/index.js';
 import { ENGINE_SERVICE, PLAIN_SERVICE, REPEAT_BOUNDS } from '../site/index.js';
+import type { Excuses, HostViolation } from './declarations.js';
+import { checkBackoffs, checkLeaving } from './declarations.js';
 
 /** What a run showed of the retries of one service. */
 export interface RepeatFigures {
@@ -26,15 +28,24 @@
   readonly ranTwice: readonly string[];
   /** Requests that ran although their callers were promised that they did not. */
   readonly ranThoughRefused: readonly string[];
+  /** Requests that were sent on to a replica long after it had told the same daemon that it leaves. */
+  readonly sentToLeaving: readonly HostViolation[];
+  /** Backoffs in which a replica got more from the daemon that it had asked than is tolerated. */
+  readonly sentInBackoff: readonly HostViolation[];
 }
 
 /**
  * Checks a run.
  * @param attempts - What callers sent and got.
  * @param arrivals - What replicas read.
+ * @param excuses - Faults that excuse a daemon.
  * @returns What it showed.
  */
-export function checkRun(attempts: readonly CallerAttempt[], arrivals: readonly Arrival[]): SoakFigures {
+export function checkRun(
+  attempts: readonly CallerAttempt[],
+  arrivals: readonly Arrival[],
+  excuses: Excuses = { signals: [], interruptions: [] },
+): SoakFigures {
   const runs = new Map<string, number>();
   for (const { request, hasRun } of arrivals) if (hasRun) runs.set(request, (runs.get(request) ?? 0) + 1);
   const once = attempts.filter(({ route }) => route.kind !== 'safe' && !route.isResumable);
@@ -45,13 +56,15 @@
     ranThoughRefused: refused
       .filter(({ id, route }) => route.kind !== 'safe' && !route.isResumable && runs.has(id))
       .map(({ id }) => id),
+    sentToLeaving: checkLeaving(attempts, arrivals, excuses),
+    sentInBackoff: checkBackoffs(attempts, arrivals, excuses),
   };
 }
 
 /** Whether a run broke no promise. */
-export function isClean({ repeats, ranTwice, ranThoughRefused }: SoakFigures): boolean {
+export function isClean({ repeats, ...broken }: SoakFigures): boolean {
   const areRepeatsWithin = repeats.every(({ violations }) => violations.length === 0);
-  return areRepeatsWithin && ranTwice.length === 0 && ranThoughRefused.length === 0;
+  return areRepeatsWithin && Object.values(broken).every((found) => found.length === 0);
 }
 
 function checkRepeats(
--- a/packages/soak/src/core/plan/plan.ts
+++ b/packages/soak/src/core/plan/plan.ts
@@ -17,8 +17,14 @@
 const ADAPTERS = [50, 300, 2000] as const;
 /** Kinds that make callers' requests fail, so that daemons reserve retries. */
 const FAILURES = [FaultKind.Shed, FaultKind.Errors, FaultKind.Reset, FaultKind.Hang] as const;
+/** Kinds by which replicas declare something; drawn apart from the others, so that these stay the same. */
+const DECLARATIONS = [FaultKind.Backoff, FaultKind.Leave] as const;
+const OTHERS = Object.values(FaultKind).filter((kind) => !DECLARATIONS.some((declared) => declared === kind));
 /** Mean time between two faults, in seconds. */
 const SECONDS_PER_FAULT = 4;
+/** Time for which a declaration holds, in milliseconds: longer than daemons may use a replica that leaves. */
+const MIN_DECLARED_MS = 3500;
+const MAX_DECLARED_MS = 9000;
 
 /**
  * Draws a plan. Replicas refuse requests for most of the time, so that the budget binds; other faults overlap with that.
@@ -38,7 +44,7 @@
   };
   const count = Math.max(2, Math.round(size.seconds / SECONDS_PER_FAULT));
   const failures = Array.from({ length: count }, () => draw(FAILURES, lengthMs / 2));
-  const others = Array.from({ length: count }, () => draw(Object.values(FaultKind), lengthMs / 4));
+  const others = Array.from({ length: count }, () => draw(OTHERS, lengthMs / 4));
   return {
     ...size,
     seed,
@@ -46,6 +52,20 @@
     trafficAfterMs: isSlowStart ? START_MS : startSpreadMs + SETTLE_MS,
     adapters: random.pick(ADAPTERS),
     hasRetries: random.chance(RETRIES_CHANCE),
-    faults: [...failures, ...others].sort((left, right) => left.atMs - right.atMs),
+    faults: [...failures, ...others, ...drawDeclarations(seed, lengthMs)].sort(
+      (left, right) => left.atMs - right.atMs,
+    ),
   };
 }
+
+function drawDeclarations(seed: number, lengthMs: number): Fault[] {
+  const random = createRandom(`soak-declarations-${seed}`);
+  return DECLARATIONS.flatMap((kind) =>
+    Array.from({ length: Math.max(1, Math.round(lengthMs / MAX_DECLARED_MS / 2)) }, () => ({
+      kind,
+      atMs: Math.round(random.between(0, lengthMs / 2)),
+      forMs: Math.round(random.between(MIN_DECLARED_MS, MAX_DECLARED_MS)),
+      share: random.between(0.1, 0.6),
+    })),
+  );
+}
--- a/packages/soak/src/core/plan/types.ts
+++ b/packages/soak/src/core/plan/types.ts
@@ -22,6 +22,10 @@
   TermDaemons = 'term-daemons',
   /** Daemons are stopped and go on. */
   FreezeDaemons = 'freeze-daemons',
+  /** Replicas refuse most of their requests and ask the daemons to send nothing for some seconds. */
+  Backoff = 'backoff',
+  /** Replicas say in their responses that they leave; the registry lists them as ready until they are replaced. */
+  Leave = 'leave',
 }
 
 /** One fault of a plan. */
--- a/packages/soak/src/core/replicas/fleet.ts
+++ b/packages/soak/src/core/replicas/fleet.ts
@@ -1,15 +1,11 @@
 /** The replicas of a run, spread over some processes. */
 import { fileURLToPath } from 'node:url';
 
+import type { TimerService } from '@celeryyoke/core';
+
 import type { ProcessGroup, RunningProcess } from '../processes/index.js';
-import type {
-  Arrival,
-  Behaviour,
-  Holdable,
-  ReplicaCommand,
-  ReplicaNews,
-  ReplicaOptions,
-} from './messages.js';
+import type { Arrival, Behaviour, ReplicaCommand, ReplicaNews, ReplicaOptions } from './messages.js';
+import { Holdable, incarnationId } from './messages.js';
 
 const PROGRAM = fileURLToPath(new URL('./main.js', import.meta.url));
 
@@ -21,6 +17,17 @@
   readonly processCount: number;
   readonly logFile: (name: string) => string;
   readonly onArrival: (arrival: Arrival) => void;
+  readonly timers: TimerService;
+}
+
+/** A time in which a replica did not read what was sent to it. */
+export interface Interruption {
+  /** Name of the replica throughout the run. */
+  readonly replica: string;
+  /** Unix milliseconds. */
+  readonly from: number;
+  /** Unix milliseconds; undefined while it lasts. */
+  until: number | undefined;
 }
 
 interface Host {
@@ -32,8 +39,13 @@
 export class ReplicaFleet {
   readonly ports = new Map<string, number>();
 
+  /** Times in which replicas read nothing, the earliest first. */
+  readonly interruptions: Interruption[] = [];
+
   private readonly hosts: Host[] = [];
 
+  private readonly replacements = new Map<string, number>();
+
   constructor(private readonly options: ReplicaFleetOptions) {}
 
   /** Names of all replicas. */
@@ -60,11 +72,50 @@
     this.command((own) => ({ type: 'behave', ids: own.filter((id) => ids.includes(id)), behaviour }));
   }
 
+  /** Has some replicas say in all their responses that they leave. */
+  leave(ids: readonly string[]): void {
+    this.command((own) => ({ type: 'leave', ids: own.filter((id) => ids.includes(id)) }));
+  }
+
+  /** Replaces some replicas by new incarnations with the same address. */
+  replace(ids: readonly string[]): void {
+    for (const id of ids) this.replacements.set(id, (this.replacements.get(id) ?? 0) + 1);
+    this.command((own) => ({ type: 'replace', ids: own.filter((id) => ids.includes(id)) }));
+  }
+
+  /** Current incarnation of a replica. */
+  incarnationOf(id: string): string {
+    return incarnationId(id, this.replacements.get(id) ?? 0);
+  }
+
   /** Holds up the path to some replicas, or reopens it. */
   hold(ids: readonly string[], what: Holdable, isHeld: boolean): void {
+    if (what === Holdable.Everything) this.noteInterruption(ids, isHeld);
     this.command((own) => ({ type: 'hold', ids: own.filter((id) => ids.includes(id)), what, isHeld }));
   }
 
+  /** Stops processes of replicas, or lets them go on. */
+  freeze(processes: readonly RunningProcess[], isFrozen: boolean): void {
+    for (const { child } of processes) child.kill(isFrozen ? 'SIGSTOP' : 'SIGCONT');
+    const ids = this.hosts
+      .filter(({ running }) => processes.includes(running))
+      .flatMap(({ ids: own }) => own);
+    this.noteInterruption(ids, isFrozen);
+  }
+
+  private noteInterruption(ids: readonly string[], begins: boolean): void {
+    const now = this.options.timers.wall();
+    for (const replica of ids) {
+      if (begins) this.interruptions.push({ replica, from: now, until: undefined });
+      else {
+        const open = this.interruptions.find(
+          ({ replica: id, until }) => id === replica && until === undefined,
+        );
+        if (open !== undefined) open.until = now;
+      }
+    }
+  }
+
   private command(make: (ids: readonly string[]) => ReplicaCommand): void {
     for (const { running, ids } of this.hosts) if (running.child.connected) running.child.send(make(ids));
   }
--- a/packages/soak/src/core/replicas/main.ts
+++ b/packages/soak/src/core/replicas/main.ts
@@ -34,6 +34,12 @@
   start: (command) => {
     void start(command.replicas);
   },
+  leave: ({ ids }) => {
+    for (const id of ids) replicas.get(id)?.leave();
+  },
+  replace: ({ ids }) => {
+    for (const id of ids) replicas.get(id)?.replace();
+  },
   behave: ({ ids, behaviour }) => {
     for (const id of ids) Object.assign(replicas.get(id) ?? {}, { behaviour });
   },
--- a/packages/soak/src/core/replicas/messages.ts
+++ b/packages/soak/src/core/replicas/messages.ts
@@ -4,6 +4,8 @@
 export enum Behaviour {
   Serve = 'serve',
   Shed = 'shed',
+  /** Refuses like {@link Behaviour.Shed}, and asks the daemon to send nothing for a while. */
+  Backoff = 'backoff',
   Errors = 'errors',
   Reset = 'reset',
   Hang = 'hang',
@@ -26,6 +28,8 @@
 /** An order of the run. */
 export type ReplicaCommand =
   | { readonly type: 'start'; readonly replicas: readonly ReplicaOptions[] }
+  | { readonly type: 'leave'; readonly ids: readonly string[] }
+  | { readonly type: 'replace'; readonly ids: readonly string[] }
   | { readonly type: 'behave'; readonly ids: readonly string[]; readonly behaviour: Behaviour }
   | {
       readonly type: 'hold';
@@ -38,11 +42,25 @@
 export interface Arrival {
   /** Names the attempt of the caller. */
   readonly request: string;
+  /** Incarnation of the replica. */
   readonly replica: string;
   /** Unix milliseconds. */
   readonly at: number;
   /** Whether the replica began to work on it. */
   readonly hasRun: boolean;
+  /** Whether it was meant for another incarnation. */
+  readonly isMisdirected?: boolean;
+  /** Time for which the replica wants nothing from the sender, as its immediate refusal says, in milliseconds. */
+  readonly retryAfterMs?: number;
+}
+
+/**
+ * Names an incarnation of a replica.
+ * @param id - Name of the replica throughout the run.
+ * @param replacements - How often it was replaced.
+ */
+export function incarnationId(id: string, replacements: number): string {
+  return replacements === 0 ? id : `${id}.${replacements}`;
 }
 
 /** Message from a process of replicas. */
--- a/packages/soak/src/core/replicas/replica.ts
+++ b/packages/soak/src/core/replicas/replica.ts
@@ -6,10 +6,11 @@
 
 import {
   respondMisdirected,
-  respondNotExecuted,
+  refuseWith,
   respondToOrder,
   respondWithReport,
   respondComplete,
+  retryAfterHeader,
   beginStream,
   EngineState,
   sendChunk,
@@ -19,7 +20,7 @@
 import { createRandom, headerValue, parseRequest } from '@celeryyoke/routing/testing';
 
 import type { Arrival, ReplicaOptions } from './messages.js';
-import { Behaviour, Holdable } from './messages.js';
+import { Behaviour, Holdable, incarnationId } from './messages.js';
 
 const HOST = '127.0.0.1';
 /** Part of the requests that a replica which misbehaves treats so. */
@@ -27,7 +28,12 @@
 const EVENTS = 6;
 const EVENT_MS = 60;
 const PLAIN_MS = 20;
+const OK = '200 OK';
 const ERROR = '500 Internal Server Error';
+/** Shortest and longest time that a replica asks a daemon to back off, in seconds. */
+const MIN_BACKOFF_S = 1;
+const MAX_BACKOFF_S = 4;
+const MS_PER_SECOND = 1000;
 
 const timers = createSystemTimers();
 
@@ -76,7 +82,9 @@
 
   private running = 0;
 
-  private readonly life = new EngineState();
+  private life = new EngineState();
+
+  private replacements = 0;
 
   private readonly connections = new Set<Connection>();
 
@@ -100,6 +108,26 @@
     return (this.server.address() as AddressInfo).port;
   }
 
+  /** Says in all responses from now on that it leaves; serves on until it is replaced. */
+  leave(): void {
+    this.life.isLeaving = true;
+  }
+
+  /** Begins a new incarnation at the same address; requests in progress end as they would have. */
+  replace(): void {
+    this.replacements += 1;
+    this.life = new EngineState();
+  }
+
+  /** Header lines of all responses. */
+  get declarations(): string {
+    return this.life.declarations;
+  }
+
+  private get incarnation(): string {
+    return incarnationId(this.options.id, this.replacements);
+  }
+
   /** Holds up what comes, or reads all that was held up. What a sender has reset meanwhile is lost. */
   hold(what: Holdable, isHeld: boolean): void {
     if (isHeld) {
@@ -138,9 +166,9 @@
     const [, path] = req.head.split(' ');
     if (path === '/v1/order') this.takeOrder(req);
     else if (path === '/v1/report') respondWithReport(req, this.life);
-    else if (headerValue(req.head, 'celeryyoke-expect-instance') !== this.options.id) {
-      this.note(req, false);
-      respondMisdirected(req);
+    else if (headerValue(req.head, 'celeryyoke-expect-instance') !== this.incarnation) {
+      this.note(req, { hasRun: false, isMisdirected: true });
+      respondMisdirected(req, this.declarations);
     } else this.serve(req);
   }
 
@@ -153,34 +181,51 @@
     const isMisbehaved = this.behaviour !== Behaviour.Serve && this.random.chance(MISBEHAVED_SHARE);
     const behaviour = isMisbehaved ? this.behaviour : Behaviour.Serve;
     const isFull = this.running >= this.options.slots;
-    const hasRun = !isFull && behaviour !== Behaviour.Shed;
-    this.note(req, hasRun);
-    if (hasRun) answer(behaviour, this, req);
-    else respondNotExecuted(req);
+    const isRefused = isFull || behaviour === Behaviour.Shed || behaviour === Behaviour.Backoff;
+    if (isRefused) this.refuse(req, behaviour === Behaviour.Backoff ? this.drawBackoffSeconds() : undefined);
+    else {
+      this.note(req, { hasRun: true });
+      answer(behaviour, this, req);
+    }
+  }
+
+  private refuse(req: RawRequest, backoffSeconds: number | undefined): void {
+    const retryAfterMs = backoffSeconds && backoffSeconds * MS_PER_SECOND;
+    this.note(req, { hasRun: false, retryAfterMs });
+    const backoff = backoffSeconds === undefined ? '' : retryAfterHeader(backoffSeconds);
+    refuseWith(req, this.declarations + backoff);
+  }
+
+  /** Draws how long a daemon is to send nothing, in tenths of a second. */
+  private drawBackoffSeconds(): number {
+    return Math.round(this.random.between(MIN_BACKOFF_S, MAX_BACKOFF_S) * 10) / 10;
   }
 
   /** Serves a request to its end. */
   async run(req: RawRequest): Promise<void> {
     this.running += 1;
-    await (this.options.isEngine ? stream(req) : answerLater(req));
+    await (this.options.isEngine ? stream(req, this.declarations) : answerLater(req, this.declarations));
     this.running -= 1;
   }
 
-  private note({ head }: RawRequest, hasRun: boolean): void {
+  private note(
+    { head }: RawRequest,
+    facts: Pick<Arrival, 'hasRun' | 'isMisdirected' | 'retryAfterMs'>,
+  ): void {
     const request = headerValue(head, 'celeryyoke-request-id') ?? '';
-    this.onArrival({ request, replica: this.options.id, at: timers.wall(), hasRun });
+    this.onArrival({ request, replica: this.incarnation, at: timers.wall(), ...facts });
   }
 }
 
-async function answerLater(req: RawRequest): Promise<void> {
+async function answerLater(req: RawRequest, declarations: string): Promise<void> {
   await timers.sleep(PLAIN_MS);
-  respondComplete(req);
+  respondComplete(req, OK, undefined, declarations);
 }
 
-async function stream(req: RawRequest): Promise<void> {
+async function stream(req: RawRequest, declarations: string): Promise<void> {
   const lastId = Number(headerValue(req.head, 'last-event-id') ?? 0);
   await timers.sleep(EVENT_MS);
-  beginStream(req);
+  beginStream(req, declarations);
   for (let id = lastId + 1; id <= EVENTS && !req.socket.destroyed; id += 1) {
     sendChunk(req, `id: ${id}\ndata: t${id}\n\n`);
     await timers.sleep(EVENT_MS);
@@ -188,17 +233,19 @@
   if (!req.socket.destroyed) sendChunk(req, '');
 }
 
+/** Behaviours of a replica that begins to run a request. */
+type RunningBehaviour = Exclude<Behaviour, Behaviour.Shed | Behaviour.Backoff>;
+
 /** What each behaviour does with a request that has begun to run. */
-const ANSWERS: Readonly<Record<Behaviour, (replica: SoakReplica, req: RawRequest) => void>> = {
+const ANSWERS: Readonly<Record<RunningBehaviour, (replica: SoakReplica, req: RawRequest) => void>> = {
   [Behaviour.Serve]: (replica, req) => {
     void replica.run(req);
   },
-  [Behaviour.Shed]: (_replica, req) => respondNotExecuted(req),
-  [Behaviour.Errors]: (_replica, req) => respondComplete(req, ERROR),
+  [Behaviour.Errors]: (replica, req) => respondComplete(req, ERROR, undefined, replica.declarations),
   [Behaviour.Reset]: (_replica, { socket }) => socket.resetAndDestroy(),
   [Behaviour.Hang]: () => undefined,
 };
 
-function answer(behaviour: Behaviour, replica: SoakReplica, req: RawRequest): void {
+function answer(behaviour: RunningBehaviour, replica: SoakReplica, req: RawRequest): void {
   ANSWERS[behaviour](replica, req);
 }
--- a/packages/soak/src/core/run/daemons.ts
+++ b/packages/soak/src/core/run/daemons.ts
@@ -2,6 +2,9 @@
 import { writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 
+import type { TimerService } from '@celeryyoke/core';
+
+import type { DaemonSignal } from '../checks/index.js';
 import type { ProcessGroup, RunningProcess } from '../processes/index.js';
 import type { DaemonAddress } from '../site/index.js';
 import { daemonAddress, settingsOf } from '../site/index.js';
@@ -23,12 +26,16 @@
   readonly dir: string;
   readonly storePort: number;
   readonly count: number;
+  readonly timers: TimerService;
 }
 
 /** The daemons. */
 export class Daemons {
   readonly addresses: readonly DaemonAddress[];
 
+  /** All signals that were sent, the earliest first. */
+  readonly signals: DaemonSignal[] = [];
+
   private readonly running = new Map<string, RunningProcess>();
 
   constructor(private readonly options: DaemonsOptions) {
@@ -63,6 +70,7 @@
    */
   signal({ name }: DaemonAddress, signal: NodeJS.Signals): Promise<void> {
     const running = this.running.get(name);
+    this.signals.push({ daemon: name, at: this.options.timers.wall() });
     running?.child.kill(signal);
     return running?.ended ?? Promise.resolve();
   }
--- a/packages/soak/src/core/run/faults.ts
+++ b/packages/soak/src/core/run/faults.ts
@@ -15,6 +15,8 @@
 export interface FaultTargets {
   readonly daemons: Daemons;
   readonly replicas: ReplicaFleet;
+  /** Has the registry list a replica under its current incarnation. */
+  readonly relist: (id: string, before: string) => void;
   readonly random: Random;
   readonly timers: TimerService;
 }
@@ -42,6 +44,17 @@
   };
 }
 
+/** Has replicas say that they leave; when the fault ends, new incarnations replace them. */
+const leave: FaultHandler = ({ replicas, relist, random }, share) => {
+  const ids = choose(replicas.ids, share, random);
+  replicas.leave(ids);
+  return () => {
+    const before = ids.map((id) => replicas.incarnationOf(id));
+    replicas.replace(ids);
+    for (const [index, id] of ids.entries()) relist(id, before[index]!);
+  };
+};
+
 /** Ends daemons with a signal; they start again when the fault ends, and are killed if they still run then. */
 function restart(signal: NodeJS.Signals): FaultHandler {
   return ({ daemons, random, timers }, share) => {
@@ -65,6 +78,8 @@
 /** All kinds. */
 export const FAULTS: Readonly<Record<FaultKind, FaultHandler>> = {
   [FaultKind.Shed]: misbehave(Behaviour.Shed),
+  [FaultKind.Backoff]: misbehave(Behaviour.Backoff),
+  [FaultKind.Leave]: leave,
   [FaultKind.Errors]: misbehave(Behaviour.Errors),
   [FaultKind.Reset]: misbehave(Behaviour.Reset),
   [FaultKind.Hang]: misbehave(Behaviour.Hang),
@@ -72,10 +87,8 @@
   [FaultKind.HoldOrders]: hold(Holdable.Orders),
   [FaultKind.FreezeReplicas]: ({ replicas, random }, share) => {
     const hit = choose(replicas.processes, share, random);
-    for (const { child } of hit) child.kill('SIGSTOP');
-    return () => {
-      for (const { child } of hit) child.kill('SIGCONT');
-    };
+    replicas.freeze(hit, true);
+    return () => replicas.freeze(hit, false);
   },
   [FaultKind.KillDaemons]: restart('SIGKILL'),
   [FaultKind.TermDaemons]: restart('SIGTERM'),
--- a/packages/soak/src/core/run/run.ts
+++ b/packages/soak/src/core/run/run.ts
@@ -56,19 +56,27 @@
     processCount: Math.ceil((plan.engines + plan.plains) / REPLICAS_PER_PROCESS),
     logFile: (name) => join(dir, `${name}.log`),
     onArrival: (arrival) => arrivals.push(arrival),
+    timers,
   });
-  const daemons = new Daemons({ processes, program, dir, storePort: store.port, count: plan.daemons });
+  const { port: storePort } = store;
+  const daemons = new Daemons({ processes, program, dir, storePort, count: plan.daemons, timers });
+  const list = (option: ReplicaOptions): void =>
+    listReplica(store, replicas.incarnationOf(option.id), option, replicas.ports.get(option.id)!);
+  const relist = (id: string, before: string): void => {
+    store.remove(`servers/${before}`);
+    list(replicasOf(plan).find((option) => option.id === id)!);
+  };
   const balancer = new Balancer(daemons.addresses, timers);
   const random = createRandom(`run-${plan.seed}`);
   const { requestsPerSecond, adapters, hasRetries } = plan;
   const callers = new Callers({ balancer, random, timers, requestsPerSecond, adapters, hasRetries });
   try {
     await replicas.start();
-    for (const option of replicasOf(plan)) listReplica(store, option, replicas.ports.get(option.id)!);
+    for (const option of replicasOf(plan)) list(option);
     startAll(plan, daemons, timers);
     await timers.sleep(plan.trafficAfterMs);
     for (const fault of plan.faults)
-      timers.after(fault.atMs, () => inject({ daemons, replicas, random, timers }, fault));
+      timers.after(fault.atMs, () => inject({ daemons, replicas, relist, random, timers }, fault));
     void callers.run();
     await timers.sleep(plan.seconds * MS_PER_SECOND);
     await callers.stop();
@@ -79,7 +87,9 @@
     await store.close();
   }
   const { attempts } = callers;
-  return { figures: checkRun(attempts, arrivals), outcomes: countOutcomes(callers), attempts, arrivals };
+  const excuses = { signals: daemons.signals, interruptions: replicas.interruptions };
+  const figures = checkRun(attempts, arrivals, excuses);
+  return { figures, outcomes: countOutcomes(callers), attempts, arrivals };
 }
 
 function replicasOf({ engines, plains }: SoakPlan): ReplicaOptions[] {
--- a/packages/soak/src/core/site/site.ts
+++ b/packages/soak/src/core/site/site.ts
@@ -27,6 +27,8 @@
 export const PLAIN_SLOTS = 40;
 /** Allowed retries of each service. */
 export const REPEAT_BOUNDS: RetryBounds = { ratio: 0.2, windowMs: 10_000, slack: 196 };
+/** Time from which on a daemon sends nothing to a replica that has told it that it leaves, in milliseconds. */
+export const DRAIN_MS = 2000;
 /** Time for a graceful shutdown, in seconds. */
 export const GRACE_S = 8;
 
@@ -145,6 +147,7 @@
     `seeds=${seeds.join(',')}`,
     `bootstrap=${isFirstStart}`,
     `bounds.grace_s=${GRACE_S}`,
+    `bounds.drain_ms=${DRAIN_MS}`,
     'bounds.lease_ms=3000',
     'bounds.require_fence=true',
     `bounds.retry_budget_ratio=${ratio}`,
@@ -201,14 +204,18 @@
   };
 }
 
-/** Lists a replica in the store. */
+/**
+ * Lists a replica in the store.
+ * @param incarnation - Name of its current incarnation.
+ */
 export function listReplica(
   store: StoreStandIn,
-  { id, isEngine, slots }: ReplicaOptions,
+  incarnation: string,
+  { isEngine, slots }: ReplicaOptions,
   port: number,
 ): void {
   const models = isEngine ? { models: [{ name: MODEL_NAME, version: 1, adapters: [] }] } : {};
-  store.put(`servers/${id}`, {
+  store.put(`servers/${incarnation}`, {
     service: isEngine ? ENGINE_SERVICE : PLAIN_SERVICE,
     address: `${REPLICA_HOST}:${port}`,
     zone: ZONES[0],
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -7,7 +7,7 @@
 import { cac } from 'cac';
 import Table from 'cli-table3';
 
-import type { SoakFigures, SoakPlan, SoakResult } from './index.js';
+import type { HostViolation, SoakFigures, SoakPlan, SoakResult } from './index.js';
 import { createPlan, isClean, runSoak } from './index.js';
 
 const EXIT_BROKEN = 1;
@@ -50,6 +50,13 @@
   const { ranTwice, ranThoughRefused } = figures;
   if (ranTwice.length > 0) console.log(`ran more than once: ${ranTwice.join(', ')}`);
   if (ranThoughRefused.length > 0) console.log(`ran though refused: ${ranThoughRefused.join(', ')}`);
+  showViolations('sent to a replica that leaves', figures.sentToLeaving);
+  showViolations('sent in a backoff', figures.sentInBackoff);
+}
+
+function showViolations(title: string, violations: readonly HostViolation[]): void {
+  for (const { daemon, replica, requests, afterMs } of violations)
+    console.log(`${title}: ${requests.join(', ')} by ${daemon} to ${replica}, up to ${afterMs} ms after`);
 }
 
 /** Writes what callers sent and got, and what replicas read, a line each. */
--- a/packages/soak/test/checks.test.ts
+++ b/packages/soak/test/checks.test.ts
@@ -1,11 +1,12 @@
 /** The checks of the soak fire on what breaks a promise, and on nothing else. */
+import type { DaemonSignal, Excuses } from '@celeryyoke/soak';
 import { checkRun, createPlan, isClean } from '@celeryyoke/soak';
 import test from 'ava';
 
 import type { CallerAttempt } from '../src/core/callers/index.js';
 import { CallerOutcome } from '../src/core/callers/index.js';
 import type { Arrival } from '../src/core/replicas/index.js';
-import { REPEAT_BOUNDS, ROUTES } from '../src/core/site/index.js';
+import { DRAIN_MS, REPEAT_BOUNDS, ROUTES } from '../src/core/site/index.js';
 
 const REQUESTS = 1000;
 const INTERVAL_MS = 20;
@@ -19,7 +20,9 @@
   return Array.from({ length: REQUESTS }, (_, index) => ({
     id: `c${index}`,
     route: routeOf(kind),
+    daemon: 'front-a-0',
     sentAt: index * INTERVAL_MS,
+    toldLeavingAt: undefined,
     outcome: CallerOutcome.Served,
     status: 200,
   }));
@@ -75,3 +78,54 @@
   t.deepEqual(createPlan(5, size), createPlan(5, size));
   t.notDeepEqual(createPlan(5, size).faults, createPlan(6, size).faults);
 });
+
+/** Requests of one daemon to one replica, one each {@link INTERVAL_MS}. */
+function sentBy(daemon: string, count: number, toldAt: number | undefined): CallerAttempt[] {
+  return served('safe')
+    .slice(0, count)
+    .map((attempt, index) => ({ ...attempt, daemon, toldLeavingAt: index === 0 ? toldAt : undefined }));
+}
+
+test('a request sent on to a replica that told the same daemon long before that it leaves is found', (t) => {
+  const within = DRAIN_MS / INTERVAL_MS + 1;
+  const toldAt = 0;
+  const check = (attempts: CallerAttempt[], signals: DaemonSignal[] = []) =>
+    checkRun(
+      attempts,
+      attempts.map((attempt) => arrivalOf(attempt)),
+      { signals, interruptions: [] },
+    ).sentToLeaving;
+  t.deepEqual(check(sentBy('d', within, toldAt)), []);
+  const late = sentBy('d', within + 1, toldAt);
+  t.deepEqual(
+    check(late).map(({ requests }) => requests),
+    [[`c${within}`]],
+  );
+  // Another daemon was not told, and one that was restarted or stopped since has forgotten it.
+  t.deepEqual(check(late.map((attempt, index) => (index === 0 ? attempt : { ...attempt, daemon: 'e' }))), []);
+  t.deepEqual(check(late, [{ daemon: 'd', at: 100 }]), []);
+  t.is(check(late, [{ daemon: 'e', at: 100 }]).length, 1);
+});
+
+test('a third request of one daemon in the backoff that a replica asked it for is found', (t) => {
+  const attempts = sentBy('d', 200, undefined);
+  const asked: Arrival = { ...arrivalOf(attempts[0]!, 0, false), retryAfterMs: 1000 };
+  const check = (inBackoff: readonly number[], excuses?: Excuses) =>
+    checkRun(attempts, [asked, ...inBackoff.map((index) => arrivalOf(attempts[index]!))], excuses)
+      .sentInBackoff;
+  t.deepEqual(check([1, 2, 3, 4, 26, 40]), []);
+  t.deepEqual(
+    check([1, 26, 40, 48]).map(({ requests }) => requests),
+    [['c26', 'c40', 'c48']],
+  );
+  t.deepEqual(check([26, 40, 60, 70]), []);
+  t.deepEqual(check([26, 40, 48], { signals: [{ daemon: 'd', at: 900 }], interruptions: [] }), []);
+  t.deepEqual(
+    check([26, 40, 48], { signals: [], interruptions: [{ replica: 'p-0', from: 850, until: 1100 }] }),
+    [],
+  );
+  t.is(
+    check([26, 40, 48], { signals: [], interruptions: [{ replica: 'p-1', from: 0, until: 1100 }] }).length,
+    1,
+  );
+});
