availability: let what a replica says of itself decide each send

Cause: whether a replica leaves was taken from its registry entry alone, and asked at the choice of a replica alone. While the store was silent for 12 s the entry said ready; and a request kept the replica that was chosen for it through the load of its adapter. The class: a state that an upstream declares, copied to one place and read at one moment.

ReplicaAvailability now keeps one dated state for each incarnation, fed by the entry, by reports and by the head of every response (of requests, orders, reports and copies); a replica that leaves never becomes ready again. The connection pool checks each exchange against it before a connection is used and again when the request is written, so no sender passes it by: a request or migrated stream is allowed for 1.5 s at most (less where the drain time is shorter), an order never, reports and copies of runs always. What is ruled out there ends as withheld, and another replica is chosen. The registry shows the merged state, so the owner of the engine and migrations act on it as on an entry.

--- a/packages/routing/src/core/adapters/index.ts
+++ b/packages/routing/src/core/adapters/index.ts
@@ -1,4 +1,5 @@
 /** Adapters on engines: tracks which are resident where, loads and evicts them. */
+export { observeReports } from './observed-control.js';
 export { ResidencyTable } from './residency.js';
 export type { EngineOwnerOptions } from './engine-owner.js';
 export { EngineOwner } from './engine-owner.js';
--- a/packages/routing/src/core/adapters/orders.ts
+++ b/packages/routing/src/core/adapters/orders.ts
@@ -24,7 +24,11 @@
 const UNREACHABLE_BACKOFF_MS = 400;
 
 /** Outcomes that are not a response of the engine. */
-const WITHOUT_RESPONSE: ReadonlySet<OrderOutcome> = new Set([OrderOutcome.Unknown, OrderOutcome.Unreachable]);
+const WITHOUT_RESPONSE: ReadonlySet<OrderOutcome> = new Set([
+  OrderOutcome.Unknown,
+  OrderOutcome.Unreachable,
+  OrderOutcome.Withheld,
+]);
 
 /** Options of {@link EngineOrders}. */
 export interface EngineOrdersOptions {
@@ -140,7 +144,7 @@
    * Sends an order on the open connection.
    * @param expected - Sequence number that the engine must have reached; undefined skips the check.
    * @returns The outcome; unknown when this daemon must not send orders, unreachable when there is no open
-   *   connection.
+   *   connection, withheld when the engine takes none.
    */
   async send(kind: OrderKind, target: OrderTarget, expected?: number): Promise<OrderOutcome> {
     const { fencingToken, self, timers } = this.options;
@@ -156,7 +160,7 @@
     if (!WITHOUT_RESPONSE.has(outcome)) this.hasResponded = true;
     if (outcome === OrderOutcome.Done || outcome === OrderOutcome.Started)
       this.logSuccess(order, outcome, tookMs);
-    else this.handleFailure(order, outcome, tookMs);
+    else if (outcome !== OrderOutcome.Withheld) this.handleFailure(order, outcome, tookMs);
     return outcome;
   }
 
--- a/packages/routing/src/core/adapters/sequenced-orders.ts
+++ b/packages/routing/src/core/adapters/sequenced-orders.ts
@@ -36,6 +36,7 @@
   [OrderOutcome.Misdirected]: () => undefined,
   [OrderOutcome.Refused]: () => undefined,
   [OrderOutcome.Unreachable]: () => undefined,
+  [OrderOutcome.Withheld]: (sequence) => sequence,
 };
 
 /** Thrown when the engine holds no base model, so that all that is known about it is invalid. */
--- a/packages/routing/src/core/adapters/types.ts
+++ b/packages/routing/src/core/adapters/types.ts
@@ -44,6 +44,8 @@
   Refused = 'refused',
   /** The engine could not be reached and has not received the order. */
   Unreachable = 'unreachable',
+  /** Not sent: what the engine has declared meanwhile rules out orders. */
+  Withheld = 'withheld',
   /** No usable response; the engine may be carrying out the order. */
   Unknown = 'unknown',
 }
@@ -61,6 +63,8 @@
    * short notice.
    */
   readonly remainingMs: number | undefined;
+  /** Whether the engine is shutting down. */
+  readonly isLeaving: boolean;
   readonly models: readonly ResidentModel[];
   /** Adapters that are being loaded. */
   readonly loading: readonly { readonly model: string; readonly adapter: string; readonly version: number }[];
@@ -82,7 +86,7 @@
   readonly isOpen: boolean;
   /**
    * Sends an order. Does not reject.
-   * @returns The outcome as far as the response shows it; unreachable when the order was not sent.
+   * @returns The outcome as far as the response shows it; unreachable or withheld when the order was not sent.
    */
   order(order: EngineOrder): Promise<OrderOutcome>;
   /**
--- a/packages/routing/src/core/availability/index.ts
+++ b/packages/routing/src/core/availability/index.ts
@@ -1,5 +1,5 @@
-/** What replicas declare about whether they accept requests. */
-export type { Availability, ReplicaDeclaration } from './types.js';
+/** What replicas declare about whether they accept what is sent to them. */
+export type { Availability, LeavingReplica, ReplicaDeclaration } from './types.js';
 export { AvailabilityState, DeclarationSource } from './types.js';
-export type { ReplicaAvailabilityOptions } from './availability.js';
+export type { LeavingListener, ReplicaAvailabilityOptions } from './availability.js';
 export { ReplicaAvailability } from './availability.js';
--- a/packages/routing/src/core/availability/types.ts
+++ b/packages/routing/src/core/availability/types.ts
@@ -1,4 +1,4 @@
-/** What replicas declare about whether they accept requests. */
+/** What replicas declare about whether they accept what is sent to them. */
 
 /** Where a declaration was read. */
 export enum DeclarationSource {
@@ -20,11 +20,13 @@
   readonly retryAfterMs: number;
 }
 
-/** Whether a replica accepts requests, as far as this daemon knows. */
+/** Whether a replica accepts what is sent to it, as far as this daemon knows. */
 export enum AvailabilityState {
   Accepting = 'accepting',
   /** The replica has asked this daemon to send it nothing for a while. */
   Backoff = 'backoff',
+  /** The registry no longer lists the replica. */
+  Unlisted = 'unlisted',
   /** The replica is shutting down. */
   Leaving = 'leaving',
 }
@@ -32,6 +34,14 @@
 /** A state and since when it holds. */
 export interface Availability {
   readonly state: AvailabilityState;
-  /** Time since the declaration, in milliseconds; 0 while the replica accepts requests. */
+  /** Time since the declaration, in milliseconds; 0 while the replica accepts what is sent to it. */
   readonly forMs: number;
 }
+
+/** A replica that leaves, as daemons tell each other. */
+export interface LeavingReplica {
+  /** Incarnation of the replica. */
+  readonly replica: string;
+  /** Monotonic time of this daemon at which the replica was first known to leave, in milliseconds. */
+  readonly since: number;
+}
--- a/packages/routing/src/core/channels/channel.ts
+++ b/packages/routing/src/core/channels/channel.ts
@@ -9,7 +9,7 @@
 import type { Dispatcher } from 'undici';
 import { Client } from 'undici';
 
-import type { ResponseSink, HeaderMap, ExchangeHandle, UpstreamCall } from './types.js';
+import type { ResponseSink, HeaderMap, ExchangeHandle, UpstreamCall, ExchangePurpose } from './types.js';
 import { ChannelFailure } from './types.js';
 
 const FIRST_FINAL_STATUS = 200;
@@ -31,6 +31,8 @@
   readonly host: string;
   readonly port: number;
   readonly connectTimeoutMs: number;
+  /** Returns why an exchange must not be sent now; undefined when it may be. */
+  readonly refusal: (purpose: ExchangePurpose) => string | undefined;
   /** Called with the head of each response. */
   readonly onResponseHead: (status: number, headers: HeaderMap) => void;
   /** Called once, when the channel takes no further exchange. */
@@ -75,14 +77,16 @@
    * @param sink - Called at each step of the exchange.
    */
   send(call: UpstreamCall, sink: ResponseSink): ExchangeHandle {
-    const exchange = new Exchange(
+    const { refusal, onResponseHead } = this.options;
+    const exchange = new Exchange({
       sink,
-      this.options.onResponseHead,
-      () => this.wasReset,
-      () => {
+      refusal: () => refusal(call.purpose),
+      onResponseHead,
+      wasReset: () => this.wasReset,
+      onConnectionClosing: () => {
         this.isClosing = true;
       },
-    );
+    });
     const options = {
       method: call.method,
       path: call.path,
@@ -155,6 +159,16 @@
   }
 }
 
+/** What an exchange needs of its channel. */
+interface ExchangeContext {
+  readonly sink: ResponseSink;
+  /** Returns why the request must not be written now; undefined when it may be. */
+  readonly refusal: () => string | undefined;
+  readonly onResponseHead: ChannelOptions['onResponseHead'];
+  readonly wasReset: () => boolean;
+  readonly onConnectionClosing: () => void;
+}
+
 /** One exchange; undici calls its handler methods. */
 class Exchange implements Dispatcher.DispatchHandler, ExchangeHandle {
   private controller: Dispatcher.DispatchController | undefined;
@@ -165,12 +179,7 @@
 
   private hasLength = true;
 
-  constructor(
-    private readonly sink: ResponseSink,
-    private readonly onResponseHead: ChannelOptions['onResponseHead'],
-    private readonly wasReset: () => boolean,
-    private readonly onConnectionClosing: () => void,
-  ) {}
+  constructor(private readonly context: ExchangeContext) {}
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
     // undici may retry a request on a second connection when the first one closed; it must never be sent
@@ -180,30 +189,38 @@
       this.fail(new Error('The connection closed before the response.'));
       return;
     }
+    const refusal = this.context.refusal();
+    if (refusal !== undefined) {
+      const err = new Error(refusal);
+      this.withhold(err);
+      controller.abort(err);
+      return;
+    }
     this.controller = controller;
-    this.sink.onSent();
+    this.context.sink.onSent();
   }
 
   onResponseStart(_controller: Dispatcher.DispatchController, status: number, headers: HeaderMap): void {
     if (status < FIRST_FINAL_STATUS || this.hasEnded) return;
     this.hasLength = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
-    if (!this.hasLength || hasCloseHeader(headers)) this.onConnectionClosing();
-    this.onResponseHead(status, headers);
-    this.sink.onHead(status, headers);
+    const { sink, onResponseHead, onConnectionClosing } = this.context;
+    if (!this.hasLength || hasCloseHeader(headers)) onConnectionClosing();
+    onResponseHead(status, headers);
+    sink.onHead(status, headers);
   }
 
   onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
-    if (!this.hasEnded) this.sink.onData(chunk);
+    if (!this.hasEnded) this.context.sink.onData(chunk);
   }
 
   onResponseEnd(): void {
     if (this.hasEnded) return;
-    if (!this.hasLength && this.wasReset()) {
+    if (!this.hasLength && this.context.wasReset()) {
       this.fail(new Error('The connection was reset during a response without a length.'));
       return;
     }
     this.hasEnded = true;
-    this.sink.onEnd();
+    this.context.sink.onEnd();
   }
 
   onResponseError(_controller: Dispatcher.DispatchController, err: Error): void {
@@ -214,7 +231,13 @@
     if (this.hasEnded) return;
     this.hasEnded = true;
     const failureAfterSend = this.isCancelled ? ChannelFailure.Cancelled : ChannelFailure.Broken;
-    this.sink.onFail(this.controller === undefined ? ChannelFailure.NotSent : failureAfterSend, err);
+    this.context.sink.onFail(this.controller === undefined ? ChannelFailure.NotSent : failureAfterSend, err);
+  }
+
+  private withhold(err: Error): void {
+    if (this.hasEnded) return;
+    this.hasEnded = true;
+    this.context.sink.onFail(ChannelFailure.Withheld, err);
   }
 
   cancel(reason: string): void {
--- a/packages/routing/src/core/channels/exclusive-channel.ts
+++ b/packages/routing/src/core/channels/exclusive-channel.ts
@@ -8,7 +8,7 @@
  */
 import type { Channel } from './channel.js';
 import { ChannelFailure } from './types.js';
-import type { UpstreamCall } from './types.js';
+import type { ExchangePurpose, UpstreamCall } from './types.js';
 import type { ExchangeOptions, BufferedResponse } from './buffered-response.js';
 import { ExchangeError, bufferResponse } from './buffered-response.js';
 
@@ -21,8 +21,12 @@
 
   /**
    * @param channel - A channel that nothing else uses.
+   * @param refusal - Returns why a call must not be sent now; undefined when it may be.
    */
-  constructor(private readonly channel: Channel) {}
+  constructor(
+    private readonly channel: Channel,
+    private readonly refusal: (purpose: ExchangePurpose) => string | undefined,
+  ) {}
 
   /** Whether the channel can take another call. */
   get isOpen(): boolean {
@@ -32,7 +36,8 @@
   /**
    * Runs a call when the previous ones have ended.
    * @returns The complete response.
-   * @throws ExchangeError when the connection is closed, or closes before the response is complete.
+   * @throws ExchangeError when the connection is closed, or closes before the response is complete; or when the
+   * call is withheld, which leaves the connection open.
    */
   call(call: UpstreamCall, options: ExchangeOptions): Promise<BufferedResponse> {
     const response = this.lastCall.then(() => this.execute(call, options));
@@ -48,6 +53,8 @@
 
   private async execute(call: UpstreamCall, options: ExchangeOptions): Promise<BufferedResponse> {
     if (!this.isOpen) throw new ExchangeError(ChannelFailure.NotSent, 'The connection is closed.');
+    const refusal = this.refusal(call.purpose);
+    if (refusal !== undefined) throw new ExchangeError(ChannelFailure.Withheld, refusal);
     try {
       const response = await bufferResponse((sink) => this.channel.send(call, sink), options);
       if (!this.channel.isUsable) this.close();
--- a/packages/routing/src/core/channels/pool.ts
+++ b/packages/routing/src/core/channels/pool.ts
@@ -1,7 +1,7 @@
 /** Pool of connections to all replicas; the idle connection that was used last is reused first. */
 import { Channel } from './channel.js';
 import { ExclusiveChannel } from './exclusive-channel.js';
-import type { ResponseMonitor, ResponseSink, ExchangeHandle, UpstreamCall } from './types.js';
+import type { UpstreamGuard, ResponseSink, ExchangeHandle, UpstreamCall } from './types.js';
 import { ChannelFailure } from './types.js';
 
 /** Timeout of a connection attempt; replicas accept one in about a millisecond. */
@@ -15,8 +15,8 @@
   readonly port: number;
 }
 
-/** For upstreams whose responses declare nothing about themselves. */
-const NO_MONITOR: ResponseMonitor = { onResponseHead: () => undefined };
+/** For upstreams that declare nothing about themselves. */
+const NO_GUARD: UpstreamGuard = { refusal: () => undefined, onResponseHead: () => undefined };
 
 /** Opens, reuses and closes this daemon's connections to replicas. */
 export class ChannelPool {
@@ -27,13 +27,15 @@
   /** Number of connections opened since process start. */
   openedCount = 0;
 
-  constructor(private readonly monitor: ResponseMonitor = NO_MONITOR) {}
+  constructor(private readonly guard: UpstreamGuard = NO_GUARD) {}
 
   /**
    * Sends a request to a replica on an idle connection or a new one.
    * @param sink - Called at each step of the exchange.
    */
   send(upstream: UpstreamAddress, call: UpstreamCall, sink: ResponseSink): ExchangeHandle {
+    const refusal = this.guard.refusal(upstream.id, call.purpose);
+    if (refusal !== undefined) return withhold(sink, refusal);
     const channel = this.acquire(upstream);
     return channel.send(call, {
       onSent: () => sink.onSent(),
@@ -56,7 +58,9 @@
    * @param onClosed - Called once, when the channel takes no further call.
    */
   openExclusive(upstream: UpstreamAddress, onClosed: () => void): ExclusiveChannel {
-    return new ExclusiveChannel(this.create(upstream, onClosed));
+    return new ExclusiveChannel(this.create(upstream, onClosed), (purpose) =>
+      this.guard.refusal(upstream.id, purpose),
+    );
   }
 
   /** Closes the idle connections to a replica that no longer exists. */
@@ -90,7 +94,8 @@
       host,
       port,
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
-      onResponseHead: (status, headers) => this.monitor.onResponseHead(id, status, headers),
+      refusal: (purpose) => this.guard.refusal(id, purpose),
+      onResponseHead: (status, headers) => this.guard.onResponseHead(id, status, headers),
       onClosed,
     });
     channels.add(channel);
@@ -107,3 +112,15 @@
     this.idleChannels.set(id, idle);
   }
 }
+
+/** Fails an exchange without using a connection; the sink is called after the return, as for other failures. */
+function withhold(sink: ResponseSink, refusal: string): ExchangeHandle {
+  let hasEnded = false;
+  const fail = (reason: string): void => {
+    if (hasEnded) return;
+    hasEnded = true;
+    sink.onFail(ChannelFailure.Withheld, new Error(reason));
+  };
+  queueMicrotask(() => fail(refusal));
+  return { cancel: fail };
+}
--- a/packages/routing/src/core/channels/types.ts
+++ b/packages/routing/src/core/channels/types.ts
@@ -3,8 +3,25 @@
 /** Headers of a response, by name in lower case. */
 export type HeaderMap = Readonly<Record<string, string | readonly string[] | undefined>>;
 
+/** What an exchange is for; what an upstream has declared may rule out some purposes and not others. */
+export enum ExchangePurpose {
+  /** A request of a caller, the first attempt or a retry. */
+  Request = 'request',
+  /** A migrated stream that goes on where the state of its run was copied to. */
+  Continuation = 'continuation',
+  /** An order to an engine. */
+  Order = 'order',
+  /** A request for the report of an engine. */
+  Report = 'report',
+  /** A request to copy the state of a run to another engine. */
+  RunCopy = 'run-copy',
+  /** A read of the platform's store, which is no replica. */
+  StoreRead = 'store-read',
+}
+
 /** A request to a replica. */
 export interface UpstreamCall {
+  readonly purpose: ExchangePurpose;
   readonly method: string;
   /** Path with the query. */
   readonly path: string;
@@ -21,6 +38,8 @@
   Broken = 'broken',
   /** This daemon cancelled the request after it was sent, so it may have run. */
   Cancelled = 'cancelled',
+  /** Nothing was sent, as the upstream has declared that it takes no such exchange now. */
+  Withheld = 'withheld',
 }
 
 /** Callbacks for the steps of an exchange; none is called after the end or a failure. */
@@ -37,8 +56,14 @@
   onFail(failure: ChannelFailure, err: Error): void;
 }
 
-/** Reads the heads of all responses on the connections of a pool. */
-export interface ResponseMonitor {
+/** Decides which exchanges of a pool may be sent, and reads the heads of all responses. */
+export interface UpstreamGuard {
+  /**
+   * Returns why an exchange must not be sent now; undefined when it may be. Called before a connection is used,
+   * and again in the step that writes the request, as setting up a connection takes a while.
+   * @param upstream - Id of the upstream.
+   */
+  refusal(upstream: string, purpose: ExchangePurpose): string | undefined;
   /**
    * Called with the head of each response, before the sink of its exchange.
    * @param upstream - Id of the upstream that the exchange was sent to.
--- a/packages/routing/src/core/choice/chooser.ts
+++ b/packages/routing/src/core/choice/chooser.ts
@@ -106,7 +106,7 @@
   readonly residency: ResidencyTable;
   readonly inFlight: InFlightTable;
   readonly health: ReplicaHealth;
-  /** Whether the limits that the replica declares allow another request now. */
+  /** Whether what the replica has declared allows another request now. */
   readonly mayReceive: (replica: string) => boolean;
   /** Failure domain of this daemon. */
   readonly zone: string;
@@ -156,7 +156,8 @@
    * its service has no other.
    */
   acceptsRequests({ id, service }: ReplicaEntry): boolean {
-    return this.options.registry.readyReplicas(service).some((ready) => ready.id === id);
+    const { registry, mayReceive } = this.options;
+    return mayReceive(id) && registry.readyReplicas(service).some((ready) => ready.id === id);
   }
 
   /** Returns the replicas that can take the request, with their requests in flight. */
--- a/packages/routing/src/core/daemon/services.ts
+++ b/packages/routing/src/core/daemon/services.ts
@@ -9,18 +9,20 @@
 import type { Metrics, Service, ServiceFinder, TimerHandle } from '@celeryyoke/core';
 import { createMetrics } from '@celeryyoke/core';
 
-import { ResidencyTable, AdapterLoader } from '../adapters/index.js';
+import type { EngineControl } from '../adapters/index.js';
+import { ResidencyTable, AdapterLoader, observeReports } from '../adapters/index.js';
 import { AccountMetrics, AccountQuotas } from '../accounts/index.js';
-import { ReplicaAvailability } from '../availability/index.js';
+import { DeclarationSource, ReplicaAvailability } from '../availability/index.js';
 import { EngineLeases, FleetSettling, PauseDetector } from '../ownership/index.js';
 import { RetryBudget } from '../budget/index.js';
-import { ChannelPool } from '../channels/index.js';
+import { ChannelPool, ExchangePurpose } from '../channels/index.js';
 import { Chooser, InFlightTable, ReplicaHealth } from '../choice/index.js';
 import type { MemberRecord } from '../cluster/index.js';
 import { Cluster, createTcpTransport, MemberState } from '../cluster/index.js';
 import { ReplicaLimits } from '../limits/index.js';
 import { DisseminationTree, storeReaderRank, Topic } from '../dissemination/index.js';
 import { PromptAdmission } from '../pacing/index.js';
+import type { RunStateCopier } from '../requests/index.js';
 import { CallerTimeouts, StreamMigrator, RequestMetrics, RequestServer } from '../requests/index.js';
 import { FleetShare } from '../shares/index.js';
 import { ReplicaRegistry, StoreWatcher, RecordKind, ReplicatedStore } from '../view/index.js';
@@ -40,6 +42,14 @@
  * partitioned.
  */
 const MAX_FLEET_VIEW_AGE_MS = 1500;
+/**
+ * Maximum time for which a replica that leaves or is not listed any more may get requests if its service has no
+ * other, in milliseconds. An entry also disappears when the platform's registry was unavailable, and returns
+ * within 2 s.
+ */
+const MAX_LEAVING_GRACE_MS = 1500;
+/** Part of the drain time that is left for a declaration and a request to arrive, in milliseconds. */
+const LEAVING_MARGIN_MS = 500;
 
 /** State of a daemon that its parts share with its reload and its shutdown. */
 export interface RouterState {
@@ -79,14 +89,14 @@
     return [
       part(PART.view, [], () => new ReplicatedStore(timers)),
       part(PART.metrics, [], () => createMetrics()),
-      part(PART.availability, [], () => new ReplicaAvailability({ timers, log: this.options.log })),
+      part(PART.availability, [], () => this.createAvailability()),
       part(
         PART.channels,
         [PART.availability],
         (kernel) => this.createChannels(kernel),
         (pool) => pool.close(),
       ),
-      part(PART.control, [PART.channels], (kernel) => this.options.control(kernel.get(PART.channels))),
+      part(PART.control, [PART.channels, PART.availability], (kernel) => this.createControl(kernel)),
       part(PART.inFlight, [], () => new InFlightTable(timers)),
       part(PART.health, [], () => new ReplicaHealth(timers)),
       part(
@@ -95,7 +105,11 @@
         () => startPauseDetector(this.options),
         (pauses) => pauses.stop(),
       ),
-      part(PART.registry, [PART.view], (kernel) => new ReplicaRegistry(kernel.get(PART.view), timers)),
+      part(
+        PART.registry,
+        [PART.view, PART.availability],
+        (kernel) => new ReplicaRegistry(kernel.get(PART.view), kernel.get(PART.availability), timers),
+      ),
       part(PART.residency, [PART.registry], (kernel) => new ResidencyTable(kernel.get(PART.registry))),
       part(
         PART.cluster,
@@ -226,10 +240,25 @@
     ];
   }
 
+  private createAvailability(): ReplicaAvailability {
+    const { settings, timers, log } = this.options;
+    const leavingGraceMs = Math.min(MAX_LEAVING_GRACE_MS, settings.drainMs - LEAVING_MARGIN_MS);
+    return new ReplicaAvailability({ leavingGraceMs, timers, log });
+  }
+
+  private createControl(kernel: ServiceFinder): EngineControl & RunStateCopier {
+    const availability = kernel.get<ReplicaAvailability>(PART.availability);
+    const control = this.options.control(kernel.get(PART.channels));
+    return observeReports(control, (replica) =>
+      availability.recordLeaving(replica, DeclarationSource.Report),
+    );
+  }
+
   private createChannels(kernel: ServiceFinder): ChannelPool {
     const { dialect } = this.options;
     const availability = kernel.get<ReplicaAvailability>(PART.availability);
     return new ChannelPool({
+      refusal: (replica, purpose) => availability.refusal(replica, purpose),
       onResponseHead: (replica, status, headers) =>
         availability.recordDeclaration(replica, dialect.readDeclaration(status, headers)),
     });
@@ -497,13 +526,15 @@
     const cluster = kernel.get<Cluster>(PART.cluster);
     const view = kernel.get<ReplicatedStore>(PART.view);
     const limits = kernel.get<ReplicaLimits>(PART.limits);
+    const availability = kernel.get<ReplicaAvailability>(PART.availability);
     const share = kernel.get<FleetShare>(PART.share);
     const chooser = new Chooser({
       registry,
       residency,
       inFlight,
       health,
-      mayReceive: (replica) => limits.mayReceive(replica),
+      mayReceive: (replica) =>
+        availability.accepts(replica, ExchangePurpose.Request) && limits.mayReceive(replica),
       zone: settings.zone,
       now: timers.now,
       random: Math.random,
@@ -545,7 +576,7 @@
         admission: kernel.get(PART.admission),
         quotas: kernel.get(PART.quotas),
         limits,
-        availability: kernel.get(PART.availability),
+        availability,
         accountMetrics: new AccountMetrics(kernel.get<Metrics>(PART.metrics)),
         callerTimeouts: new CallerTimeouts(),
         migrator: new StreamMigrator({
--- a/packages/routing/src/core/daemon/types.ts
+++ b/packages/routing/src/core/daemon/types.ts
@@ -26,6 +26,8 @@
   readonly isFirstStart: boolean;
   /** Maximum duration of a graceful shutdown, in milliseconds. */
   readonly graceMs: number;
+  /** Time after which a replica that leaves gets no request, in milliseconds. */
+  readonly drainMs: number;
   /** Duration of the lease with which a daemon owns an engine, in milliseconds. */
   readonly leaseMs: number;
   /** Whether engines refuse an order whose fencing token is lower than one they have seen. */
--- a/packages/routing/src/core/requests/attempt.ts
+++ b/packages/routing/src/core/requests/attempt.ts
@@ -130,7 +130,8 @@
   }
 
   onFail(failure: ChannelFailure, err: Error): void {
-    if (failure === ChannelFailure.NotSent) this.settle(AttemptOutcome.NotRun, err.message);
+    if (failure === ChannelFailure.Withheld) this.settle(AttemptOutcome.Withheld, err.message);
+    else if (failure === ChannelFailure.NotSent) this.settle(AttemptOutcome.NotRun, err.message);
     // The head alone proves that the request was refused; the body may be missing.
     else if (this.metadata?.isMisdirected) this.settle(AttemptOutcome.Misdirected, err.message);
     else if (this.metadata?.isNotRun) this.settle(AttemptOutcome.NotRun, err.message);
--- a/packages/routing/src/core/requests/execution.ts
+++ b/packages/routing/src/core/requests/execution.ts
@@ -15,6 +15,7 @@
 import type { Route } from '../catalog/index.js';
 import { RouteKind } from '../catalog/index.js';
 import type { ChannelPool } from '../channels/index.js';
+import { ExchangePurpose } from '../channels/index.js';
 import type { Choice, InFlightTable, InFlightHandle, ReplicaHealth } from '../choice/index.js';
 import { requestAdapterKey } from '../choice/index.js';
 import type { ReplicaLimits } from '../limits/index.js';
@@ -51,10 +52,18 @@
 
 /** Outcomes after which it is certain that the replica did not run the request. */
 const NOT_RUN_OUTCOMES: ReadonlySet<AttemptOutcome> = new Set([
+  AttemptOutcome.Withheld,
   AttemptOutcome.NotRun,
   AttemptOutcome.Misdirected,
 ]);
 
+/** Outcomes that say nothing about the health of the replica. */
+const WITHOUT_VERDICT: ReadonlySet<AttemptOutcome> = new Set([
+  AttemptOutcome.Cancelled,
+  AttemptOutcome.Misdirected,
+  AttemptOutcome.Withheld,
+]);
+
 /** Components of the daemon that an execution uses. */
 export interface ExecutionDependencies extends FinderDependencies {
   readonly dialect: RequestDialect;
@@ -252,8 +261,8 @@
         return undefined;
       }
       if (admission === PrefillAdmission.Full) return undefined;
-      if (admission === PrefillAdmission.Delayed && !chooser.acceptsRequests(replica)) return undefined;
       // A migrated stream can't continue on another replica, as the state of its run was copied to this one.
+      if (continuation === undefined && !chooser.acceptsRequests(replica)) return undefined;
       const isAdmitted = await this.parts.limits.admit(replica.id);
       if (this.hasEnded || (!isAdmitted && continuation === undefined)) return undefined;
       return await this.sendAttempt(choice, continuation, handle);
@@ -279,7 +288,8 @@
       lastEventId: this.relay?.lastEventId,
       continuation,
     });
-    const call = { method: head.method, path: head.target, headers, body };
+    const purpose = continuation === undefined ? ExchangePurpose.Request : ExchangePurpose.Continuation;
+    const call = { purpose, method: head.method, path: head.target, headers, body };
     this.attemptCount += 1;
     const sentAt = timers.now();
     this.sentAfterMs = Math.round(sentAt - this.options.arrivedAt);
@@ -389,7 +399,7 @@
    * @returns Whether another attempt is to be made.
    */
   private handleResult({ replica }: Choice, result: AttemptResult): boolean {
-    this.finder.tried.add(replica.id);
+    if (result.outcome !== AttemptOutcome.Withheld) this.finder.tried.add(replica.id);
     this.logAttempt(replica, result);
     if (this.hasEnded) return false;
     return dispatchResult(this, replica, result);
@@ -430,6 +440,12 @@
     return this.refusals < MAX_REFUSALS && this.tryReserveRetry();
   }
 
+  /** The replica takes no requests any more, and was sent nothing: another one is tried like after a refusal. */
+  onWithheld(): boolean {
+    if (this.possibleRuns > 0 && !this.isRetryable) return false;
+    return this.tryReserveRetry();
+  }
+
   /**
    * The replica is gone or lacks the adapter: marks the adapter as absent there, which the next choice takes
    * into account.
@@ -549,7 +565,7 @@
 /** Records the result of an attempt in the health of its replica. */
 function recordHealth(replica: ReplicaEntry, result: AttemptResult, health: ReplicaHealth): void {
   const { outcome, response, wasSent, firstByteMs } = result;
-  if (outcome === AttemptOutcome.Cancelled || outcome === AttemptOutcome.Misdirected) return;
+  if (WITHOUT_VERDICT.has(outcome)) return;
   if (outcome === AttemptOutcome.NotRun && !wasSent) health.recordUnreachable(replica.id);
   else {
     const isFailure = response !== undefined && response.status >= MIN_FAILURE_STATUS;
@@ -569,6 +585,7 @@
   [AttemptOutcome.Responded]: (execution, _replica, { response }) => execution.onResponse(response!),
   [AttemptOutcome.Relayed]: (execution) => execution.onRelayed(),
   [AttemptOutcome.NotRun]: (execution) => execution.onNotRun(),
+  [AttemptOutcome.Withheld]: (execution) => execution.onWithheld(),
   [AttemptOutcome.Misdirected]: (execution, replica) => execution.onMisdirected(replica),
   [AttemptOutcome.Unknown]: (execution) => execution.onOutcomeUnknown(),
   [AttemptOutcome.BrokenStream]: (execution) => execution.onBrokenStream(),
--- a/packages/routing/src/core/requests/types.ts
+++ b/packages/routing/src/core/requests/types.ts
@@ -120,6 +120,8 @@
   Relayed = 'relayed',
   /** The replica certainly did not run the request. */
   NotRun = 'notRun',
+  /** Not sent: what the replica has declared meanwhile rules it out. */
+  Withheld = 'withheld',
   /** Not run: another replica responded, or it lacks the adapter or its version. */
   Misdirected = 'misdirected',
   /** The request may have run, and there is no usable response. */
--- a/packages/routing/src/core/view/registry.ts
+++ b/packages/routing/src/core/view/registry.ts
@@ -4,7 +4,10 @@
  */
 import type { TimerService } from '@celeryyoke/core';
 
+import type { ReplicaAvailability } from '../availability/index.js';
+import { DeclarationSource } from '../availability/index.js';
 import { RouteTable } from '../catalog/index.js';
+import { ExchangePurpose } from '../channels/index.js';
 import type { Change, ReplicaEntry, ReplicaStart } from './types.js';
 import { RecordKind, replicaId, ReplicaState } from './types.js';
 import type { ReplicatedStore } from './replicated-store.js';
@@ -16,14 +19,6 @@
   readonly receivedAt: number;
 }
 
-/**
- * Time for which a replica that left may still be chosen if its service has no other, in milliseconds. An
- * entry also disappears when the platform's registry was unavailable, and returns within 2 s. A leaving
- * replica must not get new requests after 2 s; the difference allows for the time that the change and the
- * request take.
- */
-const DEPARTED_SELECTABLE_MS = 1500;
-
 /**
  * Maximum number of replicas whose latest start is remembered; the one updated least recently is dropped
  * first.
@@ -49,8 +44,8 @@
 
   private readonly replicas = new Map<string, ReplicaEntry>();
 
-  /** Replicas that left recently, by id, with the monotonic time in milliseconds. */
-  private readonly departed = new Map<string, { readonly entry: ReplicaEntry; readonly at: number }>();
+  /** Replicas that leave or are not listed any more, by id, while they may still get requests. */
+  private readonly departed = new Map<string, ReplicaEntry>();
 
   /** Ids of the listed replicas, by key of their record. */
   private readonly idOfKey = new Map<string, string>();
@@ -66,9 +61,11 @@
 
   constructor(
     view: ReplicatedStore,
+    private readonly availability: ReplicaAvailability,
     private readonly timers: TimerService,
   ) {
     view.onChange((change) => this.applyChange(change));
+    availability.onLeaving(({ replica }) => this.markLeaving(replica));
   }
 
   /** Subscribes to changes of replicas; the listener is called after each. */
@@ -105,9 +102,8 @@
 
   private recentlyDeparted(service: string): ReplicaEntry[] {
     const found: ReplicaEntry[] = [];
-    const oldest = this.timers.now() - DEPARTED_SELECTABLE_MS;
-    for (const [id, { entry, at }] of this.departed) {
-      if (at < oldest) this.departed.delete(id);
+    for (const [id, entry] of this.departed) {
+      if (!this.availability.accepts(id, ExchangePurpose.Request)) this.departed.delete(id);
       else if (entry.service === service) found.push(entry);
     }
     return found;
@@ -171,16 +167,35 @@
   }
 
   private applyReplica(key: string, received: ReplicaEntry): void {
-    const entry = this.withLatestStart(received);
-    if (entry === undefined) return;
+    const started = this.withLatestStart(received);
+    if (started === undefined) return;
+    const entry = this.withDeclaredState(started);
     // All state of an earlier incarnation is void, so listeners are notified of its removal.
     const knownId = this.idOfKey.get(key);
     if (knownId !== undefined && knownId !== entry.id) this.removeReplica(key);
     const before = this.replicas.get(entry.id);
     this.idOfKey.set(key, entry.id);
+    this.availability.recordListed(entry.id, true);
+    this.store(entry, before);
+  }
+
+  /** Merges the state of an entry with what the replica has declared otherwise: it never stops leaving. */
+  private withDeclaredState(entry: ReplicaEntry): ReplicaEntry {
+    if (entry.state === ReplicaState.Leaving)
+      this.availability.recordLeaving(entry.id, DeclarationSource.Entry);
+    return this.availability.isLeaving(entry.id) ? { ...entry, state: ReplicaState.Leaving } : entry;
+  }
+
+  private markLeaving(id: string): void {
+    const before = this.replicas.get(id);
+    if (before?.state !== ReplicaState.Ready) return;
+    this.store({ ...before, state: ReplicaState.Leaving }, before);
+  }
+
+  private store(entry: ReplicaEntry, before: ReplicaEntry | undefined): void {
     this.replicas.set(entry.id, entry);
     if (entry.state === ReplicaState.Ready) this.departed.delete(entry.id);
-    else this.recordDeparture(entry);
+    else this.departed.set(entry.id, entry);
     for (const listener of this.replicaListeners) listener(entry.id, entry, before);
   }
 
@@ -190,11 +205,8 @@
     this.idOfKey.delete(key);
     const entry = this.replicas.get(id);
     this.replicas.delete(id);
-    if (entry !== undefined) this.recordDeparture(entry);
+    this.availability.recordListed(id, false);
+    if (entry !== undefined) this.departed.set(id, entry);
     for (const listener of this.replicaListeners) listener(id, undefined, entry);
   }
-
-  private recordDeparture(entry: ReplicaEntry): void {
-    if (!this.departed.has(entry.id)) this.departed.set(entry.id, { entry, at: this.timers.now() });
-  }
 }
--- a/packages/routing/test/channels.test.ts
+++ b/packages/routing/test/channels.test.ts
@@ -3,7 +3,7 @@
 
 import { createSystemTimers } from '@celeryyoke/core';
 import type { ResponseSink, ExclusiveChannel } from '@celeryyoke/routing';
-import { ChannelFailure, ChannelPool, ExchangeError } from '@celeryyoke/routing';
+import { ChannelFailure, ChannelPool, ExchangeError, ExchangePurpose } from '@celeryyoke/routing';
 import test from 'ava';
 
 import type { RawReplica, RawRequest } from './raw.js';
@@ -36,6 +36,7 @@
       onFail: (failure) => settle(failure),
     };
     const call = {
+      purpose: ExchangePurpose.Request,
       method: body === undefined ? 'GET' : 'POST',
       path: '/x',
       headers: ['host', 'h'],
@@ -181,7 +182,13 @@
     onEnd: () => undefined,
     onFail: () => undefined,
   };
-  const call = { method: 'POST', path: '/x', headers: ['host', 'h'], body: Buffer.from('body') };
+  const call = {
+    purpose: ExchangePurpose.Request,
+    method: 'POST',
+    path: '/x',
+    headers: ['host', 'h'],
+    body: Buffer.from('body'),
+  };
   const handle = pool.send({ id: 'r', host: '127.0.0.1', port: replica.port }, call, sink);
   // Cancelled only when the request has arrived for certain, however busy the machine is.
   events.once('arrived', () => handle.cancel('test'));
@@ -202,7 +209,13 @@
   ));
 
 const EMPTY_RESPONSE = 'HTTP/1.1 200 OK\r\nKeep-Alive: timeout=10\r\nContent-Length: 0\r\n\r\n';
-const CALL = { method: 'GET', path: '/x', headers: ['host', 'h'], body: undefined };
+const CALL = {
+  purpose: ExchangePurpose.Request,
+  method: 'GET',
+  path: '/x',
+  headers: ['host', 'h'],
+  body: undefined,
+};
 const READ_OPTIONS = { timers: createSystemTimers(), timeoutMs: 800 };
 
 /** Runs a test with an exclusive channel to a scripted replica. */
@@ -254,3 +267,46 @@
       t.is(raw.connections(), 1);
     },
   ));
+
+// Guards against a declaration that comes while the connection for a request is being set up.
+test('a request is withheld if its replica is ruled out when it would be written', async (t) => {
+  const replica = await startRawReplica(() => undefined);
+  let asked = 0;
+  const refusal = (): string | undefined => {
+    asked += 1;
+    return asked === 1 ? undefined : 'leaving';
+  };
+  const pool = new ChannelPool({ refusal, onResponseHead: () => undefined });
+  t.like(await exchange(pool, replica.port), { end: ChannelFailure.Withheld, wasSent: false });
+  t.like(await exchange(pool, replica.port), { end: ChannelFailure.Withheld, wasSent: false });
+  t.is(replica.connections(), 1);
+  t.deepEqual(replica.requests, []);
+  pool.close();
+  await replica.close();
+});
+
+test('a call that is withheld leaves an exclusive connection open', async (t) => {
+  const replica = await startRawReplica(({ socket }) => socket.write(`${OK_HEAD}Content-Length: 0\r\n\r\n`));
+  let isRuledOut = false;
+  const refusal = (): string | undefined => (isRuledOut ? 'leaving' : undefined);
+  const pool = new ChannelPool({ refusal, onResponseHead: () => undefined });
+  const channel = pool.openExclusive({ id: 'r', host: '127.0.0.1', port: replica.port }, () => undefined);
+  const order = {
+    purpose: ExchangePurpose.Order,
+    method: 'POST',
+    path: '/',
+    headers: ['host', 'h'],
+    body: undefined,
+  };
+  const options = { timers: createSystemTimers(), timeoutMs: 1000 };
+  await channel.call(order, options);
+  isRuledOut = true;
+  const err = await t.throwsAsync(channel.call(order, options), { instanceOf: ExchangeError });
+  t.is(err.failure, ChannelFailure.Withheld);
+  isRuledOut = false;
+  await channel.call(order, options);
+  t.is(replica.connections(), 1);
+  t.is(replica.requests.length, 2);
+  pool.close();
+  await replica.close();
+});
--- a/packages/routing/test/chooser.test.ts
+++ b/packages/routing/test/chooser.test.ts
@@ -12,14 +12,14 @@
 } from '@celeryyoke/routing';
 import test from 'ava';
 
-import { engineEntry, MODEL } from './fakes.js';
+import { createAvailability, engineEntry, MODEL } from './fakes.js';
 
 const SLOTS = 8;
 
 function setUp() {
   const timers = createManualTimers();
   const view = new ReplicatedStore(timers);
-  const registry = new ReplicaRegistry(view, timers);
+  const registry = new ReplicaRegistry(view, createAvailability(timers), timers);
   const changes = ['e1', 'e2'].map((id, index) => ({
     key: id,
     revision: index + 1,
--- a/packages/routing/test/fakes.ts
+++ b/packages/routing/test/fakes.ts
@@ -10,11 +10,19 @@
   ReplicaEntry,
   RoutingDocument,
 } from '@celeryyoke/routing';
-import { OrderKind, OrderOutcome, ReplicaState, RouteKind } from '@celeryyoke/routing';
+import { OrderKind, OrderOutcome, ReplicaAvailability, ReplicaState, RouteKind } from '@celeryyoke/routing';
 
 export const MODEL = 'base';
 export const log = createSilentLog();
 
+/** Time for which a replica that leaves may still get requests, in milliseconds. */
+const LEAVING_GRACE_MS = 1500;
+
+/** Creates the table of what replicas have declared. */
+export function createAvailability(timers: TimerService): ReplicaAvailability {
+  return new ReplicaAvailability({ leavingGraceMs: LEAVING_GRACE_MS, timers, log });
+}
+
 /** Makes the registry entry of an engine. */
 export function engineEntry(id: string, models: readonly ResidentModel[] = []): ReplicaEntry {
   return {
@@ -174,6 +182,7 @@
     sequence: this.sequence,
     running: undefined,
     remainingMs: undefined,
+    isLeaving: false,
     models: [
       {
         name: MODEL,
--- a/packages/routing/test/limits/fleet.ts
+++ b/packages/routing/test/limits/fleet.ts
@@ -1,7 +1,7 @@
 /** Simulates daemons that send an overloaded replica as much as they may, on the virtual clock. */
 import { ReplicaLimits, ReplicaRegistry } from '@celeryyoke/routing';
 
-import { log } from '../fakes.js';
+import { createAvailability, log } from '../fakes.js';
 import type { TestDaemon } from '../fleet/daemons.js';
 import { createFleetShare, TestFleet } from '../fleet/daemons.js';
 import { timersOf } from '../fleet/network.js';
@@ -75,7 +75,7 @@
   private addLimits(daemon: TestDaemon): void {
     const { address, cluster, tree, view } = daemon;
     const timers = timersOf(this.fleet.network, address);
-    const registry = new ReplicaRegistry(view, timers);
+    const registry = new ReplicaRegistry(view, createAvailability(timers), timers);
     const share = createFleetShare(this.fleet, daemon, true, WINDOW_MS);
     registry.replica = () => ({}) as ReturnType<ReplicaRegistry['replica']>;
     this.limits.set(
--- a/packages/routing/test/orders/simulated-engine.ts
+++ b/packages/routing/test/orders/simulated-engine.ts
@@ -274,6 +274,7 @@
       sequence: this.sequence,
       running: undefined,
       remainingMs: undefined,
+      isLeaving: false,
       models: this.hasModel ? [{ name: MODEL, version: 1, adapters }] : [],
       loading,
     };
--- a/packages/routing/test/repeats/execution-site.ts
+++ b/packages/routing/test/repeats/execution-site.ts
@@ -87,6 +87,7 @@
       chooser: {
         choose: ({ tried }: { tried: ReadonlySet<string> }) => this.choose(tried),
         minVersion: () => 0,
+        acceptsRequests: () => true,
       },
       ensure: (_replica: unknown, _ref: unknown, { patienceMs }: { patienceMs: number }) =>
         this.load(patienceMs),
--- a/packages/routing/test/replicated-store.test.ts
+++ b/packages/routing/test/replicated-store.test.ts
@@ -7,7 +7,7 @@
 import { ReplicaRegistry, RecordKind, replicaId, ReplicaState, ReplicatedStore } from '@celeryyoke/routing';
 import test from 'ava';
 
-import { engineEntry, sampleDocument } from './fakes.js';
+import { createAvailability, engineEntry, sampleDocument } from './fakes.js';
 
 function replica(id: string, revision: number, state = ReplicaState.Ready): Change {
   return {
@@ -37,7 +37,7 @@
 test('an older delta has no effect, full or not', (t) => {
   const timers = createManualTimers();
   const view = new ReplicatedStore(timers);
-  const registry = new ReplicaRegistry(view, timers);
+  const registry = new ReplicaRegistry(view, createAvailability(timers), timers);
   view.apply(whole(9, replica('a', 8, ReplicaState.Leaving)));
   view.apply(whole(5, replica('a', 4)));
   view.apply(delta(3, 5, replica('a', 4)));
@@ -48,7 +48,7 @@
 test('records missing from a newer full delta are removed', (t) => {
   const timers = createManualTimers();
   const view = new ReplicatedStore(timers);
-  const registry = new ReplicaRegistry(view, timers);
+  const registry = new ReplicaRegistry(view, createAvailability(timers), timers);
   view.apply(whole(5, replica('a', 2), replica('b', 3)));
   view.apply(whole(8, replica('b', 3)));
   t.is(registry.replica('a'), undefined);
@@ -81,7 +81,7 @@
 test('the configuration in force never reverts to an older version', (t) => {
   const timers = createManualTimers();
   const view = new ReplicatedStore(timers);
-  const registry = new ReplicaRegistry(view, timers);
+  const registry = new ReplicaRegistry(view, createAvailability(timers), timers);
   const document = (version: number, revision: number): Change => ({
     key: 'config',
     revision,
@@ -95,7 +95,7 @@
 test('a replica that left may be chosen briefly, and only if its service has no other', async (t) => {
   const timers = createManualTimers();
   const view = new ReplicatedStore(timers);
-  const registry = new ReplicaRegistry(view, timers);
+  const registry = new ReplicaRegistry(view, createAvailability(timers), timers);
   view.apply(whole(5, replica('a', 2), replica('b', 3)));
   view.apply(delta(5, 6, { key: 'r/a', revision: 6, record: undefined }));
   t.deepEqual(
@@ -123,7 +123,7 @@
 function setUpRegistry() {
   const timers = createManualTimers();
   const view = new ReplicatedStore(timers);
-  const registry = new ReplicaRegistry(view, timers);
+  const registry = new ReplicaRegistry(view, createAvailability(timers), timers);
   const events: string[] = [];
   registry.onReplica((id, entry) => events.push(entry === undefined ? `${id} gone` : id));
   const ids = () => [...registry.all()].map(({ id }) => id);
