availability: tell the other daemons which replicas leave

A replica that leaves went on getting new work from each daemon that it had not told itself, for as long as the store was silent: what one daemon read of it in a response or report stayed there, and a daemon that started later knew the entry only.

A new urgent topic of the shared state names the replica and the age of its declaration, so that the time for which requests are still allowed does not begin anew with each daemon. A backoff is not shared, as it concerns the host that was asked. Daemons that don't know the topic ignore it.

--- a/packages/routing/src/core/daemon/peer-protocol.ts
+++ b/packages/routing/src/core/daemon/peer-protocol.ts
@@ -2,6 +2,8 @@
 import type { TimerHandle, TimerService } from '@celeryyoke/core';
 
 import type { EnsureRequest, EngineResidency, ResidencyTable, AdapterLoader } from '../adapters/index.js';
+import type { LeavingReplica, ReplicaAvailability } from '../availability/index.js';
+import { DeclarationSource } from '../availability/index.js';
 import type { EngineLease, EngineLeases } from '../ownership/index.js';
 import type { InFlightFrame, InFlightReport, InFlightTable } from '../choice/index.js';
 import { decodeInFlight } from '../choice/index.js';
@@ -27,6 +29,7 @@
   readonly cluster: Cluster;
   readonly tree: DisseminationTree;
   readonly registry: ReplicaRegistry;
+  readonly availability: ReplicaAvailability;
   readonly leases: EngineLeases;
   readonly loader: AdapterLoader;
   readonly residency: ResidencyTable;
@@ -41,6 +44,12 @@
   readonly at: number;
 }
 
+/** Declarations that only this daemon may have read; entries reach all daemons, and peers tell each other. */
+const OWN_SOURCES: ReadonlySet<DeclarationSource> = new Set([
+  DeclarationSource.Report,
+  DeclarationSource.Response,
+]);
+
 /** Publishes what this daemon owns, and merges what its peers publish and report. */
 export class PeerProtocol {
   private readonly loadRows: VersionedTable<EngineLoadRow>;
@@ -56,7 +65,7 @@
 
   /** Registers the topics and the message handlers. */
   constructor(private readonly options: PeerProtocolOptions) {
-    const { cluster, registry, loader, tree, timers } = options;
+    const { cluster, registry, availability, loader, tree, timers } = options;
     const isListed = (replica: string): boolean => registry.replica(replica) !== undefined;
     this.loadRows = new VersionedTable(isListed);
     this.residencyRows = new VersionedTable(isListed);
@@ -65,6 +74,10 @@
     tree.register(Topic.EngineLoad, this.loadTopic());
     tree.register(Topic.Residency, this.residencyTopic());
     tree.register(Topic.ReplicaStart, this.startTopic());
+    tree.register(Topic.ReplicaLeaving, this.leavingTopic());
+    availability.onLeaving((leaving, source) => {
+      if (OWN_SOURCES.has(source)) tree.publish(Topic.ReplicaLeaving, leaving);
+    });
     cluster.handle(MessageType.EnsureAdapter, (_from, wanted: EnsureRequest) => loader.ensureLocally(wanted));
     cluster.handle(MessageType.InFlightReport, ({ address }, frame: InFlightFrame) =>
       this.mergeReport(address, decodeInFlight(frame)),
@@ -198,6 +211,23 @@
     };
   }
 
+  private leavingTopic(): TopicHandler<LeavingReplica> {
+    const { availability, registry, timers } = this.options;
+    return {
+      isUrgent: true,
+      keyOf: ({ replica }) => replica,
+      merge: ({ replica, since }) => availability.recordLeaving(replica, DeclarationSource.Peer, since),
+      snapshot: () =>
+        availability.leavingReplicas().filter(({ replica }) => registry.replica(replica) !== undefined),
+      // Daemons have different clocks, so the age is sent.
+      encode: ({ replica, since }) => [replica, Math.round(timers.now() - since)],
+      decode: (frame) => {
+        const [replica, ageMs] = frame as [string, number];
+        return { replica, since: timers.now() - ageMs };
+      },
+    };
+  }
+
   private startTopic(): TopicHandler<ReplicaStart> {
     const { registry } = this.options;
     return {
--- a/packages/routing/src/core/dissemination/types.ts
+++ b/packages/routing/src/core/dissemination/types.ts
@@ -16,6 +16,8 @@
   AccountQuota = 6,
   /** Rate limits that replicas state. */
   ReplicaLimit = 7,
+  /** Replicas that have told a daemon that they leave. */
+  ReplicaLeaving = 8,
 }
 
 /** Merges and encodes the rows of one topic. */
