requests: stop a run only for an engine that still takes its stream

A stream that moves off an engine at short notice kept the engine that was chosen for it: its run was stopped for the last copy although the other engine had meanwhile said that it leaves or wants a backoff, and the stream, withheld there, was lost.

The migration asks again in the step before it stops the run, and prepares another engine while there is time; without one the run goes on where it is.

--- a/packages/routing/src/core/daemon/services.ts
+++ b/packages/routing/src/core/daemon/services.ts
@@ -589,6 +589,7 @@
           registry,
           chooser,
           control: kernel.get(PART.control),
+          acceptsStream: (replica) => availability.accepts(replica, ExchangePurpose.Continuation),
           timers,
           log,
           ensure,
--- a/packages/routing/src/core/requests/migration.ts
+++ b/packages/routing/src/core/requests/migration.ts
@@ -75,6 +75,8 @@
   readonly registry: ReplicaRegistry;
   readonly chooser: Chooser;
   readonly control: Pick<EngineControl, 'report'> & RunStateCopier;
+  /** Whether what a replica has declared allows a migrated stream to be sent to it now. */
+  readonly acceptsStream: (replica: string) => boolean;
   readonly timers: TimerService;
   readonly log: DecisionLog;
   readonly ensure: EnsureAdapter;
@@ -138,16 +140,31 @@
     await timers
       .sleep(Math.max(0, this.remainingMs() - MIGRATION_LEAD_MS), this.streamEnd.signal)
       .catch(() => undefined);
-    const choice = await this.prepareTarget();
-    if (choice === undefined || this.hasEnded) return undefined;
-    const firstCopy = await control.copyRunState(replica, request, choice.replica, false);
-    if (firstCopy === undefined || this.hasEnded) return undefined;
+    const choice = await this.copyRunningState();
+    if (choice === undefined) return undefined;
     this.hasStoppedRun = true;
     const continuation = await control.copyRunState(replica, request, choice.replica, true);
     this.logMigration(choice.replica, continuation);
     return continuation === undefined ? undefined : { choice, continuation };
   }
 
+  /**
+   * Copies the state of the run to another engine while the run goes on.
+   * @returns The engine, which takes the stream at this moment; undefined when there is none, no copy, or the
+   *   stream has ended.
+   */
+  private async copyRunningState(): Promise<Choice | undefined> {
+    const { control, acceptsStream } = this.parts;
+    const { replica, request } = this.stream;
+    for (;;) {
+      const choice = await this.prepareTarget();
+      if (choice === undefined || this.hasEnded) return undefined;
+      const copy = await control.copyRunState(replica, request, choice.replica, false);
+      if (copy === undefined || this.hasEnded) return undefined;
+      if (acceptsStream(choice.replica.id)) return choice;
+    }
+  }
+
   /**
    * Chooses another engine for the stream and loads its adapter there; undefined when there is no time left or
    * the stream has ended.
--- a/packages/routing/test/repeats/execution-site.ts
+++ b/packages/routing/test/repeats/execution-site.ts
@@ -34,7 +34,7 @@
 const NOT_RUN = 503;
 const OK = 200;
 
-const ROUTE: Route = {
+export const ROUTE: Route = {
   name: 'batch',
   host: 'app.example',
   prefix: '/batch/',
@@ -77,7 +77,10 @@
 
   private readonly parts: ExecutionDependencies;
 
-  constructor(bounds: RetryBounds) {
+  /**
+   * @param overrides - Parts of the daemon that a test replaces.
+   */
+  constructor(bounds: RetryBounds, overrides: Partial<Record<keyof ExecutionDependencies, unknown>> = {}) {
     const { timers } = this;
     const callerTimeouts = new CallerTimeouts();
     callerTimeouts.record(ROUTE.name, TIMEOUT_MS);
@@ -128,6 +131,7 @@
       callerTimeouts,
       timers,
       log,
+      ...overrides,
     } as unknown as ExecutionDependencies;
   }
 
@@ -144,7 +148,7 @@
   async run(perSecond: number, ms: number): Promise<void> {
     const intervalMs = 1000 / perSecond;
     for (let passed = 0; passed < ms; passed += intervalMs) {
-      this.request();
+      void this.request();
       await this.timers.advance(intervalMs);
     }
   }
@@ -154,30 +158,36 @@
     return this.record.arrivedCount();
   }
 
-  private request(): void {
+  /**
+   * Sends a request.
+   * @returns The response to the caller, when it has ended.
+   */
+  async request(route: Route = ROUTE): Promise<FakeServerResponse> {
     this.lastId += 1;
     const id = `r${this.lastId}`;
     this.record.recordRequest(this.timers.now());
     const generation = { model: MODEL, adapter: id, promptTokens: 0, maxTokens: 10 };
+    const res = new FakeServerResponse();
     const execution = new RequestExecution(this.parts, {
       head: {
         id,
         method: 'POST',
-        host: ROUTE.host,
-        target: ROUTE.prefix,
+        host: route.host,
+        target: route.prefix,
         waitMs: TIMEOUT_MS,
         generation,
         lastEventId: undefined,
       } as never,
       body: undefined,
-      route: ROUTE,
+      route,
       service: 'engines',
       hasAccounts: false,
       account: undefined,
-      res: new FakeServerResponse() as unknown as ServerResponse,
+      res: res as unknown as ServerResponse,
       arrivedAt: this.timers.now(),
     });
-    void execution.run();
+    await execution.run();
+    return res;
   }
 
   private choose(tried: ReadonlySet<string>): Choice {
@@ -218,14 +228,18 @@
 }
 
 /** Response to a caller that reads everything. */
-class FakeServerResponse extends Writable {
+export class FakeServerResponse extends Writable {
   headersSent = false;
 
+  /** Status of the response; undefined before its head. */
+  status: number | undefined;
+
   constructor() {
     super({ write: (_chunk, _encoding, done) => done() });
   }
 
-  writeHead(): this {
+  writeHead(status: number): this {
+    this.status = status;
     this.headersSent = true;
     return this;
   }
