soak: count orders to replicas that leave or want a backoff

Orders are sent by daemons too, and a replica that leaves or wants a backoff wants none. Replicas note who sent each order, and both checks count them like requests.

--- a/packages/soak/src/core/checks/declarations.ts
+++ b/packages/soak/src/core/checks/declarations.ts
@@ -1,7 +1,7 @@
 /** Checks that daemons heed what replicas declare about themselves: that they leave, and that they want a rest. */
 import type { CallerAttempt } from '../callers/index.js';
 import type { Arrival, Interruption } from '../replicas/index.js';
-import { DRAIN_MS } from '../site/index.js';
+import { daemonNameOf, DRAIN_MS } from '../site/index.js';
 
 /** Time after a request to back off in which others may still be on their way, in milliseconds. */
 const BACKOFF_GRACE_MS = 500;
@@ -22,35 +22,37 @@
   readonly interruptions: readonly Interruption[];
 }
 
-/** Requests that one daemon should not have sent to one replica. */
+/** Requests and orders that one daemon should not have sent to one replica. */
 export interface HostViolation {
   readonly daemon: string;
   readonly replica: string;
-  /** Ids of the requests. */
-  readonly requests: readonly string[];
+  /** Ids of the requests; `order` for an order. */
+  readonly sent: readonly string[];
   /** Time from the declaration to the last of them, in milliseconds. */
   readonly afterMs: number;
 }
 
-/** An arrival and the attempt of the caller that caused it. */
+/** An arrival, and what caused it. */
 interface SentOn {
-  readonly attempt: CallerAttempt;
+  readonly daemon: string;
+  /** Attempt of the caller; undefined for an order. */
+  readonly attempt: CallerAttempt | undefined;
   readonly arrival: Arrival;
 }
 
 /**
- * Finds requests that callers sent later than {@link DRAIN_MS} after a daemon had passed on a response that says
- * that its replica leaves, and that reached that replica through the same daemon.
+ * Finds what reached a replica through a daemon that had passed on a response of it that says that it leaves:
+ * requests that callers sent, and orders that arrived, later than {@link DRAIN_MS} after.
  */
 export function checkLeaving(
   attempts: readonly CallerAttempt[],
   arrivals: readonly Arrival[],
-  { signals }: Excuses,
+  excuses: Excuses,
 ): HostViolation[] {
   return byDaemonAndReplica(attempts, arrivals).flatMap((sent) => {
-    const told = sent.flatMap(({ attempt: { toldLeavingAt } }) => toldLeavingAt ?? []);
-    const late = sent.filter(({ attempt: { daemon, sentAt }, arrival }) =>
-      told.some((at) => sentAt > at + DRAIN_MS && !wasSignalled(signals, daemon, at, arrival.at)),
+    const told = sent.flatMap(({ attempt }) => attempt?.toldLeavingAt ?? []);
+    const late = sent.filter((one) =>
+      told.some((at) => sentAt(one) > at + DRAIN_MS && !isExcused(excuses, one, at)),
     );
     return late.length === 0 ? [] : [violation(late, Math.min(...told))];
   });
@@ -63,63 +65,63 @@
   excuses: Excuses,
 ): HostViolation[] {
   return byDaemonAndReplica(attempts, arrivals).flatMap((sent) =>
-    sent.flatMap(({ attempt: { daemon }, arrival: { at, replica, retryAfterMs = 0 } }) => {
-      const late = sent.filter(({ arrival }) => {
-        const afterMs = arrival.at - at;
-        const isInBackoff = afterMs > BACKOFF_GRACE_MS && afterMs < retryAfterMs;
-        return isInBackoff && !isExcused(excuses, daemon, replica, at, arrival.at);
+    sent.flatMap(({ arrival: { at, retryAfterMs = 0 } }) => {
+      const late = sent.filter((one) => {
+        const afterMs = one.arrival.at - at;
+        return afterMs > BACKOFF_GRACE_MS && afterMs < retryAfterMs && !isExcused(excuses, one, at);
       });
       return late.length > MAX_IN_BACKOFF ? [violation(late, at)] : [];
     }),
   );
 }
 
-/** Groups the requests that replicas have read by the daemon that sent them on and the replica, in order. */
+/** Moment at which something was sent: a request by its caller; an order shows only when it has arrived. */
+function sentAt({ attempt, arrival }: SentOn): number {
+  return attempt?.sentAt ?? arrival.at;
+}
+
+/** Groups what replicas have read by the daemon that sent it and the replica, in order. */
 function byDaemonAndReplica(attempts: readonly CallerAttempt[], arrivals: readonly Arrival[]): SentOn[][] {
-  const byId = new Map(attempts.map((attempt) => [attempt.id, attempt]));
+  const attemptById = new Map(attempts.map((attempt) => [attempt.id, attempt]));
   const groups = new Map<string, SentOn[]>();
   for (const arrival of arrivals) {
-    const attempt = byId.get(arrival.request);
-    if (attempt === undefined || arrival.isMisdirected) continue;
-    const key = `${attempt.daemon} ${arrival.replica}`;
+    const attempt = attemptById.get(arrival.request);
+    const daemon = attempt?.daemon ?? (arrival.holder && daemonNameOf(arrival.holder));
+    if (daemon === undefined || arrival.isMisdirected) continue;
+    const key = `${daemon} ${arrival.replica}`;
     const group = groups.get(key) ?? [];
     groups.set(key, group);
-    group.push({ attempt, arrival });
+    group.push({ daemon, attempt, arrival });
   }
   return [...groups.values()];
 }
 
+/** Whether a fault explains an arrival after a declaration: at the daemon, or on the path of what came late. */
 function isExcused(
   { signals, interruptions }: Excuses,
-  daemon: string,
-  replica: string,
-  from: number,
-  until: number,
+  { daemon, attempt, arrival }: SentOn,
+  declaredAt: number,
 ): boolean {
+  const wasSignalled = signals.some(
+    ({ daemon: name, at }) => name === daemon && at >= declaredAt && at <= arrival.at,
+  );
+  // When its caller sent a request says enough if that was late already.
+  const isSentLate = attempt !== undefined && attempt.sentAt > declaredAt + DRAIN_MS;
   const wasInterrupted = interruptions.some(
-    (time) =>
-      (replica === time.replica || replica.startsWith(`${time.replica}.`)) &&
-      time.from <= until &&
-      (time.until ?? Number.POSITIVE_INFINITY) >= from,
+    ({ replica, from, until }) =>
+      (arrival.replica === replica || arrival.replica.startsWith(`${replica}.`)) &&
+      from <= arrival.at &&
+      (until ?? Number.POSITIVE_INFINITY) >= declaredAt,
   );
-  return wasInterrupted || wasSignalled(signals, daemon, from, until);
-}
-
-function wasSignalled(
-  signals: readonly DaemonSignal[],
-  daemon: string,
-  from: number,
-  until: number,
-): boolean {
-  return signals.some((signal) => signal.daemon === daemon && signal.at >= from && signal.at <= until);
+  return wasSignalled || (wasInterrupted && !isSentLate);
 }
 
 function violation(sent: readonly SentOn[], since: number): HostViolation {
-  const last = sent.at(-1)!;
+  const { daemon, arrival } = sent.at(-1)!;
   return {
-    daemon: last.attempt.daemon,
-    replica: last.arrival.replica,
-    requests: sent.map(({ attempt }) => attempt.id),
-    afterMs: last.arrival.at - since,
+    daemon,
+    replica: arrival.replica,
+    sent: sent.map(({ attempt }) => attempt?.id ?? 'order'),
+    afterMs: arrival.at - since,
   };
 }
--- a/packages/soak/src/core/replicas/messages.ts
+++ b/packages/soak/src/core/replicas/messages.ts
@@ -38,10 +38,12 @@
       readonly isHeld: boolean;
     };
 
-/** A request that a replica has read. */
+/** A request or an order that a replica has read. */
 export interface Arrival {
-  /** Names the attempt of the caller. */
+  /** Names the attempt of the caller; empty for an order. */
   readonly request: string;
+  /** Address at which peers reach the daemon that sent an order; undefined for a request. */
+  readonly holder?: string;
   /** Incarnation of the replica. */
   readonly replica: string;
   /** Unix milliseconds. */
--- a/packages/soak/src/core/replicas/replica.ts
+++ b/packages/soak/src/core/replicas/replica.ts
@@ -164,8 +164,11 @@
 
   private take(req: RawRequest): void {
     const [, path] = req.head.split(' ');
-    if (path === '/v1/order') this.takeOrder(req);
-    else if (path === '/v1/report') respondWithReport(req, this.life);
+    if (path === '/v1/order') {
+      const { holder } = JSON.parse(req.body) as { holder: string };
+      this.note(req, { hasRun: false, holder });
+      this.takeOrder(req);
+    } else if (path === '/v1/report') respondWithReport(req, this.life);
     else if (headerValue(req.head, 'celeryyoke-expect-instance') !== this.incarnation) {
       this.note(req, { hasRun: false, isMisdirected: true });
       respondMisdirected(req, this.declarations);
@@ -210,7 +213,7 @@
 
   private note(
     { head }: RawRequest,
-    facts: Pick<Arrival, 'hasRun' | 'isMisdirected' | 'retryAfterMs'>,
+    facts: Pick<Arrival, 'hasRun' | 'holder' | 'isMisdirected' | 'retryAfterMs'>,
   ): void {
     const request = headerValue(head, 'celeryyoke-request-id') ?? '';
     this.onArrival({ request, replica: this.incarnation, at: timers.wall(), ...facts });
--- a/packages/soak/src/core/site/index.ts
+++ b/packages/soak/src/core/site/index.ts
@@ -3,6 +3,7 @@
 export {
   CALLER_HOST,
   daemonAddress,
+  daemonNameOf,
   DRAIN_MS,
   ENGINE_SERVICE,
   ENGINE_SLOTS,
--- a/packages/soak/src/core/site/site.ts
+++ b/packages/soak/src/core/site/site.ts
@@ -127,6 +127,13 @@
   };
 }
 
+/** Returns the name of the daemon whose peers reach it at an address, as {@link daemonAddress} makes both. */
+export function daemonNameOf(peers: string): string | undefined {
+  const [, network, place, host] = /^127\.(\d+)\.(\d+)\.(\d+):/.exec(peers)?.map(Number) ?? [];
+  const zone = network === undefined ? undefined : ZONES[network - NETWORK];
+  return zone && `front-${zone}-${place! * HOSTS_PER_ZONE + host! - 1}`;
+}
+
 /**
  * Writes the settings file of a daemon.
  * @param daemon - The daemon.
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -55,8 +55,8 @@
 }
 
 function showViolations(title: string, violations: readonly HostViolation[]): void {
-  for (const { daemon, replica, requests, afterMs } of violations)
-    console.log(`${title}: ${requests.join(', ')} by ${daemon} to ${replica}, up to ${afterMs} ms after`);
+  for (const { daemon, replica, sent, afterMs } of violations)
+    console.log(`${title}: ${sent.join(', ')} by ${daemon} to ${replica}, up to ${afterMs} ms after`);
 }
 
 /** Writes what callers sent and got, and what replicas read, a line each. */
--- a/packages/soak/test/checks.test.ts
+++ b/packages/soak/test/checks.test.ts
@@ -6,7 +6,7 @@
 import type { CallerAttempt } from '../src/core/callers/index.js';
 import { CallerOutcome } from '../src/core/callers/index.js';
 import type { Arrival } from '../src/core/replicas/index.js';
-import { DRAIN_MS, REPEAT_BOUNDS, ROUTES } from '../src/core/site/index.js';
+import { daemonAddress, DRAIN_MS, REPEAT_BOUNDS, ROUTES } from '../src/core/site/index.js';
 
 const REQUESTS = 1000;
 const INTERVAL_MS = 20;
@@ -98,7 +98,7 @@
   t.deepEqual(check(sentBy('d', within, toldAt)), []);
   const late = sentBy('d', within + 1, toldAt);
   t.deepEqual(
-    check(late).map(({ requests }) => requests),
+    check(late).map(({ sent }) => sent),
     [[`c${within}`]],
   );
   // Another daemon was not told, and one that was restarted or stopped since has forgotten it.
@@ -115,7 +115,7 @@
       .sentInBackoff;
   t.deepEqual(check([1, 2, 3, 4, 26, 40]), []);
   t.deepEqual(
-    check([1, 26, 40, 48]).map(({ requests }) => requests),
+    check([1, 26, 40, 48]).map(({ sent }) => sent),
     [['c26', 'c40', 'c48']],
   );
   t.deepEqual(check([26, 40, 60, 70]), []);
@@ -129,3 +129,22 @@
     1,
   );
 });
+
+test('orders count like requests', (t) => {
+  const { name, peers } = daemonAddress(4);
+  const [first] = sentBy(name, 1, 0);
+  const order = (at: number): Arrival => ({ request: '', holder: peers, replica: 'p-0', at, hasRun: false });
+  const asked: Arrival = { ...arrivalOf(first!, 0, false), retryAfterMs: 1000 };
+  const { sentInBackoff, sentToLeaving } = checkRun(
+    [first!],
+    [asked, ...[600, 700, 800, DRAIN_MS + 1].map(order)],
+  );
+  t.deepEqual(
+    sentInBackoff.map(({ sent, daemon }) => [daemon, sent]),
+    [[name, ['order', 'order', 'order']]],
+  );
+  t.deepEqual(
+    sentToLeaving.map(({ sent }) => sent),
+    [['order']],
+  );
+});
