daemon: create the parts that reach replicas in a file of their own

services.ts had grown by the table of declarations, the guarded pool and the observed client for engines; they move to upstreams.ts unchanged.

--- a/packages/routing/src/core/daemon/services.ts
+++ b/packages/routing/src/core/daemon/services.ts
@@ -9,10 +9,9 @@
 import type { Metrics, Service, ServiceFinder, TimerHandle } from '@celeryyoke/core';
 import { createMetrics } from '@celeryyoke/core';
 
-import type { EngineControl } from '../adapters/index.js';
-import { ResidencyTable, AdapterLoader, observeReports } from '../adapters/index.js';
+import { ResidencyTable, AdapterLoader } from '../adapters/index.js';
 import { AccountMetrics, AccountQuotas } from '../accounts/index.js';
-import { DeclarationSource, ReplicaAvailability } from '../availability/index.js';
+import type { ReplicaAvailability } from '../availability/index.js';
 import { EngineLeases, FleetSettling, PauseDetector } from '../ownership/index.js';
 import { RetryBudget } from '../budget/index.js';
 import { ChannelPool, ExchangePurpose } from '../channels/index.js';
@@ -22,7 +21,6 @@
 import { ReplicaLimits } from '../limits/index.js';
 import { DisseminationTree, storeReaderRank, Topic } from '../dissemination/index.js';
 import { PromptAdmission } from '../pacing/index.js';
-import type { RunStateCopier } from '../requests/index.js';
 import { CallerTimeouts, StreamMigrator, RequestMetrics, RequestServer } from '../requests/index.js';
 import { FleetShare } from '../shares/index.js';
 import { ReplicaRegistry, StoreWatcher, RecordKind, ReplicatedStore } from '../view/index.js';
@@ -34,6 +32,7 @@
 import type { ReadinessServer } from './readiness.js';
 import { startReadinessServer } from './readiness.js';
 import type { RouterOptions } from './types.js';
+import { createAvailability, createChannels, createControl } from './upstreams.js';
 
 /** Interval at which the daemon tries to claim engines that have no owner, in milliseconds. */
 const LEASE_REVIEW_MS = 100;
@@ -42,15 +41,6 @@
  * partitioned.
  */
 const MAX_FLEET_VIEW_AGE_MS = 1500;
-/**
- * Maximum time for which a replica that leaves or is not listed any more may get requests if its service has no
- * other, in milliseconds. An entry also disappears when the platform's registry was unavailable, and returns
- * within 2 s.
- */
-const MAX_LEAVING_GRACE_MS = 1500;
-/** Part of the drain time that is left for a declaration and a request to arrive, in milliseconds. */
-const LEAVING_MARGIN_MS = 500;
-
 /** State of a daemon that its parts share with its reload and its shutdown. */
 export interface RouterState {
   /** Peers to contact first; a reload replaces them. */
@@ -89,14 +79,14 @@
     return [
       part(PART.view, [], () => new ReplicatedStore(timers)),
       part(PART.metrics, [], () => createMetrics()),
-      part(PART.availability, [], () => this.createAvailability()),
+      part(PART.availability, [], () => createAvailability(this.options)),
       part(
         PART.channels,
         [PART.availability],
-        (kernel) => this.createChannels(kernel),
+        (kernel) => createChannels(this.options, kernel),
         (pool) => pool.close(),
       ),
-      part(PART.control, [PART.channels, PART.availability], (kernel) => this.createControl(kernel)),
+      part(PART.control, [PART.channels, PART.availability], (kernel) => createControl(this.options, kernel)),
       part(PART.inFlight, [], () => new InFlightTable(timers)),
       part(PART.health, [], () => new ReplicaHealth(timers)),
       part(
@@ -242,30 +232,6 @@
     ];
   }
 
-  private createAvailability(): ReplicaAvailability {
-    const { settings, timers, log } = this.options;
-    const leavingGraceMs = Math.min(MAX_LEAVING_GRACE_MS, settings.drainMs - LEAVING_MARGIN_MS);
-    return new ReplicaAvailability({ leavingGraceMs, timers, log });
-  }
-
-  private createControl(kernel: ServiceFinder): EngineControl & RunStateCopier {
-    const availability = kernel.get<ReplicaAvailability>(PART.availability);
-    const control = this.options.control(kernel.get(PART.channels));
-    return observeReports(control, (replica) =>
-      availability.recordLeaving(replica, DeclarationSource.Report),
-    );
-  }
-
-  private createChannels(kernel: ServiceFinder): ChannelPool {
-    const { dialect } = this.options;
-    const availability = kernel.get<ReplicaAvailability>(PART.availability);
-    return new ChannelPool({
-      refusal: (replica, purpose) => availability.refusal(replica, purpose),
-      onResponseHead: (replica, status, headers) =>
-        availability.recordDeclaration(replica, dialect.readDeclaration(status, headers)),
-    });
-  }
-
   private createCluster(): Cluster {
     const { settings, timers, log } = this.options;
     const address = addressOf(this.options);
