adapters: attribute a report to the incarnation that is listed

Where an entry leaves out the start of an engine and its reports state it, what a report says of leaving was kept under an id that nobody asks for, so the engine went on getting requests. Cause: the id was made from the report's start alone. It is now that of the listed incarnation, unless the report shows a later start.

--- a/packages/routing/src/core/adapters/observed-control.ts
+++ b/packages/routing/src/core/adapters/observed-control.ts
@@ -5,6 +5,7 @@
 
 /**
  * Wraps the client for engines.
+ * @param control - A plain object; its other methods are kept.
  * @param onLeaving - Called with the incarnation of an engine whose report says that it leaves.
  */
 export function observeReports<Control extends EngineControl>(
@@ -13,8 +14,7 @@
 ): Control {
   const observe = async (replica: ReplicaEntry, pending: Promise<EngineReport>): Promise<EngineReport> => {
     const report = await pending;
-    // The engine may have restarted since this daemon learnt of it.
-    if (report.isLeaving) onLeaving(replicaId(replica.name, report.bornAt ?? replica.bornAt));
+    if (report.isLeaving) onLeaving(reportedId(replica, report));
     return report;
   };
   const observeConnection = (replica: ReplicaEntry, connection: EngineConnection): EngineConnection => ({
@@ -31,3 +31,9 @@
     report: (replica) => observe(replica, control.report(replica)),
   };
 }
+
+/** Returns the id of the incarnation that a report comes from: the engine may have restarted meanwhile. */
+function reportedId({ id, name, bornAt }: ReplicaEntry, report: EngineReport): string {
+  const hasRestarted = bornAt !== undefined && report.bornAt !== undefined && report.bornAt > bornAt;
+  return hasRestarted ? replicaId(name, report.bornAt) : id;
+}
--- a/packages/routing/test/availability.test.ts
+++ b/packages/routing/test/availability.test.ts
@@ -155,3 +155,17 @@
   t.deepEqual(accepted('e1'), []);
   t.is(availability.availabilityOf('e1').state, AvailabilityState.Leaving);
 });
+
+// Guards against a belief about an incarnation that nobody asks for: entries may leave out the start of a replica.
+test('a report counts for the incarnation that it comes from', async (t) => {
+  const timers = createManualTimers();
+  const engine = new FakeEngine(timers, 1);
+  const leaving: string[] = [];
+  const control = observeReports<EngineControl>(engine, (replica) => leaving.push(replica));
+  engine.staleReport = { ...engine.currentReport(), isLeaving: true, bornAt: 2000 };
+  const listed = engineEntry('e1');
+  await control.report(listed);
+  await control.report({ ...listed, id: 'e1#2000', bornAt: 2000 });
+  await control.report({ ...listed, id: 'e1#1000', bornAt: 1000 });
+  t.deepEqual(leaving, ['e1', 'e1#2000', 'e1#2000']);
+});
