soak: attribute a declaration to the replica that made it

Traced: a request that one replica had refused was served by another one, which leaves, and its response was taken for the word of both; the first had said nothing, and its daemon logged no declaration of it. Responses now name the incarnation that made them, and only that one counts as leaving, which is the users' rule; a test of the check has the case.

--- a/packages/soak/src/core/callers/callers.ts
+++ b/packages/soak/src/core/callers/callers.ts
@@ -4,6 +4,7 @@
 import type { Random } from '@celeryyoke/routing/testing';
 import { Agent, request } from 'undici';
 
+import { REPLICA_HEADER } from '../replicas/index.js';
 import type { DaemonAddress, SoakRoute } from '../site/index.js';
 import { CALLER_HOST, ROUTES } from '../site/index.js';
 import type { Balancer } from './balancer.js';
@@ -22,6 +23,14 @@
   Failed = 'failed',
 }
 
+/** A response that says that the replica that made it leaves. */
+export interface LeavingNotice {
+  /** Incarnation of the replica. */
+  readonly replica: string;
+  /** Unix milliseconds. */
+  readonly at: number;
+}
+
 /** One attempt of a caller. */
 export interface CallerAttempt {
   readonly id: string;
@@ -30,8 +39,8 @@
   readonly daemon: string;
   /** Unix milliseconds. */
   readonly sentAt: number;
-  /** Unix milliseconds of a response that says that its replica leaves; undefined when none does. */
-  toldLeavingAt: number | undefined;
+  /** What its response says of a replica that leaves; undefined when it says nothing. */
+  toldLeaving: LeavingNotice | undefined;
   outcome: CallerOutcome | undefined;
   /** Status of the response; undefined when there was none. */
   status: number | undefined;
@@ -106,7 +115,7 @@
       route,
       daemon: daemon.name,
       sentAt: timers.wall(),
-      toldLeavingAt: undefined,
+      toldLeaving: undefined,
       outcome: undefined,
       status: undefined,
     };
@@ -129,8 +138,9 @@
       headers: this.headersOf(id, route, leftMs),
       signal: AbortSignal.timeout(leftMs),
     });
-    if (headers['server-leaving'] === '1')
-      Object.assign(attempt, { toldLeavingAt: this.options.timers.wall() });
+    const replica = headers[REPLICA_HEADER];
+    if (headers['server-leaving'] === '1' && typeof replica === 'string')
+      Object.assign(attempt, { toldLeaving: { replica, at: this.options.timers.wall() } });
     await body.dump();
     const retryAfterMs = Number(headers['retry-after'] ?? 0) * MS_PER_SECOND;
     return { outcome: outcomeOf(statusCode), status: statusCode, retryAfterMs };
--- a/packages/soak/src/core/checks/declarations.ts
+++ b/packages/soak/src/core/checks/declarations.ts
@@ -50,7 +50,10 @@
   excuses: Excuses,
 ): HostViolation[] {
   return byDaemonAndReplica(attempts, arrivals).flatMap((sent) => {
-    const told = sent.flatMap(({ attempt }) => attempt?.toldLeavingAt ?? []);
+    // A request that another replica refused before also counts among what reached that one.
+    const told = sent.flatMap(({ attempt, arrival: { replica } }) =>
+      attempt?.toldLeaving?.replica === replica ? attempt.toldLeaving.at : [],
+    );
     const late = sent.filter((one) =>
       told.some((at) => sentAt(one) > at + DRAIN_MS && !isExcused(excuses, one, at)),
     );
--- a/packages/soak/src/core/replicas/messages.ts
+++ b/packages/soak/src/core/replicas/messages.ts
@@ -1,5 +1,8 @@
 /** Messages between the run and the processes of its replicas. */
 
+/** Header in which a response names the incarnation of the replica that made it. */
+export const REPLICA_HEADER = 'x-soak-replica';
+
 /** What a replica does with most of its requests. */
 export enum Behaviour {
   Serve = 'serve',
--- a/packages/soak/src/core/replicas/replica.ts
+++ b/packages/soak/src/core/replicas/replica.ts
@@ -20,7 +20,7 @@
 import { createRandom, headerValue, parseRequest } from '@celeryyoke/routing/testing';
 
 import type { Arrival, ReplicaOptions } from './messages.js';
-import { Behaviour, Holdable, incarnationId } from './messages.js';
+import { Behaviour, Holdable, incarnationId, REPLICA_HEADER } from './messages.js';
 
 const HOST = '127.0.0.1';
 /** Part of the requests that a replica which misbehaves treats so. */
@@ -119,9 +119,9 @@
     this.life = new EngineState();
   }
 
-  /** Header lines of all responses. */
+  /** Header lines of all responses to requests. */
   get declarations(): string {
-    return this.life.declarations;
+    return `${REPLICA_HEADER}: ${this.incarnation}\r\n${this.life.declarations}`;
   }
 
   private get incarnation(): string {
--- a/packages/soak/test/checks.test.ts
+++ b/packages/soak/test/checks.test.ts
@@ -3,7 +3,7 @@
 import { checkRun, createPlan, isClean } from '@celeryyoke/soak';
 import test from 'ava';
 
-import type { CallerAttempt } from '../src/core/callers/index.js';
+import type { CallerAttempt, LeavingNotice } from '../src/core/callers/index.js';
 import { CallerOutcome } from '../src/core/callers/index.js';
 import type { Arrival } from '../src/core/replicas/index.js';
 import { daemonAddress, DRAIN_MS, REPEAT_BOUNDS, ROUTES } from '../src/core/site/index.js';
@@ -22,7 +22,7 @@
     route: routeOf(kind),
     daemon: 'front-a-0',
     sentAt: index * INTERVAL_MS,
-    toldLeavingAt: undefined,
+    toldLeaving: undefined,
     outcome: CallerOutcome.Served,
     status: 200,
   }));
@@ -80,23 +80,23 @@
 });
 
 /** Requests of one daemon to one replica, one each {@link INTERVAL_MS}. */
-function sentBy(daemon: string, count: number, toldAt: number | undefined): CallerAttempt[] {
+function sentBy(daemon: string, count: number, told?: LeavingNotice): CallerAttempt[] {
   return served('safe')
     .slice(0, count)
-    .map((attempt, index) => ({ ...attempt, daemon, toldLeavingAt: index === 0 ? toldAt : undefined }));
+    .map((attempt, index) => ({ ...attempt, daemon, toldLeaving: index === 0 ? told : undefined }));
 }
 
 test('a request sent on to a replica that told the same daemon long before that it leaves is found', (t) => {
   const within = DRAIN_MS / INTERVAL_MS + 1;
-  const toldAt = 0;
+  const told = { replica: 'p-0', at: 0 };
   const check = (attempts: CallerAttempt[], signals: DaemonSignal[] = []) =>
     checkRun(
       attempts,
       attempts.map((attempt) => arrivalOf(attempt)),
       { signals, interruptions: [] },
     ).sentToLeaving;
-  t.deepEqual(check(sentBy('d', within, toldAt)), []);
-  const late = sentBy('d', within + 1, toldAt);
+  t.deepEqual(check(sentBy('d', within, told)), []);
+  const late = sentBy('d', within + 1, told);
   t.deepEqual(
     check(late).map(({ sent }) => sent),
     [[`c${within}`]],
@@ -105,10 +105,12 @@
   t.deepEqual(check(late.map((attempt, index) => (index === 0 ? attempt : { ...attempt, daemon: 'e' }))), []);
   t.deepEqual(check(late, [{ daemon: 'd', at: 100 }]), []);
   t.is(check(late, [{ daemon: 'e', at: 100 }]).length, 1);
+  // Another replica, which refused the first request before, has said nothing.
+  t.deepEqual(check(sentBy('d', within + 1, { replica: 'p-1', at: 0 })), []);
 });
 
 test('a third request of one daemon in the backoff that a replica asked it for is found', (t) => {
-  const attempts = sentBy('d', 200, undefined);
+  const attempts = sentBy('d', 200);
   const asked: Arrival = { ...arrivalOf(attempts[0]!, 0, false), retryAfterMs: 1000 };
   const check = (inBackoff: readonly number[], excuses?: Excuses) =>
     checkRun(attempts, [asked, ...inBackoff.map((index) => arrivalOf(attempts[index]!))], excuses)
@@ -132,7 +134,7 @@
 
 test('orders count like requests', (t) => {
   const { name, peers } = daemonAddress(4);
-  const [first] = sentBy(name, 1, 0);
+  const [first] = sentBy(name, 1, { replica: 'p-0', at: 0 });
   const order = (at: number): Arrival => ({ request: '', holder: peers, replica: 'p-0', at, hasRun: false });
   const asked: Arrival = { ...arrivalOf(first!, 0, false), retryAfterMs: 1000 };
   const { sentInBackoff, sentToLeaving } = checkRun(
