channels: read the head of a response that crosses a cancel

Traced: the daemon woke up after a freeze and sent on a request whose caller had left; it cancelled it 12 ms later, 1 ms after the replica had refused it with Retry-After, and reset the connection with that response unread.

--- a/packages/routing/src/core/channels/channel.ts
+++ b/packages/routing/src/core/channels/channel.ts
@@ -23,6 +23,11 @@
 const IDLE_MARGIN_MS = 1000;
 /** Upper bound of the idle timeout. */
 const MAX_IDLE_TIMEOUT_MS = 20_000;
+/**
+ * Time for which the connection of a cancelled exchange is kept for the head of a response that is on its way, in
+ * milliseconds: some round trips.
+ */
+const CANCEL_LINGER_MS = 50;
 /** Idle time before the first TCP keep-alive probe; the system sends the next ones each second. */
 const KEEPALIVE_DELAY_MS = 1000;
 
@@ -50,9 +55,12 @@
 
   private socket: Socket | undefined;
 
-  /** Whether the replica closes the connection after the current response. */
+  /** Whether the connection closes after the current exchange. */
   private isClosing = false;
 
+  /** Whether a request was written whose response has not begun. */
+  private isAwaitingHead = false;
+
   constructor(private readonly options: ChannelOptions) {
     this.client = new Client(`http://${options.host}:${options.port}`, {
       pipelining: 1,
@@ -81,7 +89,13 @@
     const exchange = new Exchange({
       sink,
       refusal: () => refusal(call.purpose),
-      onResponseHead,
+      onWritten: () => {
+        this.isAwaitingHead = true;
+      },
+      onResponseHead: (status, headers) => {
+        this.isAwaitingHead = false;
+        onResponseHead(status, headers);
+      },
       wasReset: () => this.wasReset,
       onConnectionClosing: () => {
         this.isClosing = true;
@@ -102,6 +116,16 @@
     return exchange;
   }
 
+  /**
+   * Ends a connection whose exchange was cancelled: at once, or when the head of a response that may be on its way
+   * has arrived or has had time to, as it may declare something about the replica.
+   */
+  abandon(): void {
+    this.isClosing = true;
+    if (!this.isAwaitingHead || this.socket === undefined) this.reset();
+    else this.socket.setTimeout(CANCEL_LINGER_MS, () => this.reset());
+  }
+
   /**
    * Resets the connection, so that bytes that a partition still holds are lost: an order or a request that
    * was cancelled must not arrive when the partition heals.
@@ -142,19 +166,21 @@
       if (isSettled) return;
       isSettled = true;
       socket.setTimeout(0);
+      socket.off('timeout', onTimeout);
       if (err === undefined) callback(null, socket);
       else callback(err, null);
     };
+    function onTimeout(): void {
+      settle(new Error(`No connection within ${connectTimeoutMs} ms.`));
+      socket.destroy();
+    }
     // Registered before undici's own listener, so that wasReset is set when undici reports the end of the
     // response.
     socket.on('error', (err) => {
       this.wasReset = true;
       settle(err);
     });
-    socket.setTimeout(connectTimeoutMs, () => {
-      settle(new Error(`No connection within ${connectTimeoutMs} ms.`));
-      socket.destroy();
-    });
+    socket.setTimeout(connectTimeoutMs, onTimeout);
     socket.once('connect', () => settle(undefined));
   }
 }
@@ -164,6 +190,9 @@
   readonly sink: ResponseSink;
   /** Returns why the request must not be written now; undefined when it may be. */
   readonly refusal: () => string | undefined;
+  /** Called in the step that writes the request. */
+  readonly onWritten: () => void;
+  /** Called with the head of the response, also after a cancel. */
   readonly onResponseHead: ChannelOptions['onResponseHead'];
   readonly wasReset: () => boolean;
   readonly onConnectionClosing: () => void;
@@ -179,6 +208,8 @@
 
   private hasLength = true;
 
+  private hasHead = false;
+
   constructor(private readonly context: ExchangeContext) {}
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
@@ -197,15 +228,21 @@
       return;
     }
     this.controller = controller;
+    this.context.onWritten();
     this.context.sink.onSent();
   }
 
-  onResponseStart(_controller: Dispatcher.DispatchController, status: number, headers: HeaderMap): void {
-    if (status < FIRST_FINAL_STATUS || this.hasEnded) return;
-    this.hasLength = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+  onResponseStart(controller: Dispatcher.DispatchController, status: number, headers: HeaderMap): void {
+    if (status < FIRST_FINAL_STATUS) return;
     const { sink, onResponseHead, onConnectionClosing } = this.context;
-    if (!this.hasLength || hasCloseHeader(headers)) onConnectionClosing();
+    this.hasHead = true;
     onResponseHead(status, headers);
+    if (this.hasEnded) {
+      controller.abort(new Error('The exchange has ended.'));
+      return;
+    }
+    this.hasLength = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+    if (!this.hasLength || hasCloseHeader(headers)) onConnectionClosing();
     sink.onHead(status, headers);
   }
 
@@ -243,9 +280,10 @@
   cancel(reason: string): void {
     if (this.hasEnded) return;
     this.isCancelled = true;
-    const { controller } = this;
+    const { controller, hasHead } = this;
     this.fail(new Error(reason));
-    controller?.abort(new Error(reason));
+    // Without a head the channel decides when its connection ends.
+    if (hasHead) controller?.abort(new Error(reason));
   }
 }
 
--- a/packages/routing/src/core/channels/pool.ts
+++ b/packages/routing/src/core/channels/pool.ts
@@ -46,7 +46,7 @@
         sink.onEnd();
       },
       onFail: (failure, err) => {
-        if (failure === ChannelFailure.Cancelled) channel.reset();
+        if (failure === ChannelFailure.Cancelled) channel.abandon();
         else channel.close();
         sink.onFail(failure, err);
       },
--- a/packages/routing/test/channels.test.ts
+++ b/packages/routing/test/channels.test.ts
@@ -310,3 +310,44 @@
   pool.close();
   await replica.close();
 });
+
+// Guards against a declaration that is lost because its response crosses the end of the request that it answers.
+test('the head of a response that crosses a cancel still counts', async (t) => {
+  const replica = await startRawReplica(({ socket }) => {
+    socket.on('error', () => undefined);
+    setTimeout(() => socket.write('HTTP/1.1 503 X\r\nRetry-After: 3\r\nContent-Length: 0\r\n\r\n'), 15);
+  });
+  const heads: string[] = [];
+  const pool = new ChannelPool({
+    refusal: () => undefined,
+    onResponseHead: (upstream, status, headers) =>
+      heads.push(`${upstream} ${status} ${String(headers['retry-after'])}`),
+  });
+  t.like(await exchange(pool, replica.port, undefined, 5), { end: ChannelFailure.Cancelled, status: 0 });
+  await new Promise((resolve) => {
+    setTimeout(resolve, 100);
+  });
+  t.deepEqual(heads, ['r 503 3']);
+  // Its connection is not used again.
+  t.like(await exchange(pool, replica.port), { end: 'complete' });
+  t.is(replica.connections(), 2);
+  pool.close();
+  await replica.close();
+});
+
+// Guards against a replica that works on for a caller that has left.
+test('a cancelled request without a response resets its connection soon after', async (t) => {
+  const closed = new EventEmitter();
+  const replica = await startRawReplica(({ socket }) => {
+    socket.on('error', (err: NodeJS.ErrnoException) => closed.emit('reset', err.code));
+  });
+  const pool = new ChannelPool();
+  const startedAt = performance.now();
+  const reset = once(closed, 'reset');
+  t.like(await exchange(pool, replica.port, undefined, 5), { end: ChannelFailure.Cancelled });
+  t.deepEqual(await reset, ['ECONNRESET']);
+  const tookMs = performance.now() - startedAt;
+  t.true(tookMs < 250, `${tookMs} ms`);
+  pool.close();
+  await replica.close();
+});
