soak: count a backoff only where its response can be sent

Traced: the stand-in ends a connection with its stream; a daemon that woke up from a freeze sent the next request on it before it read that end, and the stand-in counted a refusal with Retry-After that it could not write. Arrivals count as before.

--- a/packages/soak/src/core/replicas/replica.ts
+++ b/packages/soak/src/core/replicas/replica.ts
@@ -193,7 +193,8 @@
   }
 
   private refuse(req: RawRequest, backoffSeconds: number | undefined): void {
-    const retryAfterMs = backoffSeconds && backoffSeconds * MS_PER_SECOND;
+    // After the end of a stream the connection takes no response, so nothing is asked of the sender.
+    const retryAfterMs = req.socket.writable && backoffSeconds ? backoffSeconds * MS_PER_SECOND : undefined;
     this.note(req, { hasRun: false, retryAfterMs });
     const backoff = backoffSeconds === undefined ? '' : retryAfterHeader(backoffSeconds);
     refuseWith(req, this.declarations + backoff);
