serving: read late headers that lie in the socket before a 408

Callers of a daemon that had been without processor time got a 408 for requests whose bytes had arrived in time. Cause: Node.js looks for late headers in the timers phase, before it reads sockets; the router was mended for this before, the callers' server was not. The refusal now waits for one turn of the event loop and is dropped if that reads the headers. The new test fails before (408) and passes now.

--- a/packages/serving/src/core/server/server.ts
+++ b/packages/serving/src/core/server/server.ts
@@ -26,6 +26,7 @@
 
 /** Node looks for late headers this often within their time limit. */
 const CHECKS_PER_TIMEOUT = 4;
+const REQUEST_TIMEOUT_CODE = 'ERR_HTTP_REQUEST_TIMEOUT';
 
 class HttpCallerServer implements CallerServer {
   readonly requests: RequestLog;
@@ -49,6 +50,9 @@
 
   private readonly drainer: Drainer;
 
+  /** Connections whose headers are late, until they are read or the connection is refused. */
+  private readonly lateHeaders = new Map<Socket, NodeJS.Immediate>();
+
   /** Connections that were told that what comes on them is not run. */
   private readonly refused = new WeakSet<Socket>();
 
@@ -146,14 +150,27 @@
         this.connections -= 1;
       });
     });
-    server.on('clientError', (err: NodeJS.ErrnoException, socket: Socket) => {
-      this.refused.add(socket);
-      refuseConnection(err, socket);
-    });
+    server.on('clientError', this.onClientError);
     return server;
   }
 
+  /**
+   * Refuses a connection whose bytes are no request. Late headers may lie in the socket's buffer if this process
+   * was stalled, so they are refused only if the next turn of the event loop does not read them.
+   */
+  private readonly onClientError = (err: NodeJS.ErrnoException, socket: Socket): void => {
+    const refuse = (): void => {
+      this.lateHeaders.delete(socket);
+      this.refused.add(socket);
+      refuseConnection(err, socket);
+    };
+    if (err.code === REQUEST_TIMEOUT_CODE) this.lateHeaders.set(socket, setImmediate(refuse));
+    else refuse();
+  };
+
   private readonly onRequest = (req: IncomingMessage, res: ServerResponse): void => {
+    clearImmediate(this.lateHeaders.get(req.socket));
+    this.lateHeaders.delete(req.socket);
     if (this.refused.has(req.socket)) {
       // The rest of a request that came after its refusal.
       req.resume();
