channels: bound the wait for a head after a cancel by a timer

A replica that sends its head byte by byte kept the connection of a cancelled request, and the run behind it, for as long as it went on: the wait of 50 ms was the socket's idle timeout, which each byte begins anew. It is a timer of its own now. The new test fails before (still open after 1 s, bound 250 ms) and passes now; those of the head that crosses a cancel and of the reset, unchanged, hold.

--- a/packages/routing/src/core/channels/channel.ts
+++ b/packages/routing/src/core/channels/channel.ts
@@ -6,6 +6,7 @@
  */
 import { connect, type Socket } from 'node:net';
 
+import type { TimerHandle, TimerService } from '@celeryyoke/core';
 import type { Dispatcher } from 'undici';
 import { Client } from 'undici';
 
@@ -36,6 +37,7 @@
   readonly host: string;
   readonly port: number;
   readonly connectTimeoutMs: number;
+  readonly timers: TimerService;
   /** Returns why an exchange must not be sent now; undefined when it may be. */
   readonly refusal: (purpose: ExchangePurpose) => string | undefined;
   /** Called with the head of each response. */
@@ -61,6 +63,9 @@
   /** Whether a request was written whose response has not begun. */
   private isAwaitingHead = false;
 
+  /** Ends the wait for the head of a cancelled exchange. */
+  private cancelTimer: TimerHandle | undefined;
+
   constructor(private readonly options: ChannelOptions) {
     this.client = new Client(`http://${options.host}:${options.port}`, {
       pipelining: 1,
@@ -122,8 +127,9 @@
    */
   abandon(): void {
     this.isClosing = true;
-    if (!this.isAwaitingHead || this.socket === undefined) this.reset();
-    else this.socket.setTimeout(CANCEL_LINGER_MS, () => this.reset());
+    if (this.isAwaitingHead)
+      this.cancelTimer = this.options.timers.after(CANCEL_LINGER_MS, () => this.reset());
+    else this.reset();
   }
 
   /**
@@ -139,6 +145,7 @@
   close(): void {
     if (this.isClosed) return;
     this.isClosed = true;
+    this.cancelTimer?.cancel();
     this.options.onClosed(this);
     this.client.destroy().catch(() => {
       // It only rejects when the client is being destroyed already.
--- a/packages/routing/src/core/channels/pool.ts
+++ b/packages/routing/src/core/channels/pool.ts
@@ -1,4 +1,6 @@
 /** Pool of connections to all replicas; the idle connection that was used last is reused first. */
+import type { TimerService } from '@celeryyoke/core';
+
 import { Channel } from './channel.js';
 import { ExclusiveChannel } from './exclusive-channel.js';
 import type { UpstreamGuard, ResponseSink, ExchangeHandle, UpstreamCall } from './types.js';
@@ -27,7 +29,10 @@
   /** Number of connections opened since process start. */
   openedCount = 0;
 
-  constructor(private readonly guard: UpstreamGuard = NO_GUARD) {}
+  constructor(
+    private readonly timers: TimerService,
+    private readonly guard: UpstreamGuard = NO_GUARD,
+  ) {}
 
   /**
    * Sends a request to a replica on an idle connection or a new one.
@@ -94,6 +99,7 @@
       host,
       port,
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      timers: this.timers,
       refusal: (purpose) => this.guard.refusal(id, purpose),
       onResponseHead: (status, headers) => this.guard.onResponseHead(id, status, headers),
       onClosed,
--- a/packages/routing/src/core/daemon/upstreams.ts
+++ b/packages/routing/src/core/daemon/upstreams.ts
@@ -25,9 +25,9 @@
 }
 
 /** Creates the pool of connections, which asks that table before each exchange and updates it from each response. */
-export function createChannels({ dialect }: RouterOptions, kernel: ServiceFinder): ChannelPool {
+export function createChannels({ dialect, timers }: RouterOptions, kernel: ServiceFinder): ChannelPool {
   const availability = kernel.get<ReplicaAvailability>(PART.availability);
-  return new ChannelPool({
+  return new ChannelPool(timers, {
     refusal: (replica, purpose) => availability.refusal(replica, purpose),
     onResponseHead: (replica, status, headers) =>
       availability.recordDeclaration(replica, dialect.readDeclaration(status, headers)),
--- a/packages/routing/test/channels.test.ts
+++ b/packages/routing/test/channels.test.ts
@@ -9,6 +9,8 @@
 import type { RawReplica, RawRequest } from './raw.js';
 import { startRawReplica } from './raw.js';
 
+const timers = createSystemTimers();
+
 interface Outcome {
   end: string;
   status: number;
@@ -54,7 +56,7 @@
   run: (port: number, pool: ChannelPool, connections: () => number) => Promise<void>,
 ): Promise<void> {
   const replica = await startRawReplica(respond);
-  const pool = new ChannelPool();
+  const pool = new ChannelPool(timers);
   try {
     await run(replica.port, pool, replica.connections);
   } finally {
@@ -76,7 +78,7 @@
 test('a refused connection shows that nothing was sent', async (t) => {
   const replica = await startRawReplica(() => undefined);
   await replica.close();
-  const pool = new ChannelPool();
+  const pool = new ChannelPool(timers);
   t.like(await exchange(pool, replica.port), { end: ChannelFailure.NotSent, wasSent: false });
   pool.close();
 });
@@ -168,7 +170,7 @@
   ));
 
 test('a cancelled request resets its connection, so that no byte of it arrives later', async (t) => {
-  const pool = new ChannelPool();
+  const pool = new ChannelPool(timers);
   const events = new EventEmitter();
   const replica = await startRawReplica(({ socket }) => {
     socket.once('error', (err: NodeJS.ErrnoException) => events.emit('end', err.code));
@@ -216,7 +218,7 @@
   headers: ['host', 'h'],
   body: undefined,
 };
-const READ_OPTIONS = { timers: createSystemTimers(), timeoutMs: 800 };
+const READ_OPTIONS = { timers, timeoutMs: 800 };
 
 /** Runs a test with an exclusive channel to a scripted replica. */
 async function withExclusive(
@@ -224,7 +226,7 @@
   run: (channel: ExclusiveChannel, raw: RawReplica) => Promise<void>,
 ): Promise<void> {
   const replica = await startRawReplica(respond);
-  const pool = new ChannelPool();
+  const pool = new ChannelPool(timers);
   try {
     const upstream = { id: 'i', host: '127.0.0.1', port: replica.port };
     await run(
@@ -276,7 +278,7 @@
     asked += 1;
     return asked === 1 ? undefined : 'leaving';
   };
-  const pool = new ChannelPool({ refusal, onResponseHead: () => undefined });
+  const pool = new ChannelPool(timers, { refusal, onResponseHead: () => undefined });
   t.like(await exchange(pool, replica.port), { end: ChannelFailure.Withheld, wasSent: false });
   t.like(await exchange(pool, replica.port), { end: ChannelFailure.Withheld, wasSent: false });
   t.is(replica.connections(), 1);
@@ -289,7 +291,7 @@
   const replica = await startRawReplica(({ socket }) => socket.write(`${OK_HEAD}Content-Length: 0\r\n\r\n`));
   let isRuledOut = false;
   const refusal = (): string | undefined => (isRuledOut ? 'leaving' : undefined);
-  const pool = new ChannelPool({ refusal, onResponseHead: () => undefined });
+  const pool = new ChannelPool(timers, { refusal, onResponseHead: () => undefined });
   const channel = pool.openExclusive({ id: 'r', host: '127.0.0.1', port: replica.port }, () => undefined);
   const order = {
     purpose: ExchangePurpose.Order,
@@ -298,7 +300,7 @@
     headers: ['host', 'h'],
     body: undefined,
   };
-  const options = { timers: createSystemTimers(), timeoutMs: 1000 };
+  const options = { timers, timeoutMs: 1000 };
   await channel.call(order, options);
   isRuledOut = true;
   const err = await t.throwsAsync(channel.call(order, options), { instanceOf: ExchangeError });
@@ -318,7 +320,7 @@
     setTimeout(() => socket.write('HTTP/1.1 503 X\r\nRetry-After: 3\r\nContent-Length: 0\r\n\r\n'), 15);
   });
   const heads: string[] = [];
-  const pool = new ChannelPool({
+  const pool = new ChannelPool(timers, {
     refusal: () => undefined,
     onResponseHead: (upstream, status, headers) =>
       heads.push(`${upstream} ${status} ${String(headers['retry-after'])}`),
@@ -341,7 +343,7 @@
   const replica = await startRawReplica(({ socket }) => {
     socket.on('error', (err: NodeJS.ErrnoException) => closed.emit('reset', err.code));
   });
-  const pool = new ChannelPool();
+  const pool = new ChannelPool(timers);
   const startedAt = performance.now();
   const reset = once(closed, 'reset');
   t.like(await exchange(pool, replica.port, undefined, 5), { end: ChannelFailure.Cancelled });
@@ -351,3 +353,29 @@
   pool.close();
   await replica.close();
 });
+
+// Guards against a replica that works on for a caller that has left, as long as it sends a head byte by byte.
+test('a cancelled request resets its connection soon after, however slowly a head arrives', async (t) => {
+  const closed = new EventEmitter();
+  const replica = await startRawReplica(({ socket }) => {
+    const trickle = setInterval(() => socket.write('H'), 20);
+    socket.write('HTTP/1.1 200 OK\r\nX-Slow: ');
+    socket.on('error', () => undefined);
+    socket.once('close', () => {
+      clearInterval(trickle);
+      closed.emit('close');
+    });
+  });
+  const pool = new ChannelPool(timers);
+  const startedAt = performance.now();
+  const ended = once(closed, 'close');
+  t.like(await exchange(pool, replica.port, undefined, 5), { end: ChannelFailure.Cancelled });
+  const timeout = new Promise((resolve) => {
+    setTimeout(resolve, 1000);
+  });
+  await Promise.race([ended, timeout]);
+  const tookMs = performance.now() - startedAt;
+  pool.close();
+  await replica.close();
+  t.true(tookMs < 250, `${tookMs} ms`);
+});
