soak: count restarts of daemons, start none after the end of a run

Traced: the daemon got SIGTERM, passed on that answer while it shut down, ended 1.4 s later, and its next process, 0.24 s old, sent the request; it heard from its peers that the replica leaves 0.13 s later. The users' rule excuses a restart since then; the check looked at signals only. Starts after the first now count beside signals; all else that the check finds it finds as before.

Nothing is started after the end of a run now, and the handlers of the process for it are taken back.

--- a/packages/soak/src/core/checks/checks.ts
+++ b/packages/soak/src/core/checks/checks.ts
@@ -44,7 +44,7 @@
 export function checkRun(
   attempts: readonly CallerAttempt[],
   arrivals: readonly Arrival[],
-  excuses: Excuses = { signals: [], interruptions: [] },
+  excuses: Excuses = { outages: [], interruptions: [] },
 ): SoakFigures {
   const runs = new Map<string, number>();
   for (const { request, hasRun } of arrivals) if (hasRun) runs.set(request, (runs.get(request) ?? 0) + 1);
--- a/packages/soak/src/core/checks/index.ts
+++ b/packages/soak/src/core/checks/index.ts
@@ -1,4 +1,4 @@
 /** Checks of a run. */
 export type { RepeatFigures, SoakFigures } from './checks.js';
-export type { DaemonSignal, Excuses, HostViolation } from './declarations.js';
+export type { DaemonOutage, Excuses, HostViolation } from './declarations.js';
 export { checkRun, isClean } from './checks.js';
--- a/packages/soak/src/core/processes/processes.ts
+++ b/packages/soak/src/core/processes/processes.ts
@@ -3,6 +3,12 @@
 import { spawn } from 'node:child_process';
 import { closeSync, openSync } from 'node:fs';
 
+const SIGNALS = ['SIGINT', 'SIGTERM'] as const;
+
+function exitWithFailure(): void {
+  process.exit(1);
+}
+
 /** What is started. */
 export interface ProcessOptions {
   readonly name: string;
@@ -25,12 +31,15 @@
 
 /** All processes of a run. */
 export class ProcessGroup {
+  /** Whether the run is over, so that nothing is to be started. */
+  isStopped = false;
+
   private readonly running = new Set<RunningProcess>();
 
   /** Ends all when this process ends, whatever ends it. */
   constructor() {
-    process.once('exit', () => this.killAll());
-    for (const signal of ['SIGINT', 'SIGTERM'] as const) process.once(signal, () => process.exit(1));
+    process.once('exit', this.killAll);
+    for (const signal of SIGNALS) process.once(signal, exitWithFailure);
   }
 
   /**
@@ -57,12 +66,15 @@
 
   /** Ends all processes and waits for that. */
   async stop(): Promise<void> {
+    this.isStopped = true;
     const all = [...this.running];
     this.killAll();
     await Promise.all(all.map(({ ended }) => ended));
+    process.off('exit', this.killAll);
+    for (const signal of SIGNALS) process.off(signal, exitWithFailure);
   }
 
-  private killAll(): void {
+  private readonly killAll = (): void => {
     for (const { child } of this.running) child.kill('SIGKILL');
-  }
+  };
 }
--- a/packages/soak/src/core/run/daemons.ts
+++ b/packages/soak/src/core/run/daemons.ts
@@ -4,7 +4,7 @@
 
 import type { TimerService } from '@celeryyoke/core';
 
-import type { DaemonSignal } from '../checks/index.js';
+import type { DaemonOutage } from '../checks/index.js';
 import type { ProcessGroup, RunningProcess } from '../processes/index.js';
 import type { DaemonAddress } from '../site/index.js';
 import { daemonAddress, settingsOf } from '../site/index.js';
@@ -33,8 +33,8 @@
 export class Daemons {
   readonly addresses: readonly DaemonAddress[];
 
-  /** All signals that were sent, the earliest first. */
-  readonly signals: DaemonSignal[] = [];
+  /** All signals that were sent and all starts after the first, the earliest first. */
+  readonly outages: DaemonOutage[] = [];
 
   private readonly running = new Map<string, RunningProcess>();
 
@@ -43,12 +43,14 @@
   }
 
   /**
-   * Starts a daemon unless it runs.
+   * Starts a daemon unless it runs, or the run is over: faults may end after it.
    * @param daemon - The daemon.
    * @param isFirstStart - Whether the whole fleet starts for the first time.
    */
   start(daemon: DaemonAddress, isFirstStart: boolean): void {
-    if (this.running.has(daemon.name)) return;
+    if (this.running.has(daemon.name) || this.options.processes.isStopped) return;
+    // A daemon that shuts down passes on answers after its signal, and knows nothing of them when it starts again.
+    if (!isFirstStart) this.recordOutage(daemon.name);
     const { processes, program, dir, storePort } = this.options;
     const settingsFile = join(dir, `${daemon.name}.conf`);
     writeFileSync(settingsFile, settingsOf(daemon, storePort, isFirstStart));
@@ -70,8 +72,12 @@
    */
   signal({ name }: DaemonAddress, signal: NodeJS.Signals): Promise<void> {
     const running = this.running.get(name);
-    this.signals.push({ daemon: name, at: this.options.timers.wall() });
+    this.recordOutage(name);
     running?.child.kill(signal);
     return running?.ended ?? Promise.resolve();
   }
+
+  private recordOutage(daemon: string): void {
+    this.outages.push({ daemon, at: this.options.timers.wall() });
+  }
 }
--- a/packages/soak/src/core/run/run.ts
+++ b/packages/soak/src/core/run/run.ts
@@ -87,7 +87,7 @@
     await store.close();
   }
   const { attempts } = callers;
-  const excuses = { signals: daemons.signals, interruptions: replicas.interruptions };
+  const excuses = { outages: daemons.outages, interruptions: replicas.interruptions };
   const figures = checkRun(attempts, arrivals, excuses);
   return { figures, outcomes: countOutcomes(callers), attempts, arrivals };
 }
