channels: test cancels by arrival and by virtual time

As a failed assertion throws, the ends that a test closed in its last lines stayed open and kept the process alive.

They cancel when the request has arrived now, and the bound of 250 ms is checked on the virtual clock that the wait for the head runs on; that the head counts and that the connection is reset is checked as before.

--- a/packages/routing/test/channels.test.ts
+++ b/packages/routing/test/channels.test.ts
@@ -1,9 +1,10 @@
 /** Outcomes of exchanges with replicas that misbehave, over raw sockets. */
 import { EventEmitter, once } from 'node:events';
 
-import { createSystemTimers } from '@celeryyoke/core';
+import { createManualTimers, createSystemTimers } from '@celeryyoke/core';
 import type { ResponseSink, ExclusiveChannel } from '@celeryyoke/routing';
 import { ChannelFailure, ChannelPool, ExchangeError, ExchangePurpose } from '@celeryyoke/routing';
+import type { ExecutionContext } from 'ava';
 import test from 'ava';
 
 import type { RawReplica, RawRequest } from './raw.js';
@@ -18,15 +19,21 @@
   wasSent: boolean;
 }
 
+/**
+ * Sends a request.
+ * @param cancelAfterMs - Time from the moment at which it is written until it is cancelled.
+ */
 function exchange(pool: ChannelPool, port: number, body?: string, cancelAfterMs?: number): Promise<Outcome> {
   return new Promise((resolve) => {
     const outcome: Outcome = { end: '', status: 0, body: '', wasSent: false };
+    let cancel = (): void => undefined;
     const settle = (end: string): void => {
       resolve({ ...outcome, end });
     };
     const sink: ResponseSink = {
       onSent: () => {
         outcome.wasSent = true;
+        if (cancelAfterMs !== undefined) setTimeout(() => cancel(), cancelAfterMs);
       },
       onHead: (status) => {
         outcome.status = status;
@@ -45,7 +52,15 @@
       body: body === undefined ? undefined : Buffer.from(body),
     };
     const handle = pool.send({ id: 'r', host: '127.0.0.1', port }, call, sink);
-    if (cancelAfterMs !== undefined) setTimeout(() => handle.cancel('test'), cancelAfterMs);
+    cancel = () => handle.cancel('test');
+  });
+}
+
+/** Closes both ends after a test, also one that fails: what stays open would keep the process of the tests alive. */
+function releaseAfter(t: ExecutionContext, pool: ChannelPool, replica: RawReplica): void {
+  t.teardown(async () => {
+    pool.close();
+    await replica.close();
   });
 }
 
@@ -177,6 +192,7 @@
     socket.once('end', () => events.emit('end', 'closed'));
     events.emit('arrived');
   });
+  releaseAfter(t, pool, replica);
   const sink: ResponseSink = {
     onSent: () => undefined,
     onHead: () => undefined,
@@ -196,8 +212,6 @@
   events.once('arrived', () => handle.cancel('test'));
   const [endReason] = (await once(events, 'end')) as [string];
   t.is(endReason, 'ECONNRESET');
-  pool.close();
-  await replica.close();
 });
 
 test('a connection is not reused after a response with Connection: close', (t) =>
@@ -279,12 +293,11 @@
     return asked === 1 ? undefined : 'leaving';
   };
   const pool = new ChannelPool(timers, { refusal, onResponseHead: () => undefined });
+  releaseAfter(t, pool, replica);
   t.like(await exchange(pool, replica.port), { end: ChannelFailure.Withheld, wasSent: false });
   t.like(await exchange(pool, replica.port), { end: ChannelFailure.Withheld, wasSent: false });
   t.is(replica.connections(), 1);
   t.deepEqual(replica.requests, []);
-  pool.close();
-  await replica.close();
 });
 
 test('a call that is withheld leaves an exclusive connection open', async (t) => {
@@ -292,6 +305,7 @@
   let isRuledOut = false;
   const refusal = (): string | undefined => (isRuledOut ? 'leaving' : undefined);
   const pool = new ChannelPool(timers, { refusal, onResponseHead: () => undefined });
+  releaseAfter(t, pool, replica);
   const channel = pool.openExclusive({ id: 'r', host: '127.0.0.1', port: replica.port }, () => undefined);
   const order = {
     purpose: ExchangePurpose.Order,
@@ -309,73 +323,99 @@
   await channel.call(order, options);
   t.is(replica.connections(), 1);
   t.is(replica.requests.length, 2);
-  pool.close();
-  await replica.close();
 });
 
+/** Sends a request and cancels it when the replica has it; resolves when that is over. */
+async function cancelOnArrival(
+  pool: ChannelPool,
+  { port }: RawReplica,
+  arrivals: EventEmitter,
+): Promise<void> {
+  const arrived = once(arrivals, 'arrived');
+  const call = { purpose: ExchangePurpose.Request, method: 'GET', path: '/x', headers: ['host', 'h'] };
+  await new Promise<void>((resolve, reject) => {
+    const sink: ResponseSink = {
+      onSent: () => undefined,
+      onHead: () => undefined,
+      onData: () => undefined,
+      onEnd: () => reject(new Error('The exchange was not cancelled.')),
+      onFail: (failure) => {
+        if (failure === ChannelFailure.Cancelled) resolve();
+        else reject(new Error(failure));
+      },
+    };
+    const handle = pool.send({ id: 'r', host: '127.0.0.1', port }, { ...call, body: undefined }, sink);
+    arrived.then(() => handle.cancel('test'), reject);
+  });
+}
+
 // Guards against a declaration that is lost because its response crosses the end of the request that it answers.
 test('the head of a response that crosses a cancel still counts', async (t) => {
+  const events = new EventEmitter();
+  let respond = (): void => undefined;
   const replica = await startRawReplica(({ socket }) => {
     socket.on('error', () => undefined);
-    setTimeout(() => socket.write('HTTP/1.1 503 X\r\nRetry-After: 3\r\nContent-Length: 0\r\n\r\n'), 15);
+    respond = () => {
+      socket.write('HTTP/1.1 503 X\r\nRetry-After: 3\r\nContent-Length: 0\r\n\r\n');
+    };
+    events.emit('arrived');
   });
-  const heads: string[] = [];
-  const pool = new ChannelPool(timers, {
+  const pool = new ChannelPool(createManualTimers(), {
     refusal: () => undefined,
     onResponseHead: (upstream, status, headers) =>
-      heads.push(`${upstream} ${status} ${String(headers['retry-after'])}`),
-  });
-  t.like(await exchange(pool, replica.port, undefined, 5), { end: ChannelFailure.Cancelled, status: 0 });
-  await new Promise((resolve) => {
-    setTimeout(resolve, 100);
+      events.emit('head', `${upstream} ${status} ${String(headers['retry-after'])}`),
   });
-  t.deepEqual(heads, ['r 503 3']);
+  releaseAfter(t, pool, replica);
+  await cancelOnArrival(pool, replica, events);
+  const head = once(events, 'head');
+  respond();
+  t.deepEqual(await head, ['r 503 3']);
   // Its connection is not used again.
+  events.once('arrived', () => respond());
   t.like(await exchange(pool, replica.port), { end: 'complete' });
   t.is(replica.connections(), 2);
-  pool.close();
-  await replica.close();
 });
 
+/** Time after which a test counts as hung, in milliseconds of the wall clock. */
+const TEST_TIMEOUT_MS = 20_000;
+/** Longest time for which a replica may work on for a caller that has left, in milliseconds. */
+const MAX_WORK_AFTER_CANCEL_MS = 250;
+
 // Guards against a replica that works on for a caller that has left.
 test('a cancelled request without a response resets its connection soon after', async (t) => {
-  const closed = new EventEmitter();
+  t.timeout(TEST_TIMEOUT_MS);
+  const events = new EventEmitter();
   const replica = await startRawReplica(({ socket }) => {
-    socket.on('error', (err: NodeJS.ErrnoException) => closed.emit('reset', err.code));
+    socket.on('error', (err: NodeJS.ErrnoException) => events.emit('reset', err.code));
+    events.emit('arrived');
   });
-  const pool = new ChannelPool(timers);
-  const startedAt = performance.now();
-  const reset = once(closed, 'reset');
-  t.like(await exchange(pool, replica.port, undefined, 5), { end: ChannelFailure.Cancelled });
+  const manual = createManualTimers();
+  const pool = new ChannelPool(manual);
+  releaseAfter(t, pool, replica);
+  await cancelOnArrival(pool, replica, events);
+  const reset = once(events, 'reset');
+  await manual.advance(MAX_WORK_AFTER_CANCEL_MS);
   t.deepEqual(await reset, ['ECONNRESET']);
-  const tookMs = performance.now() - startedAt;
-  t.true(tookMs < 250, `${tookMs} ms`);
-  pool.close();
-  await replica.close();
 });
 
 // Guards against a replica that works on for a caller that has left, as long as it sends a head byte by byte.
 test('a cancelled request resets its connection soon after, however slowly a head arrives', async (t) => {
-  const closed = new EventEmitter();
+  t.timeout(TEST_TIMEOUT_MS);
+  const events = new EventEmitter();
   const replica = await startRawReplica(({ socket }) => {
     const trickle = setInterval(() => socket.write('H'), 20);
     socket.write('HTTP/1.1 200 OK\r\nX-Slow: ');
-    socket.on('error', () => undefined);
     socket.once('close', () => {
       clearInterval(trickle);
-      closed.emit('close');
+      events.emit('close', 'closed');
     });
+    events.emit('arrived');
   });
-  const pool = new ChannelPool(timers);
-  const startedAt = performance.now();
-  const ended = once(closed, 'close');
-  t.like(await exchange(pool, replica.port, undefined, 5), { end: ChannelFailure.Cancelled });
-  const timeout = new Promise((resolve) => {
-    setTimeout(resolve, 1000);
-  });
-  await Promise.race([ended, timeout]);
-  const tookMs = performance.now() - startedAt;
-  pool.close();
-  await replica.close();
-  t.true(tookMs < 250, `${tookMs} ms`);
+  const manual = createManualTimers();
+  const pool = new ChannelPool(manual);
+  releaseAfter(t, pool, replica);
+  await cancelOnArrival(pool, replica, events);
+  const closed = once(events, 'close');
+  await manual.advance(MAX_WORK_AFTER_CANCEL_MS);
+  t.deepEqual(await closed, ['closed']);
 });
