channels: take back what the socket's own timer needed

The wait for a head after a cancel was a timeout of the socket for a while, for which the timeout of the connect had to be unsubscribed. No behaviour changes; the tests of channels pass.

--- a/packages/routing/src/core/channels/channel.ts
+++ b/packages/routing/src/core/channels/channel.ts
@@ -173,21 +173,19 @@
       if (isSettled) return;
       isSettled = true;
       socket.setTimeout(0);
-      socket.off('timeout', onTimeout);
       if (err === undefined) callback(null, socket);
       else callback(err, null);
     };
-    function onTimeout(): void {
-      settle(new Error(`No connection within ${connectTimeoutMs} ms.`));
-      socket.destroy();
-    }
     // Registered before undici's own listener, so that wasReset is set when undici reports the end of the
     // response.
     socket.on('error', (err) => {
       this.wasReset = true;
       settle(err);
     });
-    socket.setTimeout(connectTimeoutMs, onTimeout);
+    socket.setTimeout(connectTimeoutMs, () => {
+      settle(new Error(`No connection within ${connectTimeoutMs} ms.`));
+      socket.destroy();
+    });
     socket.once('connect', () => settle(undefined));
   }
 }
