requests: log what tells a resent request from others

After a crash the lines name up to 38 requests that ended with the replica, and nothing tells which of them comes again. request.send lines of attempts that were cut off have the caller, the path and a fingerprint of caller, path and body now.

--- a/packages/routing/src/core/requests/execution.ts
+++ b/packages/routing/src/core/requests/execution.ts
@@ -20,6 +20,7 @@
 import { requestAdapterKey } from '../choice/index.js';
 import type { ReplicaLimits } from '../limits/index.js';
 import type { PromptAdmission } from '../pacing/index.js';
+import { fingerprintOf } from '../suspects/index.js';
 import type { ReplicaEntry } from '../view/index.js';
 import { LocalReply, sendLocalReply } from './local-reply.js';
 import type { EngineStream, StreamMigrator, MigratedStream } from './migration.js';
@@ -57,6 +58,12 @@
   AttemptOutcome.Misdirected,
 ]);
 
+/** Outcomes of attempts whose connection ended before the response, as all those at a replica that crashes do. */
+const CUT_OUTCOMES: ReadonlySet<AttemptOutcome> = new Set([
+  AttemptOutcome.Unknown,
+  AttemptOutcome.BrokenStream,
+]);
+
 /** Outcomes that say nothing about the health of the replica. */
 const WITHOUT_VERDICT: ReadonlySet<AttemptOutcome> = new Set([
   AttemptOutcome.Cancelled,
@@ -96,6 +103,8 @@
   readonly hasAccounts: boolean;
   /** The client account; undefined for an anonymous request. */
   readonly account: ClientAccount | undefined;
+  /** Address of the caller. */
+  readonly callerAddress: string;
   readonly res: ServerResponse;
   /** Monotonic time of its arrival, in milliseconds. */
   readonly arrivedAt: number;
@@ -376,6 +385,7 @@
       status: response?.status,
       reason,
       wasSent,
+      ...(CUT_OUTCOMES.has(outcome) ? this.identity() : undefined),
       send: this.attemptCount,
       sentAfterMs: this.sentAfterMs,
       chosenAgoMs: this.chosenAgoMs,
@@ -394,6 +404,14 @@
     });
   }
 
+  /** What tells whether another request is this one, sent again. */
+  private identity(): { readonly caller: string; readonly target: string; readonly fingerprint: string } {
+    const { head, body, account, callerAddress } = this.options;
+    const { method, host, target } = head;
+    const caller = account?.name ?? callerAddress;
+    return { caller, target, fingerprint: fingerprintOf({ caller, method, host, target, body }) };
+  }
+
   /**
    * Logs the result of an attempt and decides whether it ends the request.
    * @returns Whether another attempt is to be made.
--- a/packages/routing/test/repeats/execution-site.ts
+++ b/packages/routing/test/repeats/execution-site.ts
@@ -183,6 +183,7 @@
       service: 'engines',
       hasAccounts: false,
       account: undefined,
+      callerAddress: '127.0.0.1',
       res: res as unknown as ServerResponse,
       arrivedAt: this.timers.now(),
     });
