--- a/packages/soak/src/core/callers/callers.ts
+++ b/packages/soak/src/core/callers/callers.ts
@@ -4,7 +4,7 @@
 import type { Random } from '@celeryyoke/routing/testing';
 import { Agent, request } from 'undici';
 
-import { REPLICA_HEADER } from '../replicas/index.js';
+import { CRASHING_PATH, REPLICA_HEADER } from '../replicas/index.js';
 import type { DaemonAddress, SoakRoute } from '../site/index.js';
 import { CALLER_HOST, ROUTES } from '../site/index.js';
 import type { Balancer } from './balancer.js';
@@ -13,6 +13,12 @@
 /** Part of its time for which a caller waits at most before it comes back. */
 const MAX_RETRY_SHARE = 1 / 3;
 const OK = 200;
+const FIRST_FAILURE = 400;
+/** Result code in the body of a reply that a daemon makes itself. */
+const RESULT_CODE = /"code":(\d+)/;
+/** Shortest and longest pause of a caller that sends the same request again and again, in milliseconds. */
+const MIN_RESEND_MS = 20;
+const MAX_RESEND_MS = 700;
 const PROMISES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
 /** What a caller got. */
@@ -35,6 +41,8 @@
 export interface CallerAttempt {
   readonly id: string;
   readonly route: SoakRoute;
+  /** The same for all attempts with one request. */
+  readonly path: string;
   /** Name of the daemon that it was sent to. */
   readonly daemon: string;
   /** Unix milliseconds. */
@@ -44,6 +52,16 @@
   outcome: CallerOutcome | undefined;
   /** Status of the response; undefined when there was none. */
   status: number | undefined;
+  /** Result code of a reply that the daemon made itself; undefined for any other response. */
+  code: number | undefined;
+}
+
+/** One request of a caller, whose attempts have ids of their own. */
+interface CallerRequest {
+  readonly route: SoakRoute;
+  readonly path: string;
+  /** Monotonic time until which the caller waits, in milliseconds. */
+  readonly deadlineAt: number;
 }
 
 /** What callers need. */
@@ -68,6 +86,9 @@
 
   private isStopped = false;
 
+  /** Requests so far, which number their paths. */
+  private requestCount = 0;
+
   constructor(private readonly options: CallersOptions) {}
 
   /** Sends requests until {@link stop}. */
@@ -89,35 +110,68 @@
     await this.agent.destroy();
   }
 
+  /**
+   * Sends one request again and again, each time as soon as it has failed or a moment later.
+   * @param copies - Copies that are sent at once.
+   * @returns A function that ends it.
+   */
+  repeatCrashing(copies: number): () => void {
+    const route = pickRoute(this.options.random);
+    const path = this.nextPath(route, `/${CRASHING_PATH}`);
+    const end = new AbortController();
+    for (let copy = 0; copy < copies; copy += 1) this.track(this.resend(route, path, end.signal));
+    return () => end.abort();
+  }
+
+  private async resend(route: SoakRoute, path: string, signal: AbortSignal): Promise<void> {
+    const { timers, random } = this.options;
+    while (!signal.aborted && !this.isStopped) {
+      await this.call({ route, path, deadlineAt: timers.now() + route.timeoutMs });
+      await timers.sleep(random.between(MIN_RESEND_MS, MAX_RESEND_MS));
+    }
+  }
+
   private begin(): void {
     const route = pickRoute(this.options.random);
-    const task = this.callWithRetry(route).finally(() => this.open.delete(task));
-    this.open.add(task);
+    this.track(this.callWithRetry(route));
+  }
+
+  private track(task: Promise<void>): void {
+    const tracked = task.finally(() => this.open.delete(tracked));
+    this.open.add(tracked);
+  }
+
+  private nextPath({ name }: SoakRoute, end = ''): string {
+    this.requestCount += 1;
+    return `/${name}/${this.requestCount}${end}`;
   }
 
   private async callWithRetry(route: SoakRoute): Promise<void> {
     const { timers, hasRetries } = this.options;
     const deadlineAt = timers.now() + route.timeoutMs;
-    const first = await this.call(route, deadlineAt);
+    const wanted = { route, path: this.nextPath(route), deadlineAt };
+    const first = await this.call(wanted);
     const mayRetry = first.outcome === CallerOutcome.Refused || route.kind !== 'unsafe';
     if (first.outcome === CallerOutcome.Served || !mayRetry) return;
     if (!hasRetries || this.isStopped) return;
     const leftMs = Math.max(0, deadlineAt - timers.now());
     await timers.sleep(Math.min(first.retryAfterMs, leftMs * MAX_RETRY_SHARE));
-    if (timers.now() < deadlineAt) await this.call(route, deadlineAt);
+    if (timers.now() < deadlineAt) await this.call(wanted);
   }
 
-  private async call(route: SoakRoute, deadlineAt: number) {
+  private async call({ route, path, deadlineAt }: CallerRequest) {
     const { balancer, random, timers } = this.options;
     const daemon = random.pick(balancer.inRotation());
     const attempt: CallerAttempt = {
       id: `c${this.attempts.length}`,
       route,
+      path,
       daemon: daemon.name,
       sentAt: timers.wall(),
       toldLeaving: undefined,
       outcome: undefined,
       status: undefined,
+      code: undefined,
     };
     this.attempts.push(attempt);
     const leftMs = Math.max(1, Math.floor(deadlineAt - timers.now()));
@@ -131,8 +185,8 @@
   }
 
   private async send({ callers }: DaemonAddress, attempt: CallerAttempt, leftMs: number) {
-    const { id, route } = attempt;
-    const { statusCode, headers, body } = await request(`http://${callers}/${route.name}/x`, {
+    const { id, route, path } = attempt;
+    const { statusCode, headers, body } = await request(`http://${callers}${path}`, {
       dispatcher: this.agent,
       method: route.kind === 'safe' ? 'GET' : 'POST',
       headers: this.headersOf(id, route, leftMs),
@@ -141,7 +195,8 @@
     const replica = headers[REPLICA_HEADER];
     if (headers['server-leaving'] === '1' && typeof replica === 'string')
       Object.assign(attempt, { toldLeaving: { replica, at: this.options.timers.wall() } });
-    await body.dump();
+    if (statusCode < FIRST_FAILURE) await body.dump();
+    else Object.assign(attempt, { code: resultCodeOf(await body.text()) });
     const retryAfterMs = Number(headers['retry-after'] ?? 0) * MS_PER_SECOND;
     return { outcome: outcomeOf(statusCode), status: statusCode, retryAfterMs };
   }
@@ -162,6 +217,11 @@
   }
 }
 
+function resultCodeOf(body: string): number | undefined {
+  const [, code] = RESULT_CODE.exec(body) ?? [];
+  return code === undefined ? undefined : Number(code);
+}
+
 function outcomeOf(status: number): CallerOutcome {
   if (status === OK) return CallerOutcome.Served;
   return PROMISES.has(status) ? CallerOutcome.Refused : CallerOutcome.Failed;
--- a/packages/soak/src/core/checks/checks.ts
+++ b/packages/soak/src/core/checks/checks.ts
@@ -4,8 +4,10 @@
 
 import type { CallerAttempt } from '../callers/index.js';
 import { CallerOutcome } from '../callers/index.js';
-import type { Arrival } from '../replicas/index.js';
+import type { Arrival, ReplicaCrash } from '../replicas/index.js';
 import { ENGINE_SERVICE, PLAIN_SERVICE, REPEAT_BOUNDS } from '../site/index.js';
+import type { CrashingViolation } from './crashes.js';
+import { checkCrashing, checkRefusedBeside } from './crashes.js';
 import type { Excuses, HostViolation } from './declarations.js';
 import { checkBackoffs, checkLeaving } from './declarations.js';
 
@@ -32,18 +34,29 @@
   readonly sentToLeaving: readonly HostViolation[];
   /** Backoffs in which a replica got more from the daemon that it had asked than is tolerated. */
   readonly sentInBackoff: readonly HostViolation[];
+  /** Requests that reached replicas again and again although several had crashed under them. */
+  readonly sentThoughCrashing: readonly CrashingViolation[];
+  /** Requests that were refused for crashes that they did not cause. */
+  readonly refusedBeside: readonly string[];
+}
+
+/** What callers and replicas saw. */
+export interface SoakRecord {
+  /** What callers sent and got. */
+  readonly attempts: readonly CallerAttempt[];
+  /** What replicas read. */
+  readonly arrivals: readonly Arrival[];
+  readonly crashes: readonly ReplicaCrash[];
 }
 
 /**
  * Checks a run.
- * @param attempts - What callers sent and got.
- * @param arrivals - What replicas read.
+ * @param record - What callers and replicas saw.
  * @param excuses - Faults that excuse a daemon.
  * @returns What it showed.
  */
 export function checkRun(
-  attempts: readonly CallerAttempt[],
-  arrivals: readonly Arrival[],
+  { attempts, arrivals, crashes }: SoakRecord,
   excuses: Excuses = { outages: [], interruptions: [] },
 ): SoakFigures {
   const runs = new Map<string, number>();
@@ -58,6 +71,8 @@
       .map(({ id }) => id),
     sentToLeaving: checkLeaving(attempts, arrivals, excuses),
     sentInBackoff: checkBackoffs(attempts, arrivals, excuses),
+    sentThoughCrashing: checkCrashing(attempts, arrivals, crashes, excuses.outages),
+    refusedBeside: checkRefusedBeside(attempts),
   };
 }
 
--- a/packages/soak/src/core/checks/index.ts
+++ b/packages/soak/src/core/checks/index.ts
@@ -2,3 +2,5 @@
 export type { RepeatFigures, SoakFigures } from './checks.js';
 export type { DaemonOutage, Excuses, HostViolation } from './declarations.js';
 export { checkRun, isClean } from './checks.js';
+export type { CrashingViolation } from './crashes.js';
+export { countCrashes } from './crashes.js';
--- a/packages/soak/src/core/plan/plan.ts
+++ b/packages/soak/src/core/plan/plan.ts
@@ -19,12 +19,18 @@
 const FAILURES = [FaultKind.Shed, FaultKind.Errors, FaultKind.Reset, FaultKind.Hang] as const;
 /** Kinds by which replicas declare something; drawn apart from the others, so that these stay the same. */
 const DECLARATIONS = [FaultKind.Backoff, FaultKind.Leave] as const;
-const OTHERS = Object.values(FaultKind).filter((kind) => !DECLARATIONS.some((declared) => declared === kind));
+/** Kinds that are drawn in the first place; what was added later is drawn apart, so that these stay the same. */
+const LATER: readonly FaultKind[] = [...DECLARATIONS, FaultKind.CrashingRequest];
+const OTHERS = Object.values(FaultKind).filter((kind) => !LATER.includes(kind));
 /** Mean time between two faults, in seconds. */
 const SECONDS_PER_FAULT = 4;
 /** Time for which a declaration holds, in milliseconds: longer than daemons may use a replica that leaves. */
 const MIN_DECLARED_MS = 3500;
 const MAX_DECLARED_MS = 9000;
+/** Mean time between two callers whose request crashes replicas, in milliseconds. */
+const MS_PER_CRASHING_REQUEST = 10_000;
+/** Shortest time for which such a caller comes again, in milliseconds: longer than the check's grace time. */
+const MIN_CRASHING_MS = 6000;
 
 /**
  * Draws a plan. Replicas refuse requests for most of the time, so that the budget binds; other faults overlap with that.
@@ -52,12 +58,27 @@
     trafficAfterMs: isSlowStart ? START_MS : startSpreadMs + SETTLE_MS,
     adapters: random.pick(ADAPTERS),
     hasRetries: random.chance(RETRIES_CHANCE),
-    faults: [...failures, ...others, ...drawDeclarations(seed, lengthMs)].sort(
-      (left, right) => left.atMs - right.atMs,
-    ),
+    faults: [
+      ...failures,
+      ...others,
+      ...drawDeclarations(seed, lengthMs),
+      ...drawCrashingRequests(seed, lengthMs),
+    ].sort((left, right) => left.atMs - right.atMs),
   };
 }
 
+/** Draws callers whose request crashes replicas, in series that may overlap. */
+function drawCrashingRequests(seed: number, lengthMs: number): Fault[] {
+  const random = createRandom(`soak-crashing-${seed}`);
+  const count = Math.max(1, Math.round(lengthMs / MS_PER_CRASHING_REQUEST));
+  return Array.from({ length: count }, () => ({
+    kind: FaultKind.CrashingRequest,
+    atMs: Math.round(random.between(0, lengthMs / 2)),
+    forMs: Math.round(random.between(MIN_CRASHING_MS, lengthMs / 2)),
+    share: random.between(0, 1),
+  }));
+}
+
 function drawDeclarations(seed: number, lengthMs: number): Fault[] {
   const random = createRandom(`soak-declarations-${seed}`);
   return DECLARATIONS.flatMap((kind) =>
--- a/packages/soak/src/core/plan/types.ts
+++ b/packages/soak/src/core/plan/types.ts
@@ -26,6 +26,8 @@
   Backoff = 'backoff',
   /** Replicas say in their responses that they leave; the registry lists them as ready until they are replaced. */
   Leave = 'leave',
+  /** A caller sends one request again and again, which crashes each replica that runs it. */
+  CrashingRequest = 'crashing-request',
 }
 
 /** One fault of a plan. */
--- a/packages/soak/src/core/replicas/fleet.ts
+++ b/packages/soak/src/core/replicas/fleet.ts
@@ -4,7 +4,14 @@
 import type { TimerService } from '@celeryyoke/core';
 
 import type { ProcessGroup, RunningProcess } from '../processes/index.js';
-import type { Arrival, Behaviour, ReplicaCommand, ReplicaNews, ReplicaOptions } from './messages.js';
+import type {
+  Arrival,
+  Behaviour,
+  ReplicaCommand,
+  ReplicaCrash,
+  ReplicaNews,
+  ReplicaOptions,
+} from './messages.js';
 import { Holdable, incarnationId } from './messages.js';
 
 const PROGRAM = fileURLToPath(new URL('./main.js', import.meta.url));
@@ -17,6 +24,8 @@
   readonly processCount: number;
   readonly logFile: (name: string) => string;
   readonly onArrival: (arrival: Arrival) => void;
+  /** Called when a replica that had crashed listens again, with the incarnation that has ended. */
+  readonly onRestart: (id: string, before: string) => void;
   readonly timers: TimerService;
 }
 
@@ -30,6 +39,8 @@
   until: number | undefined;
 }
 
+type NewsHandler<Type extends ReplicaNews['type']> = (news: Extract<ReplicaNews, { type: Type }>) => void;
+
 interface Host {
   readonly running: RunningProcess;
   readonly ids: readonly string[];
@@ -42,6 +53,9 @@
   /** Times in which replicas read nothing, the earliest first. */
   readonly interruptions: Interruption[] = [];
 
+  /** Crashes, in the order in which they were reported. */
+  readonly crashes: ReplicaCrash[] = [];
+
   private readonly hosts: Host[] = [];
 
   private readonly replacements = new Map<string, number>();
@@ -79,7 +93,7 @@
 
   /** Replaces some replicas by new incarnations with the same address. */
   replace(ids: readonly string[]): void {
-    for (const id of ids) this.replacements.set(id, (this.replacements.get(id) ?? 0) + 1);
+    for (const id of ids) this.countReplacement(id);
     this.command((own) => ({ type: 'replace', ids: own.filter((id) => ids.includes(id)) }));
   }
 
@@ -103,6 +117,16 @@
     this.noteInterruption(ids, isFrozen);
   }
 
+  private countReplacement(id: string): void {
+    this.replacements.set(id, (this.replacements.get(id) ?? 0) + 1);
+  }
+
+  private recordRestart(id: string): void {
+    const before = this.incarnationOf(id);
+    this.countReplacement(id);
+    this.options.onRestart(id, before);
+  }
+
   private noteInterruption(ids: readonly string[], begins: boolean): void {
     const now = this.options.timers.wall();
     for (const replica of ids) {
@@ -125,13 +149,18 @@
     const running = processes.start({ name, args: [PROGRAM], logFile: logFile(name), hasMessages: true });
     this.hosts.push({ running, ids: replicas.map(({ id }) => id) });
     return new Promise((resolve, reject) => {
-      running.child.on('message', (news: ReplicaNews) => {
-        if (news.type === 'arrivals') news.arrivals.forEach(onArrival);
-        else {
-          for (const [id, port] of news.ports) this.ports.set(id, port);
+      const handlers: { readonly [Type in ReplicaNews['type']]: NewsHandler<Type> } = {
+        started: ({ ports }) => {
+          for (const [id, port] of ports) this.ports.set(id, port);
           resolve();
-        }
-      });
+        },
+        arrivals: ({ arrivals }) => arrivals.forEach(onArrival),
+        crashed: ({ crash }) => {
+          this.crashes.push(crash);
+        },
+        restarted: ({ id }) => this.recordRestart(id),
+      };
+      running.child.on('message', (news: ReplicaNews) => handlers[news.type](news as never));
       void running.ended.then(() => reject(new Error(`${name} has ended.`)));
       running.child.send({ type: 'start', replicas } satisfies ReplicaCommand);
     });
--- a/packages/soak/src/core/replicas/main.ts
+++ b/packages/soak/src/core/replicas/main.ts
@@ -10,10 +10,6 @@
 const replicas = new Map<string, SoakReplica>();
 const arrivals: Arrival[] = [];
 
-function noteArrival(arrival: Arrival): void {
-  arrivals.push(arrival);
-}
-
 function tell(news: ReplicaNews): void {
   process.send?.(news);
 }
@@ -21,7 +17,11 @@
 async function start(options: readonly ReplicaOptions[]): Promise<void> {
   const ports: [string, number][] = [];
   for (const option of options) {
-    const replica = new SoakReplica(option, noteArrival);
+    const replica = new SoakReplica(option, {
+      onArrival: (arrival) => arrivals.push(arrival),
+      onCrash: (crash) => tell({ type: 'crashed', crash }),
+      onRestart: () => tell({ type: 'restarted', id: option.id }),
+    });
     replicas.set(option.id, replica);
     ports.push([option.id, await replica.listen()]);
   }
--- a/packages/soak/src/core/replicas/messages.ts
+++ b/packages/soak/src/core/replicas/messages.ts
@@ -59,6 +59,19 @@
   readonly retryAfterMs?: number;
 }
 
+/** A replica that has crashed while it ran a request. */
+export interface ReplicaCrash {
+  /** Names the attempt of the caller. */
+  readonly request: string;
+  /** Incarnation of the replica. */
+  readonly replica: string;
+  /** Unix milliseconds. */
+  readonly at: number;
+}
+
+/** Last part of the path of requests that crash each replica that runs them. */
+export const CRASHING_PATH = 'crash';
+
 /**
  * Names an incarnation of a replica.
  * @param id - Name of the replica throughout the run.
@@ -71,4 +84,7 @@
 /** Message from a process of replicas. */
 export type ReplicaNews =
   | { readonly type: 'started'; readonly ports: readonly (readonly [id: string, port: number])[] }
-  | { readonly type: 'arrivals'; readonly arrivals: readonly Arrival[] };
+  | { readonly type: 'arrivals'; readonly arrivals: readonly Arrival[] }
+  | { readonly type: 'crashed'; readonly crash: ReplicaCrash }
+  /** A replica that had crashed listens again, as a new incarnation. */
+  | { readonly type: 'restarted'; readonly id: string };
--- a/packages/soak/src/core/replicas/replica.ts
+++ b/packages/soak/src/core/replicas/replica.ts
@@ -19,8 +19,8 @@
 import type { Random, RawRequest } from '@celeryyoke/routing/testing';
 import { createRandom, headerValue, parseRequest } from '@celeryyoke/routing/testing';
 
-import type { Arrival, ReplicaOptions } from './messages.js';
-import { Behaviour, Holdable, incarnationId, REPLICA_HEADER } from './messages.js';
+import type { Arrival, ReplicaCrash, ReplicaOptions } from './messages.js';
+import { Behaviour, CRASHING_PATH, Holdable, incarnationId, REPLICA_HEADER } from './messages.js';
 
 const HOST = '127.0.0.1';
 /** Part of the requests that a replica which misbehaves treats so. */
@@ -34,6 +34,11 @@
 const MIN_BACKOFF_S = 1;
 const MAX_BACKOFF_S = 4;
 const MS_PER_SECOND = 1000;
+/** Time for which a replica runs a request that crashes it, in milliseconds. */
+const CRASH_AFTER_MS = 60;
+/** Time until a replica that has crashed listens again, in milliseconds. */
+const RESTART_MS = 2500;
+const CRASHING_TARGET = new RegExp(`^\\S+ \\S+/${CRASHING_PATH} `);
 
 const timers = createSystemTimers();
 
@@ -72,6 +77,14 @@
   }
 }
 
+/** Called with what happens to a replica. */
+export interface ReplicaListener {
+  readonly onArrival: (arrival: Arrival) => void;
+  readonly onCrash: (crash: ReplicaCrash) => void;
+  /** Called when it listens again after a crash. */
+  readonly onRestart: () => void;
+}
+
 /** A replica of a service. */
 export class SoakReplica {
   behaviour = Behaviour.Serve;
@@ -82,6 +95,9 @@
 
   private running = 0;
 
+  /** Number of crashes so far. */
+  private crashes = 0;
+
   private life = new EngineState();
 
   private replacements = 0;
@@ -94,7 +110,7 @@
 
   constructor(
     private readonly options: ReplicaOptions,
-    private readonly onArrival: (arrival: Arrival) => void,
+    private readonly listener: ReplicaListener,
   ) {
     this.random = createRandom(options.id);
     this.server = createServer((socket) => this.accept(socket));
@@ -205,11 +221,30 @@
     return Math.round(this.random.between(MIN_BACKOFF_S, MAX_BACKOFF_S) * 10) / 10;
   }
 
-  /** Serves a request to its end. */
+  /** Serves a request to its end, or crashes under it. */
   async run(req: RawRequest): Promise<void> {
+    const { crashes } = this;
     this.running += 1;
-    await (this.options.isEngine ? stream(req, this.declarations) : answerLater(req, this.declarations));
-    this.running -= 1;
+    if (CRASHING_TARGET.test(req.head)) await this.crashUnder(req);
+    else await (this.options.isEngine ? stream(req, this.declarations) : answerLater(req, this.declarations));
+    if (crashes === this.crashes) this.running -= 1;
+  }
+
+  /** Ends all connections and refuses new ones until it restarts, as when its process has crashed. */
+  private async crashUnder({ head }: RawRequest): Promise<void> {
+    const { crashes } = this;
+    await timers.sleep(CRASH_AFTER_MS);
+    if (crashes !== this.crashes) return;
+    const request = headerValue(head, 'celeryyoke-request-id') ?? '';
+    this.listener.onCrash({ request, replica: this.incarnation, at: timers.wall() });
+    this.crashes += 1;
+    this.running = 0;
+    const { port } = this.server.address() as AddressInfo;
+    for (const { socket } of this.connections) socket.destroy();
+    this.server.close();
+    await timers.sleep(RESTART_MS);
+    this.replace();
+    this.server.listen(port, HOST, this.listener.onRestart);
   }
 
   private note(
@@ -217,7 +252,7 @@
     facts: Pick<Arrival, 'hasRun' | 'holder' | 'isMisdirected' | 'retryAfterMs'>,
   ): void {
     const request = headerValue(head, 'celeryyoke-request-id') ?? '';
-    this.onArrival({ request, replica: this.incarnation, at: timers.wall(), ...facts });
+    this.listener.onArrival({ request, replica: this.incarnation, at: timers.wall(), ...facts });
   }
 }
 
--- a/packages/soak/src/core/run/faults.ts
+++ b/packages/soak/src/core/run/faults.ts
@@ -2,6 +2,7 @@
 import type { TimerService } from '@celeryyoke/core';
 import type { Random } from '@celeryyoke/routing/testing';
 
+import type { Callers } from '../callers/index.js';
 import type { Fault } from '../plan/index.js';
 import { FaultKind } from '../plan/index.js';
 import type { ReplicaFleet } from '../replicas/index.js';
@@ -10,11 +11,15 @@
 import type { Daemons } from './daemons.js';
 
 const MS_PER_SECOND = 1000;
+/** Share of a fault from which on a caller sends several copies of its request at once, and how many. */
+const COPIES_SHARE = 0.7;
+const COPIES = 3;
 
 /** What faults act on. */
 export interface FaultTargets {
   readonly daemons: Daemons;
   readonly replicas: ReplicaFleet;
+  readonly callers: Pick<Callers, 'repeatCrashing'>;
   /** Has the registry list a replica under its current incarnation. */
   readonly relist: (id: string, before: string) => void;
   readonly random: Random;
@@ -80,6 +85,8 @@
   [FaultKind.Shed]: misbehave(Behaviour.Shed),
   [FaultKind.Backoff]: misbehave(Behaviour.Backoff),
   [FaultKind.Leave]: leave,
+  [FaultKind.CrashingRequest]: ({ callers }, share) =>
+    callers.repeatCrashing(share < COPIES_SHARE ? 1 : COPIES),
   [FaultKind.Errors]: misbehave(Behaviour.Errors),
   [FaultKind.Reset]: misbehave(Behaviour.Reset),
   [FaultKind.Hang]: misbehave(Behaviour.Hang),
--- a/packages/soak/src/core/run/run.ts
+++ b/packages/soak/src/core/run/run.ts
@@ -8,7 +8,7 @@
 import type { CallerAttempt } from '../callers/index.js';
 import { Balancer, Callers } from '../callers/index.js';
 import type { SoakFigures } from '../checks/index.js';
-import { checkRun } from '../checks/index.js';
+import { checkRun, countCrashes } from '../checks/index.js';
 import type { SoakPlan } from '../plan/index.js';
 import { ProcessGroup } from '../processes/index.js';
 import type { Arrival, ReplicaOptions } from '../replicas/index.js';
@@ -37,6 +37,8 @@
   readonly outcomes: ReadonlyMap<string, number>;
   readonly attempts: readonly CallerAttempt[];
   readonly arrivals: readonly Arrival[];
+  /** Replicas that crashed under each request that crashes replicas, by its path. */
+  readonly crashes: ReadonlyMap<string, number>;
 }
 
 /**
@@ -56,16 +58,18 @@
     processCount: Math.ceil((plan.engines + plan.plains) / REPLICAS_PER_PROCESS),
     logFile: (name) => join(dir, `${name}.log`),
     onArrival: (arrival) => arrivals.push(arrival),
+    onRestart: (id, before) => relist(id, before),
     timers,
   });
   const { port: storePort } = store;
   const daemons = new Daemons({ processes, program, dir, storePort, count: plan.daemons, timers });
-  const list = (option: ReplicaOptions): void =>
+  function list(option: ReplicaOptions): void {
     listReplica(store, replicas.incarnationOf(option.id), option, replicas.ports.get(option.id)!);
-  const relist = (id: string, before: string): void => {
+  }
+  function relist(id: string, before: string): void {
     store.remove(`servers/${before}`);
     list(replicasOf(plan).find((option) => option.id === id)!);
-  };
+  }
   const balancer = new Balancer(daemons.addresses, timers);
   const random = createRandom(`run-${plan.seed}`);
   const { requestsPerSecond, adapters, hasRetries } = plan;
@@ -76,7 +80,7 @@
     startAll(plan, daemons, timers);
     await timers.sleep(plan.trafficAfterMs);
     for (const fault of plan.faults)
-      timers.after(fault.atMs, () => inject({ daemons, replicas, relist, random, timers }, fault));
+      timers.after(fault.atMs, () => inject({ daemons, replicas, callers, relist, random, timers }, fault));
     void callers.run();
     await timers.sleep(plan.seconds * MS_PER_SECOND);
     await callers.stop();
@@ -88,8 +92,15 @@
   }
   const { attempts } = callers;
   const excuses = { outages: daemons.outages, interruptions: replicas.interruptions };
-  const figures = checkRun(attempts, arrivals, excuses);
-  return { figures, outcomes: countOutcomes(callers), attempts, arrivals };
+  const { crashes } = replicas;
+  const figures = checkRun({ attempts, arrivals, crashes }, excuses);
+  return {
+    figures,
+    outcomes: countOutcomes(callers),
+    attempts,
+    arrivals,
+    crashes: countCrashes(attempts, crashes),
+  };
 }
 
 function replicasOf({ engines, plains }: SoakPlan): ReplicaOptions[] {
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -43,7 +43,7 @@
   return table.toString();
 }
 
-function show({ seed }: SoakPlan, { figures, outcomes }: SoakResult): void {
+function show({ seed }: SoakPlan, { figures, outcomes, crashes }: SoakResult): void {
   console.log(`seed ${seed}: ${isClean(figures) ? 'clean' : 'BROKEN'}`);
   console.log(showRepeats(figures));
   console.log([...outcomes].map(([key, count]) => `${key} ${count}`).join(', '));
@@ -52,6 +52,11 @@
   if (ranThoughRefused.length > 0) console.log(`ran though refused: ${ranThoughRefused.join(', ')}`);
   showViolations('sent to a replica that leaves', figures.sentToLeaving);
   showViolations('sent in a backoff', figures.sentInBackoff);
+  for (const [path, count] of crashes) console.log(`replicas crashed under ${path}: ${count}`);
+  for (const { path, sent } of figures.sentThoughCrashing)
+    console.log(`sent on after the third crash: ${path} as ${sent.join(', ')}`);
+  if (figures.refusedBeside.length > 0)
+    console.log(`refused for crashes of others: ${figures.refusedBeside.join(', ')}`);
 }
 
 function showViolations(title: string, violations: readonly HostViolation[]): void {
--- a/packages/soak/test/checks.test.ts
+++ b/packages/soak/test/checks.test.ts
@@ -1,4 +1,5 @@
 /** The checks of the soak fire on what breaks a promise, and on nothing else. */
+import { ERROR_CATALOGUE } from '@celeryyoke/core';
 import type { DaemonOutage, Excuses } from '@celeryyoke/soak';
 import { checkRun, createPlan, isClean } from '@celeryyoke/soak';
 import test from 'ava';
@@ -20,14 +21,21 @@
   return Array.from({ length: REQUESTS }, (_, index) => ({
     id: `c${index}`,
     route: routeOf(kind),
+    path: `/${kind}/${index}`,
     daemon: 'front-a-0',
     sentAt: index * INTERVAL_MS,
     toldLeaving: undefined,
     outcome: CallerOutcome.Served,
     status: 200,
+    code: undefined,
   }));
 }
 
+/** Checks a run in which no replica crashed. */
+function checkSeen(attempts: readonly CallerAttempt[], arrivals: readonly Arrival[], excuses?: Excuses) {
+  return checkRun({ attempts, arrivals, crashes: [] }, excuses);
+}
+
 function arrivalOf({ id, sentAt }: CallerAttempt, laterMs = 1, hasRun = true): Arrival {
   return { request: id, replica: 'p-0', at: sentAt + laterMs, hasRun };
 }
@@ -36,7 +44,7 @@
   const attempts = served('unsafe');
   t.true(
     isClean(
-      checkRun(
+      checkSeen(
         attempts,
         attempts.map((attempt) => arrivalOf(attempt)),
       ),
@@ -51,8 +59,8 @@
   const allowed = REPEAT_BOUNDS.ratio * inWindow + REPEAT_BOUNDS.slack;
   const repeat = (count: number): Arrival[] =>
     attempts.slice(inWindow, inWindow + count).map((attempt) => arrivalOf(attempt, 2));
-  t.true(isClean(checkRun(attempts, [...first, ...repeat(allowed)])));
-  const { repeats } = checkRun(attempts, [...first, ...repeat(allowed + 5)]);
+  t.true(isClean(checkSeen(attempts, [...first, ...repeat(allowed)])));
+  const { repeats } = checkSeen(attempts, [...first, ...repeat(allowed + 5)]);
   t.deepEqual(
     repeats.map(({ violations }) => violations.length),
     [0, 1],
@@ -62,15 +70,15 @@
 test('a request that may run once and runs again is found', (t) => {
   const attempts = served('unsafe');
   const arrivals = attempts.map((attempt) => arrivalOf(attempt));
-  t.deepEqual(checkRun(attempts, [...arrivals, arrivalOf(attempts[3]!, 5, false)]).ranTwice, []);
-  t.deepEqual(checkRun(attempts, [...arrivals, arrivalOf(attempts[3]!, 5)]).ranTwice, ['c3']);
+  t.deepEqual(checkSeen(attempts, [...arrivals, arrivalOf(attempts[3]!, 5, false)]).ranTwice, []);
+  t.deepEqual(checkSeen(attempts, [...arrivals, arrivalOf(attempts[3]!, 5)]).ranTwice, ['c3']);
 });
 
 test('a request that runs though its caller was promised that it does not is found', (t) => {
   const attempts = served('unsafe');
   const arrivals = attempts.map((attempt) => arrivalOf(attempt));
   attempts[7]!.outcome = CallerOutcome.Refused;
-  t.deepEqual(checkRun(attempts, arrivals).ranThoughRefused, ['c7']);
+  t.deepEqual(checkSeen(attempts, arrivals).ranThoughRefused, ['c7']);
 });
 
 test('a seed gives the same plan each time', (t) => {
@@ -90,7 +98,7 @@
   const within = DRAIN_MS / INTERVAL_MS + 1;
   const told = { replica: 'p-0', at: 0 };
   const check = (attempts: CallerAttempt[], outages: DaemonOutage[] = []) =>
-    checkRun(
+    checkSeen(
       attempts,
       attempts.map((attempt) => arrivalOf(attempt)),
       { outages, interruptions: [] },
@@ -113,7 +121,7 @@
   const attempts = sentBy('d', 200);
   const asked: Arrival = { ...arrivalOf(attempts[0]!, 0, false), retryAfterMs: 1000 };
   const check = (inBackoff: readonly number[], excuses?: Excuses) =>
-    checkRun(attempts, [asked, ...inBackoff.map((index) => arrivalOf(attempts[index]!))], excuses)
+    checkSeen(attempts, [asked, ...inBackoff.map((index) => arrivalOf(attempts[index]!))], excuses)
       .sentInBackoff;
   t.deepEqual(check([1, 2, 3, 4, 26, 40]), []);
   t.deepEqual(
@@ -137,7 +145,7 @@
   const [first] = sentBy(name, 1, { replica: 'p-0', at: 0 });
   const order = (at: number): Arrival => ({ request: '', holder: peers, replica: 'p-0', at, hasRun: false });
   const asked: Arrival = { ...arrivalOf(first!, 0, false), retryAfterMs: 1000 };
-  const { sentInBackoff, sentToLeaving } = checkRun(
+  const { sentInBackoff, sentToLeaving } = checkSeen(
     [first!],
     [asked, ...[600, 700, 800, DRAIN_MS + 1].map(order)],
   );
@@ -150,3 +158,34 @@
     [['order']],
   );
 });
+
+/** Time in which daemons must have learnt of a crash, in milliseconds. */
+const STABLE_MS = 3000;
+
+test('a fourth resend that arrives long after three replicas have crashed under its request is found', (t) => {
+  const attempts = sentBy('d', 8).map((attempt, index) => ({
+    ...attempt,
+    path: '/safe/1/crash',
+    sentAt: index < 3 ? index : STABLE_MS + 10 + index,
+  }));
+  const arrivals = attempts.map((attempt) => arrivalOf(attempt));
+  const crashes = attempts.slice(0, 3).map(({ id, sentAt }) => ({ request: id, replica: 'p-0', at: sentAt }));
+  const check = (count: number, seen = crashes, outages: DaemonOutage[] = []) =>
+    checkRun(
+      { attempts: attempts.slice(0, 3 + count), arrivals, crashes: seen },
+      { outages, interruptions: [] },
+    ).sentThoughCrashing.map(({ sent }) => sent.length);
+  t.deepEqual(check(3), []);
+  t.deepEqual(check(4), [4]);
+  t.deepEqual(check(4, crashes.slice(1)), []);
+  // A daemon that has just started does not know yet.
+  t.deepEqual(check(4, crashes, [{ daemon: 'd', at: STABLE_MS }]), []);
+  t.deepEqual(check(4, crashes, [{ daemon: 'e', at: STABLE_MS }]), [4]);
+});
+
+test('a request that is refused for the crashes of another is found', (t) => {
+  const { code } = ERROR_CATALOGUE.Quarantined;
+  const [innocent, crashing] = sentBy('d', 2).map((attempt) => ({ ...attempt, code }));
+  const attempts = [innocent!, { ...crashing!, path: '/safe/2/crash' }];
+  t.deepEqual(checkSeen(attempts, []).refusedBeside, [innocent!.id]);
+});
