core: share the log of crashes and the probe of a listener

The router needs what the fleet's program has: which requests were in flight at crashes, and whether anything listens at an address. Both move to core.

--- a/packages/core/src/core/http/index.ts
+++ b/packages/core/src/core/http/index.ts
@@ -1,3 +1,4 @@
 /** What every part that serves HTTP or passes it on needs. */
 export { isHopByHop } from './hop-by-hop.js';
 export { startListening } from './listen.js';
+export { ListenerState, probeListener } from './probe.js';
--- /dev/null
+++ b/packages/core/src/core/suspects/index.ts
@@ -0,0 +1,4 @@
+/** Requests under which upstreams crash. */
+export type { Crash, CrashBounds, CrashListener, QuarantineEntry } from './crash-log.js';
+export { CrashLog } from './crash-log.js';
+export { Suspicion } from './types.js';
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -9,5 +9,6 @@
 export * from './core/log/index.js';
 export * from './core/metrics/index.js';
 export * from './core/settings/index.js';
+export * from './core/suspects/index.js';
 export * from './core/task/index.js';
 export * from './core/time/index.js';
--- a/packages/fleet/src/core/suspects/registry.ts
+++ b/packages/fleet/src/core/suspects/registry.ts
@@ -1,14 +1,12 @@
 /** The fleet's suspects, as one daemon knows them. */
-import { AuditKind } from '@celeryyoke/core';
+import { AuditKind, CrashLog, Suspicion } from '@celeryyoke/core';
 import { HostRole } from '@celeryyoke/platform';
 import { v4 as makeToken } from 'uuid';
 
 import type { PeerProcedure } from '../peers/index.js';
 import { arbiterOf, SuspectArbiter } from './arbiter.js';
-import { CrashLog } from './crashes.js';
 import { InFlight } from './inflight.js';
 import type { IsolationPass, Quarantine, SuspectRegistry, SuspectRegistryOptions } from './types.js';
-import { Suspicion } from './types.js';
 import type { SuspectSection } from './wire.js';
 import { CLEAR, CRASH, CRASHES_PER_BEAT, ISOLATE, MAX_FINGERPRINTS, RELEASE, sectionSchema } from './wire.js';
 
@@ -17,6 +15,8 @@
 const DEFAULT_SAME_CRASH_MS = 3000;
 const DEFAULT_CAPACITY = 4096;
 const DEFAULT_CALL_TIMEOUT_MS = 300;
+/** A suspect runs apart from others, so a crash under it needs no further reports. */
+const SETTLE_MS = 0;
 const EXPIRY_INTERVAL_MS = 1000;
 const CLEARED_PER_BEAT = 64;
 
@@ -43,7 +43,9 @@
       timers,
       quarantineMs,
       suspectMs,
+      minCrashes: options.maxCrashes ?? DEFAULT_MAX_CRASHES,
       maxCrashes: options.maxCrashes ?? DEFAULT_MAX_CRASHES,
+      settleMs: SETTLE_MS,
       sameCrashMs: options.sameCrashMs ?? DEFAULT_SAME_CRASH_MS,
       capacity: options.capacity ?? DEFAULT_CAPACITY,
     };
--- a/packages/fleet/src/core/suspects/types.ts
+++ b/packages/fleet/src/core/suspects/types.ts
@@ -1,18 +1,9 @@
 /** Requests that crash the upstreams that run them. */
-import type { AuditTrail, Log, TimerService } from '@celeryyoke/core';
+import type { AuditTrail, Log, Suspicion, TimerService } from '@celeryyoke/core';
 
 import type { Membership } from '../membership/index.js';
 import type { PeerBus } from '../peers/index.js';
 
-/** What is known of a request by its fingerprint. */
-export enum Suspicion {
-  Clear = 'clear',
-  /** It was running on an upstream that crashed. */
-  Suspect = 'suspect',
-  /** It crashed more than one upstream and is refused for a time. */
-  Quarantined = 'quarantined',
-}
-
 /** Leave for a suspect to run on an upstream where no other suspect runs. */
 export interface IsolationPass {
   /** Gives the upstream back; calling it twice does nothing. */
--- a/packages/fleet/test/suspects.test.ts
+++ b/packages/fleet/test/suspects.test.ts
@@ -1,9 +1,15 @@
 import type { AuditTrail } from '@celeryyoke/core';
-import { AuditKind, createAuditTrail, createManualTimers, createSilentLog } from '@celeryyoke/core';
+import {
+  AuditKind,
+  createAuditTrail,
+  createManualTimers,
+  createSilentLog,
+  Suspicion,
+} from '@celeryyoke/core';
 import test from 'ava';
 
 import type { SuspectRegistry } from '../src/index.js';
-import { createMemoryPeerNet, createSuspectRegistry, Suspicion } from '../src/index.js';
+import { createMemoryPeerNet, createSuspectRegistry } from '../src/index.js';
 import { createManualMembership } from './support/fleet.js';
 
 const NAMES = ['d1', 'd2', 'd3', 'd4', 'd5', 'd6', 'd7'];
--- a/packages/serving/src/core/generation/search.ts
+++ b/packages/serving/src/core/generation/search.ts
@@ -1,7 +1,6 @@
 /** Finds an engine for one try: slot lease, isolation of a suspect, and a place in the engine's batch. */
-import { CeleryyokeError, toCeleryyokeError } from '@celeryyoke/core';
+import { CeleryyokeError, Suspicion, toCeleryyokeError } from '@celeryyoke/core';
 import type { DispatchGrant, IsolationPass } from '@celeryyoke/fleet';
-import { Suspicion } from '@celeryyoke/fleet';
 
 import type { RequestContext } from '../requests/index.js';
 import type { EngineHold, Generation, GenerationServices } from './types.js';
--- a/packages/serving/src/core/services/call.ts
+++ b/packages/serving/src/core/services/call.ts
@@ -1,9 +1,8 @@
 /** Calls a plain service: any method, bodies streamed both ways, and repeated only where that is safe. */
 import { pipeline } from 'node:stream/promises';
 
-import { CeleryyokeError, toCeleryyokeError } from '@celeryyoke/core';
+import { CeleryyokeError, Suspicion, toCeleryyokeError } from '@celeryyoke/core';
 import type { IsolationPass } from '@celeryyoke/fleet';
-import { Suspicion } from '@celeryyoke/fleet';
 import type { ExchangeAnswer } from '@celeryyoke/platform';
 
 import type { AttemptRecord } from '../records/index.js';
--- a/packages/serving/src/core/services/listening.ts
+++ b/packages/serving/src/core/services/listening.ts
@@ -1,9 +1,7 @@
 /** Asks whether anything listens at an address, to tell a crashed upstream from a cut link. */
-import { connect } from 'node:net';
-
 import type { TimerService } from '@celeryyoke/core';
+import { ListenerState, probeListener } from '@celeryyoke/core';
 
-const REFUSED = 'ECONNREFUSED';
 const HTTP_PORT = 80;
 
 /**
@@ -13,21 +11,12 @@
  * @param timeoutMs - Longest time to ask, in milliseconds.
  * @returns Whether the host answers that nothing listens there; false when that can't be told.
  */
-export function refusesConnections(
+export async function refusesConnections(
   address: string,
   timers: TimerService,
   timeoutMs: number,
 ): Promise<boolean> {
   const { hostname, port } = new URL(address);
-  return new Promise((resolve) => {
-    const socket = connect({ host: hostname, port: Number(port || HTTP_PORT) });
-    const timer = timers.after(timeoutMs, () => settle(false));
-    function settle(isRefused: boolean): void {
-      timer.cancel();
-      socket.destroy();
-      resolve(isRefused);
-    }
-    socket.once('connect', () => settle(false));
-    socket.once('error', (err: NodeJS.ErrnoException) => settle(err.code === REFUSED));
-  });
+  const listener = { host: hostname, port: Number(port || HTTP_PORT) };
+  return (await probeListener(listener, timers, timeoutMs)) === ListenerState.Refused;
 }
--- a/packages/serving/test/fakes.ts
+++ b/packages/serving/test/fakes.ts
@@ -6,7 +6,13 @@
 import type { CallerConfig, EngineConfig, SiteConfig } from '@celeryyoke/configuration';
 import { createConfigHolder, createSnapshot, Fencing } from '@celeryyoke/configuration';
 import type { ManualTimerService } from '@celeryyoke/core';
-import { CeleryyokeError, createManualTimers, createMetrics, createSilentLog } from '@celeryyoke/core';
+import {
+  CeleryyokeError,
+  createManualTimers,
+  createMetrics,
+  createSilentLog,
+  Suspicion,
+} from '@celeryyoke/core';
 import type {
   CallerLimits,
   DispatchGrant,
@@ -18,7 +24,7 @@
   Quarantine,
   SuspectRegistry,
 } from '@celeryyoke/fleet';
-import { KeyOutcome, Suspicion } from '@celeryyoke/fleet';
+import { KeyOutcome } from '@celeryyoke/fleet';
 import type { EngineClient, EngineReport, GenerateAnswer, GenerateCall } from '@celeryyoke/platform';
 
 import type { Dispatcher as HttpDispatcher } from 'undici';
--- a/packages/serving/test/faults.test.ts
+++ b/packages/serving/test/faults.test.ts
@@ -1,8 +1,8 @@
 /** Broken, late, duplicated, cut and crossed answers, callers that go, and the two honest results. */
 import { once } from 'node:events';
 
-import { CeleryyokeError } from '@celeryyoke/core';
-import { KeyOutcome, Suspicion } from '@celeryyoke/fleet';
+import { CeleryyokeError, Suspicion } from '@celeryyoke/core';
+import { KeyOutcome } from '@celeryyoke/fleet';
 import test from 'ava';
 
 import type { FakeGeneration } from './fakes.js';
