paths: log which replicas a host reaches, and which not

request.send lines name one failed replica each, and no line says whether a host reached any other. replica.path is written when a replica can't be reached and when it is again, with how many of its service can't.

--- a/packages/routing/src/core/channels/channel.ts
+++ b/packages/routing/src/core/channels/channel.ts
@@ -42,6 +42,8 @@
   readonly refusal: (purpose: ExchangePurpose) => string | undefined;
   /** Called with the head of each response. */
   readonly onResponseHead: (status: number, headers: HeaderMap) => void;
+  readonly onConnected: () => void;
+  readonly onConnectFailed: (err: Error) => void;
   /** Called once, when the channel takes no further exchange. */
   readonly onClosed: (channel: Channel) => void;
 }
@@ -159,7 +161,7 @@
   }
 
   private connect(callback: (...args: [null, Socket] | [Error, null]) => void): void {
-    const { host, port, connectTimeoutMs } = this.options;
+    const { host, port, connectTimeoutMs, onConnected, onConnectFailed } = this.options;
     // What is known of the process at the other end holds for one connection only, but undici would open
     // another one.
     if (this.socket !== undefined) {
@@ -179,8 +181,13 @@
       if (isSettled) return;
       isSettled = true;
       socket.setTimeout(0);
-      if (err === undefined) callback(null, socket);
-      else callback(err, null);
+      if (err === undefined) {
+        onConnected();
+        callback(null, socket);
+      } else {
+        onConnectFailed(err);
+        callback(err, null);
+      }
     };
     // Registered before undici's own listener, so that wasReset is set when undici reports the end of the
     // response.
--- a/packages/routing/src/core/channels/index.ts
+++ b/packages/routing/src/core/channels/index.ts
@@ -1,7 +1,7 @@
 /** Connections to replicas, and whether a failed request may have run. */
 export { Channel } from './channel.js';
 export { ExclusiveChannel } from './exclusive-channel.js';
-export { ChannelPool } from './pool.js';
+export { ChannelPool, NO_GUARD } from './pool.js';
 export type { UpstreamAddress } from './pool.js';
 export type { UpstreamGuard, ResponseSink, HeaderMap, ExchangeHandle, UpstreamCall } from './types.js';
 export { ChannelFailure, ExchangePurpose } from './types.js';
--- a/packages/routing/src/core/channels/pool.ts
+++ b/packages/routing/src/core/channels/pool.ts
@@ -18,7 +18,12 @@
 }
 
 /** For upstreams that declare nothing about themselves. */
-const NO_GUARD: UpstreamGuard = { refusal: () => undefined, onResponseHead: () => undefined };
+export const NO_GUARD: UpstreamGuard = {
+  refusal: () => undefined,
+  onResponseHead: () => undefined,
+  onConnected: () => undefined,
+  onConnectFailed: () => undefined,
+};
 
 /** Opens, reuses and closes this daemon's connections to replicas. */
 export class ChannelPool {
@@ -107,6 +112,8 @@
       timers: this.timers,
       refusal: (purpose) => this.guard.refusal(id, purpose),
       onResponseHead: (status, headers) => this.guard.onResponseHead(id, status, headers),
+      onConnected: () => this.guard.onConnected(id),
+      onConnectFailed: (err) => this.guard.onConnectFailed(id, err),
       onClosed,
     });
     channels.add(channel);
--- a/packages/routing/src/core/channels/types.ts
+++ b/packages/routing/src/core/channels/types.ts
@@ -69,6 +69,10 @@
    * @param upstream - Id of the upstream that the exchange was sent to.
    */
   onResponseHead(upstream: string, status: number, headers: HeaderMap): void;
+  /** Called when a connection to an upstream has been established. */
+  onConnected(upstream: string): void;
+  /** Called when a connection to an upstream could not be established. */
+  onConnectFailed(upstream: string, err: Error): void;
 }
 
 /** Handle of a running exchange. */
--- a/packages/routing/src/core/daemon/part-names.ts
+++ b/packages/routing/src/core/daemon/part-names.ts
@@ -12,6 +12,7 @@
   health: 'health',
   availability: 'availability',
   suspects: 'suspects',
+  reachability: 'reachability',
   admission: 'admission',
   reporter: 'reporter',
   loader: 'loader',
--- a/packages/routing/src/core/daemon/services.ts
+++ b/packages/routing/src/core/daemon/services.ts
@@ -21,6 +21,7 @@
 import { ReplicaLimits } from '../limits/index.js';
 import { DisseminationTree, storeReaderRank, Topic } from '../dissemination/index.js';
 import { PromptAdmission } from '../pacing/index.js';
+import { ReachabilityTable } from '../paths/index.js';
 import { CallerTimeouts, StreamMigrator, RequestMetrics, RequestServer } from '../requests/index.js';
 import { FleetShare } from '../shares/index.js';
 import { CrashDetector, SuspectRegistry } from '../suspects/index.js';
@@ -85,9 +86,10 @@
         PART.channels,
         [PART.availability],
         (kernel) =>
-          createChannels(this.options, kernel, (replica) =>
-            this.get<SuspectRegistry>(PART.suspects).recordResponse(replica),
-          ),
+          createChannels(this.options, kernel, {
+            onResponse: (replica) => this.get<SuspectRegistry>(PART.suspects).recordResponse(replica),
+            reachability: () => this.get(PART.reachability),
+          }),
         (pool) => pool.close(),
       ),
       part(PART.control, [PART.channels, PART.availability], (kernel) => createControl(this.options, kernel)),
@@ -104,6 +106,12 @@
         [PART.view, PART.availability],
         (kernel) => new ReplicaRegistry(kernel.get(PART.view), kernel.get(PART.availability), timers),
       ),
+      part(
+        PART.reachability,
+        [PART.registry],
+        (kernel) =>
+          new ReachabilityTable({ registry: kernel.get(PART.registry), timers, log: this.options.log }),
+      ),
       part(PART.residency, [PART.registry], (kernel) => new ResidencyTable(kernel.get(PART.registry))),
       part(
         PART.cluster,
@@ -155,6 +163,7 @@
           PART.control,
           PART.availability,
           PART.suspects,
+          PART.reachability,
         ],
         (kernel) => this.createLoader(kernel),
         (loader) => loader.close(),
--- a/packages/routing/src/core/daemon/upstreams.ts
+++ b/packages/routing/src/core/daemon/upstreams.ts
@@ -5,6 +5,7 @@
 import { observeReports } from '../adapters/index.js';
 import { DeclarationSource, ReplicaAvailability } from '../availability/index.js';
 import { ChannelPool } from '../channels/index.js';
+import type { ReachabilityTable } from '../paths/index.js';
 import type { RunStateCopier } from '../requests/index.js';
 import { PART } from './part-names.js';
 import type { RouterOptions } from './types.js';
@@ -24,22 +25,31 @@
   return new ReplicaAvailability({ leavingGraceMs, timers, log });
 }
 
+/** Parts that hear from the pool of connections; they are created after it. */
+export interface ChannelListeners {
+  /** Called with the replica of each response. */
+  readonly onResponse: (replica: string) => void;
+  readonly reachability: () => ReachabilityTable;
+}
+
 /**
  * Creates the pool of connections, which asks that table before each exchange and updates it from each response.
- * @param onResponse - Called with the replica of each response.
  */
 export function createChannels(
   { dialect, timers }: RouterOptions,
   kernel: ServiceFinder,
-  onResponse: (replica: string) => void,
+  { onResponse, reachability }: ChannelListeners,
 ): ChannelPool {
   const availability = kernel.get<ReplicaAvailability>(PART.availability);
   return new ChannelPool(timers, {
     refusal: (replica, purpose) => availability.refusal(replica, purpose),
     onResponseHead: (replica, status, headers) => {
       availability.recordDeclaration(replica, dialect.readDeclaration(status, headers));
+      reachability().recordReached(replica);
       onResponse(replica);
     },
+    onConnected: (replica) => reachability().recordReached(replica),
+    onConnectFailed: (replica, err) => reachability().recordFailure(replica, err.message),
   });
 }
 
--- a/packages/routing/test/channels.test.ts
+++ b/packages/routing/test/channels.test.ts
@@ -3,7 +3,7 @@
 
 import { createManualTimers, createSystemTimers } from '@celeryyoke/core';
 import type { ResponseSink, ExclusiveChannel } from '@celeryyoke/routing';
-import { ChannelFailure, ChannelPool, ExchangeError, ExchangePurpose } from '@celeryyoke/routing';
+import { ChannelFailure, ChannelPool, NO_GUARD, ExchangeError, ExchangePurpose } from '@celeryyoke/routing';
 import type { ExecutionContext } from 'ava';
 import test from 'ava';
 
@@ -292,7 +292,7 @@
     asked += 1;
     return asked === 1 ? undefined : 'leaving';
   };
-  const pool = new ChannelPool(timers, { refusal, onResponseHead: () => undefined });
+  const pool = new ChannelPool(timers, { ...NO_GUARD, refusal });
   releaseAfter(t, pool, replica);
   t.like(await exchange(pool, replica.port), { end: ChannelFailure.Withheld, wasSent: false });
   t.like(await exchange(pool, replica.port), { end: ChannelFailure.Withheld, wasSent: false });
@@ -304,7 +304,7 @@
   const replica = await startRawReplica(({ socket }) => socket.write(`${OK_HEAD}Content-Length: 0\r\n\r\n`));
   let isRuledOut = false;
   const refusal = (): string | undefined => (isRuledOut ? 'leaving' : undefined);
-  const pool = new ChannelPool(timers, { refusal, onResponseHead: () => undefined });
+  const pool = new ChannelPool(timers, { ...NO_GUARD, refusal });
   releaseAfter(t, pool, replica);
   const channel = pool.openExclusive({ id: 'r', host: '127.0.0.1', port: replica.port }, () => undefined);
   const order = {
@@ -361,7 +361,7 @@
     events.emit('arrived');
   });
   const pool = new ChannelPool(createManualTimers(), {
-    refusal: () => undefined,
+    ...NO_GUARD,
     onResponseHead: (upstream, status, headers) =>
       events.emit('head', `${upstream} ${status} ${String(headers['retry-after'])}`),
   });
