channels, cluster: connect from the host's own address

Replicas and peers that tell hosts apart need to see which one connects; so do stand-ins that cut one host off. Connections to replicas and to peers are bound to the daemon's address.

--- a/packages/routing/src/core/channels/channel.ts
+++ b/packages/routing/src/core/channels/channel.ts
@@ -36,6 +36,8 @@
 export interface ChannelOptions {
   readonly host: string;
   readonly port: number;
+  /** Address that the connection comes from; any when undefined. */
+  readonly localAddress: string | undefined;
   readonly connectTimeoutMs: number;
   readonly timers: TimerService;
   /** Returns why an exchange must not be sent now; undefined when it may be. */
@@ -161,7 +163,7 @@
   }
 
   private connect(callback: (...args: [null, Socket] | [Error, null]) => void): void {
-    const { host, port, connectTimeoutMs, onConnected, onConnectFailed } = this.options;
+    const { host, port, localAddress, connectTimeoutMs, onConnected, onConnectFailed } = this.options;
     // What is known of the process at the other end holds for one connection only, but undici would open
     // another one.
     if (this.socket !== undefined) {
@@ -171,6 +173,7 @@
     const socket = connect({
       host,
       port,
+      localAddress,
       noDelay: true,
       keepAlive: true,
       keepAliveInitialDelay: KEEPALIVE_DELAY_MS,
--- a/packages/routing/src/core/channels/pool.ts
+++ b/packages/routing/src/core/channels/pool.ts
@@ -34,9 +34,13 @@
   /** Number of connections opened since process start. */
   openedCount = 0;
 
+  /**
+   * @param localAddress - Address that connections come from; any when it is left out.
+   */
   constructor(
     private readonly timers: TimerService,
     private readonly guard: UpstreamGuard = NO_GUARD,
+    private readonly localAddress?: string,
   ) {}
 
   /**
@@ -108,6 +112,7 @@
     const channel = new Channel({
       host,
       port,
+      localAddress: this.localAddress,
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
       timers: this.timers,
       refusal: (purpose) => this.guard.refusal(id, purpose),
--- a/packages/routing/src/core/cluster/link.ts
+++ b/packages/routing/src/core/cluster/link.ts
@@ -28,6 +28,17 @@
 /** Response to a request or heartbeat, or a push; `errorText` is set when the handler of the peer failed. */
 type IncomingFrame = readonly [requestId: number, body: unknown, errorText?: string];
 
+/** Options of {@link TcpLink}. */
+export interface TcpLinkOptions {
+  /** Address of the peer, as `host:port`. */
+  readonly address: string;
+  /** Address of this daemon, as `host:port`; the connection comes from its host. */
+  readonly from: string;
+  readonly timers: TimerService;
+  /** Supplies the hello, and handles pushes, digests and the end of the link. */
+  readonly events: LinkEvents;
+}
+
 /** A link over one TCP connection; it is not reused after it has ended. */
 export class TcpLink implements PeerLink {
   isUp = false;
@@ -49,21 +60,19 @@
 
   private hasEnded = false;
 
-  /**
-   * Starts to connect. Messages sent before the connection is established are buffered.
-   * @param address - Address of the peer, as `host:port`.
-   * @param timers - Clock and timers.
-   * @param events - Supplies the hello, and handles pushes, digests and the end of the link.
-   */
-  constructor(
-    address: string,
-    private readonly timers: TimerService,
-    private readonly events: LinkEvents,
-  ) {
+  private readonly timers: TimerService;
+
+  private readonly events: LinkEvents;
+
+  /** Starts to connect. Messages sent before the connection is established are buffered. */
+  constructor({ address, from, timers, events }: TcpLinkOptions) {
+    this.timers = timers;
+    this.events = events;
     const [host = '', port = ''] = address.split(':');
+    const [localAddress] = from.split(':');
     this.lastReceivedAt = timers.now();
     this.lastUsedAt = this.lastReceivedAt;
-    this.socket = connect({ host, port: Number(port), noDelay: true });
+    this.socket = connect({ host, port: Number(port), localAddress, noDelay: true });
     const timer = timers.after(CONNECT_TIMEOUT_MS, () => this.finish(LinkEnd.Silent, 'connect timeout'));
     this.socket.on('connect', () => {
       timer.cancel();
--- a/packages/routing/src/core/cluster/tcp.ts
+++ b/packages/routing/src/core/cluster/tcp.ts
@@ -25,6 +25,6 @@
         for (const socket of sockets) socket.destroy();
       };
     },
-    connect: (address, events) => new TcpLink(address, timers, events),
+    connect: (address, events) => new TcpLink({ address, from: self, timers, events }),
   };
 }
--- a/packages/routing/src/core/daemon/upstreams.ts
+++ b/packages/routing/src/core/daemon/upstreams.ts
@@ -4,6 +4,7 @@
 import type { EngineControl } from '../adapters/index.js';
 import { observeReports } from '../adapters/index.js';
 import { DeclarationSource, ReplicaAvailability } from '../availability/index.js';
+import type { UpstreamGuard } from '../channels/index.js';
 import { ChannelPool } from '../channels/index.js';
 import type { ReachabilityTable } from '../paths/index.js';
 import type { RunStateCopier } from '../requests/index.js';
@@ -36,12 +37,12 @@
  * Creates the pool of connections, which asks that table before each exchange and updates it from each response.
  */
 export function createChannels(
-  { dialect, timers }: RouterOptions,
+  { settings, dialect, timers }: RouterOptions,
   kernel: ServiceFinder,
   { onResponse, reachability }: ChannelListeners,
 ): ChannelPool {
   const availability = kernel.get<ReplicaAvailability>(PART.availability);
-  return new ChannelPool(timers, {
+  const guard: UpstreamGuard = {
     refusal: (replica, purpose) => availability.refusal(replica, purpose),
     onResponseHead: (replica, status, headers) => {
       availability.recordDeclaration(replica, dialect.readDeclaration(status, headers));
@@ -50,7 +51,9 @@
     },
     onConnected: (replica) => reachability().recordReached(replica),
     onConnectFailed: (replica, err) => reachability().recordFailure(replica, err.message),
-  });
+  };
+  // Replicas that tell hosts apart know one by its own address.
+  return new ChannelPool(timers, guard, settings.host);
 }
 
 /** Creates the client for engines, whose reports update the same table. */
