soak, platform: show hosts that are cut off from all replicas

Replicas of both stand-ins cut hosts off by the address that connections come from: they hang, are reset, or live on while new ones are reset. The soak checks the users' rule for each cut.

--- a/packages/routing/test/raw.ts
+++ b/packages/routing/test/raw.ts
@@ -2,6 +2,9 @@
 import type { AddressInfo, Server, Socket } from 'node:net';
 import { connect, createServer } from 'node:net';
 
+import { PathCuts } from './path-cuts.js';
+
+const LOOPBACK = '127.0.0.1';
 const HEAD_END = '\r\n\r\n';
 
 /** A request as it was received. */
@@ -18,6 +21,8 @@
   readonly requests: RawRequest[];
   /** Number of connections that were opened. */
   readonly connections: () => number;
+  /** Hosts that are cut off from it. */
+  readonly cuts: PathCuts;
   close(): Promise<void>;
 }
 
@@ -54,9 +59,11 @@
 ): Promise<RawReplica> {
   const seen: RawRequest[] = [];
   const sockets = new Set<Socket>();
+  const cuts = new PathCuts();
   let connections = 0;
   const server: Server = createServer((socket) => {
     connections += 1;
+    if (!cuts.accept(socket)) return;
     sockets.add(socket);
     let text = '';
     socket.on('error', () => undefined);
@@ -72,12 +79,13 @@
     });
   });
   await new Promise<void>((resolve) => {
-    server.listen(0, '127.0.0.1', resolve);
+    server.listen(0, LOOPBACK, resolve);
   });
   return {
     port: (server.address() as AddressInfo).port,
     requests: seen,
     connections: () => connections,
+    cuts,
     close: () => {
       for (const socket of sockets) socket.destroy();
       return new Promise((resolve) => {
@@ -87,6 +95,12 @@
   };
 }
 
+/** Loopback addresses of the two ends of a connection. */
+export interface RawRoute {
+  readonly from?: string;
+  readonly host?: string;
+}
+
 /** Head of a request after whose response the other side closes the connection. */
 const CONNECTION_CLOSE = /^connection: close\r$/im;
 /** Time after which a connection that stays open is closed, in milliseconds. */
@@ -102,18 +116,18 @@
  * Sends bytes on a new connection and collects the response until it closes or the timeout expires.
  * @param parts - What to send, in this order.
  * @param waitMs - Timeout, long when the last request asks for a close: then it expires only on a fault.
- * @param from - Loopback address to send from.
+ * @param route - Loopback addresses to send from and to.
  * @returns The bytes received, and whether the other side closed the connection.
  */
 export function sendRaw(
   port: number,
   parts: readonly string[],
   waitMs = CONNECTION_CLOSE.test(parts.at(-1) ?? '') ? CLOSE_LIMIT_MS : KEEP_ALIVE_LIMIT_MS,
-  from = '127.0.0.1',
+  { from = LOOPBACK, host = LOOPBACK }: RawRoute = {},
 ): Promise<{ text: string; isClosed: boolean }> {
   return new Promise((resolve) => {
     let text = '';
-    const socket = connect({ port, host: '127.0.0.1', localAddress: from });
+    const socket = connect({ port, host, localAddress: from });
     const finish = (isClosed: boolean): void => {
       socket.destroy();
       resolve({ text, isClosed });
--- a/packages/soak/src/core/callers/callers.ts
+++ b/packages/soak/src/core/callers/callers.ts
@@ -45,6 +45,8 @@
   readonly route: SoakRoute;
   /** The same for all attempts with one request. */
   readonly path: string;
+  /** Whether it is the first with its request. */
+  readonly isFirst: boolean;
   /** Name of the daemon that it was sent to. */
   readonly daemon: string;
   /** Unix milliseconds. */
@@ -62,6 +64,7 @@
 interface CallerRequest {
   readonly route: SoakRoute;
   readonly path: string;
+  readonly isFirst: boolean;
   /** Monotonic time until which the caller waits, in milliseconds. */
   readonly deadlineAt: number;
 }
@@ -131,7 +134,7 @@
   private async resend(route: SoakRoute, path: string, signal: AbortSignal): Promise<void> {
     const { timers, random } = this.options;
     while (!signal.aborted && !this.isStopped) {
-      await this.call({ route, path, deadlineAt: timers.now() + route.timeoutMs });
+      await this.call({ route, path, isFirst: false, deadlineAt: timers.now() + route.timeoutMs });
       await timers.sleep(random.between(MIN_RESEND_MS, MAX_RESEND_MS));
     }
   }
@@ -154,23 +157,24 @@
   private async callWithRetry(route: SoakRoute): Promise<void> {
     const { timers, hasRetries } = this.options;
     const deadlineAt = timers.now() + route.timeoutMs;
-    const wanted = { route, path: this.nextPath(route), deadlineAt };
+    const wanted = { route, path: this.nextPath(route), isFirst: true, deadlineAt };
     const first = await this.call(wanted);
     const mayRetry = first.outcome === CallerOutcome.Refused || route.kind !== 'unsafe';
     if (first.outcome === CallerOutcome.Served || !mayRetry) return;
     if (!hasRetries || this.isStopped) return;
     const leftMs = Math.max(0, deadlineAt - timers.now());
     await timers.sleep(Math.min(first.retryAfterMs, leftMs * MAX_RETRY_SHARE));
-    if (timers.now() < deadlineAt) await this.call(wanted);
+    if (timers.now() < deadlineAt) await this.call({ ...wanted, isFirst: false });
   }
 
-  private async call({ route, path, deadlineAt }: CallerRequest) {
+  private async call({ route, path, isFirst, deadlineAt }: CallerRequest) {
     const { balancer, random, timers } = this.options;
     const daemon = random.pick(balancer.inRotation());
     const attempt: CallerAttempt = {
       id: `c${this.attempts.length}`,
       route,
       path,
+      isFirst,
       daemon: daemon.name,
       sentAt: timers.wall(),
       toldLeaving: undefined,
--- a/packages/soak/src/core/checks/checks.ts
+++ b/packages/soak/src/core/checks/checks.ts
@@ -8,6 +8,8 @@
 import { ENGINE_SERVICE, PLAIN_SERVICE, REPEAT_BOUNDS } from '../site/index.js';
 import type { CrashingViolation } from './crashes.js';
 import { checkCrashing, checkRefusedBeside } from './crashes.js';
+import type { CutFigures, DaemonCut } from './cuts.js';
+import { checkCuts, measureCuts } from './cuts.js';
 import type { Excuses, HostViolation } from './declarations.js';
 import { checkBackoffs, checkLeaving } from './declarations.js';
 
@@ -38,6 +40,8 @@
   readonly sentThoughCrashing: readonly CrashingViolation[];
   /** Requests that were refused for crashes that they did not cause. */
   readonly refusedBeside: readonly string[];
+  /** Times in which daemons without links to replicas served their callers far worse than the others. */
+  readonly badlyServedInCuts: readonly CutFigures[];
 }
 
 /** What callers and replicas saw. */
@@ -47,6 +51,8 @@
   /** What replicas read. */
   readonly arrivals: readonly Arrival[];
   readonly crashes: readonly ReplicaCrash[];
+  /** Times in which daemons were cut off from all replicas. */
+  readonly cuts: readonly DaemonCut[];
 }
 
 /**
@@ -56,7 +62,7 @@
  * @returns What it showed.
  */
 export function checkRun(
-  { attempts, arrivals, crashes }: SoakRecord,
+  { attempts, arrivals, crashes, cuts }: SoakRecord,
   excuses: Excuses = { outages: [], interruptions: [] },
 ): SoakFigures {
   const runs = new Map<string, number>();
@@ -73,6 +79,7 @@
     sentInBackoff: checkBackoffs(attempts, arrivals, excuses),
     sentThoughCrashing: checkCrashing(attempts, arrivals, crashes, excuses.outages),
     refusedBeside: checkRefusedBeside(attempts),
+    badlyServedInCuts: checkCuts(measureCuts(attempts, cuts, excuses.outages)),
   };
 }
 
--- /dev/null
+++ b/packages/soak/src/core/checks/cuts.ts
@@ -0,0 +1,69 @@
+/** Checks that daemons that are cut off from all replicas serve their callers as the others do. */
+import type { CallerAttempt } from '../callers/index.js';
+import { CallerOutcome } from '../callers/index.js';
+import { isCrashingPath } from './crashes.js';
+import type { DaemonOutage } from './declarations.js';
+
+/** Time from the beginning of a cut, or from a disturbance of a daemon, until it counts, in milliseconds. */
+const STABLE_MS = 3000;
+/** Share of what the others serve that must be served. */
+const MIN_SHARE = 2 / 3;
+/** First attempts that may fail in any case, and the share of all of them that may fail besides. */
+const MAX_FAILED = 10;
+const MAX_FAILED_SHARE = 1 / 50;
+
+/** A time in which some daemons were cut off from all replicas. */
+export interface DaemonCut {
+  readonly daemons: readonly string[];
+  /** Unix milliseconds. */
+  readonly from: number;
+  /** Unix milliseconds; undefined if it lasted to the end. */
+  until: number | undefined;
+}
+
+/** What callers got in one cut. */
+export interface CutFigures {
+  readonly daemons: readonly string[];
+  /** First attempts that the cut daemons served, of all that they got. */
+  readonly served: readonly [served: number, all: number];
+  /** The same at the other daemons. */
+  readonly servedByOthers: readonly [served: number, all: number];
+}
+
+/** Counts what callers got in each cut. */
+export function measureCuts(
+  attempts: readonly CallerAttempt[],
+  cuts: readonly DaemonCut[],
+  outages: readonly DaemonOutage[],
+): CutFigures[] {
+  const first = attempts.filter(({ isFirst, path }) => isFirst && !isCrashingPath(path));
+  return cuts.map(({ daemons, from, until = Number.POSITIVE_INFINITY }) => {
+    const isInTouch = ({ daemon, sentAt }: CallerAttempt): boolean =>
+      !outages.some(({ daemon: name, at }) => name === daemon && at <= sentAt && at > sentAt - STABLE_MS);
+    const during = first.filter(
+      (attempt) => attempt.sentAt >= from + STABLE_MS && attempt.sentAt < until && isInTouch(attempt),
+    );
+    const isCut = ({ daemon }: CallerAttempt): boolean =>
+      cuts.some(
+        (cut) =>
+          cut.daemons.includes(daemon) && cut.from < until && (cut.until ?? Number.POSITIVE_INFINITY) > from,
+      );
+    return {
+      daemons,
+      served: countServed(during.filter(({ daemon }) => daemons.includes(daemon))),
+      servedByOthers: countServed(during.filter((attempt) => !isCut(attempt))),
+    };
+  });
+}
+
+/** Finds cuts in which the daemons that were cut off served their callers far worse than the others. */
+export function checkCuts(figures: readonly CutFigures[]): CutFigures[] {
+  return figures.filter(({ served: [served, all], servedByOthers: [servedByOthers, allOthers] }) => {
+    const allowed = MAX_FAILED + (all + allOthers) * MAX_FAILED_SHARE;
+    return served * allOthers < servedByOthers * all * MIN_SHARE && all - served > allowed;
+  });
+}
+
+function countServed(attempts: readonly CallerAttempt[]): readonly [served: number, all: number] {
+  return [attempts.filter(({ outcome }) => outcome === CallerOutcome.Served).length, attempts.length];
+}
--- a/packages/soak/src/core/checks/index.ts
+++ b/packages/soak/src/core/checks/index.ts
@@ -4,3 +4,5 @@
 export { checkRun, isClean } from './checks.js';
 export type { CrashingViolation } from './crashes.js';
 export { countCrashes } from './crashes.js';
+export type { CutFigures, DaemonCut } from './cuts.js';
+export { measureCuts } from './cuts.js';
--- a/packages/soak/src/core/plan/plan.ts
+++ b/packages/soak/src/core/plan/plan.ts
@@ -19,14 +19,20 @@
 const FAILURES = [FaultKind.Shed, FaultKind.Errors, FaultKind.Reset, FaultKind.Hang] as const;
 /** Kinds by which replicas declare something; drawn apart from the others, so that these stay the same. */
 const DECLARATIONS = [FaultKind.Backoff, FaultKind.Leave] as const;
-/** Kinds that are drawn in the first place; what was added later is drawn apart, so that these stay the same. */
-const LATER: readonly FaultKind[] = [...DECLARATIONS, FaultKind.CrashingRequest];
+/** Kinds that cut daemons off from all replicas. */
+const CUTS = [FaultKind.CutHang, FaultKind.CutReset, FaultKind.CutRefuse] as const;
+/** Kinds that were added later and are drawn apart, so that the others stay the same for a seed. */
+const LATER: readonly FaultKind[] = [...DECLARATIONS, ...CUTS, FaultKind.CrashingRequest];
 const OTHERS = Object.values(FaultKind).filter((kind) => !LATER.includes(kind));
 /** Mean time between two faults, in seconds. */
 const SECONDS_PER_FAULT = 4;
 /** Time for which a declaration holds, in milliseconds: longer than daemons may use a replica that leaves. */
 const MIN_DECLARED_MS = 3500;
 const MAX_DECLARED_MS = 9000;
+/** Mean time between two cuts of daemons from all replicas, in milliseconds. */
+const MS_PER_CUT = 12_000;
+const MIN_CUT_MS = 5000;
+const MAX_CUT_MS = 12_000;
 /** Mean time between two callers whose request crashes replicas, in milliseconds. */
 const MS_PER_CRASHING_REQUEST = 10_000;
 /** Shortest time for which such a caller comes again, in milliseconds: longer than the check's grace time. */
@@ -63,10 +69,23 @@
       ...others,
       ...drawDeclarations(seed, lengthMs),
       ...drawCrashingRequests(seed, lengthMs),
+      ...drawCuts(seed, lengthMs),
     ].sort((left, right) => left.atMs - right.atMs),
   };
 }
 
+/** Draws cuts of daemons from all replicas, in series that may overlap. */
+function drawCuts(seed: number, lengthMs: number): Fault[] {
+  const random = createRandom(`soak-cuts-${seed}`);
+  const count = Math.max(1, Math.round(lengthMs / MS_PER_CUT));
+  return Array.from({ length: count }, () => ({
+    kind: random.pick(CUTS),
+    atMs: Math.round(random.between(0, lengthMs - MIN_CUT_MS)),
+    forMs: Math.round(random.between(MIN_CUT_MS, MAX_CUT_MS)),
+    share: random.between(0.1, 0.6),
+  }));
+}
+
 /** Draws callers whose request crashes replicas, in series that may overlap. */
 function drawCrashingRequests(seed: number, lengthMs: number): Fault[] {
   const random = createRandom(`soak-crashing-${seed}`);
--- a/packages/soak/src/core/plan/types.ts
+++ b/packages/soak/src/core/plan/types.ts
@@ -28,6 +28,12 @@
   Leave = 'leave',
   /** A caller sends one request again and again, which crashes each replica that runs it. */
   CrashingRequest = 'crashing-request',
+  /** Connections of daemons to all replicas hang until the fault ends. */
+  CutHang = 'cut-hang',
+  /** Connections of daemons to all replicas are reset, and new ones too. */
+  CutReset = 'cut-reset',
+  /** New connections of daemons to all replicas are reset, while those that are open live on. */
+  CutRefuse = 'cut-refuse',
 }
 
 /** One fault of a plan. */
--- a/packages/soak/src/core/replicas/fleet.ts
+++ b/packages/soak/src/core/replicas/fleet.ts
@@ -2,6 +2,7 @@
 import { fileURLToPath } from 'node:url';
 
 import type { TimerService } from '@celeryyoke/core';
+import type { PathCut } from '@celeryyoke/routing/testing';
 
 import type { ProcessGroup, RunningProcess } from '../processes/index.js';
 import type {
@@ -102,6 +103,11 @@
     return incarnationId(id, this.replacements.get(id) ?? 0);
   }
 
+  /** Cuts hosts off from all replicas, or heals their cut. */
+  cut(hosts: readonly string[], cut: PathCut | undefined): void {
+    this.command(() => ({ type: 'cut', hosts, cut }));
+  }
+
   /** Holds up the path to some replicas, or reopens it. */
   hold(ids: readonly string[], what: Holdable, isHeld: boolean): void {
     if (what === Holdable.Everything) this.noteInterruption(ids, isHeld);
--- a/packages/soak/src/core/replicas/main.ts
+++ b/packages/soak/src/core/replicas/main.ts
@@ -43,6 +43,9 @@
   behave: ({ ids, behaviour }) => {
     for (const id of ids) Object.assign(replicas.get(id) ?? {}, { behaviour });
   },
+  cut: ({ hosts, cut }) => {
+    for (const replica of replicas.values()) replica.cut(hosts, cut);
+  },
   hold: ({ ids, what, isHeld }) => {
     for (const id of ids) replicas.get(id)?.hold(what, isHeld);
   },
--- a/packages/soak/src/core/replicas/messages.ts
+++ b/packages/soak/src/core/replicas/messages.ts
@@ -1,5 +1,7 @@
 /** Messages between the run and the processes of its replicas. */
 
+import type { PathCut } from '@celeryyoke/routing/testing';
+
 /** Header in which a response names the incarnation of the replica that made it. */
 export const REPLICA_HEADER = 'x-soak-replica';
 
@@ -34,6 +36,8 @@
   | { readonly type: 'leave'; readonly ids: readonly string[] }
   | { readonly type: 'replace'; readonly ids: readonly string[] }
   | { readonly type: 'behave'; readonly ids: readonly string[]; readonly behaviour: Behaviour }
+  /** Cuts hosts off from all replicas, or heals the cut. */
+  | { readonly type: 'cut'; readonly hosts: readonly string[]; readonly cut: PathCut | undefined }
   | {
       readonly type: 'hold';
       readonly ids: readonly string[];
--- a/packages/soak/src/core/replicas/replica.ts
+++ b/packages/soak/src/core/replicas/replica.ts
@@ -16,8 +16,8 @@
   sendChunk,
 } from '@celeryyoke/adapter/testing';
 import { createSystemTimers } from '@celeryyoke/core';
-import type { Random, RawRequest } from '@celeryyoke/routing/testing';
-import { createRandom, headerValue, parseRequest } from '@celeryyoke/routing/testing';
+import type { PathCut, Random, RawRequest } from '@celeryyoke/routing/testing';
+import { createRandom, headerValue, parseRequest, PathCuts } from '@celeryyoke/routing/testing';
 
 import type { Arrival, ReplicaCrash, ReplicaOptions } from './messages.js';
 import { Behaviour, CRASHING_PATH, Holdable, incarnationId, REPLICA_HEADER } from './messages.js';
@@ -104,6 +104,8 @@
 
   private readonly connections = new Set<Connection>();
 
+  private readonly cuts = new PathCuts();
+
   private readonly random: Random;
 
   private readonly server: Server;
@@ -129,6 +131,14 @@
     this.life.isLeaving = true;
   }
 
+  /** Cuts hosts off, or heals their cut. */
+  cut(hosts: readonly string[], cut: PathCut | undefined): void {
+    for (const host of hosts) {
+      if (cut === undefined) this.cuts.heal(host);
+      else this.cuts.cut(host, cut);
+    }
+  }
+
   /** Begins a new incarnation at the same address; requests in progress end as they would have. */
   replace(): void {
     this.replacements += 1;
@@ -163,6 +173,7 @@
   }
 
   private accept(socket: Socket): void {
+    if (!this.cuts.accept(socket)) return;
     const connection = new Connection(socket);
     this.connections.add(connection);
     socket.on('error', () => connection.lose());
--- a/packages/soak/src/core/run/faults.ts
+++ b/packages/soak/src/core/run/faults.ts
@@ -1,6 +1,7 @@
 /** What each kind of fault does to a run. */
 import type { TimerService } from '@celeryyoke/core';
 import type { Random } from '@celeryyoke/routing/testing';
+import { PathCut } from '@celeryyoke/routing/testing';
 
 import type { Callers } from '../callers/index.js';
 import type { Fault } from '../plan/index.js';
@@ -22,6 +23,8 @@
   readonly callers: Pick<Callers, 'repeatCrashing'>;
   /** Has the registry list a replica under its current incarnation. */
   readonly relist: (id: string, before: string) => void;
+  /** Records that daemons are cut off from all replicas; what it returns records the end. */
+  readonly recordCut: (daemons: readonly string[]) => () => void;
   readonly random: Random;
   readonly timers: TimerService;
 }
@@ -49,6 +52,21 @@
   };
 }
 
+/** Cuts daemons off from all replicas, one of them at least. */
+function cutOff(cut: PathCut): FaultHandler {
+  return ({ daemons, replicas, recordCut, random }, share) => {
+    const chosen = choose(daemons.addresses, share, random);
+    const hit = chosen.length > 0 ? chosen : [random.pick(daemons.addresses)];
+    const hosts = hit.map(({ host }) => host);
+    const endRecord = recordCut(hit.map(({ name }) => name));
+    replicas.cut(hosts, cut);
+    return () => {
+      replicas.cut(hosts, undefined);
+      endRecord();
+    };
+  };
+}
+
 /** Has replicas say that they leave; when the fault ends, new incarnations replace them. */
 const leave: FaultHandler = ({ replicas, relist, random }, share) => {
   const ids = choose(replicas.ids, share, random);
@@ -85,6 +103,9 @@
   [FaultKind.Shed]: misbehave(Behaviour.Shed),
   [FaultKind.Backoff]: misbehave(Behaviour.Backoff),
   [FaultKind.Leave]: leave,
+  [FaultKind.CutHang]: cutOff(PathCut.Hang),
+  [FaultKind.CutReset]: cutOff(PathCut.Reset),
+  [FaultKind.CutRefuse]: cutOff(PathCut.RefuseNew),
   [FaultKind.CrashingRequest]: ({ callers }, share) =>
     callers.repeatCrashing(share < COPIES_SHARE ? 1 : COPIES),
   [FaultKind.Errors]: misbehave(Behaviour.Errors),
--- a/packages/soak/src/core/run/run.ts
+++ b/packages/soak/src/core/run/run.ts
@@ -7,8 +7,8 @@
 
 import type { CallerAttempt } from '../callers/index.js';
 import { Balancer, Callers } from '../callers/index.js';
-import type { SoakFigures } from '../checks/index.js';
-import { checkRun, countCrashes } from '../checks/index.js';
+import type { CutFigures, DaemonCut, SoakFigures } from '../checks/index.js';
+import { checkRun, countCrashes, measureCuts } from '../checks/index.js';
 import type { SoakPlan } from '../plan/index.js';
 import { ProcessGroup } from '../processes/index.js';
 import type { Arrival, ReplicaOptions } from '../replicas/index.js';
@@ -39,6 +39,7 @@
   readonly arrivals: readonly Arrival[];
   /** Replicas that crashed under each request that crashes replicas, by its path. */
   readonly crashes: ReadonlyMap<string, number>;
+  readonly cuts: readonly CutFigures[];
 }
 
 /**
@@ -51,6 +52,7 @@
   const timers = createSystemTimers();
   const processes = new ProcessGroup();
   const arrivals: Arrival[] = [];
+  const cuts: DaemonCut[] = [];
   const store = await startStore();
   const replicas = new ReplicaFleet({
     processes,
@@ -70,6 +72,13 @@
     store.remove(`servers/${before}`);
     list(replicasOf(plan).find((option) => option.id === id)!);
   }
+  function recordCut(hit: readonly string[]): () => void {
+    const cut: DaemonCut = { daemons: hit, from: timers.wall(), until: undefined };
+    cuts.push(cut);
+    return () => {
+      cut.until = timers.wall();
+    };
+  }
   const balancer = new Balancer(daemons.addresses, timers);
   const random = createRandom(`run-${plan.seed}`);
   const { requestsPerSecond, adapters, hasRetries } = plan;
@@ -80,7 +89,9 @@
     startAll(plan, daemons, timers);
     await timers.sleep(plan.trafficAfterMs);
     for (const fault of plan.faults)
-      timers.after(fault.atMs, () => inject({ daemons, replicas, callers, relist, random, timers }, fault));
+      timers.after(fault.atMs, () =>
+        inject({ daemons, replicas, callers, relist, recordCut, random, timers }, fault),
+      );
     void callers.run();
     await timers.sleep(plan.seconds * MS_PER_SECOND);
     await callers.stop();
@@ -93,13 +104,14 @@
   const { attempts } = callers;
   const excuses = { outages: daemons.outages, interruptions: replicas.interruptions };
   const { crashes } = replicas;
-  const figures = checkRun({ attempts, arrivals, crashes }, excuses);
+  const figures = checkRun({ attempts, arrivals, crashes, cuts }, excuses);
   return {
     figures,
     outcomes: countOutcomes(callers),
     attempts,
     arrivals,
     crashes: countCrashes(attempts, crashes),
+    cuts: measureCuts(attempts, cuts, daemons.outages),
   };
 }
 
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -43,7 +43,7 @@
   return table.toString();
 }
 
-function show({ seed }: SoakPlan, { figures, outcomes, crashes }: SoakResult): void {
+function show({ seed }: SoakPlan, { figures, outcomes, crashes, cuts }: SoakResult): void {
   console.log(`seed ${seed}: ${isClean(figures) ? 'clean' : 'BROKEN'}`);
   console.log(showRepeats(figures));
   console.log([...outcomes].map(([key, count]) => `${key} ${count}`).join(', '));
@@ -53,6 +53,11 @@
   showViolations('sent to a replica that leaves', figures.sentToLeaving);
   showViolations('sent in a backoff', figures.sentInBackoff);
   for (const [path, count] of crashes) console.log(`replicas crashed under ${path}: ${count}`);
+  for (const { daemons, served, servedByOthers } of cuts)
+    console.log(
+      `cut off: ${daemons.join(', ')} served ${served.join(' of ')}, others ${servedByOthers.join(' of ')}`,
+    );
+  if (figures.badlyServedInCuts.length > 0) console.log('served far worse while cut off');
   for (const { path, sent } of figures.sentThoughCrashing)
     console.log(`sent on after the third crash: ${path} as ${sent.join(', ')}`);
   if (figures.refusedBeside.length > 0)
--- a/packages/soak/test/checks.test.ts
+++ b/packages/soak/test/checks.test.ts
@@ -22,6 +22,7 @@
     id: `c${index}`,
     route: routeOf(kind),
     path: `/${kind}/${index}`,
+    isFirst: true,
     daemon: 'front-a-0',
     sentAt: index * INTERVAL_MS,
     toldLeaving: undefined,
@@ -33,7 +34,7 @@
 
 /** Checks a run in which no replica crashed. */
 function checkSeen(attempts: readonly CallerAttempt[], arrivals: readonly Arrival[], excuses?: Excuses) {
-  return checkRun({ attempts, arrivals, crashes: [] }, excuses);
+  return checkRun({ attempts, arrivals, crashes: [], cuts: [] }, excuses);
 }
 
 function arrivalOf({ id, sentAt }: CallerAttempt, laterMs = 1, hasRun = true): Arrival {
@@ -172,7 +173,7 @@
   const crashes = attempts.slice(0, 3).map(({ id, sentAt }) => ({ request: id, replica: 'p-0', at: sentAt }));
   const check = (count: number, seen = crashes, outages: DaemonOutage[] = []) =>
     checkRun(
-      { attempts: attempts.slice(0, 3 + count), arrivals, crashes: seen },
+      { attempts: attempts.slice(0, 3 + count), arrivals, crashes: seen, cuts: [] },
       { outages, interruptions: [] },
     ).sentThoughCrashing.map(({ sent }) => sent.length);
   t.deepEqual(check(3), []);
@@ -189,3 +190,31 @@
   const attempts = [innocent!, { ...crashing!, path: '/safe/2/crash' }];
   t.deepEqual(checkSeen(attempts, []).refusedBeside, [innocent!.id]);
 });
+
+test('daemons that are cut off and serve less than two thirds of what others do are found', (t) => {
+  const serving = (daemon: string, count: number, share: number): CallerAttempt[] =>
+    served('safe')
+      .slice(0, count)
+      .map((attempt, index) => ({
+        ...attempt,
+        id: `${daemon}${index}`,
+        daemon,
+        sentAt: STABLE_MS + 1 + index,
+        outcome: index < count * share ? CallerOutcome.Served : CallerOutcome.Failed,
+      }));
+  const check = (share: number, outages: DaemonOutage[] = [], from = 0): number =>
+    checkRun(
+      {
+        attempts: [...serving('d', 100, share), ...serving('e', 100, 0.9)],
+        arrivals: [],
+        crashes: [],
+        cuts: [{ daemons: ['d'], from, until: undefined }],
+      },
+      { outages, interruptions: [] },
+    ).badlyServedInCuts.length;
+  t.is(check(0.6), 0);
+  t.is(check(0.59), 1);
+  // A daemon has some seconds to find out, after the beginning of the cut and after a start.
+  t.is(check(0.1, [], 200), 0);
+  t.is(check(0.1, [{ daemon: 'd', at: STABLE_MS }]), 0);
+});
