cluster: accept peers only from the host that they name

A hello carried an address that nobody checked, so whoever reached the listener for peers became a member. What peers do for each other grows (requests are to be sent over them), so the host of the connection must be that of the address. Links for one exchange can be opened, and reset.

--- a/packages/routing/src/core/cluster/cluster.ts
+++ b/packages/routing/src/core/cluster/cluster.ts
@@ -185,7 +185,7 @@
     const { transport, timers, log } = this.options;
     this.stopListening = await transport.listen({
       digest: () => this.members.digest(),
-      onHello: (body) => this.handleHello(decodeMember(body as MemberFrame)),
+      onHello: (body, host) => this.handleHello(decodeMember(body as MemberFrame), host),
       onMessage: (peer, type, body, channel) => this.dispatch(peer, type, body, channel),
       onClose: (peer, channel, isOrderly) => this.handleChannelClose(peer, channel, isOrderly),
       onProblem: (peer, err) =>
@@ -302,6 +302,15 @@
     return link?.request(type, body, timeoutMs) ?? Promise.reject(new Error(`${address} can't be reached.`));
   }
 
+  /**
+   * Opens a link to a member for one exchange; it is closed by whoever opened it.
+   * @param events - Called with what the peer pushes, and when the link ends.
+   */
+  openLink(address: string, events: Pick<LinkEvents, 'onPush' | 'onEnd'>): PeerLink {
+    const hello = (): MemberFrame => encodeMember(this.members.self);
+    return this.options.transport.connect(address, { ...events, hello, onDigest: () => undefined });
+  }
+
   private tick(): void {
     const now = this.options.timers.now();
     this.joinSeeds(now, this.aliveAddresses().length === 1);
@@ -454,9 +463,12 @@
     if (!isOrderly && !this.isClosing && this.state(address) !== MemberState.Ended) this.linkTo(address);
   }
 
-  private handleHello(record: MemberRecord): string {
+  /** Accepts a peer that connects from the host that it names as its own. */
+  private handleHello(record: MemberRecord, host: string): string {
     if (record.address === this.options.self.address)
       throw new Error('The hello of a peer carries this daemon’s own address.');
+    if (hostOf(record.address) !== host)
+      throw new Error(`The hello from ${host} carries the address ${record.address} of another host.`);
     this.members.merge(record);
     // The peer doesn't know that it counts as not alive; the exchange lets it refute that.
     if (record.state === MemberState.Alive && this.state(record.address) !== MemberState.Alive)
@@ -470,3 +482,7 @@
     return this.handlers.get(type)?.(member, body as never, channel);
   }
 }
+
+function hostOf(address: string): string {
+  return address.slice(0, address.lastIndexOf(':'));
+}
--- a/packages/routing/src/core/cluster/link.ts
+++ b/packages/routing/src/core/cluster/link.ts
@@ -130,6 +130,14 @@
     this.rejectPending('The link to the peer was closed.');
   }
 
+  abort(): void {
+    if (this.hasEnded) return;
+    this.hasEnded = true;
+    this.isUp = false;
+    this.socket.resetAndDestroy();
+    this.rejectPending('The link to the peer was reset.');
+  }
+
   private write(frame: Buffer): void {
     if (this.hasEnded) return;
     if (this.socket.writableLength > MAX_BACKLOG_BYTES) this.finish(LinkEnd.Silent, 'the peer does not read');
--- a/packages/routing/src/core/cluster/listener.ts
+++ b/packages/routing/src/core/cluster/listener.ts
@@ -9,6 +9,7 @@
 
 /** Bytes that may be buffered for a peer that does not read before its connection is closed. */
 const MAX_BACKLOG_BYTES = 4 * 1024 * 1024;
+const MAPPED_IPV4 = /^::ffff:/;
 
 /** A message of a peer; the id is 0 unless the message is a request. */
 type IncomingFrame = readonly [type: MessageType, requestId: number, body: unknown];
@@ -63,13 +64,18 @@
   }
 
   private handleFrame([type, requestId, body]: IncomingFrame): void {
-    if (type === MessageType.Hello) this.peer = this.events.onHello(body);
+    if (type === MessageType.Hello) this.peer = this.events.onHello(body, this.remoteHost);
     else if (this.peer === undefined) throw new Error('Received a message before the hello.');
     else if (type === MessageType.Goodbye) this.hasSaidGoodbye = true;
     else if (type === MessageType.Heartbeat) this.push(encodeFrame([HEARTBEAT_ID, this.events.digest()]));
     else void this.respond(this.peer, type, requestId, body);
   }
 
+  /** Address of the peer's host; an IPv4 address comes mapped into IPv6 where the listener has both. */
+  private get remoteHost(): string {
+    return (this.socket.remoteAddress ?? '').replace(MAPPED_IPV4, '');
+  }
+
   private async respond(peer: string, type: MessageType, requestId: number, body: unknown): Promise<void> {
     try {
       const result = await this.events.onMessage(peer, type, body, this);
--- a/packages/routing/src/core/cluster/types.ts
+++ b/packages/routing/src/core/cluster/types.ts
@@ -119,16 +119,19 @@
   heartbeat(): void;
   /** Sends a goodbye and closes the link. */
   close(): void;
+  /** Resets the connection: what the peer has not received yet is lost. */
+  abort(): void;
 }
 
 /** Callbacks of the listening side. */
 export interface ListenerEvents {
   /**
    * Called with the first message of a connection.
+   * @param host - Address of the host that the connection comes from.
    * @returns Address of the peer.
    * @throws Error when the hello is invalid, which closes the connection.
    */
-  readonly onHello: (body: unknown) => string;
+  readonly onHello: (body: unknown, host: string) => string;
   /** Returns the digest of this daemon's members; the response to a heartbeat. */
   readonly digest: () => number;
   /** Called with each further message; what it returns or resolves to is the response. */
--- a/packages/routing/test/fleet/network.ts
+++ b/packages/routing/test/fleet/network.ts
@@ -284,7 +284,9 @@
     if (this.hasEnded) return;
     this.isUp = true;
     this.recordReceived();
-    this.network.listening.get(this.to)?.events.onHello(hello);
+    this.network.listening
+      .get(this.to)
+      ?.events.onHello(hello, this.from.slice(0, this.from.lastIndexOf(':')));
     for (const write of this.buffered) write();
     this.buffered = [];
   }
