--- a/packages/routing/src/core/channels/channel.ts
+++ b/packages/routing/src/core/channels/channel.ts
@@ -29,6 +29,8 @@
  * milliseconds: some round trips.
  */
 const CANCEL_LINGER_MS = 50;
+/** Time after which a connection that is being set up is reported as slow, in milliseconds. */
+const SLOW_CONNECT_MS = 100;
 /** Idle time before the first TCP keep-alive probe; the system sends the next ones each second. */
 const KEEPALIVE_DELAY_MS = 1000;
 
@@ -46,6 +48,8 @@
   readonly onResponseHead: (status: number, headers: HeaderMap) => void;
   readonly onConnected: () => void;
   readonly onConnectFailed: (err: Error) => void;
+  /** Called when the connection takes longer than usual. */
+  readonly onSlowConnect: () => void;
   /** Called once, when the channel takes no further exchange. */
   readonly onClosed: (channel: Channel) => void;
 }
@@ -163,7 +167,8 @@
   }
 
   private connect(callback: (...args: [null, Socket] | [Error, null]) => void): void {
-    const { host, port, localAddress, connectTimeoutMs, onConnected, onConnectFailed } = this.options;
+    const { host, port, localAddress, connectTimeoutMs, timers } = this.options;
+    const { onConnected, onConnectFailed, onSlowConnect } = this.options;
     // What is known of the process at the other end holds for one connection only, but undici would open
     // another one.
     if (this.socket !== undefined) {
@@ -180,9 +185,11 @@
     });
     this.socket = socket;
     let isSettled = false;
+    const slowTimer = timers.after(SLOW_CONNECT_MS, onSlowConnect);
     const settle = (err: Error | undefined): void => {
       if (isSettled) return;
       isSettled = true;
+      slowTimer.cancel();
       socket.setTimeout(0);
       if (err === undefined) {
         onConnected();
@@ -298,6 +305,10 @@
     this.context.sink.onFail(ChannelFailure.Withheld, err);
   }
 
+  mayHaveArrived(): boolean {
+    return this.controller !== undefined;
+  }
+
   cancel(reason: string): void {
     if (this.hasEnded) return;
     this.isCancelled = true;
--- a/packages/routing/src/core/channels/pool.ts
+++ b/packages/routing/src/core/channels/pool.ts
@@ -2,6 +2,7 @@
 import type { TimerService } from '@celeryyoke/core';
 
 import { Channel } from './channel.js';
+import { failLater } from './fail-later.js';
 import { ExclusiveChannel } from './exclusive-channel.js';
 import type { UpstreamGuard, ResponseSink, ExchangeHandle, UpstreamCall } from './types.js';
 import { ChannelFailure } from './types.js';
@@ -23,6 +24,7 @@
   onResponseHead: () => undefined,
   onConnected: () => undefined,
   onConnectFailed: () => undefined,
+  onSlowConnect: () => undefined,
 };
 
 /** Opens, reuses and closes this daemon's connections to replicas. */
@@ -49,7 +51,7 @@
    */
   send(upstream: UpstreamAddress, call: UpstreamCall, sink: ResponseSink): ExchangeHandle {
     const refusal = this.guard.refusal(upstream.id, call.purpose);
-    if (refusal !== undefined) return withhold(sink, refusal);
+    if (refusal !== undefined) return failLater(sink, ChannelFailure.Withheld, refusal);
     const channel = this.acquire(upstream);
     return channel.send(call, {
       onSent: () => sink.onSent(),
@@ -119,6 +121,7 @@
       onResponseHead: (status, headers) => this.guard.onResponseHead(id, status, headers),
       onConnected: () => this.guard.onConnected(id),
       onConnectFailed: (err) => this.guard.onConnectFailed(id, err),
+      onSlowConnect: () => this.guard.onSlowConnect(id),
       onClosed,
     });
     channels.add(channel);
@@ -135,15 +138,3 @@
     this.idleChannels.set(id, idle);
   }
 }
-
-/** Fails an exchange without using a connection; the sink is called after the return, as for other failures. */
-function withhold(sink: ResponseSink, refusal: string): ExchangeHandle {
-  let hasEnded = false;
-  const fail = (reason: string): void => {
-    if (hasEnded) return;
-    hasEnded = true;
-    sink.onFail(ChannelFailure.Withheld, new Error(reason));
-  };
-  queueMicrotask(() => fail(refusal));
-  return { cancel: fail };
-}
--- a/packages/routing/src/core/channels/types.ts
+++ b/packages/routing/src/core/channels/types.ts
@@ -73,10 +73,14 @@
   onConnected(upstream: string): void;
   /** Called when a connection to an upstream could not be established. */
   onConnectFailed(upstream: string, err: Error): void;
+  /** Called when setting up a connection to an upstream takes longer than usual. */
+  onSlowConnect(upstream: string): void;
 }
 
 /** Handle of a running exchange. */
 export interface ExchangeHandle {
   /** Cancels the exchange; the replica sees the connection close. */
   cancel(reason: string): void;
+  /** Whether the replica may have received a byte of the request. */
+  mayHaveArrived(): boolean;
 }
--- a/packages/routing/src/core/choice/replica-health.ts
+++ b/packages/routing/src/core/choice/replica-health.ts
@@ -84,14 +84,24 @@
     if (requests.count === 0) this.outstanding.delete(replica);
   }
 
+  /** Replicas with outstanding requests. */
+  waitingReplicas(): Iterable<string> {
+    return this.outstanding.keys();
+  }
+
+  /** Returns for how long a replica with outstanding requests has sent nothing, in milliseconds; 0 without any. */
+  silenceMs(replica: string): number {
+    const requests = this.outstanding.get(replica);
+    return requests === undefined ? 0 : this.timers.now() - requests.since;
+  }
+
   /**
    * Returns whether a replica is ejected: it could not be reached, or it sends nothing although it has
    * requests.
    */
   isEjected(replica: string): boolean {
     const now = this.timers.now();
-    const requests = this.outstanding.get(replica);
-    if (requests !== undefined && now - requests.since > SILENCE_TIMEOUT_MS) return true;
+    if (this.silenceMs(replica) > SILENCE_TIMEOUT_MS) return true;
     return (this.records.get(replica)?.ejectedUntil ?? 0) > now;
   }
 
--- a/packages/routing/src/core/cluster/types.ts
+++ b/packages/routing/src/core/cluster/types.ts
@@ -64,6 +64,8 @@
   AttemptPermit = 16,
   /** Reports requests that were in flight at crashes of replicas, and what follows from that. */
   Suspects = 17,
+  /** Requests an exchange with a replica that the sender can't reach. */
+  Relay = 18,
 }
 
 /** The accepting end of a connection, over which messages can be pushed to the daemon that opened it. */
--- a/packages/routing/src/core/daemon/router.ts
+++ b/packages/routing/src/core/daemon/router.ts
@@ -4,6 +4,7 @@
 
 import type { EngineLeases } from '../ownership/index.js';
 import type { Cluster } from '../cluster/index.js';
+import type { RelayServer } from '../relays/index.js';
 import type { RequestServer } from '../requests/index.js';
 import { PART } from './part-names.js';
 import type { RouterState } from './services.js';
@@ -59,6 +60,7 @@
     const { timers, settings, log } = this.options;
     const startedAt = timers.now();
     const requests = this.get<RequestServer>(PART.requests);
+    const relays = this.get<RelayServer>(PART.relays);
     log.info(`Stopping ${settings.name} (${cause}) with ${requests.running} requests in progress.`);
     this.get<EngineLeases>(PART.leases).stopClaiming();
     const cluster = this.get<Cluster>(PART.cluster);
@@ -67,7 +69,7 @@
     await this.waitForRotation(startedAt);
     requests.close();
     const end = startedAt + settings.graceMs - GRACE_MARGIN_MS;
-    while (timers.now() < end && requests.running > 0) {
+    while (timers.now() < end && requests.running + relays.running > 0) {
       await timers.sleep(DRAIN_CHECK_MS);
       // Responses that began before the signal have announced keep-alive, so their connections must be closed
       // once idle.
--- a/packages/routing/src/core/daemon/services.ts
+++ b/packages/routing/src/core/daemon/services.ts
@@ -6,7 +6,7 @@
  */
 import type { Server } from 'node:http';
 
-import type { Metrics, Service, ServiceFinder, TimerHandle } from '@celeryyoke/core';
+import type { ListenerState, Metrics, Service, ServiceFinder, TimerHandle } from '@celeryyoke/core';
 import { createMetrics, probeListener } from '@celeryyoke/core';
 
 import { ResidencyTable, AdapterLoader } from '../adapters/index.js';
@@ -21,10 +21,12 @@
 import { ReplicaLimits } from '../limits/index.js';
 import { DisseminationTree, storeReaderRank, Topic } from '../dissemination/index.js';
 import { PromptAdmission } from '../pacing/index.js';
-import { ReachabilityTable } from '../paths/index.js';
+import { CutOffTable, PathMonitor, ReachabilityTable } from '../paths/index.js';
+import { RelayServer, UpstreamSender } from '../relays/index.js';
 import { CallerTimeouts, StreamMigrator, RequestMetrics, RequestServer } from '../requests/index.js';
 import { FleetShare } from '../shares/index.js';
 import { CrashDetector, SuspectRegistry } from '../suspects/index.js';
+import type { ReplicaEntry } from '../view/index.js';
 import { ReplicaRegistry, StoreWatcher, RecordKind, ReplicatedStore } from '../view/index.js';
 import { startMetricsServer, registerMetrics } from './metrics.js';
 import { InFlightReporter } from './in-flight-reporter.js';
@@ -89,6 +91,7 @@
           createChannels(this.options, kernel, {
             onResponse: (replica) => this.get<SuspectRegistry>(PART.suspects).recordResponse(replica),
             reachability: () => this.get(PART.reachability),
+            paths: () => this.get(PART.paths),
           }),
         (pool) => pool.close(),
       ),
@@ -136,15 +139,29 @@
       part(PART.limits, [PART.cluster, PART.tree, PART.share, PART.registry], (kernel) =>
         this.createLimits(kernel),
       ),
+      part(PART.cutOffs, [PART.cluster, PART.tree], (kernel) => this.createCutOffs(kernel)),
+      part(
+        PART.paths,
+        [PART.registry, PART.health, PART.cutOffs, PART.channels],
+        (kernel) => this.createPaths(kernel),
+        (paths) => paths.stop(),
+      ),
+      part(PART.sender, [PART.cluster, PART.channels, PART.cutOffs, PART.paths], (kernel) =>
+        this.createSender(kernel),
+      ),
+      part(PART.crashDetector, [PART.channels], (kernel) => this.createCrashDetector(kernel)),
+      part(PART.relays, [PART.cluster, PART.channels, PART.registry, PART.crashDetector], (kernel) =>
+        this.createRelays(kernel),
+      ),
       part(
         PART.suspects,
-        [PART.cluster, PART.tree, PART.channels],
+        [PART.cluster, PART.tree, PART.crashDetector],
         (kernel) => this.createSuspects(kernel),
         (suspects) => suspects.stop(),
       ),
       part(
         PART.leases,
-        [PART.cluster, PART.tree, PART.pauseDetector, PART.registry, PART.settling],
+        [PART.cluster, PART.tree, PART.pauseDetector, PART.registry, PART.settling, PART.cutOffs, PART.paths],
         (kernel) => this.createLeases(kernel),
         (leases) => leases.close(),
       ),
@@ -164,6 +181,7 @@
           PART.availability,
           PART.suspects,
           PART.reachability,
+          PART.paths,
         ],
         (kernel) => this.createLoader(kernel),
         (loader) => loader.close(),
@@ -219,6 +237,8 @@
           PART.limits,
           PART.availability,
           PART.suspects,
+          PART.sender,
+          PART.paths,
           PART.tree,
           PART.cluster,
           PART.share,
@@ -393,19 +413,83 @@
     });
   }
 
-  private createSuspects(kernel: ServiceFinder): SuspectRegistry {
+  private createCutOffs(kernel: ServiceFinder): CutOffTable {
+    return new CutOffTable({
+      self: addressOf(this.options),
+      cluster: kernel.get(PART.cluster),
+      tree: kernel.get(PART.tree),
+      timers: this.options.timers,
+    });
+  }
+
+  private createPaths(kernel: ServiceFinder): PathMonitor {
     const { timers, log } = this.options;
     const channels = kernel.get<ChannelPool>(PART.channels);
-    const detector = new CrashDetector({
+    const paths = new PathMonitor({
+      registry: kernel.get(PART.registry),
+      health: kernel.get(PART.health),
+      table: kernel.get(PART.cutOffs),
+      probe: (replica, timeoutMs, holdMs) => this.probe(replica, timeoutMs, holdMs),
+      timers,
+      log,
+      random: Math.random,
+    });
+    const registry = kernel.get<ReplicaRegistry>(PART.registry);
+    // Connections that were open before may never carry anything again.
+    paths.onCut((service) => registry.readyReplicas(service).forEach(({ id }) => channels.closeIdle(id)));
+    return paths;
+  }
+
+  private createSender(kernel: ServiceFinder): UpstreamSender {
+    const { settings, timers } = this.options;
+    return new UpstreamSender({
+      self: addressOf(this.options),
+      zone: settings.zone,
+      pool: kernel.get(PART.channels),
+      cluster: kernel.get(PART.cluster),
+      monitor: kernel.get(PART.paths),
+      table: kernel.get(PART.cutOffs),
+      timers,
+      random: Math.random,
+    });
+  }
+
+  private createRelays(kernel: ServiceFinder): RelayServer {
+    const { timers, log } = this.options;
+    return new RelayServer({
+      cluster: kernel.get(PART.cluster),
+      pool: kernel.get(PART.channels),
+      registry: kernel.get(PART.registry),
+      detector: kernel.get(PART.crashDetector),
+      isLeaving: () => this.state.isLeaving,
+      timers,
+      log,
+    });
+  }
+
+  private createCrashDetector(kernel: ServiceFinder): CrashDetector {
+    const { timers } = this.options;
+    const channels = kernel.get<ChannelPool>(PART.channels);
+    return new CrashDetector({
       timers,
       isConnected: (replica) => channels.isConnected(replica),
-      probe: (replica, timeoutMs) => probeListener(replica, timers, timeoutMs),
+      probe: (replica, timeoutMs) => this.probe(replica, timeoutMs),
     });
+  }
+
+  /** Connects to a replica once, from this daemon's address. */
+  private probe({ host, port }: ReplicaEntry, timeoutMs: number, holdMs?: number): Promise<ListenerState> {
+    const { settings, timers } = this.options;
+    return probeListener({ host, port, localAddress: settings.host }, timers, timeoutMs, holdMs);
+  }
+
+  private createSuspects(kernel: ServiceFinder): SuspectRegistry {
+    const { timers, log } = this.options;
     return new SuspectRegistry({
       self: addressOf(this.options),
       cluster: kernel.get(PART.cluster),
       tree: kernel.get(PART.tree),
-      detector,
+      detector: kernel.get(PART.crashDetector),
       timers,
       log,
     });
@@ -426,6 +510,7 @@
     const pauses = kernel.get<PauseDetector>(PART.pauseDetector);
     const settling = kernel.get<FleetSettling>(PART.settling);
     const tree = kernel.get<DisseminationTree>(PART.tree);
+    const cutOffs = kernel.get<CutOffTable>(PART.cutOffs);
     const leases = new EngineLeases({
       self: addressOf(this.options),
       fleet: cluster,
@@ -435,6 +520,10 @@
       isRecovering: () => pauses.isRecovering,
       hasSettled: () => settling.hasSettled(),
       isUpToDate: () => this.isUpToDate(),
+      isCutOff: (address, replica) => {
+        const service = registry.replica(replica)?.service;
+        return service !== undefined && cutOffs.isCutOff(address, service);
+      },
       onGain: (lease) => {
         log.decide('lease.gained', `Acquired the lease of ${lease.replica}.`, {
           replica: lease.replica,
@@ -455,6 +544,7 @@
     registry.onReplica((id, entry) => {
       if (entry === undefined) leases.forget(id);
     });
+    kernel.get<PathMonitor>(PART.paths).onCut(() => leases.resignUnreachable());
     return leases;
   }
 
@@ -579,7 +669,8 @@
       parts: {
         dialect,
         chooser,
-        pool: kernel.get(PART.channels),
+        sender: kernel.get(PART.sender),
+        paths: kernel.get(PART.paths),
         inFlight,
         health,
         timers,
--- a/packages/routing/src/core/daemon/upstreams.ts
+++ b/packages/routing/src/core/daemon/upstreams.ts
@@ -6,7 +6,7 @@
 import { DeclarationSource, ReplicaAvailability } from '../availability/index.js';
 import type { UpstreamGuard } from '../channels/index.js';
 import { ChannelPool } from '../channels/index.js';
-import type { ReachabilityTable } from '../paths/index.js';
+import type { PathMonitor, ReachabilityTable } from '../paths/index.js';
 import type { RunStateCopier } from '../requests/index.js';
 import { PART } from './part-names.js';
 import type { RouterOptions } from './types.js';
@@ -31,6 +31,7 @@
   /** Called with the replica of each response. */
   readonly onResponse: (replica: string) => void;
   readonly reachability: () => ReachabilityTable;
+  readonly paths: () => PathMonitor;
 }
 
 /**
@@ -39,7 +40,7 @@
 export function createChannels(
   { settings, dialect, timers }: RouterOptions,
   kernel: ServiceFinder,
-  { onResponse, reachability }: ChannelListeners,
+  { onResponse, reachability, paths }: ChannelListeners,
 ): ChannelPool {
   const availability = kernel.get<ReplicaAvailability>(PART.availability);
   const guard: UpstreamGuard = {
@@ -47,10 +48,15 @@
     onResponseHead: (replica, status, headers) => {
       availability.recordDeclaration(replica, dialect.readDeclaration(status, headers));
       reachability().recordReached(replica);
+      paths().recordResponse(replica);
       onResponse(replica);
     },
     onConnected: (replica) => reachability().recordReached(replica),
-    onConnectFailed: (replica, err) => reachability().recordFailure(replica, err.message),
+    onConnectFailed: (replica, err) => {
+      reachability().recordFailure(replica, err.message);
+      paths().recordTrouble(replica);
+    },
+    onSlowConnect: (replica) => paths().recordTrouble(replica),
   };
   // Replicas that tell hosts apart know one by its own address.
   return new ChannelPool(timers, guard, settings.host);
--- a/packages/routing/src/core/dissemination/types.ts
+++ b/packages/routing/src/core/dissemination/types.ts
@@ -20,6 +20,8 @@
   ReplicaLeaving = 8,
   /** Requests in flight at crashes of replicas, and those that are refused for that. */
   Suspect = 9,
+  /** Services whose replicas a daemon can't reach. */
+  CutOff = 10,
 }
 
 /** Merges and encodes the rows of one topic. */
--- a/packages/routing/src/core/ownership/engine-leases.ts
+++ b/packages/routing/src/core/ownership/engine-leases.ts
@@ -3,8 +3,8 @@
  *
  * The owner of an engine is the daemon that holds its lease. It keeps the lease for as long as it is alive,
  * so a daemon that joins moves no engines. An engine without an owner goes to the living daemon that
- * rendezvous hashing selects: at once when the owner's process has ended or is shutting down, after a timeout
- * when the owner is only silent.
+ * rendezvous hashing selects: at once when the owner's process has ended, is shutting down or can't reach the
+ * engine, after a timeout when the owner is only silent.
  *
  * Every lease carries a fencing token: the time of day in milliseconds in its high part, and in its low part
  * an id derived from the daemon's address, which keeps the tokens of different daemons apart. Of two leases
@@ -72,6 +72,8 @@
    * daemon.
    */
   readonly isUpToDate: () => boolean;
+  /** Whether a daemon has published that it can't reach an engine. */
+  readonly isCutOff: (address: string, replica: string) => boolean;
   /** Whether this daemon knows the other daemons and the leases that they hold. */
   readonly hasSettled: () => boolean;
   /** Called when this daemon has become the owner of an engine. */
@@ -87,6 +89,9 @@
   /** Engines that refused this daemon's token, with the monotonic time until which they are not claimed. */
   private readonly backoffUntil = new Map<string, number>();
 
+  /** Engines whose lease this daemon has, and to which it sends no orders as it can't reach them. */
+  private readonly resigned = new Set<string>();
+
   private lastToken = 0;
 
   /** Monotonic time since which this daemon sees less than half of the fleet alive, in milliseconds. */
@@ -114,7 +119,9 @@
 
   /** The leases that this daemon holds. */
   ownLeases(): EngineLease[] {
-    return [...this.leases.values()].filter(({ holder }) => holder === this.options.self);
+    return [...this.leases.values()].filter(
+      ({ holder, replica }) => holder === this.options.self && !this.resigned.has(replica),
+    );
   }
 
   /**
@@ -125,7 +132,7 @@
    */
   tokenForOrder(replica: string): number | undefined {
     const lease = this.leases.get(replica);
-    if (this.isClosed || lease?.holder !== this.options.self) return undefined;
+    if (this.isClosed || lease?.holder !== this.options.self || this.resigned.has(replica)) return undefined;
     const { isFenced, isUpToDate } = this.options;
     if (!isFenced && !isUpToDate()) return undefined;
     return this.options.isRecovering() || !this.hasQuorum(MINORITY_WAIT_LEASES) ? undefined : lease.token;
@@ -140,7 +147,8 @@
     const known = this.leases.get(lease.replica);
     if (known !== undefined && known.token >= lease.token) return false;
     this.leases.set(lease.replica, lease);
-    if (known?.holder === this.options.self && lease.holder !== this.options.self)
+    const wasResigned = this.resigned.delete(lease.replica);
+    if (known?.holder === this.options.self && lease.holder !== this.options.self && !wasResigned)
       this.options.onLoss(known, `claimed by ${lease.holder}`);
     return true;
   }
@@ -162,6 +170,19 @@
     this.options.onLoss(lease, 'its token was refused');
   }
 
+  /**
+   * Stops sending orders to the engines that this daemon can't reach. Others may claim them as soon as they know;
+   * if none does, this daemon takes them back when it reaches them again.
+   */
+  resignUnreachable(): void {
+    const { self, isCutOff, onLoss } = this.options;
+    for (const lease of this.ownLeases()) {
+      if (!isCutOff(self, lease.replica)) continue;
+      this.resigned.add(lease.replica);
+      onLoss(lease, 'the engine can’t be reached from here');
+    }
+  }
+
   /**
    * Removes an engine that no longer exists.
    * @param replica - The engine.
@@ -170,7 +191,9 @@
     const lease = this.leases.get(replica);
     this.leases.delete(replica);
     this.backoffUntil.delete(replica);
-    if (lease?.holder === this.options.self) this.options.onLoss(lease, 'the engine was removed');
+    const wasResigned = this.resigned.delete(replica);
+    if (lease?.holder === this.options.self && !wasResigned)
+      this.options.onLoss(lease, 'the engine was removed');
   }
 
   /**
@@ -178,11 +201,19 @@
    * @param replicas - All engines.
    */
   claimUnowned(replicas: Iterable<string>): void {
-    const { hasSettled, isRecovering, fleet, self } = this.options;
+    const { hasSettled, isRecovering } = this.options;
     if (this.isClosed || this.isLeaving || !hasSettled() || isRecovering()) return;
-    const alive = fleet.aliveAddresses();
     for (const replica of replicas)
-      if (this.isClaimable(replica) && rendezvousOwner(replica, alive) === self) this.claim(replica);
+      if (this.isClaimable(replica) && this.isAssigned(replica)) this.claim(replica);
+  }
+
+  /** Whether an engine without an owner falls to this daemon: to nobody else if it has resigned it itself. */
+  private isAssigned(replica: string): boolean {
+    const { fleet, self, isCutOff } = this.options;
+    if (isCutOff(self, replica)) return false;
+    if (this.resigned.has(replica)) return true;
+    const reaching = fleet.aliveAddresses().filter((address) => !isCutOff(address, replica));
+    return rendezvousOwner(replica, reaching) === self;
   }
 
   /**
@@ -199,13 +230,13 @@
   }
 
   private isClaimable(replica: string): boolean {
-    const { fleet, leaseMs, isFenced, timers } = this.options;
+    const { fleet, leaseMs, isFenced, timers, isCutOff } = this.options;
     if (timers.now() < (this.backoffUntil.get(replica) ?? 0)) return false;
     const lease = this.leases.get(replica);
-    if (lease === undefined) return true;
+    if (lease === undefined || this.resigned.has(replica)) return true;
     const state = fleet.state(lease.holder);
     if (state === MemberState.Ended || state === MemberState.Leaving) return true;
-    if (state === MemberState.Alive) return false;
+    if (state === MemberState.Alive) return isCutOff(lease.holder, replica);
     const majorityTimeoutMs = isFenced ? Math.min(FENCED_SILENCE_TIMEOUT_MS, leaseMs) : leaseMs;
     const timeoutMs = this.hasQuorum(0) ? majorityTimeoutMs : leaseMs * MINORITY_WAIT_LEASES;
     return fleet.downForMs(lease.holder) > timeoutMs;
@@ -241,6 +272,7 @@
     const base = Math.max(timers.wall(), Math.floor(highest / DAEMON_ID_RANGE) + 1);
     const token = Math.floor(base) * DAEMON_ID_RANGE + daemonId;
     this.lastToken = token;
+    this.resigned.delete(replica);
     const lease: EngineLease = { replica, holder: self, token };
     this.leases.set(replica, lease);
     this.options.onGain(lease);
--- a/packages/routing/src/core/paths/index.ts
+++ b/packages/routing/src/core/paths/index.ts
@@ -1,3 +1,9 @@
-/** Paths from this daemon to replicas. */
+/** Paths from this daemon to replicas: which replicas it reaches, and whether it is cut off from a service. */
+export type { CutOffTableOptions } from './cut-off-table.js';
+export { CutOffTable } from './cut-off-table.js';
+export type { CutListener, PathMonitorOptions } from './path-monitor.js';
+export { PathMonitor } from './path-monitor.js';
 export type { ReachabilityOptions } from './reachability.js';
 export { ReachabilityTable } from './reachability.js';
+export type { CutOffRow } from './types.js';
+export { CutCause } from './types.js';
--- /dev/null
+++ b/packages/routing/src/core/relays/index.ts
@@ -0,0 +1,7 @@
+/** Exchanges with replicas over peers, for a daemon that can't reach the replicas itself. */
+export type { RelayServerOptions } from './relay-server.js';
+export { RelayServer } from './relay-server.js';
+export type { RelayEvent, RelayRequest } from './types.js';
+export { RelayError, RelayEventKind } from './types.js';
+export type { UpstreamPath, UpstreamRequest, UpstreamSenderOptions } from './upstream-sender.js';
+export { PathKind, UpstreamSender } from './upstream-sender.js';
--- /dev/null
+++ b/packages/routing/src/core/relays/upstream-sender.ts
@@ -0,0 +1,140 @@
+/** Sends requests to replicas: directly, or over a peer while this daemon is cut off from them. */
+import type { TimerService } from '@celeryyoke/core';
+
+import type { ChannelPool, ExchangeHandle, ResponseSink, UpstreamCall } from '../channels/index.js';
+import { ChannelFailure, failLater } from '../channels/index.js';
+import type { Cluster } from '../cluster/index.js';
+import { MemberState } from '../cluster/index.js';
+import type { CutOffTable, PathMonitor } from '../paths/index.js';
+import { CutCause } from '../paths/index.js';
+import type { ReplicaEntry } from '../view/index.js';
+import { RelayedExchange } from './relayed-exchange.js';
+
+/** How an exchange reaches its replica. */
+export enum PathKind {
+  Direct = 'direct',
+  /** Direct, to find out whether replicas that were silent respond again. */
+  Trial = 'trial',
+  /** A peer carries it out. */
+  Relayed = 'relayed',
+  /** It can't be sent: this daemon is cut off, and so are all its peers. */
+  Blocked = 'blocked',
+}
+
+/** The path of one exchange. */
+export interface UpstreamPath {
+  readonly kind: PathKind;
+  /** Address of the peer that carries it out, on a relayed path. */
+  readonly peer: string | undefined;
+}
+
+/** What is sent. */
+export interface UpstreamRequest {
+  /** Id of the caller's request. */
+  readonly id: string;
+  readonly call: UpstreamCall;
+  /** Time left until the deadline, in milliseconds. */
+  readonly timeoutMs: number;
+}
+
+/** Parts of the daemon that a sender uses. */
+export interface UpstreamSenderOptions {
+  /** Address of this daemon. */
+  readonly self: string;
+  /** Failure domain of this daemon. */
+  readonly zone: string;
+  readonly pool: Pick<ChannelPool, 'send'>;
+  readonly cluster: Pick<Cluster, 'aliveAddresses' | 'member' | 'openLink' | 'state'>;
+  readonly monitor: Pick<PathMonitor, 'causeOf' | 'takeTrial'>;
+  readonly table: Pick<CutOffTable, 'isCutOff'>;
+  readonly timers: TimerService;
+  /** Returns a new random number from 0 to 1 on each call. */
+  readonly random: () => number;
+}
+
+const DIRECT: UpstreamPath = { kind: PathKind.Direct, peer: undefined };
+const TRIAL: UpstreamPath = { kind: PathKind.Trial, peer: undefined };
+const BLOCKED: UpstreamPath = { kind: PathKind.Blocked, peer: undefined };
+
+/** Chooses the path of each exchange. */
+export class UpstreamSender {
+  /** Exchanges in progress over each peer. */
+  private readonly relayed = new Map<string, number>();
+
+  constructor(private readonly options: UpstreamSenderOptions) {}
+
+  /**
+   * Chooses how to reach a replica now.
+   * @param isRepeatable - Whether the request may be sent again after it may have run.
+   */
+  choosePath({ service }: ReplicaEntry, isRepeatable: boolean): UpstreamPath {
+    const { monitor } = this.options;
+    const cause = monitor.causeOf(service);
+    if (cause === undefined) return DIRECT;
+    if (monitor.takeTrial(service, isRepeatable)) return TRIAL;
+    const peer = this.choosePeer(service);
+    if (peer !== undefined) return { kind: PathKind.Relayed, peer };
+    // Connections that are silent may be slow; there is nothing better.
+    return cause === CutCause.NoConnection ? BLOCKED : DIRECT;
+  }
+
+  /**
+   * Sends a request.
+   * @param sink - Called at each step of the exchange.
+   */
+  send(
+    { kind, peer }: UpstreamPath,
+    replica: ReplicaEntry,
+    request: UpstreamRequest,
+    sink: ResponseSink,
+  ): ExchangeHandle {
+    if (peer !== undefined) return this.sendOver(peer, replica, request, sink);
+    if (kind === PathKind.Blocked)
+      return failLater(sink, ChannelFailure.NotSent, `No host reaches the replicas of ${replica.service}.`);
+    return this.options.pool.send(replica, request.call, sink);
+  }
+
+  private sendOver(
+    peer: string,
+    replica: ReplicaEntry,
+    { id, call, timeoutMs }: UpstreamRequest,
+    sink: ResponseSink,
+  ): ExchangeHandle {
+    const { cluster, timers } = this.options;
+    this.count(peer, 1);
+    const request = { request: id, replica: replica.id, call, timeoutMs };
+    return new RelayedExchange({ cluster, timers, peer, request, sink, onEnded: () => this.count(peer, -1) });
+  }
+
+  private count(peer: string, change: number): void {
+    const count = (this.relayed.get(peer) ?? 0) + change;
+    if (count === 0) this.relayed.delete(peer);
+    else this.relayed.set(peer, count);
+  }
+
+  /** Chooses the peer with the fewest exchanges of this daemon in progress, in the same failure domain if it can. */
+  private choosePeer(service: string): string | undefined {
+    const { self, zone, cluster, table, random } = this.options;
+    const peers = cluster
+      .aliveAddresses()
+      .filter(
+        (address) =>
+          address !== self &&
+          cluster.state(address) === MemberState.Alive &&
+          !table.isCutOff(address, service),
+      )
+      .map((address) => ({
+        address,
+        running: this.relayed.get(address) ?? 0,
+        isNear: cluster.member(address)?.zone === zone,
+        order: random(),
+      }));
+    peers.sort(
+      (left, right) =>
+        left.running - right.running ||
+        Number(right.isNear) - Number(left.isNear) ||
+        left.order - right.order,
+    );
+    return peers[0]?.address;
+  }
+}
--- a/packages/routing/src/core/requests/attempt.ts
+++ b/packages/routing/src/core/requests/attempt.ts
@@ -1,15 +1,9 @@
 /** One attempt of a request at one replica: the response is buffered whole, or relayed as a stream. */
 import type { TimerService } from '@celeryyoke/core';
 
-import type {
-  ResponseSink,
-  ChannelPool,
-  HeaderMap,
-  ExchangeHandle,
-  UpstreamCall,
-} from '../channels/index.js';
+import type { ResponseSink, HeaderMap, ExchangeHandle } from '../channels/index.js';
 import { ChannelFailure } from '../channels/index.js';
-import type { ReplicaEntry } from '../view/index.js';
+import { RelayError } from '../relays/index.js';
 import type { StreamRelay } from './relay.js';
 import type { ResponseMetadata, RequestDialect, AttemptResult } from './types.js';
 import { AttemptOutcome } from './types.js';
@@ -18,14 +12,16 @@
 const SUCCESS_END = 300;
 /** Largest response that is buffered, in bytes; plain services respond with some kilobytes. */
 const MAX_BUFFERED_BYTES = 16 * 1024 * 1024;
+const PATH_BROKEN = 'The path to the replica is broken.';
+/** Time without bytes after which a request on a broken path is given up, in milliseconds. */
+const SILENCE_MS = 250;
 
 /** What to send, where to, and who is informed of its progress. */
 export interface AttemptOptions {
-  readonly pool: ChannelPool;
+  /** Sends the request. */
+  readonly send: (sink: ResponseSink) => ExchangeHandle;
   readonly dialect: RequestDialect;
   readonly timers: TimerService;
-  readonly replica: ReplicaEntry;
-  readonly call: UpstreamCall;
   /** Id of the request; the response must carry the same one. */
   readonly requestId: string;
   /** Receives a streamed response; undefined when every response is buffered. */
@@ -53,6 +49,12 @@
 
   private firstByteMs: number | undefined;
 
+  /** Monotonic time of the last bytes from the replica, or of the start, in milliseconds. */
+  private lastDataAt: number;
+
+  /** Whether a relaying peer found that the replica has crashed; undefined when the replica was sent to directly. */
+  private hasReplicaCrashed: boolean | undefined;
+
   private status = 0;
 
   private headers: HeaderMap = {};
@@ -72,7 +74,13 @@
       this.resolve = resolve;
     });
     this.startedAt = options.timers.now();
-    this.exchange = options.pool.send(options.replica, options.call, this);
+    this.lastDataAt = this.startedAt;
+    this.exchange = options.send(this);
+  }
+
+  /** Whether the replica may have received a byte of the request. */
+  get mayHaveArrived(): boolean {
+    return this.wasSent || this.exchange.mayHaveArrived();
   }
 
   /** Cancels the attempt; the replica sees its connection close. */
@@ -81,13 +89,27 @@
     this.exchange.cancel(reason);
   }
 
+  /**
+   * Gives up the path to the replica, which is broken. A request that was not sent ends as such; one that may be sent
+   * again ends when the replica has sent nothing for a while.
+   */
+  leavePath(isRepeatable: boolean): void {
+    if (this.hasSettled) return;
+    const { timers } = this.options;
+    const untilSilentMs = this.lastDataAt + SILENCE_MS - timers.now();
+    if (!this.mayHaveArrived) this.exchange.cancel(PATH_BROKEN);
+    else if (isRepeatable && untilSilentMs <= 0) this.fail(PATH_BROKEN);
+    else if (isRepeatable) timers.after(untilSilentMs, () => this.leavePath(isRepeatable));
+  }
+
   onSent(): void {
     this.wasSent = true;
   }
 
   onHead(status: number, headers: HeaderMap): void {
     this.options.onDataReceived();
-    this.firstByteMs = this.options.timers.now() - this.startedAt;
+    this.lastDataAt = this.options.timers.now();
+    this.firstByteMs = this.lastDataAt - this.startedAt;
     this.status = status;
     this.headers = headers;
     this.metadata = this.options.dialect.readResponse(status, headers);
@@ -108,6 +130,7 @@
   onData(chunk: Buffer): void {
     if (this.hasSettled) return;
     this.options.onDataReceived();
+    this.lastDataAt = this.options.timers.now();
     if (this.isRelaying) {
       this.options.onStreamData();
       if (!this.options.relay!.forward(chunk))
@@ -130,6 +153,7 @@
   }
 
   onFail(failure: ChannelFailure, err: Error): void {
+    if (err instanceof RelayError) this.hasReplicaCrashed = err.hasCrashed;
     if (failure === ChannelFailure.Withheld) this.settle(AttemptOutcome.Withheld, err.message);
     else if (failure === ChannelFailure.NotSent) this.settle(AttemptOutcome.NotRun, err.message);
     // The head alone proves that the request was refused; the body may be missing.
@@ -152,6 +176,7 @@
       outcome === AttemptOutcome.Responded
         ? { status, headers, body: Buffer.concat(this.chunks) }
         : undefined;
-    this.resolve({ outcome, response, reason, wasSent: this.wasSent, firstByteMs: this.firstByteMs });
+    const { wasSent, firstByteMs, hasReplicaCrashed } = this;
+    this.resolve({ outcome, response, reason, wasSent, firstByteMs, hasReplicaCrashed });
   }
 }
--- a/packages/routing/src/core/requests/execution.ts
+++ b/packages/routing/src/core/requests/execution.ts
@@ -15,12 +15,14 @@
 import type { RetryBudget, RetryPermit } from '../budget/index.js';
 import type { Route } from '../catalog/index.js';
 import { RouteKind } from '../catalog/index.js';
-import type { ChannelPool } from '../channels/index.js';
 import { ExchangePurpose } from '../channels/index.js';
 import type { Choice, InFlightTable, InFlightHandle, Need, ReplicaHealth } from '../choice/index.js';
 import { requestAdapterKey } from '../choice/index.js';
 import type { ReplicaLimits } from '../limits/index.js';
 import type { PromptAdmission } from '../pacing/index.js';
+import type { PathMonitor } from '../paths/index.js';
+import type { UpstreamPath, UpstreamSender } from '../relays/index.js';
+import { PathKind } from '../relays/index.js';
 import type { RequestFingerprints, SuspectRegistry } from '../suspects/index.js';
 import { fingerprintsOf } from '../suspects/index.js';
 import type { ReplicaEntry } from '../view/index.js';
@@ -84,7 +86,8 @@
 /** Components of the daemon that an execution uses. */
 export interface ExecutionDependencies extends FinderDependencies {
   readonly dialect: RequestDialect;
-  readonly pool: ChannelPool;
+  readonly sender: Pick<UpstreamSender, 'choosePath' | 'send'>;
+  readonly paths: Pick<PathMonitor, 'causeOf' | 'onCut'>;
   readonly inFlight: InFlightTable;
   readonly health: ReplicaHealth;
   readonly migrator: StreamMigrator;
@@ -162,6 +165,9 @@
   /** Time from the choice of the replica to the last attempt, in milliseconds; undefined for a migrated stream. */
   private chosenAgoMs: number | undefined;
 
+  /** Path of the last attempt. */
+  private path: UpstreamPath | undefined;
+
   /** What was known of the replica when the last attempt was sent. */
   private availability: Availability = { state: AvailabilityState.Accepting, forMs: 0 };
 
@@ -232,7 +238,7 @@
   private startDeadlineTimer(): TimerHandle {
     const { timers } = this.parts;
     return timers.after(Math.max(0, this.deadlineAt - timers.now()), () => {
-      if (this.possibleRuns > 0 || this.attempt !== undefined)
+      if (this.possibleRuns > 0 || this.attempt?.mayHaveArrived)
         this.finishLocally(LocalReply.TimedOut, 'The time is over.');
       else this.finishLocally(LocalReply.NotRun, 'No replica could take it in time.', RETRY_AFTER_MS);
       this.end('deadline exceeded');
@@ -293,11 +299,14 @@
   }
 
   /** Reports an attempt whose connection ended, or one that shows that the request crashes nothing. */
-  private async reportToSuspects(replica: ReplicaEntry, { outcome, wasSent }: AttemptResult): Promise<void> {
-    const { suspects } = this.parts;
+  private async reportToSuspects(replica: ReplicaEntry, result: AttemptResult): Promise<void> {
+    const { suspects, paths } = this.parts;
+    const { outcome, wasSent, hasReplicaCrashed } = result;
     // A migration itself stops the run and ends its connection.
     const isCut = wasSent && CUT_OUTCOMES.has(outcome) && this.migrated === undefined;
-    if (isCut) await suspects.attemptCut(replica, this.fingerprints());
+    // A daemon without a path to the replica can't tell whether it has crashed; a peer that relays can.
+    const isPathLost = this.path?.peer === undefined && paths.causeOf(replica.service) !== undefined;
+    if (isCut && !isPathLost) await suspects.attemptCut(replica, this.fingerprints(), hasReplicaCrashed);
     const isSuspect = suspects.suspicionOf(this.fingerprints) !== Suspicion.Clear;
     if (isSuspect && COMPLETE_OUTCOMES.has(outcome)) suspects.attemptCompleted(this.fingerprints());
   }
@@ -348,10 +357,11 @@
     continuation: string | undefined,
     handle: InFlightHandle,
   ): Promise<AttemptResult> {
-    const { dialect, pool, timers, health, limits } = this.parts;
+    const { dialect, sender, timers, health, limits } = this.parts;
     const { head, body, hasAccounts, account } = this.options;
+    const timeoutMs = Math.max(1, Math.floor(this.deadlineAt - timers.now()));
     const headers = dialect.upstreamHeaders(head, {
-      waitMs: Math.max(1, Math.floor(this.deadlineAt - timers.now())),
+      waitMs: timeoutMs,
       instance: replica.name,
       version: residentVersion === undefined || residentVersion === 0 ? undefined : residentVersion,
       rank: head.generation === undefined ? undefined : this.rank,
@@ -362,6 +372,8 @@
     });
     const purpose = continuation === undefined ? ExchangePurpose.Request : ExchangePurpose.Continuation;
     const call = { purpose, method: head.method, path: head.target, headers, body };
+    const path = sender.choosePath(replica, this.isRetryable);
+    this.path = path;
     this.attemptCount += 1;
     const sentAt = timers.now();
     this.sentAfterMs = Math.round(sentAt - this.options.arrivedAt);
@@ -370,11 +382,9 @@
     const retryPermit = this.consumeRetryPermit(sentAt);
     health.recordSent(replica.id);
     this.attempt = new Attempt({
-      pool,
+      send: (sink) => sender.send(path, replica, { id: head.id, call, timeoutMs }, sink),
       dialect,
       timers,
-      replica,
-      call,
       requestId: head.id,
       relay: this.relay,
       onStreamData: handle.responseStarted,
@@ -384,7 +394,9 @@
       },
       onRateLimit: (limitPerSecond) => limits.updateFromResponse(replica.id, limitPerSecond, sentAt),
     });
+    const stopWatching = this.watchPath(this.attempt, path, replica);
     const result = await this.awaitResult(this.attempt, replica);
+    stopWatching();
     this.attempt = undefined;
     if (result.wasSent) {
       this.mayHaveArrived = true;
@@ -398,10 +410,19 @@
         tokens: head.generation.promptTokens,
         ms: result.firstByteMs,
       });
-    recordHealth(replica, result, health);
+    if (path.kind === PathKind.Direct || result.wasSent) recordHealth(replica, result, health);
     return result;
   }
 
+  /** Gives up the path of an attempt when this daemon turns out to be cut off from its replica. */
+  private watchPath(attempt: Attempt, { kind }: UpstreamPath, { service }: ReplicaEntry): () => void {
+    if (kind === PathKind.Trial) attempt.leavePath(this.isRetryable);
+    if (kind !== PathKind.Direct) return () => undefined;
+    return this.parts.paths.onCut((lost) => {
+      if (lost === service) attempt.leavePath(this.isRetryable);
+    });
+  }
+
   /** Consumes the permit for the attempt that begins; undefined when that is no retry. */
   private consumeRetryPermit(sentAt: number): RetryPermit | undefined {
     const { retryPermit } = this;
@@ -453,6 +474,8 @@
       sentAfterMs: this.sentAfterMs,
       chosenAgoMs: this.chosenAgoMs,
       replicaState: availability.state,
+      via: this.path?.peer,
+      isBlocked: this.path?.kind === PathKind.Blocked ? true : undefined,
       declaredAgoMs: isAccepting ? undefined : Math.round(availability.forMs),
       loadMs: this.finder.loadMs,
       heldBackMs: this.prefillWait.totalDelayMs,
--- a/packages/routing/src/core/requests/types.ts
+++ b/packages/routing/src/core/requests/types.ts
@@ -148,4 +148,9 @@
   readonly wasSent: boolean;
   /** Time to the first byte of the response, in milliseconds. */
   readonly firstByteMs: number | undefined;
+  /**
+   * Whether the peer that relayed it found that the replica has crashed; undefined on a direct path, and where it did
+   * not fail.
+   */
+  readonly hasReplicaCrashed: boolean | undefined;
 }
--- a/packages/routing/src/core/suspects/suspect-registry.ts
+++ b/packages/routing/src/core/suspects/suspect-registry.ts
@@ -129,11 +129,16 @@
   /**
    * Records that the connection of an attempt ended before the response. If its replica has crashed, the request is a
    * suspect.
+   * @param hasCrashed - Whether the replica has crashed; found out when it is left out.
    * @returns A promise that settles when peers have been told, so that a resend finds them warned.
    */
-  async attemptCut(replica: ReplicaEntry, { exact, anyQuery }: RequestFingerprints): Promise<void> {
-    if (!(await this.options.detector.hasCrashed(replica))) return;
-    const { self, timers, log } = this.options;
+  async attemptCut(
+    replica: ReplicaEntry,
+    { exact, anyQuery }: RequestFingerprints,
+    hasCrashed?: boolean,
+  ): Promise<void> {
+    const { self, detector, timers, log } = this.options;
+    if (!(hasCrashed ?? (await detector.hasCrashed(replica)))) return;
     const known = this.ownReports.get(replica.id);
     if (known?.fingerprints.includes(exact)) return;
     const at = known?.at ?? timers.now();
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -13,6 +13,7 @@
 export * from './core/limits/index.js';
 export * from './core/pacing/index.js';
 export * from './core/paths/index.js';
+export * from './core/relays/index.js';
 export * from './core/requests/index.js';
 export * from './core/shares/index.js';
 export * from './core/suspects/index.js';
--- a/packages/routing/test/engine-leases.test.ts
+++ b/packages/routing/test/engine-leases.test.ts
@@ -42,7 +42,7 @@
   const fleet = new FakeFleet(self, others);
   const gained: EngineLease[] = [];
   const lost: string[] = [];
-  const flags = { isRecovering: false, isUpToDate: true, isInformed: true };
+  const flags = { isRecovering: false, isUpToDate: true, isInformed: true, cutOff: new Set<string>() };
   const settling = new FleetSettling({
     alive: () => fleet.aliveAddresses(),
     hasSharedState: () => flags.isInformed,
@@ -56,6 +56,7 @@
     isFenced,
     isRecovering: () => flags.isRecovering,
     isUpToDate: () => flags.isUpToDate,
+    isCutOff: (address) => flags.cutOff.has(address),
     hasSettled: () => settling.hasSettled(),
     onGain: (lease) => gained.push(lease),
     onLoss: (lease) => lost.push(lease.replica),
@@ -228,6 +229,7 @@
     isFenced: false,
     isRecovering: () => false,
     isUpToDate: () => true,
+    isCutOff: () => false,
     hasSettled: () => true,
     onGain: (lease) => claimed.push(lease),
     onLoss: () => undefined,
@@ -264,3 +266,43 @@
   fenced.flags.isUpToDate = false;
   t.not(fenced.leases.tokenForOrder('x'), undefined);
 });
+
+// Guards against engines that nobody orders anything, as their owner can't reach them and keeps them.
+test('an owner that can’t reach its engine sends it no orders, and another daemon claims it at once', async (t) => {
+  const owner = setUp('a', ['b', 'c']);
+  const other = setUp('b', ['a', 'c']);
+  await owner.timers.advance(SETTLED_MS);
+  await other.timers.advance(SETTLED_MS);
+  const replicas = Array.from({ length: 12 }, (_, index) => `e${index}`);
+  owner.leases.claimUnowned(replicas);
+  const owned = owner.leases.ownLeases();
+  t.true(owned.length > 0);
+  for (const lease of owned) other.leases.merge(lease);
+  owner.flags.cutOff.add('a');
+  other.flags.cutOff.add('a');
+  owner.leases.resignUnreachable();
+  t.deepEqual(owner.leases.ownLeases(), []);
+  t.is(owner.leases.tokenForOrder(owned[0]!.replica), undefined);
+  t.is(owner.lost.length, owned.length);
+  owner.leases.claimUnowned(replicas);
+  t.deepEqual(owner.leases.ownLeases(), []);
+  other.leases.claimUnowned(replicas);
+  const claimed = other.leases
+    .ownLeases()
+    .filter(({ replica }) => owned.some((lease) => lease.replica === replica));
+  t.true(claimed.length > 0);
+  for (const lease of claimed)
+    t.true(lease.token > owned.find(({ replica }) => replica === lease.replica)!.token);
+  for (const lease of claimed) owner.leases.merge(lease);
+  t.is(owner.lost.length, owned.length, 'a loss is told once');
+  // What nobody has claimed goes back to the daemon that resigned it, and only that.
+  owner.flags.cutOff.clear();
+  owner.leases.claimUnowned(replicas);
+  const regained = owner.leases.ownLeases().map(({ replica }) => replica);
+  t.deepEqual(
+    regained,
+    owned
+      .map(({ replica }) => replica)
+      .filter((replica) => claimed.every((lease) => lease.replica !== replica)),
+  );
+});
--- /dev/null
+++ b/packages/routing/test/relays.test.ts
@@ -0,0 +1,337 @@
+/** Exchanges over a peer: they promise what direct ones do, whatever happens to either host or to the link. */
+import { createManualTimers, createSilentLog } from '@celeryyoke/core';
+import test from 'ava';
+
+import type {
+  ExchangeHandle,
+  PeerChannel,
+  RelayServerOptions,
+  ResponseSink,
+  UpstreamCall,
+  UpstreamPath,
+  UpstreamSenderOptions,
+} from '../src/index.js';
+import {
+  ChannelFailure,
+  CutCause,
+  ExchangePurpose,
+  FrameReader,
+  MemberState,
+  PathKind,
+  RelayError,
+  RelayServer,
+  UpstreamSender,
+} from '../src/index.js';
+import { engineEntry } from './fakes.js';
+
+const REPLICA = engineEntry('e1');
+const HEADERS = { 'content-length': '2' };
+const TIMEOUT_MS = 5000;
+const DELAY_MS = 1;
+const CALL: UpstreamCall = {
+  purpose: ExchangePurpose.Request,
+  method: 'POST',
+  path: '/p',
+  headers: ['x-own', '1'],
+  body: Buffer.from('body'),
+};
+
+type MessageHandler = (from: unknown, frame: unknown, channel: PeerChannel) => void;
+
+/** What a sink was told, in order. */
+class RecordingSink implements ResponseSink {
+  readonly steps: string[] = [];
+
+  error: Error | undefined;
+
+  onSent(): void {
+    this.steps.push('sent');
+  }
+
+  onHead(status: number): void {
+    this.steps.push(`head ${status}`);
+  }
+
+  onData(chunk: Buffer): void {
+    this.steps.push(`data ${chunk.toString()}`);
+  }
+
+  onEnd(): void {
+    this.steps.push('end');
+  }
+
+  onFail(failure: ChannelFailure, err: Error): void {
+    this.steps.push(`fail ${failure}`);
+    this.error = err;
+  }
+}
+
+/** An exchange at the relaying host's connection pool. */
+interface PoolExchange {
+  readonly call: UpstreamCall;
+  readonly sink: ResponseSink;
+  readonly cancelled: string[];
+}
+
+/** A host that is cut off, one that relays, and the link between them, which can hang. */
+class RelaySite {
+  readonly timers = createManualTimers();
+
+  readonly exchanges: PoolExchange[] = [];
+
+  readonly flags = { isLeaving: false, hasCrashed: false, isLinkHeld: false, isListening: true };
+
+  cause: CutCause | undefined = CutCause.NoConnection;
+
+  readonly cutOff = new Set<string>();
+
+  readonly server: RelayServer;
+
+  readonly sender: UpstreamSender;
+
+  /** Ends the connection that was opened last, as when the relaying host dies. */
+  endLink!: () => void;
+
+  private readonly handlers: MessageHandler[] = [];
+
+  private readonly closeListeners: ((channel: PeerChannel) => void)[] = [];
+
+  constructor() {
+    const { timers, flags } = this;
+    this.server = new RelayServer({
+      cluster: {
+        handle: (_type: unknown, handler: MessageHandler) => this.handlers.push(handler),
+        onChannelClose: (listener: (channel: PeerChannel) => void) => this.closeListeners.push(listener),
+      },
+      pool: { send: (_replica: unknown, call: UpstreamCall, sink: ResponseSink) => this.accept(call, sink) },
+      registry: { replica: (id: string) => (id === REPLICA.id ? REPLICA : undefined) },
+      detector: { hasCrashed: () => Promise.resolve(flags.hasCrashed) },
+      isLeaving: () => flags.isLeaving,
+      timers,
+      log: createSilentLog(),
+    } as unknown as RelayServerOptions);
+    this.sender = new UpstreamSender({
+      self: 'a:1',
+      zone: 'z1',
+      pool: { send: (_replica: unknown, call: UpstreamCall, sink: ResponseSink) => this.accept(call, sink) },
+      cluster: {
+        aliveAddresses: () => ['a:1', 'b:1', 'c:1'],
+        member: (address: string) => ({ zone: address === 'c:1' ? 'z1' : 'z2' }),
+        state: (address: string) =>
+          this.cutOff.has(`${address} leaving`) ? MemberState.Leaving : MemberState.Alive,
+        openLink: (_address: string, events: { onPush: (body: unknown) => void; onEnd: () => void }) =>
+          this.openLink(events),
+      },
+      monitor: { causeOf: () => this.cause, takeTrial: () => false },
+      table: { isCutOff: (address: string) => this.cutOff.has(address) },
+      timers,
+      random: () => 0.5,
+    } as unknown as UpstreamSenderOptions);
+  }
+
+  /** Sends a request over a peer. */
+  send(sink: ResponseSink, call = CALL): ExchangeHandle {
+    const path: UpstreamPath = { kind: PathKind.Relayed, peer: 'b:1' };
+    return this.sender.send(path, REPLICA, { id: 'r1', call, timeoutMs: TIMEOUT_MS }, sink);
+  }
+
+  private accept(call: UpstreamCall, sink: ResponseSink): ExchangeHandle {
+    const cancelled: string[] = [];
+    this.exchanges.push({ call, sink, cancelled });
+    let wasSent = false;
+    return {
+      cancel: (reason) => {
+        cancelled.push(reason);
+        sink.onFail(wasSent ? ChannelFailure.Cancelled : ChannelFailure.NotSent, new Error(reason));
+      },
+      mayHaveArrived: () => {
+        wasSent = true;
+        return wasSent;
+      },
+    };
+  }
+
+  private openLink({
+    onPush,
+    onEnd,
+  }: {
+    onPush: (body: unknown) => void;
+    onEnd: (end: unknown, wasUp: boolean) => void;
+  }) {
+    const { timers, flags } = this;
+    let isOpen = true;
+    const link = { isUp: false };
+    const channel: PeerChannel = {
+      push: (frame) => {
+        const [[, body]] = [...new FrameReader().read(frame)] as [[number, unknown]];
+        timers.after(DELAY_MS, () => {
+          if (isOpen && !flags.isLinkHeld) onPush(body);
+        });
+      },
+    };
+    const close = (): void => {
+      if (!isOpen) return;
+      isOpen = false;
+      timers.after(DELAY_MS, () => {
+        for (const listener of this.closeListeners) listener(channel);
+      });
+    };
+    this.endLink = () => {
+      if (!isOpen) return;
+      close();
+      onEnd('closed', link.isUp);
+    };
+    timers.after(DELAY_MS, () => {
+      link.isUp = flags.isListening;
+      if (!flags.isListening) this.endLink();
+    });
+    return Object.assign(link, {
+      send: (_type: unknown, frame: unknown) =>
+        timers.after(2 * DELAY_MS, () => {
+          if (isOpen && !flags.isLinkHeld) this.handlers[0]!({ address: 'a:1' }, frame, channel);
+        }),
+      close,
+      abort: close,
+    });
+  }
+}
+
+async function start(site = new RelaySite(), call = CALL) {
+  const sink = new RecordingSink();
+  const exchange = site.send(sink, call);
+  await site.timers.advance(10);
+  return { site, sink, exchange, relayed: site.exchanges[0] };
+}
+
+test('a relayed exchange passes the request and each part of the response on as they are', async (t) => {
+  const { site, sink, relayed } = await start();
+  t.deepEqual(relayed!.call, CALL);
+  t.is(site.server.running, 1);
+  relayed!.sink.onSent();
+  relayed!.sink.onHead(200, HEADERS);
+  relayed!.sink.onData(Buffer.from('o'));
+  relayed!.sink.onData(Buffer.from('k'));
+  relayed!.sink.onEnd();
+  await site.timers.advance(10);
+  t.deepEqual(sink.steps, ['sent', 'head 200', 'data o', 'data k', 'end']);
+  t.is(site.server.running, 0);
+});
+
+// Guards against replicas that work on for callers who have left.
+test('a cancel ends the exchange at the replica', async (t) => {
+  const { site, sink, exchange, relayed } = await start();
+  relayed!.sink.onSent();
+  await site.timers.advance(10);
+  exchange.cancel('caller left');
+  t.deepEqual(sink.steps, ['sent', 'fail cancelled']);
+  await site.timers.advance(10);
+  t.is(relayed!.cancelled.length, 1);
+  t.is(site.server.running, 0);
+});
+
+// Guards against work beyond the deadline when the host that asked for it is gone without a word.
+test('the relaying host ends an exchange at its deadline', async (t) => {
+  const { site, relayed } = await start();
+  relayed!.sink.onSent();
+  await site.timers.advance(TIMEOUT_MS - 100);
+  t.is(relayed!.cancelled.length, 0);
+  await site.timers.advance(200);
+  t.is(relayed!.cancelled.length, 1);
+});
+
+// Guards against a stated deadline that has aged on the way to the replica.
+test('an exchange that can’t be sent soon is given up unsent', async (t) => {
+  const { site, sink, relayed } = await start();
+  await site.timers.advance(250);
+  t.is(relayed!.cancelled.length, 1);
+  t.deepEqual(sink.steps, ['fail notSent']);
+});
+
+// Guards against a second run of a request that a peer may have sent on.
+test('a failure says whether the replica may have received the request', async (t) => {
+  const unsent = await start();
+  unsent.relayed!.sink.onFail(ChannelFailure.NotSent, new Error('refused'));
+  await unsent.site.timers.advance(10);
+  t.deepEqual(unsent.sink.steps, ['fail notSent']);
+  const withheld = await start();
+  withheld.relayed!.sink.onFail(ChannelFailure.Withheld, new Error('leaving'));
+  await withheld.site.timers.advance(10);
+  t.deepEqual(withheld.sink.steps, ['fail notSent']);
+  const broken = await start();
+  broken.site.flags.hasCrashed = true;
+  broken.relayed!.sink.onSent();
+  broken.relayed!.sink.onFail(ChannelFailure.Broken, new Error('reset'));
+  await broken.site.timers.advance(10);
+  t.deepEqual(broken.sink.steps, ['sent', 'fail broken']);
+  t.true((broken.sink.error as RelayError).hasCrashed);
+  const died = await start();
+  died.relayed!.sink.onSent();
+  died.site.endLink();
+  t.deepEqual(died.sink.steps, ['sent', 'fail broken']);
+  const refused = new RelaySite();
+  refused.flags.isListening = false;
+  const { sink } = await start(refused);
+  t.deepEqual(sink.steps, ['fail notSent']);
+});
+
+// Guards against a request that arrives after its caller was promised that it did not run.
+test('a peer that does not accept a request in time may have received it', async (t) => {
+  const site = new RelaySite();
+  site.flags.isLinkHeld = true;
+  const { sink, exchange } = await start(site);
+  t.true(exchange.mayHaveArrived());
+  await site.timers.advance(300);
+  t.deepEqual(sink.steps, ['sent', 'fail broken']);
+  t.is(site.exchanges.length, 0);
+});
+
+// Guards against orders that reach an engine under the name of a host that is not its owner, and against lost answers.
+test('a host relays requests only, none while it shuts down, and ends when those it relays have', async (t) => {
+  const order = await start(new RelaySite(), { ...CALL, purpose: ExchangePurpose.Order });
+  t.deepEqual(order.sink.steps, ['fail notSent']);
+  t.is(order.site.exchanges.length, 0);
+  const leaving = new RelaySite();
+  const running = await start(leaving);
+  leaving.flags.isLeaving = true;
+  const later = new RecordingSink();
+  leaving.send(later);
+  await leaving.timers.advance(10);
+  t.deepEqual(later.steps, ['fail notSent']);
+  t.is(leaving.server.running, 1);
+  running.relayed!.sink.onSent();
+  running.relayed!.sink.onHead(200, HEADERS);
+  running.relayed!.sink.onEnd();
+  await leaving.timers.advance(10);
+  t.deepEqual(running.sink.steps, ['sent', 'head 200', 'end']);
+});
+
+test('a path leads over a peer that reaches the replicas and has the least to relay, one nearby first', (t) => {
+  const site = new RelaySite();
+  const choose = (): UpstreamPath => site.sender.choosePath(REPLICA, false);
+  t.deepEqual(choose(), { kind: PathKind.Relayed, peer: 'c:1' });
+  site.sender.send(choose(), REPLICA, { id: 'r1', call: CALL, timeoutMs: TIMEOUT_MS }, new RecordingSink());
+  t.is(choose().peer, 'b:1');
+  site.cutOff.add('b:1');
+  t.is(choose().peer, 'c:1');
+  site.cutOff.add('c:1 leaving');
+  t.is(choose().kind, PathKind.Blocked);
+  // Connections that are established may still serve something.
+  site.cause = CutCause.Silence;
+  t.is(choose().kind, PathKind.Direct);
+  site.cause = undefined;
+  t.is(choose().kind, PathKind.Direct);
+});
+
+// Guards against callers who wait for connections that nobody can establish.
+test('a request that no host can send fails at once, unsent', async (t) => {
+  const site = new RelaySite();
+  const sink = new RecordingSink();
+  site.sender.send(
+    { kind: PathKind.Blocked, peer: undefined },
+    REPLICA,
+    { id: 'r', call: CALL, timeoutMs: 1 },
+    sink,
+  );
+  await site.timers.advance(0);
+  t.deepEqual(sink.steps, ['fail notSent']);
+});
--- a/packages/routing/test/repeats/execution-site.ts
+++ b/packages/routing/test/repeats/execution-site.ts
@@ -11,11 +11,14 @@
   Route,
   ExchangeHandle,
   UpstreamCall,
+  UpstreamPath,
+  UpstreamRequest,
 } from '@celeryyoke/routing';
 import {
   AvailabilityState,
   CallerTimeouts,
   ChannelFailure,
+  PathKind,
   RetryBudget,
   RequestExecution,
   RequestMetrics,
@@ -95,10 +98,12 @@
       },
       ensure: (_replica: unknown, _ref: unknown, { patienceMs }: { patienceMs: number }) =>
         this.load(patienceMs),
-      pool: {
-        send: (replica: { id: string }, call: UpstreamCall, sink: ResponseSink) =>
+      sender: {
+        choosePath: () => ({ kind: PathKind.Direct, peer: undefined }),
+        send: (_path: UpstreamPath, replica: { id: string }, { call }: UpstreamRequest, sink: ResponseSink) =>
           this.send(replica.id, call, sink),
       },
+      paths: { causeOf: () => undefined, onCut: () => noop },
       dialect: {
         upstreamHeaders: ({ id }: { id: string }) => [id],
         readResponse: (status: number) => ({
@@ -208,6 +213,7 @@
 
   private send(engine: string, { headers: [id] }: UpstreamCall, sink: ResponseSink): ExchangeHandle {
     let isCancelled = false;
+    let wasSent = false;
     const arrive = (): void => {
       if (isCancelled) return;
       this.record.recordArrival(id!, this.timers.now());
@@ -219,6 +225,7 @@
         sink.onFail(ChannelFailure.NotSent, new Error('connection refused'));
         return;
       }
+      wasSent = true;
       sink.onSent();
       if (this.isPathHeld && engine === OTHER) this.heldAttempts.push({ arrive });
       else arrive();
@@ -228,6 +235,7 @@
         isCancelled = true;
         sink.onFail(ChannelFailure.Cancelled, new Error(reason));
       },
+      mayHaveArrived: () => wasSent,
     };
   }
 }
--- a/packages/routing/test/withheld.test.ts
+++ b/packages/routing/test/withheld.test.ts
@@ -1,6 +1,6 @@
 /** Requests and migrated streams that are withheld, as their replica has declared something since it was chosen. */
-import type { Choice, Need, ResponseSink, Route, UpstreamCall } from '@celeryyoke/routing';
-import { ChannelFailure, ExchangePurpose } from '@celeryyoke/routing';
+import type { Choice, Need, ResponseSink, Route, UpstreamPath, UpstreamRequest } from '@celeryyoke/routing';
+import { ChannelFailure, ExchangePurpose, PathKind } from '@celeryyoke/routing';
 import test from 'ava';
 
 import { engineEntry } from './fakes.js';
@@ -40,15 +40,21 @@
   let migrations = 0;
   const site = new ExecutionSite(BOUNDS, {
     chooser: { choose, minVersion: () => 0, acceptsRequests: () => true, backoffMs: () => 0 },
-    pool: {
-      send: ({ id }: { id: string }, { purpose }: UpstreamCall, sink: ResponseSink) => {
+    sender: {
+      choosePath: () => ({ kind: PathKind.Direct, peer: undefined }),
+      send: (
+        _path: UpstreamPath,
+        { id }: { id: string },
+        { call: { purpose } }: UpstreamRequest,
+        sink: ResponseSink,
+      ) => {
         queueMicrotask(() => {
           sent.push({ engine: id, purpose });
           if (!respond({ engine: id, purpose }, sink)) return;
           ruledOut.add(id);
           sink.onFail(ChannelFailure.Withheld, new Error('leaving'));
         });
-        return { cancel: noop };
+        return { cancel: noop, mayHaveArrived: () => false };
       },
     },
     dialect: {
