relays: heed what replicas declare over a peer

The head that said so had come over a peer, and only the peer's pool recorded it: over the next peer, and directly after the cut, the host sent on.

A relayed head is recorded at the host whose request it is, as one on a connection of its own is, and what that host knows decides before a peer is asked. The relaying host's own knowledge still decides in the step that writes.

Test: 'what a replica declares over a peer holds for the host that asked' failed before (the second request reached the replica).

--- a/packages/routing/src/core/daemon/services.ts
+++ b/packages/routing/src/core/daemon/services.ts
@@ -146,8 +146,10 @@
         (kernel) => this.createPaths(kernel),
         (paths) => paths.stop(),
       ),
-      part(PART.sender, [PART.cluster, PART.channels, PART.cutOffs, PART.paths], (kernel) =>
-        this.createSender(kernel),
+      part(
+        PART.sender,
+        [PART.cluster, PART.channels, PART.cutOffs, PART.paths, PART.availability],
+        (kernel) => this.createSender(kernel),
       ),
       part(PART.crashDetector, [PART.channels], (kernel) => this.createCrashDetector(kernel)),
       part(PART.relays, [PART.cluster, PART.channels, PART.registry, PART.crashDetector], (kernel) =>
@@ -441,7 +443,7 @@
   }
 
   private createSender(kernel: ServiceFinder): UpstreamSender {
-    const { settings, timers } = this.options;
+    const { settings, timers, dialect } = this.options;
     return new UpstreamSender({
       self: addressOf(this.options),
       zone: settings.zone,
@@ -449,6 +451,8 @@
       cluster: kernel.get(PART.cluster),
       monitor: kernel.get(PART.paths),
       table: kernel.get(PART.cutOffs),
+      availability: kernel.get(PART.availability),
+      readDeclaration: (status, headers) => dialect.readDeclaration(status, headers),
       timers,
       random: Math.random,
     });
--- a/packages/routing/src/core/relays/upstream-sender.ts
+++ b/packages/routing/src/core/relays/upstream-sender.ts
@@ -1,7 +1,14 @@
 /** Sends requests to replicas: directly, or over a peer while this daemon is cut off from them. */
 import type { TimerService } from '@celeryyoke/core';
 
-import type { ChannelPool, ExchangeHandle, ResponseSink, UpstreamCall } from '../channels/index.js';
+import type { ReplicaAvailability, ReplicaDeclaration } from '../availability/index.js';
+import type {
+  ChannelPool,
+  ExchangeHandle,
+  HeaderMap,
+  ResponseSink,
+  UpstreamCall,
+} from '../channels/index.js';
 import { ChannelFailure, failLater } from '../channels/index.js';
 import type { Cluster } from '../cluster/index.js';
 import { MemberState } from '../cluster/index.js';
@@ -47,6 +54,9 @@
   readonly cluster: Pick<Cluster, 'aliveAddresses' | 'member' | 'openLink' | 'state'>;
   readonly monitor: Pick<PathMonitor, 'causeOf' | 'takeTrial'>;
   readonly table: Pick<CutOffTable, 'isCutOff'>;
+  readonly availability: Pick<ReplicaAvailability, 'refusal' | 'recordDeclaration'>;
+  /** Returns what the head of a response declares about its replica. */
+  readonly readDeclaration: (status: number, headers: HeaderMap) => ReplicaDeclaration;
   readonly timers: TimerService;
   /** Returns a new random number from 0 to 1 on each call. */
   readonly random: () => number;
@@ -100,10 +110,33 @@
     { id, call, timeoutMs }: UpstreamRequest,
     sink: ResponseSink,
   ): ExchangeHandle {
-    const { cluster, timers } = this.options;
+    const { cluster, timers, availability } = this.options;
+    const refusal = availability.refusal(replica.id, call.purpose);
+    if (refusal !== undefined) return failLater(sink, ChannelFailure.Withheld, refusal);
     this.count(peer, 1);
-    const request = { request: id, replica: replica.id, call, timeoutMs };
-    return new RelayedExchange({ cluster, timers, peer, request, sink, onEnded: () => this.count(peer, -1) });
+    return new RelayedExchange({
+      cluster,
+      timers,
+      peer,
+      request: { request: id, replica: replica.id, call, timeoutMs },
+      sink: this.recordingDeclarations(replica, sink),
+      onEnded: () => this.count(peer, -1),
+    });
+  }
+
+  /** What a replica declares holds for the daemon whose request it is, too: it may send another over another peer. */
+  private recordingDeclarations({ id }: ReplicaEntry, sink: ResponseSink): ResponseSink {
+    const { availability, readDeclaration } = this.options;
+    return {
+      onSent: () => sink.onSent(),
+      onHead: (status, headers) => {
+        availability.recordDeclaration(id, readDeclaration(status, headers));
+        sink.onHead(status, headers);
+      },
+      onData: (chunk) => sink.onData(chunk),
+      onEnd: () => sink.onEnd(),
+      onFail: (failure, err) => sink.onFail(failure, err),
+    };
   }
 
   private count(peer: string, change: number): void {
--- a/packages/routing/test/relays.test.ts
+++ b/packages/routing/test/relays.test.ts
@@ -20,6 +20,7 @@
   PathKind,
   RelayError,
   RelayServer,
+  ReplicaAvailability,
   UpstreamSender,
 } from '../src/index.js';
 import { engineEntry } from './fakes.js';
@@ -28,6 +29,8 @@
 const HEADERS = { 'content-length': '2' };
 const TIMEOUT_MS = 5000;
 const DELAY_MS = 1;
+const REFUSED = 503;
+const BACKOFF_MS = 2000;
 const CALL: UpstreamCall = {
   purpose: ExchangePurpose.Request,
   method: 'POST',
@@ -85,6 +88,13 @@
 
   readonly cutOff = new Set<string>();
 
+  /** What replicas have declared to the host that is cut off. */
+  readonly availability = new ReplicaAvailability({
+    leavingGraceMs: 0,
+    timers: this.timers,
+    log: createSilentLog(),
+  });
+
   readonly server: RelayServer;
 
   readonly sender: UpstreamSender;
@@ -124,6 +134,11 @@
       },
       monitor: { causeOf: () => this.cause, takeTrial: () => false },
       table: { isCutOff: (address: string) => this.cutOff.has(address) },
+      availability: this.availability,
+      readDeclaration: (status: number) => ({
+        isLeaving: false,
+        retryAfterMs: status === REFUSED ? BACKOFF_MS : 0,
+      }),
       timers,
       random: () => 0.5,
     } as unknown as UpstreamSenderOptions);
@@ -229,6 +244,22 @@
   t.is(site.server.running, 0);
 });
 
+// Guards against a host that sends more to a replica that wants a rest, each time over another peer.
+test('what a replica declares over a peer holds for the host that asked, whichever way it sends', async (t) => {
+  const { site, sink, relayed } = await start();
+  relayed!.sink.onSent();
+  relayed!.sink.onHead(REFUSED, HEADERS);
+  relayed!.sink.onEnd();
+  await site.timers.advance(10);
+  t.deepEqual(sink.steps, ['sent', `head ${REFUSED}`, 'end']);
+  const second = await start(site);
+  t.deepEqual(second.sink.steps, ['fail withheld']);
+  t.is(site.exchanges.length, 1);
+  await site.timers.advance(BACKOFF_MS);
+  await start(site);
+  t.is(site.exchanges.length, 2);
+});
+
 // Guards against work beyond the deadline when the host that asked for it is gone without a word.
 test('the relaying host ends an exchange at its deadline', async (t) => {
   const { site, relayed } = await start();
