paths: look for a cut when a connection is lost before a response

Cause: the cut resets connections once they are open, so a request has been written by then. The exchange ends as broken, not as a connection that failed, and the monitor of paths heard of the latter and of silence only. With few requests neither came.

Change: the pool tells the monitor of a connection that ends after a request was written and before the head of its response; as before, it probes that replica, and others if that one can't be reached.

Test: 'a connection that is lost before a response is reported, …' failed before.

--- a/packages/routing/src/core/channels/pool.ts
+++ b/packages/routing/src/core/channels/pool.ts
@@ -25,6 +25,7 @@
   onConnected: () => undefined,
   onConnectFailed: () => undefined,
   onSlowConnect: () => undefined,
+  onConnectionLost: () => undefined,
 };
 
 /** Opens, reuses and closes this daemon's connections to replicas. */
@@ -53,9 +54,13 @@
     const refusal = this.guard.refusal(upstream.id, call.purpose);
     if (refusal !== undefined) return failLater(sink, ChannelFailure.Withheld, refusal);
     const channel = this.acquire(upstream);
+    let hasHead = false;
     return channel.send(call, {
       onSent: () => sink.onSent(),
-      onHead: (status, headers) => sink.onHead(status, headers),
+      onHead: (status, headers) => {
+        hasHead = true;
+        sink.onHead(status, headers);
+      },
       onData: (chunk) => sink.onData(chunk),
       onEnd: () => {
         this.release(upstream.id, channel);
@@ -64,6 +69,7 @@
       onFail: (failure, err) => {
         if (failure === ChannelFailure.Cancelled) channel.abandon();
         else channel.close();
+        if (failure === ChannelFailure.Broken && !hasHead) this.guard.onConnectionLost(upstream.id);
         sink.onFail(failure, err);
       },
     });
--- a/packages/routing/src/core/channels/types.ts
+++ b/packages/routing/src/core/channels/types.ts
@@ -75,6 +75,8 @@
   onConnectFailed(upstream: string, err: Error): void;
   /** Called when setting up a connection to an upstream takes longer than usual. */
   onSlowConnect(upstream: string): void;
+  /** Called when a connection ended after a request was sent and before the head of its response. */
+  onConnectionLost(upstream: string): void;
 }
 
 /** Handle of a running exchange. */
--- a/packages/routing/src/core/daemon/upstreams.ts
+++ b/packages/routing/src/core/daemon/upstreams.ts
@@ -57,6 +57,7 @@
       paths().recordTrouble(replica);
     },
     onSlowConnect: (replica) => paths().recordTrouble(replica),
+    onConnectionLost: (replica) => paths().recordTrouble(replica),
   };
   // Replicas that tell hosts apart know one by its own address.
   return new ChannelPool(timers, guard, settings.host);
--- a/packages/routing/src/core/paths/path-monitor.ts
+++ b/packages/routing/src/core/paths/path-monitor.ts
@@ -1,8 +1,8 @@
 /**
  * Finds out that this daemon is cut off from all replicas of a service, and that it is not any more.
  *
- * A connection that fails or is slow, and a replica that does not respond for a while, make it probe that replica,
- * and some others if it can't be reached either. A replica alone that is silent or gone cuts nothing off.
+ * A connection that fails, is slow, or is lost before a response, and a replica that does not respond for a while,
+ * make it probe that replica, and some others if it can't be reached either. A replica alone that is silent or gone cuts nothing off.
  */
 import type { DecisionLog, TimerHandle, TimerService } from '@celeryyoke/core';
 import { ListenerState } from '@celeryyoke/core';
@@ -110,7 +110,7 @@
     return () => this.cutListeners.delete(listener);
   }
 
-  /** Records that a connection to a replica failed, or takes longer than usual. */
+  /** Records that a connection to a replica failed, was lost before a response, or takes longer than usual. */
   recordTrouble(replica: string): void {
     const entry = this.options.registry.replica(replica);
     if (entry !== undefined) void this.check(entry);
--- a/packages/routing/test/channels.test.ts
+++ b/packages/routing/test/channels.test.ts
@@ -300,6 +300,22 @@
   t.deepEqual(replica.requests, []);
 });
 
+// Guards against a cut that nobody looks for, as its connections are accepted and reset when a request has been written.
+test('a connection that is lost before a response is reported, and one that is lost after its head is not', async (t) => {
+  const lost: string[] = [];
+  const guard = { ...NO_GUARD, onConnectionLost: (upstream: string) => lost.push(upstream) };
+  for (const head of ['', `${OK_HEAD}Content-Length: 9\r\n\r\n`]) {
+    const replica = await startRawReplica(({ socket }) => {
+      if (head === '') socket.resetAndDestroy();
+      else socket.end(head);
+    });
+    const pool = new ChannelPool(timers, guard);
+    releaseAfter(t, pool, replica);
+    t.like(await exchange(pool, replica.port), { end: ChannelFailure.Broken, wasSent: true });
+  }
+  t.deepEqual(lost, ['r']);
+});
+
 test('a call that is withheld leaves an exclusive connection open', async (t) => {
   const replica = await startRawReplica(({ socket }) => socket.write(`${OK_HEAD}Content-Length: 0\r\n\r\n`));
   let isRuledOut = false;
