limits: grant the slots of replicas that say that they are brittle

Cause: nothing read the header, and a plain service's replicas get whatever each daemon chooses by its own requests; after a rejection a request was sent again to the same full replica within a millisecond.

Change: the number is read once in platform/ and shared like the rate limits that replicas state (the shared part of both is SharedLimits now). While a replica states it, each request needs one of its slots, granted for all daemons by the one that hashing names. Rejections pause the grants and lower the number of slots for a while.

--- a/packages/routing/src/core/cluster/types.ts
+++ b/packages/routing/src/core/cluster/types.ts
@@ -66,6 +66,10 @@
   Suspects = 17,
   /** Requests an exchange with a replica that the sender can't reach. */
   Relay = 18,
+  /** Requests slots of a replica that states a limit of rejections. */
+  SlotRequest = 19,
+  /** Reports the end of a request that had such a slot. */
+  SlotRelease = 20,
 }
 
 /** The accepting end of a connection, over which messages can be pushed to the daemon that opened it. */
--- a/packages/routing/src/core/daemon/part-names.ts
+++ b/packages/routing/src/core/daemon/part-names.ts
@@ -27,6 +27,7 @@
   share: 'share',
   quotas: 'quotas',
   limits: 'limits',
+  slotPermits: 'slot-permits',
   watcher: 'follower',
   requests: 'requests',
   readiness: 'readiness',
--- a/packages/routing/src/core/daemon/services.ts
+++ b/packages/routing/src/core/daemon/services.ts
@@ -18,7 +18,8 @@
 import { Chooser, InFlightTable, ReplicaHealth } from '../choice/index.js';
 import type { MemberRecord } from '../cluster/index.js';
 import { Cluster, createTcpTransport, MemberState } from '../cluster/index.js';
-import { ReplicaLimits } from '../limits/index.js';
+import type { ReplicaLimitsOptions, SlotPermitsOptions } from '../limits/index.js';
+import { ReplicaLimits, SlotPermits } from '../limits/index.js';
 import { DisseminationTree, storeReaderRank, Topic } from '../dissemination/index.js';
 import { PromptAdmission } from '../pacing/index.js';
 import { CutOffTable, PathMonitor, ReachabilityTable } from '../paths/index.js';
@@ -139,6 +140,9 @@
       part(PART.limits, [PART.cluster, PART.tree, PART.share, PART.registry], (kernel) =>
         this.createLimits(kernel),
       ),
+      part(PART.slotPermits, [PART.cluster, PART.tree, PART.share, PART.registry], (kernel) =>
+        this.createSlotPermits(kernel),
+      ),
       part(PART.cutOffs, [PART.cluster, PART.tree], (kernel) => this.createCutOffs(kernel)),
       part(
         PART.paths,
@@ -237,6 +241,7 @@
           PART.admission,
           PART.quotas,
           PART.limits,
+          PART.slotPermits,
           PART.availability,
           PART.suspects,
           PART.sender,
@@ -403,8 +408,16 @@
   }
 
   private createLimits(kernel: ServiceFinder): ReplicaLimits {
+    return new ReplicaLimits(this.limitsOptions(kernel));
+  }
+
+  private createSlotPermits(kernel: ServiceFinder): SlotPermits {
+    return new SlotPermits(this.limitsOptions(kernel));
+  }
+
+  private limitsOptions(kernel: ServiceFinder): ReplicaLimitsOptions & SlotPermitsOptions {
     const { timers, log } = this.options;
-    return new ReplicaLimits({
+    return {
       self: addressOf(this.options),
       cluster: kernel.get(PART.cluster),
       tree: kernel.get(PART.tree),
@@ -412,7 +425,7 @@
       registry: kernel.get(PART.registry),
       timers,
       log,
-    });
+    };
   }
 
   private createCutOffs(kernel: ServiceFinder): CutOffTable {
@@ -631,6 +644,7 @@
     const cluster = kernel.get<Cluster>(PART.cluster);
     const view = kernel.get<ReplicatedStore>(PART.view);
     const limits = kernel.get<ReplicaLimits>(PART.limits);
+    const slotPermits = kernel.get<SlotPermits>(PART.slotPermits);
     const availability = kernel.get<ReplicaAvailability>(PART.availability);
     const share = kernel.get<FleetShare>(PART.share);
     const chooser = new Chooser({
@@ -640,7 +654,9 @@
       health,
       backoffMs: (replica) => availability.backoffMs(replica),
       mayReceive: (replica) =>
-        availability.accepts(replica, ExchangePurpose.Request) && limits.mayReceive(replica),
+        availability.accepts(replica, ExchangePurpose.Request) &&
+        limits.mayReceive(replica) &&
+        slotPermits.mayReceive(replica),
       zone: settings.zone,
       now: timers.now,
       random: Math.random,
@@ -683,6 +699,7 @@
         admission: kernel.get(PART.admission),
         quotas: kernel.get(PART.quotas),
         limits,
+        slotPermits,
         availability,
         suspects: kernel.get(PART.suspects),
         accountMetrics: new AccountMetrics(kernel.get<Metrics>(PART.metrics)),
--- a/packages/routing/src/core/dissemination/types.ts
+++ b/packages/routing/src/core/dissemination/types.ts
@@ -22,6 +22,8 @@
   Suspect = 9,
   /** Services whose replicas a daemon can't reach. */
   CutOff = 10,
+  /** Limits of rejections that replicas state. */
+  RejectionLimit = 11,
 }
 
 /** Merges and encodes the rows of one topic. */
--- a/packages/routing/src/core/limits/replica-limits.ts
+++ b/packages/routing/src/core/limits/replica-limits.ts
@@ -10,15 +10,15 @@
 
 import type { Cluster } from '../cluster/index.js';
 import { MessageType } from '../cluster/index.js';
-import type { DisseminationTree, TopicHandler } from '../dissemination/index.js';
+import type { DisseminationTree } from '../dissemination/index.js';
 import { Topic } from '../dissemination/index.js';
 import { rendezvousOwner } from '../ownership/index.js';
 import type { FleetShare } from '../shares/index.js';
 import type { ReplicaRegistry } from '../view/index.js';
 import type { LimitFrame, PermitFrame } from './limit-codec.js';
 import { decodeLimit, decodePermit, encodeLimit, encodePermit } from './limit-codec.js';
-import { LimitTable } from './limit-table.js';
 import { AttemptPacer } from './attempt-pacer.js';
+import { SharedLimits } from './shared-limits.js';
 import type { ReplicaLimitRow, AttemptPermit } from './types.js';
 
 /** Timeout of a permit request. */
@@ -46,7 +46,7 @@
 
 /** Tracks the rate limits of all replicas, and decides whether this daemon may send a request. */
 export class ReplicaLimits {
-  private readonly table: LimitTable;
+  private readonly declared: SharedLimits;
 
   /** Pacers for the requests of all daemons, by replica, where this daemon is the coordinator. */
   private readonly fleetPacers = new Map<string, AttemptPacer>();
@@ -63,15 +63,16 @@
    * Registers the handler of permit requests and the topic, and drops the state of replicas that are removed.
    */
   constructor(private readonly options: ReplicaLimitsOptions) {
-    const { cluster, tree, registry, timers } = options;
-    this.table = new LimitTable(timers);
+    const { cluster } = options;
+    this.declared = new SharedLimits({
+      ...options,
+      topic: Topic.ReplicaLimit,
+      unit: 'requests',
+      onEnded: (replica) => this.resetPacing(replica),
+    });
     cluster.handle(MessageType.AttemptPermit, (_from, frame: LimitFrame) =>
       this.handleRequest(decodeLimit(frame)),
     );
-    tree.register(Topic.ReplicaLimit, this.topic());
-    registry.onReplica((id, entry) => {
-      if (entry === undefined) this.forget(id);
-    });
   }
 
   /**
@@ -80,17 +81,14 @@
    * @param sentAt - Monotonic time at which the request was sent, in milliseconds.
    */
   updateFromResponse(replica: string, ratePerSecond: number | undefined, sentAt: number): void {
-    const row = this.table.updateFromResponse(replica, ratePerSecond, sentAt);
-    if (row === undefined) return;
-    this.applyChange(row);
-    this.options.tree.publish(Topic.ReplicaLimit, row);
+    this.declared.updateFromResponse(replica, ratePerSecond, sentAt);
   }
 
   /**
    * Returns whether this daemon may send a replica a request; false for a while after a permit was refused.
    */
   mayReceive(replica: string): boolean {
-    if (this.table.rate(replica) === undefined) return true;
+    if (this.declared.rate(replica) === undefined) return true;
     return (this.blockedUntil.get(replica) ?? 0) <= this.options.timers.now();
   }
 
@@ -99,7 +97,7 @@
    * @returns Whether the request may be sent; if not, {@link mayReceive} is false for a while.
    */
   async admit(replica: string): Promise<boolean> {
-    const row = this.table.get(replica);
+    const row = this.declared.get(replica);
     if (row?.ratePerSecond === undefined) return true;
     if (!this.mayReceive(replica)) return false;
     const { isGranted, waitMs } = await this.permitFor(row);
@@ -134,8 +132,8 @@
 
   /** Handles a permit request of a daemon, which may know a newer limit than this one. */
   private handleRequest(row: ReplicaLimitRow): PermitFrame {
-    this.mergeRow(row);
-    return encodePermit(this.permitFromFleetRate(this.table.get(row.replica)!));
+    this.declared.merge(row);
+    return encodePermit(this.permitFromFleetRate(this.declared.get(row.replica)!));
   }
 
   /** Spaces the requests of all daemons that can reach this one. */
@@ -157,41 +155,9 @@
     return pacer.tryAcquire(ratePerSecond, now);
   }
 
-  private mergeRow(row: ReplicaLimitRow): boolean {
-    const isNewer = this.table.merge(row);
-    if (isNewer) this.applyChange(row);
-    return isNewer;
-  }
-
-  private applyChange({ replica, ratePerSecond, version }: ReplicaLimitRow): void {
-    if (ratePerSecond === undefined) this.resetPacing(replica);
-    const text =
-      ratePerSecond === undefined
-        ? `Replica ${replica} no longer declares a rate limit.`
-        : `Replica ${replica} declares a limit of ${ratePerSecond} requests per second.`;
-    this.options.log.decide('replica.limit', text, { replica, ratePerSecond, version });
-  }
-
   private resetPacing(replica: string): void {
     this.fleetPacers.delete(replica);
     this.ownSharePacers.delete(replica);
     this.blockedUntil.delete(replica);
   }
-
-  private forget(replica: string): void {
-    this.table.forget(replica);
-    this.resetPacing(replica);
-  }
-
-  private topic(): TopicHandler<ReplicaLimitRow> {
-    const { registry } = this.options;
-    return {
-      isUrgent: true,
-      keyOf: ({ replica }) => replica,
-      merge: (row) => this.mergeRow(row),
-      snapshot: () => this.table.rows().filter(({ replica }) => registry.replica(replica) !== undefined),
-      encode: encodeLimit,
-      decode: (wire) => decodeLimit(wire as LimitFrame),
-    };
-  }
 }
--- a/packages/routing/src/core/limits/types.ts
+++ b/packages/routing/src/core/limits/types.ts
@@ -1,10 +1,10 @@
-/** Rate limits that overloaded replicas declare. */
+/** Limits that overloaded replicas declare. */
 
-/** Rate limit of a replica for all daemons together, as its responses declare it. */
+/** Limit of a replica for all daemons together, as its responses declare it. */
 export interface ReplicaLimitRow {
   /** Identity of one incarnation of the replica. */
   readonly replica: string;
-  /** Requests per second; undefined once its responses declare no limit any more. */
+  /** Requests, or rejections, per second; undefined once its responses declare no limit any more. */
   readonly ratePerSecond: number | undefined;
   /** Incremented with each change, whichever daemon sees it. */
   readonly version: number;
@@ -16,3 +16,29 @@
   /** Time after which to ask again, in milliseconds; 0 when the request is granted. */
   readonly waitMs: number;
 }
+
+/** A daemon's request for slots of a replica. */
+export interface SlotRequest {
+  readonly replica: string;
+  /** Requests that the replica works on at once. */
+  readonly slots: number;
+  /** Slots that the daemon has already. */
+  readonly held: number;
+  readonly wanted: number;
+}
+
+/** Response to a {@link SlotRequest}. */
+export interface SlotGrant {
+  readonly granted: number;
+  /** Time after which to ask again, in milliseconds; 0 when all was granted. */
+  readonly waitMs: number;
+}
+
+/** The end of a request that had a slot. */
+export interface SlotRelease {
+  readonly replica: string;
+  /** Rejections per second that the replica bears. */
+  readonly rejectionsPerSecond: number;
+  /** Whether the replica rejected the request for want of room. */
+  readonly wasRejected: boolean;
+}
--- a/packages/routing/src/core/requests/attempt.ts
+++ b/packages/routing/src/core/requests/attempt.ts
@@ -30,8 +30,8 @@
   readonly onStreamData: () => void;
   /** Called for the head and for each chunk that the replica sends. */
   readonly onDataReceived: () => void;
-  /** Called with the rate limit that the response states; undefined when it states none. */
-  readonly onRateLimit: (limitPerSecond: number | undefined) => void;
+  /** Called with what the head of the response says. */
+  readonly onMetadata: (metadata: ResponseMetadata) => void;
 }
 
 /** Sends a request to a replica on construction, and classifies how that ends. */
@@ -113,9 +113,9 @@
     this.status = status;
     this.headers = headers;
     this.metadata = this.options.dialect.readResponse(status, headers);
-    const { requestId, limitPerSecond } = this.metadata;
+    const { requestId } = this.metadata;
     const isOfOtherRequest = requestId !== undefined && requestId !== this.options.requestId;
-    if (!isOfOtherRequest) this.options.onRateLimit(limitPerSecond);
+    if (!isOfOtherRequest) this.options.onMetadata(this.metadata);
     const isSuccess = status >= OK && status < SUCCESS_END;
     const isUnsigned = isSuccess && (requestId === undefined || !this.metadata.isSigned);
     if (isOfOtherRequest || isUnsigned) {
--- a/packages/routing/src/core/requests/execution.ts
+++ b/packages/routing/src/core/requests/execution.ts
@@ -18,7 +18,7 @@
 import { ExchangePurpose } from '../channels/index.js';
 import type { Choice, InFlightTable, InFlightHandle, Need, ReplicaHealth } from '../choice/index.js';
 import { requestAdapterKey } from '../choice/index.js';
-import type { ReplicaLimits } from '../limits/index.js';
+import type { ReplicaLimits, SlotPermit, SlotPermits } from '../limits/index.js';
 import type { PromptAdmission } from '../pacing/index.js';
 import type { PathMonitor } from '../paths/index.js';
 import type { UpstreamPath, UpstreamSender } from '../relays/index.js';
@@ -92,7 +92,8 @@
   readonly health: ReplicaHealth;
   readonly migrator: StreamMigrator;
   readonly admission: PromptAdmission;
-  readonly limits: ReplicaLimits;
+  readonly limits: Pick<ReplicaLimits, 'admit' | 'updateFromResponse'>;
+  readonly slotPermits: Pick<SlotPermits, 'acquire' | 'updateFromResponse'>;
   readonly availability: Pick<ReplicaAvailability, 'availabilityOf'>;
   readonly suspects: Pick<
     SuspectRegistry,
@@ -341,23 +342,45 @@
       if (admission === PrefillAdmission.Full) return undefined;
       // A migrated stream can't continue on another replica, as the state of its run was copied to this one.
       if (continuation === undefined && !chooser.acceptsRequests(replica)) return undefined;
-      const isAdmitted = await this.parts.limits.admit(replica.id);
-      if (this.hasEnded || (!isAdmitted && continuation === undefined)) return undefined;
-      // The choice does not hold if a replica has crashed under another copy of the request since.
-      const isStale = suspects.suspicionOf(this.fingerprints) !== suspicion;
-      if (isStale && continuation === undefined) return undefined;
-      return await this.sendAttempt(choice, continuation, handle);
+      const isStillValid = (): boolean =>
+        // The choice does not hold if a replica has crashed under another copy of the request since.
+        continuation !== undefined || suspects.suspicionOf(this.fingerprints) === suspicion;
+      const send = (): Promise<AttemptResult> | undefined =>
+        this.hasEnded || !isStillValid() ? undefined : this.sendAttempt(choice, continuation, handle);
+      return await this.sendWithPermits(replica, continuation !== undefined, send);
     } finally {
       handle.requestEnded();
     }
   }
 
+  /**
+   * Acquires what the limits that a replica declares ask for, and sends the request. A migrated stream goes on
+   * without, as only this replica has its state.
+   */
+  private async sendWithPermits(
+    replica: ReplicaEntry,
+    isContinuation: boolean,
+    send: () => Promise<AttemptResult> | undefined,
+  ): Promise<AttemptResult | undefined> {
+    const { limits, slotPermits } = this.parts;
+    const slot: SlotPermit | undefined = await slotPermits.acquire(replica);
+    if (slot === undefined && !isContinuation) return undefined;
+    let result: AttemptResult | undefined;
+    try {
+      const isAdmitted = await limits.admit(replica.id);
+      if (isAdmitted || isContinuation) result = await send();
+      return result;
+    } finally {
+      slot?.release(result !== undefined && result.outcome === AttemptOutcome.NotRun && result.wasSent);
+    }
+  }
+
   private async sendAttempt(
     { replica, residentVersion }: Choice,
     continuation: string | undefined,
     handle: InFlightHandle,
   ): Promise<AttemptResult> {
-    const { dialect, sender, timers, health, limits } = this.parts;
+    const { dialect, sender, timers, health, limits, slotPermits } = this.parts;
     const { head, body, hasAccounts, account } = this.options;
     const timeoutMs = Math.max(1, Math.floor(this.deadlineAt - timers.now()));
     const headers = dialect.upstreamHeaders(head, {
@@ -392,7 +415,10 @@
         retryPermit?.settle();
         health.recordBytes(replica.id);
       },
-      onRateLimit: (limitPerSecond) => limits.updateFromResponse(replica.id, limitPerSecond, sentAt),
+      onMetadata: ({ limitPerSecond, rejectionsPerSecond }) => {
+        limits.updateFromResponse(replica.id, limitPerSecond, sentAt);
+        slotPermits.updateFromResponse(replica.id, rejectionsPerSecond, sentAt);
+      },
     });
     const stopWatching = this.watchPath(this.attempt, path, replica);
     const result = await this.awaitResult(this.attempt, replica);
--- a/packages/routing/src/core/requests/types.ts
+++ b/packages/routing/src/core/requests/types.ts
@@ -90,6 +90,8 @@
    * limit.
    */
   readonly limitPerSecond: number | undefined;
+  /** Rejections per second that the replica bears; undefined when it states no limit. */
+  readonly rejectionsPerSecond: number | undefined;
 }
 
 /**
