soak: play brittle replicas, compare cut hosts by what they could serve

Plain replicas at times say Server-Brittle: 3, take 1.2 s for a request, and from 3 s later fall over when they reject more than three in a second for want of room; the soak checks the users' bound of 2 and a tenth of their number. They have 6 slots now, as on the users' site, for 40, which were never full.

The check of cut hosts compared first attempts served. Traced by attempt: most of the failures on both sides are responses that replicas made themselves (500 for up to nine in ten requests), which chance deals out. Bound and excuses stay, and a path that loses one request in three is found where 500s hid it before.

--- a/packages/soak/src/core/checks/checks.ts
+++ b/packages/soak/src/core/checks/checks.ts
@@ -4,8 +4,10 @@
 
 import type { CallerAttempt } from '../callers/index.js';
 import { CallerOutcome } from '../callers/index.js';
-import type { Arrival, ReplicaCrash } from '../replicas/index.js';
+import type { Arrival, ReplicaCrash, ReplicaFall } from '../replicas/index.js';
 import { ENGINE_SERVICE, PLAIN_SERVICE, REPEAT_BOUNDS } from '../site/index.js';
+import type { BrittleTime, TooManyFalls } from './brittle.js';
+import { checkFalls } from './brittle.js';
 import type { CrashingViolation } from './crashes.js';
 import { checkCrashing, checkRefusedBeside } from './crashes.js';
 import type { CutFigures, DaemonCut } from './cuts.js';
@@ -42,6 +44,8 @@
   readonly refusedBeside: readonly string[];
   /** Times in which daemons without links to replicas served their callers far worse than the others. */
   readonly badlyServedInCuts: readonly CutFigures[];
+  /** Times in which too many brittle replicas fell over. */
+  readonly tooManyFalls: readonly TooManyFalls[];
 }
 
 /** What callers and replicas saw. */
@@ -53,6 +57,9 @@
   readonly crashes: readonly ReplicaCrash[];
   /** Times in which daemons were cut off from all replicas. */
   readonly cuts: readonly DaemonCut[];
+  readonly falls: readonly ReplicaFall[];
+  /** Times in which the plain replicas were brittle. */
+  readonly brittleTimes: readonly BrittleTime[];
 }
 
 /**
@@ -62,7 +69,7 @@
  * @returns What it showed.
  */
 export function checkRun(
-  { attempts, arrivals, crashes, cuts }: SoakRecord,
+  { attempts, arrivals, crashes, cuts, falls, brittleTimes }: SoakRecord,
   excuses: Excuses = { outages: [], interruptions: [] },
 ): SoakFigures {
   const runs = new Map<string, number>();
@@ -80,6 +87,7 @@
     sentThoughCrashing: checkCrashing(attempts, arrivals, crashes, excuses.outages),
     refusedBeside: checkRefusedBeside(attempts),
     badlyServedInCuts: checkCuts(measureCuts(attempts, cuts, excuses.outages)),
+    tooManyFalls: checkFalls(attempts, falls, brittleTimes, excuses.outages),
   };
 }
 
--- a/packages/soak/src/core/checks/cuts.ts
+++ b/packages/soak/src/core/checks/cuts.ts
@@ -11,6 +11,7 @@
 /** First attempts that may fail in any case, and the share of all of them that may fail besides. */
 const MAX_FAILED = 10;
 const MAX_FAILED_SHARE = 1 / 50;
+const MIN_FAILURE_STATUS = 500;
 
 /** A time in which some daemons were cut off from all replicas. */
 export interface DaemonCut {
@@ -36,7 +37,9 @@
   cuts: readonly DaemonCut[],
   outages: readonly DaemonOutage[],
 ): CutFigures[] {
-  const first = attempts.filter(({ isFirst, path }) => isFirst && !isCrashingPath(path));
+  const first = attempts.filter(
+    (attempt) => attempt.isFirst && !isCrashingPath(attempt.path) && !hasFailedAtReplica(attempt),
+  );
   return cuts.map(({ daemons, from, until = Number.POSITIVE_INFINITY }) => {
     const isInTouch = ({ daemon, sentAt }: CallerAttempt): boolean =>
       !outages.some(({ daemon: name, at }) => name === daemon && at <= sentAt && at > sentAt - STABLE_MS);
@@ -64,6 +67,11 @@
   });
 }
 
+/** Whether the failure of an attempt is a replica's own response: it says nothing of the path. */
+function hasFailedAtReplica({ outcome, status = 0, code }: CallerAttempt): boolean {
+  return outcome === CallerOutcome.Failed && status >= MIN_FAILURE_STATUS && code === undefined;
+}
+
 function countServed(attempts: readonly CallerAttempt[]): readonly [served: number, all: number] {
   return [attempts.filter(({ outcome }) => outcome === CallerOutcome.Served).length, attempts.length];
 }
--- a/packages/soak/src/core/plan/plan.ts
+++ b/packages/soak/src/core/plan/plan.ts
@@ -22,7 +22,7 @@
 /** Kinds that cut daemons off from all replicas. */
 const CUTS = [FaultKind.CutHang, FaultKind.CutReset, FaultKind.CutRefuse] as const;
 /** Kinds that were added later and are drawn apart, so that the others stay the same for a seed. */
-const LATER: readonly FaultKind[] = [...DECLARATIONS, ...CUTS, FaultKind.CrashingRequest];
+const LATER: readonly FaultKind[] = [...DECLARATIONS, ...CUTS, FaultKind.CrashingRequest, FaultKind.Brittle];
 const OTHERS = Object.values(FaultKind).filter((kind) => !LATER.includes(kind));
 /** Mean time between two faults, in seconds. */
 const SECONDS_PER_FAULT = 4;
@@ -33,6 +33,10 @@
 const MS_PER_CUT = 12_000;
 const MIN_CUT_MS = 5000;
 const MAX_CUT_MS = 12_000;
+/** Mean time between two times in which the plain replicas are brittle, and how long these last, in milliseconds. */
+const MS_PER_BRITTLE = 20_000;
+const MIN_BRITTLE_MS = 5000;
+const MAX_BRITTLE_MS = 9000;
 /** Mean time between two callers whose request crashes replicas, in milliseconds. */
 const MS_PER_CRASHING_REQUEST = 10_000;
 /** Shortest time for which such a caller comes again, in milliseconds: longer than the check's grace time. */
@@ -70,6 +74,7 @@
       ...drawDeclarations(seed, lengthMs),
       ...drawCrashingRequests(seed, lengthMs),
       ...drawCuts(seed, lengthMs),
+      ...drawBrittle(seed, lengthMs),
     ].sort((left, right) => left.atMs - right.atMs),
   };
 }
@@ -98,6 +103,18 @@
   }));
 }
 
+/** Draws times in which plain replicas are brittle, one after the other. */
+function drawBrittle(seed: number, lengthMs: number): Fault[] {
+  const random = createRandom(`soak-brittle-${seed}`);
+  const count = Math.max(1, Math.floor(lengthMs / MS_PER_BRITTLE));
+  return Array.from({ length: count }, (_, index) => ({
+    kind: FaultKind.Brittle,
+    atMs: Math.round(index * MS_PER_BRITTLE + random.between(0, MS_PER_BRITTLE - MAX_BRITTLE_MS)),
+    forMs: Math.round(random.between(MIN_BRITTLE_MS, MAX_BRITTLE_MS)),
+    share: 1,
+  }));
+}
+
 function drawDeclarations(seed: number, lengthMs: number): Fault[] {
   const random = createRandom(`soak-declarations-${seed}`);
   return DECLARATIONS.flatMap((kind) =>
--- a/packages/soak/src/core/replicas/fleet.ts
+++ b/packages/soak/src/core/replicas/fleet.ts
@@ -10,6 +10,7 @@
   Behaviour,
   ReplicaCommand,
   ReplicaCrash,
+  ReplicaFall,
   ReplicaNews,
   ReplicaOptions,
 } from './messages.js';
@@ -57,12 +58,20 @@
   /** Crashes, in the order in which they were reported. */
   readonly crashes: ReplicaCrash[] = [];
 
+  /** Falls of brittle replicas, in the order in which they were reported. */
+  readonly falls: ReplicaFall[] = [];
+
   private readonly hosts: Host[] = [];
 
   private readonly replacements = new Map<string, number>();
 
   constructor(private readonly options: ReplicaFleetOptions) {}
 
+  /** Names of the replicas of the plain service. */
+  get plainIds(): string[] {
+    return this.options.replicas.filter(({ isEngine }) => !isEngine).map(({ id }) => id);
+  }
+
   /** Names of all replicas. */
   get ids(): string[] {
     return this.options.replicas.map(({ id }) => id);
@@ -92,6 +101,11 @@
     this.command((own) => ({ type: 'leave', ids: own.filter((id) => ids.includes(id)) }));
   }
 
+  /** Has some replicas say that they are brittle and be so, or ends that. */
+  setBrittle(ids: readonly string[], isBrittle: boolean): void {
+    this.command((own) => ({ type: 'brittle', ids: own.filter((id) => ids.includes(id)), isBrittle }));
+  }
+
   /** Replaces some replicas by new incarnations with the same address. */
   replace(ids: readonly string[]): void {
     for (const id of ids) this.countReplacement(id);
@@ -164,6 +178,9 @@
         crashed: ({ crash }) => {
           this.crashes.push(crash);
         },
+        fell: ({ fall }) => {
+          this.falls.push(fall);
+        },
         restarted: ({ id }) => this.recordRestart(id),
       };
       running.child.on('message', (news: ReplicaNews) => handlers[news.type](news as never));
--- a/packages/soak/src/core/replicas/index.ts
+++ b/packages/soak/src/core/replicas/index.ts
@@ -1,5 +1,12 @@
 /** Replicas, in processes of their own. */
-export type { Arrival, ReplicaCommand, ReplicaCrash, ReplicaNews, ReplicaOptions } from './messages.js';
+export type {
+  Arrival,
+  ReplicaCommand,
+  ReplicaCrash,
+  ReplicaFall,
+  ReplicaNews,
+  ReplicaOptions,
+} from './messages.js';
 export { Behaviour, CRASHING_PATH, Holdable, incarnationId, REPLICA_HEADER } from './messages.js';
 export type { Interruption, ReplicaFleetOptions } from './fleet.js';
 export { ReplicaFleet } from './fleet.js';
--- a/packages/soak/src/core/replicas/main.ts
+++ b/packages/soak/src/core/replicas/main.ts
@@ -20,6 +20,7 @@
     const replica = new SoakReplica(option, {
       onArrival: (arrival) => arrivals.push(arrival),
       onCrash: (crash) => tell({ type: 'crashed', crash }),
+      onFall: (fall) => tell({ type: 'fell', fall }),
       onRestart: () => tell({ type: 'restarted', id: option.id }),
     });
     replicas.set(option.id, replica);
@@ -43,6 +44,9 @@
   behave: ({ ids, behaviour }) => {
     for (const id of ids) Object.assign(replicas.get(id) ?? {}, { behaviour });
   },
+  brittle: ({ ids, isBrittle }) => {
+    for (const id of ids) replicas.get(id)?.setBrittle(isBrittle);
+  },
   cut: ({ hosts, cut }) => {
     for (const replica of replicas.values()) replica.cut(hosts, cut);
   },
--- a/packages/soak/src/core/replicas/messages.ts
+++ b/packages/soak/src/core/replicas/messages.ts
@@ -35,6 +35,8 @@
   | { readonly type: 'start'; readonly replicas: readonly ReplicaOptions[] }
   | { readonly type: 'leave'; readonly ids: readonly string[] }
   | { readonly type: 'replace'; readonly ids: readonly string[] }
+  /** Has replicas say that they are brittle, and be so; or ends that. */
+  | { readonly type: 'brittle'; readonly ids: readonly string[]; readonly isBrittle: boolean }
   | { readonly type: 'behave'; readonly ids: readonly string[]; readonly behaviour: Behaviour }
   /** Cuts hosts off from all replicas, or heals the cut. */
   | { readonly type: 'cut'; readonly hosts: readonly string[]; readonly cut: PathCut | undefined }
@@ -73,6 +75,16 @@
   readonly at: number;
 }
 
+/** A brittle replica that has fallen over, as it had to reject too many requests in a second. */
+export interface ReplicaFall {
+  /** Incarnation of the replica. */
+  readonly replica: string;
+  /** Unix milliseconds. */
+  readonly at: number;
+  /** Names the attempts of callers that it rejected in that second. */
+  readonly rejected: readonly string[];
+}
+
 /** Last part of the path of requests that crash each replica that runs them. */
 export const CRASHING_PATH = 'crash';
 
@@ -90,5 +102,6 @@
   | { readonly type: 'started'; readonly ports: readonly (readonly [id: string, port: number])[] }
   | { readonly type: 'arrivals'; readonly arrivals: readonly Arrival[] }
   | { readonly type: 'crashed'; readonly crash: ReplicaCrash }
-  /** A replica that had crashed listens again, as a new incarnation. */
+  | { readonly type: 'fell'; readonly fall: ReplicaFall }
+  /** A replica that had crashed or fallen listens again, as a new incarnation. */
   | { readonly type: 'restarted'; readonly id: string };
--- a/packages/soak/src/core/replicas/replica.ts
+++ b/packages/soak/src/core/replicas/replica.ts
@@ -19,7 +19,7 @@
 import type { PathCut, Random, RawRequest } from '@celeryyoke/routing/testing';
 import { createRandom, headerValue, parseRequest, PathCuts } from '@celeryyoke/routing/testing';
 
-import type { Arrival, ReplicaCrash, ReplicaOptions } from './messages.js';
+import type { Arrival, ReplicaCrash, ReplicaFall, ReplicaOptions } from './messages.js';
 import { Behaviour, CRASHING_PATH, Holdable, incarnationId, REPLICA_HEADER } from './messages.js';
 
 const HOST = '127.0.0.1';
@@ -28,6 +28,12 @@
 const EVENTS = 6;
 const EVENT_MS = 60;
 const PLAIN_MS = 20;
+/** The same of one that is brittle, so that its slots are in use. */
+const BRITTLE_MS = 1200;
+/** Rejections in a second that a brittle replica bears. */
+const MAX_REJECTIONS = 3;
+/** Time from the first response that says that a replica is brittle until it may fall, in milliseconds. */
+const BRITTLE_NOTICE_MS = 3000;
 const OK = '200 OK';
 const ERROR = '500 Internal Server Error';
 /** Shortest and longest time that a replica asks a daemon to back off, in seconds. */
@@ -81,10 +87,18 @@
 export interface ReplicaListener {
   readonly onArrival: (arrival: Arrival) => void;
   readonly onCrash: (crash: ReplicaCrash) => void;
-  /** Called when it listens again after a crash. */
+  readonly onFall: (fall: ReplicaFall) => void;
+  /** Called when it listens again after a crash or a fall. */
   readonly onRestart: () => void;
 }
 
+/** A request that was rejected for want of room. */
+interface Rejection {
+  readonly request: string;
+  /** Monotonic milliseconds. */
+  readonly at: number;
+}
+
 /** A replica of a service. */
 export class SoakReplica {
   behaviour = Behaviour.Serve;
@@ -98,6 +112,12 @@
   /** Number of crashes so far. */
   private crashes = 0;
 
+  /** Monotonic time since which it says that it is brittle, in milliseconds; undefined when it does not. */
+  private brittleSince: number | undefined;
+
+  /** Requests that it has rejected for want of room in the last second. */
+  private rejections: Rejection[] = [];
+
   private life = new EngineState();
 
   private replacements = 0;
@@ -131,6 +151,11 @@
     this.life.isLeaving = true;
   }
 
+  /** Says in all responses that it is brittle and works slowly from now on, or ends that. */
+  setBrittle(isBrittle: boolean): void {
+    this.brittleSince = isBrittle ? timers.now() : undefined;
+  }
+
   /** Cuts hosts off, or heals their cut. */
   cut(hosts: readonly string[], cut: PathCut | undefined): void {
     for (const host of hosts) {
@@ -147,7 +172,8 @@
 
   /** Header lines of all responses to requests. */
   get declarations(): string {
-    return `${REPLICA_HEADER}: ${this.incarnation}\r\n${this.life.declarations}`;
+    const brittle = this.brittleSince === undefined ? '' : `Server-Brittle: ${MAX_REJECTIONS}\r\n`;
+    return `${REPLICA_HEADER}: ${this.incarnation}\r\n${this.life.declarations}${brittle}`;
   }
 
   private get incarnation(): string {
@@ -211,6 +237,7 @@
     const isMisbehaved = this.behaviour !== Behaviour.Serve && this.random.chance(MISBEHAVED_SHARE);
     const behaviour = isMisbehaved ? this.behaviour : Behaviour.Serve;
     const isFull = this.running >= this.options.slots;
+    if (isFull) this.noteRejection(req);
     const isRefused = isFull || behaviour === Behaviour.Shed || behaviour === Behaviour.Backoff;
     if (isRefused) this.refuse(req, behaviour === Behaviour.Backoff ? this.drawBackoffSeconds() : undefined);
     else {
@@ -227,6 +254,20 @@
     refuseWith(req, this.declarations + backoff);
   }
 
+  /** Falls over if it is brittle and has rejected too many requests for want of room. */
+  private noteRejection({ head }: RawRequest): void {
+    const now = timers.now();
+    const isRecent = ({ at }: Rejection): boolean => at > now - MS_PER_SECOND;
+    const request = headerValue(head, 'celeryyoke-request-id') ?? '';
+    this.rejections = [...this.rejections.filter(isRecent), { request, at: now }];
+    const isStrict = this.brittleSince !== undefined && now - this.brittleSince > BRITTLE_NOTICE_MS;
+    if (!isStrict || this.rejections.length <= MAX_REJECTIONS) return;
+    const rejected = this.rejections.map((rejection) => rejection.request);
+    this.rejections = [];
+    this.listener.onFall({ replica: this.incarnation, at: timers.wall(), rejected });
+    void this.restart();
+  }
+
   /** Draws how long a daemon is to send nothing, in tenths of a second. */
   private drawBackoffSeconds(): number {
     return Math.round(this.random.between(MIN_BACKOFF_S, MAX_BACKOFF_S) * 10) / 10;
@@ -237,17 +278,22 @@
     const { crashes } = this;
     this.running += 1;
     if (CRASHING_TARGET.test(req.head)) await this.crashUnder(req);
-    else await (this.options.isEngine ? stream(req, this.declarations) : answerLater(req, this.declarations));
+    else if (this.options.isEngine) await stream(req, this.declarations);
+    else await answerLater(req, this.declarations, this.brittleSince === undefined ? PLAIN_MS : BRITTLE_MS);
     if (crashes === this.crashes) this.running -= 1;
   }
 
-  /** Ends all connections and refuses new ones until it restarts, as when its process has crashed. */
   private async crashUnder({ head }: RawRequest): Promise<void> {
     const { crashes } = this;
     await timers.sleep(CRASH_AFTER_MS);
     if (crashes !== this.crashes) return;
     const request = headerValue(head, 'celeryyoke-request-id') ?? '';
     this.listener.onCrash({ request, replica: this.incarnation, at: timers.wall() });
+    await this.restart();
+  }
+
+  /** Ends all connections and refuses new ones until it restarts, as when its process has crashed. */
+  private async restart(): Promise<void> {
     this.crashes += 1;
     this.running = 0;
     const { port } = this.server.address() as AddressInfo;
@@ -267,8 +313,8 @@
   }
 }
 
-async function answerLater(req: RawRequest, declarations: string): Promise<void> {
-  await timers.sleep(PLAIN_MS);
+async function answerLater(req: RawRequest, declarations: string, workMs: number): Promise<void> {
+  await timers.sleep(workMs);
   respondComplete(req, OK, undefined, declarations);
 }
 
--- a/packages/soak/src/core/run/faults.ts
+++ b/packages/soak/src/core/run/faults.ts
@@ -23,6 +23,8 @@
   readonly callers: Pick<Callers, 'repeatCrashing'>;
   /** Has the registry list a replica under its current incarnation. */
   readonly relist: (id: string, before: string) => void;
+  /** Records that the plain replicas are brittle; what it returns records the end. */
+  readonly recordBrittle: () => () => void;
   /** Records that daemons are cut off from all replicas; what it returns records the end. */
   readonly recordCut: (daemons: readonly string[]) => () => void;
   readonly random: Random;
@@ -103,6 +105,14 @@
   [FaultKind.Shed]: misbehave(Behaviour.Shed),
   [FaultKind.Backoff]: misbehave(Behaviour.Backoff),
   [FaultKind.Leave]: leave,
+  [FaultKind.Brittle]: ({ replicas, recordBrittle }) => {
+    const endRecord = recordBrittle();
+    replicas.setBrittle(replicas.plainIds, true);
+    return () => {
+      replicas.setBrittle(replicas.plainIds, false);
+      endRecord();
+    };
+  },
   [FaultKind.CutHang]: cutOff(PathCut.Hang),
   [FaultKind.CutReset]: cutOff(PathCut.Reset),
   [FaultKind.CutRefuse]: cutOff(PathCut.RefuseNew),
--- a/packages/soak/src/core/run/run.ts
+++ b/packages/soak/src/core/run/run.ts
@@ -7,11 +7,11 @@
 
 import type { CallerAttempt } from '../callers/index.js';
 import { Balancer, Callers } from '../callers/index.js';
-import type { CutFigures, DaemonCut, SoakFigures } from '../checks/index.js';
+import type { BrittleTime, CutFigures, DaemonCut, SoakFigures } from '../checks/index.js';
 import { checkRun, countCrashes, measureCuts } from '../checks/index.js';
 import type { SoakPlan } from '../plan/index.js';
 import { ProcessGroup } from '../processes/index.js';
-import type { Arrival, ReplicaOptions } from '../replicas/index.js';
+import type { Arrival, ReplicaFall, ReplicaOptions } from '../replicas/index.js';
 import { ReplicaFleet } from '../replicas/index.js';
 import { ENGINE_SLOTS, listReplica, PLAIN_SLOTS, startStore } from '../site/index.js';
 import { Daemons } from './daemons.js';
@@ -40,6 +40,8 @@
   /** Replicas that crashed under each request that crashes replicas, by its path. */
   readonly crashes: ReadonlyMap<string, number>;
   readonly cuts: readonly CutFigures[];
+  /** Brittle replicas that fell over. */
+  readonly falls: readonly ReplicaFall[];
 }
 
 /**
@@ -53,6 +55,7 @@
   const processes = new ProcessGroup();
   const arrivals: Arrival[] = [];
   const cuts: DaemonCut[] = [];
+  const brittleTimes: BrittleTime[] = [];
   const store = await startStore();
   const replicas = new ReplicaFleet({
     processes,
@@ -79,6 +82,13 @@
       cut.until = timers.wall();
     };
   }
+  function recordBrittle(): () => void {
+    const time: BrittleTime = { replicas: plan.plains, from: timers.wall(), until: undefined };
+    brittleTimes.push(time);
+    return () => {
+      time.until = timers.wall();
+    };
+  }
   const balancer = new Balancer(daemons.addresses, timers);
   const random = createRandom(`run-${plan.seed}`);
   const { requestsPerSecond, adapters, hasRetries } = plan;
@@ -90,7 +100,7 @@
     await timers.sleep(plan.trafficAfterMs);
     for (const fault of plan.faults)
       timers.after(fault.atMs, () =>
-        inject({ daemons, replicas, callers, relist, recordCut, random, timers }, fault),
+        inject({ daemons, replicas, callers, relist, recordCut, recordBrittle, random, timers }, fault),
       );
     void callers.run();
     await timers.sleep(plan.seconds * MS_PER_SECOND);
@@ -103,8 +113,8 @@
   }
   const { attempts } = callers;
   const excuses = { outages: daemons.outages, interruptions: replicas.interruptions };
-  const { crashes } = replicas;
-  const figures = checkRun({ attempts, arrivals, crashes, cuts }, excuses);
+  const { crashes, falls } = replicas;
+  const figures = checkRun({ attempts, arrivals, crashes, cuts, falls, brittleTimes }, excuses);
   return {
     figures,
     outcomes: countOutcomes(callers),
@@ -112,6 +122,7 @@
     arrivals,
     crashes: countCrashes(attempts, crashes),
     cuts: measureCuts(attempts, cuts, daemons.outages),
+    falls,
   };
 }
 
--- a/packages/soak/src/core/site/site.ts
+++ b/packages/soak/src/core/site/site.ts
@@ -24,7 +24,7 @@
 export const ENGINE_SERVICE = 'llm';
 export const PLAIN_SERVICE = 'web';
 export const ENGINE_SLOTS = 16;
-export const PLAIN_SLOTS = 40;
+export const PLAIN_SLOTS = 6;
 /** Allowed retries of each service. */
 export const REPEAT_BOUNDS: RetryBounds = { ratio: 0.2, windowMs: 10_000, slack: 196 };
 /** Time from which on a daemon sends nothing to a replica that has told it that it leaves, in milliseconds. */
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -43,7 +43,7 @@
   return table.toString();
 }
 
-function show({ seed }: SoakPlan, { figures, outcomes, crashes, cuts }: SoakResult): void {
+function show({ seed }: SoakPlan, { figures, outcomes, crashes, cuts, falls }: SoakResult): void {
   console.log(`seed ${seed}: ${isClean(figures) ? 'clean' : 'BROKEN'}`);
   console.log(showRepeats(figures));
   console.log([...outcomes].map(([key, count]) => `${key} ${count}`).join(', '));
@@ -57,6 +57,9 @@
     console.log(
       `cut off: ${daemons.join(', ')} served ${served.join(' of ')}, others ${servedByOthers.join(' of ')}`,
     );
+  if (falls.length > 0)
+    console.log(`brittle replicas fell over: ${falls.map(({ replica }) => replica).join(', ')}`);
+  if (figures.tooManyFalls.length > 0) console.log('more of them than is allowed');
   if (figures.badlyServedInCuts.length > 0) console.log('served far worse while cut off');
   for (const { path, sent } of figures.sentThoughCrashing)
     console.log(`sent on after the third crash: ${path} as ${sent.join(', ')}`);
