paths: close idle connections to a replica that is silent

The monitor probes a replica that has sent nothing for 0.4 s anyway; one that accepts a connection and has been silent on those in use for 0.7 s has its idle connections closed now, so that later requests open new ones instead of finding the dead ones one by one. Silence of a whole service closed them already.

Test: 'idle connections are closed when those in use are silent, and only then' failed before.

--- a/packages/routing/src/core/daemon/services.ts
+++ b/packages/routing/src/core/daemon/services.ts
@@ -445,6 +445,7 @@
       health: kernel.get(PART.health),
       table: kernel.get(PART.cutOffs),
       probe: (replica, timeoutMs, holdMs) => this.probe(replica, timeoutMs, holdMs),
+      closeIdle: (replica) => channels.closeIdle(replica),
       timers,
       log,
       random: Math.random,
--- a/packages/routing/src/core/paths/path-monitor.ts
+++ b/packages/routing/src/core/paths/path-monitor.ts
@@ -47,6 +47,8 @@
   readonly table: Pick<CutOffTable, 'setOwn'>;
   /** Connects to a replica once; the connection must last for some time. */
   readonly probe: (replica: ReplicaEntry, timeoutMs: number, holdMs: number) => Promise<ListenerState>;
+  /** Closes the idle connections to a replica. */
+  readonly closeIdle: (replica: string) => void;
   readonly timers: TimerService;
   readonly log: DecisionLog;
   /** Returns a new random number from 0 to 1 on each call. */
@@ -163,13 +165,21 @@
   }
 
   private async findCause(replica: ReplicaEntry): Promise<CutCause | undefined> {
-    if (await this.canConnect(replica))
+    if (await this.canConnect(replica)) {
+      this.retireSilent(replica.id);
       return this.areConnectionsDead(replica.service) ? CutCause.Silence : undefined;
+    }
     const others = this.sample(replica);
     const reached = await Promise.all(others.map((other) => this.canConnect(other)));
     return reached.includes(true) ? undefined : CutCause.NoConnection;
   }
 
+  /** Closes the idle connections to a replica that is silent on those in use, although it accepts new ones. */
+  private retireSilent(replica: string): void {
+    const { health, closeIdle } = this.options;
+    if (health.silenceMs(replica) > DEAD_AFTER_SILENCE_MS) closeIdle(replica);
+  }
+
   /** Whether no replica of a service responds any more, and enough of them have requests to respond to. */
   private areConnectionsDead(service: string): boolean {
     const { registry, health, timers } = this.options;
--- a/packages/routing/test/paths.test.ts
+++ b/packages/routing/test/paths.test.ts
@@ -22,6 +22,9 @@
 
   readonly cuts: string[] = [];
 
+  /** Replicas whose idle connections were closed. */
+  readonly retired = new Set<string>();
+
   probes = 0;
 
   readonly monitor: PathMonitor;
@@ -44,6 +47,7 @@
         await this.timers.sleep(this.unreachable.has(id) ? timeoutMs : holdMs);
         return this.unreachable.has(id) ? ListenerState.Unknown : ListenerState.Listening;
       },
+      closeIdle: (id: string) => this.retired.add(id),
       timers: this.timers,
       log: createSilentLog(),
       random: () => 0.5,
@@ -92,6 +96,17 @@
   t.is(site.cause, CutCause.NoConnection);
 });
 
+// Guards against kept connections that are dead for good while new ones work: each request would find the next one.
+test('idle connections are closed when those in use are silent, and only then', async (t) => {
+  const site = new PathSite(3);
+  site.send('e0');
+  await site.timers.advance(600);
+  t.deepEqual([...site.retired], []);
+  await site.timers.advance(600);
+  t.deepEqual([...site.retired], ['e0']);
+  t.is(site.cause, undefined);
+});
+
 // Guards against hosts that hand their work to others for a replica that is silent for a second, or gone.
 test('one replica that is silent, gone or crashed cuts nothing off', async (t) => {
   for (const isReachable of [true, false]) {
