requests: acquire slot and rate permit in one step of their own

admitAndSend passed two closures around; the permits are acquired in a function of their own now, and the check of the suspicion stands before the send again. No behaviour changes: tests of brittle replicas, rate limits, migration, crashes and the daemon pass.

--- a/packages/routing/src/core/requests/execution.ts
+++ b/packages/routing/src/core/requests/execution.ts
@@ -51,6 +51,8 @@
 const RETRY_AFTER_SHARE = 0.3;
 /** Largest number of attempts of one request that are refused without having run. */
 const MAX_REFUSALS = 4;
+/** Permit of a migrated stream that got no slot. */
+const NO_SLOT: SlotPermit = { release: () => undefined };
 /** Pause between two looks at a suspect whose crashes are still being reported, in milliseconds. */
 const SUSPICION_POLL_MS = 20;
 const MIN_FAILURE_STATUS = 500;
@@ -342,37 +344,51 @@
       if (admission === PrefillAdmission.Full) return undefined;
       // A migrated stream can't continue on another replica, as the state of its run was copied to this one.
       if (continuation === undefined && !chooser.acceptsRequests(replica)) return undefined;
-      const isStillValid = (): boolean =>
-        // The choice does not hold if a replica has crashed under another copy of the request since.
-        continuation !== undefined || suspects.suspicionOf(this.fingerprints) === suspicion;
-      const send = (): Promise<AttemptResult> | undefined =>
-        this.hasEnded || !isStillValid() ? undefined : this.sendAttempt(choice, continuation, handle);
-      return await this.sendWithPermits(replica, continuation !== undefined, send);
+      return await this.sendWithPermit(choice, continuation, handle, suspicion);
     } finally {
       handle.requestEnded();
     }
   }
 
+  /** Sends the request if the limits that its replica declares allow it. */
+  private async sendWithPermit(
+    choice: Choice,
+    continuation: string | undefined,
+    handle: InFlightHandle,
+    suspicion: Suspicion,
+  ): Promise<AttemptResult | undefined> {
+    const isContinuation = continuation !== undefined;
+    const permit = await this.acquirePermit(choice.replica, isContinuation);
+    if (permit === undefined) return undefined;
+    let wasRejected = false;
+    try {
+      // The choice does not hold if a replica has crashed under another copy of the request since.
+      const isStale = this.parts.suspects.suspicionOf(this.fingerprints) !== suspicion;
+      if (this.hasEnded || (isStale && !isContinuation)) return undefined;
+      const result = await this.sendAttempt(choice, continuation, handle);
+      wasRejected = result.outcome === AttemptOutcome.NotRun && result.wasSent;
+      return result;
+    } finally {
+      permit.release(wasRejected);
+    }
+  }
+
   /**
-   * Acquires what the limits that a replica declares ask for, and sends the request. A migrated stream goes on
-   * without, as only this replica has its state.
+   * Acquires what the limits that a replica declares ask for.
+   * @returns Undefined when it can't take the request now.
    */
-  private async sendWithPermits(
+  private async acquirePermit(
     replica: ReplicaEntry,
     isContinuation: boolean,
-    send: () => Promise<AttemptResult> | undefined,
-  ): Promise<AttemptResult | undefined> {
+  ): Promise<SlotPermit | undefined> {
     const { limits, slotPermits } = this.parts;
-    const slot: SlotPermit | undefined = await slotPermits.acquire(replica);
+    const slot = await slotPermits.acquire(replica);
     if (slot === undefined && !isContinuation) return undefined;
-    let result: AttemptResult | undefined;
-    try {
-      const isAdmitted = await limits.admit(replica.id);
-      if (isAdmitted || isContinuation) result = await send();
-      return result;
-    } finally {
-      slot?.release(result !== undefined && result.outcome === AttemptOutcome.NotRun && result.wasSent);
-    }
+    const isAdmitted = await limits.admit(replica.id);
+    // A migrated stream goes on without, as only this replica has its state.
+    if (isAdmitted || isContinuation) return slot ?? NO_SLOT;
+    slot?.release(false);
+    return undefined;
   }
 
   private async sendAttempt(
