limits: take a new replica of a brittle service for brittle

A replica that comes back after a fall is a new incarnation that has declared nothing yet. While others of its service state a limit of rejections, it has the strictest of theirs until it says something of its own.

--- a/packages/routing/src/core/limits/slot-permits.ts
+++ b/packages/routing/src/core/limits/slot-permits.ts
@@ -56,7 +56,7 @@
   readonly cluster: Pick<Cluster, 'aliveAddresses' | 'request' | 'send' | 'handle' | 'onMemberChange'>;
   readonly share: Pick<FleetShare, 'partitionShare' | 'isolatedShare'>;
   readonly tree: Pick<DisseminationTree, 'register' | 'publish'>;
-  readonly registry: Pick<ReplicaRegistry, 'onReplica' | 'replica'>;
+  readonly registry: Pick<ReplicaRegistry, 'onReplica' | 'replica' | 'readyReplicas'>;
   readonly timers: TimerService;
   readonly log: DecisionLog;
 }
@@ -105,13 +105,25 @@
    * @returns Undefined if none is free; {@link mayReceive} is false for a while then.
    */
   async acquire(replica: ReplicaEntry): Promise<SlotPermit | undefined> {
-    if (this.limits.rate(replica.id) === undefined) return UNLIMITED;
+    if (this.rejectionsPerSecond(replica) === undefined) return UNLIMITED;
     if (!this.mayReceive(replica.id)) return undefined;
     const isGranted = await new Promise<boolean>((resolve) => {
       this.ownOf(replica.id).waiting.push(resolve);
       void this.ask(replica);
     });
-    return isGranted ? this.permitFor(replica.id) : undefined;
+    return isGranted ? this.permitFor(replica) : undefined;
+  }
+
+  /**
+   * Returns the limit of a replica; one that has not responded yet is taken for as brittle as the others of its
+   * service.
+   */
+  private rejectionsPerSecond({ id, service }: ReplicaEntry): number | undefined {
+    const known = this.limits.get(id);
+    if (known !== undefined) return known.ratePerSecond;
+    const others = this.options.registry.readyReplicas(service);
+    const rates = others.flatMap((other) => this.limits.rate(other.id) ?? []);
+    return rates.length === 0 ? undefined : Math.min(...rates);
   }
 
   /** Asks for slots for all that wait; one request at a time, so that its count of slots is exact. */
@@ -156,15 +168,15 @@
     return { granted, waitMs: OWN_SHARE_RETRY_MS };
   }
 
-  private permitFor(replica: string): SlotPermit {
+  private permitFor(replica: ReplicaEntry): SlotPermit {
     return {
       release: (wasRejected) => {
-        const own = this.own.get(replica);
-        const rejectionsPerSecond = this.limits.rate(replica);
+        const own = this.own.get(replica.id);
+        const rejectionsPerSecond = this.rejectionsPerSecond(replica);
         // What was held ends with the limit.
         if (own === undefined || rejectionsPerSecond === undefined) return;
         own.held -= 1;
-        this.reportEnd({ replica, rejectionsPerSecond, wasRejected });
+        this.reportEnd({ replica: replica.id, rejectionsPerSecond, wasRejected });
       },
     };
   }
--- a/packages/routing/test/slots/slots.test.ts
+++ b/packages/routing/test/slots/slots.test.ts
@@ -12,6 +12,8 @@
 const SEEDS = 3;
 const SLOTS = 6;
 const REPLICA = { ...engineEntry('e1'), slots: SLOTS };
+/** Another replica of the same service, which has just started. */
+const NEW_REPLICA = { ...engineEntry('e2'), slots: SLOTS };
 const REJECTIONS_PER_S = 2;
 const STEP_MS = 10;
 const RUN_MS = 45;
@@ -30,7 +32,7 @@
   /** Monotonic times at which the replica had no room for a request, in milliseconds. */
   readonly rejections: number[] = [];
 
-  private readonly permits = new Map<string, SlotPermits>();
+  readonly permits = new Map<string, SlotPermits>();
 
   constructor(seeds = SEEDS) {
     this.fleet = new TestFleet(3, seeds, (daemon) => this.addPermits(daemon));
@@ -82,6 +84,7 @@
     const registry = new ReplicaRegistry(view, createAvailability(timers), timers);
     const share = createFleetShare(this.fleet, daemon, true, PROPAGATION_MS);
     registry.replica = () => REPLICA;
+    registry.readyReplicas = () => [REPLICA, NEW_REPLICA];
     const options = { self: address, cluster, tree, share, registry, timers, log };
     this.permits.set(address, new SlotPermits(options));
   }
@@ -114,6 +117,19 @@
   t.true(site.served - from >= ((SLOTS * 2000) / RUN_MS) * 0.6);
 });
 
+// Guards against a replica that is back after a fall, and falls again before the daemons have heard from it.
+test('a replica that has not responded yet gets no more than its slots if others of its service are brittle', async (t) => {
+  const site = new BrittleFleet();
+  await site.start(2);
+  const permits = site.permits.get(site.fleet.addressOf(0))!;
+  const acquire = () => Promise.all(Array.from({ length: SLOTS + 1 }, () => permits.acquire(NEW_REPLICA)));
+  t.true((await acquire()).every((permit) => permit !== undefined));
+  await site.press(PROPAGATION_MS);
+  const acquired = acquire();
+  await site.fleet.timers.advance(100);
+  t.true((await acquired).filter((permit) => permit !== undefined).length <= SLOTS);
+});
+
 // Guards against a replica that has less room than it states, as others use it too.
 test('after a rejection nothing is granted for a while, and fewer slots than before', async (t) => {
   const timers = createManualTimers();
