soak: count the notice of brittle replicas from their first response

Traced: the replicas' process was stopped from 2.1 s to 5.3 s after they became brittle, and no response had said so before; the falls followed within 0.6 s of the first that did (10.18 s). The users' rule gives 3 s from when replicas say so in all their answers; the stand-in counted from when it was told to be brittle. It counts from the first response that it has sent now, and a new incarnation gets no second notice.

--- a/packages/soak/src/core/replicas/replica.ts
+++ b/packages/soak/src/core/replicas/replica.ts
@@ -112,8 +112,10 @@
   /** Number of crashes so far. */
   private crashes = 0;
 
-  /** Monotonic time since which it says that it is brittle, in milliseconds; undefined when it does not. */
-  private brittleSince: number | undefined;
+  private isBrittle = false;
+
+  /** Monotonic time of the first response that said that it is brittle, in milliseconds. */
+  private declaredBrittleAt: number | undefined;
 
   /** Requests that it has rejected for want of room in the last second. */
   private rejections: Rejection[] = [];
@@ -153,7 +155,8 @@
 
   /** Says in all responses that it is brittle and works slowly from now on, or ends that. */
   setBrittle(isBrittle: boolean): void {
-    this.brittleSince = isBrittle ? timers.now() : undefined;
+    this.isBrittle = isBrittle;
+    this.declaredBrittleAt = undefined;
   }
 
   /** Cuts hosts off, or heals their cut. */
@@ -172,7 +175,7 @@
 
   /** Header lines of all responses to requests. */
   get declarations(): string {
-    const brittle = this.brittleSince === undefined ? '' : `Server-Brittle: ${MAX_REJECTIONS}\r\n`;
+    const brittle = this.isBrittle ? `Server-Brittle: ${MAX_REJECTIONS}\r\n` : '';
     return `${REPLICA_HEADER}: ${this.incarnation}\r\n${this.life.declarations}${brittle}`;
   }
 
@@ -252,6 +255,7 @@
     this.note(req, { hasRun: false, retryAfterMs });
     const backoff = backoffSeconds === undefined ? '' : retryAfterHeader(backoffSeconds);
     refuseWith(req, this.declarations + backoff);
+    this.noteDeclared();
   }
 
   /** Falls over if it is brittle and has rejected too many requests for want of room. */
@@ -260,7 +264,7 @@
     const isRecent = ({ at }: Rejection): boolean => at > now - MS_PER_SECOND;
     const request = headerValue(head, 'celeryyoke-request-id') ?? '';
     this.rejections = [...this.rejections.filter(isRecent), { request, at: now }];
-    const isStrict = this.brittleSince !== undefined && now - this.brittleSince > BRITTLE_NOTICE_MS;
+    const isStrict = now - (this.declaredBrittleAt ?? now) > BRITTLE_NOTICE_MS;
     if (!isStrict || this.rejections.length <= MAX_REJECTIONS) return;
     const rejected = this.rejections.map((rejection) => rejection.request);
     this.rejections = [];
@@ -268,6 +272,11 @@
     void this.restart();
   }
 
+  /** Records that a response has been sent. */
+  private noteDeclared(): void {
+    if (this.isBrittle) this.declaredBrittleAt ??= timers.now();
+  }
+
   /** Draws how long a daemon is to send nothing, in tenths of a second. */
   private drawBackoffSeconds(): number {
     return Math.round(this.random.between(MIN_BACKOFF_S, MAX_BACKOFF_S) * 10) / 10;
@@ -275,11 +284,12 @@
 
   /** Serves a request to its end, or crashes under it. */
   async run(req: RawRequest): Promise<void> {
-    const { crashes } = this;
+    const { crashes, isBrittle } = this;
     this.running += 1;
     if (CRASHING_TARGET.test(req.head)) await this.crashUnder(req);
     else if (this.options.isEngine) await stream(req, this.declarations);
-    else await answerLater(req, this.declarations, this.brittleSince === undefined ? PLAIN_MS : BRITTLE_MS);
+    else await answerLater(req, this.declarations, isBrittle ? BRITTLE_MS : PLAIN_MS);
+    if (isBrittle) this.noteDeclared();
     if (crashes === this.crashes) this.running -= 1;
   }
 
