paths: find silent connections while requests go to further replicas

Cause: its connections count as dead when all replicas that have requests are silent for 0.7 s; each request goes to a further replica, whose silence has just begun.

Change: they count as dead when several replicas have been silent for 0.7 s and no replica of the service has sent a byte for that time; bytes of streams count as well as heads now.

Tests: 'replicas that fall silent one after the other …' failed before; 'streams that go on …' guards the other side.

--- a/packages/routing/src/core/paths/path-monitor.ts
+++ b/packages/routing/src/core/paths/path-monitor.ts
@@ -60,8 +60,8 @@
   cause: CutCause | undefined;
   /** Monotonic time since which the cause holds, in milliseconds. */
   since: number;
-  /** Monotonic time of the latest response of any replica, in milliseconds. */
-  respondedAt: number;
+  /** Monotonic time of the latest bytes from any replica on a connection of this daemon, in milliseconds. */
+  heardAt: number;
   /** Monotonic time of the end of the latest check or probe, in milliseconds. */
   checkedAt: number;
   isChecking: boolean;
@@ -122,11 +122,16 @@
   recordResponse(replica: string): void {
     const entry = this.options.registry.replica(replica);
     if (entry === undefined) return;
+    this.recordBytes(entry.service);
     const paths = this.pathsOf(entry.service);
-    paths.respondedAt = this.options.timers.now();
     if (paths.cause === CutCause.Silence) this.clearCut(entry.service, paths);
   }
 
+  /** Records that a replica of a service has sent bytes on a connection of this daemon. */
+  recordBytes(service: string): void {
+    this.pathsOf(service).heardAt = this.options.timers.now();
+  }
+
   /**
    * Returns whether a request to a service that is cut off may be sent directly, to find out whether its replicas
    * respond again; true for one request at a time.
@@ -180,16 +185,14 @@
     if (health.silenceMs(replica) > DEAD_AFTER_SILENCE_MS) closeIdle(replica);
   }
 
-  /** Whether no replica of a service responds any more, and enough of them have requests to respond to. */
+  /** Whether no replica of a service sends anything any more, and enough of them have requests to respond to. */
   private areConnectionsDead(service: string): boolean {
     const { registry, health, timers } = this.options;
     const replicas = registry.readyReplicas(service);
-    const waiting = new Set(health.waitingReplicas());
-    const silences = replicas.flatMap(({ id }) => (waiting.has(id) ? health.silenceMs(id) : []));
-    const isEnough = silences.length >= Math.min(MIN_SILENT_REPLICAS, replicas.length);
-    const { respondedAt } = this.pathsOf(service);
-    const isQuiet = timers.now() - respondedAt > DEAD_AFTER_SILENCE_MS;
-    return isEnough && isQuiet && silences.every((ms) => ms > DEAD_AFTER_SILENCE_MS);
+    const silent = replicas.filter(({ id }) => health.silenceMs(id) > DEAD_AFTER_SILENCE_MS);
+    const isEnough = silent.length >= Math.min(MIN_SILENT_REPLICAS, replicas.length);
+    const { heardAt } = this.pathsOf(service);
+    return isEnough && timers.now() - heardAt > DEAD_AFTER_SILENCE_MS;
   }
 
   /** Draws other replicas of the same service. */
@@ -232,7 +235,7 @@
       service,
       cause,
       replicas: registry.readyReplicas(service).length,
-      respondedAgoMs: Math.round(Math.min(timers.now() - paths.respondedAt, Number.MAX_SAFE_INTEGER)),
+      respondedAgoMs: Math.round(Math.min(timers.now() - paths.heardAt, Number.MAX_SAFE_INTEGER)),
     });
     table.setOwn(service, true);
     for (const listener of [...this.cutListeners]) listener(service);
@@ -257,7 +260,7 @@
     const created: ServicePaths = {
       cause: undefined,
       since: 0,
-      respondedAt: Number.NEGATIVE_INFINITY,
+      heardAt: Number.NEGATIVE_INFINITY,
       checkedAt: Number.NEGATIVE_INFINITY,
       isChecking: false,
       reachedProbes: 0,
--- a/packages/routing/src/core/requests/execution.ts
+++ b/packages/routing/src/core/requests/execution.ts
@@ -89,7 +89,7 @@
 export interface ExecutionDependencies extends FinderDependencies {
   readonly dialect: RequestDialect;
   readonly sender: Pick<UpstreamSender, 'choosePath' | 'send'>;
-  readonly paths: Pick<PathMonitor, 'causeOf' | 'onCut'>;
+  readonly paths: Pick<PathMonitor, 'causeOf' | 'onCut' | 'recordBytes'>;
   readonly inFlight: InFlightTable;
   readonly health: ReplicaHealth;
   readonly migrator: StreamMigrator;
@@ -430,6 +430,7 @@
       onDataReceived: () => {
         retryPermit?.settle();
         health.recordBytes(replica.id);
+        if (path.peer === undefined) this.parts.paths.recordBytes(replica.service);
       },
       onMetadata: ({ limitPerSecond, rejectionsPerSecond }) => {
         limits.updateFromResponse(replica.id, limitPerSecond, sentAt);
--- a/packages/routing/test/paths.test.ts
+++ b/packages/routing/test/paths.test.ts
@@ -144,6 +144,27 @@
   t.is(site.cause, undefined);
 });
 
+// Guards against a cut that is found late because requests keep going to further replicas.
+test('replicas that fall silent one after the other cut a daemon off as soon as several have been silent', async (t) => {
+  const site = new PathSite(20);
+  for (let passed = 0; passed < DETECTION_MS; passed += 100) {
+    site.send(`e${passed / 100}`);
+    await site.timers.advance(100);
+  }
+  t.is(site.cause, CutCause.Silence);
+});
+
+// Guards against a cut that is seen in slow prefills while streams go on.
+test('streams that go on show that a daemon is not cut off', async (t) => {
+  const site = new PathSite(6);
+  site.send('e0', 'e1', 'e2');
+  for (let passed = 0; passed < 3000; passed += 200) {
+    await site.timers.advance(200);
+    site.monitor.recordBytes(SERVICE);
+  }
+  t.is(site.cause, undefined);
+});
+
 test('requests that wait at several replicas cut nothing off while another one responds', async (t) => {
   const site = new PathSite(6);
   site.send('e0', 'e1', 'e2');
--- a/packages/routing/test/repeats/execution-site.ts
+++ b/packages/routing/test/repeats/execution-site.ts
@@ -103,7 +103,7 @@
         send: (_path: UpstreamPath, replica: { id: string }, { call }: UpstreamRequest, sink: ResponseSink) =>
           this.send(replica.id, call, sink),
       },
-      paths: { causeOf: () => undefined, onCut: () => noop },
+      paths: { causeOf: () => undefined, onCut: () => noop, recordBytes: noop },
       dialect: {
         upstreamHeaders: ({ id }: { id: string }) => [id],
         readResponse: (status: number) => ({
@@ -132,6 +132,7 @@
         attemptCompleted: noop,
       },
       limits: { admit: () => Promise.resolve(true), updateFromResponse: noop },
+      slotPermits: { acquire: () => Promise.resolve({ release: noop }), updateFromResponse: noop },
       admission: { recordFirstEvent: noop, prefillMs: () => 0 },
       fleetShare: () => 1,
       budget: () => budget,
