soak: claim networks of a run's own, excuse starts inside a cut

A run claims its networks now by listening at an address of the first.

The users' rule takes no machine for in touch that was started in the last 3 s; later starts were excused already, first starts are too, for this check only.

--- a/packages/soak/src/core/checks/declarations.ts
+++ b/packages/soak/src/core/checks/declarations.ts
@@ -18,6 +18,8 @@
 /** Faults that excuse a daemon. */
 export interface Excuses {
   readonly outages: readonly DaemonOutage[];
+  /** First starts of daemons, which say nothing of what a daemon was told before; none when left out. */
+  readonly firstStarts?: readonly DaemonOutage[];
   /** Times in which a replica read nothing, so that requests arrived late. */
   readonly interruptions: readonly Interruption[];
 }
--- a/packages/soak/src/core/run/daemons.ts
+++ b/packages/soak/src/core/run/daemons.ts
@@ -36,6 +36,8 @@
   /** All signals that were sent and all starts after the first, the earliest first. */
   readonly outages: DaemonOutage[] = [];
 
+  readonly firstStarts: DaemonOutage[] = [];
+
   private readonly running = new Map<string, RunningProcess>();
 
   constructor(private readonly options: DaemonsOptions) {
@@ -50,7 +52,8 @@
   start(daemon: DaemonAddress, isFirstStart: boolean): void {
     if (this.running.has(daemon.name) || this.options.processes.isStopped) return;
     // A daemon that shuts down passes on answers after its signal, and knows nothing of them when it starts again.
-    if (!isFirstStart) this.recordOutage(daemon.name);
+    if (isFirstStart) this.firstStarts.push({ daemon: daemon.name, at: this.options.timers.wall() });
+    else this.recordOutage(daemon.name);
     const { processes, program, dir, storePort } = this.options;
     const settingsFile = join(dir, `${daemon.name}.conf`);
     writeFileSync(settingsFile, settingsOf(daemon, storePort, isFirstStart));
--- a/packages/soak/src/core/run/run.ts
+++ b/packages/soak/src/core/run/run.ts
@@ -13,7 +13,7 @@
 import { ProcessGroup } from '../processes/index.js';
 import type { Arrival, ReplicaFall, ReplicaOptions } from '../replicas/index.js';
 import { ReplicaFleet } from '../replicas/index.js';
-import { ENGINE_SLOTS, listReplica, PLAIN_SLOTS, startStore } from '../site/index.js';
+import { claimNetworks, ENGINE_SLOTS, listReplica, PLAIN_SLOTS, startStore } from '../site/index.js';
 import { Daemons } from './daemons.js';
 import { inject } from './faults.js';
 
@@ -51,6 +51,7 @@
  * @returns What it showed; all processes have ended.
  */
 export async function runSoak(plan: SoakPlan, { program, dir }: SoakOptions): Promise<SoakResult> {
+  await claimNetworks();
   const timers = createSystemTimers();
   const processes = new ProcessGroup();
   const arrivals: Arrival[] = [];
@@ -112,7 +113,8 @@
     await store.close();
   }
   const { attempts } = callers;
-  const excuses = { outages: daemons.outages, interruptions: replicas.interruptions };
+  const { outages, firstStarts } = daemons;
+  const excuses = { outages, firstStarts, interruptions: replicas.interruptions };
   const { crashes, falls } = replicas;
   const figures = checkRun({ attempts, arrivals, crashes, cuts, falls, brittleTimes }, excuses);
   return {
@@ -121,7 +123,7 @@
     attempts,
     arrivals,
     crashes: countCrashes(attempts, crashes),
-    cuts: measureCuts(attempts, cuts, daemons.outages),
+    cuts: measureCuts(attempts, cuts, [...outages, ...firstStarts]),
     falls,
   };
 }
--- a/packages/soak/src/core/site/index.ts
+++ b/packages/soak/src/core/site/index.ts
@@ -2,6 +2,7 @@
 export type { DaemonAddress, SoakRoute } from './site.js';
 export {
   CALLER_HOST,
+  claimNetworks,
   daemonAddress,
   daemonNameOf,
   DRAIN_MS,
--- a/packages/soak/src/core/site/site.ts
+++ b/packages/soak/src/core/site/site.ts
@@ -2,6 +2,8 @@
  * What the platform supplies to the daemons of a run: the configuration, the replicas, and the settings of a
  * process.
  */
+import { createServer } from 'node:net';
+
 import { MODEL_NAME, StoreStandIn } from '@celeryyoke/adapter/testing';
 import type { RetryBounds } from '@celeryyoke/routing/testing';
 
@@ -11,13 +13,16 @@
 const CALLER_PORT = 8149;
 const READINESS_PORT = 8141;
 const PEER_PORT = 8144;
+const ADDRESS_IN_USE = 'EADDRINUSE';
 const FIRST_FREE_PORT = 7380;
 const LAST_FREE_PORT = 7395;
 const HOSTS_PER_ZONE = 200;
 /** Loopback networks of runs, three each, so that several can be played on one machine. */
 const FIRST_NETWORK = 10;
 const RUNS = 70;
-const NETWORK = FIRST_NETWORK + (process.pid % RUNS) * 3;
+const NETWORKS_PER_RUN = 3;
+/** Last part of the addresses at which runs claim their networks. */
+const CLAIM_PLACE = '255.254';
 const MS_PER_SECOND = 1000;
 export const ZONES = ['a', 'b', 'c'] as const;
 export const CALLER_HOST = 'app.example';
@@ -109,6 +114,36 @@
   readonly peers: string;
 }
 
+let firstNetwork = FIRST_NETWORK;
+let hasClaimed = false;
+
+/** Claims loopback networks for the daemons of this process that no other run on the machine uses. */
+export async function claimNetworks(): Promise<void> {
+  if (hasClaimed) return;
+  for (let run = 0; run < RUNS; run += 1) {
+    const network = FIRST_NETWORK + ((process.pid + run) % RUNS) * NETWORKS_PER_RUN;
+    if (await tryListen(`127.${network}.${CLAIM_PLACE}`)) {
+      firstNetwork = network;
+      hasClaimed = true;
+      return;
+    }
+  }
+  throw new Error(`All ${RUNS} networks for runs are in use.`);
+}
+
+/** Listens at an address until the process ends; resolves to false if another process does. */
+function tryListen(host: string): Promise<boolean> {
+  const server = createServer();
+  server.unref();
+  return new Promise((resolve, reject) => {
+    server.once('error', (err: NodeJS.ErrnoException) => {
+      if (err.code === ADDRESS_IN_USE) resolve(false);
+      else reject(err);
+    });
+    server.listen(PEER_PORT, host, () => resolve(true));
+  });
+}
+
 /**
  * Names a daemon; each has a loopback address of its own.
  * @param index - Its number.
@@ -116,7 +151,7 @@
 export function daemonAddress(index: number): DaemonAddress {
   const zoneIndex = index % ZONES.length;
   const place = Math.floor(index / ZONES.length);
-  const host = `127.${NETWORK + zoneIndex}.${Math.floor(place / HOSTS_PER_ZONE)}.${1 + (place % HOSTS_PER_ZONE)}`;
+  const host = `127.${firstNetwork + zoneIndex}.${Math.floor(place / HOSTS_PER_ZONE)}.${1 + (place % HOSTS_PER_ZONE)}`;
   return {
     name: `front-${ZONES[zoneIndex]}-${place}`,
     zone: ZONES[zoneIndex]!,
@@ -130,7 +165,7 @@
 /** Returns the name of the daemon whose peers reach it at an address, as {@link daemonAddress} makes both. */
 export function daemonNameOf(peers: string): string | undefined {
   const [, network, place, host] = /^127\.(\d+)\.(\d+)\.(\d+):/.exec(peers)?.map(Number) ?? [];
-  const zone = network === undefined ? undefined : ZONES[network - NETWORK];
+  const zone = network === undefined ? undefined : ZONES[network - firstNetwork];
   return zone && `front-${zone}-${place! * HOSTS_PER_ZONE + host! - 1}`;
 }
 
