relays: choose a peer that has refused an exchange last

A peer that does not accept an exchange (it refuses, its link ends first, or it is silent for 0.3 s) is chosen last for a second.

Test: 'a peer that does not accept a request is chosen last for a while', red before.

--- a/packages/routing/src/core/relays/relayed-exchange.ts
+++ b/packages/routing/src/core/relays/relayed-exchange.ts
@@ -25,6 +25,8 @@
   readonly peer: string;
   readonly request: RelayRequest;
   readonly sink: ResponseSink;
+  /** Called when the peer has not accepted the request. */
+  readonly onRefused: () => void;
   /** Called once, when the exchange has ended. */
   readonly onEnded: () => void;
 }
@@ -88,12 +90,15 @@
     },
     [RelayEventKind.Failed]: ({ failure, reason, hasCrashed }) => {
       this.link.close();
+      this.noteRefusal();
       this.fail(failure, reason, hasCrashed);
     },
   };
 
   private handleLinkEnd(wasUp: boolean): void {
+    if (this.hasEnded) return;
     if (wasUp) this.reportSent();
+    this.noteRefusal();
     this.fail(
       wasUp ? ChannelFailure.Broken : ChannelFailure.NotSent,
       `The link to ${this.options.peer} has ended.`,
@@ -105,10 +110,15 @@
     const mayHaveArrived = this.mayHaveArrived();
     this.link.abort();
     if (mayHaveArrived) this.reportSent();
+    this.noteRefusal();
     const failure = mayHaveArrived ? ChannelFailure.Broken : ChannelFailure.NotSent;
     this.fail(failure, `${this.options.peer} did not accept the request within ${ACCEPT_TIMEOUT_MS} ms.`);
   }
 
+  private noteRefusal(): void {
+    if (!this.isAccepted) this.options.onRefused();
+  }
+
   private reportSent(): void {
     if (this.hasReportedSent || this.hasEnded) return;
     this.hasReportedSent = true;
--- a/packages/routing/src/core/relays/upstream-sender.ts
+++ b/packages/routing/src/core/relays/upstream-sender.ts
@@ -62,6 +62,9 @@
   readonly random: () => number;
 }
 
+/** Time for which a peer that has not accepted a request is chosen last, in milliseconds: it may have just started. */
+const AVOID_MS = 1000;
+
 const DIRECT: UpstreamPath = { kind: PathKind.Direct, peer: undefined };
 const TRIAL: UpstreamPath = { kind: PathKind.Trial, peer: undefined };
 const BLOCKED: UpstreamPath = { kind: PathKind.Blocked, peer: undefined };
@@ -71,6 +74,9 @@
   /** Exchanges in progress over each peer. */
   private readonly relayed = new Map<string, number>();
 
+  /** Monotonic times until which peers are chosen last, as they have not accepted a request, in milliseconds. */
+  private readonly avoidedUntil = new Map<string, number>();
+
   constructor(private readonly options: UpstreamSenderOptions) {}
 
   /**
@@ -120,6 +126,7 @@
       peer,
       request: { request: id, replica: replica.id, call, timeoutMs },
       sink: this.recordingDeclarations(replica, sink),
+      onRefused: () => this.avoidedUntil.set(peer, timers.now() + AVOID_MS),
       onEnded: () => this.count(peer, -1),
     });
   }
@@ -145,9 +152,13 @@
     else this.relayed.set(peer, count);
   }
 
-  /** Chooses the peer with the fewest exchanges of this daemon in progress, in the same failure domain if it can. */
+  /**
+   * Chooses the peer with the fewest exchanges of this daemon in progress, in the same failure domain if it can; one
+   * that has just refused only where there is no other.
+   */
   private choosePeer(service: string): string | undefined {
-    const { self, zone, cluster, table, random } = this.options;
+    const { self, zone, cluster, table, timers, random } = this.options;
+    const now = timers.now();
     const peers = cluster
       .aliveAddresses()
       .filter(
@@ -158,12 +169,14 @@
       )
       .map((address) => ({
         address,
+        isAvoided: (this.avoidedUntil.get(address) ?? 0) > now,
         running: this.relayed.get(address) ?? 0,
         isNear: cluster.member(address)?.zone === zone,
         order: random(),
       }));
     peers.sort(
       (left, right) =>
+        Number(left.isAvoided) - Number(right.isAvoided) ||
         left.running - right.running ||
         Number(right.isNear) - Number(left.isNear) ||
         left.order - right.order,
--- a/packages/routing/test/relays.test.ts
+++ b/packages/routing/test/relays.test.ts
@@ -353,6 +353,25 @@
   t.is(choose().kind, PathKind.Direct);
 });
 
+// Guards against a host that asks one that has just started, and knows no replica yet, for all of its requests.
+test('a peer that does not accept a request is chosen last for a while', async (t) => {
+  const site = new RelaySite();
+  const choose = (): string | undefined => site.sender.choosePath(REPLICA, false).peer;
+  site.flags.isLeaving = true;
+  const sink = new RecordingSink();
+  const path = site.sender.choosePath(REPLICA, false);
+  t.is(path.peer, 'c:1');
+  site.sender.send(path, REPLICA, { id: 'r1', call: CALL, timeoutMs: TIMEOUT_MS }, sink);
+  await site.timers.advance(10);
+  t.deepEqual(sink.steps, ['fail notSent']);
+  t.is(choose(), 'b:1');
+  site.cutOff.add('b:1');
+  t.is(choose(), 'c:1');
+  site.cutOff.delete('b:1');
+  await site.timers.advance(1000);
+  t.is(choose(), 'c:1');
+});
+
 // Guards against callers who wait for connections that nobody can establish.
 test('a request that no host can send fails at once, unsent', async (t) => {
   const site = new RelaySite();
