soak: excuse attempts whose daemon is signalled before they end

The users' rule speaks of machines in touch only, so an attempt counts in a cut if its daemon was not signalled or started from 3 s before it until its end. Test: 'daemons that are cut off …' checks both sides of that bound.

--- a/packages/soak/src/core/callers/callers.ts
+++ b/packages/soak/src/core/callers/callers.ts
@@ -51,6 +51,8 @@
   readonly daemon: string;
   /** Unix milliseconds. */
   readonly sentAt: number;
+  /** Unix milliseconds of its outcome; undefined while it has none. */
+  endedAt?: number;
   /** What its response says of a replica that leaves; undefined when it says nothing. */
   toldLeaving: LeavingNotice | undefined;
   outcome: CallerOutcome | undefined;
@@ -189,7 +191,7 @@
       status: undefined,
       retryAfterMs: 0,
     }));
-    Object.assign(attempt, { outcome, status });
+    Object.assign(attempt, { outcome, status, endedAt: timers.wall() });
     return { outcome, retryAfterMs };
   }
 
--- a/packages/soak/src/core/checks/cuts.ts
+++ b/packages/soak/src/core/checks/cuts.ts
@@ -41,8 +41,9 @@
     (attempt) => attempt.isFirst && !isCrashingPath(attempt.path) && !hasFailedAtReplica(attempt),
   );
   return cuts.map(({ daemons, from, until = Number.POSITIVE_INFINITY }) => {
-    const isInTouch = ({ daemon, sentAt }: CallerAttempt): boolean =>
-      !outages.some(({ daemon: name, at }) => name === daemon && at <= sentAt && at > sentAt - STABLE_MS);
+    // A daemon that is signalled while it has a request is not in touch either.
+    const isInTouch = ({ daemon, sentAt, endedAt = sentAt }: CallerAttempt): boolean =>
+      !outages.some(({ daemon: name, at }) => name === daemon && at > sentAt - STABLE_MS && at <= endedAt);
     const during = first.filter(
       (attempt) => attempt.sentAt >= from + STABLE_MS && attempt.sentAt < until && isInTouch(attempt),
     );
--- a/packages/soak/test/checks.test.ts
+++ b/packages/soak/test/checks.test.ts
@@ -203,6 +203,7 @@
         id: `${daemon}${index}`,
         daemon,
         sentAt: STABLE_MS + 1 + index,
+        endedAt: STABLE_MS + 200 + index,
         outcome: index < count * share ? CallerOutcome.Served : CallerOutcome.Failed,
         status: index < count * share ? 200 : status,
       }));
@@ -227,6 +228,8 @@
   t.is(check(0.1, [], 200), 0);
   t.is(check(0.1, [{ daemon: 'd', at: STABLE_MS }]), 0);
   t.is(check(0.1, [], 0, undefined, [{ daemon: 'd', at: STABLE_MS }]), 0);
+  t.is(check(0.1, [{ daemon: 'd', at: STABLE_MS + 150 }]), 0);
+  t.is(check(0.1, [{ daemon: 'd', at: STABLE_MS + 400 }]), 1);
   // What a replica has failed itself has reached it.
   t.is(check(0.59, [], 0, 500), 0);
 });
