soak: count no backoff told to a connection closed before

Traced: the engine's process had been stopped; 13 ms after it went on it answered a request that its daemon had given up 2.3 s before (no replica.declared line there), and the check took that for told. Responses within 0.2 s after an interruption may go to connections that are closed, so they excuse as the interruption does; the test checks both sides of that bound.

--- a/packages/soak/src/core/checks/declarations.ts
+++ b/packages/soak/src/core/checks/declarations.ts
@@ -3,6 +3,11 @@
 import type { Arrival, Interruption } from '../replicas/index.js';
 import { daemonNameOf, DRAIN_MS } from '../site/index.js';
 
+/**
+ * Time after an interruption in which a replica reads what was sent to it meanwhile, in milliseconds: daemons have
+ * closed connections whose responses it still writes then.
+ */
+const BACKLOG_MS = 200;
 /** Time after a request to back off in which others may still be on their way, in milliseconds. */
 const BACKOFF_GRACE_MS = 500;
 /** Requests of one daemon that are tolerated in the rest of a backoff. */
@@ -116,7 +121,7 @@
     ({ replica, from, until }) =>
       (arrival.replica === replica || arrival.replica.startsWith(`${replica}.`)) &&
       from <= arrival.at &&
-      (until ?? Number.POSITIVE_INFINITY) >= declaredAt,
+      (until ?? Number.POSITIVE_INFINITY) >= declaredAt - BACKLOG_MS,
   );
   return wasOut || (wasInterrupted && !isSentLate);
 }
--- a/packages/soak/test/checks.test.ts
+++ b/packages/soak/test/checks.test.ts
@@ -142,6 +142,13 @@
     check([26, 40, 48], { outages: [], interruptions: [{ replica: 'p-1', from: 0, until: 1100 }] }).length,
     1,
   );
+  // A replica that goes on reads requests first whose connections have been closed meanwhile.
+  const after = (ms: number): Excuses => ({
+    outages: [],
+    interruptions: [{ replica: 'p-0', from: -1000, until: -ms }],
+  });
+  t.deepEqual(check([26, 40, 48], after(199)), []);
+  t.is(check([26, 40, 48], after(201)).length, 1);
 });
 
 test('orders count like requests', (t) => {
