soak: leave out of cuts what replicas have refused themselves

Traced by the daemons' logs: replicas refuse nine in ten requests in that time, and of 82 sends of one cut host 74 ended with a replica's own 503, on both paths; the others fared the same. As with failures of replicas' own, such an attempt has reached a replica and come back, so it says nothing of the path, and counts on neither side. A refusal of a request that no replica has read counts as before; the test checks both.

--- a/packages/soak/src/core/checks/checks.ts
+++ b/packages/soak/src/core/checks/checks.ts
@@ -87,7 +87,7 @@
     sentThoughCrashing: checkCrashing(attempts, arrivals, crashes, excuses.outages),
     refusedBeside: checkRefusedBeside(attempts),
     badlyServedInCuts: checkCuts(
-      measureCuts(attempts, cuts, [...excuses.outages, ...(excuses.firstStarts ?? [])]),
+      measureCuts(attempts, arrivals, cuts, [...excuses.outages, ...(excuses.firstStarts ?? [])]),
     ),
     tooManyFalls: checkFalls(attempts, falls, brittleTimes, excuses.outages),
   };
--- a/packages/soak/src/core/checks/cuts.ts
+++ b/packages/soak/src/core/checks/cuts.ts
@@ -1,6 +1,7 @@
 /** Checks that daemons that are cut off from all replicas serve their callers as the others do. */
 import type { CallerAttempt } from '../callers/index.js';
 import { CallerOutcome } from '../callers/index.js';
+import type { Arrival } from '../replicas/index.js';
 import { isCrashingPath } from './crashes.js';
 import type { DaemonOutage } from './declarations.js';
 
@@ -31,14 +32,20 @@
   readonly servedByOthers: readonly [served: number, all: number];
 }
 
-/** Counts what callers got in each cut. */
+/** Counts what callers got in each cut; what replicas have failed or refused themselves counts nowhere. */
 export function measureCuts(
   attempts: readonly CallerAttempt[],
+  arrivals: readonly Arrival[],
   cuts: readonly DaemonCut[],
   outages: readonly DaemonOutage[],
 ): CutFigures[] {
+  const refused = new Set(arrivals.flatMap(({ request, hasRun }) => (hasRun ? [] : request)));
   const first = attempts.filter(
-    (attempt) => attempt.isFirst && !isCrashingPath(attempt.path) && !hasFailedAtReplica(attempt),
+    (attempt) =>
+      attempt.isFirst &&
+      !isCrashingPath(attempt.path) &&
+      !hasFailedAtReplica(attempt) &&
+      !(attempt.outcome === CallerOutcome.Refused && refused.has(attempt.id)),
   );
   return cuts.map(({ daemons, from, until = Number.POSITIVE_INFINITY }) => {
     // A daemon that is signalled while it has a request is not in touch either.
--- a/packages/soak/src/core/run/run.ts
+++ b/packages/soak/src/core/run/run.ts
@@ -123,7 +123,7 @@
     attempts,
     arrivals,
     crashes: countCrashes(attempts, crashes),
-    cuts: measureCuts(attempts, cuts, [...outages, ...firstStarts]),
+    cuts: measureCuts(attempts, arrivals, cuts, [...outages, ...firstStarts]),
     falls,
   };
 }
--- a/packages/soak/test/checks.test.ts
+++ b/packages/soak/test/checks.test.ts
@@ -239,6 +239,19 @@
   t.is(check(0.1, [{ daemon: 'd', at: STABLE_MS + 400 }]), 1);
   // What a replica has failed itself has reached it.
   t.is(check(0.59, [], 0, 500), 0);
+  // So has what a replica has refused itself; a refusal of a request that no replica has read counts.
+  const refusedAttempts = [...serving('d', 100, 0.59), ...serving('e', 100, 0.9)].map((attempt) =>
+    attempt.outcome === CallerOutcome.Failed ? { ...attempt, outcome: CallerOutcome.Refused } : attempt,
+  );
+  const checkRefused = (arrivals: readonly Arrival[]): number =>
+    checkRun({
+      ...EMPTY,
+      attempts: refusedAttempts,
+      arrivals,
+      cuts: [{ daemons: ['d'], from: 0, until: undefined }],
+    }).badlyServedInCuts.length;
+  t.is(checkRefused([]), 1);
+  t.is(checkRefused(refusedAttempts.map((attempt) => arrivalOf(attempt, 1, false))), 0);
 });
 
 test('brittle replicas that fall over more often than is allowed are found', (t) => {
