paths, ownership: change nothing when a cut is found at shutdown

A probe was in progress when the daemon stopped; its result took the daemon for cut off, and resigning its leases looked up the loader, which had stopped.

A monitor that has stopped ignores what its probes find, and a daemon that has closed its leases, or hands them over, resigns none.

Tests: 'a check in progress changes nothing once the monitor has stopped' and 'a daemon that has closed its leases resigns none' failed before.

--- a/packages/routing/src/core/ownership/engine-leases.ts
+++ b/packages/routing/src/core/ownership/engine-leases.ts
@@ -175,6 +175,7 @@
    * if none does, this daemon takes them back when it reaches them again.
    */
   resignUnreachable(): void {
+    if (this.isClosed || this.isLeaving) return;
     const { self, isCutOff, onLoss } = this.options;
     for (const lease of this.ownLeases()) {
       if (!isCutOff(self, lease.replica)) continue;
--- a/packages/routing/src/core/paths/path-monitor.ts
+++ b/packages/routing/src/core/paths/path-monitor.ts
@@ -82,6 +82,8 @@
 
   private readonly reviewTimer: TimerHandle;
 
+  private isStopped = false;
+
   constructor(private readonly options: PathMonitorOptions) {
     const { registry, timers } = options;
     // The first replica that appears may be the first that can be reached.
@@ -93,8 +95,9 @@
     this.reviewTimer = timers.repeat(REVIEW_INTERVAL_MS, () => this.review());
   }
 
-  /** Cancels the timer. */
+  /** Cancels the timer; checks in progress change nothing any more. */
   stop(): void {
+    this.isStopped = true;
     this.reviewTimer.cancel();
   }
 
@@ -164,6 +167,7 @@
     if (paths.isChecking || paths.cause !== undefined || isTooSoon) return;
     paths.isChecking = true;
     const cause = await this.findCause(replica);
+    if (this.isStopped) return;
     paths.isChecking = false;
     paths.checkedAt = timers.now();
     if (cause !== undefined) this.setCut(replica.service, paths, cause);
@@ -221,6 +225,7 @@
     if (paths.isChecking || target === undefined) return;
     paths.isChecking = true;
     const isReached = await this.canConnect(target);
+    if (this.isStopped) return;
     paths.isChecking = false;
     paths.checkedAt = timers.now();
     paths.reachedProbes = isReached ? paths.reachedProbes + 1 : 0;
--- a/packages/routing/test/engine-leases.test.ts
+++ b/packages/routing/test/engine-leases.test.ts
@@ -268,6 +268,17 @@
 });
 
 // Guards against engines that nobody orders anything, as their owner can't reach them and keeps them.
+// Guards against a daemon that ends with an error because a cut is found while it shuts down.
+test('a daemon that has closed its leases resigns none', async (t) => {
+  const { leases, timers, flags, lost } = setUp('a', []);
+  await timers.advance(SETTLED_MS);
+  leases.claimUnowned(['x']);
+  leases.close();
+  flags.cutOff.add('a');
+  leases.resignUnreachable();
+  t.deepEqual(lost, []);
+});
+
 test('an owner that can’t reach its engine sends it no orders, and another daemon claims it at once', async (t) => {
   const owner = setUp('a', ['b', 'c']);
   const other = setUp('b', ['a', 'c']);
--- a/packages/routing/test/paths.test.ts
+++ b/packages/routing/test/paths.test.ts
@@ -87,6 +87,18 @@
   t.deepEqual(site.published, [true, false]);
 });
 
+// Guards against a daemon that ends with an error because a probe settles after its parts have stopped.
+test('a check in progress changes nothing once the monitor has stopped', async (t) => {
+  const site = new PathSite(6);
+  site.cutAll();
+  site.monitor.recordTrouble('e0');
+  await site.timers.advance(200);
+  site.monitor.stop();
+  await site.timers.advance(1000);
+  t.deepEqual(site.cuts, []);
+  t.deepEqual(site.published, []);
+});
+
 // Guards against kept connections that hang: nothing fails, and nothing comes.
 test('a replica that does not respond for a while is probed, and a cut is found without a failed connection', async (t) => {
   const site = new PathSite(6);
