soak: decide in one place when a daemon is disturbed

The checks of crashes, cuts and brittle replicas each had the same 3 s and the same comparison of a daemon's signals and starts with a time. They call isDisturbed now. A comment of path-monitor.ts is wrapped.

--- a/packages/routing/src/core/paths/path-monitor.ts
+++ b/packages/routing/src/core/paths/path-monitor.ts
@@ -2,7 +2,8 @@
  * Finds out that this daemon is cut off from all replicas of a service, and that it is not any more.
  *
  * A connection that fails, is slow, or is lost before a response, and a replica that does not respond for a while,
- * make it probe that replica, and some others if it can't be reached either. A replica alone that is silent or gone cuts nothing off.
+ * make it probe that replica, and some others if it can't be reached either. A replica alone that is silent or gone
+ * cuts nothing off.
  */
 import type { DecisionLog, TimerHandle, TimerService } from '@celeryyoke/core';
 import { ListenerState } from '@celeryyoke/core';
--- a/packages/soak/src/core/checks/brittle.ts
+++ b/packages/soak/src/core/checks/brittle.ts
@@ -2,12 +2,11 @@
 import type { CallerAttempt } from '../callers/index.js';
 import type { ReplicaFall } from '../replicas/index.js';
 import type { DaemonOutage } from './declarations.js';
+import { isDisturbed } from './disturbances.js';
 
 /** Falls that are allowed in one time, and the share of the replicas that may fall besides. */
 const MAX_FALLS = 2;
 const MAX_FALLS_SHARE = 0.1;
-/** Time from a disturbance of a daemon until its requests count, in milliseconds. */
-const STABLE_MS = 3000;
 
 /** A time in which the replicas of a service say that they are brittle. */
 export interface BrittleTime {
@@ -32,12 +31,8 @@
   outages: readonly DaemonOutage[],
 ): TooManyFalls[] {
   const attemptById = new Map(attempts.map((attempt) => [attempt.id, attempt]));
-  const isOfCalmDaemon = (request: string, at: number): boolean => {
-    const daemon = attemptById.get(request)?.daemon;
-    return !outages.some(
-      (outage) => outage.daemon === daemon && outage.at <= at && outage.at > at - STABLE_MS,
-    );
-  };
+  const isOfCalmDaemon = (request: string, at: number): boolean =>
+    !isDisturbed(attemptById.get(request)?.daemon, outages, at);
   const counted = falls.filter(
     ({ rejected, at }) =>
       rejected.filter((request) => isOfCalmDaemon(request, at)).length > rejected.length / 2,
--- a/packages/soak/src/core/checks/crashes.ts
+++ b/packages/soak/src/core/checks/crashes.ts
@@ -5,13 +5,12 @@
 import type { Arrival, ReplicaCrash } from '../replicas/index.js';
 import { CRASHING_PATH } from '../replicas/index.js';
 import type { DaemonOutage } from './declarations.js';
+import { isDisturbed, STABLE_MS } from './disturbances.js';
 
 /** Crashes under one request after which it must be held back. */
 const CRASHES = 3;
 /** Resends that may reach a replica after that. */
 const MAX_LATE_RESENDS = 3;
-/** Time that daemons have to learn of a crash, and of each other after a restart, in milliseconds. */
-const STABLE_MS = 3000;
 
 /** A request that reached replicas too often after it had crashed several. */
 export interface CrashingViolation {
@@ -53,7 +52,7 @@
         attempt.path === path &&
         attempt.sentAt > third + STABLE_MS &&
         arrived.has(attempt.id) &&
-        !isDisturbed(attempt, outages),
+        !isDisturbed(attempt.daemon, outages, attempt.sentAt),
     );
     if (sent.length > MAX_LATE_RESENDS)
       violations.push({ path, sent: sent.map(({ id }) => id), crashes: times.length });
@@ -82,8 +81,3 @@
   for (const known of times.values()) known.sort((left, right) => left - right);
   return times;
 }
-
-/** Whether the daemon that an attempt was sent to was signalled or started shortly before. */
-function isDisturbed({ daemon, sentAt }: CallerAttempt, outages: readonly DaemonOutage[]): boolean {
-  return outages.some(({ daemon: name, at }) => name === daemon && at <= sentAt && at > sentAt - STABLE_MS);
-}
--- a/packages/soak/src/core/checks/cuts.ts
+++ b/packages/soak/src/core/checks/cuts.ts
@@ -4,9 +4,8 @@
 import type { Arrival } from '../replicas/index.js';
 import { isCrashingPath } from './crashes.js';
 import type { DaemonOutage } from './declarations.js';
+import { isDisturbed, STABLE_MS } from './disturbances.js';
 
-/** Time from the beginning of a cut, or from a disturbance of a daemon, until it counts, in milliseconds. */
-const STABLE_MS = 3000;
 /** Share of what the others serve that must be served. */
 const MIN_SHARE = 2 / 3;
 /** First attempts that may fail in any case, and the share of all of them that may fail besides. */
@@ -50,7 +49,7 @@
   return cuts.map(({ daemons, from, until = Number.POSITIVE_INFINITY }) => {
     // A daemon that is signalled while it has a request is not in touch either.
     const isInTouch = ({ daemon, sentAt, endedAt = sentAt }: CallerAttempt): boolean =>
-      !outages.some(({ daemon: name, at }) => name === daemon && at > sentAt - STABLE_MS && at <= endedAt);
+      !isDisturbed(daemon, outages, sentAt, endedAt);
     const during = first.filter(
       (attempt) => attempt.sentAt >= from + STABLE_MS && attempt.sentAt < until && isInTouch(attempt),
     );
