requests, platform: log how streams go on and versions of replicas

Callers saw streams with events of two software versions. The lines told neither the version of a replica, nor that a request resumes a stream, nor after which event, so the three hypotheses of the postmortem could not be told apart.

The version in a replica's entry and the header Resumes are decoded, and are used in lines only: replica.state and request.send name the version, stream.continued tells each attempt that goes on with a stream.

--- a/packages/routing/src/core/daemon/services.ts
+++ b/packages/routing/src/core/daemon/services.ts
@@ -664,13 +664,15 @@
     });
     registry.onReplica((id, entry, before) => {
       if (entry?.state === before?.state) return;
-      const { service, state } = entry ?? {};
+      const { service, softwareVersion } = entry ?? before ?? {};
       const text = entry === undefined ? `Replica ${id} was removed.` : `Replica ${id} is ${entry.state}.`;
       log.decide('replica.state', text, {
         replica: id,
         service,
-        state: state ?? 'gone',
+        softwareVersion,
+        state: entry?.state ?? 'gone',
         revision: view.upTo,
+        viewAgeMs: roundAge(view.ageMs),
       });
     });
     registry.onTable(({ document }) =>
--- a/packages/routing/src/core/requests/execution.ts
+++ b/packages/routing/src/core/requests/execution.ts
@@ -36,7 +36,7 @@
 import { Attempt } from './attempt.js';
 
 import type { ReplicaResponse, RequestDialect, RequestHead, AttemptResult } from './types.js';
-import { AttemptOutcome, requestTimeoutMs } from './types.js';
+import { AttemptOutcome, ContinuationWay, requestTimeoutMs } from './types.js';
 
 /** Time after which a refused caller may retry, in milliseconds. */
 const RETRY_AFTER_MS = 250;
@@ -418,6 +418,7 @@
     this.sentAfterMs = Math.round(sentAt - this.options.arrivedAt);
     this.chosenAgoMs = continuation === undefined ? Math.round(sentAt - this.finder.chosenAt) : undefined;
     this.availability = this.parts.availability.availabilityOf(replica.id);
+    if (this.relay?.lastEventId !== undefined) this.logContinuation(replica, continuation !== undefined);
     const retryPermit = this.consumeRetryPermit(sentAt);
     health.recordSent(replica.id);
     this.attempt = new Attempt({
@@ -491,6 +492,27 @@
     return result;
   }
 
+  /** Logs an attempt that goes on with a stream of which the caller has events. */
+  private logContinuation({ id, softwareVersion }: ReplicaEntry, isMigrated: boolean): void {
+    const { head, route } = this.options;
+    this.parts.log.decide('stream.continued', `The stream goes on at ${id}.`, {
+      request: head.id,
+      route: route.name,
+      ...this.identity(),
+      resumes: head.resumes,
+      lastEventId: this.relay?.lastEventId,
+      way: this.continuationWay(isMigrated),
+      replica: id,
+      softwareVersion,
+      viewAgeMs: this.parts.viewAgeMs(),
+    });
+  }
+
+  private continuationWay(isMigrated: boolean): ContinuationWay {
+    if (isMigrated) return ContinuationWay.Migration;
+    return this.relay?.hasBegun ? ContinuationWay.Retry : ContinuationWay.TakeUp;
+  }
+
   /** Logs an attempt: failures always, successes only when details are logged. */
   private logAttempt(
     replica: ReplicaEntry,
@@ -508,6 +530,7 @@
       request: head.id,
       route: route.name,
       replica: replica.id,
+      softwareVersion: replica.softwareVersion,
       outcome,
       status: response?.status,
       reason,
--- a/packages/routing/src/core/requests/types.ts
+++ b/packages/routing/src/core/requests/types.ts
@@ -32,6 +32,8 @@
   readonly generation: GenerationRequest | undefined;
   /** Id of the last event that the caller has received, when it resumes a stream. */
   readonly lastEventId: number | undefined;
+  /** Id of the caller's attempt that brought the first event, when it resumes a stream and names it. */
+  readonly resumes: string | undefined;
   readonly credentials: Credentials;
   /** Sum of the prompt's tokens and the largest number to generate; undefined when they are not stated. */
   readonly statedTokens: number | undefined;
@@ -134,6 +136,16 @@
   Cancelled = 'cancelled',
 }
 
+/** How an attempt goes on with a stream of which the caller has events. */
+export enum ContinuationWay {
+  /** Within the response that brought the earlier events. */
+  Retry = 'retry',
+  /** The caller resumes the stream in a request of its own. */
+  TakeUp = 'take-up',
+  /** The run was moved to the replica. */
+  Migration = 'migration',
+}
+
 /** A response that is buffered whole. */
 export interface ReplicaResponse {
   readonly status: number;
--- a/packages/routing/src/core/view/types.ts
+++ b/packages/routing/src/core/view/types.ts
@@ -31,6 +31,11 @@
   readonly name: string;
   /** Unix milliseconds of its start; undefined if the entry does not state it. */
   readonly bornAt: number | undefined;
+  /**
+   * Version of the software that the replica runs, not of its weights; undefined while it is not known. Versions
+   * are compared for equality only.
+   */
+  readonly softwareVersion: string | undefined;
   readonly service: string;
   readonly host: string;
   readonly port: number;
--- a/packages/routing/test/fakes.ts
+++ b/packages/routing/test/fakes.ts
@@ -29,6 +29,7 @@
     id,
     name: id,
     bornAt: undefined,
+    softwareVersion: 'v1',
     service: 'engines',
     host: '127.0.0.1',
     port: 1,
