origins: wait for peers’ reports when a version has just appeared

Cause: the host that began a stream reports it up to 100 ms after it has seen the new version, and the caller is faster. Such a take-up now looks again for up to 1 s, while a version is newer than the age that a recent view may have.

--- a/packages/routing/src/core/origins/types.ts
+++ b/packages/routing/src/core/origins/types.ts
@@ -4,6 +4,8 @@
 export enum VersionDoubt {
   /** Replicas of several versions serve, or did while streams that are still alive began. */
   Several = 'several',
+  /** The same, and one version is so new that peers may not have reported their running streams yet. */
+  NewVersion = 'new-version',
   /** A replica has started whose version is not known yet, or no replica is known. */
   UnknownVersion = 'unknown-version',
   /** The view is too old, or older than a pause of this process. */
--- a/packages/routing/src/core/origins/version-history.ts
+++ b/packages/routing/src/core/origins/version-history.ts
@@ -108,8 +108,8 @@
     if (!this.isViewRecent()) return VersionDoubt.StaleView;
     if (!this.options.hasSettled()) return VersionDoubt.Starting;
     if (!this.knowsHistory()) return VersionDoubt.NoHistory;
-    const { count, hasUnknown } = this.table.versionsOf(service);
-    if (count > 1) return VersionDoubt.Several;
+    const { count, hasUnknown, newestMs } = this.table.versionsOf(service);
+    if (count > 1) return newestMs < MAX_VIEW_AGE_MS ? VersionDoubt.NewVersion : VersionDoubt.Several;
     return count === 0 || hasUnknown ? VersionDoubt.UnknownVersion : undefined;
   }
 
--- a/packages/routing/src/core/origins/version-table.ts
+++ b/packages/routing/src/core/origins/version-table.ts
@@ -26,6 +26,8 @@
   readonly first: string | undefined;
   /** Whether there are replicas whose version is not known. */
   readonly hasUnknown: boolean;
+  /** Time since the latest of them appeared, in milliseconds. */
+  readonly newestMs: number;
 }
 
 /** The versions of all services. */
@@ -67,7 +69,13 @@
   versionsOf(service: string): KnownVersions {
     const uses = this.usesOf(service);
     const [first] = uses.keys();
-    return { count: uses.size, first: first || undefined, hasUnknown: uses.has(UNKNOWN_VERSION) };
+    const newestAt = Math.max(...[...uses.values()].map(({ seenAt }) => seenAt));
+    return {
+      count: uses.size,
+      first: first || undefined,
+      hasUnknown: uses.has(UNKNOWN_VERSION),
+      newestMs: this.timers.now() - newestAt,
+    };
   }
 
   /** Returns for how long a version has been known, in milliseconds; 0 if it is not. */
--- a/packages/routing/src/core/requests/stream-binding.ts
+++ b/packages/routing/src/core/requests/stream-binding.ts
@@ -31,6 +31,7 @@
   VersionDoubt.Starting,
   VersionDoubt.StaleView,
   VersionDoubt.UnknownVersion,
+  VersionDoubt.NewVersion,
 ]);
 /** Longest such wait, in milliseconds: a view is confirmed more often while the platform can be read. */
 const MAX_WAIT_MS = 1000;
--- a/packages/routing/test/origins/stream-binding.test.ts
+++ b/packages/routing/test/origins/stream-binding.test.ts
@@ -80,7 +80,12 @@
 });
 
 // Guards against refusals by a host that has started or stood still a moment ago, while one version serves.
-for (const doubt of [VersionDoubt.Starting, VersionDoubt.StaleView, VersionDoubt.UnknownVersion])
+for (const doubt of [
+  VersionDoubt.Starting,
+  VersionDoubt.StaleView,
+  VersionDoubt.UnknownVersion,
+  VersionDoubt.NewVersion,
+])
   test(`a stream waits a moment for a doubt that ends soon (${doubt}), and no longer`, async (t) => {
     const soon = setUp(2, doubt);
     const resumed = soon.binding.resume();
@@ -106,3 +111,14 @@
   state.replica = { ...engineEntry('e1'), softwareVersion: 'v3' };
   t.is(binding.softwareVersion, 'v3');
 });
+
+// Guards against take-ups that come before their first host has reported its streams, as a version appears.
+test('a stream that a peer reports a moment later goes on', async (t) => {
+  const { binding, state, timers } = setUp(2, VersionDoubt.NewVersion);
+  const resumed = binding.resume();
+  await timers.advance(150);
+  state.origin = { state: OriginState.Known, softwareVersion: 'v1' };
+  await timers.advance(100);
+  await resumed;
+  t.is(binding.softwareVersion, 'v1');
+});
--- a/packages/routing/test/origins/version-history.test.ts
+++ b/packages/routing/test/origins/version-history.test.ts
@@ -17,6 +17,8 @@
   await fleet.timers.advance(1000);
   t.is(daemon.history.onlyVersion(SERVICE), 'v1');
   fleet.list('e2', 'v1.1');
+  t.is(daemon.history.doubtOf(SERVICE), VersionDoubt.NewVersion);
+  await fleet.timers.advance(1500);
   t.is(daemon.history.doubtOf(SERVICE), VersionDoubt.Several);
   fleet.list('e3', 'v1.2');
   t.is(daemon.history.onlyVersion(SERVICE), undefined);
@@ -54,7 +56,7 @@
   const [listed] = [...daemon.registry.all()];
   daemon.registry.recordStart({ name: 'e0', bornAt: 2000 });
   t.is(daemon.registry.replica('e0#2000')?.softwareVersion, undefined);
-  t.is(daemon.history.doubtOf(SERVICE), VersionDoubt.Several);
+  t.is(daemon.history.onlyVersion(SERVICE), undefined);
   t.false(daemon.history.isEstablished(daemon.registry.replica('e0#2000')!));
   t.is(listed!.softwareVersion, 'v1');
   fleet.list('e0', 'v2');
