soak: play engines of several versions and callers that resume streams

Engines are replaced at their addresses by incarnations of newer versions, in series that overlap the other faults, and at the end all of them; their events name the version. Callers take broken streams up at any daemon, up to three times, and some leave in between. Two checks: no stream holds events of two versions or lacks one, and streams that are taken up while two replicas of their version serve go on half as often as new ones begin, at daemons that are not disturbed.

--- a/packages/soak/src/core/callers/callers.ts
+++ b/packages/soak/src/core/callers/callers.ts
@@ -8,11 +8,19 @@
 import type { DaemonAddress, SoakRoute } from '../site/index.js';
 import { CALLER_HOST, ROUTES } from '../site/index.js';
 import type { Balancer } from './balancer.js';
+import type { ReceivedEvent } from './events.js';
+import { readEvents } from './events.js';
 
 const MS_PER_SECOND = 1000;
 /** Part of its time for which a caller waits at most before it comes back. */
 const MAX_RETRY_SHARE = 1 / 3;
 const OK = 200;
+/** Attempts with one request: the first and a retry; more where a stream is taken up. */
+const MAX_ATTEMPTS = 2;
+const MAX_STREAM_ATTEMPTS = 4;
+/** Share of the streams whose callers close the connection in between, and after how many events at most. */
+const LEAVING_SHARE = 0.05;
+const MAX_EVENTS_UNTIL_LEAVING = 10;
 /** Loopback addresses of callers. */
 const CALLER_ADDRESSES = ['127.0.0.1', '127.0.0.2', '127.0.0.3'];
 const FIRST_FAILURE = 400;
@@ -60,12 +68,28 @@
   status: number | undefined;
   /** Result code of a reply that the daemon made itself; undefined for any other response. */
   code: number | undefined;
+  /** Events of a stream that it brought, in order. */
+  readonly events: ReceivedEvent[];
+  /** Of the event after which it takes a stream up; undefined if it begins one. */
+  readonly lastEventId?: number | undefined;
+  /** Attempt that brought the first event of the stream that it takes up. */
+  readonly resumes?: string | undefined;
+}
+
+/** What a caller has of a stream that it takes up. */
+interface StreamPart {
+  readonly lastEventId: number;
+  /** Attempt that brought the first event. */
+  readonly resumes: string;
 }
 
 /** One request of a caller, whose attempts have ids of their own. */
 interface CallerRequest {
   readonly route: SoakRoute;
   readonly path: string;
+  readonly adapter: number;
+  /** Undefined while the caller has no event. */
+  readonly part?: StreamPart | undefined;
   readonly isFirst: boolean;
   /** Monotonic time until which the caller waits, in milliseconds. */
   readonly deadlineAt: number;
@@ -135,8 +159,9 @@
 
   private async resend(route: SoakRoute, path: string, signal: AbortSignal): Promise<void> {
     const { timers, random } = this.options;
+    const adapter = this.pickAdapter();
     while (!signal.aborted && !this.isStopped) {
-      await this.call({ route, path, isFirst: false, deadlineAt: timers.now() + route.timeoutMs });
+      await this.call({ route, path, adapter, isFirst: false, deadlineAt: timers.now() + route.timeoutMs });
       await timers.sleep(random.between(MIN_RESEND_MS, MAX_RESEND_MS));
     }
   }
@@ -156,20 +181,27 @@
     return `/${name}/${this.requestCount}${end}`;
   }
 
+  /** Sends a request, and comes back after a failure: once, or to take a stream up again and again. */
   private async callWithRetry(route: SoakRoute): Promise<void> {
     const { timers, hasRetries } = this.options;
     const deadlineAt = timers.now() + route.timeoutMs;
-    const wanted = { route, path: this.nextPath(route), isFirst: true, deadlineAt };
-    const first = await this.call(wanted);
-    const mayRetry = first.outcome === CallerOutcome.Refused || route.kind !== 'unsafe';
-    if (first.outcome === CallerOutcome.Served || !mayRetry) return;
-    if (!hasRetries || this.isStopped) return;
-    const leftMs = Math.max(0, deadlineAt - timers.now());
-    await timers.sleep(Math.min(first.retryAfterMs, leftMs * MAX_RETRY_SHARE));
-    if (timers.now() < deadlineAt) await this.call({ ...wanted, isFirst: false });
+    const adapter = this.pickAdapter();
+    let wanted: CallerRequest = { route, path: this.nextPath(route), adapter, isFirst: true, deadlineAt };
+    for (let sent = 1; ; sent += 1) {
+      const attempt = await this.call(wanted);
+      const mayRetry = attempt.outcome === CallerOutcome.Refused || route.kind !== 'unsafe';
+      if (attempt.outcome === CallerOutcome.Served || !mayRetry) return;
+      const part = route.isResumable ? (partOf(attempt) ?? wanted.part) : undefined;
+      const maxSent = part === undefined ? MAX_ATTEMPTS : MAX_STREAM_ATTEMPTS;
+      if (!hasRetries || this.isStopped || sent >= maxSent) return;
+      const leftMs = Math.max(0, deadlineAt - timers.now());
+      await timers.sleep(Math.min(attempt.retryAfterMs, leftMs * MAX_RETRY_SHARE));
+      if (timers.now() >= deadlineAt) return;
+      wanted = { ...wanted, isFirst: false, part };
+    }
   }
 
-  private async call({ route, path, isFirst, deadlineAt }: CallerRequest) {
+  private async call({ route, path, adapter, part, isFirst, deadlineAt }: CallerRequest) {
     const { balancer, random, timers } = this.options;
     const daemon = random.pick(balancer.inRotation());
     const attempt: CallerAttempt = {
@@ -183,51 +215,79 @@
       outcome: undefined,
       status: undefined,
       code: undefined,
+      events: [],
+      ...part,
     };
     this.attempts.push(attempt);
     const leftMs = Math.max(1, Math.floor(deadlineAt - timers.now()));
-    const { outcome, status, retryAfterMs } = await this.send(daemon, attempt, leftMs).catch(() => ({
+    const { outcome, status, retryAfterMs } = await this.send(daemon, attempt, adapter, leftMs).catch(() => ({
       outcome: CallerOutcome.Failed,
       status: undefined,
       retryAfterMs: 0,
     }));
     Object.assign(attempt, { outcome, status, endedAt: timers.wall() });
-    return { outcome, retryAfterMs };
+    return { ...attempt, retryAfterMs };
   }
 
-  private async send({ callers }: DaemonAddress, attempt: CallerAttempt, leftMs: number) {
-    const { id, route, path } = attempt;
+  private async send({ callers }: DaemonAddress, attempt: CallerAttempt, adapter: number, leftMs: number) {
+    const { route, path, events } = attempt;
     const { statusCode, headers, body } = await request(`http://${callers}${path}`, {
       dispatcher: this.agents[this.attempts.length % this.agents.length]!,
       method: route.kind === 'safe' ? 'GET' : 'POST',
-      headers: this.headersOf(id, route, leftMs),
+      headers: headersOf(attempt, adapter, leftMs),
       signal: AbortSignal.timeout(leftMs),
     });
     const replica = headers[REPLICA_HEADER];
     if (headers['server-leaving'] === '1' && typeof replica === 'string')
       Object.assign(attempt, { toldLeaving: { replica, at: this.options.timers.wall() } });
-    if (statusCode < FIRST_FAILURE) await body.dump();
-    else Object.assign(attempt, { code: resultCodeOf(await body.text()) });
+    const leavesAfter = this.drawEventsUntilLeaving(attempt);
+    if (statusCode >= FIRST_FAILURE) Object.assign(attempt, { code: resultCodeOf(await body.text()) });
+    else
+      await readEvents(body, (event) => {
+        events.push(event);
+        return events.length < leavesAfter;
+      });
     const retryAfterMs = Number(headers['retry-after'] ?? 0) * MS_PER_SECOND;
     return { outcome: outcomeOf(statusCode), status: statusCode, retryAfterMs };
   }
 
-  private headersOf(id: string, { kind }: SoakRoute, leftMs: number): Record<string, string> {
+  /** Draws after how many events the caller closes its connection, to take the stream up elsewhere. */
+  private drawEventsUntilLeaving({ route, isFirst }: CallerAttempt): number {
+    const { random, hasRetries } = this.options;
+    if (!hasRetries || !route.isResumable || !isFirst || !random.chance(LEAVING_SHARE)) return Infinity;
+    return Math.ceil(random.between(0, MAX_EVENTS_UNTIL_LEAVING));
+  }
+
+  private pickAdapter(): number {
     const { random, adapters } = this.options;
-    const adapter = Math.floor(random.between(0, adapters));
-    const generation = {
-      'celeryyoke-model': `${MODEL_NAME}/a${adapter}`,
-      'celeryyoke-token-count': '200,60',
-    };
-    return {
-      host: CALLER_HOST,
-      'celeryyoke-request-id': id,
-      'celeryyoke-deadline-remaining': String(leftMs),
-      ...(kind === 'streaming' ? generation : {}),
-    };
+    return Math.floor(random.between(0, adapters));
   }
 }
 
+/** What a caller has of a stream after an attempt; undefined if that brought nothing of it. */
+function partOf({ id, events, resumes }: CallerAttempt): StreamPart | undefined {
+  const last = events.at(-1);
+  return last && { lastEventId: last.id, resumes: resumes ?? id };
+}
+
+function headersOf(
+  { id, route: { kind }, lastEventId, resumes }: CallerAttempt,
+  adapter: number,
+  leftMs: number,
+): Record<string, string> {
+  const generation = {
+    'celeryyoke-model': `${MODEL_NAME}/a${adapter}`,
+    'celeryyoke-token-count': '200,60',
+  };
+  return {
+    host: CALLER_HOST,
+    'celeryyoke-request-id': id,
+    'celeryyoke-deadline-remaining': String(leftMs),
+    ...(kind === 'streaming' ? generation : {}),
+    ...(resumes === undefined ? {} : { resumes, 'last-event-id': String(lastEventId) }),
+  };
+}
+
 function resultCodeOf(body: string): number | undefined {
   const [, code] = RESULT_CODE.exec(body) ?? [];
   return code === undefined ? undefined : Number(code);
--- a/packages/soak/src/core/callers/index.ts
+++ b/packages/soak/src/core/callers/index.ts
@@ -2,3 +2,4 @@
 export { Balancer } from './balancer.js';
 export type { CallerAttempt, LeavingNotice } from './callers.js';
 export { CallerOutcome, Callers } from './callers.js';
+export type { ReceivedEvent } from './events.js';
--- a/packages/soak/src/core/checks/checks.ts
+++ b/packages/soak/src/core/checks/checks.ts
@@ -4,7 +4,7 @@
 
 import type { CallerAttempt } from '../callers/index.js';
 import { CallerOutcome } from '../callers/index.js';
-import type { Arrival, ReplicaCrash, ReplicaFall } from '../replicas/index.js';
+import type { Arrival, Interruption, ReplicaCrash, ReplicaFall, VersionChange } from '../replicas/index.js';
 import { ENGINE_SERVICE, PLAIN_SERVICE, REPEAT_BOUNDS } from '../site/index.js';
 import type { BrittleTime, TooManyFalls } from './brittle.js';
 import { checkFalls } from './brittle.js';
@@ -12,6 +12,8 @@
 import { checkCrashing, checkRefusedBeside } from './crashes.js';
 import type { CutFigures, DaemonCut } from './cuts.js';
 import { checkCuts, measureCuts } from './cuts.js';
+import type { JoinedStream, TakeUpFigures } from './continuations.js';
+import { checkJoined, checkTakeUps, measureTakeUps } from './continuations.js';
 import type { Excuses, HostViolation } from './declarations.js';
 import { checkBackoffs, checkLeaving } from './declarations.js';
 
@@ -46,6 +48,10 @@
   readonly badlyServedInCuts: readonly CutFigures[];
   /** Times in which too many brittle replicas fell over. */
   readonly tooManyFalls: readonly TooManyFalls[];
+  /** Streams with events of several software versions, or with events that are missing or come twice. */
+  readonly joinedStreams: readonly JoinedStream[];
+  /** Figures of streams that callers took up, if these went on far more seldom than new streams began. */
+  readonly lostTakeUps: readonly TakeUpFigures[];
 }
 
 /** What callers and replicas saw. */
@@ -60,6 +66,9 @@
   readonly falls: readonly ReplicaFall[];
   /** Times in which the plain replicas were brittle. */
   readonly brittleTimes: readonly BrittleTime[];
+  readonly versionChanges: readonly VersionChange[];
+  /** Times in which replicas treated most of their requests badly. */
+  readonly misbehaviours: readonly Interruption[];
 }
 
 /**
@@ -69,9 +78,10 @@
  * @returns What it showed.
  */
 export function checkRun(
-  { attempts, arrivals, crashes, cuts, falls, brittleTimes }: SoakRecord,
+  record: SoakRecord,
   excuses: Excuses = { outages: [], interruptions: [] },
 ): SoakFigures {
+  const { attempts, arrivals, crashes, cuts, falls, brittleTimes } = record;
   const runs = new Map<string, number>();
   for (const { request, hasRun } of arrivals) if (hasRun) runs.set(request, (runs.get(request) ?? 0) + 1);
   const once = attempts.filter(({ route }) => route.kind !== 'safe' && !route.isResumable);
@@ -90,6 +100,8 @@
       measureCuts(attempts, arrivals, cuts, [...excuses.outages, ...(excuses.firstStarts ?? [])]),
     ),
     tooManyFalls: checkFalls(attempts, falls, brittleTimes, excuses.outages),
+    joinedStreams: checkJoined(attempts),
+    lostTakeUps: checkTakeUps(measureTakeUps(record, excuses)),
   };
 }
 
--- a/packages/soak/src/core/plan/plan.ts
+++ b/packages/soak/src/core/plan/plan.ts
@@ -22,7 +22,13 @@
 /** Kinds that cut daemons off from all replicas. */
 const CUTS = [FaultKind.CutHang, FaultKind.CutReset, FaultKind.CutRefuse] as const;
 /** Kinds that were added later and are drawn apart, so that the others stay the same for a seed. */
-const LATER: readonly FaultKind[] = [...DECLARATIONS, ...CUTS, FaultKind.CrashingRequest, FaultKind.Brittle];
+const LATER: readonly FaultKind[] = [
+  ...DECLARATIONS,
+  ...CUTS,
+  FaultKind.CrashingRequest,
+  FaultKind.Brittle,
+  FaultKind.Upgrade,
+];
 const OTHERS = Object.values(FaultKind).filter((kind) => !LATER.includes(kind));
 /** Mean time between two faults, in seconds. */
 const SECONDS_PER_FAULT = 4;
@@ -39,6 +45,8 @@
 const MAX_BRITTLE_MS = 9000;
 /** Mean time between two callers whose request crashes replicas, in milliseconds. */
 const MS_PER_CRASHING_REQUEST = 10_000;
+/** Mean time between two times at which engines get another software version, in milliseconds. */
+const MS_PER_UPGRADE = 7000;
 /** Shortest time for which such a caller comes again, in milliseconds: longer than the check's grace time. */
 const MIN_CRASHING_MS = 6000;
 
@@ -75,6 +83,7 @@
       ...drawCrashingRequests(seed, lengthMs),
       ...drawCuts(seed, lengthMs),
       ...drawBrittle(seed, lengthMs),
+      ...drawUpgrades(seed, lengthMs),
     ].sort((left, right) => left.atMs - right.atMs),
   };
 }
@@ -115,6 +124,18 @@
   }));
 }
 
+/** Draws times at which a part of the engines gets another software version; in the last, all of them do. */
+function drawUpgrades(seed: number, lengthMs: number): Fault[] {
+  const random = createRandom(`soak-upgrades-${seed}`);
+  const count = Math.max(2, Math.round(lengthMs / MS_PER_UPGRADE));
+  return Array.from({ length: count }, (_, index) => ({
+    kind: FaultKind.Upgrade,
+    atMs: Math.round(((index + random.between(0, 1)) / count) * lengthMs),
+    forMs: 0,
+    share: index === count - 1 ? 1 : random.between(0.2, 0.5),
+  }));
+}
+
 function drawDeclarations(seed: number, lengthMs: number): Fault[] {
   const random = createRandom(`soak-declarations-${seed}`);
   return DECLARATIONS.flatMap((kind) =>
--- a/packages/soak/src/core/plan/types.ts
+++ b/packages/soak/src/core/plan/types.ts
@@ -28,6 +28,8 @@
   Leave = 'leave',
   /** A caller sends one request again and again, which crashes each replica that runs it. */
   CrashingRequest = 'crashing-request',
+  /** Engines are replaced, at their addresses, by new incarnations of a newer software version. */
+  Upgrade = 'upgrade',
   /** The replicas of the plain service are slow, and fall over when they have to reject many requests. */
   Brittle = 'brittle',
   /** Connections of daemons to all replicas hang until the fault ends. */
--- a/packages/soak/src/core/replicas/fleet.ts
+++ b/packages/soak/src/core/replicas/fleet.ts
@@ -7,14 +7,13 @@
 import type { ProcessGroup, RunningProcess } from '../processes/index.js';
 import type {
   Arrival,
-  Behaviour,
   ReplicaCommand,
   ReplicaCrash,
   ReplicaFall,
   ReplicaNews,
   ReplicaOptions,
 } from './messages.js';
-import { Holdable, incarnationId } from './messages.js';
+import { Behaviour, FIRST_VERSION, Holdable, incarnationId } from './messages.js';
 
 const PROGRAM = fileURLToPath(new URL('./main.js', import.meta.url));
 
@@ -41,6 +40,16 @@
   until: number | undefined;
 }
 
+/** From when on a replica has a software version. */
+export interface VersionChange {
+  /** Name of the replica throughout the run. */
+  readonly replica: string;
+  /** Unix milliseconds. */
+  readonly at: number;
+  /** Undefined while it is down. */
+  readonly softwareVersion: string | undefined;
+}
+
 type NewsHandler<Type extends ReplicaNews['type']> = (news: Extract<ReplicaNews, { type: Type }>) => void;
 
 interface Host {
@@ -48,6 +57,12 @@
   readonly ids: readonly string[];
 }
 
+/** Name of a replica throughout the run. */
+function idOf(incarnation: string): string {
+  const [id] = incarnation.split('.');
+  return id!;
+}
+
 /** The replicas. */
 export class ReplicaFleet {
   readonly ports = new Map<string, number>();
@@ -61,6 +76,14 @@
   /** Falls of brittle replicas, in the order in which they were reported. */
   readonly falls: ReplicaFall[] = [];
 
+  /** Times in which replicas treat most of their requests badly, the earliest first. */
+  readonly misbehaviours: Interruption[] = [];
+
+  /** Software versions of the engines and their changes, the earliest first. */
+  readonly versionChanges: VersionChange[] = [];
+
+  private readonly versions = new Map<string, string>();
+
   private readonly hosts: Host[] = [];
 
   private readonly replacements = new Map<string, number>();
@@ -72,6 +95,11 @@
     return this.options.replicas.filter(({ isEngine }) => !isEngine).map(({ id }) => id);
   }
 
+  /** Names of the engines. */
+  get engineIds(): string[] {
+    return this.options.replicas.filter(({ isEngine }) => isEngine).map(({ id }) => id);
+  }
+
   /** Names of all replicas. */
   get ids(): string[] {
     return this.options.replicas.map(({ id }) => id);
@@ -89,10 +117,12 @@
       replicas.filter((_replica, index) => index % processCount === part),
     );
     await Promise.all(parts.map((part, index) => this.startProcess(`replicas-${index}`, part)));
+    for (const id of this.engineIds) this.noteVersion(id, FIRST_VERSION);
   }
 
   /** Has some replicas treat their requests in another way. */
   behave(ids: readonly string[], behaviour: Behaviour): void {
+    this.note(this.misbehaviours, ids, behaviour !== Behaviour.Serve);
     this.command((own) => ({ type: 'behave', ids: own.filter((id) => ids.includes(id)), behaviour }));
   }
 
@@ -112,6 +142,21 @@
     this.command((own) => ({ type: 'replace', ids: own.filter((id) => ids.includes(id)) }));
   }
 
+  /** Replaces some replicas by new incarnations of another software version with the same address. */
+  upgrade(ids: readonly string[], softwareVersion: string): void {
+    for (const id of ids) this.versions.set(id, softwareVersion);
+    this.command((own) => ({
+      type: 'upgrade',
+      ids: own.filter((id) => ids.includes(id)),
+      softwareVersion,
+    }));
+  }
+
+  /** Software version that a replica has, or will have when it is back. */
+  versionOf(id: string): string {
+    return this.versions.get(id) ?? FIRST_VERSION;
+  }
+
   /** Current incarnation of a replica. */
   incarnationOf(id: string): string {
     return incarnationId(id, this.replacements.get(id) ?? 0);
@@ -144,17 +189,24 @@
   private recordRestart(id: string): void {
     const before = this.incarnationOf(id);
     this.countReplacement(id);
+    this.noteVersion(id, this.versionOf(id));
     this.options.onRestart(id, before);
   }
 
+  private noteVersion(replica: string, softwareVersion: string | undefined): void {
+    this.versionChanges.push({ replica, at: this.options.timers.wall(), softwareVersion });
+  }
+
   private noteInterruption(ids: readonly string[], begins: boolean): void {
+    this.note(this.interruptions, ids, begins);
+  }
+
+  private note(times: Interruption[], ids: readonly string[], begins: boolean): void {
     const now = this.options.timers.wall();
     for (const replica of ids) {
-      if (begins) this.interruptions.push({ replica, from: now, until: undefined });
+      if (begins) times.push({ replica, from: now, until: undefined });
       else {
-        const open = this.interruptions.find(
-          ({ replica: id, until }) => id === replica && until === undefined,
-        );
+        const open = times.find(({ replica: id, until }) => id === replica && until === undefined);
         if (open !== undefined) open.until = now;
       }
     }
@@ -177,6 +229,7 @@
         arrivals: ({ arrivals }) => arrivals.forEach(onArrival),
         crashed: ({ crash }) => {
           this.crashes.push(crash);
+          this.noteVersion(idOf(crash.replica), undefined);
         },
         fell: ({ fall }) => {
           this.falls.push(fall);
--- a/packages/soak/src/core/replicas/index.ts
+++ b/packages/soak/src/core/replicas/index.ts
@@ -7,6 +7,13 @@
   ReplicaNews,
   ReplicaOptions,
 } from './messages.js';
-export { Behaviour, CRASHING_PATH, Holdable, incarnationId, REPLICA_HEADER } from './messages.js';
-export type { Interruption, ReplicaFleetOptions } from './fleet.js';
+export {
+  Behaviour,
+  CRASHING_PATH,
+  FIRST_VERSION,
+  Holdable,
+  incarnationId,
+  REPLICA_HEADER,
+} from './messages.js';
+export type { Interruption, VersionChange, ReplicaFleetOptions } from './fleet.js';
 export { ReplicaFleet } from './fleet.js';
--- a/packages/soak/src/core/replicas/main.ts
+++ b/packages/soak/src/core/replicas/main.ts
@@ -41,6 +41,9 @@
   replace: ({ ids }) => {
     for (const id of ids) replicas.get(id)?.replace();
   },
+  upgrade: ({ ids, softwareVersion }) => {
+    for (const id of ids) replicas.get(id)?.upgrade(softwareVersion);
+  },
   behave: ({ ids, behaviour }) => {
     for (const id of ids) Object.assign(replicas.get(id) ?? {}, { behaviour });
   },
--- a/packages/soak/src/core/replicas/messages.ts
+++ b/packages/soak/src/core/replicas/messages.ts
@@ -35,6 +35,8 @@
   | { readonly type: 'start'; readonly replicas: readonly ReplicaOptions[] }
   | { readonly type: 'leave'; readonly ids: readonly string[] }
   | { readonly type: 'replace'; readonly ids: readonly string[] }
+  /** Replaces replicas at their addresses by new incarnations of another software version, which ends connections. */
+  | { readonly type: 'upgrade'; readonly ids: readonly string[]; readonly softwareVersion: string }
   /** Has replicas say that they are brittle, and be so; or ends that. */
   | { readonly type: 'brittle'; readonly ids: readonly string[]; readonly isBrittle: boolean }
   | { readonly type: 'behave'; readonly ids: readonly string[]; readonly behaviour: Behaviour }
@@ -85,6 +87,9 @@
   readonly rejected: readonly string[];
 }
 
+/** Software version of all replicas at the start. */
+export const FIRST_VERSION = 'v1';
+
 /** Last part of the path of requests that crash each replica that runs them. */
 export const CRASHING_PATH = 'crash';
 
--- a/packages/soak/src/core/replicas/replica.ts
+++ b/packages/soak/src/core/replicas/replica.ts
@@ -20,12 +20,19 @@
 import { createRandom, headerValue, parseRequest, PathCuts } from '@celeryyoke/routing/testing';
 
 import type { Arrival, ReplicaCrash, ReplicaFall, ReplicaOptions } from './messages.js';
-import { Behaviour, CRASHING_PATH, Holdable, incarnationId, REPLICA_HEADER } from './messages.js';
+import {
+  Behaviour,
+  CRASHING_PATH,
+  FIRST_VERSION,
+  Holdable,
+  incarnationId,
+  REPLICA_HEADER,
+} from './messages.js';
 
 const HOST = '127.0.0.1';
 /** Part of the requests that a replica which misbehaves treats so. */
 const MISBEHAVED_SHARE = 0.9;
-const EVENTS = 6;
+const EVENTS = 12;
 const EVENT_MS = 60;
 const PLAIN_MS = 20;
 /** The same of one that is brittle, so that its slots are in use. */
@@ -124,6 +131,11 @@
 
   private replacements = 0;
 
+  private softwareVersion = FIRST_VERSION;
+
+  /** Whether it refuses connections until it starts again. */
+  private isDown = false;
+
   private readonly connections = new Set<Connection>();
 
   private readonly cuts = new PathCuts();
@@ -173,6 +185,16 @@
     this.life = new EngineState();
   }
 
+  /** Ends all connections, and goes on at the same address as a new incarnation with another software version. */
+  upgrade(softwareVersion: string): void {
+    this.softwareVersion = softwareVersion;
+    // A replica that is down has the version when it listens again.
+    if (this.isDown) return;
+    this.endProcess();
+    this.replace();
+    this.listener.onRestart();
+  }
+
   /** Header lines of all responses to requests. */
   get declarations(): string {
     const brittle = this.isBrittle ? `Server-Brittle: ${MAX_REJECTIONS}\r\n` : '';
@@ -287,7 +309,7 @@
     const { crashes, isBrittle } = this;
     this.running += 1;
     if (CRASHING_TARGET.test(req.head)) await this.crashUnder(req);
-    else if (this.options.isEngine) await stream(req, this.declarations);
+    else if (this.options.isEngine) await stream(req, this.declarations, this.softwareVersion);
     else await answerLater(req, this.declarations, isBrittle ? BRITTLE_MS : PLAIN_MS);
     if (isBrittle) this.noteDeclared();
     if (crashes === this.crashes) this.running -= 1;
@@ -302,14 +324,21 @@
     await this.restart();
   }
 
-  /** Ends all connections and refuses new ones until it restarts, as when its process has crashed. */
-  private async restart(): Promise<void> {
+  private endProcess(): void {
     this.crashes += 1;
     this.running = 0;
-    const { port } = this.server.address() as AddressInfo;
     for (const { socket } of this.connections) socket.destroy();
+  }
+
+  /** Ends all connections and refuses new ones until it restarts, as when its process has crashed. */
+  private async restart(): Promise<void> {
+    if (this.isDown) return;
+    this.isDown = true;
+    const { port } = this.server.address() as AddressInfo;
+    this.endProcess();
     this.server.close();
     await timers.sleep(RESTART_MS);
+    this.isDown = false;
     this.replace();
     this.server.listen(port, HOST, this.listener.onRestart);
   }
@@ -328,12 +357,13 @@
   respondComplete(req, OK, undefined, declarations);
 }
 
-async function stream(req: RawRequest, declarations: string): Promise<void> {
+/** Sends events that name the software version that wrote them. */
+async function stream(req: RawRequest, declarations: string, softwareVersion: string): Promise<void> {
   const lastId = Number(headerValue(req.head, 'last-event-id') ?? 0);
   await timers.sleep(EVENT_MS);
   beginStream(req, declarations);
   for (let id = lastId + 1; id <= EVENTS && !req.socket.destroyed; id += 1) {
-    sendChunk(req, `id: ${id}\ndata: t${id}\n\n`);
+    sendChunk(req, `id: ${id}\ndata: ${softwareVersion}\n\n`);
     await timers.sleep(EVENT_MS);
   }
   if (!req.socket.destroyed) sendChunk(req, '');
--- a/packages/soak/src/core/run/faults.ts
+++ b/packages/soak/src/core/run/faults.ts
@@ -7,7 +7,7 @@
 import type { Fault } from '../plan/index.js';
 import { FaultKind } from '../plan/index.js';
 import type { ReplicaFleet } from '../replicas/index.js';
-import { Behaviour, Holdable } from '../replicas/index.js';
+import { Behaviour, FIRST_VERSION, Holdable } from '../replicas/index.js';
 import { GRACE_S } from '../site/index.js';
 import type { Daemons } from './daemons.js';
 
@@ -113,6 +113,12 @@
       endRecord();
     };
   },
+  [FaultKind.Upgrade]: ({ replicas, random }, share) => {
+    const versions = new Set([FIRST_VERSION, ...replicas.engineIds.map((id) => replicas.versionOf(id))]);
+    const latest = Math.max(...[...versions].map((version) => Number(version.slice(1))));
+    replicas.upgrade(choose(replicas.engineIds, share, random), `v${latest + 1}`);
+    return () => undefined;
+  },
   [FaultKind.CutHang]: cutOff(PathCut.Hang),
   [FaultKind.CutReset]: cutOff(PathCut.Reset),
   [FaultKind.CutRefuse]: cutOff(PathCut.RefuseNew),
--- a/packages/soak/src/core/run/run.ts
+++ b/packages/soak/src/core/run/run.ts
@@ -7,8 +7,8 @@
 
 import type { CallerAttempt } from '../callers/index.js';
 import { Balancer, Callers } from '../callers/index.js';
-import type { BrittleTime, CutFigures, DaemonCut, SoakFigures } from '../checks/index.js';
-import { checkRun, countCrashes, measureCuts } from '../checks/index.js';
+import type { BrittleTime, CutFigures, DaemonCut, SoakFigures, TakeUpFigures } from '../checks/index.js';
+import { checkRun, countCrashes, measureCuts, measureTakeUps } from '../checks/index.js';
 import type { SoakPlan } from '../plan/index.js';
 import { ProcessGroup } from '../processes/index.js';
 import type { Arrival, ReplicaFall, ReplicaOptions } from '../replicas/index.js';
@@ -42,6 +42,7 @@
   readonly cuts: readonly CutFigures[];
   /** Brittle replicas that fell over. */
   readonly falls: readonly ReplicaFall[];
+  readonly takeUps: TakeUpFigures;
 }
 
 /**
@@ -70,7 +71,8 @@
   const { port: storePort } = store;
   const daemons = new Daemons({ processes, program, dir, storePort, count: plan.daemons, timers });
   function list(option: ReplicaOptions): void {
-    listReplica(store, replicas.incarnationOf(option.id), option, replicas.ports.get(option.id)!);
+    const { id } = option;
+    listReplica(store, replicas.incarnationOf(id), option, replicas.ports.get(id)!, replicas.versionOf(id));
   }
   function relist(id: string, before: string): void {
     store.remove(`servers/${before}`);
@@ -115,8 +117,9 @@
   const { attempts } = callers;
   const { outages, firstStarts } = daemons;
   const excuses = { outages, firstStarts, interruptions: replicas.interruptions };
-  const { crashes, falls } = replicas;
-  const figures = checkRun({ attempts, arrivals, crashes, cuts, falls, brittleTimes }, excuses);
+  const { crashes, falls, versionChanges, misbehaviours } = replicas;
+  const record = { attempts, arrivals, crashes, cuts, falls, brittleTimes, versionChanges, misbehaviours };
+  const figures = checkRun(record, excuses);
   return {
     figures,
     outcomes: countOutcomes(callers),
@@ -125,6 +128,7 @@
     crashes: countCrashes(attempts, crashes),
     cuts: measureCuts(attempts, arrivals, cuts, [...outages, ...firstStarts]),
     falls,
+    takeUps: measureTakeUps(record, excuses),
   };
 }
 
--- a/packages/soak/src/core/site/site.ts
+++ b/packages/soak/src/core/site/site.ts
@@ -249,19 +249,21 @@
 /**
  * Lists a replica in the store.
  * @param incarnation - Name of its current incarnation.
+ * @param softwareVersion - Version of its software.
  */
 export function listReplica(
   store: StoreStandIn,
   incarnation: string,
   { isEngine, slots }: ReplicaOptions,
   port: number,
+  softwareVersion: string,
 ): void {
   const models = isEngine ? { models: [{ name: MODEL_NAME, version: 1, adapters: [] }] } : {};
   store.put(`servers/${incarnation}`, {
     service: isEngine ? ENGINE_SERVICE : PLAIN_SERVICE,
     address: `${REPLICA_HOST}:${port}`,
     zone: ZONES[0],
-    version: 'v1',
+    version: softwareVersion,
     slots,
     state: 'ready',
     sequence: 1,
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -43,7 +43,7 @@
   return table.toString();
 }
 
-function show({ seed }: SoakPlan, { figures, outcomes, crashes, cuts, falls }: SoakResult): void {
+function show({ seed }: SoakPlan, { figures, outcomes, crashes, cuts, falls, takeUps }: SoakResult): void {
   console.log(`seed ${seed}: ${isClean(figures) ? 'clean' : 'BROKEN'}`);
   console.log(showRepeats(figures));
   console.log([...outcomes].map(([key, count]) => `${key} ${count}`).join(', '));
@@ -63,6 +63,11 @@
   if (figures.badlyServedInCuts.length > 0) console.log('served far worse while cut off');
   for (const { path, sent } of figures.sentThoughCrashing)
     console.log(`sent on after the third crash: ${path} as ${sent.join(', ')}`);
+  const { wentOn, takenUp, begun, asked } = takeUps;
+  console.log(`streams taken up went on ${wentOn} of ${takenUp}, new ones began ${begun} of ${asked}`);
+  if (figures.lostTakeUps.length > 0) console.log('went on far more seldom');
+  for (const { attempts, versions, isBroken } of figures.joinedStreams)
+    console.log(`${isBroken ? 'events missing or twice' : versions.join(' and ')}: ${attempts.join(', ')}`);
   if (figures.refusedBeside.length > 0)
     console.log(`refused for crashes of others: ${figures.refusedBeside.join(', ')}`);
 }
--- a/packages/soak/test/checks.test.ts
+++ b/packages/soak/test/checks.test.ts
@@ -29,11 +29,21 @@
     outcome: CallerOutcome.Served,
     status: 200,
     code: undefined,
+    events: [],
   }));
 }
 
 /** A run in which nothing happened. */
-const EMPTY: SoakRecord = { attempts: [], arrivals: [], crashes: [], cuts: [], falls: [], brittleTimes: [] };
+const EMPTY: SoakRecord = {
+  attempts: [],
+  arrivals: [],
+  crashes: [],
+  cuts: [],
+  falls: [],
+  brittleTimes: [],
+  versionChanges: [],
+  misbehaviours: [],
+};
 
 /** Checks a run in which no replica crashed. */
 function checkSeen(attempts: readonly CallerAttempt[], arrivals: readonly Arrival[], excuses?: Excuses) {
@@ -268,3 +278,54 @@
   t.is(check(3, [], 50), 0);
   t.is(check(3, [{ daemon: 'd', at: 90 }]), 0);
 });
+
+/** Streams that broke after two events of a version, and were taken up with a third one. */
+function takenUp(count: number, versions: readonly [before: string, after: string | undefined]) {
+  const [before, after] = versions;
+  const [sample] = served('streaming');
+  return Array.from({ length: count }, (_, index): CallerAttempt[] => {
+    const first = { ...sample!, id: `s${index}`, sentAt: index * INTERVAL_MS };
+    const events = [1, 2].map((id) => ({ id, softwareVersion: before }));
+    const second = {
+      ...first,
+      id: `t${index}`,
+      isFirst: false,
+      lastEventId: 2,
+      resumes: first.id,
+      events: after === undefined ? [] : [{ id: 3, softwareVersion: after }],
+    };
+    return [{ ...first, events }, second];
+  }).flat();
+}
+
+test('a stream with events of two software versions is found, within an attempt and over several', (t) => {
+  t.deepEqual(checkSeen(takenUp(3, ['v1', 'v1']), []).joinedStreams, []);
+  const [joined] = checkSeen(takenUp(1, ['v1', 'v2']), []).joinedStreams;
+  t.deepEqual(joined, { attempts: ['s0', 't0'], versions: ['v1', 'v2'], isBroken: false });
+  const [attempt] = takenUp(1, ['v1', 'v1']);
+  const mixed = { ...attempt!, events: [...attempt!.events, { id: 3, softwareVersion: 'v2' }] };
+  t.is(checkSeen([mixed], []).joinedStreams.length, 1);
+});
+
+test('a stream with an event that is missing or comes twice is found', (t) => {
+  const [attempt, second] = takenUp(1, ['v1', 'v1']);
+  const again = { ...second!, events: [{ id: 2, softwareVersion: 'v1' }] };
+  const later = { ...second!, events: [{ id: 4, softwareVersion: 'v1' }] };
+  for (const wrong of [again, later])
+    t.true(checkSeen([attempt!, wrong], []).joinedStreams.every(({ isBroken }) => isBroken));
+});
+
+test('streams that are taken up in vain are found while two replicas of their version serve', (t) => {
+  const versionChanges = ['e-0', 'e-1'].map((replica) => ({ replica, at: -1, softwareVersion: 'v1' }));
+  const attempts = takenUp(12, ['v1', undefined]);
+  const lostTakeUps = (record: Partial<SoakRecord>, excuses?: Excuses) =>
+    checkRun({ ...EMPTY, attempts, versionChanges, ...record }, excuses).lostTakeUps;
+  t.deepEqual(lostTakeUps({}), [{ wentOn: 0, takenUp: 12, begun: 12, asked: 12 }]);
+  t.deepEqual(lostTakeUps({ attempts: takenUp(12, ['v1', 'v1']) }), []);
+  t.deepEqual(lostTakeUps({ attempts: takenUp(11, ['v1', undefined]) }), []);
+  const isDown = { replica: 'e-1', at: 0, softwareVersion: undefined };
+  t.deepEqual(lostTakeUps({ versionChanges: [...versionChanges, isDown] }), []);
+  t.deepEqual(lostTakeUps({ misbehaviours: [{ replica: 'e-0', from: 0, until: undefined }] }), []);
+  const outages = [{ daemon: 'front-a-0', at: 0 }];
+  t.deepEqual(lostTakeUps({}, { outages, interruptions: [] }), []);
+});
