daemon: end the log of members with its daemon

A daemon that stopped within 500 ms of a change of members ended by an uncaught error: the timer of its member log asked a kernel that had been stopped for the cluster (ServiceMissing). The log is a part of the kernel now, which is stopped last and cancels its timer. Of the other 18 timers of this package that fire once, none looks a part up by name; those that outlive a stop (a deadline of a relay, the settling of a crash, a batch for the tree) act on closed links only.

--- a/packages/routing/src/core/daemon/member-log.ts
+++ b/packages/routing/src/core/daemon/member-log.ts
@@ -2,7 +2,7 @@
  * Logs state changes of members in batches, as after a partition or a restart of the fleet every member
  * changes at once.
  */
-import type { DecisionLog, TimerService } from '@celeryyoke/core';
+import type { DecisionLog, TimerHandle, TimerService } from '@celeryyoke/core';
 
 import type { MemberRecord, MemberState } from '../cluster/index.js';
 
@@ -16,6 +16,10 @@
   /** The latest state of each member that has changed. */
   private readonly changed = new Map<string, MemberState>();
 
+  private flushTimer: TimerHandle | undefined;
+
+  private isStopped = false;
+
   /**
    * @param alive - Returns the number of live members.
    */
@@ -27,10 +31,17 @@
 
   /** Records a change, given the member's record after it. */
   record({ address, state }: MemberRecord): void {
-    if (this.changed.size === 0) this.timers.after(BATCH_MS, () => this.flush());
+    if (this.isStopped) return;
+    if (this.changed.size === 0) this.flushTimer = this.timers.after(BATCH_MS, () => this.flush());
     this.changed.set(address, state);
   }
 
+  /** Drops changes that are not logged yet; the parts that describe the fleet are gone. */
+  stop(): void {
+    this.isStopped = true;
+    this.flushTimer?.cancel();
+  }
+
   private flush(): void {
     const byState = new Map<MemberState, string[]>();
     for (const [address, state] of this.changed) {
--- a/packages/routing/src/core/daemon/part-names.ts
+++ b/packages/routing/src/core/daemon/part-names.ts
@@ -3,6 +3,7 @@
   view: 'view',
   registry: 'directory',
   pauseDetector: 'pauses',
+  memberLog: 'member-log',
   cluster: 'cluster',
   leases: 'leases',
   channels: 'channels',
--- a/packages/routing/src/core/daemon/services.ts
+++ b/packages/routing/src/core/daemon/services.ts
@@ -84,6 +84,12 @@
   list(): Service[] {
     const { timers } = this.options;
     return [
+      part(
+        PART.memberLog,
+        [],
+        () => this.memberLog,
+        (memberLog) => memberLog.stop(),
+      ),
       part(PART.view, [], () => new ReplicatedStore(timers)),
       part(PART.metrics, [], () => createMetrics()),
       part(PART.availability, [], () => createAvailability(this.options)),
@@ -121,7 +127,7 @@
       part(PART.residency, [PART.registry], (kernel) => new ResidencyTable(kernel.get(PART.registry))),
       part(
         PART.cluster,
-        [],
+        [PART.memberLog],
         () => this.createCluster(),
         (cluster) => cluster.close(),
       ),
