soak: count callers who left in no cut

A caller that closes its connection in the middle of a stream, to take it up elsewhere, counted as one that a cut host did not serve.

--- a/packages/soak/src/core/callers/callers.ts
+++ b/packages/soak/src/core/callers/callers.ts
@@ -70,6 +70,8 @@
   code: number | undefined;
   /** Events of a stream that it brought, in order. */
   readonly events: ReceivedEvent[];
+  /** Whether the caller closed the connection itself. */
+  hasLeft: boolean;
   /** Of the event after which it takes a stream up; undefined if it begins one. */
   readonly lastEventId?: number | undefined;
   /** Attempt that brought the first event of the stream that it takes up. */
@@ -216,6 +218,7 @@
       status: undefined,
       code: undefined,
       events: [],
+      hasLeft: false,
       ...part,
     };
     this.attempts.push(attempt);
@@ -245,7 +248,8 @@
     else
       await readEvents(body, (event) => {
         events.push(event);
-        return events.length < leavesAfter;
+        Object.assign(attempt, { hasLeft: events.length >= leavesAfter });
+        return !attempt.hasLeft;
       });
     const retryAfterMs = Number(headers['retry-after'] ?? 0) * MS_PER_SECOND;
     return { outcome: outcomeOf(statusCode), status: statusCode, retryAfterMs };
--- a/packages/soak/src/core/checks/cuts.ts
+++ b/packages/soak/src/core/checks/cuts.ts
@@ -31,7 +31,10 @@
   readonly servedByOthers: readonly [served: number, all: number];
 }
 
-/** Counts what callers got in each cut; what replicas have failed or refused themselves counts nowhere. */
+/**
+ * Counts what callers got in each cut; what replicas have failed or refused themselves counts nowhere, nor do callers
+ * who left.
+ */
 export function measureCuts(
   attempts: readonly CallerAttempt[],
   arrivals: readonly Arrival[],
@@ -43,6 +46,7 @@
     (attempt) =>
       attempt.isFirst &&
       !isCrashingPath(attempt.path) &&
+      !attempt.hasLeft &&
       !hasFailedAtReplica(attempt) &&
       !(attempt.outcome === CallerOutcome.Refused && refused.has(attempt.id)),
   );
--- a/packages/soak/test/checks.test.ts
+++ b/packages/soak/test/checks.test.ts
@@ -30,6 +30,7 @@
     status: 200,
     code: undefined,
     events: [],
+    hasLeft: false,
   }));
 }
 
