--- a/packages/routing/src/core/daemon/metrics.ts
+++ b/packages/routing/src/core/daemon/metrics.ts
@@ -24,6 +24,7 @@
   readonly pauses: PauseDetector;
   readonly requests: { readonly running: number };
   readonly suspects: { readonly quarantinedCount: number };
+  readonly origins: { readonly size: number; readonly droppedCount: number };
   readonly droppedLines: () => number;
   readonly configVersion: () => number;
 }
@@ -31,7 +32,7 @@
 /** Registers the metrics whose values are sampled when the metrics are requested. */
 export function registerMetrics(sources: MetricSources): void {
   const { metrics, view, cluster, tree, leases, channels, pauses, requests, suspects } = sources;
-  const { droppedLines, configVersion } = sources;
+  const { origins, droppedLines, configVersion } = sources;
   const counter = { isCounter: true };
   metrics.sample('router_requests_running', 'Requests in progress.', () => requests.running);
   metrics.sample(
@@ -39,6 +40,17 @@
     'Requests that are refused because replicas crashed under them.',
     () => suspects.quarantinedCount,
   );
+  metrics.sample(
+    'router_stream_origins',
+    'Records of the software versions that began streams.',
+    () => origins.size,
+  );
+  metrics.sample(
+    'router_stream_origins_dropped_total',
+    'Such records that were dropped before their time, so that their streams can’t be resumed.',
+    () => origins.droppedCount,
+    counter,
+  );
   metrics.sample('router_view_age_ms', 'Age of what is known of the platform.', () => view.ageMs);
   metrics.sample('router_config_version', 'Version of the configuration in force.', configVersion);
   metrics.sample(
--- a/packages/routing/src/core/daemon/services.ts
+++ b/packages/routing/src/core/daemon/services.ts
@@ -287,6 +287,7 @@
           PART.pauseDetector,
           PART.requests,
           PART.suspects,
+          PART.origins,
           PART.registry,
         ],
         (kernel) => this.startMetrics(kernel),
@@ -823,6 +824,7 @@
       pauses: kernel.get(PART.pauseDetector),
       requests: kernel.get<RequestServer>(PART.requests),
       suspects: kernel.get<SuspectRegistry>(PART.suspects),
+      origins: kernel.get<StreamOrigins>(PART.origins),
       droppedLines,
       configVersion: () => registry.table?.document.version ?? 0,
     });
