origins: prove the version of a stream that begins on an old view

A host that is cut off may list a replica that has started again under its id with another version, and would record the old one for streams that begin there. Besides, the replicas at which streams may begin are filtered once for each choice, and not at all while one version serves: for 100 replicas the check of each one by itself built 100 lists.

--- a/packages/routing/src/core/choice/chooser.ts
+++ b/packages/routing/src/core/choice/chooser.ts
@@ -126,8 +126,11 @@
   readonly mayReceive: (replica: string) => boolean;
   /** Time for which a replica wants no requests from this daemon, in milliseconds; 0 if it accepts them. */
   readonly backoffMs: (replica: string) => number;
-  /** Whether streams that their callers may resume should begin at a replica. */
-  readonly isEstablished: (replica: ReplicaEntry) => boolean;
+  /** Returns the replicas of a service at which streams that their callers may resume should begin. */
+  readonly establishedReplicas: (
+    service: string,
+    replicas: readonly ReplicaEntry[],
+  ) => readonly ReplicaEntry[];
   /** Failure domain of this daemon. */
   readonly zone: string;
   /** Monotonic milliseconds. */
@@ -166,10 +169,10 @@
   }
 
   /** Replicas that accept the request; those that are not established only where there is no other. */
-  private eligibleReplicas({ service, softwareVersion, beginsResumable }: Need): ReplicaEntry[] {
-    const { registry, mayReceive, isEstablished } = this.options;
+  private eligibleReplicas({ service, softwareVersion, beginsResumable }: Need): readonly ReplicaEntry[] {
+    const { registry, mayReceive, establishedReplicas } = this.options;
     const ready = registry.readyReplicas(service, softwareVersion).filter(({ id }) => mayReceive(id));
-    const established = beginsResumable ? ready.filter(isEstablished) : ready;
+    const established = beginsResumable ? establishedReplicas(service, ready) : ready;
     return established.length > 0 ? established : ready;
   }
 
--- a/packages/routing/src/core/daemon/services.ts
+++ b/packages/routing/src/core/daemon/services.ts
@@ -726,7 +726,7 @@
         availability.accepts(replica, ExchangePurpose.Request) &&
         limits.mayReceive(replica) &&
         slotPermits.mayReceive(replica),
-      isEstablished: (replica) => history.isEstablished(replica),
+      establishedReplicas: (service, replicas) => history.establishedReplicas(service, replicas),
       zone: settings.zone,
       now: timers.now,
       random: Math.random,
--- a/packages/routing/src/core/origins/version-history.ts
+++ b/packages/routing/src/core/origins/version-history.ts
@@ -114,13 +114,16 @@
   }
 
   /**
-   * Whether streams should begin at a replica: its version is known, and every daemon whose view is recent knows of
-   * it by now.
+   * Returns the replicas at which streams should begin: their version is known, and every daemon whose view is recent
+   * knows of it by now.
    */
-  isEstablished({ service, softwareVersion }: ReplicaEntry): boolean {
-    if (softwareVersion === undefined) return false;
-    const isOnly = this.table.versionsOf(service).count === 1;
-    return isOnly || this.table.knownForMs(service, softwareVersion) >= MAX_VIEW_AGE_MS;
+  establishedReplicas(service: string, replicas: readonly ReplicaEntry[]): readonly ReplicaEntry[] {
+    const { count, hasUnknown } = this.table.versionsOf(service);
+    if (count === 1 && !hasUnknown) return replicas;
+    return replicas.filter(
+      ({ softwareVersion }) =>
+        softwareVersion !== undefined && this.table.knownForMs(service, softwareVersion) >= MAX_VIEW_AGE_MS,
+    );
   }
 
   private isViewRecent(): boolean {
--- a/packages/routing/src/core/requests/execution.ts
+++ b/packages/routing/src/core/requests/execution.ts
@@ -442,7 +442,7 @@
         sender.send(
           path,
           replica,
-          { id: head.id, call, timeoutMs, softwareVersion: this.versionToProve() },
+          { id: head.id, call, timeoutMs, softwareVersion: this.binding?.versionToProve(replica) },
           sink,
         ),
       dialect,
@@ -481,14 +481,6 @@
     return result;
   }
 
-  /**
-   * Version that the replica must prove to have, as the stream goes on there and a restart may have changed it;
-   * undefined where that can't be.
-   */
-  private versionToProve(): string | undefined {
-    return this.binding?.isInDoubt ? this.binding.softwareVersion : undefined;
-  }
-
   /** Gives up the path of an attempt when this daemon turns out to be cut off from its replica. */
   private watchPath(attempt: Attempt, { kind }: UpstreamPath, { service }: ReplicaEntry): () => void {
     if (kind === PathKind.Trial) attempt.leavePath(this.isRetryable);
--- a/packages/routing/src/core/requests/stream-binding.ts
+++ b/packages/routing/src/core/requests/stream-binding.ts
@@ -81,9 +81,15 @@
     return this.isBound && this.softwareVersion === undefined;
   }
 
-  /** Whether replicas of other versions may serve, so that a restart of a replica can change its version. */
-  get isInDoubt(): boolean {
-    return this.parts.origins.onlyVersion(this.request.service) === undefined;
+  /**
+   * Returns the version that a replica must prove to have, as a restart that this daemon has not heard of may have
+   * changed it.
+   * @returns Undefined where that can't be, or where nothing follows from its version.
+   */
+  versionToProve({ softwareVersion }: ReplicaEntry): string | undefined {
+    const doubt = this.parts.origins.doubtOf(this.request.service);
+    const mayDiffer = this.isBound ? doubt !== undefined : doubt === VersionDoubt.StaleView;
+    return mayDiffer ? softwareVersion : undefined;
   }
 
   /** Finds out at which version a stream goes on that the caller resumes; does nothing for a new one. */
--- a/packages/routing/src/core/view/registry.ts
+++ b/packages/routing/src/core/view/registry.ts
@@ -95,9 +95,9 @@
     const isWanted = (entry: ReplicaEntry): boolean =>
       entry.service === service &&
       (softwareVersion === undefined || entry.softwareVersion === softwareVersion);
-    const found = [...this.replicas.values()].filter(
-      (entry) => entry.state === ReplicaState.Ready && isWanted(entry),
-    );
+    const found: ReplicaEntry[] = [];
+    for (const entry of this.replicas.values())
+      if (entry.state === ReplicaState.Ready && isWanted(entry)) found.push(entry);
     return found.length > 0 ? found : this.recentlyDeparted().filter(isWanted);
   }
 
--- a/packages/routing/test/chooser.test.ts
+++ b/packages/routing/test/chooser.test.ts
@@ -37,7 +37,7 @@
     health: new ReplicaHealth(timers),
     mayReceive: (replica) => !limited.has(replica),
     backoffMs: () => 0,
-    isEstablished: ({ id }) => !unestablished.has(id),
+    establishedReplicas: (_service, replicas) => replicas.filter(({ id }) => !unestablished.has(id)),
     zone: 'a',
     now: timers.now,
     random: () => draws.shift() ?? 0,
--- a/packages/routing/test/origins/version-history.test.ts
+++ b/packages/routing/test/origins/version-history.test.ts
@@ -2,7 +2,6 @@
 import { VersionDoubt } from '@celeryyoke/routing';
 import test from 'ava';
 
-import { engineEntry } from '../fakes.js';
 import { OriginFleet, RETENTION_MS, SERVICE } from './fleet.js';
 
 function startFleet(...versions: readonly string[]) {
@@ -57,7 +56,7 @@
   daemon.registry.recordStart({ name: 'e0', bornAt: 2000 });
   t.is(daemon.registry.replica('e0#2000')?.softwareVersion, undefined);
   t.is(daemon.history.onlyVersion(SERVICE), undefined);
-  t.false(daemon.history.isEstablished(daemon.registry.replica('e0#2000')!));
+  t.deepEqual(daemon.history.establishedReplicas(SERVICE, [...daemon.registry.all()]), []);
   t.is(listed!.softwareVersion, 'v1');
   fleet.list('e0', 'v2');
   t.is(daemon.registry.replica('e0#2000')?.softwareVersion, 'v2');
@@ -115,10 +114,11 @@
 
 test('streams begin at a new version when every recent view shows it', async (t) => {
   const { fleet, daemon } = startFleet('v1');
-  await fleet.timers.advance(300);
-  const added = { ...engineEntry('e1'), softwareVersion: 'v2' };
+  await fleet.timers.advance(2000);
   fleet.list('e1', 'v2');
-  t.false(daemon.history.isEstablished(added));
+  const established = (): string[] =>
+    daemon.history.establishedReplicas(SERVICE, [...daemon.registry.all()]).map(({ id }) => id);
+  t.deepEqual(established(), ['e0']);
   await fleet.timers.advance(1500);
-  t.true(daemon.history.isEstablished(added));
+  t.deepEqual(established(), ['e0', 'e1']);
 });
