--- a/packages/soak/src/core/checks/checks.ts
+++ b/packages/soak/src/core/checks/checks.ts
@@ -67,7 +67,7 @@
   /** Times in which the plain replicas were brittle. */
   readonly brittleTimes: readonly BrittleTime[];
   readonly versionChanges: readonly VersionChange[];
-  /** Times in which replicas treated most of their requests badly. */
+  /** Times in which replicas treated most of their requests badly, or said that they leave. */
   readonly misbehaviours: readonly Interruption[];
 }
 
--- a/packages/soak/src/core/replicas/fleet.ts
+++ b/packages/soak/src/core/replicas/fleet.ts
@@ -79,6 +79,9 @@
   /** Times in which replicas treat most of their requests badly, the earliest first. */
   readonly misbehaviours: Interruption[] = [];
 
+  /** Times from which on replicas say that they leave until they are replaced, the earliest first. */
+  readonly departures: Interruption[] = [];
+
   /** Software versions of the engines and their changes, the earliest first. */
   readonly versionChanges: VersionChange[] = [];
 
@@ -128,6 +131,7 @@
 
   /** Has some replicas say in all their responses that they leave. */
   leave(ids: readonly string[]): void {
+    this.note(this.departures, ids, true);
     this.command((own) => ({ type: 'leave', ids: own.filter((id) => ids.includes(id)) }));
   }
 
@@ -139,6 +143,7 @@
   /** Replaces some replicas by new incarnations with the same address. */
   replace(ids: readonly string[]): void {
     for (const id of ids) this.countReplacement(id);
+    this.note(this.departures, ids, false);
     this.command((own) => ({ type: 'replace', ids: own.filter((id) => ids.includes(id)) }));
   }
 
--- a/packages/soak/src/core/run/run.ts
+++ b/packages/soak/src/core/run/run.ts
@@ -117,7 +117,8 @@
   const { attempts } = callers;
   const { outages, firstStarts } = daemons;
   const excuses = { outages, firstStarts, interruptions: replicas.interruptions };
-  const { crashes, falls, versionChanges, misbehaviours } = replicas;
+  const { crashes, falls, versionChanges } = replicas;
+  const misbehaviours = [...replicas.misbehaviours, ...replicas.departures];
   const record = { attempts, arrivals, crashes, cuts, falls, brittleTimes, versionChanges, misbehaviours };
   const figures = checkRun(record, excuses);
   return {
