--- a/packages/soak/src/core/replicas/fleet.ts
+++ b/packages/soak/src/core/replicas/fleet.ts
@@ -199,6 +199,7 @@
   }
 
   private noteVersion(replica: string, softwareVersion: string | undefined): void {
+    if (!this.engineIds.includes(replica)) return;
     this.versionChanges.push({ replica, at: this.options.timers.wall(), softwareVersion });
   }
 
