--- a/packages/routing/src/core/origins/index.ts
+++ b/packages/routing/src/core/origins/index.ts
@@ -2,6 +2,7 @@
 export type { ContinuationFacts } from './continuation-rule.js';
 export { continuationVersion } from './continuation-rule.js';
 export { OriginTable } from './origin-table.js';
+export type { NamedStreamKey, StreamKey } from './stream-key.js';
 export { streamKey } from './stream-key.js';
 export type { LookUpResult, RunningStream, StreamOriginsOptions } from './stream-origins.js';
 export { StreamOrigins } from './stream-origins.js';
--- a/packages/routing/src/core/origins/origin-codec.ts
+++ b/packages/routing/src/core/origins/origin-codec.ts
@@ -1,8 +1,10 @@
 /** Encodes messages about streams as arrays without field names. */
+import type { StreamKey } from './stream-key.js';
 import type { OriginRecord, SharedHistory, StreamOrigin } from './types.js';
 import { OriginState } from './types.js';
 
-export type OriginRowFrame = readonly [key: string, softwareVersion: string];
+export type OriginRowFrame = readonly [request: string, attempt: string, softwareVersion: string];
+export type StreamKeyFrame = readonly [request: string, attempt: string | null];
 /** Daemons have different clocks, so ages in milliseconds are sent. */
 export type VersionHistoryFrame = readonly [
   former: readonly (readonly [service: string, softwareVersion: string, removedAgoMs: number])[],
@@ -11,12 +13,20 @@
 ];
 export type OriginFrame = readonly [state: OriginState, softwareVersion: string | null];
 
-export function encodeRecord({ key, softwareVersion }: OriginRecord): OriginRowFrame {
-  return [key, softwareVersion];
+export function encodeRecord({ request, attempt, softwareVersion }: OriginRecord): OriginRowFrame {
+  return [request, attempt, softwareVersion];
 }
 
-export function decodeRecord([key, softwareVersion]: OriginRowFrame): OriginRecord {
-  return { key, softwareVersion };
+export function decodeRecord([request, attempt, softwareVersion]: OriginRowFrame): OriginRecord {
+  return { request, attempt, softwareVersion };
+}
+
+export function encodeKey({ request, attempt }: StreamKey): StreamKeyFrame {
+  return [request, attempt ?? null];
+}
+
+export function decodeKey([request, attempt]: StreamKeyFrame): StreamKey {
+  return { request, attempt: attempt ?? undefined };
 }
 
 export function encodeOrigin(origin: StreamOrigin): OriginFrame {
--- a/packages/routing/src/core/origins/origin-owners.ts
+++ b/packages/routing/src/core/origins/origin-owners.ts
@@ -17,14 +17,17 @@
 
   constructor(private readonly cluster: Pick<Cluster, 'aliveAddresses' | 'member'>) {}
 
-  /** Returns the addresses of the daemons that hold the record of a stream. */
-  ownersOf(key: string): readonly string[] {
+  /**
+   * Returns the addresses of the daemons that hold the records of streams.
+   * @param request - Fingerprint of their request.
+   */
+  ownersOf(request: string): readonly string[] {
     const alive = this.cluster.aliveAddresses();
     if (alive !== this.lastAlive) {
       this.lastAlive = alive;
       this.byPartition.clear();
     }
-    const partition = hash32(key) % PARTITIONS;
+    const partition = hash32(request) % PARTITIONS;
     const cached = this.byPartition.get(partition);
     if (cached !== undefined) return cached;
     const members = alive.map((address) => ({ address, zone: this.cluster.member(address)?.zone }));
--- a/packages/routing/src/core/origins/stream-origins.ts
+++ b/packages/routing/src/core/origins/stream-origins.ts
@@ -9,12 +9,19 @@
 
 import type { Cluster } from '../cluster/index.js';
 import { MessageType } from '../cluster/index.js';
-import type { OriginRowFrame, OriginFrame } from './origin-codec.js';
-import { decodeOrigin, decodeRecord, encodeOrigin, encodeRecord } from './origin-codec.js';
+import type { OriginRowFrame, OriginFrame, StreamKeyFrame } from './origin-codec.js';
+import {
+  decodeKey,
+  decodeOrigin,
+  decodeRecord,
+  encodeKey,
+  encodeOrigin,
+  encodeRecord,
+} from './origin-codec.js';
 import { OriginOwners } from './origin-owners.js';
-import { OriginTable } from './origin-table.js';
+import { combineOrigins, OriginTable } from './origin-table.js';
+import type { NamedStreamKey, StreamKey } from './stream-key.js';
 import type { OriginRecord, StreamOrigin, VersionDoubt } from './types.js';
-import { OriginState } from './types.js';
 import type { VersionHistory } from './version-history.js';
 
 /** Timeout of a request to an owner, in milliseconds. */
@@ -36,8 +43,8 @@
 /** A stream in progress at this daemon. */
 export interface RunningStream {
   readonly service: string;
-  /** Returns the key; undefined if the caller has not named its first attempt. */
-  readonly key: () => string | undefined;
+  /** Returns the key of its record. */
+  readonly key: () => NamedStreamKey;
   /** Returns the version that began it; undefined while it is not known. */
   readonly softwareVersion: () => string | undefined;
 }
@@ -91,7 +98,9 @@
     cluster.handle(MessageType.StreamOrigins, (_from, frames: OriginRowFrame[]) => {
       for (const frame of frames) this.table.put(decodeRecord(frame));
     });
-    cluster.handle(MessageType.StreamOrigin, (_from, key: string) => encodeOrigin(this.table.get(key)));
+    cluster.handle(MessageType.StreamOrigin, (_from, frame: StreamKeyFrame) =>
+      encodeOrigin(this.table.get(decodeKey(frame))),
+    );
     this.reviewTimer = timers.repeat(REVIEW_MS, () => this.review());
   }
 
@@ -135,30 +144,34 @@
     const record = wasRunning && !isComplete ? this.recordOf(stream) : undefined;
     this.unreported.delete(stream);
     if (record === undefined) return;
-    const { key, softwareVersion } = record;
     const { service } = stream;
     // The request itself is not retained.
-    const broken = { service, key: () => key, softwareVersion: () => softwareVersion };
+    const broken = { service, key: () => record, softwareVersion: () => record.softwareVersion };
     this.broken.set(broken, this.options.timers.now() + RESUMABLE_MS);
     if (this.broken.size > MAX_BROKEN) this.removeOldestBroken();
   }
 
   /** Finds out which version began a stream: all owners are asked, as two of them may differ. */
-  async lookUp(key: string): Promise<LookUpResult> {
-    const asked = this.owners.ownersOf(key).filter((owner) => owner !== this.options.self);
+  async lookUp(key: StreamKey): Promise<LookUpResult> {
+    const asked = this.owners.ownersOf(key.request).filter((owner) => owner !== this.options.self);
     const answers = await Promise.all(asked.map((owner) => this.ask(owner, key)));
     const received = answers.filter((answer) => answer !== undefined);
     return {
-      origin: [this.table.get(key), ...received].reduce(combine),
+      origin: [this.table.get(key), ...received].reduce(combineOrigins),
       askedCount: asked.length,
       answeredCount: received.length,
     };
   }
 
-  private async ask(owner: string, key: string): Promise<StreamOrigin | undefined> {
+  private async ask(owner: string, key: StreamKey): Promise<StreamOrigin | undefined> {
     const { cluster, log } = this.options;
     try {
-      const frame = await cluster.request(owner, MessageType.StreamOrigin, key, LOOK_UP_TIMEOUT_MS);
+      const frame = await cluster.request(
+        owner,
+        MessageType.StreamOrigin,
+        encodeKey(key),
+        LOOK_UP_TIMEOUT_MS,
+      );
       return decodeOrigin(frame as OriginFrame);
     } catch (err) {
       log.debug(`${owner} did not tell the origin of a stream: ${String(err)}.`);
@@ -229,7 +242,7 @@
       const record = this.recordOf(stream);
       if (record === undefined) continue;
       this.table.put(record);
-      for (const owner of this.owners.ownersOf(record.key)) {
+      for (const owner of this.owners.ownersOf(record.request)) {
         const records = byOwner.get(owner) ?? [];
         records.push(record);
         byOwner.set(owner, records);
@@ -239,7 +252,7 @@
     for (const [owner, records] of byOwner) this.send(owner, records);
   }
 
-  /** Returns the record of a stream; undefined if its version is not known yet, or its caller named no attempt. */
+  /** Returns the record of a stream; undefined if its version is not known yet. */
   private recordOf(stream: RunningStream): OriginRecord | undefined {
     const softwareVersion = stream.softwareVersion();
     if (softwareVersion === undefined) {
@@ -247,8 +260,7 @@
       return undefined;
     }
     this.unreported.delete(stream);
-    const key = stream.key();
-    return key === undefined ? undefined : { key, softwareVersion };
+    return { ...stream.key(), softwareVersion };
   }
 
   private send(owner: string, records: readonly OriginRecord[]): void {
@@ -258,14 +270,3 @@
     }
   }
 }
-
-/** Combines what two daemons know of a stream. */
-function combine(left: StreamOrigin, right: StreamOrigin): StreamOrigin {
-  if (left.state === OriginState.Unknown) return right;
-  if (right.state === OriginState.Unknown) return left;
-  const isSame =
-    left.state === OriginState.Known &&
-    right.state === OriginState.Known &&
-    left.softwareVersion === right.softwareVersion;
-  return isSame ? left : { state: OriginState.Ambiguous };
-}
--- a/packages/routing/src/core/origins/types.ts
+++ b/packages/routing/src/core/origins/types.ts
@@ -1,4 +1,5 @@
 /** Types of stream origins: which software version began a stream. */
+import type { NamedStreamKey } from './stream-key.js';
 
 /** Why streams of a service may have begun at more than one software version, as far as a daemon knows. */
 export enum VersionDoubt {
@@ -54,8 +55,6 @@
   | { readonly state: OriginState.Unknown | OriginState.Ambiguous };
 
 /** A stream that began at a software version. */
-export interface OriginRecord {
-  /** See {@link streamKey}. */
-  readonly key: string;
+export interface OriginRecord extends NamedStreamKey {
   readonly softwareVersion: string;
 }
--- a/packages/routing/src/core/origins/version-history.ts
+++ b/packages/routing/src/core/origins/version-history.ts
@@ -21,7 +21,7 @@
 /** Largest age of a view from which versions are concluded, in milliseconds. */
 const MAX_VIEW_AGE_MS = 1500;
 /** Shortest time for which a version counts after its last replica was removed, in milliseconds. */
-const MIN_RETENTION_MS = 60_000;
+const MIN_RETENTION_MS = 30_000;
 /** Longest streams for which a version counts: one that is resumed may last as long again. */
 const RETENTION_TIMEOUTS = 2;
 /** Rounding of times that peers tell each other, in milliseconds. */
--- a/packages/routing/src/core/requests/stream-binding.ts
+++ b/packages/routing/src/core/requests/stream-binding.ts
@@ -1,7 +1,14 @@
 /** Binds the response to one request to the software version at which its stream may go on. */
 import type { DecisionLog, TimerService } from '@celeryyoke/core';
 
-import type { LookUpResult, RunningStream, StreamOrigin, StreamOrigins } from '../origins/index.js';
+import type {
+  LookUpResult,
+  NamedStreamKey,
+  RunningStream,
+  StreamKey,
+  StreamOrigin,
+  StreamOrigins,
+} from '../origins/index.js';
 import { continuationVersion, OriginState, streamKey, VersionDoubt } from '../origins/index.js';
 import type { ReplicaEntry, ReplicaRegistry } from '../view/index.js';
 import type { RequestHead } from './types.js';
@@ -66,7 +73,7 @@
     private readonly request: BoundRequest,
   ) {
     const { service } = request;
-    this.stream = { service, key: () => this.key(), softwareVersion: () => this.softwareVersion };
+    this.stream = { service, key: () => this.recordKey(), softwareVersion: () => this.softwareVersion };
   }
 
   /** Version at which the stream may go on; undefined while it is not bound, or if it must not go on anywhere. */
@@ -114,8 +121,7 @@
     const { service } = this.request;
     const doubt = origins.doubtOf(service);
     const onlyVersion = origins.onlyVersion(service);
-    const key = onlyVersion === undefined ? this.key() : undefined;
-    const asked = key === undefined ? NOT_ASKED : await origins.lookUp(key);
+    const asked = onlyVersion === undefined ? await origins.lookUp(this.wantedKey()) : NOT_ASKED;
     const softwareVersion = continuationVersion({ origin: asked.origin, onlyVersion });
     if (softwareVersion === undefined) return { ...asked, doubt, isTransient: TRANSIENT_DOUBTS.has(doubt) };
     return { ...asked, doubt, isTransient: false, origin: { state: OriginState.Known, softwareVersion } };
@@ -146,10 +152,17 @@
     if (softwareVersion !== undefined) this.origin = { state: OriginState.Known, softwareVersion };
   }
 
-  private key(): string | undefined {
+  /** Key of the stream that the caller resumes, or of all that it can mean if it names none. */
+  private wantedKey(): StreamKey {
     const { head, fingerprint } = this.request;
-    const firstAttempt = head.lastEventId === undefined ? head.id : head.resumes;
-    return firstAttempt === undefined ? undefined : streamKey(fingerprint(), firstAttempt);
+    if (head.resumes !== undefined) return streamKey(fingerprint(), head.resumes);
+    return { request: fingerprint(), attempt: undefined };
+  }
+
+  private recordKey(): NamedStreamKey {
+    const { head, fingerprint } = this.request;
+    const firstAttempt = head.lastEventId === undefined ? head.id : (head.resumes ?? head.id);
+    return streamKey(fingerprint(), firstAttempt);
   }
 
   private logResumed({ origin, doubt, askedCount, answeredCount }: Finding, tookMs: number): void {
--- a/packages/routing/test/origins/fleet.ts
+++ b/packages/routing/test/origins/fleet.ts
@@ -15,7 +15,7 @@
 
 export const SERVICE = 'engines';
 /** Time for which versions and streams are remembered, in milliseconds. */
-export const RETENTION_MS = 60_000;
+export const RETENTION_MS = 30_000;
 /** Interval at which the views of daemons that are not cut off are confirmed, in milliseconds. */
 const CONFIRM_MS = 200;
 
--- a/packages/routing/test/origins/stream-origins.test.ts
+++ b/packages/routing/test/origins/stream-origins.test.ts
@@ -101,10 +101,25 @@
     t.deepEqual(await originAt(daemon, 's'), { state: OriginState.Ambiguous });
 });
 
+// Guards against refusals of callers that name no attempt, as those of before do, after the whole fleet has started.
+test('a caller that names no attempt goes on where all streams of its request began', async (t) => {
+  const { first, host } = await startFleet('v1', 'v2');
+  const originOf = async (request: string) =>
+    (await host(2).origins.lookUp({ request, attempt: undefined })).origin;
+  first.begin('s1', 'v1', 'one');
+  host(1).begin('s2', 'v1', 'one');
+  t.deepEqual(await originOf('one'), KNOWN_V1);
+  host(1).begin('s3', 'v2', 'one');
+  t.deepEqual(await originOf('one'), { state: OriginState.Ambiguous });
+  t.deepEqual(await originOf('another'), { state: OriginState.Unknown });
+  for (let index = 0; index < 100; index += 1) first.begin(`s${index}`, 'v1', 'many');
+  t.deepEqual(await originOf('many'), { state: OriginState.Ambiguous });
+});
+
 // Guards against callers that fill a daemon's memory.
 test('records are bounded in size, number and time', async (t) => {
   const { fleet, first } = await startFleet('v1', 'v2');
-  t.is(streamKey('prompt', 'x'.repeat(1_000_000)).length, streamKey('prompt', 's').length);
+  t.is(streamKey('p', 'x'.repeat(1_000_000)).attempt.length, streamKey('p', 's').attempt.length);
   for (let index = 0; index < 100_000; index += 1) first.origins.end(first.begin(`s${index}`, 'v1'), false);
   t.is(first.origins.size, 32_768);
   t.is(first.origins.droppedCount, 100_000 - 32_768);
