--- a/packages/soak/src/core/checks/continuations.ts
+++ b/packages/soak/src/core/checks/continuations.ts
@@ -7,6 +7,8 @@
 
 /** Fewest streams that are taken up from which on they are compared with new ones. */
 const MIN_TAKE_UPS = 12;
+/** Time around a stream that is taken up in which new ones are compared with it, in milliseconds. */
+const AROUND_MS = 1000;
 /** Share of the success of new streams that streams that are taken up must reach. */
 const MIN_SHARE = 1 / 2;
 /** Replicas of its version that must serve for a stream to be counted. */
@@ -25,8 +27,8 @@
 export interface TakeUpFigures {
   readonly wentOn: number;
   readonly takenUp: number;
-  readonly begun: number;
-  readonly asked: number;
+  /** How many would have gone on if each had fared like the new streams around it. */
+  readonly expected: number;
 }
 
 /** Finds streams with events of several versions, or with events that are missing or come twice. */
@@ -66,20 +68,24 @@
       version !== undefined && servingCount(version, at, versionChanges, troubles) >= MIN_REPLICAS;
     return isServed(sentAt) && isServed(endedAt);
   });
-  const asked = counted.filter(({ isFirst }) => isFirst);
   const withEvents = ({ events }: CallerAttempt): boolean => events.length > 0;
+  const shares = takenUp.map(({ sentAt }) => {
+    const around = counted.filter(
+      ({ isFirst, sentAt: otherAt }) => isFirst && Math.abs(otherAt - sentAt) <= AROUND_MS,
+    );
+    return around.length === 0 ? 0 : around.filter(withEvents).length / around.length;
+  });
   return {
     wentOn: takenUp.filter(withEvents).length,
     takenUp: takenUp.length,
-    begun: asked.filter(withEvents).length,
-    asked: asked.length,
+    expected: shares.reduce((sum, share) => sum + share, 0),
   };
 }
 
 /** Finds out whether streams that are taken up go on far more seldom than new ones begin. */
 export function checkTakeUps(figures: TakeUpFigures): TakeUpFigures[] {
-  const { wentOn, takenUp, begun, asked } = figures;
-  const isLost = takenUp >= MIN_TAKE_UPS && wentOn * asked < begun * takenUp * MIN_SHARE;
+  const { wentOn, takenUp, expected } = figures;
+  const isLost = takenUp >= MIN_TAKE_UPS && wentOn < expected * MIN_SHARE;
   return isLost ? [figures] : [];
 }
 
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -63,8 +63,8 @@
   if (figures.badlyServedInCuts.length > 0) console.log('served far worse while cut off');
   for (const { path, sent } of figures.sentThoughCrashing)
     console.log(`sent on after the third crash: ${path} as ${sent.join(', ')}`);
-  const { wentOn, takenUp, begun, asked } = takeUps;
-  console.log(`streams taken up went on ${wentOn} of ${takenUp}, new ones began ${begun} of ${asked}`);
+  const { wentOn, takenUp, expected } = takeUps;
+  console.log(`streams taken up went on ${wentOn} of ${takenUp}, as new ones ${expected.toFixed(1)}`);
   if (figures.lostTakeUps.length > 0) console.log('went on far more seldom');
   for (const { attempts, versions, isBroken } of figures.joinedStreams)
     console.log(`${isBroken ? 'events missing or twice' : versions.join(' and ')}: ${attempts.join(', ')}`);
