--- a/packages/routing/src/core/requests/execution.ts
+++ b/packages/routing/src/core/requests/execution.ts
@@ -522,7 +522,7 @@
       request: head.id,
       route: route.name,
       ...this.identity(),
-      resumes: head.resumes,
+      firstAttempt: head.firstAttempt,
       lastEventId: this.relay?.lastEventId,
       way: this.continuationWay(isMigrated),
       replica: id,
--- a/packages/routing/src/core/requests/stream-binding.ts
+++ b/packages/routing/src/core/requests/stream-binding.ts
@@ -25,7 +25,7 @@
 
 /** The request whose response is bound. */
 export interface BoundRequest {
-  readonly head: Pick<RequestHead, 'id' | 'lastEventId' | 'resumes'>;
+  readonly head: Pick<RequestHead, 'id' | 'lastEventId' | 'firstAttempt'>;
   readonly service: string;
   /** Fingerprint of the request, computed when it is needed. */
   readonly fingerprint: () => string;
@@ -155,13 +155,13 @@
   /** Key of the stream that the caller resumes, or of all that it can mean if it names none. */
   private wantedKey(): StreamKey {
     const { head, fingerprint } = this.request;
-    if (head.resumes !== undefined) return streamKey(fingerprint(), head.resumes);
+    if (head.firstAttempt !== undefined) return streamKey(fingerprint(), head.firstAttempt);
     return { request: fingerprint(), attempt: undefined };
   }
 
   private recordKey(): NamedStreamKey {
     const { head, fingerprint } = this.request;
-    const firstAttempt = head.lastEventId === undefined ? head.id : (head.resumes ?? head.id);
+    const firstAttempt = head.lastEventId === undefined ? head.id : (head.firstAttempt ?? head.id);
     return streamKey(fingerprint(), firstAttempt);
   }
 
@@ -171,7 +171,7 @@
     const text = version === undefined ? 'must not go on' : `goes on at version ${version}`;
     this.parts.log.decide('stream.resumed', `The stream that the caller resumes ${text}.`, {
       request: head.id,
-      resumes: head.resumes,
+      firstAttempt: head.firstAttempt,
       lastEventId: head.lastEventId,
       softwareVersion: version,
       origin: OriginState[origin.state].toLowerCase(),
--- a/packages/routing/src/core/requests/types.ts
+++ b/packages/routing/src/core/requests/types.ts
@@ -33,7 +33,7 @@
   /** Id of the last event that the caller has received, when it resumes a stream. */
   readonly lastEventId: number | undefined;
   /** Id of the caller's attempt that brought the first event, when it resumes a stream and names it. */
-  readonly resumes: string | undefined;
+  readonly firstAttempt: string | undefined;
   readonly credentials: Credentials;
   /** Sum of the prompt's tokens and the largest number to generate; undefined when they are not stated. */
   readonly statedTokens: number | undefined;
--- a/packages/routing/test/origins/stream-binding.test.ts
+++ b/packages/routing/test/origins/stream-binding.test.ts
@@ -29,7 +29,7 @@
     viewAgeMs: () => 0,
   } as unknown as StreamBindingDependencies;
   const binding = new StreamBinding(parts, {
-    head: { id: 't', lastEventId, resumes: 's' },
+    head: { id: 't', lastEventId, firstAttempt: 's' },
     service: 'engines',
     fingerprint: () => 'f',
     remainingMs: () => REMAINING_MS - timers.now(),
