relays: send with and without proof of the incarnation in one place

UpstreamSender and the relay server each chose between a plain and a proved exchange. sendDirect does so for both; options and behaviour stay as they are. Tests of relays and origins pass.

--- a/packages/routing/src/core/relays/proved-exchange.ts
+++ b/packages/routing/src/core/relays/proved-exchange.ts
@@ -4,11 +4,47 @@
  * A replica may start again under its id and at its address. The proof is made after the head of the response has
  * arrived: if the incarnation that was meant still runs then, no later one can have sent the response.
  */
-import type { ExchangeHandle, HeaderMap, ResponseSink } from '../channels/index.js';
+import type {
+  ChannelPool,
+  ExchangeHandle,
+  HeaderMap,
+  ResponseSink,
+  UpstreamCall,
+} from '../channels/index.js';
 import { ChannelFailure } from '../channels/index.js';
+import type { ReplicaEntry } from '../view/index.js';
 
 const SUCCESS = 200;
 
+/** Parts of the daemon with which it sends to replicas itself. */
+export interface DirectSender {
+  readonly pool: Pick<ChannelPool, 'send'>;
+  /** Whether the listed incarnation of a replica still runs. */
+  readonly isRunning: (replica: ReplicaEntry) => Promise<boolean>;
+}
+
+/** What is sent to a replica. */
+export interface DirectRequest {
+  readonly call: UpstreamCall;
+  /** Software version that the replica must prove to have; undefined if any will do. */
+  readonly softwareVersion: string | undefined;
+}
+
+/**
+ * Sends a request to a replica, whose response is held back until it is proved where that is asked for.
+ * @param sink - Called at each step of the exchange.
+ */
+export function sendDirect(
+  { pool, isRunning }: DirectSender,
+  replica: ReplicaEntry,
+  { call, softwareVersion }: DirectRequest,
+  sink: ResponseSink,
+): ExchangeHandle {
+  const send = (target: ResponseSink): ExchangeHandle => pool.send(replica, call, target);
+  if (softwareVersion === undefined) return send(sink);
+  return new ProvedExchange(send, () => isRunning(replica), sink);
+}
+
 /** Holds back a successful response until its sender is proved; starts on construction. */
 export class ProvedExchange implements ExchangeHandle, ResponseSink {
   private readonly exchange: ExchangeHandle;
--- a/packages/routing/src/core/relays/relay-server.ts
+++ b/packages/routing/src/core/relays/relay-server.ts
@@ -1,13 +1,14 @@
 /** Carries out exchanges with replicas for daemons that can't reach them. */
 import type { DecisionLog, TimerHandle, TimerService } from '@celeryyoke/core';
 
-import type { ChannelPool, ExchangeHandle, ResponseSink } from '../channels/index.js';
+import type { ExchangeHandle, ResponseSink } from '../channels/index.js';
 import { ChannelFailure, ExchangePurpose } from '../channels/index.js';
 import type { Cluster, Member, PeerChannel } from '../cluster/index.js';
 import { encodePush, MessageType } from '../cluster/index.js';
 import type { CrashDetector } from '../suspects/index.js';
 import type { ReplicaEntry, ReplicaRegistry } from '../view/index.js';
-import { ProvedExchange } from './proved-exchange.js';
+import type { DirectSender } from './proved-exchange.js';
+import { sendDirect } from './proved-exchange.js';
 import type { RelayRequestFrame } from './relay-codec.js';
 import { decodeRelayRequest, encodeRelayEvent } from './relay-codec.js';
 import type { RelayEvent, RelayRequest } from './types.js';
@@ -22,13 +23,10 @@
 ]);
 
 /** Parts of the daemon that the server uses. */
-export interface RelayServerOptions {
+export interface RelayServerOptions extends DirectSender {
   readonly cluster: Pick<Cluster, 'handle' | 'onChannelClose'>;
-  readonly pool: Pick<ChannelPool, 'send'>;
   readonly registry: Pick<ReplicaRegistry, 'replica'>;
   readonly detector: Pick<CrashDetector, 'hasCrashed'>;
-  /** Whether the listed incarnation of a replica still runs. */
-  readonly isRunning: (replica: ReplicaEntry) => Promise<boolean>;
   /** Whether this daemon is shutting down. */
   readonly isLeaving: () => boolean;
   readonly timers: TimerService;
@@ -72,10 +70,7 @@
 }
 
 /** What one relayed call needs. */
-interface RelayedCallOptions extends Pick<
-  RelayServerOptions,
-  'pool' | 'detector' | 'isRunning' | 'timers' | 'log'
-> {
+interface RelayedCallOptions extends DirectSender, Pick<RelayServerOptions, 'detector' | 'timers' | 'log'> {
   /** Address of the daemon that asked for it. */
   readonly from: string;
   readonly request: RelayRequest;
@@ -103,7 +98,7 @@
   private resolve!: () => void;
 
   constructor(private readonly options: RelayedCallOptions) {
-    const { pool, isRunning, timers, replica, request } = options;
+    const { timers, replica, request } = options;
     this.ended = new Promise((resolve) => {
       this.resolve = resolve;
     });
@@ -114,11 +109,7 @@
     this.sendTimer = timers.after(SEND_TIMEOUT_MS, () => {
       if (!this.wasSent) this.exchange.cancel(`No connection within ${SEND_TIMEOUT_MS} ms.`);
     });
-    const send = (sink: ResponseSink): ExchangeHandle => pool.send(replica, request.call, sink);
-    this.exchange =
-      request.softwareVersion === undefined
-        ? send(this)
-        : new ProvedExchange(send, () => isRunning(replica), this);
+    this.exchange = sendDirect(options, replica, request, this);
   }
 
   /** Cancels the exchange, as the daemon that asked for it has closed its connection. */
--- a/packages/routing/src/core/relays/upstream-sender.ts
+++ b/packages/routing/src/core/relays/upstream-sender.ts
@@ -2,20 +2,15 @@
 import type { TimerService } from '@celeryyoke/core';
 
 import type { ReplicaAvailability, ReplicaDeclaration } from '../availability/index.js';
-import type {
-  ChannelPool,
-  ExchangeHandle,
-  HeaderMap,
-  ResponseSink,
-  UpstreamCall,
-} from '../channels/index.js';
+import type { ExchangeHandle, HeaderMap, ResponseSink } from '../channels/index.js';
 import { ChannelFailure, failLater } from '../channels/index.js';
 import type { Cluster } from '../cluster/index.js';
 import { MemberState } from '../cluster/index.js';
 import type { CutOffTable, PathMonitor } from '../paths/index.js';
 import { CutCause } from '../paths/index.js';
 import type { ReplicaEntry } from '../view/index.js';
-import { ProvedExchange } from './proved-exchange.js';
+import type { DirectRequest, DirectSender } from './proved-exchange.js';
+import { sendDirect } from './proved-exchange.js';
 import { RelayedExchange } from './relayed-exchange.js';
 
 /** How an exchange reaches its replica. */
@@ -37,31 +32,25 @@
 }
 
 /** What is sent. */
-export interface UpstreamRequest {
+export interface UpstreamRequest extends DirectRequest {
   /** Id of the caller's request. */
   readonly id: string;
-  readonly call: UpstreamCall;
   /** Time left until the deadline, in milliseconds. */
   readonly timeoutMs: number;
-  /** Software version that the replica must prove to have; undefined if any will do. */
-  readonly softwareVersion: string | undefined;
 }
 
 /** Parts of the daemon that a sender uses. */
-export interface UpstreamSenderOptions {
+export interface UpstreamSenderOptions extends DirectSender {
   /** Address of this daemon. */
   readonly self: string;
   /** Failure domain of this daemon. */
   readonly zone: string;
-  readonly pool: Pick<ChannelPool, 'send'>;
   readonly cluster: Pick<Cluster, 'aliveAddresses' | 'member' | 'openLink' | 'state'>;
   readonly monitor: Pick<PathMonitor, 'causeOf' | 'takeTrial'>;
   readonly table: Pick<CutOffTable, 'isCutOff'>;
   readonly availability: Pick<ReplicaAvailability, 'refusal' | 'recordDeclaration'>;
   /** Returns what the head of a response declares about its replica. */
   readonly readDeclaration: (status: number, headers: HeaderMap) => ReplicaDeclaration;
-  /** Whether the listed incarnation of a replica still runs. */
-  readonly isRunning: (replica: ReplicaEntry) => Promise<boolean>;
   readonly timers: TimerService;
   /** Returns a new random number from 0 to 1 on each call. */
   readonly random: () => number;
@@ -112,10 +101,7 @@
     if (peer !== undefined) return this.sendOver(peer, replica, request, sink);
     if (kind === PathKind.Blocked)
       return failLater(sink, ChannelFailure.NotSent, `No host reaches the replicas of ${replica.service}.`);
-    const { pool, isRunning } = this.options;
-    const send = (target: ResponseSink): ExchangeHandle => pool.send(replica, request.call, target);
-    if (request.softwareVersion === undefined) return send(sink);
-    return new ProvedExchange(send, () => isRunning(replica), sink);
+    return sendDirect(this.options, replica, request, sink);
   }
 
   private sendOver(
