--- a/packages/routing/src/core/ownership/rendezvous.ts
+++ b/packages/routing/src/core/ownership/rendezvous.ts
@@ -19,7 +19,7 @@
   let owner: string | undefined;
   let highestScore = -1;
   for (const member of members) {
-    const score = hash32(`${member}|${name}`);
+    const score = scoreOf(name, member);
     if (score > highestScore) {
       highestScore = score;
       owner = member;
@@ -42,13 +42,17 @@
   count: number,
 ): string[] {
   const ranked = members
-    .map(({ address, zone }) => ({ address, zone, score: hash32(`${address}|${name}`) }))
+    .map(({ address, zone }) => ({ address, zone, score: scoreOf(name, address) }))
     .sort((left, right) => right.score - left.score);
   const first = new Set(firstOfEachZone(ranked));
   const rest = ranked.filter((member) => !first.has(member));
   return [...first, ...rest].slice(0, count).map(({ address }) => address);
 }
 
+function scoreOf(name: string, address: string): number {
+  return hash32(`${address}|${name}`);
+}
+
 function* firstOfEachZone(
   members: readonly RendezvousMember[],
 ): Generator<RendezvousMember, void, undefined> {
