origins: name the unknown origin once, review streams without copies

Three files made the same unknown origin. The review, ten times a second, copied all running streams into two arrays also where one version serves; now it copies them only to report them.

--- a/packages/routing/src/core/origins/index.ts
+++ b/packages/routing/src/core/origins/index.ts
@@ -7,6 +7,6 @@
 export type { LookUpResult, RunningStream, StreamOriginsOptions } from './stream-origins.js';
 export { StreamOrigins } from './stream-origins.js';
 export type { FormerVersion, KnownTime, OriginRecord, SharedHistory, StreamOrigin } from './types.js';
-export { OriginState, VersionDoubt } from './types.js';
+export { OriginState, UNKNOWN_ORIGIN, VersionDoubt } from './types.js';
 export type { VersionHistoryOptions } from './version-history.js';
 export { VersionHistory } from './version-history.js';
--- a/packages/routing/src/core/origins/origin-codec.ts
+++ b/packages/routing/src/core/origins/origin-codec.ts
@@ -1,7 +1,7 @@
 /** Encodes messages about streams as arrays without field names. */
 import type { StreamKey } from './stream-key.js';
 import type { OriginRecord, SharedHistory, StreamOrigin } from './types.js';
-import { OriginState } from './types.js';
+import { OriginState, UNKNOWN_ORIGIN } from './types.js';
 
 export type OriginRowFrame = readonly [request: string, attempt: string, softwareVersion: string];
 export type StreamKeyFrame = readonly [request: string, attempt: string | null];
@@ -35,7 +35,7 @@
 
 export function decodeOrigin([state, softwareVersion]: OriginFrame): StreamOrigin {
   if (state !== OriginState.Known) return { state };
-  return softwareVersion === null ? { state: OriginState.Unknown } : { state, softwareVersion };
+  return softwareVersion === null ? UNKNOWN_ORIGIN : { state, softwareVersion };
 }
 
 /**
--- a/packages/routing/src/core/origins/origin-table.ts
+++ b/packages/routing/src/core/origins/origin-table.ts
@@ -3,7 +3,7 @@
 
 import type { StreamKey } from './stream-key.js';
 import type { OriginRecord, StreamOrigin } from './types.js';
-import { OriginState } from './types.js';
+import { OriginState, UNKNOWN_ORIGIN } from './types.js';
 
 /** Largest number of records; each takes some 250 bytes. The oldest is dropped first, and its stream is refused. */
 const CAPACITY = 32_768;
@@ -18,7 +18,6 @@
   readonly until: number;
 }
 
-const UNKNOWN: StreamOrigin = { state: OriginState.Unknown };
 const AMBIGUOUS: StreamOrigin = { state: OriginState.Ambiguous };
 
 /** Combines what is known of a stream, or of several that can't be told apart. */
@@ -73,7 +72,7 @@
     if (attempt !== undefined) return this.ofAttempt(attempt);
     const attempts = [...(this.attempts.get(request) ?? [])];
     if (attempts.length > MAX_ALIKE) return AMBIGUOUS;
-    return attempts.map((known) => this.ofAttempt(known)).reduce(combineOrigins, UNKNOWN);
+    return attempts.map((known) => this.ofAttempt(known)).reduce(combineOrigins, UNKNOWN_ORIGIN);
   }
 
   /** Removes the records whose time is over. */
@@ -87,7 +86,7 @@
 
   private ofAttempt(attempt: string): StreamOrigin {
     const stored = this.stored.get(attempt);
-    return stored === undefined || stored.until <= this.timers.now() ? UNKNOWN : stored.origin;
+    return stored === undefined || stored.until <= this.timers.now() ? UNKNOWN_ORIGIN : stored.origin;
   }
 
   private remove(attempt: string): void {
--- a/packages/routing/src/core/origins/stream-origins.ts
+++ b/packages/routing/src/core/origins/stream-origins.ts
@@ -186,14 +186,14 @@
   private review(): void {
     this.table.expire();
     this.expireBroken();
-    const services = new Set(this.activeStreams().map(({ service }) => service));
+    const services = this.activeServices();
     const inDoubt = new Set([...services].filter((service) => this.doubtOf(service) !== undefined));
     const isNew = [...inDoubt].some((service) => this.doubts.get(service) === undefined);
     this.recordDoubts(services);
     if (isNew || this.areOwnersNew(inDoubt)) {
       this.reportedAlive = this.options.cluster.aliveAddresses();
       this.reportedAt = this.options.timers.now();
-      this.report(this.activeStreams().filter(({ service }) => inDoubt.has(service)));
+      this.report([...this.activeStreams()].filter(({ service }) => inDoubt.has(service)));
     } else this.report([...this.unreported].filter(({ softwareVersion }) => softwareVersion() !== undefined));
   }
 
@@ -217,8 +217,15 @@
   }
 
   /** Streams that run, or whose callers may resume them. */
-  private activeStreams(): RunningStream[] {
-    return [...this.running, ...this.broken.keys()];
+  private *activeStreams(): Generator<RunningStream, void, undefined> {
+    yield* this.running;
+    yield* this.broken.keys();
+  }
+
+  private activeServices(): Set<string> {
+    const services = new Set<string>();
+    for (const { service } of this.activeStreams()) services.add(service);
+    return services;
   }
 
   /** Logs services whose streams have come to need records, or need none any more. */
--- a/packages/routing/src/core/origins/types.ts
+++ b/packages/routing/src/core/origins/types.ts
@@ -54,6 +54,8 @@
   | { readonly state: OriginState.Known; readonly softwareVersion: string }
   | { readonly state: OriginState.Unknown | OriginState.Ambiguous };
 
+export const UNKNOWN_ORIGIN: StreamOrigin = { state: OriginState.Unknown };
+
 /** A stream that began at a software version. */
 export interface OriginRecord extends NamedStreamKey {
   readonly softwareVersion: string;
--- a/packages/routing/src/core/requests/stream-binding.ts
+++ b/packages/routing/src/core/requests/stream-binding.ts
@@ -9,7 +9,13 @@
   StreamOrigin,
   StreamOrigins,
 } from '../origins/index.js';
-import { continuationVersion, OriginState, streamKey, VersionDoubt } from '../origins/index.js';
+import {
+  continuationVersion,
+  OriginState,
+  streamKey,
+  UNKNOWN_ORIGIN,
+  VersionDoubt,
+} from '../origins/index.js';
 import type { ReplicaEntry, ReplicaRegistry } from '../view/index.js';
 import type { RequestHead } from './types.js';
 
@@ -46,8 +52,7 @@
 const MAX_WAIT_SHARE = 1 / 4;
 const POLL_INTERVAL_MS = 100;
 
-const UNKNOWN: StreamOrigin = { state: OriginState.Unknown };
-const NOT_ASKED: LookUpResult = { origin: UNKNOWN, askedCount: 0, answeredCount: 0 };
+const NOT_ASKED: LookUpResult = { origin: UNKNOWN_ORIGIN, askedCount: 0, answeredCount: 0 };
 
 /** What was found out of a stream that is resumed. */
 interface Finding extends LookUpResult {
@@ -61,7 +66,7 @@
   /** Whether the caller has a part of the stream: it may then go on at one version only. */
   isBound = false;
 
-  private origin: StreamOrigin = UNKNOWN;
+  private origin: StreamOrigin = UNKNOWN_ORIGIN;
 
   /** Incarnation of the replica that began the stream in this response. */
   private firstReplica: string | undefined;
