--- a/packages/soak/src/core/checks/checks.ts
+++ b/packages/soak/src/core/checks/checks.ts
@@ -16,6 +16,7 @@
 import { checkJoined, checkTakeUps, measureTakeUps } from './continuations.js';
 import type { Excuses, HostViolation } from './declarations.js';
 import { checkBackoffs, checkLeaving } from './declarations.js';
+import { allDisturbances } from './disturbances.js';
 
 /** What a run showed of the retries of one service. */
 export interface RepeatFigures {
@@ -71,17 +72,36 @@
   readonly misbehaviours: readonly Interruption[];
 }
 
+/** Figures of a run that are shown whether or not they are good enough. */
+export interface RunMeasurements {
+  readonly cuts: readonly CutFigures[];
+  readonly takeUps: TakeUpFigures;
+}
+
+const NO_EXCUSES: Excuses = { outages: [], interruptions: [] };
+
+/** Measures how callers fared in cuts, and with streams that they took up. */
+export function measureRun(record: SoakRecord, excuses: Excuses): RunMeasurements {
+  const { attempts, arrivals, cuts } = record;
+  return {
+    cuts: measureCuts(attempts, arrivals, cuts, allDisturbances(excuses)),
+    takeUps: measureTakeUps(record, excuses),
+  };
+}
+
 /**
  * Checks a run.
  * @param record - What callers and replicas saw.
  * @param excuses - Faults that excuse a daemon.
+ * @param measured - What {@link measureRun} returns for both.
  * @returns What it showed.
  */
 export function checkRun(
   record: SoakRecord,
-  excuses: Excuses = { outages: [], interruptions: [] },
+  excuses: Excuses = NO_EXCUSES,
+  measured = measureRun(record, excuses),
 ): SoakFigures {
-  const { attempts, arrivals, crashes, cuts, falls, brittleTimes } = record;
+  const { attempts, arrivals, crashes, falls, brittleTimes } = record;
   const runs = new Map<string, number>();
   for (const { request, hasRun } of arrivals) if (hasRun) runs.set(request, (runs.get(request) ?? 0) + 1);
   const once = attempts.filter(({ route }) => route.kind !== 'safe' && !route.isResumable);
@@ -96,12 +116,10 @@
     sentInBackoff: checkBackoffs(attempts, arrivals, excuses),
     sentThoughCrashing: checkCrashing(attempts, arrivals, crashes, excuses.outages),
     refusedBeside: checkRefusedBeside(attempts),
-    badlyServedInCuts: checkCuts(
-      measureCuts(attempts, arrivals, cuts, [...excuses.outages, ...(excuses.firstStarts ?? [])]),
-    ),
+    badlyServedInCuts: checkCuts(measured.cuts),
     tooManyFalls: checkFalls(attempts, falls, brittleTimes, excuses.outages),
     joinedStreams: checkJoined(attempts),
-    lostTakeUps: checkTakeUps(measureTakeUps(record, excuses)),
+    lostTakeUps: checkTakeUps(measured.takeUps),
   };
 }
 
--- a/packages/soak/src/core/checks/continuations.ts
+++ b/packages/soak/src/core/checks/continuations.ts
@@ -3,7 +3,7 @@
 import type { Interruption, VersionChange } from '../replicas/index.js';
 import type { SoakRecord } from './checks.js';
 import type { Excuses } from './declarations.js';
-import { isDisturbed } from './disturbances.js';
+import { allDisturbances, isDisturbed } from './disturbances.js';
 
 /** Fewest streams that are taken up from which on they are compared with new ones. */
 const MIN_TAKE_UPS = 12;
@@ -54,13 +54,14 @@
 /** Counts streams that callers took up while two replicas of their version served, and new streams. */
 export function measureTakeUps(
   { attempts, versionChanges, misbehaviours }: SoakRecord,
-  { outages, firstStarts = [], interruptions }: Excuses,
+  excuses: Excuses,
 ): TakeUpFigures {
   const byId = new Map(attempts.map((attempt) => [attempt.id, attempt]));
-  const troubles = [...interruptions, ...misbehaviours];
+  const troubles = [...excuses.interruptions, ...misbehaviours];
+  const disturbances = allDisturbances(excuses);
   const counted = attempts.filter(
     ({ route, daemon, sentAt, endedAt = sentAt }) =>
-      route.isResumable && !isDisturbed(daemon, [...outages, ...firstStarts], sentAt, endedAt),
+      route.isResumable && !isDisturbed(daemon, disturbances, sentAt, endedAt),
   );
   const takenUp = counted.filter(({ resumes, sentAt, endedAt = sentAt }) => {
     const version = resumes && byId.get(resumes)?.events[0]?.softwareVersion;
--- a/packages/soak/src/core/replicas/fleet.ts
+++ b/packages/soak/src/core/replicas/fleet.ts
@@ -126,35 +126,31 @@
   /** Has some replicas treat their requests in another way. */
   behave(ids: readonly string[], behaviour: Behaviour): void {
     this.note(this.misbehaviours, ids, behaviour !== Behaviour.Serve);
-    this.command((own) => ({ type: 'behave', ids: own.filter((id) => ids.includes(id)), behaviour }));
+    this.commandSome(ids, (own) => ({ type: 'behave', ids: own, behaviour }));
   }
 
   /** Has some replicas say in all their responses that they leave. */
   leave(ids: readonly string[]): void {
     this.note(this.departures, ids, true);
-    this.command((own) => ({ type: 'leave', ids: own.filter((id) => ids.includes(id)) }));
+    this.commandSome(ids, (own) => ({ type: 'leave', ids: own }));
   }
 
   /** Has some replicas say that they are brittle and be so, or ends that. */
   setBrittle(ids: readonly string[], isBrittle: boolean): void {
-    this.command((own) => ({ type: 'brittle', ids: own.filter((id) => ids.includes(id)), isBrittle }));
+    this.commandSome(ids, (own) => ({ type: 'brittle', ids: own, isBrittle }));
   }
 
   /** Replaces some replicas by new incarnations with the same address. */
   replace(ids: readonly string[]): void {
     for (const id of ids) this.countReplacement(id);
     this.note(this.departures, ids, false);
-    this.command((own) => ({ type: 'replace', ids: own.filter((id) => ids.includes(id)) }));
+    this.commandSome(ids, (own) => ({ type: 'replace', ids: own }));
   }
 
   /** Replaces some replicas by new incarnations of another software version with the same address. */
   upgrade(ids: readonly string[], softwareVersion: string): void {
     for (const id of ids) this.versions.set(id, softwareVersion);
-    this.command((own) => ({
-      type: 'upgrade',
-      ids: own.filter((id) => ids.includes(id)),
-      softwareVersion,
-    }));
+    this.commandSome(ids, (own) => ({ type: 'upgrade', ids: own, softwareVersion }));
   }
 
   /** Software version that a replica has, or will have when it is back. */
@@ -174,8 +170,8 @@
 
   /** Holds up the path to some replicas, or reopens it. */
   hold(ids: readonly string[], what: Holdable, isHeld: boolean): void {
-    if (what === Holdable.Everything) this.noteInterruption(ids, isHeld);
-    this.command((own) => ({ type: 'hold', ids: own.filter((id) => ids.includes(id)), what, isHeld }));
+    if (what === Holdable.Everything) this.note(this.interruptions, ids, isHeld);
+    this.commandSome(ids, (own) => ({ type: 'hold', ids: own, what, isHeld }));
   }
 
   /** Stops processes of replicas, or lets them go on. */
@@ -184,7 +180,7 @@
     const ids = this.hosts
       .filter(({ running }) => processes.includes(running))
       .flatMap(({ ids: own }) => own);
-    this.noteInterruption(ids, isFrozen);
+    this.note(this.interruptions, ids, isFrozen);
   }
 
   private countReplacement(id: string): void {
@@ -203,10 +199,6 @@
     this.versionChanges.push({ replica, at: this.options.timers.wall(), softwareVersion });
   }
 
-  private noteInterruption(ids: readonly string[], begins: boolean): void {
-    this.note(this.interruptions, ids, begins);
-  }
-
   private note(times: Interruption[], ids: readonly string[], begins: boolean): void {
     const now = this.options.timers.wall();
     for (const replica of ids) {
@@ -218,6 +210,14 @@
     }
   }
 
+  /**
+   * Sends a command for some replicas.
+   * @param make - Makes the command for those of them that one process runs.
+   */
+  private commandSome(ids: readonly string[], make: (own: readonly string[]) => ReplicaCommand): void {
+    this.command((own) => make(own.filter((id) => ids.includes(id))));
+  }
+
   private command(make: (ids: readonly string[]) => ReplicaCommand): void {
     for (const { running, ids } of this.hosts) if (running.child.connected) running.child.send(make(ids));
   }
--- a/packages/soak/src/core/run/run.ts
+++ b/packages/soak/src/core/run/run.ts
@@ -7,8 +7,8 @@
 
 import type { CallerAttempt } from '../callers/index.js';
 import { Balancer, Callers } from '../callers/index.js';
-import type { BrittleTime, CutFigures, DaemonCut, SoakFigures, TakeUpFigures } from '../checks/index.js';
-import { checkRun, countCrashes, measureCuts, measureTakeUps } from '../checks/index.js';
+import type { BrittleTime, DaemonCut, RunMeasurements, SoakFigures } from '../checks/index.js';
+import { checkRun, countCrashes, measureRun } from '../checks/index.js';
 import type { SoakPlan } from '../plan/index.js';
 import { ProcessGroup } from '../processes/index.js';
 import type { Arrival, ReplicaFall, ReplicaOptions } from '../replicas/index.js';
@@ -32,17 +32,15 @@
 }
 
 /** What a run showed, with what it was shown by. */
-export interface SoakResult {
+export interface SoakResult extends RunMeasurements {
   readonly figures: SoakFigures;
   readonly outcomes: ReadonlyMap<string, number>;
   readonly attempts: readonly CallerAttempt[];
   readonly arrivals: readonly Arrival[];
   /** Replicas that crashed under each request that crashes replicas, by its path. */
   readonly crashes: ReadonlyMap<string, number>;
-  readonly cuts: readonly CutFigures[];
   /** Brittle replicas that fell over. */
   readonly falls: readonly ReplicaFall[];
-  readonly takeUps: TakeUpFigures;
 }
 
 /**
@@ -78,20 +76,14 @@
     store.remove(`servers/${before}`);
     list(replicasOf(plan).find((option) => option.id === id)!);
   }
-  function recordCut(hit: readonly string[]): () => void {
-    const cut: DaemonCut = { daemons: hit, from: timers.wall(), until: undefined };
-    cuts.push(cut);
-    return () => {
-      cut.until = timers.wall();
-    };
-  }
-  function recordBrittle(): () => void {
-    const time: BrittleTime = { replicas: plan.plains, from: timers.wall(), until: undefined };
-    brittleTimes.push(time);
-    return () => {
-      time.until = timers.wall();
-    };
+  function recordTime<Time extends DaemonCut | BrittleTime>(times: Time[], time: Time): () => void {
+    times.push(time);
+    return () => Object.assign(time, { until: timers.wall() });
   }
+  const recordCut = (hit: readonly string[]): (() => void) =>
+    recordTime(cuts, { daemons: hit, from: timers.wall(), until: undefined });
+  const recordBrittle = (): (() => void) =>
+    recordTime(brittleTimes, { replicas: plan.plains, from: timers.wall(), until: undefined });
   const balancer = new Balancer(daemons.addresses, timers);
   const random = createRandom(`run-${plan.seed}`);
   const { requestsPerSecond, adapters, hasRetries } = plan;
@@ -120,16 +112,15 @@
   const { crashes, falls, versionChanges } = replicas;
   const misbehaviours = [...replicas.misbehaviours, ...replicas.departures];
   const record = { attempts, arrivals, crashes, cuts, falls, brittleTimes, versionChanges, misbehaviours };
-  const figures = checkRun(record, excuses);
+  const measured = measureRun(record, excuses);
   return {
-    figures,
+    figures: checkRun(record, excuses, measured),
     outcomes: countOutcomes(callers),
     attempts,
     arrivals,
     crashes: countCrashes(attempts, crashes),
-    cuts: measureCuts(attempts, arrivals, cuts, [...outages, ...firstStarts]),
     falls,
-    takeUps: measureTakeUps(record, excuses),
+    ...measured,
   };
 }
 
