--- a/packages/routing/test/fleet/daemons.ts
+++ b/packages/routing/test/fleet/daemons.ts
@@ -216,6 +216,14 @@
     return waitedMs;
   }
 
+  /** Advances time, and has every daemon that runs send at each step. */
+  async advanceSending(ms: number, stepMs: number, send: (address: string) => Promise<void>): Promise<void> {
+    for (let atMs = 0; atMs < ms; atMs += stepMs) {
+      for (const { address } of this.running()) if (!this.network.isFrozen(address)) void send(address);
+      await this.timers.advance(stepMs);
+    }
+  }
+
   /** Whether all of some daemons know exactly each other as alive. */
   agrees(among: readonly TestDaemon[] = this.running()): boolean {
     const expected = among
--- a/packages/routing/test/limits/fleet.ts
+++ b/packages/routing/test/limits/fleet.ts
@@ -41,11 +41,7 @@
 
   /** Advances time while every daemon sends as often as its limits allow. */
   async sendAtMaxRate(ms: number): Promise<void> {
-    for (let atMs = 0; atMs < ms; atMs += STEP_MS) {
-      for (const { address } of this.fleet.running())
-        if (!this.fleet.network.isFrozen(address)) void this.send(address);
-      await this.fleet.timers.advance(STEP_MS);
-    }
+    await this.fleet.advanceSending(ms, STEP_MS, (address) => this.send(address));
   }
 
   /** Returns the highest number of requests in a window from a time on. */
--- a/packages/routing/test/slots/slots.test.ts
+++ b/packages/routing/test/slots/slots.test.ts
@@ -45,11 +45,7 @@
 
   /** Advances time while every daemon sends as often as it may. */
   async press(ms: number): Promise<void> {
-    for (let atMs = 0; atMs < ms; atMs += STEP_MS) {
-      for (const { address } of this.fleet.running())
-        if (!this.fleet.network.isFrozen(address)) void this.send(address);
-      await this.fleet.timers.advance(STEP_MS);
-    }
+    await this.fleet.advanceSending(ms, STEP_MS, (address) => this.send(address));
   }
 
   /** Returns the highest number of rejections in one second from a time on. */
