requests, paths: log how long replicas were silent

Lines of attempts and of cuts could not tell whether a host ended a request on a ground, or only as its replica was silent. request.send now has silentMs, the time without a byte when the attempt ended; paths.cut-off has the number of silent replicas. No logic changes.

--- a/packages/routing/src/core/paths/path-monitor.ts
+++ b/packages/routing/src/core/paths/path-monitor.ts
@@ -234,13 +234,15 @@
   }
 
   private setCut(service: string, paths: ServicePaths, cause: CutCause): void {
-    const { table, timers, log, registry } = this.options;
+    const { table, timers, log, registry, health } = this.options;
     const now = timers.now();
+    const replicas = registry.readyReplicas(service);
     Object.assign(paths, { cause, since: now, triedAt: now, reachedProbes: 0 });
     log.decide('paths.cut-off', `This daemon is cut off from the replicas of ${service}: ${cause}.`, {
       service,
       cause,
-      replicas: registry.readyReplicas(service).length,
+      replicas: replicas.length,
+      silent: replicas.filter(({ id }) => health.silenceMs(id) > DEAD_AFTER_SILENCE_MS).length,
       respondedAgoMs: Math.round(Math.min(timers.now() - paths.heardAt, Number.MAX_SAFE_INTEGER)),
     });
     table.setOwn(service, true);
--- a/packages/routing/src/core/requests/attempt.ts
+++ b/packages/routing/src/core/requests/attempt.ts
@@ -181,6 +181,7 @@
         ? { status, headers, body: Buffer.concat(this.chunks) }
         : undefined;
     const { wasSent, firstByteMs, hasReplicaCrashed } = this;
-    this.resolve({ outcome, response, reason, wasSent, firstByteMs, hasReplicaCrashed });
+    const silentMs = this.options.timers.now() - this.lastDataAt;
+    this.resolve({ outcome, response, reason, wasSent, firstByteMs, silentMs, hasReplicaCrashed });
   }
 }
--- a/packages/routing/src/core/requests/execution.ts
+++ b/packages/routing/src/core/requests/execution.ts
@@ -538,7 +538,7 @@
   /** Logs an attempt: failures always, successes only when details are logged. */
   private logAttempt(
     replica: ReplicaEntry,
-    { outcome, response, reason, wasSent, firstByteMs }: AttemptResult,
+    { outcome, response, reason, wasSent, firstByteMs, silentMs }: AttemptResult,
   ): void {
     const { log, budget, fleetShare, inFlight, timers, viewAgeMs } = this.parts;
     const { head, route, service } = this.options;
@@ -569,6 +569,7 @@
       heldBackMs: this.prefillWait.totalDelayMs,
       longestPauseMs: this.relay === undefined ? undefined : Math.round(this.relay.longestGapMs),
       firstByteMs: firstByteMs === undefined ? undefined : Math.round(firstByteMs),
+      silentMs: Math.round(silentMs),
       lastedMs: Math.round(timers.now() - this.options.arrivedAt) - this.sentAfterMs,
       running: inFlight.countsOf(replica.id).running,
       reservedAgoMs: this.reservedAgoMs,
--- a/packages/routing/src/core/requests/types.ts
+++ b/packages/routing/src/core/requests/types.ts
@@ -162,6 +162,8 @@
   readonly wasSent: boolean;
   /** Time to the first byte of the response, in milliseconds. */
   readonly firstByteMs: number | undefined;
+  /** Time without a byte from the replica when the attempt ended, in milliseconds. */
+  readonly silentMs: number;
   /**
    * Whether the peer that relayed it found that the replica has crashed; undefined on a direct path, and where it did
    * not fail.
