soak: add failing tests of replicas that are stopped and go on

Callers got broken streams and 502s while all replicas were stopped for 1.2 s: 21 of some 180 requests, 10 of some 54 with one replica for each service.

--- a/packages/soak/src/core/callers/callers.ts
+++ b/packages/soak/src/core/callers/callers.ts
@@ -59,6 +59,8 @@
   readonly daemon: string;
   /** Unix milliseconds. */
   readonly sentAt: number;
+  /** Time for which its caller waits, in milliseconds. */
+  readonly limitMs: number;
   /** Unix milliseconds of its outcome; undefined while it has none. */
   endedAt?: number;
   /** What its response says of a replica that leaves; undefined when it says nothing. */
@@ -206,6 +208,7 @@
   private async call({ route, path, adapter, part, isFirst, deadlineAt }: CallerRequest) {
     const { balancer, random, timers } = this.options;
     const daemon = random.pick(balancer.inRotation());
+    const limitMs = Math.max(1, Math.floor(deadlineAt - timers.now()));
     const attempt: CallerAttempt = {
       id: `c${this.attempts.length}`,
       route,
@@ -213,6 +216,7 @@
       isFirst,
       daemon: daemon.name,
       sentAt: timers.wall(),
+      limitMs,
       toldLeaving: undefined,
       outcome: undefined,
       status: undefined,
@@ -222,8 +226,7 @@
       ...part,
     };
     this.attempts.push(attempt);
-    const leftMs = Math.max(1, Math.floor(deadlineAt - timers.now()));
-    const { outcome, status, retryAfterMs } = await this.send(daemon, attempt, adapter, leftMs).catch(() => ({
+    const { outcome, status, retryAfterMs } = await this.send(daemon, attempt, adapter).catch(() => ({
       outcome: CallerOutcome.Failed,
       status: undefined,
       retryAfterMs: 0,
@@ -232,13 +235,13 @@
     return { ...attempt, retryAfterMs };
   }
 
-  private async send({ callers }: DaemonAddress, attempt: CallerAttempt, adapter: number, leftMs: number) {
-    const { route, path, events } = attempt;
+  private async send({ callers }: DaemonAddress, attempt: CallerAttempt, adapter: number) {
+    const { route, path, events, limitMs } = attempt;
     const { statusCode, headers, body } = await request(`http://${callers}${path}`, {
       dispatcher: this.agents[this.attempts.length % this.agents.length]!,
       method: route.kind === 'safe' ? 'GET' : 'POST',
-      headers: headersOf(attempt, adapter, leftMs),
-      signal: AbortSignal.timeout(leftMs),
+      headers: headersOf(attempt, adapter),
+      signal: AbortSignal.timeout(limitMs),
     });
     const replica = headers[REPLICA_HEADER];
     if (headers['server-leaving'] === '1' && typeof replica === 'string')
@@ -275,9 +278,8 @@
 }
 
 function headersOf(
-  { id, route: { kind }, lastEventId, resumes }: CallerAttempt,
+  { id, route: { kind }, limitMs, lastEventId, resumes }: CallerAttempt,
   adapter: number,
-  leftMs: number,
 ): Record<string, string> {
   const generation = {
     'celeryyoke-model': `${MODEL_NAME}/a${adapter}`,
@@ -286,7 +288,7 @@
   return {
     host: CALLER_HOST,
     'celeryyoke-request-id': id,
-    'celeryyoke-deadline-remaining': String(leftMs),
+    'celeryyoke-deadline-remaining': String(limitMs),
     ...(kind === 'streaming' ? generation : {}),
     ...(resumes === undefined ? {} : { resumes, 'last-event-id': String(lastEventId) }),
   };
--- a/packages/soak/src/core/checks/checks.ts
+++ b/packages/soak/src/core/checks/checks.ts
@@ -4,8 +4,16 @@
 
 import type { CallerAttempt } from '../callers/index.js';
 import { CallerOutcome } from '../callers/index.js';
-import type { Arrival, Interruption, ReplicaCrash, ReplicaFall, VersionChange } from '../replicas/index.js';
+import type {
+  Abandonment,
+  Arrival,
+  Interruption,
+  ReplicaCrash,
+  ReplicaFall,
+  VersionChange,
+} from '../replicas/index.js';
 import { ENGINE_SERVICE, PLAIN_SERVICE, REPEAT_BOUNDS } from '../site/index.js';
+import { checkAbandoned } from './abandoned.js';
 import type { BrittleTime, TooManyFalls } from './brittle.js';
 import { checkFalls } from './brittle.js';
 import type { CrashingViolation } from './crashes.js';
@@ -51,6 +59,8 @@
   readonly tooManyFalls: readonly TooManyFalls[];
   /** Streams with events of several software versions, or with events that are missing or come twice. */
   readonly joinedStreams: readonly JoinedStream[];
+  /** Requests that daemons left while sound replicas worked on them. */
+  readonly abandoned: readonly Abandonment[];
   /** Figures of streams that callers took up, if these went on far more seldom than new streams began. */
   readonly lostTakeUps: readonly TakeUpFigures[];
 }
@@ -68,6 +78,8 @@
   /** Times in which the plain replicas were brittle. */
   readonly brittleTimes: readonly BrittleTime[];
   readonly versionChanges: readonly VersionChange[];
+  /** Requests whose connections were closed while sound replicas worked on them. */
+  readonly abandonments: readonly Abandonment[];
   /** Times in which replicas treated most of their requests badly, or said that they leave. */
   readonly misbehaviours: readonly Interruption[];
 }
@@ -101,7 +113,7 @@
   excuses: Excuses = NO_EXCUSES,
   measured = measureRun(record, excuses),
 ): SoakFigures {
-  const { attempts, arrivals, crashes, falls, brittleTimes } = record;
+  const { attempts, arrivals, crashes, falls, brittleTimes, abandonments, cuts } = record;
   const runs = new Map<string, number>();
   for (const { request, hasRun } of arrivals) if (hasRun) runs.set(request, (runs.get(request) ?? 0) + 1);
   const once = attempts.filter(({ route }) => route.kind !== 'safe' && !route.isResumable);
@@ -119,6 +131,7 @@
     badlyServedInCuts: checkCuts(measured.cuts),
     tooManyFalls: checkFalls(attempts, falls, brittleTimes, excuses.outages),
     joinedStreams: checkJoined(attempts),
+    abandoned: checkAbandoned(attempts, abandonments, cuts, allDisturbances(excuses)),
     lostTakeUps: checkTakeUps(measured.takeUps),
   };
 }
--- a/packages/soak/src/core/plan/plan.ts
+++ b/packages/soak/src/core/plan/plan.ts
@@ -28,6 +28,7 @@
   FaultKind.CrashingRequest,
   FaultKind.Brittle,
   FaultKind.Upgrade,
+  FaultKind.StopReplicas,
 ];
 const OTHERS = Object.values(FaultKind).filter((kind) => !LATER.includes(kind));
 /** Mean time between two faults, in seconds. */
@@ -43,6 +44,10 @@
 const MS_PER_BRITTLE = 20_000;
 const MIN_BRITTLE_MS = 5000;
 const MAX_BRITTLE_MS = 9000;
+/** Mean time between two times in which all replicas are stopped, and how long these last, in milliseconds. */
+const MS_PER_STOP = 8000;
+const MIN_STOP_MS = 500;
+const MAX_STOP_MS = 2500;
 /** Mean time between two callers whose request crashes replicas, in milliseconds. */
 const MS_PER_CRASHING_REQUEST = 10_000;
 /** Mean time between two times at which engines get another software version, in milliseconds. */
@@ -84,6 +89,7 @@
       ...drawCuts(seed, lengthMs),
       ...drawBrittle(seed, lengthMs),
       ...drawUpgrades(seed, lengthMs),
+      ...drawStops(seed, lengthMs),
     ].sort((left, right) => left.atMs - right.atMs),
   };
 }
@@ -136,6 +142,18 @@
   }));
 }
 
+/** Draws times in which all replicas are stopped; they may overlap. */
+function drawStops(seed: number, lengthMs: number): Fault[] {
+  const random = createRandom(`soak-stops-${seed}`);
+  const count = Math.max(1, Math.round(lengthMs / MS_PER_STOP));
+  return Array.from({ length: count }, () => ({
+    kind: FaultKind.StopReplicas,
+    atMs: Math.round(random.between(0, lengthMs - MAX_STOP_MS)),
+    forMs: Math.round(random.between(MIN_STOP_MS, MAX_STOP_MS)),
+    share: 1,
+  }));
+}
+
 function drawDeclarations(seed: number, lengthMs: number): Fault[] {
   const random = createRandom(`soak-declarations-${seed}`);
   return DECLARATIONS.flatMap((kind) =>
--- a/packages/soak/src/core/plan/types.ts
+++ b/packages/soak/src/core/plan/types.ts
@@ -16,6 +16,8 @@
   HoldOrders = 'hold-orders',
   /** Processes of replicas are stopped and go on. */
   FreezeReplicas = 'freeze-replicas',
+  /** All processes of replicas are stopped at once and go on. */
+  StopReplicas = 'stop-replicas',
   /** Daemons are killed, and start again when the fault ends. */
   KillDaemons = 'kill-daemons',
   /** Daemons are signalled to shut down, and are restarted when the fault ends. */
--- a/packages/soak/src/core/replicas/fleet.ts
+++ b/packages/soak/src/core/replicas/fleet.ts
@@ -6,6 +6,7 @@
 
 import type { ProcessGroup, RunningProcess } from '../processes/index.js';
 import type {
+  Abandonment,
   Arrival,
   ReplicaCommand,
   ReplicaCrash,
@@ -76,6 +77,9 @@
   /** Falls of brittle replicas, in the order in which they were reported. */
   readonly falls: ReplicaFall[] = [];
 
+  /** Requests whose connections daemons closed while sound replicas worked on them, in the order of the reports. */
+  readonly abandonments: Abandonment[] = [];
+
   /** Times in which replicas treat most of their requests badly, the earliest first. */
   readonly misbehaviours: Interruption[] = [];
 
@@ -240,6 +244,9 @@
         fell: ({ fall }) => {
           this.falls.push(fall);
         },
+        abandoned: ({ abandonment }) => {
+          this.abandonments.push(abandonment);
+        },
         restarted: ({ id }) => this.recordRestart(id),
       };
       running.child.on('message', (news: ReplicaNews) => handlers[news.type](news as never));
--- a/packages/soak/src/core/replicas/index.ts
+++ b/packages/soak/src/core/replicas/index.ts
@@ -1,5 +1,6 @@
 /** Replicas, in processes of their own. */
 export type {
+  Abandonment,
   Arrival,
   ReplicaCommand,
   ReplicaCrash,
--- a/packages/soak/src/core/replicas/main.ts
+++ b/packages/soak/src/core/replicas/main.ts
@@ -21,6 +21,7 @@
       onArrival: (arrival) => arrivals.push(arrival),
       onCrash: (crash) => tell({ type: 'crashed', crash }),
       onFall: (fall) => tell({ type: 'fell', fall }),
+      onAbandoned: (abandonment) => tell({ type: 'abandoned', abandonment }),
       onRestart: () => tell({ type: 'restarted', id: option.id }),
     });
     replicas.set(option.id, replica);
--- a/packages/soak/src/core/replicas/messages.ts
+++ b/packages/soak/src/core/replicas/messages.ts
@@ -67,6 +67,18 @@
   readonly retryAfterMs?: number;
 }
 
+/** A request whose connection was closed while a replica that was sound worked on it. */
+export interface Abandonment {
+  /** Names the attempt of the caller. */
+  readonly request: string;
+  /** Incarnation of the replica. */
+  readonly replica: string;
+  /** Loopback address of the daemon that had sent it. */
+  readonly host: string;
+  /** Unix milliseconds. */
+  readonly at: number;
+}
+
 /** A replica that has crashed while it ran a request. */
 export interface ReplicaCrash {
   /** Names the attempt of the caller. */
@@ -108,5 +120,6 @@
   | { readonly type: 'arrivals'; readonly arrivals: readonly Arrival[] }
   | { readonly type: 'crashed'; readonly crash: ReplicaCrash }
   | { readonly type: 'fell'; readonly fall: ReplicaFall }
+  | { readonly type: 'abandoned'; readonly abandonment: Abandonment }
   /** A replica that had crashed or fallen listens again, as a new incarnation. */
   | { readonly type: 'restarted'; readonly id: string };
--- a/packages/soak/src/core/replicas/replica.ts
+++ b/packages/soak/src/core/replicas/replica.ts
@@ -19,7 +19,7 @@
 import type { PathCut, Random, RawRequest } from '@celeryyoke/routing/testing';
 import { createRandom, headerValue, parseRequest, PathCuts } from '@celeryyoke/routing/testing';
 
-import type { Arrival, ReplicaCrash, ReplicaFall, ReplicaOptions } from './messages.js';
+import type { Abandonment, Arrival, ReplicaCrash, ReplicaFall, ReplicaOptions } from './messages.js';
 import {
   Behaviour,
   CRASHING_PATH,
@@ -55,6 +55,9 @@
 
 const timers = createSystemTimers();
 
+/** Addresses of the daemons that have opened connections; a closed one has forgotten its own. */
+const hostOf = new WeakMap<Socket, string>();
+
 /** Bytes of one connection that the replica has not read yet. */
 class Connection {
   /** What arrived while the path was held up. */
@@ -95,6 +98,7 @@
   readonly onArrival: (arrival: Arrival) => void;
   readonly onCrash: (crash: ReplicaCrash) => void;
   readonly onFall: (fall: ReplicaFall) => void;
+  readonly onAbandoned: (abandonment: Abandonment) => void;
   /** Called when it listens again after a crash or a fall. */
   readonly onRestart: () => void;
 }
@@ -226,6 +230,7 @@
   private accept(socket: Socket): void {
     if (!this.cuts.accept(socket)) return;
     const connection = new Connection(socket);
+    hostOf.set(socket, socket.remoteAddress ?? '');
     this.connections.add(connection);
     socket.on('error', () => connection.lose());
     socket.on('close', () => this.connections.delete(connection));
@@ -308,9 +313,14 @@
   async run(req: RawRequest): Promise<void> {
     const { crashes, isBrittle } = this;
     this.running += 1;
+    const onClose = (): void => {
+      if (crashes === this.crashes) this.noteAbandoned(req);
+    };
+    req.socket.once('close', onClose);
     if (CRASHING_TARGET.test(req.head)) await this.crashUnder(req);
     else if (this.options.isEngine) await stream(req, this.declarations, this.softwareVersion);
     else await answerLater(req, this.declarations, isBrittle ? BRITTLE_MS : PLAIN_MS);
+    req.socket.off('close', onClose);
     if (isBrittle) this.noteDeclared();
     if (crashes === this.crashes) this.running -= 1;
   }
@@ -343,6 +353,12 @@
     this.server.listen(port, HOST, this.listener.onRestart);
   }
 
+  private noteAbandoned({ head, socket }: RawRequest): void {
+    const request = headerValue(head, 'celeryyoke-request-id') ?? '';
+    const host = hostOf.get(socket) ?? '';
+    this.listener.onAbandoned({ request, replica: this.incarnation, host, at: timers.wall() });
+  }
+
   private note(
     { head }: RawRequest,
     facts: Pick<Arrival, 'hasRun' | 'holder' | 'isMisdirected' | 'retryAfterMs'>,
@@ -352,8 +368,16 @@
   }
 }
 
+/** Waits until connections that were closed while this process was stopped have been noticed. */
+function afterSocketEvents(): Promise<void> {
+  return new Promise((resolve) => {
+    setImmediate(() => setImmediate(resolve));
+  });
+}
+
 async function answerLater(req: RawRequest, declarations: string, workMs: number): Promise<void> {
   await timers.sleep(workMs);
+  await afterSocketEvents();
   respondComplete(req, OK, undefined, declarations);
 }
 
@@ -366,6 +390,7 @@
     sendChunk(req, `id: ${id}\ndata: ${softwareVersion}\n\n`);
     await timers.sleep(EVENT_MS);
   }
+  await afterSocketEvents();
   if (!req.socket.destroyed) sendChunk(req, '');
 }
 
--- a/packages/soak/src/core/run/faults.ts
+++ b/packages/soak/src/core/run/faults.ts
@@ -6,6 +6,7 @@
 import type { Callers } from '../callers/index.js';
 import type { Fault } from '../plan/index.js';
 import { FaultKind } from '../plan/index.js';
+import type { RunningProcess } from '../processes/index.js';
 import type { ReplicaFleet } from '../replicas/index.js';
 import { Behaviour, FIRST_VERSION, Holdable } from '../replicas/index.js';
 import { GRACE_S } from '../site/index.js';
@@ -100,6 +101,11 @@
   };
 }
 
+function stop(replicas: ReplicaFleet, hit: readonly RunningProcess[]): () => void {
+  replicas.freeze(hit, true);
+  return () => replicas.freeze(hit, false);
+}
+
 /** All kinds. */
 export const FAULTS: Readonly<Record<FaultKind, FaultHandler>> = {
   [FaultKind.Shed]: misbehave(Behaviour.Shed),
@@ -129,11 +135,9 @@
   [FaultKind.Hang]: misbehave(Behaviour.Hang),
   [FaultKind.HoldWay]: hold(Holdable.Everything),
   [FaultKind.HoldOrders]: hold(Holdable.Orders),
-  [FaultKind.FreezeReplicas]: ({ replicas, random }, share) => {
-    const hit = choose(replicas.processes, share, random);
-    replicas.freeze(hit, true);
-    return () => replicas.freeze(hit, false);
-  },
+  [FaultKind.FreezeReplicas]: ({ replicas, random }, share) =>
+    stop(replicas, choose(replicas.processes, share, random)),
+  [FaultKind.StopReplicas]: ({ replicas }) => stop(replicas, replicas.processes),
   [FaultKind.KillDaemons]: restart('SIGKILL'),
   [FaultKind.TermDaemons]: restart('SIGTERM'),
   [FaultKind.FreezeDaemons]: ({ daemons, random }, share) => {
--- a/packages/soak/src/core/run/run.ts
+++ b/packages/soak/src/core/run/run.ts
@@ -18,8 +18,8 @@
 import { inject } from './faults.js';
 
 const MS_PER_SECOND = 1000;
-/** Replicas for each of their processes. */
-const REPLICAS_PER_PROCESS = 16;
+/** Replicas for each of their processes; few, so that a part of them can be stopped. */
+const REPLICAS_PER_PROCESS = 4;
 /** Time after the traffic in which held requests still arrive, in milliseconds. */
 const SETTLE_MS = 1000;
 
@@ -109,9 +109,19 @@
   const { attempts } = callers;
   const { outages, firstStarts } = daemons;
   const excuses = { outages, firstStarts, interruptions: replicas.interruptions };
-  const { crashes, falls, versionChanges } = replicas;
+  const { crashes, falls, versionChanges, abandonments } = replicas;
   const misbehaviours = [...replicas.misbehaviours, ...replicas.departures];
-  const record = { attempts, arrivals, crashes, cuts, falls, brittleTimes, versionChanges, misbehaviours };
+  const record = {
+    attempts,
+    arrivals,
+    crashes,
+    cuts,
+    falls,
+    brittleTimes,
+    versionChanges,
+    abandonments,
+    misbehaviours,
+  };
   const measured = measureRun(record, excuses);
   return {
     figures: checkRun(record, excuses, measured),
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -68,6 +68,8 @@
   if (figures.lostTakeUps.length > 0) console.log('went on far more seldom');
   for (const { attempts, versions, isBroken } of figures.joinedStreams)
     console.log(`${isBroken ? 'events missing or twice' : versions.join(' and ')}: ${attempts.join(', ')}`);
+  for (const { request, replica, host } of figures.abandoned)
+    console.log(`left while ${replica} worked on it: ${request}, sent by ${host}`);
   if (figures.refusedBeside.length > 0)
     console.log(`refused for crashes of others: ${figures.refusedBeside.join(', ')}`);
 }
--- a/packages/soak/test/checks.test.ts
+++ b/packages/soak/test/checks.test.ts
@@ -25,6 +25,7 @@
     isFirst: true,
     daemon: 'front-a-0',
     sentAt: index * INTERVAL_MS,
+    limitMs: 2000,
     toldLeaving: undefined,
     outcome: CallerOutcome.Served,
     status: 200,
@@ -43,6 +44,7 @@
   falls: [],
   brittleTimes: [],
   versionChanges: [],
+  abandonments: [],
   misbehaviours: [],
 };
 
@@ -330,3 +332,22 @@
   const outages = [{ daemon: 'front-a-0', at: 0 }];
   t.deepEqual(lostTakeUps({}, { outages, interruptions: [] }), []);
 });
+
+// Guards against a check that excuses daemons that leave requests at replicas that are only silent.
+test('a request that is left while a sound replica works on it is found, unless its time is over', (t) => {
+  const [attempt] = served('safe');
+  const { host, name } = daemonAddress(0);
+  const ended = { ...attempt!, daemon: name, outcome: CallerOutcome.Failed, endedAt: 1200 };
+  const abandonment = { request: ended.id, replica: 'p-0', host, at: 1100 };
+  const check = (left: CallerAttempt, record: Partial<SoakRecord> = {}, excuses?: Excuses) =>
+    checkRun({ ...EMPTY, attempts: [left], abandonments: [abandonment], ...record }, excuses).abandoned
+      .length;
+  t.is(check(ended), 1);
+  t.is(check({ ...ended, outcome: CallerOutcome.Served }), 1);
+  t.is(check({ ...ended, endedAt: 1990 }), 0);
+  t.is(check({ ...ended, hasLeft: true }), 0);
+  t.is(check(ended, { cuts: [{ daemons: [name], from: 500, until: 900 }] }), 0);
+  t.is(check(ended, { cuts: [{ daemons: [name], from: 1150, until: undefined }] }), 1);
+  t.is(check(ended, {}, { outages: [{ daemon: name, at: 700 }], interruptions: [] }), 0);
+  t.is(check(ended, {}, { outages: [], interruptions: [{ replica: 'p-0', from: 0, until: 1100 }] }), 1);
+});
