soak: keep engines’ connections after streams, end callers once

Two requests ended without a whole answer that no daemon had left. The stand-in engine closed its connection after each stream without announcing it, so a request that was sent at that moment was lost (seen once, a stream that may run once, 10 ms after all engines had been stopped); and a caller could begin a request after the run had ended (the last one of each play). Engines keep connections now, and no request begins after the end.

--- a/packages/soak/src/core/callers/callers.ts
+++ b/packages/soak/src/core/callers/callers.ts
@@ -137,7 +137,7 @@
       nextAt += (-Math.log(1 - random.between(0, 1)) * MS_PER_SECOND) / requestsPerSecond;
       const waitMs = nextAt - timers.now();
       if (waitMs > 0) await timers.sleep(waitMs);
-      this.begin();
+      if (!this.isStopped) this.begin();
     }
   }
 
--- a/packages/soak/src/core/replicas/replica.ts
+++ b/packages/soak/src/core/replicas/replica.ts
@@ -13,6 +13,7 @@
   retryAfterHeader,
   beginStream,
   EngineState,
+  endStream,
   sendChunk,
 } from '@celeryyoke/adapter/testing';
 import { createSystemTimers } from '@celeryyoke/core';
@@ -391,7 +392,7 @@
     await timers.sleep(EVENT_MS);
   }
   await afterSocketEvents();
-  if (!req.socket.destroyed) sendChunk(req, '');
+  if (!req.socket.destroyed) endStream(req);
 }
 
 /** Behaviours of a replica that begins to run a request. */
