--- a/packages/routing/test/engine-leases.test.ts
+++ b/packages/routing/test/engine-leases.test.ts
@@ -317,3 +317,39 @@
       .filter((replica) => claimed.every((lease) => lease.replica !== replica)),
   );
 });
+
+/** Plays an owner that has just sent an order, and loses its engine in one of two ways. */
+function loseAfterOrder(lose: (site: ReturnType<typeof setUp>, lease: EngineLease) => void) {
+  const site = setUp('a', []);
+  const { timers, leases, gained } = site;
+  timers.advanceSync(SETTLED_MS);
+  leases.claimUnowned(['x']);
+  leases.tokenForOrder('x');
+  timers.advanceSync(500);
+  lose(site, gained[0]!);
+  return site;
+}
+
+// Guards against two owners that take turns at one engine within a lease.
+test('an owner that has lost or resigned an engine claims it again only when the lease of its last order is over', (t) => {
+  const sites = [
+    loseAfterOrder(({ leases, fleet }, { token }) => {
+      leases.merge({ replica: 'x', holder: 'b', token: token + 1 });
+      fleet.states.set('b', MemberState.Ended);
+    }),
+    loseAfterOrder(({ leases, flags }) => {
+      flags.cutOff.add('a');
+      leases.resignUnreachable();
+      flags.cutOff.clear();
+    }),
+  ];
+  for (const { timers, leases, gained } of sites) {
+    timers.advanceSync(LEASE_MS - 500 - 100);
+    leases.claimUnowned(['x']);
+    t.is(gained.length, 1);
+    t.is(leases.tokenForOrder('x'), undefined);
+    timers.advanceSync(1000);
+    leases.claimUnowned(['x']);
+    t.is(gained.length, 2);
+  }
+});
