ownership: claim a lost engine only after the lease of the last order

The time of an owner's latest order to an engine is kept; once it has lost or resigned the engine, it claims it again only when the lease and the time in which an order arrives are over.

--- a/packages/routing/src/core/adapters/adapter-loader.ts
+++ b/packages/routing/src/core/adapters/adapter-loader.ts
@@ -121,6 +121,7 @@
       timers,
       log,
       fencingToken: () => leases.tokenForOrder(replica.id),
+      onOrder: () => leases.recordOrder(replica.id),
       acceptsOrders: () => acceptsOrders(replica.id),
       onFenced: (token) => leases.handleRefusedToken(replica.id, token),
       onResidencyChange: (residency) => this.publishResidency(residency),
--- a/packages/routing/src/core/adapters/orders.ts
+++ b/packages/routing/src/core/adapters/orders.ts
@@ -40,6 +40,8 @@
   readonly log: DecisionLog;
   /** Returns the current token, before each order; undefined when this daemon must not send any. */
   readonly fencingToken: () => number | undefined;
+  /** Called in the step that sends an order. */
+  readonly onOrder: () => void;
   /** Whether what the engine has declared allows orders now. */
   readonly acceptsOrders: () => boolean;
   /** Called when the engine has refused a token. */
@@ -162,6 +164,7 @@
     const { model, adapter, version } = target;
     const order: EngineOrder = { kind, model, adapter, version, holder: self, token, expected };
     const startedAt = timers.now();
+    this.options.onOrder();
     const outcome = await connection.order(order);
     const tookMs = timers.now() - startedAt;
     if (!WITHOUT_RESPONSE.has(outcome)) this.hasResponded = true;
--- a/packages/routing/src/core/ownership/engine-leases.ts
+++ b/packages/routing/src/core/ownership/engine-leases.ts
@@ -31,6 +31,8 @@
  * orders again: it is more likely to be cut off than the others are to be gone.
  */
 const MINORITY_WAIT_LEASES = 3;
+/** Time in which an order that was sent arrives, in milliseconds, or is cut off with its connection. */
+const ORDER_TRANSIT_MS = 300;
 /** Number of lease durations for which this daemon doesn't claim an engine that refused its token. */
 const REFUSED_TOKEN_BACKOFF_LEASES = 2;
 
@@ -89,6 +91,9 @@
   /** Engines that refused this daemon's token, with the monotonic time until which they are not claimed. */
   private readonly backoffUntil = new Map<string, number>();
 
+  /** Monotonic times of this daemon's latest orders, by engine, in milliseconds. */
+  private readonly orderedAt = new Map<string, number>();
+
   /** Engines whose lease this daemon has, and to which it sends no orders as it can't reach them. */
   private readonly resigned = new Set<string>();
 
@@ -138,6 +143,11 @@
     return this.options.isRecovering() || !this.hasQuorum(MINORITY_WAIT_LEASES) ? undefined : lease.token;
   }
 
+  /** Records that this daemon sends an order to an engine. */
+  recordOrder(replica: string): void {
+    this.orderedAt.set(replica, this.options.timers.now());
+  }
+
   /**
    * Merges a lease that another daemon published.
    * @param lease - The lease.
@@ -192,6 +202,7 @@
     const lease = this.leases.get(replica);
     this.leases.delete(replica);
     this.backoffUntil.delete(replica);
+    this.orderedAt.delete(replica);
     const wasResigned = this.resigned.delete(replica);
     if (lease?.holder === this.options.self && !wasResigned)
       this.options.onLoss(lease, 'the engine was removed');
@@ -232,7 +243,7 @@
 
   private isClaimable(replica: string): boolean {
     const { fleet, leaseMs, isFenced, timers, isCutOff } = this.options;
-    if (timers.now() < (this.backoffUntil.get(replica) ?? 0)) return false;
+    if (timers.now() < (this.backoffUntil.get(replica) ?? 0) || this.mayHaveOverlap(replica)) return false;
     const lease = this.leases.get(replica);
     if (lease === undefined || this.resigned.has(replica)) return true;
     const state = fleet.state(lease.holder);
@@ -243,6 +254,16 @@
     return fleet.downForMs(lease.holder) > timeoutMs;
   }
 
+  /**
+   * Whether the lease of this daemon's latest order may still run at an engine that it has lost or resigned since:
+   * another owner may have ordered meanwhile, and two owners must not take turns within a lease.
+   */
+  private mayHaveOverlap(replica: string): boolean {
+    const { leaseMs, timers } = this.options;
+    const orderedAt = this.orderedAt.get(replica);
+    return orderedAt !== undefined && timers.now() - orderedAt < leaseMs + ORDER_TRANSIT_MS;
+  }
+
   /**
    * Whether this daemon sees at least half of the fleet alive, or has been in a minority for long enough to
    * act alone.
--- a/packages/routing/test/engine-leases.test.ts
+++ b/packages/routing/test/engine-leases.test.ts
@@ -324,7 +324,7 @@
   const { timers, leases, gained } = site;
   timers.advanceSync(SETTLED_MS);
   leases.claimUnowned(['x']);
-  leases.tokenForOrder('x');
+  leases.recordOrder('x');
   timers.advanceSync(500);
   lose(site, gained[0]!);
   return site;
--- a/packages/routing/test/engine-owner.test.ts
+++ b/packages/routing/test/engine-owner.test.ts
@@ -31,6 +31,7 @@
     isFenced: true,
     log,
     fencingToken: () => 5,
+    onOrder: () => undefined,
     acceptsOrders: () => true,
     onFenced: () => undefined,
     onResidencyChange: () => undefined,
@@ -49,6 +50,7 @@
     control,
     timers,
     fencingToken: () => lease.token,
+    onOrder: () => undefined,
     onFenced: (token) => fenced.push(token),
     onResidencyChange: (residency) => published.push(residency),
   });
--- a/packages/routing/test/orders/loading-adapters.test.ts
+++ b/packages/routing/test/orders/loading-adapters.test.ts
@@ -56,6 +56,7 @@
       timers,
       log,
       fencingToken: () => token,
+      onOrder: () => undefined,
       acceptsOrders: () => true,
       onFenced: () => undefined,
       onResidencyChange: () => undefined,
--- a/packages/routing/test/orders/simulation.ts
+++ b/packages/routing/test/orders/simulation.ts
@@ -219,6 +219,7 @@
         timers,
         log,
         fencingToken: () => daemon.token,
+        onOrder: () => undefined,
         acceptsOrders: () => true,
         onFenced: () => daemon.loseLease(),
         onResidencyChange: () => undefined,
