--- a/packages/routing/test/path-cuts.ts
+++ b/packages/routing/test/path-cuts.ts
@@ -9,6 +9,8 @@
   Reset = 'reset',
   /** Existing connections live on, and new ones are reset as soon as they are opened. */
   RefuseNew = 'refuse-new',
+  /** Existing connections hang for good, and new ones work. */
+  MuteOpen = 'mute-open',
 }
 
 /** Connections of one replica, and the hosts that are cut off from it. */
@@ -17,6 +19,9 @@
 
   private readonly sockets = new Set<Socket>();
 
+  /** Connections that hang for good. */
+  private readonly muted = new WeakSet<Socket>();
+
   /**
    * Takes a connection that was opened.
    * @returns Whether the replica gets it.
@@ -39,8 +44,9 @@
   cut(host: string, cut: PathCut): void {
     this.cuts.set(host, cut);
     for (const socket of this.socketsOf(host)) {
-      if (cut === PathCut.Hang) hang(socket);
-      else if (cut === PathCut.Reset) socket.resetAndDestroy();
+      if (cut === PathCut.Hang || cut === PathCut.MuteOpen) hang(socket);
+      if (cut === PathCut.MuteOpen) this.muted.add(socket);
+      if (cut === PathCut.Reset) socket.resetAndDestroy();
     }
   }
 
@@ -48,6 +54,7 @@
   heal(host: string): void {
     this.cuts.delete(host);
     for (const socket of this.socketsOf(host)) {
+      if (this.muted.has(socket)) continue;
       socket.uncork();
       socket.resume();
     }
--- a/packages/soak/src/core/plan/plan.ts
+++ b/packages/soak/src/core/plan/plan.ts
@@ -29,6 +29,7 @@
   FaultKind.Brittle,
   FaultKind.Upgrade,
   FaultKind.StopReplicas,
+  FaultKind.CutMuteOpen,
 ];
 const OTHERS = Object.values(FaultKind).filter((kind) => !LATER.includes(kind));
 /** Mean time between two faults, in seconds. */
@@ -142,16 +143,18 @@
   }));
 }
 
-/** Draws times in which all replicas are stopped; they may overlap. */
+/** Draws times in which all replicas are stopped, which may overlap, and one at which open connections fall silent. */
 function drawStops(seed: number, lengthMs: number): Fault[] {
   const random = createRandom(`soak-stops-${seed}`);
   const count = Math.max(1, Math.round(lengthMs / MS_PER_STOP));
-  return Array.from({ length: count }, () => ({
-    kind: FaultKind.StopReplicas,
+  const draw = (kind: FaultKind, share: number): Fault => ({
+    kind,
     atMs: Math.round(random.between(0, lengthMs - MAX_STOP_MS)),
     forMs: Math.round(random.between(MIN_STOP_MS, MAX_STOP_MS)),
-    share: 1,
-  }));
+    share,
+  });
+  const stops = Array.from({ length: count }, () => draw(FaultKind.StopReplicas, 1));
+  return [...stops, draw(FaultKind.CutMuteOpen, random.between(0.3, 1))];
 }
 
 function drawDeclarations(seed: number, lengthMs: number): Fault[] {
--- a/packages/soak/src/core/plan/types.ts
+++ b/packages/soak/src/core/plan/types.ts
@@ -40,6 +40,8 @@
   CutReset = 'cut-reset',
   /** New connections of daemons to all replicas are reset, while those that are open live on. */
   CutRefuse = 'cut-refuse',
+  /** Open connections of daemons to all replicas are silent for good, while new ones work. */
+  CutMuteOpen = 'cut-mute-open',
 }
 
 /** One fault of a plan. */
--- a/packages/soak/src/core/run/faults.ts
+++ b/packages/soak/src/core/run/faults.ts
@@ -128,6 +128,7 @@
   [FaultKind.CutHang]: cutOff(PathCut.Hang),
   [FaultKind.CutReset]: cutOff(PathCut.Reset),
   [FaultKind.CutRefuse]: cutOff(PathCut.RefuseNew),
+  [FaultKind.CutMuteOpen]: cutOff(PathCut.MuteOpen),
   [FaultKind.CrashingRequest]: ({ callers }, share) =>
     callers.repeatCrashing(share < COPIES_SHARE ? 1 : COPIES),
   [FaultKind.Errors]: misbehave(Behaviour.Errors),
