relays, requests: keep answers while there is no word of a replica

The answer is held now until there is word, its connection fails, or its deadline is over. The test 'a response is held while there is no word of its replica …' fails on the code before.

An attempt is not left either where the version of its stream is not known: no other one could go on with it.

--- a/packages/routing/src/core/daemon/services.ts
+++ b/packages/routing/src/core/daemon/services.ts
@@ -51,6 +51,9 @@
 /** Time in which an engine responds to a request for its report, in milliseconds; it needs no slot for that. */
 const RESPONSE_TIMEOUT_MS = 150;
 
+/** Pause after a report that could not be read, in milliseconds. */
+const REPORT_PAUSE_MS = 100;
+
 /** State of a daemon that its parts share with its reload and its shutdown. */
 export interface RouterState {
   /** Peers to contact first; a reload replaces them. */
@@ -463,7 +466,7 @@
   }
 
   /** Whether the listed incarnation of a replica still runs, as its own report shows. */
-  private async isRunning(replica: ReplicaEntry): Promise<boolean> {
+  private async isRunning(replica: ReplicaEntry): Promise<boolean | undefined> {
     const { name, bornAt, models } = replica;
     // Without a stated start, a restart has another name, which the request says and a replica checks.
     if (bornAt === undefined || models === undefined) return true;
@@ -471,8 +474,10 @@
       const report = await this.get<EngineControl>(PART.control).report(replica);
       return report.bornAt === bornAt;
     } catch (err) {
-      this.options.log.debug(`Failed to read the report of ${name}: ${String(err)}.`);
-      return false;
+      const { log, timers } = this.options;
+      log.debug(`Failed to read the report of ${name}: ${String(err)}.`);
+      await timers.sleep(REPORT_PAUSE_MS);
+      return undefined;
     }
   }
 
--- a/packages/routing/src/core/relays/proved-exchange.ts
+++ b/packages/routing/src/core/relays/proved-exchange.ts
@@ -19,8 +19,8 @@
 /** Parts of the daemon with which it sends to replicas itself. */
 export interface DirectSender {
   readonly pool: Pick<ChannelPool, 'send'>;
-  /** Whether the listed incarnation of a replica still runs. */
-  readonly isRunning: (replica: ReplicaEntry) => Promise<boolean>;
+  /** Whether the listed incarnation of a replica still runs; undefined if there is no word of it. */
+  readonly isRunning: (replica: ReplicaEntry) => Promise<boolean | undefined>;
 }
 
 /** What is sent to a replica. */
@@ -52,15 +52,18 @@
   /** Steps that wait for the proof; undefined when none wait. */
   private held: (() => void)[] | undefined;
 
+  private hasFailed = false;
+
   private hasEnded = false;
 
   /**
-   * @param prove - Whether the incarnation that was meant still runs.
+   * @param prove - Whether the incarnation that was meant still runs; undefined if there is no word of it, which ends
+   *   nothing.
    * @param sink - Called at each step of the exchange.
    */
   constructor(
     send: (sink: ResponseSink) => ExchangeHandle,
-    private readonly prove: () => Promise<boolean>,
+    private readonly prove: () => Promise<boolean | undefined>,
     private readonly sink: ResponseSink,
   ) {
     this.exchange = send(this);
@@ -85,7 +88,7 @@
       return;
     }
     this.held = [() => this.sink.onHead(status, headers)];
-    void this.prove().then((isProved) => this.release(isProved));
+    void this.awaitProof();
   }
 
   onData(chunk: Buffer): void {
@@ -97,6 +100,7 @@
   }
 
   onFail(failure: ChannelFailure, err: Error): void {
+    this.hasFailed = true;
     this.step(() => this.sink.onFail(failure, err));
   }
 
@@ -105,6 +109,14 @@
     else if (!this.hasEnded) next();
   }
 
+  /** Asks for the proof until there is one, or nothing is left to be proved. */
+  private async awaitProof(): Promise<void> {
+    let isProved = await this.prove();
+    while (isProved === undefined && this.held !== undefined && !this.hasFailed)
+      isProved = await this.prove();
+    this.release(isProved === true);
+  }
+
   private release(isProved: boolean): void {
     const { held = [] } = this;
     const isWaiting = this.held !== undefined;
--- a/packages/routing/src/core/requests/execution.ts
+++ b/packages/routing/src/core/requests/execution.ts
@@ -542,7 +542,8 @@
     if (retryPermit === undefined) return KeepReason.NoPermit;
     let admitted: AdmittedAttempt | undefined;
     try {
-      const choice = await this.finder.find(among);
+      // A stream whose version is not known can't go on anywhere else.
+      const choice = this.binding?.isStuck ? undefined : await this.finder.find(among);
       if (choice !== undefined) admitted = await this.admit(choice, undefined);
     } finally {
       if (admitted === undefined) retryPermit.release();
--- a/packages/routing/test/origins/proved-exchange.test.ts
+++ b/packages/routing/test/origins/proved-exchange.test.ts
@@ -13,20 +13,25 @@
     onEnd: () => steps.push('end'),
     onFail: (failure) => steps.push(`fail ${failure}`),
   };
-  let prove!: (isProved: boolean) => void;
-  const proof = new Promise<boolean>((resolve) => {
-    prove = resolve;
-  });
+  let prove!: (isProved: boolean | undefined) => void;
+  let proof!: Promise<boolean | undefined>;
+  const ask = (): Promise<boolean | undefined> => {
+    proof = new Promise((resolve) => {
+      prove = resolve;
+    });
+    return proof;
+  };
   let inner!: ResponseSink;
   const exchange = new ProvedExchange(
     (target) => {
       inner = target;
       return { cancel: (reason) => cancels.push(reason), mayHaveArrived: () => true };
     },
-    () => proof,
+    ask,
     sink,
   );
-  const settle = async (isProved: boolean): Promise<void> => {
+  /** Answers the question for the proof; undefined if there is no word of the replica. */
+  const settle = async (isProved: boolean | undefined): Promise<void> => {
     prove(isProved);
     await proof;
     await Promise.resolve();
@@ -85,3 +90,26 @@
   await settle(false);
   t.deepEqual(steps, ['sent', 'fail cancelled']);
 });
+
+// Guards against answers that are dropped because their replica is stopped when it is asked for its start.
+test('a response is held while there is no word of its replica, and passed on when there is', async (t) => {
+  const { steps, cancels, inner, settle } = setUp();
+  inner.onSent();
+  inner.onHead(200, {});
+  await settle(undefined);
+  inner.onData(Buffer.from('a'));
+  inner.onEnd();
+  await settle(undefined);
+  t.deepEqual([...steps, ...cancels], ['sent']);
+  await settle(true);
+  t.deepEqual(steps, ['sent', 'head 200', 'data a', 'end']);
+});
+
+test('a response that has failed is dropped when there is no word of its replica', async (t) => {
+  const { steps, inner, settle } = setUp();
+  inner.onSent();
+  inner.onHead(200, {});
+  inner.onFail('broken' as ChannelFailure, new Error('reset'));
+  await settle(undefined);
+  t.deepEqual(steps, ['sent', 'fail broken']);
+});
