--- a/packages/routing/src/core/daemon/services.ts
+++ b/packages/routing/src/core/daemon/services.ts
@@ -533,7 +533,8 @@
       health: kernel.get(PART.health),
       table: kernel.get(PART.cutOffs),
       probe: (replica, timeoutMs, holdMs) => this.probe(replica, timeoutMs, holdMs),
-      askPeers: (service, replicas) => kernel.get<PeerWitness>(PART.witness).ask(service, replicas),
+      askPeers: (service, replicas, mustConnect) =>
+        kernel.get<PeerWitness>(PART.witness).ask(service, replicas, mustConnect),
       requestResponse: (replica) => this.requestResponse(replica),
       closeIdle: (replica) => channels.closeIdle(replica),
       timers,
@@ -546,11 +547,14 @@
     return paths;
   }
 
-  /** Requests the report of an engine; settles when it has come, or has had time to. */
-  private async requestResponse(replica: ReplicaEntry): Promise<void> {
+  /** Requests the report of an engine; resolves to whether it has come, when it has or had time to. */
+  private async requestResponse(replica: ReplicaEntry): Promise<boolean> {
     const { timers, log } = this.options;
     const end = new AbortController();
-    const wait = timers.sleep(RESPONSE_TIMEOUT_MS, end.signal).catch(() => undefined);
+    const wait = timers.sleep(RESPONSE_TIMEOUT_MS, end.signal).then(
+      () => false,
+      () => true,
+    );
     if (replica.models !== undefined)
       this.get<EngineControl>(PART.control)
         .report(replica)
@@ -558,7 +562,7 @@
           () => end.abort(),
           (err: unknown) => log.debug(`No report of ${replica.id}: ${String(err)}.`),
         );
-    await wait;
+    return wait;
   }
 
   private createSender(kernel: ServiceFinder): UpstreamSender {
--- a/packages/routing/src/core/paths/connection-evidence.ts
+++ b/packages/routing/src/core/paths/connection-evidence.ts
@@ -7,7 +7,7 @@
 import type { TimerService } from '@celeryyoke/core';
 
 import type { ReplicaEntry, ReplicaRegistry } from '../view/index.js';
-import type { RunningExchange } from './types.js';
+import type { ExchangeStart, RunningExchange } from './types.js';
 import { DeathProof } from './types.js';
 
 /** Time without a byte after which an exchange, or all those with a service, count as silent, in milliseconds. */
@@ -17,7 +17,7 @@
 /** Time that older exchanges have to send something once a newer one has been responded to, in milliseconds. */
 const OVERTAKEN_AFTER_MS = 250;
 /** Age up to which it counts that a replica has sent something, in milliseconds. */
-const RESPONDING_MS = 1000;
+const RESPONDING_MS = 2000;
 
 /** A response to an exchange that began after older ones had become silent. */
 interface Answer {
@@ -35,8 +35,10 @@
    * has carried a byte.
    */
   doubtedSince: number | undefined;
-  /** Responses to exchanges that began after that, by replica. */
+  /** Responses to requests that began after that, by replica. */
   readonly answers: Map<string, Answer[]>;
+  /** Monotonic times of responses to probes since then, by replica, in milliseconds. */
+  readonly probedAt: Map<string, number>;
 }
 
 /** Options of {@link ConnectionEvidence}. */
@@ -74,7 +76,7 @@
    * Records that a replica has sent bytes in an exchange.
    * @returns Whether that ends doubts about older connections.
    */
-  recordBytes({ replica, rank, startedAt }: Omit<RunningExchange, 'lastDataAt'>): boolean {
+  recordBytes({ replica, rank, startedAt }: ExchangeStart): boolean {
     this.recordHeard(replica);
     const evidence = this.evidenceOf(replica.service);
     const { doubtedSince } = evidence;
@@ -105,9 +107,26 @@
     if (evidence.doubtedSince !== undefined && evidence.heardAt < evidence.doubtedSince) return false;
     evidence.doubtedSince = this.options.timers.now();
     evidence.answers.clear();
+    evidence.probedAt.clear();
     return true;
   }
 
+  /** Whether the connections of before are in doubt. */
+  isInDoubt(service: string): boolean {
+    return this.evidenceOf(service).doubtedSince !== undefined;
+  }
+
+  /** Records that a replica has responded to a probe on a connection that was opened in doubt. */
+  recordProbe({ id, service }: ReplicaEntry): void {
+    const { probedAt } = this.evidenceOf(service);
+    if (!probedAt.has(id)) probedAt.set(id, this.options.timers.now());
+  }
+
+  /** Whether a replica has responded to a probe since the connections of before are in doubt. */
+  hasProbed({ id, service }: ReplicaEntry): boolean {
+    return this.evidenceOf(service).probedAt.has(id);
+  }
+
   /** Time since the latest bytes from any replica of a service, in milliseconds; infinite without any. */
   serviceHeardAgoMs(service: string): number {
     return this.options.timers.now() - this.evidenceOf(service).heardAt;
@@ -142,27 +161,35 @@
 
   /** Replicas of which bytes have arrived lately: at peers if this daemon is cut off from them, else here. */
   respondingReplicas(service: string, isCutOff: boolean): ReadonlySet<string> {
-    const times = isCutOff
-      ? this.heardByPeersAt
-      : [...this.evidenceOf(service).answers].map(([id, answers]) => [id, answers[0]!.at] as const);
-    const since = isCutOff ? this.options.timers.now() - RESPONDING_MS : Number.NEGATIVE_INFINITY;
-    return new Set([...times].filter(([, at]) => at >= since).map(([id]) => id));
+    const { answers, probedAt } = this.evidenceOf(service);
+    if (!isCutOff) return new Set([...answers.keys(), ...probedAt.keys()]);
+    const since = this.options.timers.now() - RESPONDING_MS;
+    return new Set([...this.heardByPeersAt].filter(([, at]) => at >= since).map(([id]) => id));
   }
 
-  /** Whether a later request, of no more urgency, was responded to by the same replica, and none of before was. */
-  private isOvertaken({ replica, rank, startedAt, lastDataAt }: RunningExchange): boolean {
-    const { doubtedSince, answers } = this.evidenceOf(replica.service);
+  /**
+   * Whether the same replica has responded to something that began later, and nothing of before has got a byte. A
+   * request that waits for its turn may be overtaken by more urgent ones and by probes, one that has begun by neither.
+   */
+  private isOvertaken({ replica, rank, hasBegun, startedAt, lastDataAt }: RunningExchange): boolean {
+    const { doubtedSince, answers, probedAt } = this.evidenceOf(replica.service);
     if (doubtedSince === undefined || startedAt >= doubtedSince || lastDataAt >= doubtedSince) return false;
-    const now = this.options.timers.now();
+    const respondedBy = this.options.timers.now() - OVERTAKEN_AFTER_MS;
+    if (hasBegun && (probedAt.get(replica.id) ?? Number.POSITIVE_INFINITY) <= respondedBy) return true;
     return (answers.get(replica.id) ?? []).some(
-      (answer) => answer.rank >= rank && now - answer.at >= OVERTAKEN_AFTER_MS,
+      (answer) => (hasBegun || answer.rank >= rank) && answer.at <= respondedBy,
     );
   }
 
   private evidenceOf(service: string): ServiceEvidence {
     const known = this.services.get(service);
     if (known !== undefined) return known;
-    const created = { heardAt: Number.NEGATIVE_INFINITY, doubtedSince: undefined, answers: new Map() };
+    const created: ServiceEvidence = {
+      heardAt: Number.NEGATIVE_INFINITY,
+      doubtedSince: undefined,
+      answers: new Map(),
+      probedAt: new Map(),
+    };
     this.services.set(service, created);
     return created;
   }
--- a/packages/routing/src/core/paths/path-monitor.ts
+++ b/packages/routing/src/core/paths/path-monitor.ts
@@ -13,7 +13,7 @@
 import { ReplicaState } from '../view/index.js';
 import { ConnectionEvidence, SILENT_AFTER_MS } from './connection-evidence.js';
 import type { CutOffTable } from './cut-off-table.js';
-import type { DeathProof, PeerEvidence, RunningExchange } from './types.js';
+import type { DeathProof, ExchangeStart, PeerEvidence, RunningExchange } from './types.js';
 import { CutCause } from './types.js';
 
 /** Interval at which silent replicas are looked for, in milliseconds. */
@@ -38,6 +38,8 @@
 const HEAL_PROBES = 2;
 /** Other replicas of the service that are probed before it counts as cut off. */
 const MAX_OTHER_PROBES = 5;
+/** Silent replicas that are requested to respond at once. */
+const MAX_RESPONSE_PROBES = 4;
 /** Replicas that are probed for a peer. */
 const PROBES_FOR_PEER = 2;
 /** Replicas with outstanding requests that must be silent before the service counts as silent. */
@@ -57,9 +59,13 @@
   /** Connects to a replica once; the connection must last for some time. */
   readonly probe: (replica: ReplicaEntry, timeoutMs: number, holdMs: number) => Promise<ListenerState>;
   /** Asks peers what they hear from replicas of a service, and whether they reach any. */
-  readonly askPeers: (service: string, replicas: readonly string[]) => Promise<PeerEvidence>;
-  /** Has an engine respond on a connection that is not in use; settles when it has, or has had time to. */
-  readonly requestResponse: (replica: ReplicaEntry) => Promise<void>;
+  readonly askPeers: (
+    service: string,
+    replicas: readonly string[],
+    mustConnect: boolean,
+  ) => Promise<PeerEvidence>;
+  /** Has an engine respond on a connection that is not in use; resolves to whether it has, when it had time to. */
+  readonly requestResponse: (replica: ReplicaEntry) => Promise<boolean>;
   /** Closes the idle connections to a replica. */
   readonly closeIdle: (replica: string) => void;
   readonly timers: TimerService;
@@ -179,7 +185,7 @@
   }
 
   /** Records that a replica has sent bytes in an exchange on a connection of this daemon. */
-  recordBytes(exchange: Omit<RunningExchange, 'lastDataAt'>): void {
+  recordBytes(exchange: ExchangeStart): void {
     const { service } = exchange.replica;
     const hasEndedDoubt = this.evidence.recordBytes(exchange);
     if (hasEndedDoubt)
@@ -215,7 +221,7 @@
     const now = timers.now();
     for (const [service, { cause, checkedAt, askedAt }] of this.services) {
       if (PROBED.has(cause) && now - checkedAt >= HEAL_PROBE_INTERVAL_MS) void this.probeHealed(service);
-      if (CUT_OFF.has(cause) && now - askedAt >= HEAL_PROBE_INTERVAL_MS) void this.askPeers(service);
+      if (CUT_OFF.has(cause) && now - askedAt >= HEAL_PROBE_INTERVAL_MS) void this.askPeers(service, false);
     }
     for (const listener of [...this.reviewListeners]) listener();
   }
@@ -243,17 +249,20 @@
     const others = this.sample(service, MAX_OTHER_PROBES, id);
     const reached = await Promise.all(others.map((other) => this.canConnect(other)));
     if (reached.includes(true)) return undefined;
-    const { isReached } = await this.askPeers(service);
+    const { isReached } = await this.askPeers(service, true);
     return isReached ? CutCause.NoConnection : CutCause.Unreachable;
   }
 
   /** Whether replicas that accept connections are silent here only. */
   private async isCutBySilence(replica: ReplicaEntry): Promise<boolean> {
     const { service } = replica;
-    if (!this.isSilent(service)) return false;
-    if (this.evidence.beginDoubt(service)) this.retireIdle(service);
-    await Promise.all([this.askPeers(service), this.options.requestResponse(replica)]);
-    if (!this.isSilent(service)) return false;
+    const isSilent = this.isSilent(service);
+    if (isSilent && this.evidence.beginDoubt(service)) this.retireIdle(service);
+    if (!this.evidence.isInDoubt(service)) return false;
+    const probes = this.probeResponses(replica);
+    if (isSilent) await this.askPeers(service, false);
+    await probes;
+    if (!isSilent || !this.isSilent(service)) return false;
     const { health, timers } = this.options;
     const heard = this.silentReplicas(service).filter(({ id }) =>
       this.evidence.isHeardByPeerSince(id, timers.now() - health.silenceMs(id)),
@@ -261,12 +270,23 @@
     return heard.length > 0;
   }
 
-  private async askPeers(service: string): Promise<PeerEvidence> {
+  /** Requests responses of a replica, and of others that are silent, on connections that are opened for it. */
+  private async probeResponses(replica: ReplicaEntry): Promise<void> {
+    const others = this.silentReplicas(replica.service).filter(({ id }) => id !== replica.id);
+    const probed = [replica, ...others].filter((one) => !this.evidence.hasProbed(one));
+    await Promise.all(
+      probed.slice(0, MAX_RESPONSE_PROBES).map(async (one) => {
+        if (await this.options.requestResponse(one)) this.evidence.recordProbe(one);
+      }),
+    );
+  }
+
+  private async askPeers(service: string, mustConnect: boolean): Promise<PeerEvidence> {
     const { timers, registry, askPeers } = this.options;
     this.pathsOf(service).askedAt = timers.now();
     const silent = this.silentReplicas(service).map(({ id }) => id);
     const others = registry.readyReplicas(service).map(({ id }) => id);
-    const evidence = await askPeers(service, [...new Set([...silent, ...others])]);
+    const evidence = await askPeers(service, [...new Set([...silent, ...others])], mustConnect);
     this.evidence.recordPeers(evidence.heardAt);
     return evidence;
   }
@@ -333,7 +353,7 @@
     paths.isChecking = true;
     const isReached = await this.canConnect(target);
     const isUnproved = !isReached && paths.cause === CutCause.Unreachable;
-    const isCutOff = isUnproved && (await this.askPeers(service)).isReached;
+    const isCutOff = isUnproved && (await this.askPeers(service, true)).isReached;
     if (this.isStopped) return;
     paths.isChecking = false;
     paths.checkedAt = timers.now();
--- a/packages/routing/src/core/paths/peer-witness.ts
+++ b/packages/routing/src/core/paths/peer-witness.ts
@@ -13,9 +13,9 @@
 /** Time in which a peer must answer, in milliseconds: it may connect to replicas before. */
 const ASK_TIMEOUT_MS = 350;
 /** Age up to which a peer says that it has heard from a replica, in milliseconds. */
-const HEARD_MS = 300;
+const HEARD_MS = 1500;
 
-type QuestionFrame = readonly [service: string, replicas: readonly string[]];
+type QuestionFrame = readonly [service: string, replicas: readonly string[], mustConnect: boolean];
 type HeardFrame = readonly [replica: string, agoMs: number];
 type AnswerFrame = readonly [heard: readonly HeardFrame[], isReached: boolean];
 
@@ -38,35 +38,39 @@
 /** Exchanges evidence on replicas with peers. */
 export class PeerWitness {
   constructor(private readonly options: PeerWitnessOptions) {
-    options.cluster.handle(MessageType.ReplicaEvidence, (_from: Member, [service, replicas]: QuestionFrame) =>
-      this.answer(service, replicas),
+    options.cluster.handle(MessageType.ReplicaEvidence, (_from: Member, question: QuestionFrame) =>
+      this.answer(question),
     );
   }
 
   /**
-   * Asks some peers about the replicas of a service. Settles with the first that has heard from one, or when all have
-   * answered or had time to.
+   * Asks some peers about the replicas of a service.
+   * @param replicas - Those that it is asked of when a peer has heard from them.
+   * @param mustConnect - Whether peers are to establish a connection: what they have heard may have been before all
+   *   replicas went down.
    */
-  async ask(service: string, replicas: readonly string[]): Promise<PeerEvidence> {
+  async ask(service: string, replicas: readonly string[], mustConnect: boolean): Promise<PeerEvidence> {
+    const question: QuestionFrame = [service, replicas.slice(0, MAX_REPLICAS), mustConnect];
     const heardAt = new Map<string, number>();
     let isReached = false;
     await new Promise<void>((resolve) => {
       const questions = this.choosePeers(service).map(async (peer) => {
-        const evidence = await this.askPeer(peer, service, replicas.slice(0, MAX_REPLICAS));
+        const evidence = await this.askPeer(peer, question);
         for (const [id, at] of evidence.heardAt) heardAt.set(id, Math.max(at, heardAt.get(id) ?? at));
         isReached ||= evidence.isReached;
-        if (evidence.heardAt.size > 0) resolve();
+        // A peer that is stopped must not hold up what another one has shown.
+        if (isReached) resolve();
       });
       void Promise.all(questions).then(() => resolve());
     });
     return { heardAt, isReached };
   }
 
-  private async askPeer(peer: string, service: string, replicas: readonly string[]): Promise<PeerEvidence> {
+  private async askPeer(peer: string, question: QuestionFrame): Promise<PeerEvidence> {
     const { cluster, timers, log } = this.options;
+    const [service] = question;
     const askedAt = timers.now();
     try {
-      const question: QuestionFrame = [service, replicas];
       const answer = await cluster.request(peer, MessageType.ReplicaEvidence, question, ASK_TIMEOUT_MS);
       const [heard, isReached] = answer as AnswerFrame;
       return { heardAt: new Map(heard.map(([id, agoMs]) => [id, askedAt - agoMs])), isReached };
@@ -76,12 +80,12 @@
     }
   }
 
-  private async answer(service: string, replicas: readonly string[]): Promise<AnswerFrame> {
+  private async answer([service, replicas, mustConnect]: QuestionFrame): Promise<AnswerFrame> {
     const { heardAgoMs, canReach } = this.options;
     const heard = replicas
       .map((id): HeardFrame => [id, Math.ceil(heardAgoMs(id))])
       .filter(([, agoMs]) => agoMs <= HEARD_MS);
-    return [heard, heard.length > 0 || (await canReach(service))];
+    return [heard, mustConnect ? await canReach(service) : heard.length > 0];
   }
 
   /** Draws peers that are not cut off themselves as far as they have said. */
--- a/packages/routing/src/core/paths/types.ts
+++ b/packages/routing/src/core/paths/types.ts
@@ -24,17 +24,23 @@
 export interface PeerEvidence {
   /** Monotonic time of the latest bytes that a peer has received from each replica, at the earliest, in milliseconds. */
   readonly heardAt: ReadonlyMap<string, number>;
-  /** Whether a peer has heard from a replica lately, or has just established a connection to one. */
+  /** Whether a peer has just established a connection to a replica, or has heard from one if that was enough. */
   readonly isReached: boolean;
 }
 
-/** An exchange with a replica that is in progress on a connection of this daemon. */
-export interface RunningExchange {
+/** An exchange with a replica on a connection of this daemon. */
+export interface ExchangeStart {
   readonly replica: ReplicaEntry;
   /** Urgency of its request; 0 is the most urgent. Replicas begin more urgent ones first. */
   readonly rank: number;
   /** Monotonic milliseconds. */
   readonly startedAt: number;
+}
+
+/** An exchange that is in progress. */
+export interface RunningExchange extends ExchangeStart {
+  /** Whether the replica has sent anything in it. */
+  readonly hasBegun: boolean;
   /** Monotonic time of the last bytes from the replica, or of the start, in milliseconds. */
   readonly lastDataAt: number;
 }
--- a/packages/routing/src/core/requests/attempt-watch.ts
+++ b/packages/routing/src/core/requests/attempt-watch.ts
@@ -88,8 +88,9 @@
 
   private proof(): DeathProof | undefined {
     const { attempt, replica, rank, paths } = this.options;
-    const { startedAt, lastDataAt } = attempt;
-    return attempt.mayHaveArrived ? paths.proofOf({ replica, rank, startedAt, lastDataAt }) : undefined;
+    const { hasBegun, startedAt, lastDataAt } = attempt;
+    if (!attempt.mayHaveArrived) return undefined;
+    return paths.proofOf({ replica, rank, hasBegun, startedAt, lastDataAt });
   }
 
   private leave(next: AdmittedAttempt, proof: DeathProof): void {
--- a/packages/routing/src/core/requests/attempt.ts
+++ b/packages/routing/src/core/requests/attempt.ts
@@ -81,6 +81,11 @@
     this.exchange = options.send(this);
   }
 
+  /** Whether the replica has sent anything. */
+  get hasBegun(): boolean {
+    return this.firstByteMs !== undefined;
+  }
+
   /** Whether the replica may have received a byte of the request. */
   get mayHaveArrived(): boolean {
     return this.wasSent || this.exchange.mayHaveArrived();
