paths: find streams on dead connections while later ones go on

Where all open connections fall silent for good, streams on them waited for their deadlines: later requests went on new connections, so the service was not silent and nothing was in doubt. A stream that had begun is dead now if all streams of before its last bytes are silent too, two of them at least, while its engine goes on with later ones or sends a report. Engines hold up the latest streams when memory runs out, never all of the earlier ones.

--- a/packages/routing/src/core/paths/connection-evidence.ts
+++ b/packages/routing/src/core/paths/connection-evidence.ts
@@ -7,6 +7,7 @@
 import type { TimerService } from '@celeryyoke/core';
 
 import type { ReplicaEntry, ReplicaRegistry } from '../view/index.js';
+import { ExchangeTimes } from './exchange-times.js';
 import type { ExchangeStart, RunningExchange } from './types.js';
 import { DeathProof } from './types.js';
 
@@ -16,8 +17,9 @@
 const PEER_MARGIN_MS = 400;
 /** Time that older exchanges have to send something once a newer one has been responded to, in milliseconds. */
 const OVERTAKEN_AFTER_MS = 250;
-/** Age up to which it counts that a replica has sent something, in milliseconds. */
-const RESPONDING_MS = 2000;
+/** Age up to which it counts that a replica has sent something here, or to a peer, in milliseconds. */
+const RESPONDING_HERE_MS = 500;
+const RESPONDING_TO_PEER_MS = 2000;
 
 /** A response to an exchange that began after older ones had become silent. */
 interface Answer {
@@ -30,6 +32,8 @@
 interface ServiceEvidence {
   /** Monotonic time of the latest bytes from any replica on a connection of this daemon, in milliseconds. */
   heardAt: number;
+  /** The same for bytes in exchanges, other than probes. */
+  exchangedAt: number;
   /**
    * Monotonic time since which the connections of before are in doubt, in milliseconds; undefined once one of them
    * has carried a byte.
@@ -37,8 +41,9 @@
   doubtedSince: number | undefined;
   /** Responses to requests that began after that, by replica. */
   readonly answers: Map<string, Answer[]>;
-  /** Monotonic times of responses to probes since then, by replica, in milliseconds. */
+  /** Monotonic times of responses to probes since the replicas' last bytes in exchanges, by replica, in milliseconds. */
   readonly probedAt: Map<string, number>;
+  readonly times: ExchangeTimes;
 }
 
 /** Options of {@link ConnectionEvidence}. */
@@ -76,9 +81,13 @@
    * Records that a replica has sent bytes in an exchange.
    * @returns Whether that ends doubts about older connections.
    */
-  recordBytes({ replica, rank, startedAt }: ExchangeStart): boolean {
+  recordBytes(exchange: ExchangeStart): boolean {
+    const { replica, rank, startedAt } = exchange;
     this.recordHeard(replica);
     const evidence = this.evidenceOf(replica.service);
+    evidence.exchangedAt = evidence.heardAt;
+    evidence.times.recordBytes(exchange);
+    evidence.probedAt.delete(replica.id);
     const { doubtedSince } = evidence;
     if (doubtedSince === undefined) return false;
     if (startedAt < doubtedSince) {
@@ -92,6 +101,11 @@
     return false;
   }
 
+  /** Records that an exchange has ended. */
+  recordEnded(exchange: ExchangeStart): void {
+    this.evidenceOf(exchange.replica.service).times.recordEnded(exchange);
+  }
+
   /** Records what peers have heard. */
   recordPeers(heardAt: ReadonlyMap<string, number>): void {
     for (const [replica, at] of heardAt)
@@ -104,25 +118,20 @@
    */
   beginDoubt(service: string): boolean {
     const evidence = this.evidenceOf(service);
-    if (evidence.doubtedSince !== undefined && evidence.heardAt < evidence.doubtedSince) return false;
+    if (evidence.doubtedSince !== undefined && evidence.exchangedAt < evidence.doubtedSince) return false;
     evidence.doubtedSince = this.options.timers.now();
     evidence.answers.clear();
     evidence.probedAt.clear();
     return true;
   }
 
-  /** Whether the connections of before are in doubt. */
-  isInDoubt(service: string): boolean {
-    return this.evidenceOf(service).doubtedSince !== undefined;
-  }
-
-  /** Records that a replica has responded to a probe on a connection that was opened in doubt. */
+  /** Records that a replica has responded to a probe on a connection that was opened for it. */
   recordProbe({ id, service }: ReplicaEntry): void {
     const { probedAt } = this.evidenceOf(service);
     if (!probedAt.has(id)) probedAt.set(id, this.options.timers.now());
   }
 
-  /** Whether a replica has responded to a probe since the connections of before are in doubt. */
+  /** Whether a replica has responded to a probe since its last bytes in an exchange. */
   hasProbed({ id, service }: ReplicaEntry): boolean {
     return this.evidenceOf(service).probedAt.has(id);
   }
@@ -161,18 +170,21 @@
 
   /** Replicas of which bytes have arrived lately: at peers if this daemon is cut off from them, else here. */
   respondingReplicas(service: string, isCutOff: boolean): ReadonlySet<string> {
-    const { answers, probedAt } = this.evidenceOf(service);
-    if (!isCutOff) return new Set([...answers.keys(), ...probedAt.keys()]);
-    const since = this.options.timers.now() - RESPONDING_MS;
-    return new Set([...this.heardByPeersAt].filter(([, at]) => at >= since).map(([id]) => id));
+    const now = this.options.timers.now();
+    const since = now - (isCutOff ? RESPONDING_TO_PEER_MS : RESPONDING_HERE_MS);
+    const heard = isCutOff ? this.heardByPeersAt : this.heardAt;
+    const probed = isCutOff ? [] : this.evidenceOf(service).probedAt.keys();
+    return new Set([...probed, ...[...heard].filter(([, at]) => at >= since).map(([id]) => id)]);
   }
 
   /**
    * Whether the same replica has responded to something that began later, and nothing of before has got a byte. A
    * request that waits for its turn may be overtaken by more urgent ones and by probes, one that has begun by neither.
    */
-  private isOvertaken({ replica, rank, hasBegun, startedAt, lastDataAt }: RunningExchange): boolean {
-    const { doubtedSince, answers, probedAt } = this.evidenceOf(replica.service);
+  private isOvertaken(exchange: RunningExchange): boolean {
+    const { replica, rank, hasBegun, startedAt, lastDataAt } = exchange;
+    const { doubtedSince, answers, probedAt, times } = this.evidenceOf(replica.service);
+    if (hasBegun && times.isOvertaken(exchange, lastDataAt, probedAt.get(replica.id))) return true;
     if (doubtedSince === undefined || startedAt >= doubtedSince || lastDataAt >= doubtedSince) return false;
     const respondedBy = this.options.timers.now() - OVERTAKEN_AFTER_MS;
     if (hasBegun && (probedAt.get(replica.id) ?? Number.POSITIVE_INFINITY) <= respondedBy) return true;
@@ -186,9 +198,14 @@
     if (known !== undefined) return known;
     const created: ServiceEvidence = {
       heardAt: Number.NEGATIVE_INFINITY,
+      exchangedAt: Number.NEGATIVE_INFINITY,
       doubtedSince: undefined,
       answers: new Map(),
       probedAt: new Map(),
+      times: new ExchangeTimes(this.options.timers, {
+        silentAfterMs: SILENT_AFTER_MS,
+        overtakenAfterMs: OVERTAKEN_AFTER_MS,
+      }),
     };
     this.services.set(service, created);
     return created;
--- a/packages/routing/src/core/paths/index.ts
+++ b/packages/routing/src/core/paths/index.ts
@@ -7,5 +7,5 @@
 export { PeerWitness } from './peer-witness.js';
 export type { ReachabilityOptions } from './reachability.js';
 export { ReachabilityTable } from './reachability.js';
-export type { CutOffRow, PeerEvidence, RunningExchange } from './types.js';
+export type { CutOffRow, ExchangeStart, PeerEvidence, RunningExchange } from './types.js';
 export { CutCause, DeathProof } from './types.js';
--- a/packages/routing/src/core/paths/path-monitor.ts
+++ b/packages/routing/src/core/paths/path-monitor.ts
@@ -200,6 +200,11 @@
     this.endSilence(service);
   }
 
+  /** Records that an exchange in which bytes were recorded has ended. */
+  recordEnded(exchange: ExchangeStart): void {
+    this.evidence.recordEnded(exchange);
+  }
+
   /**
    * Returns whether a request to a service that is cut off may be sent directly, to find out whether its replicas
    * respond again; true for one request at a time.
@@ -258,8 +263,7 @@
     const { service } = replica;
     const isSilent = this.isSilent(service);
     if (isSilent && this.evidence.beginDoubt(service)) this.retireIdle(service);
-    if (!this.evidence.isInDoubt(service)) return false;
-    const probes = this.probeResponses(replica);
+    const probes = this.probeResponses(service, isSilent);
     if (isSilent) await this.askPeers(service, false);
     await probes;
     if (!isSilent || !this.isSilent(service)) return false;
@@ -270,10 +274,13 @@
     return heard.length > 0;
   }
 
-  /** Requests responses of a replica, and of others that are silent, on connections that are opened for it. */
-  private async probeResponses(replica: ReplicaEntry): Promise<void> {
-    const others = this.silentReplicas(replica.service).filter(({ id }) => id !== replica.id);
-    const probed = [replica, ...others].filter((one) => !this.evidence.hasProbed(one));
+  /**
+   * Requests responses of silent replicas on connections that are not in use.
+   * @param mustRespond - Whether they must respond again that have done so since they are silent.
+   */
+  private async probeResponses(service: string, mustRespond: boolean): Promise<void> {
+    const silent = this.silentReplicas(service);
+    const probed = silent.filter((replica) => mustRespond || !this.evidence.hasProbed(replica));
     await Promise.all(
       probed.slice(0, MAX_RESPONSE_PROBES).map(async (one) => {
         if (await this.options.requestResponse(one)) this.evidence.recordProbe(one);
--- a/packages/routing/src/core/requests/execution.ts
+++ b/packages/routing/src/core/requests/execution.ts
@@ -98,7 +98,7 @@
   readonly sender: Pick<UpstreamSender, 'choosePath' | 'send'>;
   readonly paths: Pick<
     PathMonitor,
-    'causeOf' | 'onCut' | 'onReview' | 'proofOf' | 'respondingReplicas' | 'recordBytes'
+    'causeOf' | 'onCut' | 'onReview' | 'proofOf' | 'respondingReplicas' | 'recordBytes' | 'recordEnded'
   >;
   readonly inFlight: InFlightTable;
   readonly health: ReplicaHealth;
@@ -457,6 +457,7 @@
     this.availability = this.parts.availability.availabilityOf(replica.id);
     if (this.relay?.lastEventId !== undefined) this.logContinuation(replica, continuation !== undefined);
     const retryPermit = this.consumeRetryPermit(sentAt);
+    const exchange = { replica, rank: this.rank, startedAt: sentAt };
     health.recordSent(replica.id);
     this.attempt = new Attempt({
       send: (sink) =>
@@ -475,8 +476,7 @@
       onDataReceived: () => {
         retryPermit?.settle();
         health.recordBytes(replica.id);
-        if (path.peer === undefined)
-          this.parts.paths.recordBytes({ replica, rank: this.rank, startedAt: sentAt });
+        if (path.peer === undefined) this.parts.paths.recordBytes(exchange);
       },
       onMetadata: ({ limitPerSecond, rejectionsPerSecond }) => {
         limits.updateFromResponse(replica.id, limitPerSecond, sentAt);
@@ -493,6 +493,7 @@
     } else retryPermit?.release();
     if (!NOT_RUN_OUTCOMES.has(result.outcome) && result.wasSent) this.mayHaveRun = true;
     health.recordEnded(replica.id);
+    this.parts.paths.recordEnded(exchange);
     this.parts.metrics.recordAttempt(result.outcome);
     if (result.firstByteMs !== undefined && head.generation !== undefined)
       this.parts.admission.recordFirstEvent(replica, {
--- a/packages/routing/test/paths.test.ts
+++ b/packages/routing/test/paths.test.ts
@@ -3,6 +3,7 @@
 import { createManualTimers, createSilentLog, ListenerState } from '@celeryyoke/core';
 import test from 'ava';
 
+import type { ExchangeStart } from '../src/index.js';
 import {
   CutCause,
   CutOffTable,
@@ -377,6 +378,45 @@
   t.is(site.proofOf('e0', 1, true), undefined);
 });
 
+/** What becomes of some streams while later ones go on. */
+enum EarlierStreams {
+  Silent = 'silent',
+  OneGoesOn = 'oneGoesOn',
+  AllButOneEnd = 'allButOneEnd',
+}
+
+// Guards against streams that wait on dead connections while later ones to the same engines go on.
+for (const [earlierStreams, expected] of [
+  [EarlierStreams.Silent, DeathProof.Overtaken],
+  [EarlierStreams.OneGoesOn, undefined],
+  [EarlierStreams.AllButOneEnd, undefined],
+] as const)
+  test(`whether streams are dead while later ones go on, when of the earlier ones: ${earlierStreams}`, async (t) => {
+    const site = new PathSite(3);
+    const start = (id: string): ExchangeStart => ({
+      replica: { ...engineEntry(id), service: SERVICE },
+      rank: 1,
+      startedAt: site.timers.now(),
+    });
+    const [first, ...others] = [start('e0'), start('e1'), start('e1')];
+    for (const exchange of [first, ...others]) site.monitor.recordBytes(exchange);
+    if (earlierStreams === EarlierStreams.AllButOneEnd)
+      for (const exchange of others) site.monitor.recordEnded(exchange);
+    await site.timers.advance(100);
+    const later = [start('e0'), start('e1')];
+    for (let passed = 0; passed < 1000; passed += 100) {
+      for (const exchange of later) site.monitor.recordBytes(exchange);
+      if (earlierStreams === EarlierStreams.OneGoesOn && passed < 400) site.monitor.recordBytes(others[0]);
+      await site.timers.advance(100);
+    }
+    const proof = (): DeathProof | undefined =>
+      site.monitor.proofOf({ ...first, hasBegun: true, lastDataAt: 0 });
+    t.is(proof(), expected);
+    // What was left as dead still counts for those that could not be left yet.
+    for (const exchange of others) site.monitor.recordEnded(exchange);
+    t.is(proof(), expected);
+  });
+
 // Guards against replicas that were stopped, and respond to what waited and to what is new in any order.
 test('a replica that goes on on its older connections a moment later shows that they are alive', async (t) => {
   const site = new PathSite(3);
--- a/packages/routing/test/repeats/execution-site.ts
+++ b/packages/routing/test/repeats/execution-site.ts
@@ -104,7 +104,13 @@
         send: (_path: UpstreamPath, replica: { id: string }, { call }: UpstreamRequest, sink: ResponseSink) =>
           this.send(replica.id, call, sink),
       },
-      paths: { causeOf: () => undefined, onCut: () => noop, onReview: () => noop, recordBytes: noop },
+      paths: {
+        causeOf: () => undefined,
+        onCut: () => noop,
+        onReview: () => noop,
+        recordBytes: noop,
+        recordEnded: noop,
+      },
       dialect: {
         upstreamHeaders: ({ id }: { id: string }) => [id],
         readResponse: (status: number) => ({
