paths: take no word of a host that was just stopped

A peer tells only what it has read 0.3 s after its own pause, and a host finds no cut while it recovers from one. Tests: 'a peer tells how long ago …', 'a daemon that has just been paused …'.

--- a/packages/routing/src/core/daemon/services.ts
+++ b/packages/routing/src/core/daemon/services.ts
@@ -170,10 +170,20 @@
         this.createSlotPermits(kernel),
       ),
       part(PART.cutOffs, [PART.cluster, PART.tree], (kernel) => this.createCutOffs(kernel)),
-      part(PART.witness, [PART.cluster, PART.cutOffs], (kernel) => this.createWitness(kernel)),
+      part(PART.witness, [PART.cluster, PART.cutOffs, PART.pauseDetector], (kernel) =>
+        this.createWitness(kernel),
+      ),
       part(
         PART.paths,
-        [PART.registry, PART.health, PART.cutOffs, PART.channels, PART.control, PART.witness],
+        [
+          PART.registry,
+          PART.health,
+          PART.cutOffs,
+          PART.channels,
+          PART.control,
+          PART.witness,
+          PART.pauseDetector,
+        ],
         (kernel) => this.createPaths(kernel),
         (paths) => paths.stop(),
       ),
@@ -518,6 +528,7 @@
       cluster: kernel.get(PART.cluster),
       table: kernel.get(PART.cutOffs),
       heardAgoMs: (replica) => this.get<PathMonitor>(PART.paths).heardAgoMs(replica),
+      resumedAgoMs: () => timers.now() - kernel.get<PauseDetector>(PART.pauseDetector).resumedAt,
       canReach: (service) => this.get<PathMonitor>(PART.paths).canReach(service),
       timers,
       log,
@@ -536,6 +547,7 @@
       askPeers: (service, replicas, mustConnect) =>
         kernel.get<PeerWitness>(PART.witness).ask(service, replicas, mustConnect),
       requestResponse: (replica) => this.requestResponse(replica),
+      isRecovering: () => kernel.get<PauseDetector>(PART.pauseDetector).isRecovering,
       closeIdle: (replica) => channels.closeIdle(replica),
       timers,
       log,
--- a/packages/routing/src/core/paths/path-monitor.ts
+++ b/packages/routing/src/core/paths/path-monitor.ts
@@ -56,6 +56,8 @@
   readonly registry: Pick<ReplicaRegistry, 'replica' | 'readyReplicas' | 'onReplica'>;
   readonly health: Pick<ReplicaHealth, 'silenceMs' | 'waitingReplicas'>;
   readonly table: Pick<CutOffTable, 'setOwn'>;
+  /** Whether this process was paused so recently that it may not have read what has arrived since. */
+  readonly isRecovering: () => boolean;
   /** Connects to a replica once; the connection must last for some time. */
   readonly probe: (replica: ReplicaEntry, timeoutMs: number, holdMs: number) => Promise<ListenerState>;
   /** Asks peers what they hear from replicas of a service, and whether they reach any. */
@@ -220,7 +222,8 @@
   }
 
   private review(): void {
-    const { health, timers } = this.options;
+    const { health, timers, isRecovering } = this.options;
+    if (isRecovering()) return;
     for (const replica of health.waitingReplicas())
       if (health.silenceMs(replica) > PROBE_AFTER_SILENCE_MS) this.recordTrouble(replica);
     const now = timers.now();
--- a/packages/routing/src/core/paths/peer-witness.ts
+++ b/packages/routing/src/core/paths/peer-witness.ts
@@ -15,6 +15,9 @@
 /** Age up to which a peer says that it has heard from a replica, in milliseconds. */
 const HEARD_MS = 1500;
 
+/** Time after a pause of this process in which it reads what had arrived before, in milliseconds. */
+const STALE_READ_MS = 300;
+
 type QuestionFrame = readonly [service: string, replicas: readonly string[], mustConnect: boolean];
 type HeardFrame = readonly [replica: string, agoMs: number];
 type AnswerFrame = readonly [heard: readonly HeardFrame[], isReached: boolean];
@@ -27,6 +30,8 @@
   readonly table: Pick<CutOffTable, 'isCutOff'>;
   /** Time since this daemon has heard from a replica itself, in milliseconds; infinite if it has not. */
   readonly heardAgoMs: (replica: string) => number;
+  /** Time since this process was paused, in milliseconds; infinite if it has not been. */
+  readonly resumedAgoMs: () => number;
   /** Whether this daemon can establish a connection to a replica of a service itself. */
   readonly canReach: (service: string) => Promise<boolean>;
   readonly timers: TimerService;
@@ -81,10 +86,12 @@
   }
 
   private async answer([service, replicas, mustConnect]: QuestionFrame): Promise<AnswerFrame> {
-    const { heardAgoMs, canReach } = this.options;
+    const { heardAgoMs, resumedAgoMs, canReach } = this.options;
+    // What was read after a pause may have been sent before it.
+    const maxAgoMs = Math.min(HEARD_MS, resumedAgoMs() - STALE_READ_MS);
     const heard = replicas
       .map((id): HeardFrame => [id, Math.ceil(heardAgoMs(id))])
-      .filter(([, agoMs]) => agoMs <= HEARD_MS);
+      .filter(([, agoMs]) => agoMs <= maxAgoMs);
     return [heard, mustConnect ? await canReach(service) : heard.length > 0];
   }
 
--- a/packages/routing/test/paths.test.ts
+++ b/packages/routing/test/paths.test.ts
@@ -37,6 +37,9 @@
   /** Replicas that a peer hears all the time. */
   readonly heardByPeers = new Set<string>();
 
+  /** Whether this process has just been paused. */
+  isRecovering = false;
+
   /** Whether peers establish connections to replicas. */
   areReachedByPeers = false;
 
@@ -82,6 +85,7 @@
         return isReporting;
       },
       closeIdle: (id: string) => this.retired.add(id),
+      isRecovering: () => this.isRecovering,
       timers: this.timers,
       log: createSilentLog(),
       random: () => 0.5,
@@ -435,6 +439,7 @@
   const timers = createManualTimers();
   const handlers: QuestionHandler[] = [];
   let isReached = false;
+  let resumedAgoMs = Number.POSITIVE_INFINITY;
   const ask = (heardAgoMs: number, latencyMs: number, mustConnect: boolean) =>
     new PeerWitness({
       self: 'a:1',
@@ -449,6 +454,7 @@
       },
       table: { isCutOff: () => false },
       heardAgoMs: () => heardAgoMs,
+      resumedAgoMs: () => resumedAgoMs,
       canReach: () => Promise.resolve(isReached),
       timers,
       log: createSilentLog(),
@@ -468,4 +474,27 @@
     // What was heard may have been before all replicas went down.
     t.is((await connecting).isReached, reached);
   }
+  // What a peer has read since it was stopped may have been sent before that.
+  for (const [pausedAgoMs, hasHeard] of [
+    [150, false],
+    [600, true],
+  ] as const) {
+    resumedAgoMs = pausedAgoMs;
+    const resumed = ask(100, 0, false);
+    await timers.advance(0);
+    t.is((await resumed).isReached, hasHeard);
+  }
+});
+
+// Guards against a host that was stopped itself, and takes for silent what it has not read yet.
+test('a daemon that has just been paused finds no cut', async (t) => {
+  const site = new PathSite(6);
+  site.send('e0', 'e1');
+  site.heardByPeers.add('e0');
+  site.isRecovering = true;
+  await site.timers.advance(3000);
+  t.is(site.cause, undefined);
+  site.isRecovering = false;
+  await site.timers.advance(DETECTION_MS);
+  t.is(site.cause, CutCause.Silence);
 });
