--- a/packages/soak/src/core/plan/plan.ts
+++ b/packages/soak/src/core/plan/plan.ts
@@ -30,6 +30,7 @@
   FaultKind.Upgrade,
   FaultKind.StopReplicas,
   FaultKind.CutMuteOpen,
+  FaultKind.Reconfigure,
 ];
 const OTHERS = Object.values(FaultKind).filter((kind) => !LATER.includes(kind));
 /** Mean time between two faults, in seconds. */
@@ -49,6 +50,8 @@
 const MS_PER_STOP = 8000;
 const MIN_STOP_MS = 500;
 const MAX_STOP_MS = 2500;
+/** Time around the beginning of such a stop at which a configuration comes into force, in milliseconds. */
+const CONFIGURED_AROUND_MS = 600;
 /** Mean time between two callers whose request crashes replicas, in milliseconds. */
 const MS_PER_CRASHING_REQUEST = 10_000;
 /** Mean time between two times at which engines get another software version, in milliseconds. */
@@ -143,7 +146,10 @@
   }));
 }
 
-/** Draws times in which all replicas are stopped, which may overlap, and one at which open connections fall silent. */
+/**
+ * Draws times in which all replicas are stopped, which may overlap, configurations beside them, and a time from which
+ * on open connections are silent.
+ */
 function drawStops(seed: number, lengthMs: number): Fault[] {
   const random = createRandom(`soak-stops-${seed}`);
   const count = Math.max(1, Math.round(lengthMs / MS_PER_STOP));
@@ -154,7 +160,13 @@
     share,
   });
   const stops = Array.from({ length: count }, () => draw(FaultKind.StopReplicas, 1));
-  return [...stops, draw(FaultKind.CutMuteOpen, random.between(0.3, 1))];
+  const configurations = stops.map(({ atMs }) => ({
+    kind: FaultKind.Reconfigure,
+    atMs: Math.max(0, atMs + Math.round(random.between(-CONFIGURED_AROUND_MS, CONFIGURED_AROUND_MS))),
+    forMs: 0,
+    share: 1,
+  }));
+  return [...stops, draw(FaultKind.CutMuteOpen, random.between(0.3, 1)), ...configurations];
 }
 
 function drawDeclarations(seed: number, lengthMs: number): Fault[] {
--- a/packages/soak/src/core/plan/types.ts
+++ b/packages/soak/src/core/plan/types.ts
@@ -18,6 +18,8 @@
   FreezeReplicas = 'freeze-replicas',
   /** All processes of replicas are stopped at once and go on. */
   StopReplicas = 'stop-replicas',
+  /** The operator puts another version of the configuration into force. */
+  Reconfigure = 'reconfigure',
   /** Daemons are killed, and start again when the fault ends. */
   KillDaemons = 'kill-daemons',
   /** Daemons are signalled to shut down, and are restarted when the fault ends. */
--- a/packages/soak/src/core/run/faults.ts
+++ b/packages/soak/src/core/run/faults.ts
@@ -28,6 +28,8 @@
   readonly recordBrittle: () => () => void;
   /** Records that daemons are cut off from all replicas; what it returns records the end. */
   readonly recordCut: (daemons: readonly string[]) => () => void;
+  /** Puts the next version of the configuration into the store. */
+  readonly reconfigure: () => void;
   readonly random: Random;
   readonly timers: TimerService;
 }
@@ -125,6 +127,10 @@
     replicas.upgrade(choose(replicas.engineIds, share, random), `v${latest + 1}`);
     return () => undefined;
   },
+  [FaultKind.Reconfigure]: ({ reconfigure }) => {
+    reconfigure();
+    return () => undefined;
+  },
   [FaultKind.CutHang]: cutOff(PathCut.Hang),
   [FaultKind.CutReset]: cutOff(PathCut.Reset),
   [FaultKind.CutRefuse]: cutOff(PathCut.RefuseNew),
--- a/packages/soak/src/core/run/run.ts
+++ b/packages/soak/src/core/run/run.ts
@@ -13,7 +13,14 @@
 import { ProcessGroup } from '../processes/index.js';
 import type { Arrival, ReplicaFall, ReplicaOptions } from '../replicas/index.js';
 import { ReplicaFleet } from '../replicas/index.js';
-import { claimNetworks, ENGINE_SLOTS, listReplica, PLAIN_SLOTS, startStore } from '../site/index.js';
+import {
+  claimNetworks,
+  ENGINE_SLOTS,
+  listReplica,
+  PLAIN_SLOTS,
+  putConfiguration,
+  startStore,
+} from '../site/index.js';
 import { Daemons } from './daemons.js';
 import { inject } from './faults.js';
 
@@ -84,6 +91,11 @@
     recordTime(cuts, { daemons: hit, from: timers.wall(), until: undefined });
   const recordBrittle = (): (() => void) =>
     recordTime(brittleTimes, { replicas: plan.plains, from: timers.wall(), until: undefined });
+  let version = 1;
+  const reconfigure = (): void => {
+    version += 1;
+    putConfiguration(store, version);
+  };
   const balancer = new Balancer(daemons.addresses, timers);
   const random = createRandom(`run-${plan.seed}`);
   const { requestsPerSecond, adapters, hasRetries } = plan;
@@ -95,7 +107,10 @@
     await timers.sleep(plan.trafficAfterMs);
     for (const fault of plan.faults)
       timers.after(fault.atMs, () =>
-        inject({ daemons, replicas, callers, relist, recordCut, recordBrittle, random, timers }, fault),
+        inject(
+          { daemons, replicas, callers, relist, recordCut, recordBrittle, reconfigure, random, timers },
+          fault,
+        ),
       );
     void callers.run();
     await timers.sleep(plan.seconds * MS_PER_SECOND);
--- a/packages/soak/src/core/site/index.ts
+++ b/packages/soak/src/core/site/index.ts
@@ -12,6 +12,7 @@
   listReplica,
   PLAIN_SERVICE,
   PLAIN_SLOTS,
+  putConfiguration,
   REPEAT_BOUNDS,
   ROUTES,
   settingsOf,
--- a/packages/soak/src/core/site/site.ts
+++ b/packages/soak/src/core/site/site.ts
@@ -204,8 +204,14 @@
 export async function startStore(): Promise<StoreStandIn> {
   const store = new StoreStandIn();
   await store.start();
+  putConfiguration(store, 1);
+  return store;
+}
+
+/** Puts a version of the configuration into the store; another one has another idle timeout of callers. */
+export function putConfiguration(store: StoreStandIn, version: number): void {
   store.put('op/config', {
-    version: 1,
+    version,
     routes: ROUTES.map(wireRoute),
     services: [
       { name: PLAIN_SERVICE, max_connections: 500 },
@@ -224,10 +230,9 @@
       max_header_bytes: 16_384,
       max_body_bytes: 65_536,
       header_timeout_ms: 5000,
-      idle_timeout_ms: 15_000,
+      idle_timeout_ms: 15_000 + version,
     },
   });
-  return store;
 }
 
 function wireRoute({ name, kind, service, timeoutMs, objectiveMs, maxAttempts, isResumable }: SoakRoute) {
--- a/packages/soak/test/silence.test.ts
+++ b/packages/soak/test/silence.test.ts
@@ -14,6 +14,8 @@
 
 const BUILD = fileURLToPath(new URL('../../../../platform/build.mjs', import.meta.url));
 const SECONDS = 9;
+/** Time from the beginning of a stop until another configuration comes into force, in milliseconds. */
+const CONFIGURED_AFTER_MS = 300;
 /** Requests a second for each engine, so that it has slots for those that wait while it is stopped. */
 const REQUESTS_PER_ENGINE = 6;
 /** Times from the start of the traffic at which replicas are stopped, in milliseconds. */
@@ -33,7 +35,10 @@
   forMs: number,
   share = 1,
 ): Promise<SoakResult> {
-  const faults = STOPS_AT_MS.map((atMs) => ({ kind, atMs, forMs, share }));
+  const faults = STOPS_AT_MS.flatMap((atMs) => [
+    { kind, atMs, forMs, share },
+    { kind: FaultKind.Reconfigure, atMs: atMs + CONFIGURED_AFTER_MS, forMs: 0, share: 1 },
+  ]);
   const plan: SoakPlan = {
     ...replicas,
     seed: 1,
