channels, paths: let daemons stop while replicas are silent

Parts are found when the monitor is created, and a pool that closes tells nobody. 'daemons that stop while all replicas are silent …' fails on the code before.

--- a/packages/routing/src/core/channels/pool.ts
+++ b/packages/routing/src/core/channels/pool.ts
@@ -42,7 +42,7 @@
    */
   constructor(
     private readonly timers: TimerService,
-    private readonly guard: UpstreamGuard = NO_GUARD,
+    private guard: UpstreamGuard = NO_GUARD,
     private readonly localAddress?: string,
   ) {}
 
@@ -96,8 +96,9 @@
     this.idleChannels.delete(id);
   }
 
-  /** Closes all connections. */
+  /** Closes all connections; nobody is told of that, as the parts that listen may have stopped. */
   close(): void {
+    this.guard = NO_GUARD;
     for (const channels of this.openChannels.values()) for (const channel of channels) channel.close();
   }
 
--- a/packages/routing/src/core/daemon/services.ts
+++ b/packages/routing/src/core/daemon/services.ts
@@ -539,15 +539,18 @@
   private createPaths(kernel: ServiceFinder): PathMonitor {
     const { timers, log } = this.options;
     const channels = kernel.get<ChannelPool>(PART.channels);
+    // A check may still be in progress when the daemon has stopped and its parts can't be found any more.
+    const control = kernel.get<EngineControl>(PART.control);
+    const witness = kernel.get<PeerWitness>(PART.witness);
+    const pauses = kernel.get<PauseDetector>(PART.pauseDetector);
     const paths = new PathMonitor({
       registry: kernel.get(PART.registry),
       health: kernel.get(PART.health),
       table: kernel.get(PART.cutOffs),
       probe: (replica, timeoutMs, holdMs) => this.probe(replica, timeoutMs, holdMs),
-      askPeers: (service, replicas, mustConnect) =>
-        kernel.get<PeerWitness>(PART.witness).ask(service, replicas, mustConnect),
-      requestResponse: (replica) => this.requestResponse(replica),
-      isRecovering: () => kernel.get<PauseDetector>(PART.pauseDetector).isRecovering,
+      askPeers: (service, replicas, mustConnect) => witness.ask(service, replicas, mustConnect),
+      requestResponse: (replica) => this.requestResponse(control, replica),
+      isRecovering: () => pauses.isRecovering,
       closeIdle: (replica) => channels.closeIdle(replica),
       timers,
       log,
@@ -560,7 +563,7 @@
   }
 
   /** Requests the report of an engine; resolves to whether it has come, when it has or had time to. */
-  private async requestResponse(replica: ReplicaEntry): Promise<boolean> {
+  private async requestResponse(control: EngineControl, replica: ReplicaEntry): Promise<boolean> {
     const { timers, log } = this.options;
     const end = new AbortController();
     const wait = timers.sleep(RESPONSE_TIMEOUT_MS, end.signal).then(
@@ -568,12 +571,10 @@
       () => true,
     );
     if (replica.models !== undefined)
-      this.get<EngineControl>(PART.control)
-        .report(replica)
-        .then(
-          () => end.abort(),
-          (err: unknown) => log.debug(`No report of ${replica.id}: ${String(err)}.`),
-        );
+      control.report(replica).then(
+        () => end.abort(),
+        (err: unknown) => log.debug(`No report of ${replica.id}: ${String(err)}.`),
+      );
     return wait;
   }
 
