paths, relays: choose peers that reach replicas in one place

The same filter stood in the sender of relayed exchanges and in the part that asks peers what they hear; fakes of choosers in tests likewise. No behaviour changes.

--- a/packages/routing/src/core/paths/index.ts
+++ b/packages/routing/src/core/paths/index.ts
@@ -5,6 +5,8 @@
 export { PathMonitor } from './path-monitor.js';
 export type { PeerWitnessOptions } from './peer-witness.js';
 export { PeerWitness } from './peer-witness.js';
+export type { PeerSource } from './reaching-peers.js';
+export { reachingPeers } from './reaching-peers.js';
 export type { ReachabilityOptions } from './reachability.js';
 export { ReachabilityTable } from './reachability.js';
 export type { CutOffRow, ExchangeStart, PeerEvidence, RunningExchange } from './types.js';
--- a/packages/routing/src/core/paths/peer-witness.ts
+++ b/packages/routing/src/core/paths/peer-witness.ts
@@ -2,8 +2,9 @@
 import type { DecisionLog, TimerService } from '@celeryyoke/core';
 
 import type { Cluster, Member } from '../cluster/index.js';
-import { MemberState, MessageType } from '../cluster/index.js';
-import type { CutOffTable } from './cut-off-table.js';
+import { MessageType } from '../cluster/index.js';
+import type { PeerSource } from './reaching-peers.js';
+import { reachingPeers } from './reaching-peers.js';
 import type { PeerEvidence } from './types.js';
 
 /** Peers that are asked at once. */
@@ -23,11 +24,8 @@
 type AnswerFrame = readonly [heard: readonly HeardFrame[], isReached: boolean];
 
 /** Options of {@link PeerWitness}. */
-export interface PeerWitnessOptions {
-  /** Address of this daemon. */
-  readonly self: string;
+export interface PeerWitnessOptions extends PeerSource {
   readonly cluster: Pick<Cluster, 'aliveAddresses' | 'state' | 'request' | 'handle'>;
-  readonly table: Pick<CutOffTable, 'isCutOff'>;
   /** Time since this daemon has heard from a replica itself, in milliseconds; infinite if it has not. */
   readonly heardAgoMs: (replica: string) => number;
   /** Time since this process was paused, in milliseconds; infinite if it has not been. */
@@ -97,15 +95,8 @@
 
   /** Draws peers that are not cut off themselves as far as they have said. */
   private choosePeers(service: string): string[] {
-    const { self, cluster, table, random } = this.options;
-    return cluster
-      .aliveAddresses()
-      .filter(
-        (address) =>
-          address !== self &&
-          cluster.state(address) === MemberState.Alive &&
-          !table.isCutOff(address, service),
-      )
+    const { random } = this.options;
+    return reachingPeers(this.options, service)
       .map((address) => ({ address, order: random() }))
       .sort((left, right) => left.order - right.order)
       .slice(0, MAX_PEERS)
--- a/packages/routing/src/core/relays/upstream-sender.ts
+++ b/packages/routing/src/core/relays/upstream-sender.ts
@@ -5,9 +5,8 @@
 import type { ExchangeHandle, HeaderMap, ResponseSink } from '../channels/index.js';
 import { ChannelFailure, failLater } from '../channels/index.js';
 import type { Cluster } from '../cluster/index.js';
-import { MemberState } from '../cluster/index.js';
-import type { CutOffTable, PathMonitor } from '../paths/index.js';
-import { CutCause } from '../paths/index.js';
+import type { PathMonitor, PeerSource } from '../paths/index.js';
+import { CutCause, reachingPeers } from '../paths/index.js';
 import type { ReplicaEntry } from '../view/index.js';
 import type { DirectRequest, DirectSender } from './proved-exchange.js';
 import { sendDirect } from './proved-exchange.js';
@@ -40,14 +39,11 @@
 }
 
 /** Parts of the daemon that a sender uses. */
-export interface UpstreamSenderOptions extends DirectSender {
-  /** Address of this daemon. */
-  readonly self: string;
+export interface UpstreamSenderOptions extends DirectSender, PeerSource {
   /** Failure domain of this daemon. */
   readonly zone: string;
   readonly cluster: Pick<Cluster, 'aliveAddresses' | 'member' | 'openLink' | 'state'>;
   readonly monitor: Pick<PathMonitor, 'causeOf' | 'takeTrial'>;
-  readonly table: Pick<CutOffTable, 'isCutOff'>;
   readonly availability: Pick<ReplicaAvailability, 'refusal' | 'recordDeclaration'>;
   /** Returns what the head of a response declares about its replica. */
   readonly readDeclaration: (status: number, headers: HeaderMap) => ReplicaDeclaration;
@@ -153,23 +149,15 @@
    * that has just refused only where there is no other.
    */
   private choosePeer(service: string): string | undefined {
-    const { self, zone, cluster, table, timers, random } = this.options;
+    const { zone, cluster, timers, random } = this.options;
     const now = timers.now();
-    const peers = cluster
-      .aliveAddresses()
-      .filter(
-        (address) =>
-          address !== self &&
-          cluster.state(address) === MemberState.Alive &&
-          !table.isCutOff(address, service),
-      )
-      .map((address) => ({
-        address,
-        isAvoided: (this.avoidedUntil.get(address) ?? 0) > now,
-        running: this.relayed.get(address) ?? 0,
-        isNear: cluster.member(address)?.zone === zone,
-        order: random(),
-      }));
+    const peers = reachingPeers(this.options, service).map((address) => ({
+      address,
+      isAvoided: (this.avoidedUntil.get(address) ?? 0) > now,
+      running: this.relayed.get(address) ?? 0,
+      isNear: cluster.member(address)?.zone === zone,
+      order: random(),
+    }));
     peers.sort(
       (left, right) =>
         Number(left.isAvoided) - Number(right.isAvoided) ||
--- a/packages/routing/test/dead-connections.test.ts
+++ b/packages/routing/test/dead-connections.test.ts
@@ -1,10 +1,10 @@
 /** Attempts whose connections are dead: left for another one that is ready, else kept until they end. */
-import type { Choice, ResponseSink, UpstreamRequest } from '@celeryyoke/routing';
+import type { Choice, Need, ResponseSink, UpstreamRequest } from '@celeryyoke/routing';
 import { ChannelFailure, DeathProof, PathKind } from '@celeryyoke/routing';
 import test from 'ava';
 
 import { engineEntry } from './fakes.js';
-import { ExecutionSite, ROUTE } from './repeats/execution-site.js';
+import { createChooser, ExecutionSite, ROUTE } from './repeats/execution-site.js';
 
 const BOUNDS = { ratio: 0.2, windowMs: 10_000, slack: 54 };
 const NO_RETRIES = { ratio: 0, windowMs: 10_000, slack: 0 };
@@ -41,19 +41,13 @@
   const flags = { proof: undefined as DeathProof | undefined };
   let mostAtOnce = 0;
   const noop = (): void => undefined;
-  const choose = ({ among }: { among?: ReadonlySet<string> }): Choice | undefined => {
+  const choose = ({ among }: Need): Choice | undefined => {
     const id = among === undefined ? SILENT : [RESPONDING].find((engine) => among.has(engine));
     if (id === undefined) return undefined;
     return { replica: engineEntry(id), residentVersion: 1, needsLoad: false, cost: 0 };
   };
   const site: ExecutionSite = new ExecutionSite(bounds, {
-    chooser: {
-      choose,
-      minVersion: () => 0,
-      acceptsRequests: () => true,
-      hasVersion: () => true,
-      backoffMs: () => 0,
-    },
+    chooser: createChooser(choose),
     sender: {
       choosePath: () => ({ kind: PathKind.Direct, peer: undefined }),
       send: (_path: unknown, { id }: { id: string }, _request: UpstreamRequest, sink: ResponseSink) => {
--- a/packages/routing/test/repeats/execution-site.ts
+++ b/packages/routing/test/repeats/execution-site.ts
@@ -8,6 +8,7 @@
   ResponseSink,
   Choice,
   ExecutionDependencies,
+  Need,
   Route,
   ExchangeHandle,
   UpstreamCall,
@@ -57,6 +58,17 @@
   readonly arrive: () => void;
 }
 
+/** A chooser for which every replica accepts requests. */
+export function createChooser(choose: (need: Need) => Choice | undefined) {
+  return {
+    choose,
+    minVersion: () => 0,
+    acceptsRequests: () => true,
+    hasVersion: () => true,
+    backoffMs: () => 0,
+  };
+}
+
 /** One daemon, its engines and its callers. */
 export class ExecutionSite {
   readonly timers: ManualTimerService = createManualTimers();
@@ -90,13 +102,7 @@
     const budget = new RetryBudget({ bounds, share: () => 1, timers });
     const noop = (): void => undefined;
     this.parts = {
-      chooser: {
-        choose: ({ tried }: { tried: ReadonlySet<string> }) => this.choose(tried),
-        minVersion: () => 0,
-        acceptsRequests: () => true,
-        hasVersion: () => true,
-        backoffMs: () => 0,
-      },
+      chooser: createChooser(({ tried }) => this.choose(tried)),
       ensure: (_replica: unknown, _ref: unknown, { patienceMs }: { patienceMs: number }) =>
         this.load(patienceMs),
       sender: {
--- a/packages/routing/test/withheld.test.ts
+++ b/packages/routing/test/withheld.test.ts
@@ -4,7 +4,7 @@
 import test from 'ava';
 
 import { engineEntry } from './fakes.js';
-import { ExecutionSite, ROUTE } from './repeats/execution-site.js';
+import { createChooser, ExecutionSite, ROUTE } from './repeats/execution-site.js';
 
 const BOUNDS = { ratio: 0.2, windowMs: 10_000, slack: 50 };
 const RESUMABLE: Route = { ...ROUTE, isResumable: true, maxAttempts: 2 };
@@ -39,13 +39,7 @@
   };
   let migrations = 0;
   const site = new ExecutionSite(BOUNDS, {
-    chooser: {
-      choose,
-      minVersion: () => 0,
-      acceptsRequests: () => true,
-      hasVersion: () => true,
-      backoffMs: () => 0,
-    },
+    chooser: createChooser(choose),
     sender: {
       choosePath: () => ({ kind: PathKind.Direct, peer: undefined }),
       send: (
