budget: log how long retries wait before they arrive

Whether retries that exceed the budget come from bursts of requests, or were reserved long before they arrived by a process that has ended since, could not be told: budget.used had totals only. It now has the longest wait from reservation to arrival since the last line and the age of the oldest retry that may still arrive. Decisions are unchanged.

--- a/packages/routing/src/core/budget/budget.ts
+++ b/packages/routing/src/core/budget/budget.ts
@@ -40,6 +40,10 @@
   readonly unsent: number;
   /** Retries within the window that have arrived, or never will. */
   readonly settled: number;
+  /** Longest time from a reservation to the arrival among those that settled since the last report, in milliseconds. */
+  readonly longestWaitMs: number;
+  /** Time since the oldest reservation that may still arrive, in milliseconds; 0 if there is none. */
+  readonly oldestPendingMs: number;
   /** Retries that may still be reserved, rounded down. */
   readonly available: number;
   /** Retries that were allowed since process start. */
@@ -78,8 +82,11 @@
   /** Monotonic time of the last resumption that was taken into account, in milliseconds. */
   private knownResumedAt = Number.NEGATIVE_INFINITY;
 
-  /** Retries that are reserved and may still arrive. */
-  private pending = 0;
+  /** Monotonic times of the reservations that may still arrive, oldest first, by number of the retry. */
+  private readonly pending = new Map<number, number>();
+
+  /** Longest time from a reservation to the arrival since the last report, in milliseconds. */
+  private longestWaitMs = 0;
 
   /** Retries of the last window that have arrived, or never will. */
   private readonly settled: SlidingSum;
@@ -113,32 +120,40 @@
       return undefined;
     }
     this.reservedCount += 1;
-    this.pending += 1;
+    const number = this.reservedCount;
+    this.pending.set(number, this.options.timers.now());
     this.unsent += 1;
     return new RetryPermit({
       sent: () => {
         this.unsent -= 1;
         this.spend();
       },
-      settled: () => {
-        this.pending -= 1;
-        this.settled.add(1, this.options.timers.now());
-      },
+      settled: () => this.settle(number),
       released: () => {
-        this.pending -= 1;
+        this.pending.delete(number);
         this.unsent -= 1;
       },
     });
   }
 
-  /** Returns what the budget has counted, for the log. */
-  use(): BudgetUse {
+  /** Number of retries that were allowed or refused since process start. */
+  get decisions(): number {
+    return this.reservedCount + this.refusedCount;
+  }
+
+  /** Returns what the budget has counted, for the log, and begins the next report. */
+  report(): BudgetUse {
     const now = this.options.timers.now();
+    const { longestWaitMs } = this;
+    this.longestWaitMs = 0;
+    const [oldest = now] = this.pending.values();
     return {
       requests: this.requests.total(now),
-      pending: this.pending,
+      pending: this.pending.size,
       unsent: this.unsent,
       settled: this.settled.total(now),
+      longestWaitMs: Math.round(longestWaitMs),
+      oldestPendingMs: Math.round(now - oldest),
       available: Math.floor(this.available(now)),
       reserved: this.reservedCount,
       refused: this.refusedCount,
@@ -150,11 +165,19 @@
     this.dropOldRequests();
     const { bounds, share } = this.options;
     const allowed = bounds.ratio * this.requests.total(now) + bounds.slack * share();
-    const inWindow = ALLOWANCE_SHARE * allowed - this.pending - this.settled.total(now);
+    const inWindow = ALLOWANCE_SHARE * allowed - this.pending.size - this.settled.total(now);
     const atOnce = this.grants.total(now) + this.fixedLeft(now) - this.unsent;
     return Math.min(inWindow, atOnce);
   }
 
+  /** Counts a retry that has arrived, or never will. */
+  private settle(number: number): void {
+    const now = this.options.timers.now();
+    this.longestWaitMs = Math.max(this.longestWaitMs, now - (this.pending.get(number) ?? now));
+    this.pending.delete(number);
+    this.settled.add(1, now);
+  }
+
   /** Pays for a retry that is sent now. */
   private spend(): void {
     const now = this.options.timers.now();
--- a/packages/routing/src/core/budget/budgets.ts
+++ b/packages/routing/src/core/budget/budgets.ts
@@ -44,10 +44,9 @@
   private report(): void {
     const { share, log } = this.options;
     for (const [service, budget] of this.byService) {
-      const use = budget.use();
-      const decisions = use.reserved + use.refused;
-      if (decisions === (this.reported.get(service) ?? 0)) continue;
-      this.reported.set(service, decisions);
+      if (budget.decisions === (this.reported.get(service) ?? 0)) continue;
+      this.reported.set(service, budget.decisions);
+      const use = budget.report();
       log.decide(
         'budget.used',
         `${use.reserved} retries of ${service} were allowed, ${use.refused} refused.`,
--- a/packages/routing/test/budget.test.ts
+++ b/packages/routing/test/budget.test.ts
@@ -199,3 +199,16 @@
   const later = sizeAfter(BOUNDS.windowMs, 100 * BOUNDS.windowMs);
   t.true(later < 2 * atFirst, `${later} characters, ${atFirst} at first`);
 });
+
+// Guards against reports that don't tell retries that wait for their arrival from those that arrive at once.
+test('a report tells how long retries wait between reservation and arrival', async (t) => {
+  const timers = createManualTimers();
+  const budget = makeBudget(timers, () => 1);
+  const [slow, quick] = [budget.reserve()!, budget.reserve()!];
+  quick.settle();
+  await timers.advance(2500);
+  t.like(budget.report(), { longestWaitMs: 0, oldestPendingMs: 2500, pending: 1 });
+  slow.settle();
+  t.like(budget.report(), { longestWaitMs: 2500, oldestPendingMs: 0, pending: 0 });
+  t.like(budget.report(), { longestWaitMs: 0, settled: 2 });
+});
