budget: add failing tests of retries for bursts and of late arrivals

A table of load shapes by faults by fleet sizes on the virtual clock, and the same with retries that arrive 4 s after they were sent by a process that is killed meanwhile. 19 cells exceed what is allowed, also without any fault: two bursts within 7 s give 320 retries for 1,305 requests, allowed 317; with late arrivals and kills 364, and 247 for an allowance of 236 at an even rate.

--- a/packages/routing/test/repeats/fleet.ts
+++ b/packages/routing/test/repeats/fleet.ts
@@ -1,4 +1,5 @@
 /** Fleet on a virtual clock whose daemons request retries of one service all the time. */
+import type { RetryPermit } from '@celeryyoke/routing';
 import { RetryBudget } from '@celeryyoke/routing';
 
 import type { TestDaemon } from '../fleet/daemons.js';
@@ -23,9 +24,15 @@
   /** Whether daemons retry. */
   isRetrying = true;
 
+  /** Time from the moment a retry is sent to its arrival, in milliseconds; it arrives also if its process ends. */
+  arrivalDelayMs = 0;
+
   /** Requests of all callers, spread evenly over the daemons that run. */
   requestsPerSecond = 0;
 
+  /** Time at which the load begins to change, in milliseconds. */
+  calmUntil = 0;
+
   /** Requests that are due and have not been sent. */
   private dueRequests = 0;
 
@@ -105,17 +112,22 @@
 
   private retryWhileAllowed(address: string): void {
     if (this.fleet.network.isFrozen(address)) return;
-    const now = this.fleet.timers.now();
     const budget = this.budgets.get(address)!;
     for (let permit = budget.reserve(); permit !== undefined; permit = budget.reserve()) {
-      permit.settle();
-      this.lastId += 1;
-      // The first attempt of each request arrived long ago, so that this one counts as a retry.
-      this.record.recordArrival(`r${this.lastId}`, Number.MIN_SAFE_INTEGER);
-      this.record.recordArrival(`r${this.lastId}`, now);
+      permit.send();
+      if (this.arrivalDelayMs === 0) this.arrive(permit);
+      else this.fleet.timers.after(this.arrivalDelayMs, () => this.arrive(permit));
     }
   }
 
+  private arrive(permit: RetryPermit): void {
+    permit.settle();
+    this.lastId += 1;
+    // The first attempt of each request arrived long ago, so that this one counts as a retry.
+    this.record.recordArrival(`r${this.lastId}`, Number.MIN_SAFE_INTEGER);
+    this.record.recordArrival(`r${this.lastId}`, this.fleet.timers.now());
+  }
+
   private addBudget(daemon: TestDaemon): void {
     const { address } = daemon;
     const timers = timersOf(this.fleet.network, address);
