budget: bound retries by half the share of two windows of requests

Cause: a request brought a grant of 0.8 of its share, decaying within half a window. That adds up to the allowance of a window at an even rate only; of two bursts 5 to 10 s apart no window that the rule counts has both, and both brought 0.8. No fault is needed. Retries under way when their process ended came on top.

Change: from any moment on, a process uses at most half of the share of the requests since half a window before, and its part of the fixed number. Summed over all processes that is at most half of the share of two windows, which the larger of them always allows.

At an even rate a request brings 0.75 of its share over time (0.8 before) and 0.5 of a second's requests at one moment (0.4 before).

--- a/packages/routing/src/core/budget/budget.ts
+++ b/packages/routing/src/core/budget/budget.ts
@@ -2,24 +2,31 @@
  * Retry budget of one service. All daemons share it without exchanging messages.
  *
  * In any window, the number of retries, summed over all daemons, is limited to a share of the requests plus a
- * fixed number. Each daemon uses the share of the requests that it received itself and its own part of the
- * fixed number, so that the limit holds even while daemons can't reach each other.
+ * fixed number. The requests are those of the window, the one before it or the one in between, whichever has most.
  *
- * Two limits apply. What a process has spent within a window bounds what it may still spend. As its successor and its
- * peers don't know that, each process may also spend no more at one moment than the requests of the last seconds have
- * brought, and its part of the fixed number.
+ * Each daemon keeps to a limit of its own, from which that of the fleet follows whatever the shape of the load, and
+ * whichever processes end or get the callers of others: from any moment on, it uses no more retries than half of the
+ * share of the requests that it has received since half a window before that moment, and its part of the fixed
+ * number. Added up over all daemons, half of the share of two windows is at most the share of the larger one. The limit
+ * holds at each moment, so nothing that a process has spent must be known after its end.
  *
- * For the limit, a retry occurs when it arrives at a replica. How long that takes is not known beforehand, so a
- * retry counts from its reservation until one window after the time by which it must have arrived.
+ * For the fleet's limit, a retry occurs when it arrives at a replica. How long that takes is not known beforehand, so a
+ * retry counts from its reservation until one window after the time by which it must have arrived. The half window that
+ * is not used of the window before covers retries whose process ends before they arrive.
  */
 import type { TimerService } from '@celeryyoke/core';
 
-import { RetryGrants } from './grants.js';
+import { BucketedCounts } from './bucketed-counts.js';
 import { RetryPermit } from './permit.js';
-import { SlidingSum } from './sliding-sum.js';
 
-/** Share of the allowance that is used: the limit is measured in windows that begin at other times. */
-const ALLOWANCE_SHARE = 0.8;
+/** Buckets that a window is divided into. */
+const BUCKETS_PER_WINDOW = 40;
+/** Number of buckets before a moment whose requests pay for the retries from that moment on: half a window. */
+const LEAD_BUCKETS = BUCKETS_PER_WINDOW / 2;
+/** Share of the requests' part that a window's own requests bring; the other half is for those before it. */
+const SHARE_OF_REQUESTS = 0.5;
+/** Share of the fixed number that is used: callers send requests before a daemon counts them. */
+const SHARE_OF_FIXED_NUMBER = 0.8;
 
 /** Limit on the retries of a service. */
 export interface BudgetBounds {
@@ -69,12 +76,7 @@
  * Counts the requests and retries of one service in this daemon and decides whether another retry is allowed.
  */
 export class RetryBudget {
-  private requests: SlidingSum;
-
-  private readonly grants: RetryGrants;
-
-  /** Retries of the last window that were paid from the fixed number. */
-  private readonly fixedSpent: SlidingSum;
+  private readonly requests: BucketedCounts;
 
   /** Retries that are reserved and not sent. */
   private unsent = 0;
@@ -89,25 +91,22 @@
   private longestWaitMs = 0;
 
   /** Retries of the last window that have arrived, or never will. */
-  private readonly settled: SlidingSum;
+  private readonly settled: BucketedCounts;
 
   private reservedCount = 0;
 
   private refusedCount = 0;
 
   constructor(private readonly options: RetryBudgetOptions) {
-    const { ratio, windowMs } = options.bounds;
-    this.requests = new SlidingSum(windowMs);
-    this.settled = new SlidingSum(windowMs);
-    this.fixedSpent = new SlidingSum(windowMs);
-    this.grants = new RetryGrants(ALLOWANCE_SHARE * ratio, windowMs);
+    const bucketMs = options.bounds.windowMs / BUCKETS_PER_WINDOW;
+    // The bucket that is being filled comes in addition to those that span the whole window.
+    this.settled = new BucketedCounts(bucketMs, BUCKETS_PER_WINDOW + 1);
+    this.requests = new BucketedCounts(bucketMs, BUCKETS_PER_WINDOW + LEAD_BUCKETS);
   }
 
   countRequest(): void {
     this.dropOldRequests();
-    const now = this.options.timers.now();
-    this.requests.add(1, now);
-    this.grants.add(now);
+    this.requests.add(this.options.timers.now());
   }
 
   /**
@@ -126,7 +125,6 @@
     return new RetryPermit({
       sent: () => {
         this.unsent -= 1;
-        this.spend();
       },
       settled: () => this.settle(number),
       released: () => {
@@ -148,10 +146,10 @@
     this.longestWaitMs = 0;
     const [oldest = now] = this.pending.values();
     return {
-      requests: this.requests.total(now),
+      requests: this.requests.sums(now)[BUCKETS_PER_WINDOW - 1]!,
       pending: this.pending.size,
       unsent: this.unsent,
-      settled: this.settled.total(now),
+      settled: this.settled.sums(now).at(-1)!,
       longestWaitMs: Math.round(longestWaitMs),
       oldestPendingMs: Math.round(now - oldest),
       available: Math.floor(this.available(now)),
@@ -164,10 +162,13 @@
   available(now = this.options.timers.now()): number {
     this.dropOldRequests();
     const { bounds, share } = this.options;
-    const allowed = bounds.ratio * this.requests.total(now) + bounds.slack * share();
-    const inWindow = ALLOWANCE_SHARE * allowed - this.pending.size - this.settled.total(now);
-    const atOnce = this.grants.total(now) + this.fixedLeft(now) - this.unsent;
-    return Math.min(inWindow, atOnce);
+    const perRequest = SHARE_OF_REQUESTS * bounds.ratio;
+    const fixed = SHARE_OF_FIXED_NUMBER * bounds.slack * share();
+    const requests = this.requests.sums(now);
+    const left = this.settled
+      .sums(now)
+      .map((retries, age) => perRequest * requests[age + LEAD_BUCKETS - 1]! + fixed - retries);
+    return Math.min(...left) - this.pending.size;
   }
 
   /** Counts a retry that has arrived, or never will. */
@@ -175,22 +176,7 @@
     const now = this.options.timers.now();
     this.longestWaitMs = Math.max(this.longestWaitMs, now - (this.pending.get(number) ?? now));
     this.pending.delete(number);
-    this.settled.add(1, now);
-  }
-
-  /** Pays for a retry that is sent now. */
-  private spend(): void {
-    const now = this.options.timers.now();
-    const missing = this.grants.spend(1, now);
-    const fixed = Math.min(missing, this.fixedLeft(now));
-    this.fixedSpent.add(fixed, now);
-    this.grants.borrow(missing - fixed);
-  }
-
-  /** What is left of this daemon's part of the fixed number. */
-  private fixedLeft(now: number): number {
-    const { bounds, share } = this.options;
-    return Math.max(0, ALLOWANCE_SHARE * bounds.slack * share() - this.fixedSpent.total(now));
+    this.settled.add(now);
   }
 
   /** Drops the requests from before a suspension, during which the clock stood still. */
@@ -198,7 +184,6 @@
     const resumedAt = this.options.resumedAt();
     if (resumedAt <= this.knownResumedAt) return;
     this.knownResumedAt = resumedAt;
-    this.requests = new SlidingSum(this.options.bounds.windowMs);
-    this.grants.clear();
+    this.requests.clear();
   }
 }
--- a/packages/routing/test/budget.test.ts
+++ b/packages/routing/test/budget.test.ts
@@ -2,7 +2,7 @@
 import type { TimerService } from '@celeryyoke/core';
 import { createManualTimers } from '@celeryyoke/core';
 import type { MemberRecord } from '@celeryyoke/routing';
-import { FleetShare, PauseDetector, RetryBudget, RetryGrants } from '@celeryyoke/routing';
+import { BucketedCounts, FleetShare, PauseDetector, RetryBudget } from '@celeryyoke/routing';
 import test from 'ava';
 
 const BOUNDS = { ratio: 0.2, windowMs: 10_000, slack: 54 };
@@ -164,20 +164,35 @@
 }
 
 // Guards against a process that spends the share of a whole window at one moment, of which its successor knows nothing.
-test('requests bring retries for half a window only', async (t) => {
+test('requests bring half of their retries at one moment, and for half a window only', async (t) => {
   const timers = createManualTimers();
   const budget = makeRequestBudget(timers);
   for (let count = 0; count < 100; count += 1) budget.countRequest();
-  const fresh = budget.available();
+  const half = (100 * BOUNDS.ratio) / 2;
+  t.is(budget.available(), half);
   await timers.advance(BOUNDS.windowMs / 4);
-  const later = budget.available();
-  t.true(later > 0 && later < fresh, `${later} of ${fresh}`);
+  t.is(budget.available(), half);
   await timers.advance(BOUNDS.windowMs / 4);
   t.is(budget.available(), 0);
 });
 
-// Guards against a retry that waits longer than its grant lasts and is then not paid for at all.
-test('a retry that is sent after its grant has decayed is paid by the requests that follow', async (t) => {
+// Guards against a budget that is safe because it allows far less than the requests of a window do at an even rate.
+test('requests at an even rate bring 0.7 of their retries at least', async (t) => {
+  const timers = createManualTimers();
+  const budget = makeRequestBudget(timers);
+  const spentAt: number[] = [];
+  for (let ms = 0; ms < 6 * BOUNDS.windowMs; ms += 50) {
+    budget.countRequest();
+    while (spendOne(budget)) spentAt.push(ms);
+    await timers.advance(50);
+  }
+  const spent = spentAt.filter((at) => at >= 2 * BOUNDS.windowMs).length;
+  const requests = (4 * BOUNDS.windowMs) / 50;
+  t.true(spent >= 0.7 * BOUNDS.ratio * requests, `${spent} retries for ${requests} requests`);
+});
+
+// Guards against a retry that waits until its requests are too old to pay for it, and is then not paid for at all.
+test('a retry that is sent after its requests have become too old is paid by those that follow', async (t) => {
   const timers = createManualTimers();
   const budget = makeRequestBudget(timers);
   for (let count = 0; count < 100; count += 1) budget.countRequest();
@@ -188,12 +203,12 @@
   t.true(budget.available() < 1, `${budget.available()} left`);
 });
 
-// Guards against grants that nobody asks for and that are kept for as long as the process runs.
-test('a service that is never retried keeps the grants of the last seconds only', (t) => {
-  const grants = new RetryGrants(BOUNDS.ratio, BOUNDS.windowMs);
+// Guards against counts that nobody asks for and that are kept for as long as the process runs.
+test('a service that is never retried keeps the requests of the last seconds only', (t) => {
+  const counts = new BucketedCounts(250, 60);
   const sizeAfter = (from: number, to: number): number => {
-    for (let now = from; now < to; now += 100) grants.add(now);
-    return JSON.stringify(grants).length;
+    for (let now = from; now < to; now += 100) counts.add(now);
+    return JSON.stringify(counts).length;
   };
   const atFirst = sizeAfter(0, BOUNDS.windowMs);
   const later = sizeAfter(BOUNDS.windowMs, 100 * BOUNDS.windowMs);
