view: log each reading of all records, with the store's era

Whether the store has lost the history that a watch needs, what a list contained, and in which era the store was could not be told from the logs. view.listed has the revision before and after, whether the history was lost, and the era. Nothing is decided by it yet.

--- a/packages/routing/src/core/daemon/services.ts
+++ b/packages/routing/src/core/daemon/services.ts
@@ -771,6 +771,14 @@
         log.warn(
           isReachable ? 'The platform is reachable again.' : `The platform is unreachable: ${reason}.`,
         ),
+      onList: ({ isHistoryLost, from, upTo, epoch }) =>
+        log.decide('view.listed', 'Read all of the platform’s records.', {
+          isHistoryLost,
+          revision: from,
+          listedRevision: upTo,
+          epoch,
+          viewAgeMs: roundAge(view.ageMs),
+        }),
       onTakeOver: ({ rank, ageMs }) =>
         log.decide('view.take-over', 'Took over reading the platform’s records for the fleet.', {
           rank,
--- a/packages/routing/src/core/view/index.ts
+++ b/packages/routing/src/core/view/index.ts
@@ -5,7 +5,7 @@
 export type { SnapshotListener } from './replicated-store.js';
 export type { DeclaredVersion } from './registry.js';
 export { ReplicaRegistry } from './registry.js';
-export type { TakeOver } from './store-watcher.js';
+export type { Listing, TakeOver } from './store-watcher.js';
 export { StoreWatcher } from './store-watcher.js';
 export type {
   AdapterVersion,
--- a/packages/routing/src/core/view/store-watcher.ts
+++ b/packages/routing/src/core/view/store-watcher.ts
@@ -69,6 +69,8 @@
   readonly publish: (hasChanges: boolean) => void;
   /** Called when the source becomes unreachable or reachable again. */
   readonly onReachabilityChange: (isReachable: boolean, reason: string) => void;
+  /** Called when this daemon has read all records. */
+  readonly onList: (listing: Listing) => void;
   /** Called when this daemon begins to read in place of those ranked before it. */
   readonly onTakeOver: (takeOver: TakeOver) => void;
 }
@@ -81,6 +83,17 @@
   readonly ageMs: number;
 }
 
+/** How all records were read. */
+export interface Listing {
+  /** Whether the source no longer had the history after the revision of the copy. */
+  readonly isHistoryLost: boolean;
+  /** Revision of the copy before; 0 if it was empty. */
+  readonly from: number;
+  /** Revision and sequence of what was read. */
+  readonly upTo: number;
+  readonly epoch: number;
+}
+
 /** Result of one call to the source. */
 interface ReadResult {
   readonly delta: Delta;
@@ -188,21 +201,24 @@
 
   private async fetch(): Promise<ReadResult> {
     const { view, source, timers } = this.options;
-    if (view.upTo === 0) return this.list();
+    if (view.upTo === 0) return this.list(false);
     const startedAt = timers.now();
     const delta = await this.withTimeout(WATCH_WAIT_MS + WATCH_GRACE_MS, (signal) =>
       source.watch(view.upTo, WATCH_WAIT_MS, signal),
     );
-    if (delta === undefined) return this.list();
+    if (delta === undefined) return this.list(true);
     // A response that arrives late may have been sent early, unless the source had no changes until the end
     // of its wait.
     const hasWaited = delta.changes.length === 0 && timers.now() - startedAt >= WATCH_WAIT_MS;
     return { delta, readAt: hasWaited ? startedAt + WATCH_WAIT_MS : startedAt };
   }
 
-  private async list(): Promise<ReadResult> {
-    const readAt = this.options.timers.now();
-    const delta = await this.withTimeout(LIST_TIMEOUT_MS, (signal) => this.options.source.list(signal));
+  private async list(isHistoryLost: boolean): Promise<ReadResult> {
+    const { view, source, timers, onList } = this.options;
+    const readAt = timers.now();
+    const from = view.upTo;
+    const delta = await this.withTimeout(LIST_TIMEOUT_MS, (signal) => source.list(signal));
+    onList({ isHistoryLost, from, upTo: delta.upTo, epoch: delta.epoch ?? 0 });
     return { delta, readAt };
   }
 
--- a/packages/routing/src/core/view/types.ts
+++ b/packages/routing/src/core/view/types.ts
@@ -96,6 +96,11 @@
 
 /** Changes that bring a copy of the records from one revision to another. */
 export interface Delta {
+  /**
+   * Sequence that the revisions belong to; they are in order within one sequence only. Left out by sources that have a
+   * single one, which counts as 0.
+   */
+  readonly epoch?: number;
   /** The delta applies to a copy that is complete up to this revision or a later one; 0 with `isWhole`. */
   readonly from: number;
   readonly upTo: number;
--- a/packages/routing/test/fleet/freshness.test.ts
+++ b/packages/routing/test/fleet/freshness.test.ts
@@ -67,6 +67,7 @@
       random: () => this.random.between(0, 1),
       publish: (isNews) => tree.publishView(isNews),
       onReachabilityChange: () => undefined,
+      onList: () => undefined,
       onTakeOver: () => undefined,
     });
     this.watchers.push(watcher);
--- a/packages/routing/test/store-watcher.test.ts
+++ b/packages/routing/test/store-watcher.test.ts
@@ -38,6 +38,7 @@
     },
     publish: () => undefined,
     onReachabilityChange: () => undefined,
+    onList: () => undefined,
     onTakeOver: (takeOver) => takeOvers.push(takeOver),
   });
   watcher.start();
