view: compare the store's revisions within one era only

What callers saw: configurations that were not in force in time, and requests to replicas that had left, after the store came back from a copy of itself.

Cause: the order of all records was the revision alone. After the copy revisions are given out again, so lists were taken for old, watches were answered 410, and both were repeated some 7 times a second until the revisions passed the old ones. The view counted as recent meanwhile. Class: a number that others give out is in order within its source only.

Change: positions are an epoch and a revision, in the reader, batches, subscriptions and confirmations. A response of a later epoch leads to one reading of all records. Versions never sink; replicas that are missing are retained for 3 s; those that were removed are held back for 10 s.

--- a/packages/routing/src/core/availability/availability.ts
+++ b/packages/routing/src/core/availability/availability.ts
@@ -86,6 +86,11 @@
     declared.unlistedSince = isListed ? undefined : (declared.unlistedSince ?? this.options.timers.now());
   }
 
+  /** Monotonic time since which the registry does not list a replica, in milliseconds; undefined if it may. */
+  unlistedSince(replica: string): number | undefined {
+    return this.declared.get(replica)?.unlistedSince;
+  }
+
   isLeaving(replica: string): boolean {
     return this.declared.get(replica)?.leavingSince !== undefined;
   }
--- a/packages/routing/src/core/daemon/services.ts
+++ b/packages/routing/src/core/daemon/services.ts
@@ -100,7 +100,12 @@
         () => this.memberLog,
         (memberLog) => memberLog.stop(),
       ),
-      part(PART.view, [], () => new ReplicatedStore(timers)),
+      part(
+        PART.view,
+        [],
+        () => new ReplicatedStore(timers),
+        (view) => view.stop(),
+      ),
       part(PART.metrics, [], () => createMetrics()),
       part(PART.availability, [], () => createAvailability(this.options)),
       part(
@@ -784,6 +789,7 @@
           rank,
           viewAgeMs: roundAge(ageMs),
           revision: view.upTo,
+          epoch: view.epoch,
           peers: cluster.aliveAddresses().length - 1,
         }),
     });
@@ -830,6 +836,7 @@
         softwareVersion,
         state: entry?.state ?? 'gone',
         revision: view.upTo,
+        epoch: view.epoch,
         viewAgeMs: roundAge(view.ageMs),
       });
     });
@@ -837,6 +844,7 @@
       log.decide('config.in-force', `Configuration ${document.version} is in force.`, {
         version: document.version,
         revision: view.upTo,
+        epoch: view.epoch,
         viewAgeMs: roundAge(view.ageMs),
       }),
     );
--- a/packages/routing/src/core/dissemination/batch.ts
+++ b/packages/routing/src/core/dissemination/batch.ts
@@ -9,6 +9,8 @@
 export interface ViewAge {
   /** Revision up to which the view is complete. */
   readonly upTo: number;
+  /** Sequence that the revision belongs to. */
+  readonly epoch: number;
   /**
    * Time from the last confirmation of that to {@link ViewAge.clock}, in milliseconds; below 0 when there was
    * none.
@@ -37,6 +39,8 @@
   readonly rows: EncodedRows;
   /** Revision up to which the subscriber's view is complete. */
   readonly upTo: number;
+  /** Sequence that the revision belongs to; earlier releases send none. */
+  readonly epoch?: number;
 }
 
 /** Response to a subscription, with the whole state of the parent. */
@@ -47,7 +51,7 @@
   readonly recent: readonly (readonly [replica: string, keys: readonly string[]])[];
 }
 
-/** Wire format of a batch. Earlier releases send no clock, so it is the last element. */
+/** Wire format of a batch. Earlier releases send no clock and no epoch, so they are the last elements. */
 type BatchFrame = readonly [
   rows: EncodedRows,
   delta: Delta | null,
@@ -56,18 +60,21 @@
   rootSequence: number | null,
   digest: number | null,
   clock?: number | null,
+  epoch?: number,
 ];
 
-export function encodeBatch({ rows, delta, upTo, ageMs, clock, rootSequence, digest }: Batch): BatchFrame {
-  return [rows, delta ?? null, upTo, ageMs, rootSequence ?? null, digest ?? null, clock ?? null];
+export function encodeBatch(batch: Batch): BatchFrame {
+  const { rows, delta, upTo, ageMs, rootSequence, digest, clock, epoch } = batch;
+  return [rows, delta ?? null, upTo, ageMs, rootSequence ?? null, digest ?? null, clock ?? null, epoch];
 }
 
 export function decodeBatch(frame: unknown): Batch {
-  const [rows, delta, upTo, ageMs, rootSequence, digest, clock] = frame as BatchFrame;
+  const [rows, delta, upTo, ageMs, rootSequence, digest, clock, epoch = 0] = frame as BatchFrame;
   return {
     rows,
     delta: delta ?? undefined,
     upTo,
+    epoch,
     ageMs,
     clock: clock ?? undefined,
     rootSequence: rootSequence ?? undefined,
--- a/packages/routing/src/core/dissemination/tree.ts
+++ b/packages/routing/src/core/dissemination/tree.ts
@@ -326,7 +326,7 @@
   private forwardBatch(batch: Batch, transitMs: number): void {
     const isKnown = batch.ageMs >= 0 && Number.isFinite(transitMs);
     const ageMs = isKnown ? Math.ceil(batch.ageMs + transitMs) : -1;
-    this.viewFeed.markForwarded(batch.upTo);
+    this.viewFeed.markForwarded({ epoch: batch.epoch, revision: batch.upTo });
     this.push({ ...batch, ageMs, clock: this.parentBatchAt });
   }
 
@@ -355,14 +355,14 @@
 
   private acceptSubscriber(
     { address }: Member,
-    { rows, upTo }: Subscription,
+    { rows, upTo, epoch = 0 }: Subscription,
     channel: PeerChannel,
   ): Omit<SubscriptionResponse, 'delta'> & { delta: Delta | null } {
     if (address === this.parent) this.takeOverRoot(address);
     this.topics.merge(rows, (topic, key, row) => this.enqueue(topic, key, row));
     this.subscriberTable.add(address, channel);
-    const { view, recent } = this.options;
-    const delta = view.upTo > upTo ? view.deltaSince(upTo) : null;
+    const { recent } = this.options;
+    const delta = this.viewFeed.deltaFor({ epoch, revision: upTo }) ?? null;
     const age = this.viewFeed.age(this.options.timers.now());
     return { ...age, rows: this.topics.snapshot(), delta, recent: recent() };
   }
@@ -505,7 +505,8 @@
 
   private async subscribe(parent: string): Promise<void> {
     const { cluster, view, timers, log } = this.options;
-    const subscription: Subscription = { rows: this.topics.snapshot(), upTo: view.upTo };
+    const { upTo, epoch } = view;
+    const subscription: Subscription = { rows: this.topics.snapshot(), upTo, epoch };
     const sentAt = timers.now();
     try {
       const response = await cluster.request(
@@ -523,7 +524,7 @@
   }
 
   private handleSubscribed(
-    { rows, delta, recent, upTo, ageMs, clock }: SubscriptionResponse,
+    { rows, delta, recent, upTo, epoch = 0, ageMs, clock }: SubscriptionResponse,
     sentAt: number,
   ): void {
     const { view, timers, mergeRecent } = this.options;
@@ -535,11 +536,11 @@
       clock === undefined
         ? Number.POSITIVE_INFINITY
         : this.parentClock.maxElapsedMs(clock, this.parentBatchAt);
-    this.viewFeed.markSent(upTo);
+    this.viewFeed.markSent({ epoch, revision: upTo });
     this.mergeFromParent(rows);
     for (const [replica, keys] of recent) mergeRecent(replica, keys);
     if (delta !== undefined && delta !== null) view.apply(delta);
-    if (ageMs >= 0) view.confirmUpToDate(upTo, ageMs + transitMs);
+    if (ageMs >= 0) view.confirmUpToDate(upTo, ageMs + transitMs, epoch);
     // Subscribers may lack rows that this daemon already had from elsewhere, so all rows of the response are
     // forwarded.
     this.push({ ...this.keepalive(), rows });
--- a/packages/routing/src/core/dissemination/view-feed.ts
+++ b/packages/routing/src/core/dissemination/view-feed.ts
@@ -3,12 +3,23 @@
 
 import type { Cluster } from '../cluster/index.js';
 import { MessageType } from '../cluster/index.js';
-import type { Delta, ReplicatedStore } from '../view/index.js';
+import type { Delta, Position, ReplicatedStore } from '../view/index.js';
+import { isAfter, NO_POSITION } from '../view/index.js';
 import type { Batch, ViewAge } from './batch.js';
 
 /** Timeout of a request for missing changes, in milliseconds. */
 const FETCH_TIMEOUT_MS = 1000;
 
+/** What some daemons were sent of the view. */
+interface SentView {
+  /** Position up to which they have it. */
+  readonly position: Position;
+  /** Number of kept records at that time; see {@link ReplicatedStore.keptCount}. */
+  readonly keptCount: number;
+}
+
+const NOTHING_SENT: SentView = { position: NO_POSITION, keptCount: 0 };
+
 /** Options of {@link ViewFeed}. */
 export interface ViewFeedOptions {
   readonly view: ReplicatedStore;
@@ -22,15 +33,14 @@
  */
 export class ViewFeed {
   /**
-   * Revision up to which the receivers of this daemon's batches have the view: its parent, or the root's
-   * subscribers.
+   * What the receivers of this daemon's batches have of the view: its parent, or the root's subscribers.
    */
-  private sentUpTo = 0;
+  private sent: SentView = NOTHING_SENT;
 
   /**
-   * Revision up to which the view was sent to this daemon's subscribers, whichever daemon read the changes.
+   * What was sent of the view to this daemon's subscribers, whichever daemon read the changes.
    */
-  private forwardedUpTo = 0;
+  private forwarded: SentView = NOTHING_SENT;
 
   private isFetching = false;
 
@@ -42,7 +52,8 @@
    */
   age(clock: number | undefined): ViewAge {
     const { view } = this.options;
-    return { upTo: view.upTo, ageMs: Number.isFinite(view.ageMs) ? Math.ceil(view.ageMs) : -1, clock };
+    const { upTo, epoch } = view;
+    return { upTo, epoch, ageMs: Number.isFinite(view.ageMs) ? Math.ceil(view.ageMs) : -1, clock };
   }
 
   /**
@@ -50,10 +61,8 @@
    * @returns The changes, or undefined when there are none.
    */
   takeUnsent(): Delta | undefined {
-    const { view } = this.options;
-    if (view.upTo <= this.sentUpTo) return undefined;
-    const delta = view.deltaSince(this.sentUpTo);
-    this.sentUpTo = view.upTo;
+    const delta = this.deltaAfter(this.sent);
+    if (delta !== undefined) this.sent = this.current();
     return delta;
   }
 
@@ -62,38 +71,54 @@
    * @returns The changes, or undefined when there are none.
    */
   takeUnforwarded(): Delta | undefined {
-    const { view } = this.options;
-    if (view.upTo <= this.forwardedUpTo) return undefined;
-    const delta = view.deltaSince(this.forwardedUpTo);
-    this.forwardedUpTo = view.upTo;
+    const delta = this.deltaAfter(this.forwarded);
+    if (delta !== undefined) this.forwarded = this.current();
     return delta;
   }
 
+  /** Returns the changes that a daemon lacks whose view is complete up to a position; undefined if there are none. */
+  deltaFor(position: Position): Delta | undefined {
+    return this.deltaAfter({ position, keptCount: 0 });
+  }
+
+  /** Returns the changes since something was sent; undefined if there are none. */
+  private deltaAfter({ position, keptCount }: SentView): Delta | undefined {
+    const { view } = this.options;
+    if (!isAfter(view.position, position) && view.keptCount === keptCount) return undefined;
+    return view.deltaSince(position.revision, position.epoch);
+  }
+
+  private current(): SentView {
+    const { position, keptCount } = this.options.view;
+    return { position, keptCount };
+  }
+
   /**
    * Records that the view was sent to the subscribers.
-   * @param upTo - Revision up to which it was sent.
+   * @param position - Position up to which it was sent.
    */
-  markForwarded(upTo: number): void {
-    this.forwardedUpTo = Math.max(this.forwardedUpTo, upTo);
+  markForwarded(position: Position): void {
+    if (isAfter(position, this.forwarded.position)) this.forwarded = { ...this.forwarded, position };
   }
 
   /**
    * Records that the receivers of this daemon's batches have the view.
-   * @param upTo - Revision up to which they have it.
+   * @param position - Position up to which they have it.
    */
-  markSent(upTo: number): void {
-    this.sentUpTo = upTo;
+  markSent(position: Position): void {
+    this.sent = { position, keptCount: 0 };
   }
 
   /**
    * Merges the view in a batch from a subscriber.
    * @param transitMs - Time that the batch was in transit, in milliseconds.
-   * @returns Whether this daemon's view has advanced to a later revision.
+   * @returns Whether this daemon's view has advanced to a later position, or has kept more than before.
    */
   mergeFromChild(batch: Batch, transitMs: number): boolean {
-    const { upTo } = this.options.view;
+    const { view } = this.options;
+    const { position, keptCount } = view;
     this.merge(batch, transitMs, undefined);
-    return this.options.view.upTo > upTo;
+    return isAfter(view.position, position) || view.keptCount > keptCount;
   }
 
   /**
@@ -102,23 +127,28 @@
    * @param parent - Address of the parent.
    */
   mergeFromParent(batch: Batch, transitMs: number, parent: string): void {
-    this.sentUpTo = Math.max(this.sentUpTo, batch.upTo);
+    const position = { epoch: batch.epoch, revision: batch.upTo };
+    if (isAfter(position, this.sent.position)) this.sent = { ...this.sent, position };
     this.merge(batch, transitMs, parent);
   }
 
-  private merge({ delta, upTo, ageMs }: Batch, transitMs: number, source: string | undefined): void {
+  private merge(batch: Batch, transitMs: number, source: string | undefined): void {
+    const { delta, epoch, upTo, ageMs } = batch;
     const { view } = this.options;
     const isApplied = delta === undefined || view.apply(delta);
-    if (source !== undefined && (!isApplied || upTo > view.upTo)) void this.fetchMissing(source);
-    if (ageMs >= 0) view.confirmUpToDate(upTo, ageMs + transitMs);
+    const isBehind = isAfter({ epoch, revision: upTo }, view.position);
+    if (source !== undefined && (!isApplied || isBehind)) void this.fetchMissing(source, epoch);
+    if (ageMs >= 0) view.confirmUpToDate(upTo, ageMs + transitMs, epoch);
   }
 
-  private async fetchMissing(source: string): Promise<void> {
+  /** Requests the changes since this daemon's view, or all records if its revision is of another epoch. */
+  private async fetchMissing(source: string, epoch: number): Promise<void> {
     const { cluster, view, log } = this.options;
     if (this.isFetching) return;
     this.isFetching = true;
     try {
-      const delta = await cluster.request(source, MessageType.ViewChanges, view.upTo, FETCH_TIMEOUT_MS);
+      const upTo = epoch === view.epoch ? view.upTo : 0;
+      const delta = await cluster.request(source, MessageType.ViewChanges, upTo, FETCH_TIMEOUT_MS);
       view.apply(delta as Delta);
     } catch (err) {
       log.debug(`Could not fetch changes of the view from ${source}: ${String(err)}.`);
--- a/packages/routing/src/core/view/index.ts
+++ b/packages/routing/src/core/view/index.ts
@@ -18,5 +18,7 @@
   ResidentAdapter,
   ViewRecord,
 } from './types.js';
+export type { Position } from './position.js';
+export { isAfter, NO_POSITION } from './position.js';
 export { RecordKind, replicaId, ReplicaState } from './types.js';
 export { ReplicatedStore } from './replicated-store.js';
--- a/packages/routing/src/core/view/registry.ts
+++ b/packages/routing/src/core/view/registry.ts
@@ -2,10 +2,13 @@
  * Indexes the records of the platform for request handling: replicas, declared adapter versions, and the
  * configuration.
  */
+import { isDeepStrictEqual } from 'node:util';
+
 import type { TimerService } from '@celeryyoke/core';
 
 import type { ReplicaAvailability } from '../availability/index.js';
 import { DeclarationSource } from '../availability/index.js';
+import type { RoutingDocument } from '../catalog/index.js';
 import { RouteTable } from '../catalog/index.js';
 import { ExchangePurpose } from '../channels/index.js';
 import type { Change, ReplicaEntry, ReplicaStart } from './types.js';
@@ -25,6 +28,12 @@
  */
 const MAX_KNOWN_STARTS = 4096;
 
+/**
+ * Time after the beginning of an epoch of the store for which a replica that had been removed before is not listed
+ * again, in milliseconds: its entry is one of a copy until the store has removed what does not write again.
+ */
+const HELD_BACK_MS = 10_000;
+
 /**
  * Called when a replica appears, changes or is removed. `entry` is undefined if it was removed, `before` if
  * it is new.
@@ -53,6 +62,9 @@
   /** Latest known start of each replica, by name: a late entry of an earlier incarnation is ignored. */
   private readonly latestStarts = new Map<string, number>();
 
+  /** Latest changes of entries that are held back, by key. */
+  private readonly heldBack = new Map<string, Change>();
+
   private readonly declaredVersions = new Map<string, DeclaredVersion>();
 
   private readonly replicaListeners: ReplicaListener[] = [];
@@ -60,7 +72,7 @@
   private readonly tableListeners: ((table: RouteTable) => void)[] = [];
 
   constructor(
-    view: ReplicatedStore,
+    private readonly view: ReplicatedStore,
     private readonly availability: ReplicaAvailability,
     private readonly timers: TimerService,
   ) {
@@ -114,19 +126,28 @@
 
   private applyChange(change: Change): void {
     const { record } = change;
+    this.heldBack.delete(change.key);
     if (record === undefined) this.removeReplica(change.key);
-    else if (record.kind === RecordKind.Replica) this.applyReplica(change.key, record.replica);
+    else if (record.kind === RecordKind.Replica) this.applyReplica(change, record.replica);
     else if (record.kind === RecordKind.AdapterVersion) {
       const { model, adapter, version } = record.declared;
       const known = this.declaredVersions.get(`${model}/${adapter}`);
       if (known !== undefined && known.version >= version) return;
       this.declaredVersions.set(`${model}/${adapter}`, { version, receivedAt: this.timers.now() });
-    } else if (this.table === undefined || record.document.version > this.table.document.version) {
+    } else if (this.isNewDocument(record.document)) {
       this.table = new RouteTable(record.document);
       for (const listener of this.tableListeners) listener(this.table);
     }
   }
 
+  /** Whether a document is of a later version, or one that was written again with other contents. */
+  private isNewDocument(document: RoutingDocument): boolean {
+    const known = this.table?.document;
+    if (known === undefined || document.version !== known.version)
+      return document.version > (known?.version ?? Number.NEGATIVE_INFINITY);
+    return !isDeepStrictEqual(document, known);
+  }
+
   /**
    * Records that a replica has restarted, as reported by the replica or a peer before its entry in the store
    * shows it. No model is resident on the new incarnation, and its software may be of another version.
@@ -140,7 +161,7 @@
       if (entry?.name !== name) continue;
       const models = entry.models === undefined ? undefined : [];
       const started = { ...entry, id: replicaId(name, bornAt), bornAt, models, softwareVersion: undefined };
-      this.applyReplica(key, started);
+      this.listReplica(key, started);
       break;
     }
     return true;
@@ -170,9 +191,29 @@
     this.latestStarts.delete(oldest!);
   }
 
-  private applyReplica(key: string, received: ReplicaEntry): void {
+  private applyReplica(change: Change, received: ReplicaEntry): void {
     const started = this.withLatestStart(received);
     if (started === undefined) return;
+    const heldBackMs = this.heldBackMs(started.id);
+    if (heldBackMs <= 0) this.listReplica(change.key, started);
+    else this.holdBack(change, heldBackMs);
+  }
+
+  /** Time for which the entry of a replica is still held back, in milliseconds. */
+  private heldBackMs(id: string): number {
+    const { epochSince } = this.view;
+    const wasRemoved = (this.availability.unlistedSince(id) ?? Number.POSITIVE_INFINITY) <= epochSince;
+    return wasRemoved ? epochSince + HELD_BACK_MS - this.timers.now() : 0;
+  }
+
+  private holdBack(change: Change, ms: number): void {
+    this.heldBack.set(change.key, change);
+    this.timers.after(ms, () => {
+      if (this.heldBack.get(change.key) === change) this.applyChange(change);
+    });
+  }
+
+  private listReplica(key: string, started: ReplicaEntry): void {
     const entry = this.withDeclaredState(started);
     // All state of an earlier incarnation is void, so listeners are notified of its removal.
     const knownId = this.idOfKey.get(key);
--- a/packages/routing/src/core/view/replicated-store.ts
+++ b/packages/routing/src/core/view/replicated-store.ts
@@ -1,11 +1,16 @@
 /**
- * This daemon's copy of the platform's records, with the revision up to which it is complete.
+ * This daemon's copy of the platform's records, with the position up to which it is complete.
  *
- * Every change, from the store or from a peer, is merged by revision, so late and duplicate changes have no
- * effect and no record ever reverts to an older state.
+ * Every change, from the store or from a peer, is merged by position, so late and duplicate changes have no effect
+ * and no record reverts to an older state. A store that comes back from a copy of itself begins a new epoch: its
+ * revisions are given out again, and acknowledged changes may be missing until they are written again. Records that
+ * are missing then are retained for a while, and versioned records are never replaced by an earlier version.
  */
-import type { TimerService } from '@celeryyoke/core';
+import type { TimerHandle, TimerService } from '@celeryyoke/core';
 
+import { isVersioned, mergeRecords } from './merge-rules.js';
+import type { Position } from './position.js';
+import { isAfter } from './position.js';
 import type { Change, Delta, ReplicaEntry, ViewRecord } from './types.js';
 import { RecordKind } from './types.js';
 
@@ -14,9 +19,16 @@
  * all records.
  */
 const MAX_LOGGED_CHANGES = 600;
+/**
+ * Time after the beginning of an epoch for which replicas that are missing from the store are retained, in
+ * milliseconds: those that are alive write their entries again within about two seconds.
+ */
+const RETENTION_MS = 3000;
+/** Interval at which it is checked whether that time is over, in milliseconds. */
+const RETENTION_CHECK_MS = 200;
 
 interface StoredRecord {
-  readonly revision: number;
+  readonly position: Position;
   readonly record: ViewRecord | undefined;
 }
 
@@ -33,19 +45,33 @@
   /** Revision up to which this copy is complete; 0 before the first full delta. */
   upTo = 0;
 
+  /** Sequence that the revision belongs to. */
+  epoch = 0;
+
+  /** Monotonic time at which the epoch began, in milliseconds; -Infinity if that is long ago. */
+  epochSince = Number.NEGATIVE_INFINITY;
+
   /** Number of changes since the process start that must be published to peers. */
   publishableCount = 0;
 
+  /** Number of times that a record was kept although the store has an earlier one. */
+  keptCount = 0;
+
   /** Monotonic time at which this copy was last known to be up to date, in milliseconds. */
   confirmedAt = Number.NEGATIVE_INFINITY;
 
   private readonly stored = new Map<string, StoredRecord>();
 
+  /** Keys of versioned records that are later than what the store has, or had when the epoch began. */
+  private readonly kept = new Set<string>();
+
   private changeLog: Change[] = [];
 
   /** Deltas from this revision or a later one can be made from the log. */
   private logStart = 0;
 
+  private retentionTimer: TimerHandle | undefined;
+
   private readonly listeners: ChangeListener[] = [];
 
   private readonly snapshotListeners: SnapshotListener[] = [];
@@ -59,6 +85,11 @@
     return this.timers.now() - this.confirmedAt;
   }
 
+  /** Position up to which this copy is complete. */
+  get position(): Position {
+    return { epoch: this.epoch, revision: this.upTo };
+  }
+
   /** Subscribes to changes; the listener is called once for each change that was not known. */
   onChange(listener: ChangeListener): void {
     this.listeners.push(listener);
@@ -69,13 +100,19 @@
     this.snapshotListeners.push(listener);
   }
 
+  /** Cancels the timer. */
+  stop(): void {
+    this.retentionTimer?.cancel();
+  }
+
   /**
    * Records that a revision was the latest one some time ago; if this copy is complete up to it, it was up to
    * date as well.
    * @param ageMs - How long ago, in milliseconds.
+   * @param epoch - Sequence that the revision belongs to.
    */
-  confirmUpToDate(upTo: number, ageMs: number): void {
-    if (upTo > this.upTo || this.upTo === 0) return;
+  confirmUpToDate(upTo: number, ageMs: number, epoch = 0): void {
+    if (epoch !== this.epoch || upTo > this.upTo || this.upTo === 0) return;
     this.confirmedAt = Math.max(this.confirmedAt, this.timers.now() - ageMs);
   }
 
@@ -85,49 +122,129 @@
    * needed.
    */
   apply(delta: Delta): boolean {
-    if (!delta.isWhole && (delta.from > this.upTo || this.upTo === 0)) return false;
-    if (delta.isWhole && delta.upTo > this.upTo)
-      for (const listener of this.snapshotListeners) listener(this.ageMs);
-    for (const change of delta.changes) this.merge(change);
-    if (delta.upTo <= this.upTo) return true;
-    if (delta.isWhole) this.removeMissing(delta);
-    this.upTo = delta.upTo;
-    if (delta.isWhole) this.clearLog();
+    const { epoch = 0, upTo, isWhole } = delta;
+    if (epoch < this.epoch) {
+      this.mergeEarlier(delta);
+      return true;
+    }
+    if (!isWhole && (epoch > this.epoch || delta.from > this.upTo || this.upTo === 0)) return false;
+    const isLater = isAfter({ epoch, revision: upTo }, this.position);
+    if (isWhole && isLater) for (const listener of this.snapshotListeners) listener(this.ageMs);
+    if (epoch > this.epoch) this.beginEpoch(delta);
+    for (const change of delta.changes) this.merge(change, epoch);
+    if (!isLater) return true;
+    if (isWhole) this.removeMissing(delta);
+    this.upTo = upTo;
+    if (isWhole) this.clearLog();
     return true;
   }
 
   /**
    * Makes a delta for a lagging copy.
    * @param from - Revision up to which that copy is complete.
+   * @param epoch - Sequence that the revision belongs to.
    * @returns A delta, whole if the copy lags too far.
    */
-  deltaSince(from: number): Delta {
-    if (from === 0 || from < this.logStart) return this.snapshot();
-    const changes = this.changeLog.filter((change) => change.revision > from);
-    return { from, upTo: this.upTo, isWhole: false, changes };
+  deltaSince(from: number, epoch = this.epoch): Delta {
+    if (from === 0 || from < this.logStart || epoch !== this.epoch) return this.snapshot();
+    const logged = this.changeLog.filter((change) => change.revision > from);
+    const changes = this.isRecovering ? [...logged, ...this.changesOf(this.kept)] : logged;
+    return { epoch: this.epoch, from, upTo: this.upTo, isWhole: false, changes };
+  }
+
+  /** Whether the epoch began so recently that peers may lack what was kept. */
+  private get isRecovering(): boolean {
+    return this.timers.now() - this.epochSince < 2 * RETENTION_MS;
   }
 
   private snapshot(): Delta {
+    const changes = this.changesOf(this.stored.keys());
+    const epochAgeMs = this.timers.now() - this.epochSince;
+    return { epoch: this.epoch, epochAgeMs, from: 0, upTo: this.upTo, isWhole: true, changes };
+  }
+
+  private changesOf(keys: Iterable<string>): Change[] {
     const changes: Change[] = [];
-    for (const [key, { revision, record }] of this.stored)
-      if (record !== undefined) changes.push({ key, revision, record });
-    return { from: 0, upTo: this.upTo, isWhole: true, changes };
+    for (const key of keys) {
+      const { position, record } = this.stored.get(key)!;
+      const epoch = position.epoch === this.epoch ? {} : { epoch: position.epoch };
+      if (record !== undefined) changes.push({ key, revision: position.revision, record, ...epoch });
+    }
+    return changes;
+  }
+
+  /** Merges the versioned records of an earlier epoch: they were acknowledged, whatever the store has now. */
+  private mergeEarlier({ epoch = 0, changes }: Delta): void {
+    for (const change of changes) if (isVersioned(change.record)) this.merge(change, epoch);
+  }
+
+  private beginEpoch({ epoch = 0, epochAgeMs }: Delta): void {
+    const now = this.timers.now();
+    // A copy that was empty has nothing from before; its peer tells for how long it has retained what is missing.
+    this.epochSince = this.upTo === 0 ? now - (epochAgeMs ?? Number.POSITIVE_INFINITY) : now;
+    this.epoch = epoch;
+    this.logStart = Number.POSITIVE_INFINITY;
+    this.kept.clear();
+    for (const [key, { record }] of this.stored) if (isVersioned(record)) this.keep(key);
+    this.retentionTimer?.cancel();
+    this.scheduleRetentionCheck();
   }
 
-  private merge(change: Change): void {
-    const known = this.stored.get(change.key);
-    if (known !== undefined && known.revision >= change.revision) return;
-    this.stored.set(change.key, { revision: change.revision, record: change.record });
-    if (mustPublish(known?.record, change.record)) this.appendToLog(change);
-    for (const listener of this.listeners) listener(change);
+  private scheduleRetentionCheck(): void {
+    this.retentionTimer = this.timers.after(RETENTION_CHECK_MS, () => this.endRetention());
   }
 
-  /** Removes the records that a full delta does not contain, unless they were changed after its revision. */
-  private removeMissing(delta: Delta): void {
-    const present = new Set(delta.changes.map(({ key }) => key));
-    for (const [key, { revision, record }] of this.stored) {
-      if (record === undefined || present.has(key) || revision > delta.upTo) continue;
-      this.merge({ key, revision: delta.upTo, record: undefined });
+  /** Removes the replicas that are still missing from the store, once it was read for long enough. */
+  private endRetention(): void {
+    if (this.confirmedAt - this.epochSince < RETENTION_MS) {
+      this.scheduleRetentionCheck();
+      return;
+    }
+    const position = { epoch: this.epoch, revision: 0 };
+    for (const [key, known] of this.stored) {
+      if (known.record?.kind !== RecordKind.Replica || known.position.epoch === this.epoch) continue;
+      this.stored.set(key, { position, record: undefined });
+      for (const listener of this.listeners) listener({ key, revision: 0, record: undefined });
+    }
+  }
+
+  /** Merges a change that was written in an epoch, unless it states an earlier one. */
+  private merge(change: Change, epoch: number): void {
+    const { key } = change;
+    const next = {
+      position: { epoch: change.epoch ?? epoch, revision: change.revision },
+      record: change.record,
+    };
+    const known = this.stored.get(key);
+    const isLater = known === undefined || isAfter(next.position, known.position);
+    const record = mergeRecords(known?.record, next.record, isLater);
+    if (!isLater && record === known.record) return;
+    const isAdopted = record === next.record;
+    this.stored.set(key, { position: isLater ? next.position : known.position, record });
+    // Where the store has an earlier version, peers may have it as well.
+    if (isLater === isAdopted) this.kept.delete(key);
+    else this.keep(key);
+    if (!isAdopted) return;
+    // Peers retain a record of an earlier epoch only until they learn that it was written again.
+    const isWrittenAgain = isLater && known?.position.epoch !== next.position.epoch;
+    if (isWrittenAgain || mustPublish(known?.record, record)) this.appendToLog({ ...change, record });
+    for (const listener of this.listeners) listener({ ...change, record });
+  }
+
+  private keep(key: string): void {
+    this.kept.add(key);
+    this.keptCount += 1;
+  }
+
+  /**
+   * Removes the records that a full delta does not contain, unless they were changed after its revision or belong to
+   * an earlier epoch.
+   */
+  private removeMissing({ epoch = 0, upTo, changes }: Delta): void {
+    const present = new Set(changes.map(({ key }) => key));
+    for (const [key, { position, record }] of this.stored) {
+      const isMissing = position.epoch === epoch && position.revision <= upTo && !present.has(key);
+      if (record !== undefined && isMissing) this.merge({ key, revision: upTo, record: undefined }, epoch);
     }
   }
 
--- a/packages/routing/src/core/view/store-watcher.ts
+++ b/packages/routing/src/core/view/store-watcher.ts
@@ -7,6 +7,7 @@
  */
 import type { TimerHandle, TimerService } from '@celeryyoke/core';
 
+import { isAfter } from './position.js';
 import type { Delta, RecordSource } from './types.js';
 import type { ReplicatedStore } from './replicated-store.js';
 
@@ -27,6 +28,11 @@
  */
 const MIN_PAUSE_SHARE = 0.4;
 const RANDOM_PAUSE_SHARE = 1.6;
+/**
+ * Maximum delay before a daemon that is not the first in rank reads all records, in milliseconds: when the store has
+ * lost the history, all readers learn that at the same time, and one of them can read for all.
+ */
+const MAX_LIST_DELAY_MS = 400;
 /** Delay after a failed call, in milliseconds. */
 const RETRY_DELAY_MS = 150;
 /** Age of the copy at which the daemon next in rank takes over, in milliseconds. */
@@ -180,13 +186,11 @@
   private async readOnce(): Promise<void> {
     const { view, timers, publish } = this.options;
     try {
-      const { publishableCount } = view;
-      const { delta, readAt } = await this.fetch();
-      view.apply(delta);
-      view.confirmUpToDate(delta.upTo, timers.now() - readAt);
-      this.lastReadAt = readAt;
+      const { publishableCount, epoch } = view;
+      const result = await this.fetch();
+      if (result !== undefined) this.applyResult(result);
       this.setReachable(true, '');
-      publish(view.publishableCount > publishableCount);
+      publish(view.publishableCount > publishableCount || view.epoch > epoch);
       await timers.sleep(this.pauseMs());
     } catch (err) {
       this.setReachable(false, String(err));
@@ -194,25 +198,45 @@
     }
   }
 
+  private applyResult({ delta, readAt }: ReadResult): void {
+    const { view, timers } = this.options;
+    const { epoch = 0, upTo } = delta;
+    if (epoch < view.epoch) return;
+    view.apply(delta);
+    view.confirmUpToDate(upTo, timers.now() - readAt, epoch);
+    this.lastReadAt = readAt;
+  }
+
   private pauseMs(): number {
     const { rank, random } = this.options;
     return rank() === 0 ? READ_PAUSE_MS : READ_PAUSE_MS * (MIN_PAUSE_SHARE + random() * RANDOM_PAUSE_SHARE);
   }
 
-  private async fetch(): Promise<ReadResult> {
-    const { view, source, timers } = this.options;
+  /** Reads what has changed, or all records; undefined if a peer has read them meanwhile. */
+  private async fetch(): Promise<ReadResult | undefined> {
+    const { view, source, timers, rank, random } = this.options;
     if (view.upTo === 0) return this.list(false);
+    const { position } = view;
     const startedAt = timers.now();
     const delta = await this.withTimeout(WATCH_WAIT_MS + WATCH_GRACE_MS, (signal) =>
       source.watch(view.upTo, WATCH_WAIT_MS, signal),
     );
-    if (delta === undefined) return this.list(true);
+    if (delta === undefined || this.isOutOfSequence(delta)) {
+      if (rank() !== 0) await timers.sleep(MAX_LIST_DELAY_MS * random());
+      return isAfter(view.position, position) ? undefined : this.list(true);
+    }
     // A response that arrives late may have been sent early, unless the source had no changes until the end
     // of its wait.
     const hasWaited = delta.changes.length === 0 && timers.now() - startedAt >= WATCH_WAIT_MS;
     return { delta, readAt: hasWaited ? startedAt + WATCH_WAIT_MS : startedAt };
   }
 
+  /** Whether changes are of a later epoch than the copy, or begin after it, so that earlier ones are missing. */
+  private isOutOfSequence({ epoch = 0, from }: Delta): boolean {
+    const { view } = this.options;
+    return epoch > view.epoch || (epoch === view.epoch && from > view.upTo);
+  }
+
   private async list(isHistoryLost: boolean): Promise<ReadResult> {
     const { view, source, timers, onList } = this.options;
     const readAt = timers.now();
--- a/packages/routing/src/core/view/types.ts
+++ b/packages/routing/src/core/view/types.ts
@@ -90,6 +90,8 @@
   readonly key: string;
   /** Revision of the store that this change made. */
   readonly revision: number;
+  /** Sequence that the revision belongs to, where it is an earlier one than the delta's. */
+  readonly epoch?: number;
   /** Undefined if the record was removed. */
   readonly record: ViewRecord | undefined;
 }
@@ -101,6 +103,8 @@
    * single one, which counts as 0.
    */
   readonly epoch?: number;
+  /** Time since the sender's copy began the epoch, in milliseconds; deltas from the store have none. */
+  readonly epochAgeMs?: number;
   /** The delta applies to a copy that is complete up to this revision or a later one; 0 with `isWhole`. */
   readonly from: number;
   readonly upTo: number;
--- a/packages/routing/test/drills/drills.test.ts
+++ b/packages/routing/test/drills/drills.test.ts
@@ -201,6 +201,47 @@
       run.rewrite(lost);
     },
   },
+  'all daemons start again between the loss and the rewriting': {
+    prepare: loseMany,
+    act: async (run) => {
+      const lost = await run.drill(61);
+      for (let index = 0; index < DAEMONS; index += 1) run.kill(index);
+      await run.run(400);
+      for (let index = 0; index < DAEMONS; index += 1) await run.fleet.start(index);
+      await run.run(REWRITE_MS);
+      run.rewrite(lost);
+    },
+  },
+  'configurations in quick succession': {
+    prepare: loseMany,
+    act: async (run) => {
+      const lost = await run.drill(61);
+      for (let count = 0; count < 5; count += 1) {
+        run.writeConfig();
+        await run.run(120);
+      }
+      run.rewrite(lost.filter(({ key }) => key !== 'config'));
+    },
+  },
+  'the store is slow after the drill': {
+    prepare: loseMany,
+    act: async (run) => {
+      for (let index = 0; index < DAEMONS; index += 1) run.store.delays.set(run.fleet.addressOf(index), 300);
+      await drillAndRewrite(61, 300)(run);
+    },
+  },
+  'the replicas of a service are replaced meanwhile': {
+    prepare: loseMany,
+    act: async (run) => {
+      const lost = await run.drill(61);
+      run.writeReplica('new-1');
+      await run.run(300);
+      run.writeReplica('r0', ReplicaState.Leaving);
+      run.rewrite(lost.filter(({ key }) => key !== 'r/r0'));
+      await run.run(600);
+      run.removeReplica('r0');
+    },
+  },
 };
 
 for (const [name, { prepare, act }] of Object.entries(PLAYS))
--- a/packages/routing/test/fleet/parent-clock.test.ts
+++ b/packages/routing/test/fleet/parent-clock.test.ts
@@ -56,6 +56,7 @@
     rows: [],
     delta: undefined,
     upTo: 7,
+    epoch: 3,
     ageMs: 40,
     clock: 123,
     rootSequence: 5,
@@ -63,5 +64,6 @@
   };
   const frame = encodeBatch(batch);
   t.deepEqual(decodeBatch(frame), batch);
-  t.deepEqual(decodeBatch(frame.slice(0, 6)), { ...batch, clock: undefined });
+  t.deepEqual(decodeBatch(frame.slice(0, 7)), { ...batch, epoch: 0 });
+  t.deepEqual(decodeBatch(frame.slice(0, 6)), { ...batch, clock: undefined, epoch: 0 });
 });
--- a/packages/routing/test/replicated-store.test.ts
+++ b/packages/routing/test/replicated-store.test.ts
@@ -187,3 +187,118 @@
   const [entry] = view.deltaSince(0).changes;
   t.is(entry?.revision, 9);
 });
+
+/** Returns a delta of a later epoch of the store. */
+function inEpoch(epoch: number, plain: Delta): Delta {
+  return { ...plain, epoch };
+}
+
+function configuration(version: number, revision: number): Change {
+  const record = { kind: RecordKind.Document as const, document: sampleDocument(version) };
+  return { key: 'config', revision, record };
+}
+
+function declaredVersion(version: number, revision: number): Change {
+  const record = {
+    kind: RecordKind.AdapterVersion as const,
+    declared: { model: 'base', adapter: 'a1', version },
+  };
+  return { key: 'v/a1', revision, record };
+}
+
+// Guards against lower revisions of a later epoch counting as old, and against those of an earlier one counting as new.
+test('a later epoch replaces an earlier one, whatever the revisions', (t) => {
+  const view = new ReplicatedStore(createManualTimers());
+  view.apply(whole(50, replica('a', 40)));
+  t.false(view.apply(inEpoch(2, delta(50, 51, replica('b', 51)))));
+  t.true(view.apply(inEpoch(2, whole(30, replica('a', 12), replica('b', 30)))));
+  t.deepEqual(view.position, { epoch: 2, revision: 30 });
+  t.true(view.apply(delta(50, 60, replica('c', 60))));
+  t.deepEqual(view.position, { epoch: 2, revision: 30 });
+  t.false(view.deltaSince(0).changes.some(({ key }) => key === 'r/c'));
+  t.true(view.deltaSince(45, 1).isWhole);
+});
+
+// Guards against a view that counts as up to date because the other epoch had nothing newer.
+test('a confirmation counts only for the epoch that it was made in', (t) => {
+  const timers = createManualTimers();
+  const view = new ReplicatedStore(timers);
+  view.apply(inEpoch(2, whole(30)));
+  view.confirmUpToDate(10, 0, 1);
+  t.is(view.ageMs, Number.POSITIVE_INFINITY);
+  view.confirmUpToDate(30, 5, 2);
+  t.is(view.ageMs, 5);
+});
+
+// Guards against a daemon that starts after a drill and gets the older versions of the copy from its peers.
+test('versions that the copy lacks stay in force, and are contained in the deltas for peers', (t) => {
+  const timers = createManualTimers();
+  const view = new ReplicatedStore(timers);
+  const registry = new ReplicaRegistry(view, createAvailability(timers), timers);
+  view.apply(whole(50, configuration(9, 45), declaredVersion(4, 46)));
+  view.apply(inEpoch(2, whole(30, configuration(7, 20), declaredVersion(3, 21))));
+  t.is(registry.table?.document.version, 9);
+  t.is(registry.declaredVersion('base', 'a1')?.version, 4);
+  const fresh = new ReplicatedStore(timers);
+  const ofFresh = new ReplicaRegistry(fresh, createAvailability(timers), timers);
+  fresh.apply(inEpoch(2, whole(30, configuration(7, 20), declaredVersion(3, 21))));
+  t.is(ofFresh.table?.document.version, 7);
+  t.true(fresh.apply(view.deltaSince(30)));
+  t.is(ofFresh.table?.document.version, 9);
+  t.is(ofFresh.declaredVersion('base', 'a1')?.version, 4);
+  view.apply(inEpoch(2, delta(30, 31, configuration(11, 31))));
+  t.is(registry.table?.document.version, 11);
+});
+
+// Guards against a peer that has not heard of the drill yet, whose configuration is later than the copy's.
+test('versions of an earlier epoch are merged, its replicas are not', (t) => {
+  const timers = createManualTimers();
+  const view = new ReplicatedStore(timers);
+  const registry = new ReplicaRegistry(view, createAvailability(timers), timers);
+  view.apply(inEpoch(2, whole(30, configuration(7, 20))));
+  t.true(view.apply(whole(50, configuration(9, 45), replica('old', 46))));
+  t.is(registry.table?.document.version, 9);
+  t.is(registry.replica('old'), undefined);
+});
+
+// Guards against a replica that was removed before a drill and is ready again as the copy still lists it.
+test('a replica that was removed before the epoch is held back, and listed if it stays in the store', async (t) => {
+  const timers = createManualTimers();
+  const view = new ReplicatedStore(timers);
+  const registry = new ReplicaRegistry(view, createAvailability(timers), timers);
+  view.apply(whole(50, replica('a', 40), replica('b', 41), replica('c', 42)));
+  view.apply(
+    delta(
+      50,
+      52,
+      { key: 'r/a', revision: 51, record: undefined },
+      { key: 'r/b', revision: 52, record: undefined },
+    ),
+  );
+  view.apply(inEpoch(2, whole(30, replica('a', 10), replica('b', 11), replica('c', 12))));
+  t.deepEqual(
+    [...registry.all()].map(({ id }) => id),
+    ['c'],
+  );
+  await timers.advance(4000);
+  view.apply(inEpoch(2, delta(30, 31, { key: 'r/a', revision: 31, record: undefined })));
+  t.deepEqual(
+    [...registry.all()].map(({ id }) => id),
+    ['c'],
+  );
+  await timers.advance(6100);
+  t.deepEqual(
+    [...registry.all()].map(({ id }) => id),
+    ['c', 'b'],
+  );
+});
+
+// Guards against a replica that has declared that it leaves and is ready in the copy.
+test('a replica that was leaving before the epoch stays so', (t) => {
+  const timers = createManualTimers();
+  const view = new ReplicatedStore(timers);
+  const registry = new ReplicaRegistry(view, createAvailability(timers), timers);
+  view.apply(whole(50, replica('a', 50, ReplicaState.Leaving)));
+  view.apply(inEpoch(2, whole(30, replica('a', 10))));
+  t.is(registry.replica('a')?.state, ReplicaState.Leaving);
+});
