soak: play drills of the store and ask for configurations in force

The soak had no store that comes back from a copy, and nothing in it showed which configuration is in force. Drills come in each plan, with configurations around them; every configuration adds a route, which all daemons are asked for when it must be in force; the store counts the watches that it refuses after each drill. Draws of other faults are unchanged.

--- a/packages/soak/src/core/checks/checks.ts
+++ b/packages/soak/src/core/checks/checks.ts
@@ -2,7 +2,7 @@
 import type { RetryWindow } from '@celeryyoke/routing/testing';
 import { RetryRecord } from '@celeryyoke/routing/testing';
 
-import type { CallerAttempt } from '../callers/index.js';
+import type { CallerAttempt, ConfigProbe } from '../callers/index.js';
 import { CallerOutcome } from '../callers/index.js';
 import type {
   Abandonment,
@@ -13,6 +13,7 @@
   VersionChange,
 } from '../replicas/index.js';
 import { ENGINE_SERVICE, PLAIN_SERVICE, REPEAT_BOUNDS } from '../site/index.js';
+import type { StoreDrill } from '../site/index.js';
 import { checkAbandoned } from './abandoned.js';
 import type { BrittleTime, TooManyFalls } from './brittle.js';
 import { checkFalls } from './brittle.js';
@@ -23,6 +24,7 @@
 import type { JoinedStream, TakeUpFigures } from './continuations.js';
 import { checkJoined, checkTakeUps, measureTakeUps } from './continuations.js';
 import type { Excuses, HostViolation } from './declarations.js';
+import { checkConfigs, checkDrills } from './drills.js';
 import { checkBackoffs, checkLeaving } from './declarations.js';
 import { allDisturbances } from './disturbances.js';
 
@@ -63,6 +65,10 @@
   readonly abandoned: readonly Abandonment[];
   /** Figures of streams that callers took up, if these went on far more seldom than new streams began. */
   readonly lostTakeUps: readonly TakeUpFigures[];
+  /** Probes that were answered as only an older configuration allows. */
+  readonly lateConfigs: readonly ConfigProbe[];
+  /** Drills after which the store was asked too often for a history that it did not have. */
+  readonly busyDrills: readonly StoreDrill[];
 }
 
 /** What callers and replicas saw. */
@@ -82,6 +88,9 @@
   readonly abandonments: readonly Abandonment[];
   /** Times in which replicas treated most of their requests badly, or said that they leave. */
   readonly misbehaviours: readonly Interruption[];
+  readonly configProbes: readonly ConfigProbe[];
+  readonly drills: readonly StoreDrill[];
+  readonly daemonCount: number;
 }
 
 /** Figures of a run that are shown whether or not they are good enough. */
@@ -133,6 +142,8 @@
     joinedStreams: checkJoined(attempts),
     abandoned: checkAbandoned(attempts, abandonments, cuts, allDisturbances(excuses)),
     lostTakeUps: checkTakeUps(measured.takeUps),
+    lateConfigs: checkConfigs(record.configProbes, allDisturbances(excuses)),
+    busyDrills: checkDrills(record.drills, record.daemonCount),
   };
 }
 
--- a/packages/soak/src/core/plan/plan.ts
+++ b/packages/soak/src/core/plan/plan.ts
@@ -31,6 +31,7 @@
   FaultKind.StopReplicas,
   FaultKind.CutMuteOpen,
   FaultKind.Reconfigure,
+  FaultKind.Drill,
 ];
 const OTHERS = Object.values(FaultKind).filter((kind) => !LATER.includes(kind));
 /** Mean time between two faults, in seconds. */
@@ -52,6 +53,10 @@
 const MAX_STOP_MS = 2500;
 /** Time around the beginning of such a stop at which a configuration comes into force, in milliseconds. */
 const CONFIGURED_AROUND_MS = 600;
+/** Mean time between two drills of the store, and how long it is away, in milliseconds. */
+const MS_PER_DRILL = 8000;
+const MIN_AWAY_MS = 300;
+const MAX_AWAY_MS = 1500;
 /** Mean time between two callers whose request crashes replicas, in milliseconds. */
 const MS_PER_CRASHING_REQUEST = 10_000;
 /** Mean time between two times at which engines get another software version, in milliseconds. */
@@ -94,6 +99,7 @@
       ...drawBrittle(seed, lengthMs),
       ...drawUpgrades(seed, lengthMs),
       ...drawStops(seed, lengthMs),
+      ...drawDrills(seed, lengthMs),
     ].sort((left, right) => left.atMs - right.atMs),
   };
 }
@@ -169,6 +175,25 @@
   return [...stops, draw(FaultKind.CutMuteOpen, random.between(0.3, 1)), ...configurations];
 }
 
+/** Draws drills of the store, and configurations around them. */
+function drawDrills(seed: number, lengthMs: number): Fault[] {
+  const random = createRandom(`soak-drills-${seed}`);
+  const count = Math.max(1, Math.round(lengthMs / MS_PER_DRILL));
+  const drills = Array.from({ length: count }, () => ({
+    kind: FaultKind.Drill,
+    atMs: Math.round(random.between(0, lengthMs - MAX_AWAY_MS)),
+    forMs: Math.round(random.between(MIN_AWAY_MS, MAX_AWAY_MS)),
+    share: random.between(0, 1),
+  }));
+  const configurations = drills.map(({ atMs }) => ({
+    kind: FaultKind.Reconfigure,
+    atMs: Math.max(0, atMs + Math.round(random.between(-MAX_AWAY_MS, 2 * MAX_AWAY_MS))),
+    forMs: 0,
+    share: 1,
+  }));
+  return [...drills, ...configurations];
+}
+
 function drawDeclarations(seed: number, lengthMs: number): Fault[] {
   const random = createRandom(`soak-declarations-${seed}`);
   return DECLARATIONS.flatMap((kind) =>
--- a/packages/soak/src/core/plan/types.ts
+++ b/packages/soak/src/core/plan/types.ts
@@ -20,6 +20,8 @@
   StopReplicas = 'stop-replicas',
   /** The operator puts another version of the configuration into force. */
   Reconfigure = 'reconfigure',
+  /** The store is away, and comes back from a copy of itself when the fault ends. */
+  Drill = 'drill',
   /** Daemons are killed, and start again when the fault ends. */
   KillDaemons = 'kill-daemons',
   /** Daemons are signalled to shut down, and are restarted when the fault ends. */
--- a/packages/soak/src/core/run/faults.ts
+++ b/packages/soak/src/core/run/faults.ts
@@ -9,6 +9,7 @@
 import type { RunningProcess } from '../processes/index.js';
 import type { ReplicaFleet } from '../replicas/index.js';
 import { Behaviour, FIRST_VERSION, Holdable } from '../replicas/index.js';
+import type { StoreDrills } from '../site/index.js';
 import { GRACE_S } from '../site/index.js';
 import type { Daemons } from './daemons.js';
 
@@ -30,6 +31,7 @@
   readonly recordCut: (daemons: readonly string[]) => () => void;
   /** Puts the next version of the configuration into the store. */
   readonly reconfigure: () => void;
+  readonly drills: StoreDrills;
   readonly random: Random;
   readonly timers: TimerService;
 }
@@ -131,6 +133,7 @@
     reconfigure();
     return () => undefined;
   },
+  [FaultKind.Drill]: ({ drills }, share) => drills.begin(share),
   [FaultKind.CutHang]: cutOff(PathCut.Hang),
   [FaultKind.CutReset]: cutOff(PathCut.Reset),
   [FaultKind.CutRefuse]: cutOff(PathCut.RefuseNew),
--- a/packages/soak/src/core/run/run.ts
+++ b/packages/soak/src/core/run/run.ts
@@ -6,7 +6,7 @@
 import { createRandom } from '@celeryyoke/routing/testing';
 
 import type { CallerAttempt } from '../callers/index.js';
-import { Balancer, Callers } from '../callers/index.js';
+import { Balancer, Callers, ConfigProbes } from '../callers/index.js';
 import type { BrittleTime, DaemonCut, RunMeasurements, SoakFigures } from '../checks/index.js';
 import { checkRun, countCrashes, measureRun } from '../checks/index.js';
 import type { SoakPlan } from '../plan/index.js';
@@ -20,6 +20,7 @@
   PLAIN_SLOTS,
   putConfiguration,
   startStore,
+  StoreDrills,
 } from '../site/index.js';
 import { Daemons } from './daemons.js';
 import { inject } from './faults.js';
@@ -91,11 +92,16 @@
     recordTime(cuts, { daemons: hit, from: timers.wall(), until: undefined });
   const recordBrittle = (): (() => void) =>
     recordTime(brittleTimes, { replicas: plan.plains, from: timers.wall(), until: undefined });
+  const probes = new ConfigProbes(daemons.addresses, timers);
   let version = 1;
   const reconfigure = (): void => {
+    // Nothing can be written while the store is away.
+    if (store.isDown) return;
     version += 1;
     putConfiguration(store, version);
+    probes.schedule(version);
   };
+  const drills = new StoreDrills(store, timers, () => probes.schedule(version));
   const balancer = new Balancer(daemons.addresses, timers);
   const random = createRandom(`run-${plan.seed}`);
   const { requestsPerSecond, adapters, hasRetries } = plan;
@@ -108,7 +114,18 @@
     for (const fault of plan.faults)
       timers.after(fault.atMs, () =>
         inject(
-          { daemons, replicas, callers, relist, recordCut, recordBrittle, reconfigure, random, timers },
+          {
+            daemons,
+            replicas,
+            callers,
+            relist,
+            recordCut,
+            recordBrittle,
+            reconfigure,
+            drills,
+            random,
+            timers,
+          },
           fault,
         ),
       );
@@ -136,6 +153,9 @@
     versionChanges,
     abandonments,
     misbehaviours,
+    configProbes: probes.results,
+    drills: drills.played,
+    daemonCount: plan.daemons,
   };
   const measured = measureRun(record, excuses);
   return {
--- a/packages/soak/src/core/site/index.ts
+++ b/packages/soak/src/core/site/index.ts
@@ -1,4 +1,6 @@
 /** The platform of a run. */
+export type { StoreDrill } from './drills.js';
+export { StoreDrills } from './drills.js';
 export type { DaemonAddress, SoakRoute } from './site.js';
 export {
   CALLER_HOST,
@@ -17,4 +19,5 @@
   ROUTES,
   settingsOf,
   startStore,
+  versionPrefix,
 } from './site.js';
--- a/packages/soak/src/core/site/site.ts
+++ b/packages/soak/src/core/site/site.ts
@@ -208,11 +208,28 @@
   return store;
 }
 
+/** Path of a route that a version of the configuration adds, and that earlier ones don't have. */
+export function versionPrefix(version: number): string {
+  return `/version-${version}/`;
+}
+
+/** Routes that show which configuration is in force: versions up to this one have added them, and none removes them. */
+function versionRoutes(version: number): object[] {
+  return Array.from({ length: version }, (_, index) => ({
+    name: `version-${index + 1}`,
+    host: CALLER_HOST,
+    prefix: versionPrefix(index + 1),
+    kind: 'safe',
+    service: PLAIN_SERVICE,
+    max_attempts: 1,
+  }));
+}
+
 /** Puts a version of the configuration into the store; another one has another idle timeout of callers. */
 export function putConfiguration(store: StoreStandIn, version: number): void {
   store.put('op/config', {
     version,
-    routes: ROUTES.map(wireRoute),
+    routes: [...ROUTES.map(wireRoute), ...versionRoutes(version)],
     services: [
       { name: PLAIN_SERVICE, max_connections: 500 },
       {
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -70,6 +70,10 @@
     console.log(`${isBroken ? 'events missing or twice' : versions.join(' and ')}: ${attempts.join(', ')}`);
   for (const { request, replica, host } of figures.abandoned)
     console.log(`left while ${replica} worked on it: ${request}, sent by ${host}`);
+  for (const { daemon, version, status } of figures.lateConfigs)
+    console.log(`version ${version} was not in force at ${daemon}: ${status}`);
+  for (const { refusedWatches } of figures.busyDrills)
+    console.log(`watches that the store refused after a drill: ${refusedWatches}`);
   if (figures.refusedBeside.length > 0)
     console.log(`refused for crashes of others: ${figures.refusedBeside.join(', ')}`);
 }
--- a/packages/soak/test/checks.test.ts
+++ b/packages/soak/test/checks.test.ts
@@ -46,6 +46,9 @@
   versionChanges: [],
   abandonments: [],
   misbehaviours: [],
+  configProbes: [],
+  drills: [],
+  daemonCount: 3,
 };
 
 /** Checks a run in which no replica crashed. */
@@ -351,3 +354,19 @@
   t.is(check(ended, {}, { outages: [{ daemon: name, at: 700 }], interruptions: [] }), 0);
   t.is(check(ended, {}, { outages: [], interruptions: [{ replica: 'p-0', from: 0, until: 1100 }] }), 1);
 });
+
+// Guards against a check of configurations that excuses daemons that run undisturbed, or accuses others.
+test('a route that is not found when its configuration must be in force is found out, unless its daemon was disturbed', (t) => {
+  const probe = { daemon: 'front-a-0', version: 3, at: 10_000, status: 404 };
+  const record = { ...EMPTY, configProbes: [probe, { ...probe, status: 200 }, { ...probe, status: 503 }] };
+  t.deepEqual(checkRun(record).lateConfigs, [probe]);
+  const outages = [{ daemon: 'front-a-0', at: 8000 }];
+  t.deepEqual(checkRun(record, { outages, interruptions: [] }).lateConfigs, []);
+});
+
+// Guards against daemons that ask again and again for a history that the store has lost.
+test('a store that refuses more watches after a drill than there are daemons is found out', (t) => {
+  const busy = { at: 0, refusedWatches: 4 };
+  const record = { ...EMPTY, drills: [busy, { at: 9000, refusedWatches: 3 }] };
+  t.deepEqual(checkRun(record).busyDrills, [busy]);
+});
