view: send versions of an earlier epoch on with that epoch

Found on reading the change again, with a test that failed first: a version that a daemon merged from a peer of an earlier epoch went into its log with that epoch's revision alone. A peer took it for one of the present epoch, and a version that was written again with other contents under a lower revision was not in force there. Changes of an earlier epoch carry it, and are sent as kept records only.

--- a/packages/routing/src/core/view/replicated-store.ts
+++ b/packages/routing/src/core/view/replicated-store.ts
@@ -169,12 +169,16 @@
     const changes: Change[] = [];
     for (const key of keys) {
       const { position, record } = this.stored.get(key)!;
-      const epoch = position.epoch === this.epoch ? {} : { epoch: position.epoch };
-      if (record !== undefined) changes.push({ key, revision: position.revision, record, ...epoch });
+      if (record !== undefined) changes.push(this.changeAt(position, key, record));
     }
     return changes;
   }
 
+  /** Makes a change for a delta of the present epoch. */
+  private changeAt({ epoch, revision }: Position, key: string, record: ViewRecord | undefined): Change {
+    return { key, revision, record, ...(epoch === this.epoch ? {} : { epoch }) };
+  }
+
   /** Merges the versioned records of an earlier epoch: they were acknowledged, whatever the store has now. */
   private mergeEarlier({ epoch = 0, changes }: Delta): void {
     for (const change of changes) if (isVersioned(change.record)) this.merge(change, epoch);
@@ -230,8 +234,9 @@
     if (!isAdopted) return;
     // Peers retain a record of an earlier epoch only until they learn that it was written again.
     const isWrittenAgain = isLater && known?.position.epoch !== next.position.epoch;
-    if (isWrittenAgain || mustPublish(known?.record, record)) this.appendToLog({ ...change, record });
-    for (const listener of this.listeners) listener({ ...change, record });
+    const adopted = this.changeAt(next.position, key, record);
+    if (isWrittenAgain || mustPublish(known?.record, record)) this.appendToLog(adopted);
+    for (const listener of this.listeners) listener(adopted);
   }
 
   private keep(key: string): void {
@@ -253,6 +258,8 @@
 
   private appendToLog(change: Change): void {
     this.publishableCount += 1;
+    // What is of an earlier epoch is sent as long as it is kept.
+    if (change.epoch !== undefined) return;
     this.changeLog.push(change);
     if (this.changeLog.length <= MAX_LOGGED_CHANGES) return;
     const dropped = this.changeLog.shift()!;
--- a/packages/routing/test/replicated-store.test.ts
+++ b/packages/routing/test/replicated-store.test.ts
@@ -261,6 +261,23 @@
   t.is(registry.replica('old'), undefined);
 });
 
+// Guards against a revision of an earlier epoch that is sent on as one of the present epoch.
+test('a version of an earlier epoch gives way to one that is written again, also at peers', (t) => {
+  const timers = createManualTimers();
+  const view = new ReplicatedStore(timers);
+  const fresh = new ReplicatedStore(timers);
+  const registries = [view, fresh].map((one) => new ReplicaRegistry(one, createAvailability(timers), timers));
+  view.apply(inEpoch(1, whole(10, configuration(5, 9))));
+  fresh.apply(inEpoch(2, whole(30, configuration(7, 20))));
+  view.apply(inEpoch(2, whole(30, configuration(7, 20))));
+  view.apply(inEpoch(1, whole(50, configuration(9, 45))));
+  fresh.apply(view.deltaSince(30));
+  const record = { kind: RecordKind.Document as const, document: sampleDocument(9, 4321) };
+  for (const one of [view, fresh])
+    one.apply(inEpoch(2, delta(30, 31, { key: 'config', revision: 31, record })));
+  for (const { table } of registries) t.deepEqual(table?.document, record.document);
+});
+
 // Guards against a replica that was removed before a drill and is ready again as the copy still lists it.
 test('a replica that was removed before the epoch is held back, and listed if it stays in the store', async (t) => {
   const timers = createManualTimers();
