view: log a new epoch and replicas that are held back

On a drill only the daemon that reads had a line. Each daemon logs the new epoch with its position before, and each replica that was removed before and that the copy lists.

--- a/packages/routing/src/core/daemon/services.ts
+++ b/packages/routing/src/core/daemon/services.ts
@@ -840,6 +840,25 @@
         viewAgeMs: roundAge(view.ageMs),
       });
     });
+    registry.onHeldBack((id, forMs) =>
+      log.decide(
+        'replica.held-back',
+        `Replica ${id} had been removed before the store came back from a copy.`,
+        {
+          replica: id,
+          forMs: Math.round(forMs),
+          epoch: view.epoch,
+        },
+      ),
+    );
+    view.onEpoch(({ before, epoch }) =>
+      log.decide('view.epoch', 'The platform’s store has come back from a copy.', {
+        epoch,
+        epochBefore: before.epoch,
+        revisionBefore: before.revision,
+        viewAgeMs: roundAge(view.ageMs),
+      }),
+    );
     registry.onTable(({ document }) =>
       log.decide('config.in-force', `Configuration ${document.version} is in force.`, {
         version: document.version,
--- a/packages/routing/src/core/view/index.ts
+++ b/packages/routing/src/core/view/index.ts
@@ -2,7 +2,7 @@
  * The view: this daemon's copy of the platform's records, read from the store by one daemon and shared with
  * the others.
  */
-export type { SnapshotListener } from './replicated-store.js';
+export type { EpochStart, SnapshotListener } from './replicated-store.js';
 export type { DeclaredVersion } from './registry.js';
 export { ReplicaRegistry } from './registry.js';
 export type { Listing, TakeOver } from './store-watcher.js';
--- a/packages/routing/src/core/view/registry.ts
+++ b/packages/routing/src/core/view/registry.ts
@@ -69,6 +69,8 @@
 
   private readonly replicaListeners: ReplicaListener[] = [];
 
+  private readonly heldBackListeners: ((id: string, forMs: number) => void)[] = [];
+
   private readonly tableListeners: ((table: RouteTable) => void)[] = [];
 
   constructor(
@@ -90,6 +92,11 @@
     this.tableListeners.push(listener);
   }
 
+  /** Subscribes to replicas whose entries are held back, with the time for which they are, in milliseconds. */
+  onHeldBack(listener: (id: string, forMs: number) => void): void {
+    this.heldBackListeners.push(listener);
+  }
+
   all(): Iterable<ReplicaEntry> {
     return this.replicas.values();
   }
@@ -196,7 +203,7 @@
     if (started === undefined) return;
     const heldBackMs = this.heldBackMs(started.id);
     if (heldBackMs <= 0) this.listReplica(change.key, started);
-    else this.holdBack(change, heldBackMs);
+    else this.holdBack(change, started.id, heldBackMs);
   }
 
   /** Time for which the entry of a replica is still held back, in milliseconds. */
@@ -206,8 +213,9 @@
     return wasRemoved ? epochSince + HELD_BACK_MS - this.timers.now() : 0;
   }
 
-  private holdBack(change: Change, ms: number): void {
+  private holdBack(change: Change, id: string, ms: number): void {
     this.heldBack.set(change.key, change);
+    for (const listener of this.heldBackListeners) listener(id, ms);
     this.timers.after(ms, () => {
       if (this.heldBack.get(change.key) === change) this.applyChange(change);
     });
--- a/packages/routing/src/core/view/replicated-store.ts
+++ b/packages/routing/src/core/view/replicated-store.ts
@@ -42,6 +42,15 @@
  */
 export type SnapshotListener = (ageMs: number) => void;
 
+/** A store that has come back from a copy of itself. */
+export interface EpochStart {
+  readonly before: Position;
+  readonly epoch: number;
+}
+
+/** Called when a later epoch begins, before its records are merged. */
+export type EpochListener = (start: EpochStart) => void;
+
 /** The merged records, and a log of recent changes from which deltas for peers are made. */
 export class ReplicatedStore {
   /** Revision up to which this copy is complete; 0 before the first full delta. */
@@ -78,6 +87,8 @@
 
   private readonly snapshotListeners: SnapshotListener[] = [];
 
+  private readonly epochListeners: EpochListener[] = [];
+
   constructor(private readonly timers: TimerService) {}
 
   /**
@@ -102,6 +113,11 @@
     this.snapshotListeners.push(listener);
   }
 
+  /** Subscribes to later epochs; the first one of this copy is none. */
+  onEpoch(listener: EpochListener): void {
+    this.epochListeners.push(listener);
+  }
+
   /** Cancels the timer. */
   stop(): void {
     this.retentionTimer?.cancel();
@@ -186,6 +202,8 @@
 
   private beginEpoch({ epoch = 0, epochAgeMs }: Delta): void {
     const now = this.timers.now();
+    const before = this.position;
+    if (before.revision > 0) for (const listener of this.epochListeners) listener({ before, epoch });
     // A copy that was empty has nothing from before; its peer tells for how long it has retained what is missing.
     this.epochSince = this.upTo === 0 ? now - (epochAgeMs ?? Number.POSITIVE_INFINITY) : now;
     this.epoch = epoch;
--- a/packages/routing/test/replicated-store.test.ts
+++ b/packages/routing/test/replicated-store.test.ts
@@ -3,7 +3,7 @@
  * incarnation.
  */
 import { createManualTimers } from '@celeryyoke/core';
-import type { Change, Delta } from '@celeryyoke/routing';
+import type { Change, Delta, EpochStart } from '@celeryyoke/routing';
 import { ReplicaRegistry, RecordKind, replicaId, ReplicaState, ReplicatedStore } from '@celeryyoke/routing';
 import test from 'ava';
 
@@ -209,6 +209,8 @@
 // Guards against lower revisions of a later epoch counting as old, and against those of an earlier one counting as new.
 test('a later epoch replaces an earlier one, whatever the revisions', (t) => {
   const view = new ReplicatedStore(createManualTimers());
+  const starts: EpochStart[] = [];
+  view.onEpoch((start) => starts.push(start));
   view.apply(whole(50, replica('a', 40)));
   t.false(view.apply(inEpoch(2, delta(50, 51, replica('b', 51)))));
   t.true(view.apply(inEpoch(2, whole(30, replica('a', 12), replica('b', 30)))));
@@ -216,6 +218,7 @@
   t.true(view.apply(delta(50, 60, replica('c', 60))));
   t.deepEqual(view.position, { epoch: 2, revision: 30 });
   t.false(view.deltaSince(0).changes.some(({ key }) => key === 'r/c'));
+  t.deepEqual(starts, [{ before: { epoch: 0, revision: 50 }, epoch: 2 }]);
   t.true(view.deltaSince(45, 1).isWhole);
 });
 
@@ -283,6 +286,8 @@
   const timers = createManualTimers();
   const view = new ReplicatedStore(timers);
   const registry = new ReplicaRegistry(view, createAvailability(timers), timers);
+  const heldBack: string[] = [];
+  registry.onHeldBack((id) => heldBack.push(id));
   view.apply(whole(50, replica('a', 40), replica('b', 41), replica('c', 42)));
   view.apply(
     delta(
@@ -297,6 +302,7 @@
     [...registry.all()].map(({ id }) => id),
     ['c'],
   );
+  t.deepEqual(heldBack, ['a', 'b']);
   await timers.advance(4000);
   view.apply(inEpoch(2, delta(30, 31, { key: 'r/a', revision: 31, record: undefined })));
   t.deepEqual(
