soak: ask for configurations when the store has been calm

Traced: it had been acknowledged 100 ms before a drill, lost, written again 50 ms before the next drill and lost once more; no daemon could have read it.

--- a/packages/soak/src/core/callers/config-probes.ts
+++ b/packages/soak/src/core/callers/config-probes.ts
@@ -5,8 +5,6 @@
 import type { DaemonAddress } from '../site/index.js';
 import { CALLER_HOST, versionPrefix } from '../site/index.js';
 
-/** Time after the acknowledgement at which a configuration must be in force, in milliseconds. */
-const IN_FORCE_MS = 2500;
 const TIMEOUT_MS = 2000;
 
 /** A daemon that was asked. */
@@ -30,9 +28,9 @@
     private readonly timers: TimerService,
   ) {}
 
-  /** Asks all daemons for the route of a version that was acknowledged now, once it must be in force. */
-  schedule(version: number): void {
-    this.timers.after(IN_FORCE_MS, () => {
+  /** Asks all daemons for the route of a version when it must be in force. */
+  schedule(version: number, afterMs: number): void {
+    this.timers.after(afterMs, () => {
       for (const daemon of this.daemons) void this.ask(daemon, version);
     });
   }
--- a/packages/soak/src/core/run/run.ts
+++ b/packages/soak/src/core/run/run.ts
@@ -30,6 +30,10 @@
 const REPLICAS_PER_PROCESS = 4;
 /** Time after the traffic in which held requests still arrive, in milliseconds. */
 const SETTLE_MS = 1000;
+/** Time after its acknowledgement at which a configuration must be in force, in milliseconds. */
+const IN_FORCE_MS = 2500;
+/** The same after a drill, which leaves time for what was lost to be written again. */
+const IN_FORCE_AFTER_DRILL_MS = 3600;
 
 /** What a run needs beside its plan. */
 export interface SoakOptions {
@@ -99,9 +103,9 @@
     if (store.isDown) return;
     version += 1;
     putConfiguration(store, version);
-    probes.schedule(version);
+    probes.schedule(version, IN_FORCE_MS);
   };
-  const drills = new StoreDrills(store, timers, () => probes.schedule(version));
+  const drills = new StoreDrills(store, timers, () => probes.schedule(version, IN_FORCE_AFTER_DRILL_MS));
   const balancer = new Balancer(daemons.addresses, timers);
   const random = createRandom(`run-${plan.seed}`);
   const { requestsPerSecond, adapters, hasRetries } = plan;
--- a/packages/soak/src/core/site/drills.ts
+++ b/packages/soak/src/core/site/drills.ts
@@ -9,8 +9,10 @@
 
 /** One drill of a run. */
 export interface StoreDrill {
-  /** Unix milliseconds at which the store was back. */
-  readonly at: number;
+  /** Unix milliseconds at which the store went away. */
+  readonly from: number;
+  /** Unix milliseconds at which it was back; undefined while it is away. */
+  until: number | undefined;
   /** Watches from revisions that the store didn't have, until the next drill or the end. */
   refusedWatches: number;
 }
@@ -41,13 +43,15 @@
     if (this.isAway) return () => undefined;
     const { store, timers } = this;
     const copy = store.revisionAt(timers.wall() - COPY_AGE_MS);
+    const drill: StoreDrill = { from: timers.wall(), until: undefined, refusedWatches: 0 };
+    this.played.push(drill);
     this.isAway = true;
     store.isDown = true;
     return () => {
       const lost = store.restore(copy);
       store.isDown = false;
       this.isAway = false;
-      this.played.push({ at: timers.wall(), refusedWatches: 0 });
+      drill.until = timers.wall();
       timers.after(share * REWRITE_MS, () => store.rewrite(lost));
       this.onReturn();
     };
