--- a/packages/routing/src/core/requests/execution.ts
+++ b/packages/routing/src/core/requests/execution.ts
@@ -5,7 +5,7 @@
  * A request that may have run is retried only where its route allows that; one that certainly did not run may
  * go to another replica in any case. Each retry is reserved in the retry budget.
  */
-import type { Facts, SharedFeature, TimerHandle } from '@celeryyoke/core';
+import type { TimerHandle } from '@celeryyoke/core';
 import { Suspicion } from '@celeryyoke/core';
 import type { ServerResponse } from 'node:http';
 
@@ -16,7 +16,7 @@
 import type { Route } from '../catalog/index.js';
 import { RouteKind } from '../catalog/index.js';
 import { ExchangePurpose } from '../channels/index.js';
-import type { Choice, InFlightTable, Need, ReplicaHealth } from '../choice/index.js';
+import type { Choice, InFlightTable, ReplicaHealth } from '../choice/index.js';
 import { requestAdapterKey } from '../choice/index.js';
 import type { ReplicaLimits, SlotPermit, SlotPermits } from '../limits/index.js';
 import { WITHOUT_SLOT } from '../limits/index.js';
@@ -24,10 +24,7 @@
 import type { PathMonitor } from '../paths/index.js';
 import type { UpstreamPath, UpstreamSender } from '../relays/index.js';
 import { PathKind } from '../relays/index.js';
-import type { RequestFingerprints, SuspectRegistry } from '../suspects/index.js';
-import { fingerprintsOf, sharedFeatures } from '../suspects/index.js';
 import type { ReplicaEntry } from '../view/index.js';
-import { AnswerEvidence } from './answer-evidence.js';
 import { LocalReply, sendLocalReply } from './local-reply.js';
 import type { EngineStream, StreamMigrator, MigratedStream } from './migration.js';
 import type { BufferedBytes } from './buffered-bytes.js';
@@ -36,6 +33,8 @@
 import { writeResponseHead } from './headers.js';
 import { PrefillAdmission, PrefillWait } from './prefill-wait.js';
 import { StreamRelay } from './relay.js';
+import type { SuspicionDependencies } from './request-suspicion.js';
+import { CUT_OUTCOMES, RequestSuspicion } from './request-suspicion.js';
 import type { StreamBindingDependencies } from './stream-binding.js';
 import { StreamBinding } from './stream-binding.js';
 import type { AdmittedAttempt } from './admitted-attempt.js';
@@ -59,8 +58,6 @@
 const RETRY_AFTER_SHARE = 0.3;
 /** Largest number of attempts of one request that are refused without having run. */
 const MAX_REFUSALS = 4;
-/** Pause between two looks at a suspect whose crashes are still being reported, in milliseconds. */
-const SUSPICION_POLL_MS = 20;
 const MIN_FAILURE_STATUS = 500;
 /** Outcome of a stream that was relayed to its end. */
 const STREAMED = 'streamed';
@@ -75,18 +72,6 @@
   AttemptOutcome.Misdirected,
 ]);
 
-/** Outcomes of attempts whose connection ended before the response, as all those at a replica that crashes do. */
-const CUT_OUTCOMES: ReadonlySet<AttemptOutcome> = new Set([
-  AttemptOutcome.Unknown,
-  AttemptOutcome.BrokenStream,
-]);
-
-/** Outcomes of attempts whose replica has responded to the end, so that it has survived the request. */
-const COMPLETE_OUTCOMES: ReadonlySet<AttemptOutcome> = new Set([
-  AttemptOutcome.Responded,
-  AttemptOutcome.Relayed,
-]);
-
 /** Outcomes that say nothing about the health of the replica. */
 const WITHOUT_VERDICT: ReadonlySet<AttemptOutcome> = new Set([
   AttemptOutcome.Cancelled,
@@ -95,7 +80,8 @@
 ]);
 
 /** Components of the daemon that an execution uses. */
-export interface ExecutionDependencies extends FinderDependencies, StreamBindingDependencies {
+export interface ExecutionDependencies
+  extends FinderDependencies, StreamBindingDependencies, Omit<SuspicionDependencies, 'paths'> {
   readonly dialect: RequestDialect;
   readonly sender: Pick<UpstreamSender, 'choosePath' | 'send'>;
   readonly paths: Pick<
@@ -109,16 +95,6 @@
   readonly limits: Pick<ReplicaLimits, 'admit' | 'updateFromResponse'>;
   readonly slotPermits: Pick<SlotPermits, 'acquire' | 'updateFromResponse'>;
   readonly availability: Pick<ReplicaAvailability, 'availabilityOf'>;
-  readonly suspects: Pick<
-    SuspectRegistry,
-    | 'suspicionOf'
-    | 'quarantineMs'
-    | 'rankReplicas'
-    | 'attemptCut'
-    | 'attemptCompleted'
-    | 'countRequest'
-    | 'recordSoundRun'
-  >;
   /** Records that an adapter is not resident on an engine. */
   readonly markAbsent: (replica: string, key: string) => void;
   /** Counts the bytes of all responses that are buffered. */
@@ -215,12 +191,7 @@
   /** What the caller received, for the metrics. */
   private outcome: string = CALLER_LEFT;
 
-  private knownFingerprints: RequestFingerprints | undefined;
-
-  /** What the request shares with others. */
-  private readonly shared: readonly SharedFeature[];
-
-  private readonly answer: AnswerEvidence;
+  private readonly suspicion: RequestSuspicion;
 
   /** Last failure response of a replica, sent to the caller unless a retry succeeds. */
   private bufferedResponse: ReplicaResponse | undefined;
@@ -230,16 +201,14 @@
     private readonly options: RequestExecutionOptions,
   ) {
     const { head, route, res, arrivedAt, account } = options;
-    const { suspects, timers } = parts;
-    this.shared = sharedFeatures(head.promptParts, account?.name);
-    this.answer = new AnswerEvidence({ suspects, route: route.name, shared: this.shared, timers });
+    this.suspicion = new RequestSuspicion(parts, options);
     this.rank = account?.rank ?? route.rank;
     this.deadlineAt = arrivedAt + requestTimeoutMs(head, route);
     if (route.kind === RouteKind.Streaming) {
       this.relay = new StreamRelay(res, head.lastEventId, parts.timers.now);
       this.binding = new StreamBinding(parts, {
         ...options,
-        fingerprint: () => this.fingerprints().exact,
+        fingerprint: () => this.suspicion.fingerprints().exact,
         remainingMs: () => (this.hasEnded ? 0 : this.remainingMs()),
       });
     }
@@ -251,7 +220,7 @@
       hasResponseBegun: () => this.relay?.hasBegun ?? false,
       softwareVersion: () => this.binding?.softwareVersion,
       beginsResumable: () => route.isResumable && this.binding?.isBound === false,
-      suspectRanking: () => this.suspectRanking(),
+      suspectRanking: () => this.suspicion.ranking(),
     };
     this.finder = new ReplicaFinder(parts, request);
     this.prefillWait = new PrefillWait(parts, request);
@@ -259,9 +228,9 @@
 
   /** Serves the request; when it resolves, the response to the caller has ended. */
   async run(): Promise<void> {
-    const { res, route, service } = this.options;
+    const { res, service } = this.options;
     this.parts.budget(service).countRequest();
-    if (this.shared.length > 0) this.parts.suspects.countRequest(route.name, this.shared);
+    this.suspicion.countRequest();
     const onClose = (): void => this.end('caller closed the connection');
     res.once('close', onClose);
     const timer = this.startDeadlineTimer();
@@ -305,13 +274,13 @@
       const { migrated } = this;
       const prepared = this.takeNext();
       const isNew = migrated === undefined && prepared === undefined;
-      if (isNew && (await this.resolveSuspicion()) === Suspicion.Quarantined) break;
+      if (isNew && (await this.suspicion.resolve(() => this.hasEnded)) === Suspicion.Quarantined) break;
       const choice = prepared?.choice ?? migrated?.choice ?? (await this.finder.find());
       if (choice === undefined || this.hasEnded) break;
       const admitted = prepared ?? (await this.admit(choice, migrated?.continuation));
       const result = admitted && (await this.sendAdmitted(admitted));
       if (result === undefined) continue;
-      await this.reportToSuspects(choice.replica, result);
+      await this.suspicion.report(choice.replica, this.path, result, this.migrated !== undefined);
       if (!this.handleResult(choice, result)) break;
     }
     if (!this.hasEnded) this.finishUnserved();
@@ -329,55 +298,6 @@
     return undefined;
   }
 
-  /** What tells in the log whether another request is this one, sent again, or shares parts of its prompt. */
-  private identity(): Facts {
-    const { head, account } = this.options;
-    const { target, promptParts } = head;
-    const { exact } = this.fingerprints();
-    return { account: account?.name, target, promptParts: promptParts.join(' '), fingerprint: exact };
-  }
-
-  /** Fingerprints of the request, computed when they are first needed. */
-  private readonly fingerprints = (): RequestFingerprints => {
-    const { head, body, account } = this.options;
-    const { method, host, target } = head;
-    const identity = { account: account?.name, method, host, target, body, shared: this.shared };
-    this.knownFingerprints ??= fingerprintsOf(identity);
-    return this.knownFingerprints;
-  };
-
-  /** Waits until it is known whether the request crashes replicas. */
-  private async resolveSuspicion(): Promise<Suspicion> {
-    const { suspects, timers } = this.parts;
-    let suspicion = suspects.suspicionOf(this.fingerprints);
-    while (suspicion === Suspicion.Unresolved && !this.hasEnded) {
-      await timers.sleep(SUSPICION_POLL_MS);
-      suspicion = suspects.suspicionOf(this.fingerprints);
-    }
-    return suspicion;
-  }
-
-  private suspectRanking(): Need['rankForSuspect'] {
-    const { suspects } = this.parts;
-    if (suspects.suspicionOf(this.fingerprints) === Suspicion.Clear) return undefined;
-    return (replicas) => suspects.rankReplicas(this.fingerprints(), replicas);
-  }
-
-  /** Reports an attempt whose connection ended, or one that shows that the request crashes nothing. */
-  private async reportToSuspects(replica: ReplicaEntry, result: AttemptResult): Promise<void> {
-    const { suspects, paths } = this.parts;
-    const { outcome, wasSent, hasReplicaCrashed } = result;
-    // A migration itself stops the run and ends its connection.
-    const isCut = wasSent && CUT_OUTCOMES.has(outcome) && this.migrated === undefined && !result.wasLeft;
-    // A daemon without a path to the replica can't tell whether it has crashed; a peer that relays can.
-    const isPathLost = this.path?.peer === undefined && paths.causeOf(replica.service) !== undefined;
-    if (isCut && !isPathLost)
-      await suspects.attemptCut(replica, this.fingerprints(), this.answer.isSound, hasReplicaCrashed);
-    if (COMPLETE_OUTCOMES.has(outcome)) this.answer.recordComplete();
-    const isSuspect = suspects.suspicionOf(this.fingerprints) !== Suspicion.Clear;
-    if (isSuspect && COMPLETE_OUTCOMES.has(outcome)) suspects.attemptCompleted(this.fingerprints());
-  }
-
   /**
    * Waits for the admission of the prompt and for the replica's limits.
    * @returns Undefined when the request has ended or the replica can't take it any more.
@@ -386,9 +306,9 @@
     choice: Choice,
     continuation: string | undefined,
   ): Promise<AdmittedAttempt | undefined> {
-    const { inFlight, suspects } = this.parts;
+    const { inFlight } = this.parts;
     const { replica } = choice;
-    const suspicion = suspects.suspicionOf(this.fingerprints);
+    const suspicion = this.suspicion.current();
     // The request counts as in flight from now on, so that its adapter is not evicted.
     const handle = inFlight.begin(replica.id, this.adapterKey());
     let permit: SlotPermit | undefined;
@@ -426,7 +346,7 @@
     let wasRejected = false;
     try {
       // The choice does not hold if a replica has crashed under another copy of the request since.
-      const isStale = this.parts.suspects.suspicionOf(this.fingerprints) !== admitted.suspicion;
+      const isStale = this.suspicion.current() !== admitted.suspicion;
       if (this.hasEnded || (isStale && admitted.continuation === undefined)) return undefined;
       const result = await this.sendAttempt(admitted);
       wasRejected = result.outcome === AttemptOutcome.NotRun && result.wasSent;
@@ -482,7 +402,7 @@
     const retryPermit = this.consumeRetryPermit(sentAt);
     const exchange = { replica, rank: this.rank, startedAt: sentAt };
     health.recordSent(replica.id);
-    this.answer.beginAttempt();
+    this.suspicion.beginAttempt();
     this.attempt = new Attempt({
       send: (sink) =>
         sender.send(
@@ -500,7 +420,7 @@
       onStreamBegin: () => this.binding?.begin(replica),
       onStreamData: () => {
         handle.responseStarted();
-        this.answer.recordData();
+        this.suspicion.recordBody();
       },
       onDataReceived: () => {
         retryPermit?.settle();
@@ -612,7 +532,7 @@
     this.parts.log.decide('stream.continued', `The stream goes on at ${id}.`, {
       request: head.id,
       route: route.name,
-      ...this.identity(),
+      ...this.suspicion.identity(),
       firstAttempt: head.firstAttempt,
       lastEventId: this.relay?.lastEventId,
       way: this.continuationWay(isMigrated),
@@ -649,7 +569,7 @@
       status: response?.status,
       reason,
       wasSent,
-      ...(CUT_OUTCOMES.has(outcome) ? this.identity() : undefined),
+      ...(CUT_OUTCOMES.has(outcome) ? this.suspicion.identity() : undefined),
       send: this.attemptCount,
       sentAfterMs: this.sentAfterMs,
       chosenAgoMs: this.chosenAgoMs,
@@ -799,12 +719,11 @@
     if (this.bufferedResponse !== undefined) this.sendResponse(this.bufferedResponse);
     else if (this.possibleRuns > 0)
       this.finishLocally(LocalReply.OutcomeUnknown, 'It may have run, and no answer came.');
-    else if (this.parts.suspects.suspicionOf(this.fingerprints) === Suspicion.Quarantined) {
-      const retryAfterMs = this.parts.suspects.quarantineMs(this.fingerprints());
+    else if (this.suspicion.current() === Suspicion.Quarantined) {
       this.finishLocally(
         LocalReply.Quarantined,
         'It, or another one that shares something with it, has crashed several replicas.',
-        retryAfterMs,
+        this.suspicion.quarantineMs(),
       );
     } else if (this.binding?.isStuck || !this.finder.hasVersion()) {
       const reason = 'No replica has the software version that began the stream, or it is not known.';
--- /dev/null
+++ b/packages/routing/src/core/requests/request-suspicion.ts
@@ -0,0 +1,155 @@
+/** What one request shows of the replicas that end under requests, and what is known of it. */
+import type { Facts, SharedFeature, TimerService } from '@celeryyoke/core';
+import { Suspicion } from '@celeryyoke/core';
+
+import type { ClientAccount } from '../accounts/index.js';
+import type { Route } from '../catalog/index.js';
+import type { Need } from '../choice/index.js';
+import type { PathMonitor } from '../paths/index.js';
+import type { UpstreamPath } from '../relays/index.js';
+import type { RequestFingerprints, SuspectRegistry } from '../suspects/index.js';
+import { fingerprintsOf, sharedFeatures } from '../suspects/index.js';
+import type { ReplicaEntry } from '../view/index.js';
+import { AnswerEvidence } from './answer-evidence.js';
+import type { AttemptResult, RequestHead } from './types.js';
+import { AttemptOutcome } from './types.js';
+
+/** Pause between two looks at a suspect whose crashes are still being reported, in milliseconds. */
+const SUSPICION_POLL_MS = 20;
+
+/** Outcomes of attempts whose connection ended before the response, as all those at a replica that crashes do. */
+export const CUT_OUTCOMES: ReadonlySet<AttemptOutcome> = new Set([
+  AttemptOutcome.Unknown,
+  AttemptOutcome.BrokenStream,
+]);
+
+/** Outcomes of attempts whose replica has responded to the end, so that it has survived the request. */
+const COMPLETE_OUTCOMES: ReadonlySet<AttemptOutcome> = new Set([
+  AttemptOutcome.Responded,
+  AttemptOutcome.Relayed,
+]);
+
+/** Components of the daemon that the suspicion of a request uses. */
+export interface SuspicionDependencies {
+  readonly paths: Pick<PathMonitor, 'causeOf'>;
+  readonly suspects: Pick<
+    SuspectRegistry,
+    | 'suspicionOf'
+    | 'quarantineMs'
+    | 'rankReplicas'
+    | 'attemptCut'
+    | 'attemptCompleted'
+    | 'countRequest'
+    | 'recordSoundRun'
+  >;
+  readonly timers: TimerService;
+}
+
+/** The request that is followed. */
+export interface SuspicionSubject {
+  readonly head: RequestHead;
+  readonly body: Buffer | undefined;
+  readonly route: Route;
+  /** The client account; undefined for an anonymous request. */
+  readonly account: ClientAccount | undefined;
+}
+
+/** Follows the attempts of one request. */
+export class RequestSuspicion {
+  private knownFingerprints: RequestFingerprints | undefined;
+
+  /** What the request shares with others. */
+  private readonly shared: readonly SharedFeature[];
+
+  private readonly answer: AnswerEvidence;
+
+  constructor(
+    private readonly parts: SuspicionDependencies,
+    private readonly subject: SuspicionSubject,
+  ) {
+    const { head, route, account } = subject;
+    const { suspects, timers } = parts;
+    this.shared = sharedFeatures(head.promptParts, account?.name);
+    this.answer = new AnswerEvidence({ suspects, route: route.name, shared: this.shared, timers });
+  }
+
+  /** Counts the request. */
+  countRequest(): void {
+    if (this.shared.length > 0) this.parts.suspects.countRequest(this.subject.route.name, this.shared);
+  }
+
+  /** What is known of the request now. */
+  current(): Suspicion {
+    return this.parts.suspects.suspicionOf(this.fingerprints);
+  }
+
+  /** Waits until it is known whether the request crashes replicas. */
+  async resolve(hasEnded: () => boolean): Promise<Suspicion> {
+    let suspicion = this.current();
+    while (suspicion === Suspicion.Unresolved && !hasEnded()) {
+      await this.parts.timers.sleep(SUSPICION_POLL_MS);
+      suspicion = this.current();
+    }
+    return suspicion;
+  }
+
+  /** Ranks the replicas for a suspect; undefined for a request that is none. */
+  ranking(): Need['rankForSuspect'] {
+    if (this.current() === Suspicion.Clear) return undefined;
+    return (replicas) => this.parts.suspects.rankReplicas(this.fingerprints(), replicas);
+  }
+
+  /** Time for which the request is still refused, in milliseconds; 0 when it is not in quarantine. */
+  quarantineMs(): number {
+    return this.parts.suspects.quarantineMs(this.fingerprints());
+  }
+
+  /** Begins to follow another attempt. */
+  beginAttempt(): void {
+    this.answer.beginAttempt();
+  }
+
+  /** Notes a part of the answer's body. */
+  recordBody(): void {
+    this.answer.recordData();
+  }
+
+  /**
+   * Reports an attempt whose connection ended, or one that shows that the request crashes nothing.
+   * @param isMigrated - Whether the stream goes on elsewhere: its run was stopped, which ended the connection.
+   */
+  async report(
+    replica: ReplicaEntry,
+    path: UpstreamPath | undefined,
+    result: AttemptResult,
+    isMigrated: boolean,
+  ): Promise<void> {
+    const { suspects, paths } = this.parts;
+    const { outcome, wasSent, hasReplicaCrashed } = result;
+    const isCut = wasSent && CUT_OUTCOMES.has(outcome) && !isMigrated && !result.wasLeft;
+    // A daemon without a path to the replica can't tell whether it has crashed; a peer that relays can.
+    const isPathLost = path?.peer === undefined && paths.causeOf(replica.service) !== undefined;
+    if (isCut && !isPathLost)
+      await suspects.attemptCut(replica, this.fingerprints(), this.answer.isSound, hasReplicaCrashed);
+    if (!COMPLETE_OUTCOMES.has(outcome)) return;
+    this.answer.recordComplete();
+    if (this.current() !== Suspicion.Clear) suspects.attemptCompleted(this.fingerprints());
+  }
+
+  /** What tells in the log whether another request is this one, sent again, or shares parts of its prompt. */
+  identity(): Facts {
+    const { head, account } = this.subject;
+    const { target, promptParts } = head;
+    const { exact } = this.fingerprints();
+    return { account: account?.name, target, promptParts: promptParts.join(' '), fingerprint: exact };
+  }
+
+  /** Fingerprints of the request, computed when they are first needed. */
+  readonly fingerprints = (): RequestFingerprints => {
+    const { head, body, account } = this.subject;
+    const { method, host, target } = head;
+    const identity = { account: account?.name, method, host, target, body, shared: this.shared };
+    this.knownFingerprints ??= fingerprintsOf(identity);
+    return this.knownFingerprints;
+  };
+}
