suspects: log replicas that are removed with unanswered requests

A ledger keeps the attempts at each replica, and for 12 s those that ended without a whole answer. No decision changes.

--- a/packages/routing/src/core/daemon/part-names.ts
+++ b/packages/routing/src/core/daemon/part-names.ts
@@ -13,6 +13,8 @@
   health: 'health',
   availability: 'availability',
   suspects: 'suspects',
+  attempts: 'attempts',
+  replicaEnds: 'replica-ends',
   reachability: 'reachability',
   versionHistory: 'version-history',
   origins: 'origins',
--- a/packages/routing/src/core/daemon/services.ts
+++ b/packages/routing/src/core/daemon/services.ts
@@ -34,7 +34,7 @@
   RequestServer,
 } from '../requests/index.js';
 import { FleetShare } from '../shares/index.js';
-import { CrashDetector, SuspectRegistry } from '../suspects/index.js';
+import { AttemptLedger, CrashDetector, ReplicaEnds, SuspectRegistry } from '../suspects/index.js';
 import type { ReplicaEntry } from '../view/index.js';
 import { ReplicaRegistry, StoreWatcher, RecordKind, ReplicatedStore } from '../view/index.js';
 import { startMetricsServer, registerMetrics } from './metrics.js';
@@ -211,6 +211,13 @@
       part(PART.relays, [PART.cluster, PART.channels, PART.registry, PART.crashDetector], (kernel) =>
         this.createRelays(kernel),
       ),
+      part(PART.attempts, [], () => new AttemptLedger(timers)),
+      part(
+        PART.replicaEnds,
+        [PART.registry, PART.attempts],
+        (kernel) => this.createReplicaEnds(kernel),
+        (ends) => ends.stop(),
+      ),
       part(
         PART.suspects,
         [PART.cluster, PART.tree, PART.crashDetector],
@@ -296,6 +303,7 @@
           PART.slotPermits,
           PART.availability,
           PART.suspects,
+          PART.attempts,
           PART.sender,
           PART.paths,
           PART.tree,
@@ -654,6 +662,16 @@
     return probeListener({ host, port, localAddress: settings.host }, timers, timeoutMs, holdMs);
   }
 
+  private createReplicaEnds(kernel: ServiceFinder): ReplicaEnds {
+    const { timers, log } = this.options;
+    return new ReplicaEnds({
+      registry: kernel.get(PART.registry),
+      attempts: kernel.get(PART.attempts),
+      timers,
+      log,
+    });
+  }
+
   private createSuspects(kernel: ServiceFinder): SuspectRegistry {
     const { timers, log } = this.options;
     return new SuspectRegistry({
@@ -890,6 +908,7 @@
         slotPermits,
         availability,
         suspects: kernel.get(PART.suspects),
+        attempts: kernel.get(PART.attempts),
         origins: kernel.get(PART.origins),
         registry,
         accountMetrics: new AccountMetrics(kernel.get<Metrics>(PART.metrics)),
--- a/packages/routing/src/core/requests/execution.ts
+++ b/packages/routing/src/core/requests/execution.ts
@@ -402,7 +402,7 @@
     const retryPermit = this.consumeRetryPermit(sentAt);
     const exchange = { replica, rank: this.rank, startedAt: sentAt };
     health.recordSent(replica.id);
-    this.suspicion.beginAttempt();
+    this.suspicion.beginAttempt(replica, path);
     this.attempt = new Attempt({
       send: (sink) =>
         sender.send(
@@ -424,6 +424,7 @@
       },
       onDataReceived: () => {
         retryPermit?.settle();
+        this.suspicion.recordBytes();
         health.recordBytes(replica.id);
         if (path.peer === undefined) this.parts.paths.recordBytes(exchange);
       },
--- a/packages/routing/src/core/requests/request-suspicion.ts
+++ b/packages/routing/src/core/requests/request-suspicion.ts
@@ -7,8 +7,13 @@
 import type { Need } from '../choice/index.js';
 import type { PathMonitor } from '../paths/index.js';
 import type { UpstreamPath } from '../relays/index.js';
-import type { RequestFingerprints, SuspectRegistry } from '../suspects/index.js';
-import { fingerprintsOf, sharedFeatures } from '../suspects/index.js';
+import type {
+  AttemptLedger,
+  FollowedAttempt,
+  RequestFingerprints,
+  SuspectRegistry,
+} from '../suspects/index.js';
+import { AttemptEnd, fingerprintsOf, sharedFeatures } from '../suspects/index.js';
 import type { ReplicaEntry } from '../view/index.js';
 import { AnswerEvidence } from './answer-evidence.js';
 import type { AttemptResult, RequestHead } from './types.js';
@@ -29,6 +34,13 @@
   AttemptOutcome.Relayed,
 ]);
 
+/** Outcomes after which it is certain that the replica has not run the request. */
+const NOT_RUN_OUTCOMES: ReadonlySet<AttemptOutcome> = new Set([
+  AttemptOutcome.Withheld,
+  AttemptOutcome.NotRun,
+  AttemptOutcome.Misdirected,
+]);
+
 /** Components of the daemon that the suspicion of a request uses. */
 export interface SuspicionDependencies {
   readonly paths: Pick<PathMonitor, 'causeOf'>;
@@ -42,6 +54,7 @@
     | 'countRequest'
     | 'recordSoundRun'
   >;
+  readonly attempts: Pick<AttemptLedger, 'begin'>;
   readonly timers: TimerService;
 }
 
@@ -63,6 +76,8 @@
 
   private readonly answer: AnswerEvidence;
 
+  private attempt: FollowedAttempt | undefined;
+
   constructor(
     private readonly parts: SuspicionDependencies,
     private readonly subject: SuspicionSubject,
@@ -105,13 +120,27 @@
   }
 
   /** Begins to follow another attempt. */
-  beginAttempt(): void {
+  beginAttempt({ id, service }: ReplicaEntry, { peer }: UpstreamPath): void {
     this.answer.beginAttempt();
+    this.attempt = this.parts.attempts.begin({
+      replica: id,
+      service,
+      route: this.subject.route.name,
+      shared: this.shared,
+      fingerprints: this.fingerprints,
+      isRelayed: peer !== undefined,
+    });
+  }
+
+  /** Notes bytes from the replica. */
+  recordBytes(): void {
+    this.attempt?.recordBytes();
   }
 
   /** Notes a part of the answer's body. */
   recordBody(): void {
     this.answer.recordData();
+    this.attempt?.recordBody();
   }
 
   /**
@@ -126,6 +155,7 @@
   ): Promise<void> {
     const { suspects, paths } = this.parts;
     const { outcome, wasSent, hasReplicaCrashed } = result;
+    this.attempt?.end(endOf(result, isMigrated));
     const isCut = wasSent && CUT_OUTCOMES.has(outcome) && !isMigrated && !result.wasLeft;
     // A daemon without a path to the replica can't tell whether it has crashed; a peer that relays can.
     const isPathLost = path?.peer === undefined && paths.causeOf(replica.service) !== undefined;
@@ -153,3 +183,10 @@
     return this.knownFingerprints;
   };
 }
+
+/** How an attempt ended, as far as that tells of its replica. */
+function endOf({ outcome, wasSent }: AttemptResult, isMigrated: boolean): AttemptEnd {
+  if (COMPLETE_OUTCOMES.has(outcome)) return AttemptEnd.Answered;
+  const isNotRun = !wasSent || isMigrated || NOT_RUN_OUTCOMES.has(outcome);
+  return isNotRun ? AttemptEnd.NotRun : AttemptEnd.Unanswered;
+}
--- /dev/null
+++ b/packages/routing/src/core/suspects/attempt-ledger.ts
@@ -0,0 +1,180 @@
+/**
+ * Keeps the attempts at each replica, and those that ended a short time ago without a whole answer: what has ended a
+ * replica is among them, however its end is found and whoever has given up by then.
+ */
+import type { SharedFeature, TimerService } from '@celeryyoke/core';
+
+import type { RequestFingerprints } from './fingerprint.js';
+
+/** Time for which an attempt without a whole answer is kept, in milliseconds; an entry is removed some seconds late. */
+const RETENTION_MS = 12_000;
+/** Largest number of attempts that are kept for one replica. */
+const MAX_ATTEMPTS = 512;
+/**
+ * Longest time between two parts of an answer that counts as time in which it went on, in milliseconds: in a longer one
+ * this process may have been paused, and the replica may have ended long before.
+ */
+const MAX_COUNTED_GAP_MS = 250;
+/** Progress of an answer of which listeners are told, in milliseconds. */
+const PROGRESS_STEP_MS = 100;
+
+/** What an attempt is about. */
+export interface AttemptSubject {
+  /** Incarnation of the replica. */
+  readonly replica: string;
+  /** Service of the replica. */
+  readonly service: string;
+  /** Name of the request's route. */
+  readonly route: string;
+  /** What the request shares with others. */
+  readonly shared: readonly SharedFeature[];
+  /** Computes the fingerprints of the request. */
+  readonly fingerprints: () => RequestFingerprints;
+  /** Whether a peer carries it out, so that silence may be the peer's. */
+  readonly isRelayed: boolean;
+}
+
+/** One attempt at a replica; times are monotonic milliseconds. */
+export interface AttemptRecord extends AttemptSubject {
+  readonly sentAt: number;
+  /** Time of the first part of the answer's body. */
+  readonly beganAt: number | undefined;
+  /** Time of the last bytes. */
+  readonly heardAt: number | undefined;
+  /** Time for which the answer has gone on at least, in milliseconds. */
+  readonly livedMs: number;
+  /** Time of its end. */
+  readonly endedAt: number | undefined;
+  /** Whether its answer is whole. */
+  readonly isWhole: boolean;
+}
+
+/** How an attempt ended, as far as that tells of its replica. */
+export enum AttemptEnd {
+  /** The replica has answered to the end, so that it has survived the request. */
+  Answered = 'answered',
+  /** The replica did not run the request, or handed it on. */
+  NotRun = 'notRun',
+  /** Cut off, cancelled or left before its answer was whole. */
+  Unanswered = 'unanswered',
+}
+
+type MutableRecord = { -readonly [Key in keyof AttemptRecord]: AttemptRecord[Key] } & {
+  /** Time of the last part of the body. */
+  bodyAt: number | undefined;
+};
+
+/** Called with an attempt of which something arrives. */
+export type AttemptListener = (record: AttemptRecord) => void;
+
+/** An attempt that is followed. */
+export interface FollowedAttempt {
+  /** Records bytes of the head or body. */
+  recordBytes(): void;
+  /** Records a part of the body. */
+  recordBody(): void;
+  end(how: AttemptEnd): void;
+}
+
+/** Attempts at all replicas. */
+export class AttemptLedger {
+  private readonly byReplica = new Map<string, Set<MutableRecord>>();
+
+  private readonly byteListeners: AttemptListener[] = [];
+
+  private readonly progressListeners: AttemptListener[] = [];
+
+  constructor(private readonly timers: TimerService) {}
+
+  /** Subscribes to attempts of which bytes arrive. */
+  onBytes(listener: AttemptListener): void {
+    this.byteListeners.push(listener);
+  }
+
+  /** Subscribes to answers that begin, that have gone on for a while, and that are whole. */
+  onProgress(listener: AttemptListener): void {
+    this.progressListeners.push(listener);
+  }
+
+  /** Follows an attempt from now on. */
+  begin(subject: AttemptSubject): FollowedAttempt {
+    const record: MutableRecord = {
+      ...subject,
+      sentAt: this.timers.now(),
+      beganAt: undefined,
+      bodyAt: undefined,
+      heardAt: undefined,
+      livedMs: 0,
+      endedAt: undefined,
+      isWhole: false,
+    };
+    this.add(record);
+    return {
+      recordBytes: () => this.recordBytes(record),
+      recordBody: () => this.recordBody(record),
+      end: (how) => this.end(record, how),
+    };
+  }
+
+  /** Replicas with attempts that are kept. */
+  replicas(): Iterable<string> {
+    return this.byReplica.keys();
+  }
+
+  /** Attempts at a replica that go on, or ended a short time ago without a whole answer. */
+  unanswered(replica: string): readonly AttemptRecord[] {
+    const oldest = this.timers.now() - RETENTION_MS;
+    return [...(this.byReplica.get(replica) ?? [])].filter(
+      ({ endedAt }) => endedAt === undefined || endedAt >= oldest,
+    );
+  }
+
+  /** Drops what is kept no longer. */
+  expire(): void {
+    for (const [replica, records] of this.byReplica) {
+      const kept = new Set(this.unanswered(replica));
+      for (const record of records) if (!kept.has(record)) records.delete(record);
+      if (records.size === 0) this.byReplica.delete(replica);
+    }
+  }
+
+  private add(record: MutableRecord): void {
+    const records = this.byReplica.get(record.replica) ?? new Set();
+    this.byReplica.set(record.replica, records);
+    records.add(record);
+    if (records.size <= MAX_ATTEMPTS) return;
+    const [oldest] = records;
+    records.delete(oldest!);
+  }
+
+  private recordBytes(record: MutableRecord): void {
+    Object.assign(record, { heardAt: this.timers.now() });
+    for (const listener of this.byteListeners) listener(record);
+  }
+
+  private recordBody(record: MutableRecord): void {
+    const now = this.timers.now();
+    const isFirst = record.beganAt === undefined;
+    const before = record.livedMs;
+    const gapMs = now - (record.bodyAt ?? now);
+    const livedMs = before + Math.min(gapMs, MAX_COUNTED_GAP_MS);
+    Object.assign(record, { beganAt: record.beganAt ?? now, bodyAt: now, livedMs });
+    this.recordBytes(record);
+    const step = (ms: number): number => Math.floor(ms / PROGRESS_STEP_MS);
+    if (isFirst || step(record.livedMs) > step(before)) this.tellProgress(record);
+  }
+
+  private end(record: MutableRecord, how: AttemptEnd): void {
+    const isWhole = how === AttemptEnd.Answered && record.beganAt !== undefined;
+    Object.assign(record, { endedAt: this.timers.now(), isWhole });
+    if (how === AttemptEnd.Unanswered) return;
+    const records = this.byReplica.get(record.replica);
+    records?.delete(record);
+    if (records?.size === 0) this.byReplica.delete(record.replica);
+    if (isWhole) this.tellProgress(record);
+  }
+
+  private tellProgress(record: AttemptRecord): void {
+    for (const listener of this.progressListeners) listener(record);
+  }
+}
--- a/packages/routing/src/core/suspects/suspect-registry.ts
+++ b/packages/routing/src/core/suspects/suspect-registry.ts
@@ -219,9 +219,9 @@
     if (anyQuery !== undefined) this.clear(anyQuery, at);
   }
 
-  private clear(feature: string, at: number): boolean {
+  private clear(feature: string, at: number, answeredMs?: number): boolean {
     if (!this.crashes.clear(feature, at)) return false;
-    this.options.log.decide('request.cleared', 'A suspect ended well.', { fingerprint: feature });
+    this.options.log.decide('request.cleared', 'A suspect ended well.', { fingerprint: feature, answeredMs });
     this.publish({ kind: SuspectRowKind.Cleared, fingerprint: feature, at });
     return true;
   }
@@ -231,7 +231,8 @@
    * here: what they have cleared they would not clear again for this daemon.
    */
   private clearShared(feature: string, beganAt: number): void {
-    if (this.clear(feature, beganAt)) this.crashes.clear(feature, beganAt + TIME_MARGIN_MS);
+    const answeredMs = Math.round(this.options.timers.now() - beganAt);
+    if (this.clear(feature, beganAt, answeredMs)) this.crashes.clear(feature, beganAt + TIME_MARGIN_MS);
   }
 
   /** Whether a shared feature caused its crashes; runs at the other daemons are estimated from those here. */
--- a/packages/routing/test/repeats/execution-site.ts
+++ b/packages/routing/test/repeats/execution-site.ts
@@ -16,6 +16,7 @@
   UpstreamRequest,
 } from '@celeryyoke/routing';
 import {
+  AttemptLedger,
   AvailabilityState,
   BufferedBytes,
   CallerTimeouts,
@@ -150,6 +151,7 @@
         attemptCut: () => Promise.resolve(),
         attemptCompleted: noop,
       },
+      attempts: new AttemptLedger(timers),
       origins: { doubtOf: () => undefined, onlyVersion: () => 'v1', begin: noop, end: noop },
       limits: { admit: () => Promise.resolve(true), updateFromResponse: noop },
       slotPermits: { acquire: () => Promise.resolve({ release: noop }), updateFromResponse: noop },
