suspects: weigh for how long answers go on instead of a fixed time

What callers saw: a part that crashes its replica half a second after the first bytes ended 24 replicas; each of its answers had cleared it by going on for 0.3 s. Requests at a crash now carry the age of their answer. A feature is weighed against the requests whose answers were no older, and against those about as old, as a cause strikes about as long after each begin. It is cleared by a whole answer, or by one that goes on for over twice as long as any at its crashes; only such answers speak for others, so a suspect is compared with what would have refuted it. All requests that a replica has not answered are reported at once, from the ledger.

--- a/packages/core/src/core/suspects/crash-log.ts
+++ b/packages/core/src/core/suspects/crash-log.ts
@@ -12,6 +12,9 @@
 import type { FeatureEvidence, SuspectRequest } from './types.js';
 import { Suspicion } from './types.js';
 
+/** Difference by which the ages of answers at several crashes may be off, in milliseconds. */
+const AGE_MARGIN_MS = 50;
+
 /** One crash of one upstream, as the reports of all daemons describe it together. */
 export interface Crash {
   readonly upstream: string;
@@ -147,11 +150,22 @@
         crash.at >= since && this.isSettled(crash) && !crash.isExplained && !crash.features.has(feature),
     );
     // Requests that differ in nothing else show nothing that one of them does not.
-    const inFlight = crashes
-      .map(countSharing)
-      .sort((left, right) => left - right)
-      .slice(0, variants.size);
-    return { feature, since, inFlight, otherCrashes: others.length };
+    const ranges = ageRanges(crashes, feature).map(({ choices, inFlight }) => ({
+      choices,
+      inFlight: inFlight.sort((left, right) => left - right).slice(0, variants.size),
+    }));
+    return { feature, since, longestMs: this.longestMs(feature), ranges, otherCrashes: others.length };
+  }
+
+  /**
+   * Returns the longest time for which an answer with a feature had gone on at one of its crashes, in milliseconds. If
+   * the feature causes crashes, it does so about that long after an answer begins.
+   */
+  longestMs(feature: string): number {
+    return Math.max(
+      0,
+      ...[...(this.byFeature.get(feature) ?? [])].map((crash) => longestAnswerMs(crash, feature)),
+    );
   }
 
   /**
@@ -308,7 +322,7 @@
     if (isCause === undefined || !this.isRepeated(feature) || this.quarantine.has(feature)) return false;
     if (!this.isShared(feature)) return false;
     const evidence = this.evidenceOf(feature);
-    return evidence.inFlight.length >= minCrashes && isCause(evidence);
+    return evidence.ranges.every(({ inFlight }) => inFlight.length >= minCrashes) && isCause(evidence);
   }
 
   private convict(feature: string): void {
@@ -341,9 +355,43 @@
   }
 }
 
-/** Number of requests in flight at a crash that share anything with others. */
-function countSharing({ requests }: Crash): number {
-  return [...requests.values()].filter(({ shared }) => shared.length > 0).length;
+/** Time for which the answer to a request had gone on at a crash, in milliseconds. */
+function answeredMs({ beganAt }: SuspectRequest, { at }: Crash): number {
+  return beganAt === undefined ? 0 : Math.max(0, at - beganAt);
+}
+
+/** Longest time for which an answer with a feature had gone on at a crash, in milliseconds. */
+function longestAnswerMs(crash: Crash, feature: string): number {
+  const requests = [...crash.requests.values()].filter(({ shared }) =>
+    shared.some((one) => one.feature === feature),
+  );
+  return Math.max(0, ...requests.map((request) => answeredMs(request, crash)));
+}
+
+/** Number of requests in flight at a crash that share anything, whose answers had gone on for a time in a range. */
+function countSharing(crash: Crash, fromMs: number, toMs: number): number {
+  return [...crash.requests.values()].filter((request) => {
+    const ms = answeredMs(request, crash);
+    return request.shared.length > 0 && ms >= fromMs && ms <= toMs;
+  }).length;
+}
+
+/**
+ * Lists ranges of ages in which the oldest answer with a feature was at all its crashes: all younger ones, and those
+ * about as old, as what causes crashes does so about as long after an answer begins.
+ */
+function ageRanges(crashes: readonly Crash[], feature: string): { choices: number; inFlight: number[] }[] {
+  const ages = crashes.map((crash) => longestAnswerMs(crash, feature));
+  const fromMs = Math.max(0, Math.min(...ages) - AGE_MARGIN_MS);
+  const toMs = Math.max(...ages) + AGE_MARGIN_MS;
+  const oldestMs = Math.max(
+    ...crashes.flatMap((crash) => [...crash.requests.values()].map((request) => answeredMs(request, crash))),
+  );
+  const count = (from: number, to: number): number[] => crashes.map((crash) => countSharing(crash, from, to));
+  return [
+    { choices: 1, inFlight: count(0, Math.max(...ages)) },
+    { choices: 1 + oldestMs / (toMs - fromMs), inFlight: count(fromMs, toMs) },
+  ];
 }
 
 /** In what the requests with a feature differ at a crash. */
--- a/packages/core/src/core/suspects/index.ts
+++ b/packages/core/src/core/suspects/index.ts
@@ -1,5 +1,5 @@
 /** Requests under which upstreams crash. */
 export type { Crash, CrashBounds, CrashListener, QuarantineEntry } from './crash-log.js';
 export { CrashLog } from './crash-log.js';
-export type { FeatureEvidence, SharedFeature, SuspectRequest } from './types.js';
+export type { AgeRange, FeatureEvidence, SharedFeature, SuspectRequest } from './types.js';
 export { Suspicion } from './types.js';
--- a/packages/core/src/core/suspects/types.ts
+++ b/packages/core/src/core/suspects/types.ts
@@ -25,6 +25,19 @@
 export interface SuspectRequest {
   readonly fingerprint: string;
   readonly shared: readonly SharedFeature[];
+  /** Monotonic time at which its answer began, in milliseconds; undefined if it had not, or that is not known. */
+  readonly beganAt?: number;
+}
+
+/** A range of the ages of answers, and what was in flight in it at the crashes with a feature. */
+export interface AgeRange {
+  /** Number of ranges of this width, of which the one was chosen in which the feature was at its crashes. */
+  readonly choices: number;
+  /**
+   * Number of requests that share anything whose answers had an age in the range, at each crash with the feature, as far
+   * as different requests had it.
+   */
+  readonly inFlight: readonly number[];
 }
 
 /** What speaks for a shared feature as the cause of crashes. */
@@ -32,8 +45,10 @@
   readonly feature: string;
   /** Monotonic time of the first crash with it, in milliseconds. */
   readonly since: number;
-  /** Number of requests that share anything, in flight at each crash with it, as far as different requests had it. */
-  readonly inFlight: readonly number[];
+  /** Longest time for which an answer with the feature had gone on at one of its crashes, in milliseconds. */
+  readonly longestMs: number;
+  /** Ranges of the ages of answers in which the feature was at all its crashes. */
+  readonly ranges: readonly AgeRange[];
   /** Number of crashes since then that it was not at and whose cause is not known. */
   readonly otherCrashes: number;
 }
--- a/packages/routing/src/core/daemon/services.ts
+++ b/packages/routing/src/core/daemon/services.ts
@@ -220,7 +220,7 @@
       ),
       part(
         PART.suspects,
-        [PART.cluster, PART.tree, PART.crashDetector],
+        [PART.cluster, PART.tree, PART.crashDetector, PART.attempts],
         (kernel) => this.createSuspects(kernel),
         (suspects) => suspects.stop(),
       ),
@@ -679,6 +679,7 @@
       cluster: kernel.get(PART.cluster),
       tree: kernel.get(PART.tree),
       detector: kernel.get(PART.crashDetector),
+      attempts: kernel.get(PART.attempts),
       timers,
       log,
     });
--- a/packages/routing/src/core/requests/request-suspicion.ts
+++ b/packages/routing/src/core/requests/request-suspicion.ts
@@ -15,7 +15,6 @@
 } from '../suspects/index.js';
 import { AttemptEnd, fingerprintsOf, sharedFeatures } from '../suspects/index.js';
 import type { ReplicaEntry } from '../view/index.js';
-import { AnswerEvidence } from './answer-evidence.js';
 import type { AttemptResult, RequestHead } from './types.js';
 import { AttemptOutcome } from './types.js';
 
@@ -46,13 +45,7 @@
   readonly paths: Pick<PathMonitor, 'causeOf'>;
   readonly suspects: Pick<
     SuspectRegistry,
-    | 'suspicionOf'
-    | 'quarantineMs'
-    | 'rankReplicas'
-    | 'attemptCut'
-    | 'attemptCompleted'
-    | 'countRequest'
-    | 'recordSoundRun'
+    'suspicionOf' | 'quarantineMs' | 'rankReplicas' | 'attemptCut' | 'attemptCompleted' | 'countRequest'
   >;
   readonly attempts: Pick<AttemptLedger, 'begin'>;
   readonly timers: TimerService;
@@ -74,18 +67,14 @@
   /** What the request shares with others. */
   private readonly shared: readonly SharedFeature[];
 
-  private readonly answer: AnswerEvidence;
-
   private attempt: FollowedAttempt | undefined;
 
   constructor(
     private readonly parts: SuspicionDependencies,
     private readonly subject: SuspicionSubject,
   ) {
-    const { head, route, account } = subject;
-    const { suspects, timers } = parts;
+    const { head, account } = subject;
     this.shared = sharedFeatures(head.promptParts, account?.name);
-    this.answer = new AnswerEvidence({ suspects, route: route.name, shared: this.shared, timers });
   }
 
   /** Counts the request. */
@@ -121,7 +110,6 @@
 
   /** Begins to follow another attempt. */
   beginAttempt({ id, service }: ReplicaEntry, { peer }: UpstreamPath): void {
-    this.answer.beginAttempt();
     this.attempt = this.parts.attempts.begin({
       replica: id,
       service,
@@ -139,7 +127,6 @@
 
   /** Notes a part of the answer's body. */
   recordBody(): void {
-    this.answer.recordData();
     this.attempt?.recordBody();
   }
 
@@ -159,11 +146,9 @@
     const isCut = wasSent && CUT_OUTCOMES.has(outcome) && !isMigrated && !result.wasLeft;
     // A daemon without a path to the replica can't tell whether it has crashed; a peer that relays can.
     const isPathLost = path?.peer === undefined && paths.causeOf(replica.service) !== undefined;
-    if (isCut && !isPathLost)
-      await suspects.attemptCut(replica, this.fingerprints(), this.answer.isSound, hasReplicaCrashed);
-    if (!COMPLETE_OUTCOMES.has(outcome)) return;
-    this.answer.recordComplete();
-    if (this.current() !== Suspicion.Clear) suspects.attemptCompleted(this.fingerprints());
+    if (isCut && !isPathLost) await suspects.attemptCut(replica, hasReplicaCrashed);
+    if (COMPLETE_OUTCOMES.has(outcome) && this.current() !== Suspicion.Clear)
+      suspects.attemptCompleted(this.fingerprints());
   }
 
   /** What tells in the log whether another request is this one, sent again, or shares parts of its prompt. */
--- a/packages/routing/src/core/suspects/evidence.ts
+++ b/packages/routing/src/core/suspects/evidence.ts
@@ -1,8 +1,8 @@
 /** Weighs what speaks for and against a shared feature of requests as the cause of crashes. */
-import type { FeatureEvidence } from '@celeryyoke/core';
+import type { AgeRange, FeatureEvidence } from '@celeryyoke/core';
 
 /** Largest probability that a cause is found although all crashes with it are chance. */
-const MAX_CHANCE = 0.02;
+const MAX_CHANCE = 0.003;
 /** Factor by which each crash that must have had another cause makes a feature less likely to be one. */
 const OTHER_CAUSE_PENALTY = 5;
 
@@ -12,7 +12,7 @@
   readonly share: number;
   /** Smallest likely share of the requests that have the feature, from 0 to below 1. */
   readonly shareAtLeast: number;
-  /** Requests that have run since the first crash with the feature, none of which had it. */
+  /** Answers since the first crash with the feature, none of which had it, that went on for longer than those that had. */
   readonly soundRuns: number;
 }
 
@@ -28,15 +28,21 @@
  * run since, if it did not cause them.
  * @returns From 0 to 1.
  */
-export function chanceOf(
-  { inFlight, otherCrashes }: FeatureEvidence,
+export function chanceOf(evidence: FeatureEvidence, use: FeatureUse): number {
+  return Math.min(1, ...evidence.ranges.map((range) => chanceInRange(evidence, use, range)));
+}
+
+/** The same, as far as the answers of one range of ages show it. */
+function chanceInRange(
+  { otherCrashes }: FeatureEvidence,
   { share, shareAtLeast, soundRuns }: FeatureUse,
+  { choices, inFlight }: AgeRange,
 ): number {
   const atCrashes = inFlight.reduce((chance, requests) => chance * (1 - (1 - share) ** requests), 1);
   const absent = (1 - shareAtLeast) ** soundRuns;
-  const choices = combinations(inFlight.length + otherCrashes, inFlight.length);
+  const crashes = combinations(inFlight.length + otherCrashes, inFlight.length);
   // Features that are as frequent number at most the reciprocal of the share.
-  return Math.min(1, (choices * atCrashes * absent * OTHER_CAUSE_PENALTY ** otherCrashes) / share);
+  return (choices * crashes * atCrashes * absent * OTHER_CAUSE_PENALTY ** otherCrashes) / share;
 }
 
 /** Whether a feature is hardly at its crashes by chance. */
--- a/packages/routing/src/core/suspects/feature-statistics.ts
+++ b/packages/routing/src/core/suspects/feature-statistics.ts
@@ -10,6 +10,30 @@
 /** Largest number of runs that are remembered for each route. */
 const MAX_RUNS = 1024;
 
+/**
+ * Part of an answer beyond the longest one at a crash with a feature that refutes the feature: what crashes replicas may
+ * take longer at one time than at another.
+ */
+const REFUTING_FACTOR = 2;
+const REFUTING_MARGIN_MS = 100;
+
+/** An answer that goes on, or has gone on. */
+export interface AnswerRun {
+  /** Monotonic time of its begin, in milliseconds. */
+  readonly beganAt: number | undefined;
+  /** Time for which it has gone on at least, in milliseconds. */
+  readonly livedMs: number;
+  readonly isWhole: boolean;
+}
+
+/**
+ * Whether an answer shows that what its request shares crashes no replica: it is whole, or has gone on for far longer.
+ * @param longestMs - Longest time for which an answer with the feature had gone on at one of its crashes, in milliseconds.
+ */
+export function isSoundRun({ livedMs, isWhole }: AnswerRun, longestMs: number): boolean {
+  return isWhole || livedMs > REFUTING_FACTOR * longestMs + REFUTING_MARGIN_MS;
+}
+
 /** Requests with one feature. */
 interface FeatureCount {
   requests: number;
@@ -48,8 +72,8 @@
 
   private epochEndsAt: number;
 
-  /** Monotonic times at which runs without a crash began, in milliseconds, by route. */
-  private readonly runs = new Map<string, number[]>();
+  /** Answers that have begun, by route. */
+  private readonly runs = new Map<string, Set<AnswerRun>>();
 
   constructor(private readonly timers: TimerService) {
     this.epochEndsAt = timers.now() + EPOCH_MS;
@@ -61,36 +85,39 @@
     this.current.count(route, features);
   }
 
-  /**
-   * Records a request that has run without a crash.
-   * @param beganAt - Monotonic time at which its response began, in milliseconds.
-   */
-  recordRun(route: string, beganAt: number): void {
-    const runs = this.runs.get(route) ?? [];
+  /** Records an answer that has begun; how long it goes on is read when it matters. */
+  recordRun(route: string, run: AnswerRun): void {
+    const runs = this.runs.get(route) ?? new Set();
     this.runs.set(route, runs);
-    runs.push(beganAt);
-    if (runs.length > MAX_RUNS) runs.shift();
+    runs.add(run);
+    if (runs.size <= MAX_RUNS) return;
+    const [oldest] = runs;
+    runs.delete(oldest!);
   }
 
   /**
    * Returns how often a feature is seen on its route; on all routes if it was not seen yet.
-   * @param since - Monotonic time from which on runs count, in milliseconds.
+   * @param since - Monotonic time from which on answers that begin count, in milliseconds.
+   * @param longestMs - Longest time for which an answer with it had gone on at one of its crashes, in milliseconds.
    */
-  useOf(feature: string, since: number): FeatureUse {
+  useOf(feature: string, since: number, longestMs: number): FeatureUse {
     const counts = [this.current, this.previous].map((epoch) => epoch.features.get(feature));
     const route = counts.find((count) => count !== undefined)?.route;
     const withFeature = counts.reduce((sum, count) => sum + (count?.requests ?? 0), 0);
     const requests = this.current.requestsOf(route) + this.previous.requestsOf(route);
     return {
-      share: Math.min(1, (withFeature + 1) / (requests + 1)),
+      share: Math.min(1, (withFeature + 1 + Math.sqrt(withFeature + 1)) / (requests + 1)),
       shareAtLeast: Math.max(0, withFeature - Math.sqrt(withFeature)) / (requests + 1),
-      soundRuns: this.runsSince(route, since),
+      soundRuns: this.runsSince(route, since, longestMs),
     };
   }
 
-  private runsSince(route: string | undefined, since: number): number {
-    const runs = route === undefined ? [...this.runs.values()].flat() : (this.runs.get(route) ?? []);
-    return runs.filter((beganAt) => beganAt > since).length;
+  private runsSince(route: string | undefined, since: number, longestMs: number): number {
+    const runs =
+      route === undefined
+        ? [...this.runs.values()].flatMap((one) => [...one])
+        : [...(this.runs.get(route) ?? [])];
+    return runs.filter((run) => (run.beganAt ?? since) > since && isSoundRun(run, longestMs)).length;
   }
 
   private startEpoch(): void {
--- a/packages/routing/src/core/suspects/suspect-registry.ts
+++ b/packages/routing/src/core/suspects/suspect-registry.ts
@@ -19,10 +19,11 @@
 import type { DisseminationTree, TopicHandler } from '../dissemination/index.js';
 import { Topic } from '../dissemination/index.js';
 import type { ReplicaEntry } from '../view/index.js';
+import type { AttemptLedger, AttemptRecord } from './attempt-ledger.js';
 import type { CrashDetector } from './crash-detector.js';
 import type { FeatureUse } from './evidence.js';
 import { chanceOf, isCause } from './evidence.js';
-import { FeatureStatistics } from './feature-statistics.js';
+import { FeatureStatistics, isSoundRun } from './feature-statistics.js';
 import type { RequestFingerprints } from './fingerprint.js';
 import { featureNames } from './fingerprint.js';
 import { rankReplicas } from './placement.js';
@@ -41,6 +42,10 @@
 const SAME_CRASH_MS = QUARANTINE_MS;
 /** Largest delay of a message between daemons, by which a time is taken for a later one, in milliseconds. */
 const TIME_MARGIN_MS = 100;
+/** Shortest time between two reviews of what requests share, in milliseconds. */
+const REVIEW_INTERVAL_MS = 100;
+/** Time before a crash up to which a request that was given up may have caused it, in milliseconds. */
+const GIVEN_UP_MS = 250;
 /** Largest number of features that are kept. */
 const CAPACITY = 4096;
 const EXPIRY_INTERVAL_MS = 1000;
@@ -64,6 +69,7 @@
   readonly cluster: Pick<Cluster, 'aliveAddresses' | 'send' | 'handle'>;
   readonly tree: Pick<DisseminationTree, 'register' | 'publish'>;
   readonly detector: Pick<CrashDetector, 'hasCrashed'>;
+  readonly attempts: Pick<AttemptLedger, 'onProgress' | 'unanswered'>;
   readonly timers: TimerService;
   readonly log: DecisionLog;
 }
@@ -79,8 +85,11 @@
 
   private readonly expiryTimer: TimerHandle;
 
+  /** Monotonic time of the latest review of what requests share, in milliseconds. */
+  private reviewedAt = Number.NEGATIVE_INFINITY;
+
   constructor(private readonly options: SuspectRegistryOptions) {
-    const { cluster, tree, timers } = options;
+    const { cluster, tree, timers, attempts } = options;
     this.statistics = new FeatureStatistics(timers);
     const bounds = {
       timers,
@@ -102,6 +111,7 @@
     cluster.handle(MessageType.Suspects, (_from, frames: SuspectFrame[]) => {
       for (const frame of frames) this.merge(decodeSuspect(frame, timers.now()));
     });
+    attempts.onProgress((record) => this.recordProgress(record));
     this.expiryTimer = timers.repeat(EXPIRY_INTERVAL_MS, () => this.expire());
   }
 
@@ -157,61 +167,70 @@
     );
   }
 
-  /**
-   * Records that a replica survives an answer to a request.
-   * @param route - Name of its route.
-   * @param shared - What it shares with others.
-   * @param beganAt - Monotonic time at which the answer began, in milliseconds.
-   */
-  recordSoundRun(route: string, shared: readonly SharedFeature[], beganAt: number): void {
+  /** Clears what an answer that goes on shares with others, and weighs what others share again. */
+  private recordProgress(record: AttemptRecord): void {
     if (this.crashes.isEmpty) return;
-    this.statistics.recordRun(route, beganAt);
-    for (const { feature } of shared) if (this.crashes.isSuspect(feature)) this.clearShared(feature, beganAt);
+    const { route, shared, beganAt } = record;
+    if (shared.length === 0 || beganAt === undefined) return;
+    this.statistics.recordRun(route, record);
+    for (const { feature } of shared)
+      if (this.crashes.isSuspect(feature) && isSoundRun(record, this.crashes.longestMs(feature)))
+        this.clearShared(feature, beganAt);
+    const now = this.options.timers.now();
+    if (now - this.reviewedAt < REVIEW_INTERVAL_MS) return;
+    this.reviewedAt = now;
     this.crashes.reviewShared();
   }
 
   /**
-   * Records that the connection of an attempt ended before the response. If its replica has crashed, the request is a
-   * suspect.
-   * @param isSound - Whether its answer had gone on for so long that nothing that it shares can be the cause.
+   * Records that the connection of an attempt ended before the response. If its replica has crashed, all requests that
+   * it has not answered are suspects.
    * @param hasCrashed - Whether the replica has crashed; found out when it is left out.
    * @returns A promise that settles when peers have been told, so that a resend finds them warned.
    */
-  async attemptCut(
-    replica: ReplicaEntry,
-    { exact, anyQuery, shared }: RequestFingerprints,
-    isSound: boolean,
-    hasCrashed?: boolean,
-  ): Promise<void> {
-    const { self, detector, timers, log } = this.options;
-    if (!(hasCrashed ?? (await detector.hasCrashed(replica)))) return;
-    const known = this.ownReports.get(replica.id);
-    if (known?.requests.some(({ fingerprint }) => fingerprint === exact)) return;
-    const at = known?.at ?? timers.now();
-    // What comes again as it was needs no other name; the query may be what differs the next time.
-    const isNew = this.crashes.lookUp(exact) === Suspicion.Clear;
-    const requests: SuspectRequest[] = [
-      ...(known?.requests ?? []),
-      { fingerprint: exact, shared: isSound ? [] : shared },
-    ];
-    if (isNew && anyQuery !== undefined) requests.push({ fingerprint: anyQuery, shared: [] });
+  async attemptCut(replica: ReplicaEntry, hasCrashed?: boolean): Promise<void> {
+    if (!(hasCrashed ?? (await this.options.detector.hasCrashed(replica)))) return;
+    this.reportUnanswered(replica.id, this.options.timers.now());
+  }
+
+  /** Reports the requests that a replica has not answered, as far as peers have not been told. */
+  private reportUnanswered(replica: string, endedAt: number): void {
+    const { self, attempts, log } = this.options;
+    const known = this.ownReports.get(replica);
+    const at = known?.at ?? endedAt;
+    const reported = new Set(known?.requests.map(({ fingerprint }) => fingerprint));
+    const records = attempts
+      .unanswered(replica)
+      .filter((record) => record.endedAt === undefined || record.endedAt >= at - GIVEN_UP_MS)
+      .filter((record) => !reported.has(record.fingerprints().exact));
+    if (records.length === 0) return;
+    const requests = [...(known?.requests ?? []), ...records.flatMap((record) => this.suspectsOf(record))];
     const row: CrashRow = {
       kind: SuspectRowKind.Crash,
-      replica: replica.id,
+      replica,
       reporter: self,
       at,
       requests: requests.slice(-MAX_REQUESTS),
     };
-    this.ownReports.set(replica.id, row);
-    log.decide('replica.crashed', `Replica ${replica.id} crashed with a request in flight.`, {
-      replica: replica.id,
-      fingerprint: exact,
+    this.ownReports.set(replica, row);
+    log.decide('replica.crashed', `Replica ${replica} crashed with requests in flight.`, {
+      replica,
       inFlight: requests.length,
+      fingerprints: records.map((record) => record.fingerprints().exact).join(' '),
+      answeredMs: records.map(({ livedMs }) => Math.round(livedMs)).join(' '),
     });
     this.merge(row);
     this.publish(row);
   }
 
+  private suspectsOf({ fingerprints, shared, beganAt }: AttemptRecord): SuspectRequest[] {
+    const { exact, anyQuery } = fingerprints();
+    const request: SuspectRequest = { fingerprint: exact, shared, beganAt };
+    // What comes again as it was needs no other name; the query may be what differs the next time.
+    const isNew = this.crashes.lookUp(exact) === Suspicion.Clear;
+    return isNew && anyQuery !== undefined ? [request, { fingerprint: anyQuery, shared: [] }] : [request];
+  }
+
   /** Records that a request was served, or failed, by a replica that survived it. */
   attemptCompleted({ exact, anyQuery }: RequestFingerprints): void {
     const at = this.options.timers.now();
@@ -237,7 +256,7 @@
 
   /** Whether a shared feature caused its crashes; runs at the other daemons are estimated from those here. */
   private isCause(evidence: FeatureEvidence): boolean {
-    const use = this.statistics.useOf(evidence.feature, evidence.since + TIME_MARGIN_MS);
+    const use = this.statistics.useOf(evidence.feature, evidence.since + TIME_MARGIN_MS, evidence.longestMs);
     const likelyLeast = use.soundRuns - Math.sqrt(use.soundRuns);
     const soundRuns = Math.max(0, likelyLeast) * this.options.cluster.aliveAddresses().length;
     if (!isCause(evidence, { ...use, soundRuns })) return false;
@@ -246,11 +265,12 @@
   }
 
   private logCause(evidence: FeatureEvidence, use: FeatureUse): void {
-    const { feature, since, inFlight, otherCrashes } = evidence;
+    const { feature, since, longestMs, ranges, otherCrashes } = evidence;
     this.options.log.decide('request.cause', 'Requests that crash replicas have one thing in common.', {
       fingerprint: feature,
-      crashes: inFlight.length,
-      inFlight: inFlight.join(' '),
+      crashes: ranges[0]?.inFlight.length,
+      longestMs: Math.round(longestMs),
+      inFlight: ranges.map(({ inFlight }) => inFlight.join(' ')).join(' / '),
       otherCrashes,
       firstAgoMs: Math.round(this.options.timers.now() - since),
       share: use.share,
--- a/packages/routing/test/prompt-parts.test.ts
+++ b/packages/routing/test/prompt-parts.test.ts
@@ -2,21 +2,20 @@
 import { Suspicion } from '@celeryyoke/core';
 import test from 'ava';
 
-import type { ReplicaEntry, RequestFingerprints } from '../src/index.js';
-import { fingerprintsOf, sharedFeatures } from '../src/index.js';
+import type { FollowedAttempt, ReplicaEntry, RequestFingerprints } from '../src/index.js';
+import { AttemptEnd, fingerprintsOf, sharedFeatures } from '../src/index.js';
 import type { Random } from './orders/random.js';
 import { createRandom } from './orders/random.js';
 import { SuspectFleet } from './suspect-fleet.js';
 
 const DAEMONS = 7;
-/** Time from the first event of an answer to the crash, in milliseconds. */
+/** Time from the first event of an answer to the crash, in milliseconds, unless a scenario has another. */
 const CRASH_AFTER_MS = 60;
-/** Time that an answer takes, in milliseconds. */
+/** Time that an answer takes, in milliseconds, unless a scenario has another. */
 const ANSWER_MS = 800;
+const EVENT_INTERVAL_MS = 50;
 /** Time in which an answer begins, in milliseconds. */
 const PREFILL_MS = 150;
-/** Time after which an answer that goes on is sound, in milliseconds. */
-const SOUND_MS = 300;
 const RESTART_MS = 2500;
 const CALM_MS = 10_000;
 const FAULT_MS = 12_000;
@@ -39,6 +38,8 @@
   readonly guiltyEvery?: number;
   /** Place of the guilty part. */
   readonly place?: 0 | 1;
+  readonly crashAfterMs?: number;
+  readonly answerMs?: number;
   /** Times at which all engines crash for another reason, in milliseconds after the calm. */
   readonly otherCrashes?: readonly number[];
 }
@@ -47,8 +48,7 @@
   readonly daemon: number;
   readonly request: RequestFingerprints;
   readonly parts: readonly string[];
-  beganAt: number | undefined;
-  isSound: boolean;
+  readonly attempt: FollowedAttempt;
 }
 
 /** Plays a load through a fleet of daemons. */
@@ -66,7 +66,10 @@
   /** Sound requests that were refused. */
   refused = 0;
 
-  private readonly engines: Map<Run, boolean>[];
+  private readonly engines: Set<Run>[];
+
+  /** Number of the incarnation of each engine. */
+  private readonly incarnations: number[];
 
   private readonly downUntil: number[];
 
@@ -76,7 +79,8 @@
     private readonly scenario: Scenario,
     private readonly random: Random,
   ) {
-    this.engines = Array.from({ length: scenario.engines }, () => new Map());
+    this.engines = Array.from({ length: scenario.engines }, () => new Set());
+    this.incarnations = this.engines.map(() => 0);
     this.downUntil = this.engines.map(() => 0);
   }
 
@@ -88,7 +92,7 @@
       timers.after((index * 1000) / perSecond, () => this.send(timers.now() >= CALM_MS));
     for (const at of otherCrashes)
       timers.after(CALM_MS + at, () => this.engines.forEach((_runs, engine) => this.crash(engine)));
-    await timers.advance(CALM_MS + FAULT_MS + ANSWER_MS);
+    await timers.advance(CALM_MS + FAULT_MS + this.answerMs);
   }
 
   /** Number of requests with the guilty part that reached an engine when they should have been refused. */
@@ -119,8 +123,18 @@
       return;
     }
     const up = this.engines.map((_runs, engine) => engine).filter((engine) => !this.isDown(engine));
-    if (up.length > 0)
-      this.answer(this.random.pick(up), { daemon, request, parts, beganAt: undefined, isSound: false });
+    if (up.length === 0) return;
+    const engine = this.random.pick(up);
+    const attempt = this.fleet.begin(daemon, this.idOf(engine), request);
+    this.answer(engine, { daemon, request, parts, attempt });
+  }
+
+  private get answerMs(): number {
+    return this.scenario.answerMs ?? ANSWER_MS;
+  }
+
+  private idOf(engine: number): string {
+    return `e${engine}.${this.incarnations[engine]}`;
   }
 
   private isDown(engine: number): boolean {
@@ -130,22 +144,19 @@
   private answer(engine: number, run: Run): void {
     const { timers, registries } = this.fleet;
     const runs = this.engines[engine]!;
-    runs.set(run, true);
+    runs.add(run);
     const isGuilty = run.parts.includes(GUILTY);
     if (isGuilty) this.guiltySentAt.push(timers.now());
-    const sound = (): void => {
-      if (!runs.has(run) || run.isSound) return;
-      Object.assign(run, { isSound: true });
-      registries[run.daemon]!.recordSoundRun('route', run.request.shared, run.beganAt!);
-    };
+    const { crashAfterMs = CRASH_AFTER_MS } = this.scenario;
     timers.after(PREFILL_MS, () => {
       if (!runs.has(run)) return;
-      Object.assign(run, { beganAt: timers.now() });
-      if (isGuilty) timers.after(CRASH_AFTER_MS, () => runs.has(run) && this.crash(engine));
-      timers.after(SOUND_MS, sound);
-      timers.after(ANSWER_MS, () => {
-        sound();
-        if (runs.delete(run)) registries[run.daemon]!.attemptCompleted(run.request);
+      if (isGuilty) timers.after(crashAfterMs, () => runs.has(run) && this.crash(engine));
+      for (let ms = 0; ms < this.answerMs; ms += EVENT_INTERVAL_MS)
+        timers.after(ms, () => runs.has(run) && run.attempt.recordBody());
+      timers.after(this.answerMs, () => {
+        if (!runs.delete(run)) return;
+        run.attempt.end(AttemptEnd.Answered);
+        registries[run.daemon]!.attemptCompleted(run.request);
       });
     });
   }
@@ -153,12 +164,14 @@
   private crash(engine: number): void {
     this.crashes += 1;
     if (this.crashes === ALLOWED_CRASHES) this.knownAt = this.fleet.timers.now();
-    const id = `e${engine}.${this.crashes}`;
-    const cut = [...this.engines[engine]!.keys()];
+    const id = this.idOf(engine);
+    const cut = [...this.engines[engine]!];
     this.engines[engine]!.clear();
+    this.incarnations[engine]! += 1;
     this.downUntil[engine] = this.fleet.timers.now() + RESTART_MS;
-    for (const { daemon, request, isSound } of cut)
-      void this.fleet.registries[daemon]!.attemptCut({ id } as ReplicaEntry, request, isSound);
+    for (const { attempt } of cut) attempt.end(AttemptEnd.Unanswered);
+    for (const daemon of new Set(cut.map((run) => run.daemon)))
+      void this.fleet.registries[daemon]!.attemptCut({ id } as ReplicaEntry);
   }
 }
 
@@ -189,6 +202,36 @@
     secondParts: 40,
     guiltyEvery: 4,
   },
+  'a part of each twelfth request that crashes a quarter of a second after the first bytes': {
+    engines: 10,
+    perSecond: 60,
+    secondParts: 40,
+    guiltyEvery: 12,
+    crashAfterMs: 250,
+  },
+  'a part of each twelfth request that crashes half a second after the first bytes': {
+    engines: 10,
+    perSecond: 60,
+    secondParts: 40,
+    guiltyEvery: 12,
+    crashAfterMs: 500,
+  },
+  'a part of each twelfth request that crashes a second after the first bytes': {
+    engines: 10,
+    perSecond: 60,
+    secondParts: 40,
+    guiltyEvery: 12,
+    crashAfterMs: 1000,
+    answerMs: 1500,
+  },
+  'a part of each twelfth request that crashes three seconds after the first bytes': {
+    engines: 10,
+    perSecond: 40,
+    secondParts: 40,
+    guiltyEvery: 12,
+    crashAfterMs: 3000,
+    answerMs: 4000,
+  },
 };
 
 // Guards against a part that crashes one replica after the other, and against refusing what only shares other parts.
--- a/packages/routing/test/suspect-fleet.ts
+++ b/packages/routing/test/suspect-fleet.ts
@@ -3,12 +3,13 @@
 import { createManualTimers, createSilentLog } from '@celeryyoke/core';
 
 import type {
+  FollowedAttempt,
   ReplicaEntry,
   RequestFingerprints,
   SuspectRegistryOptions,
   TopicHandler,
 } from '../src/index.js';
-import { MessageType, SuspectRegistry } from '../src/index.js';
+import { AttemptEnd, AttemptLedger, MessageType, SuspectRegistry } from '../src/index.js';
 
 /** Delay of messages over the tree, in milliseconds. */
 export const TREE_DELAY_MS = 40;
@@ -28,6 +29,9 @@
 
   readonly registries: SuspectRegistry[] = [];
 
+  /** Attempts of each daemon. */
+  readonly attempts: AttemptLedger[] = [];
+
   /** Messages sent to peers directly. */
   directMessages = 0;
 
@@ -48,8 +52,20 @@
   }
 
   async crashUnder(daemon: number, id: string, requests: readonly RequestFingerprints[]): Promise<void> {
-    const registry = this.registries[daemon]!;
-    await Promise.all(requests.map((request) => registry.attemptCut({ id } as ReplicaEntry, request, false)));
+    for (const request of requests) this.begin(daemon, id, request).end(AttemptEnd.Unanswered);
+    await this.registries[daemon]!.attemptCut({ id } as ReplicaEntry);
+  }
+
+  /** Begins an attempt of a daemon. */
+  begin(daemon: number, replica: string, request: RequestFingerprints): FollowedAttempt {
+    return this.attempts[daemon]!.begin({
+      replica,
+      service: 'llm',
+      route: 'route',
+      shared: request.shared,
+      fingerprints: () => request,
+      isRelayed: false,
+    });
   }
 
   suspicions(name: string): Suspicion[] {
@@ -86,7 +102,10 @@
       publish: (_topic: unknown, row: unknown) => this.publish(index, row),
     };
     const detector = { hasCrashed: () => Promise.resolve(true) };
-    const options = { self, cluster, tree, detector, timers: this.timers, log: createSilentLog() };
+    const { timers } = this;
+    const attempts = new AttemptLedger(timers);
+    this.attempts[index] = attempts;
+    const options = { self, cluster, tree, detector, attempts, timers, log: createSilentLog() };
     return new SuspectRegistry(options as unknown as SuspectRegistryOptions);
   }
 
