--- a/packages/core/src/core/suspects/crash-log.ts
+++ b/packages/core/src/core/suspects/crash-log.ts
@@ -10,16 +10,20 @@
  */
 import type { TimerService } from '../time/index.js';
 import type { FeatureEvidence, SuspectRequest } from './types.js';
-import { Suspicion } from './types.js';
+import { EndCertainty, Suspicion } from './types.js';
 
 /** Difference by which the ages of answers at several crashes may be off, in milliseconds. */
 const AGE_MARGIN_MS = 50;
 
+/** Time after the end of an upstream at which a request may have been sent and still reach it, in milliseconds. */
+const SENT_MARGIN_MS = 150;
+
 /** One crash of one upstream, as the reports of all daemons describe it together. */
 export interface Crash {
   readonly upstream: string;
-  /** Monotonic time of the first report, in milliseconds. */
+  /** Monotonic time of its end, or of the last sign of life of one that is silent, in milliseconds. */
   readonly at: number;
+  readonly certainty: EndCertainty;
   /** Features of requests that were in flight and are not cleared. */
   readonly features: Set<string>;
   /** Requests that were in flight, by fingerprint; only those that caused it, once these are known. */
@@ -35,6 +39,8 @@
   readonly quarantineMs: number;
   /** Time after which a crash is forgotten, in milliseconds. */
   readonly suspectMs: number;
+  /** Time after which the end of an upstream that is only presumed is forgotten, in milliseconds; as a crash by default. */
+  readonly presumedMs?: number;
   /** Crashes after which a request is quarantined if no other request was in flight at several. */
   readonly minCrashes: number;
   /** Crashes after which a request is quarantined in any case. */
@@ -56,6 +62,8 @@
    * @param isShared - Whether it is something that requests share rather than one request.
    */
   quarantined(feature: string, upstreams: readonly string[], isShared: boolean): void;
+  /** Called, again and again, for what requests share that caused the ends of upstreams if these are confirmed. */
+  presumed?(feature: string): void;
   lifted(fingerprint: string): void;
 }
 
@@ -77,6 +85,12 @@
 
   private readonly clearedAt = new Map<string, number>();
 
+  /** Crashes that are only presumed, by upstream. */
+  private readonly presumed = new Map<string, Crash>();
+
+  /** Monotonic times at which upstreams turned out to run on, in milliseconds. */
+  private readonly refutedAt = new Map<string, number>();
+
   constructor(
     private readonly bounds: CrashBounds,
     private readonly listener: CrashListener,
@@ -101,6 +115,16 @@
     return this.byFeature.has(feature);
   }
 
+  /** Monotonic time of the latest known crash of an upstream, in milliseconds; undefined if none is known. */
+  crashedAt(upstream: string): number | undefined {
+    return this.crashes.findLast((crash) => crash.upstream === upstream)?.at;
+  }
+
+  /** Upstreams at whose crashes a feature is suspected. */
+  upstreamsOf(feature: string): string[] {
+    return [...(this.byFeature.get(feature) ?? [])].map(({ upstream }) => upstream);
+  }
+
   /** Returns the quarantine of a request that is in force, if there is one. */
   quarantineOf(fingerprint: string): QuarantineEntry | undefined {
     const entry = this.quarantine.get(fingerprint);
@@ -117,12 +141,21 @@
   /**
    * Adds requests that were in flight at a crash.
    * @param at - Monotonic time of the crash, in milliseconds.
-   * @returns Whether any of them was not known to be.
+   * @returns Whether any of them, or that the crash is certain, was not known.
    */
-  add(upstream: string, at: number, requests: Iterable<SuspectRequest>): boolean {
+  add(
+    upstream: string,
+    at: number,
+    requests: Iterable<SuspectRequest>,
+    certainty = EndCertainty.Confirmed,
+  ): boolean {
     if (at <= this.bounds.timers.now() - this.bounds.suspectMs) return false;
-    const crash = this.find(upstream, at);
-    let hasChanged = false;
+    if (at <= (this.refutedAt.get(upstream) ?? Number.NEGATIVE_INFINITY)) return false;
+    const crash = this.find(upstream, at, certainty);
+    let hasChanged = certainty > crash.certainty;
+    if (hasChanged) this.makeCertain(crash);
+    // What several daemons have heard last of it is the closest to its end.
+    if (at > crash.at) Object.assign(crash, { at });
     for (const request of requests) if (this.addRequest(request, crash)) hasChanged = true;
     this.reviewRequests(crash);
     this.reviewShared();
@@ -135,19 +168,46 @@
     this.reviewShared();
   }
 
+  /** Returns the crash of an upstream that is only presumed, if there is one. */
+  presumedCrash(upstream: string): Crash | undefined {
+    return this.crashes.find(
+      (crash) => crash.upstream === upstream && crash.certainty === EndCertainty.Presumed,
+    );
+  }
+
+  /**
+   * Records that an upstream that was presumed to have ended has.
+   * @returns Whether that is new.
+   */
+  confirm(upstream: string): boolean {
+    const crash = this.presumedCrash(upstream);
+    if (crash === undefined) return false;
+    this.makeCertain(crash);
+    this.reviewAll();
+    return true;
+  }
+
   /** Quarantines what requests share that caused crashes; to be called when others of them have run since. */
   reviewShared(): void {
-    for (const feature of [...this.byFeature.keys()]) if (this.isSharedCause(feature)) this.convict(feature);
+    for (const feature of [...this.byFeature.keys()])
+      if (this.isSharedCause(feature, EndCertainty.Confirmed)) this.convict(feature);
+      else if (this.presumed.size > 0 && this.isSharedCause(feature, EndCertainty.Presumed))
+        this.listener.presumed?.(feature);
   }
 
-  /** Returns what speaks for a suspected feature as the cause of its crashes, as far as all daemons have reported them. */
-  evidenceOf(feature: string): FeatureEvidence {
-    const crashes = [...(this.byFeature.get(feature) ?? [])].filter((crash) => this.isSettled(crash));
+  /**
+   * Returns what speaks for a suspected feature as the cause of its crashes, as far as all daemons have reported them.
+   * @param certainty - How sure the crashes must be at least.
+   */
+  evidenceOf(feature: string, certainty: EndCertainty): FeatureEvidence {
+    const isWeighed = (crash: Crash): boolean => crash.certainty >= certainty && this.isSettled(crash);
+    const crashes = [...(this.byFeature.get(feature) ?? [])].filter(
+      (crash) => isWeighed(crash) && requestsWith(crash, feature).length > 0,
+    );
     const since = Math.min(...crashes.map(({ at }) => at));
     const variants = new Set(crashes.flatMap((crash) => variantsAt(crash, feature)));
     const others = this.crashes.filter(
-      (crash) =>
-        crash.at >= since && this.isSettled(crash) && !crash.isExplained && !crash.features.has(feature),
+      (crash) => crash.at >= since && isWeighed(crash) && !crash.isExplained && !crashes.includes(crash),
     );
     // Requests that differ in nothing else show nothing that one of them does not.
     const ranges = ageRanges(crashes, feature).map(({ choices, inFlight }) => ({
@@ -183,13 +243,14 @@
   }
 
   /**
-   * Drops the crash of an upstream that turned out to run on.
+   * Drops the crash of an upstream that turned out to run on; it may end later.
    * @returns Whether it was known.
    */
   refute(upstream: string): boolean {
-    const crash = this.crashes.findLast((known) => known.upstream === upstream && !known.isExplained);
+    const crash = this.crashes.find((known) => known.upstream === upstream && !known.isExplained);
     if (crash === undefined) return false;
-    this.explain(crash);
+    this.refutedAt.set(upstream, this.bounds.timers.now());
+    this.drop(crash);
     return true;
   }
 
@@ -214,11 +275,13 @@
       this.clear(fingerprint, now);
       this.listener.lifted(fingerprint);
     }
-    for (const crash of this.crashes) {
-      if (crash.at > oldest) continue;
-      for (const feature of crash.features) this.removeSuspect(feature, crash);
+    const oldestPresumed = now - (this.bounds.presumedMs ?? this.bounds.suspectMs);
+    for (const crash of [...this.crashes]) {
+      const isOld =
+        crash.certainty === EndCertainty.Presumed ? crash.at <= oldestPresumed : crash.at <= oldest;
+      if (isOld) this.drop(crash);
     }
-    this.crashes = this.crashes.filter((crash) => crash.at > oldest);
+    for (const [upstream, at] of this.refutedAt) if (at <= oldest) this.refutedAt.delete(upstream);
     for (const [fingerprint, at] of this.clearedAt) if (at <= oldest) this.clearedAt.delete(fingerprint);
   }
 
@@ -244,14 +307,33 @@
     this.clearedAt.delete(oldest!);
   }
 
-  private find(upstream: string, at: number): Crash {
+  private makeCertain(crash: Crash): void {
+    Object.assign(crash, { certainty: EndCertainty.Confirmed });
+    this.presumed.delete(crash.upstream);
+  }
+
+  private drop(crash: Crash): void {
+    if (this.presumed.get(crash.upstream) === crash) this.presumed.delete(crash.upstream);
+    for (const feature of [...crash.features]) this.removeSuspect(feature, crash);
+    this.crashes = this.crashes.filter((known) => known !== crash);
+  }
+
+  private find(upstream: string, at: number, certainty: EndCertainty): Crash {
     const { sameCrashMs } = this.bounds;
     const known = this.crashes.find(
       (crash) => crash.upstream === upstream && Math.abs(crash.at - at) <= sameCrashMs,
     );
     if (known !== undefined) return known;
-    const crash = { upstream, at, features: new Set<string>(), requests: new Map(), isExplained: false };
+    const crash: Crash = {
+      upstream,
+      at,
+      certainty,
+      features: new Set(),
+      requests: new Map(),
+      isExplained: false,
+    };
     this.crashes.push(crash);
+    if (certainty === EndCertainty.Presumed) this.presumed.set(upstream, crash);
     return crash;
   }
 
@@ -286,7 +368,12 @@
   }
 
   private isRepeated(feature: string): boolean {
-    return (this.byFeature.get(feature)?.size ?? 0) >= this.bounds.minCrashes;
+    return this.confirmedCrashes(feature).length >= this.bounds.minCrashes;
+  }
+
+  private confirmedCrashes(feature: string): Crash[] {
+    const crashes = this.byFeature.get(feature) ?? [];
+    return [...crashes].filter(({ certainty }) => certainty === EndCertainty.Confirmed);
   }
 
   private isSettled({ at }: Crash): boolean {
@@ -300,7 +387,7 @@
 
   /** Quarantines the request that a crash shows to be its cause; what is quarantined explains further crashes. */
   private reviewRequests(crash: Crash): void {
-    if (crash.isExplained) return;
+    if (crash.isExplained || crash.certainty !== EndCertainty.Confirmed) return;
     const known = [...crash.features].find((feature) => this.quarantineOf(feature) !== undefined);
     if (known !== undefined) {
       this.convict(known);
@@ -311,18 +398,20 @@
     );
     const isOnlyOne = repeated.length === 1 && this.isSettled(crash);
     for (const fingerprint of repeated) {
-      const crashes = this.byFeature.get(fingerprint)?.size ?? 0;
+      const crashes = this.confirmedCrashes(fingerprint).length;
       if (isOnlyOne || crashes >= this.bounds.maxCrashes) this.convict(fingerprint);
     }
   }
 
-  /** Whether a feature that requests share caused its crashes. */
-  private isSharedCause(feature: string): boolean {
-    const { isCause, minCrashes } = this.bounds;
-    if (isCause === undefined || !this.isRepeated(feature) || this.quarantine.has(feature)) return false;
+  /** Whether a feature that requests share caused its crashes, as far as these are sure enough. */
+  private isSharedCause(feature: string, certainty: EndCertainty): boolean {
+    const { isCause, minCrashes, maxCrashes } = this.bounds;
+    const least = certainty === EndCertainty.Confirmed ? minCrashes : maxCrashes;
+    const crashes = this.byFeature.get(feature)?.size ?? 0;
+    if (isCause === undefined || crashes < least || this.quarantine.has(feature)) return false;
     if (!this.isShared(feature)) return false;
-    const evidence = this.evidenceOf(feature);
-    return evidence.ranges.every(({ inFlight }) => inFlight.length >= minCrashes) && isCause(evidence);
+    const evidence = this.evidenceOf(feature, certainty);
+    return evidence.ranges.every(({ inFlight }) => inFlight.length >= least) && isCause(evidence);
   }
 
   private convict(feature: string): void {
@@ -360,17 +449,23 @@
   return beganAt === undefined ? 0 : Math.max(0, at - beganAt);
 }
 
+/** Requests that a crash may be due to: one that was sent later has not reached the upstream. */
+function candidates(crash: Crash): SuspectRequest[] {
+  return [...crash.requests.values()].filter(({ sentAt = crash.at }) => sentAt <= crash.at + SENT_MARGIN_MS);
+}
+
+function requestsWith(crash: Crash, feature: string): SuspectRequest[] {
+  return candidates(crash).filter(({ shared }) => shared.some((one) => one.feature === feature));
+}
+
 /** Longest time for which an answer with a feature had gone on at a crash, in milliseconds. */
 function longestAnswerMs(crash: Crash, feature: string): number {
-  const requests = [...crash.requests.values()].filter(({ shared }) =>
-    shared.some((one) => one.feature === feature),
-  );
-  return Math.max(0, ...requests.map((request) => answeredMs(request, crash)));
+  return Math.max(0, ...requestsWith(crash, feature).map((request) => answeredMs(request, crash)));
 }
 
 /** Number of requests in flight at a crash that share anything, whose answers had gone on for a time in a range. */
 function countSharing(crash: Crash, fromMs: number, toMs: number): number {
-  return [...crash.requests.values()].filter((request) => {
+  return candidates(crash).filter((request) => {
     const ms = answeredMs(request, crash);
     return request.shared.length > 0 && ms >= fromMs && ms <= toMs;
   }).length;
@@ -395,8 +490,8 @@
 }
 
 /** In what the requests with a feature differ at a crash. */
-function variantsAt({ requests }: Crash, feature: string): string[] {
-  return [...requests.values()].flatMap(({ fingerprint, shared }) =>
+function variantsAt(crash: Crash, feature: string): string[] {
+  return requestsWith(crash, feature).flatMap(({ fingerprint, shared }) =>
     shared.filter((one) => one.feature === feature).map(({ within }) => within ?? fingerprint),
   );
 }
--- a/packages/core/src/core/suspects/index.ts
+++ b/packages/core/src/core/suspects/index.ts
@@ -2,4 +2,4 @@
 export type { Crash, CrashBounds, CrashListener, QuarantineEntry } from './crash-log.js';
 export { CrashLog } from './crash-log.js';
 export type { AgeRange, FeatureEvidence, SharedFeature, SuspectRequest } from './types.js';
-export { Suspicion } from './types.js';
+export { EndCertainty, Suspicion } from './types.js';
--- a/packages/core/src/core/suspects/types.ts
+++ b/packages/core/src/core/suspects/types.ts
@@ -11,6 +11,13 @@
   Quarantined = 'quarantined',
 }
 
+/** How sure it is that an upstream has ended; the numbers are sent. */
+export enum EndCertainty {
+  /** It is silent, and may go on. */
+  Presumed = 1,
+  Confirmed = 2,
+}
+
 /** Something that requests share, such as a part of their prompts. */
 export interface SharedFeature {
   readonly feature: string;
@@ -25,6 +32,8 @@
 export interface SuspectRequest {
   readonly fingerprint: string;
   readonly shared: readonly SharedFeature[];
+  /** Monotonic time at which it was sent, in milliseconds; undefined if that is not known. */
+  readonly sentAt?: number;
   /** Monotonic time at which its answer began, in milliseconds; undefined if it had not, or that is not known. */
   readonly beganAt?: number;
 }
--- a/packages/routing/src/core/daemon/services.ts
+++ b/packages/routing/src/core/daemon/services.ts
@@ -212,18 +212,18 @@
         this.createRelays(kernel),
       ),
       part(PART.attempts, [], () => new AttemptLedger(timers)),
-      part(
-        PART.replicaEnds,
-        [PART.registry, PART.attempts],
-        (kernel) => this.createReplicaEnds(kernel),
-        (ends) => ends.stop(),
-      ),
       part(
         PART.suspects,
         [PART.cluster, PART.tree, PART.crashDetector, PART.attempts],
         (kernel) => this.createSuspects(kernel),
         (suspects) => suspects.stop(),
       ),
+      part(
+        PART.replicaEnds,
+        [PART.registry, PART.attempts, PART.suspects, PART.witness, PART.paths, PART.pauseDetector],
+        (kernel) => this.createReplicaEnds(kernel),
+        (ends) => ends.stop(),
+      ),
       part(
         PART.leases,
         [PART.cluster, PART.tree, PART.pauseDetector, PART.registry, PART.settling, PART.cutOffs, PART.paths],
@@ -664,9 +664,14 @@
 
   private createReplicaEnds(kernel: ServiceFinder): ReplicaEnds {
     const { timers, log } = this.options;
+    const pauses = kernel.get<PauseDetector>(PART.pauseDetector);
     return new ReplicaEnds({
       registry: kernel.get(PART.registry),
       attempts: kernel.get(PART.attempts),
+      suspects: kernel.get(PART.suspects),
+      witness: kernel.get(PART.witness),
+      paths: kernel.get(PART.paths),
+      isRecovering: () => pauses.isRecovering,
       timers,
       log,
     });
--- a/packages/routing/src/core/suspects/attempt-ledger.ts
+++ b/packages/routing/src/core/suspects/attempt-ledger.ts
@@ -34,19 +34,27 @@
   readonly isRelayed: boolean;
 }
 
+/** The answer to an attempt; it outlives the attempt, so it does not hold the request. */
+export interface AnswerRun {
+  /** Name of the request's route. */
+  readonly route: string;
+  /** What the request shares with others. */
+  readonly shared: readonly SharedFeature[];
+  /** Monotonic time of the first part of its body, in milliseconds. */
+  readonly beganAt: number | undefined;
+  /** Time for which it has gone on at least, in milliseconds. */
+  readonly livedMs: number;
+  readonly isWhole: boolean;
+}
+
 /** One attempt at a replica; times are monotonic milliseconds. */
 export interface AttemptRecord extends AttemptSubject {
   readonly sentAt: number;
-  /** Time of the first part of the answer's body. */
-  readonly beganAt: number | undefined;
   /** Time of the last bytes. */
   readonly heardAt: number | undefined;
-  /** Time for which the answer has gone on at least, in milliseconds. */
-  readonly livedMs: number;
   /** Time of its end. */
   readonly endedAt: number | undefined;
-  /** Whether its answer is whole. */
-  readonly isWhole: boolean;
+  readonly answer: AnswerRun;
 }
 
 /** How an attempt ended, as far as that tells of its replica. */
@@ -59,14 +67,20 @@
   Unanswered = 'unanswered',
 }
 
-type MutableRecord = { -readonly [Key in keyof AttemptRecord]: AttemptRecord[Key] } & {
+type Mutable<Type> = { -readonly [Key in keyof Type]: Type[Key] };
+
+interface MutableRecord extends Mutable<Omit<AttemptRecord, 'answer'>> {
+  readonly answer: Mutable<AnswerRun>;
   /** Time of the last part of the body. */
   bodyAt: number | undefined;
-};
+}
 
 /** Called with an attempt of which something arrives. */
 export type AttemptListener = (record: AttemptRecord) => void;
 
+/** Called with an answer that begins, that has gone on for a while, or that is whole. */
+export type AnswerListener = (answer: AnswerRun) => void;
+
 /** An attempt that is followed. */
 export interface FollowedAttempt {
   /** Records bytes of the head or body. */
@@ -80,9 +94,12 @@
 export class AttemptLedger {
   private readonly byReplica = new Map<string, Set<MutableRecord>>();
 
+  /** Monotonic times of the last bytes from replicas, in milliseconds. */
+  private readonly heardAt = new Map<string, number>();
+
   private readonly byteListeners: AttemptListener[] = [];
 
-  private readonly progressListeners: AttemptListener[] = [];
+  private readonly progressListeners: AnswerListener[] = [];
 
   constructor(private readonly timers: TimerService) {}
 
@@ -92,21 +109,20 @@
   }
 
   /** Subscribes to answers that begin, that have gone on for a while, and that are whole. */
-  onProgress(listener: AttemptListener): void {
+  onProgress(listener: AnswerListener): void {
     this.progressListeners.push(listener);
   }
 
   /** Follows an attempt from now on. */
   begin(subject: AttemptSubject): FollowedAttempt {
+    const { route, shared } = subject;
     const record: MutableRecord = {
       ...subject,
       sentAt: this.timers.now(),
-      beganAt: undefined,
       bodyAt: undefined,
       heardAt: undefined,
-      livedMs: 0,
       endedAt: undefined,
-      isWhole: false,
+      answer: { route, shared, beganAt: undefined, livedMs: 0, isWhole: false },
     };
     this.add(record);
     return {
@@ -129,8 +145,16 @@
     );
   }
 
+  /** Monotonic time of the last bytes from a replica in any attempt, in milliseconds; undefined if there were none. */
+  lastHeardAt(replica: string): number | undefined {
+    return this.heardAt.get(replica);
+  }
+
   /** Drops what is kept no longer. */
   expire(): void {
+    const oldest = this.timers.now() - RETENTION_MS;
+    for (const [replica, at] of this.heardAt)
+      if (at < oldest && !this.byReplica.has(replica)) this.heardAt.delete(replica);
     for (const [replica, records] of this.byReplica) {
       const kept = new Set(this.unanswered(replica));
       for (const record of records) if (!kept.has(record)) records.delete(record);
@@ -148,33 +172,37 @@
   }
 
   private recordBytes(record: MutableRecord): void {
-    Object.assign(record, { heardAt: this.timers.now() });
+    const now = this.timers.now();
+    Object.assign(record, { heardAt: now });
+    this.heardAt.set(record.replica, now);
     for (const listener of this.byteListeners) listener(record);
   }
 
   private recordBody(record: MutableRecord): void {
+    const { answer } = record;
     const now = this.timers.now();
-    const isFirst = record.beganAt === undefined;
-    const before = record.livedMs;
-    const gapMs = now - (record.bodyAt ?? now);
-    const livedMs = before + Math.min(gapMs, MAX_COUNTED_GAP_MS);
-    Object.assign(record, { beganAt: record.beganAt ?? now, bodyAt: now, livedMs });
+    const isFirst = answer.beganAt === undefined;
+    const before = answer.livedMs;
+    answer.beganAt ??= now;
+    answer.livedMs += Math.min(now - (record.bodyAt ?? now), MAX_COUNTED_GAP_MS);
+    Object.assign(record, { bodyAt: now });
     this.recordBytes(record);
     const step = (ms: number): number => Math.floor(ms / PROGRESS_STEP_MS);
-    if (isFirst || step(record.livedMs) > step(before)) this.tellProgress(record);
+    if (isFirst || step(answer.livedMs) > step(before)) this.tellProgress(record);
   }
 
   private end(record: MutableRecord, how: AttemptEnd): void {
-    const isWhole = how === AttemptEnd.Answered && record.beganAt !== undefined;
-    Object.assign(record, { endedAt: this.timers.now(), isWhole });
+    const { answer } = record;
+    Object.assign(record, { endedAt: this.timers.now() });
+    answer.isWhole = how === AttemptEnd.Answered && answer.beganAt !== undefined;
     if (how === AttemptEnd.Unanswered) return;
     const records = this.byReplica.get(record.replica);
     records?.delete(record);
     if (records?.size === 0) this.byReplica.delete(record.replica);
-    if (isWhole) this.tellProgress(record);
+    if (answer.isWhole) this.tellProgress(record);
   }
 
-  private tellProgress(record: AttemptRecord): void {
-    for (const listener of this.progressListeners) listener(record);
+  private tellProgress({ answer }: AttemptRecord): void {
+    for (const listener of this.progressListeners) listener(answer);
   }
 }
--- /dev/null
+++ b/packages/routing/src/core/suspects/end-signs.ts
@@ -0,0 +1,29 @@
+/** Signs that show that a replica has ended, and how sure each is. */
+import { EndCertainty } from '@celeryyoke/core';
+
+/** What shows that a replica has ended. */
+export enum EndSign {
+  /** All connections to it have closed, and it refuses new ones. */
+  Closed = 'closed',
+  /** It is silent, and its entry was removed, or replaced by the entry of another start. */
+  Removed = 'removed',
+  /** It sends nothing on connections on which answers had begun, and peers have not heard from it either. */
+  Silent = 'silent',
+  /** A peer has reported it, and how sure it is. */
+  Reported = 'reported',
+}
+
+/** How a sign is taken. */
+export interface EndSignRule {
+  readonly certainty: EndCertainty;
+  /** Whether it is seen at the moment of the end; otherwise the end was at the last bytes from the replica. */
+  readonly isDated: boolean;
+}
+
+/** Rules by sign. */
+export const END_SIGNS: Readonly<Record<EndSign, EndSignRule>> = {
+  [EndSign.Closed]: { certainty: EndCertainty.Confirmed, isDated: true },
+  [EndSign.Removed]: { certainty: EndCertainty.Confirmed, isDated: false },
+  [EndSign.Silent]: { certainty: EndCertainty.Presumed, isDated: false },
+  [EndSign.Reported]: { certainty: EndCertainty.Presumed, isDated: false },
+};
--- a/packages/routing/src/core/suspects/feature-statistics.ts
+++ b/packages/routing/src/core/suspects/feature-statistics.ts
@@ -1,6 +1,7 @@
 /** Counts how often requests have each shared feature, and which have run without a crash. */
 import type { TimerService } from '@celeryyoke/core';
 
+import type { AnswerRun } from './attempt-ledger.js';
 import type { FeatureUse } from './evidence.js';
 
 /** Time after which older counts are dropped, in milliseconds; the newest are up to twice as old. */
@@ -17,20 +18,14 @@
 const REFUTING_FACTOR = 2;
 const REFUTING_MARGIN_MS = 100;
 
-/** An answer that goes on, or has gone on. */
-export interface AnswerRun {
-  /** Monotonic time of its begin, in milliseconds. */
-  readonly beganAt: number | undefined;
-  /** Time for which it has gone on at least, in milliseconds. */
-  readonly livedMs: number;
-  readonly isWhole: boolean;
-}
-
 /**
  * Whether an answer shows that what its request shares crashes no replica: it is whole, or has gone on for far longer.
  * @param longestMs - Longest time for which an answer with the feature had gone on at one of its crashes, in milliseconds.
  */
-export function isSoundRun({ livedMs, isWhole }: AnswerRun, longestMs: number): boolean {
+export function isSoundRun(
+  { livedMs, isWhole }: Pick<AnswerRun, 'livedMs' | 'isWhole'>,
+  longestMs: number,
+): boolean {
   return isWhole || livedMs > REFUTING_FACTOR * longestMs + REFUTING_MARGIN_MS;
 }
 
@@ -72,8 +67,8 @@
 
   private epochEndsAt: number;
 
-  /** Answers that have begun, by route. */
-  private readonly runs = new Map<string, Set<AnswerRun>>();
+  /** Answers that have begun, by route, in the order of their begin. */
+  private readonly runs = new Map<string, AnswerRun[]>();
 
   constructor(private readonly timers: TimerService) {
     this.epochEndsAt = timers.now() + EPOCH_MS;
@@ -85,14 +80,23 @@
     this.current.count(route, features);
   }
 
-  /** Records an answer that has begun; how long it goes on is read when it matters. */
-  recordRun(route: string, run: AnswerRun): void {
-    const runs = this.runs.get(route) ?? new Set();
-    this.runs.set(route, runs);
-    runs.add(run);
-    if (runs.size <= MAX_RUNS) return;
-    const [oldest] = runs;
-    runs.delete(oldest!);
+  /** Records an answer that has begun, or goes on; how long it goes on is read when it matters. */
+  recordRun(run: AnswerRun): void {
+    const runs = this.runs.get(run.route) ?? [];
+    this.runs.set(run.route, runs);
+    if (run.livedMs > 0) return;
+    runs.push(run);
+    if (runs.length > MAX_RUNS) runs.shift();
+  }
+
+  /**
+   * Lists answers that have begun, the newest of each route first.
+   * @param since - Monotonic time from which on, in milliseconds.
+   */
+  *runsSince(since: number): Generator<AnswerRun, void, undefined> {
+    for (const runs of this.runs.values())
+      for (let index = runs.length - 1; index >= 0 && runs[index]!.beganAt! > since; index -= 1)
+        yield runs[index]!;
   }
 
   /**
@@ -108,16 +112,15 @@
     return {
       share: Math.min(1, (withFeature + 1 + Math.sqrt(withFeature + 1)) / (requests + 1)),
       shareAtLeast: Math.max(0, withFeature - Math.sqrt(withFeature)) / (requests + 1),
-      soundRuns: this.runsSince(route, since, longestMs),
+      soundRuns: this.soundRunsSince(route, since, longestMs),
     };
   }
 
-  private runsSince(route: string | undefined, since: number, longestMs: number): number {
-    const runs =
-      route === undefined
-        ? [...this.runs.values()].flatMap((one) => [...one])
-        : [...(this.runs.get(route) ?? [])];
-    return runs.filter((run) => (run.beganAt ?? since) > since && isSoundRun(run, longestMs)).length;
+  private soundRunsSince(route: string | undefined, since: number, longestMs: number): number {
+    let count = 0;
+    for (const run of this.runsSince(since))
+      if ((route === undefined || run.route === route) && isSoundRun(run, longestMs)) count += 1;
+    return count;
   }
 
   private startEpoch(): void {
--- a/packages/routing/src/core/suspects/index.ts
+++ b/packages/routing/src/core/suspects/index.ts
@@ -3,9 +3,10 @@
 export { AttemptEnd, AttemptLedger } from './attempt-ledger.js';
 export type { CrashDetectorOptions } from './crash-detector.js';
 export { CrashDetector } from './crash-detector.js';
+export type { EndSignRule } from './end-signs.js';
+export { END_SIGNS, EndSign } from './end-signs.js';
 export type { FeatureUse } from './evidence.js';
 export { chanceOf, isCause } from './evidence.js';
-export type { AnswerRun } from './feature-statistics.js';
 export { FeatureStatistics, isSoundRun } from './feature-statistics.js';
 export type { RequestFingerprints, RequestIdentity } from './fingerprint.js';
 export { fingerprintsOf, sharedFeatures } from './fingerprint.js';
--- a/packages/routing/src/core/suspects/suspect-codec.ts
+++ b/packages/routing/src/core/suspects/suspect-codec.ts
@@ -1,5 +1,6 @@
 /** Encodes rows about suspects as arrays. Daemons have different clocks, so times are sent as ages. */
 import type { SharedFeature, SuspectRequest } from '@celeryyoke/core';
+import { EndCertainty } from '@celeryyoke/core';
 
 import type { SuspectRow } from './types.js';
 import { SuspectRowKind } from './types.js';
@@ -7,12 +8,12 @@
 /** Fingerprint of a request, then each shared feature with what it must differ in, which may be empty. */
 type RequestFrame = readonly string[];
 
-/** Age of a request's answer at the sending, in milliseconds; negative if it had not begun. */
-type AnswerAge = number;
+/** Ages of a request and of its answer at the sending, in milliseconds; negative if that is not known or has not begun. */
+type AgesFrame = readonly [requestMs: number, answerMs: number];
 
 /**
- * Kind, name, time relative to the sending in milliseconds, reporter, a list of names or of requests, and the ages of
- * the answers to these requests.
+ * Kind, name, time relative to the sending in milliseconds, reporter, a list of names or of requests, the ages of these
+ * requests, and how sure the row is.
  */
 export type SuspectFrame = readonly [
   kind: SuspectRowKind,
@@ -20,20 +21,29 @@
   ms: number,
   reporter: string,
   list: readonly string[] | readonly RequestFrame[],
-  ages?: readonly AnswerAge[],
+  ages?: readonly AgesFrame[],
+  certainty?: EndCertainty,
 ];
 
-const NOT_BEGUN: AnswerAge = -1;
+const UNKNOWN_AGE = -1;
+/** What a daemon of an earlier version sends. */
+const UNKNOWN_AGES: AgesFrame = [UNKNOWN_AGE, UNKNOWN_AGE];
 
 function encodeRequest({ fingerprint, shared }: SuspectRequest): RequestFrame {
   return [fingerprint, ...shared.flatMap(({ feature, within }) => [feature, within ?? ''])];
 }
 
-function encodeAge({ beganAt }: SuspectRequest, now: number): AnswerAge {
-  return beganAt === undefined ? NOT_BEGUN : Math.max(0, Math.round(now - beganAt));
+function encodeAges({ sentAt, beganAt }: SuspectRequest, now: number): AgesFrame {
+  const age = (at: number | undefined): number =>
+    at === undefined ? UNKNOWN_AGE : Math.max(0, Math.round(now - at));
+  return [age(sentAt), age(beganAt)];
 }
 
-function decodeRequest(frame: RequestFrame | string, age: AnswerAge, now: number): SuspectRequest {
+function decodeRequest(
+  frame: RequestFrame | string,
+  [sentMs, answerMs]: AgesFrame,
+  now: number,
+): SuspectRequest {
   // Daemons of an earlier version send fingerprints alone.
   if (typeof frame === 'string') return { fingerprint: frame, shared: [] };
   const [fingerprint = '', ...words] = frame;
@@ -43,7 +53,8 @@
     const within = words[index + 1];
     shared.push(within ? { feature, within } : { feature });
   }
-  return age < 0 ? { fingerprint, shared } : { fingerprint, shared, beganAt: now - age };
+  const time = (ms: number): number | undefined => (ms < 0 ? undefined : now - ms);
+  return { fingerprint, shared, sentAt: time(sentMs), beganAt: time(answerMs) };
 }
 
 /**
@@ -59,32 +70,46 @@
       Math.round(now - row.at),
       row.reporter,
       row.requests.map(encodeRequest),
-      row.requests.map((request) => encodeAge(request, now)),
+      row.requests.map((request) => encodeAges(request, now)),
+      row.certainty,
     ];
   if (kind === SuspectRowKind.Cleared) return [kind, row.fingerprint, Math.round(now - row.at), '', []];
   if (kind === SuspectRowKind.Quarantine)
-    return [kind, row.fingerprint, Math.round(row.until - now), '', row.replicas];
+    return [
+      kind,
+      row.fingerprint,
+      Math.round(row.until - now),
+      '',
+      row.replicas,
+      [],
+      row.isProvisional ? EndCertainty.Presumed : EndCertainty.Confirmed,
+    ];
   return [kind, row.replica, 0, '', []];
 }
 
 type Decoder = (frame: SuspectFrame, now: number) => SuspectRow;
 
 const DECODERS: Readonly<Record<SuspectRowKind, Decoder>> = {
-  [SuspectRowKind.Crash]: ([, replica, ageMs, reporter, requests, ages = []], now) => ({
+  [SuspectRowKind.Crash]: (
+    [, replica, ageMs, reporter, requests, ages = [], certainty = EndCertainty.Confirmed],
+    now,
+  ) => ({
     kind: SuspectRowKind.Crash,
     replica,
     reporter,
     at: now - ageMs,
-    requests: requests.map((request, index) => decodeRequest(request, ages[index] ?? NOT_BEGUN, now)),
+    certainty,
+    requests: requests.map((request, index) => decodeRequest(request, ages[index] ?? UNKNOWN_AGES, now)),
   }),
   [SuspectRowKind.Cleared]: ([, fingerprint, ageMs], now) => ({
     kind: SuspectRowKind.Cleared,
     fingerprint,
     at: now - ageMs,
   }),
-  [SuspectRowKind.Quarantine]: ([, fingerprint, remainingMs, , replicas], now) => ({
+  [SuspectRowKind.Quarantine]: ([, fingerprint, remainingMs, , replicas, , certainty], now) => ({
     kind: SuspectRowKind.Quarantine,
     fingerprint,
+    isProvisional: certainty === EndCertainty.Presumed,
     replicas: replicas as readonly string[],
     until: now + remainingMs,
   }),
--- a/packages/routing/src/core/suspects/suspect-registry.ts
+++ b/packages/routing/src/core/suspects/suspect-registry.ts
@@ -12,15 +12,16 @@
   TimerHandle,
   TimerService,
 } from '@celeryyoke/core';
-import { CrashLog, Suspicion } from '@celeryyoke/core';
+import { CrashLog, EndCertainty, Suspicion } from '@celeryyoke/core';
 
 import type { Cluster } from '../cluster/index.js';
 import { MessageType } from '../cluster/index.js';
 import type { DisseminationTree, TopicHandler } from '../dissemination/index.js';
 import { Topic } from '../dissemination/index.js';
 import type { ReplicaEntry } from '../view/index.js';
-import type { AttemptLedger, AttemptRecord } from './attempt-ledger.js';
+import type { AnswerRun, AttemptLedger, AttemptRecord } from './attempt-ledger.js';
 import type { CrashDetector } from './crash-detector.js';
+import { END_SIGNS, EndSign } from './end-signs.js';
 import type { FeatureUse } from './evidence.js';
 import { chanceOf, isCause } from './evidence.js';
 import { FeatureStatistics, isSoundRun } from './feature-statistics.js';
@@ -42,10 +43,16 @@
 const SAME_CRASH_MS = QUARANTINE_MS;
 /** Largest delay of a message between daemons, by which a time is taken for a later one, in milliseconds. */
 const TIME_MARGIN_MS = 100;
+/** Time after which the end of a replica that is only presumed is forgotten, in milliseconds. */
+const PRESUMED_MS = 30_000;
+/** Time for which what requests share is refused while ends are presumed only, in milliseconds; renewed while they are. */
+const PROVISIONAL_MS = 2000;
 /** Shortest time between two reviews of what requests share, in milliseconds. */
 const REVIEW_INTERVAL_MS = 100;
 /** Time before a crash up to which a request that was given up may have caused it, in milliseconds. */
 const GIVEN_UP_MS = 250;
+/** Time in which a replica that has sent nothing is taken to have ended after the first request to it, in milliseconds. */
+const UNHEARD_MS = 1000;
 /** Largest number of features that are kept. */
 const CAPACITY = 4096;
 const EXPIRY_INTERVAL_MS = 1000;
@@ -69,7 +76,7 @@
   readonly cluster: Pick<Cluster, 'aliveAddresses' | 'send' | 'handle'>;
   readonly tree: Pick<DisseminationTree, 'register' | 'publish'>;
   readonly detector: Pick<CrashDetector, 'hasCrashed'>;
-  readonly attempts: Pick<AttemptLedger, 'onProgress' | 'unanswered'>;
+  readonly attempts: Pick<AttemptLedger, 'onProgress' | 'unanswered' | 'lastHeardAt'>;
   readonly timers: TimerService;
   readonly log: DecisionLog;
 }
@@ -83,6 +90,9 @@
   /** Requests that this daemon had in flight on replicas that crashed, by replica. */
   private readonly ownReports = new Map<string, CrashRow>();
 
+  /** Monotonic times until which features are refused provisionally, in milliseconds. */
+  private readonly provisionalUntil = new Map<string, number>();
+
   private readonly expiryTimer: TimerHandle;
 
   /** Monotonic time of the latest review of what requests share, in milliseconds. */
@@ -96,6 +106,7 @@
       isCause: (evidence: FeatureEvidence) => this.isCause(evidence),
       quarantineMs: QUARANTINE_MS,
       suspectMs: QUARANTINE_MS,
+      presumedMs: PRESUMED_MS,
       minCrashes: MIN_CRASHES,
       maxCrashes: MAX_CRASHES,
       settleMs: SETTLE_MS,
@@ -104,6 +115,7 @@
     };
     this.crashes = new CrashLog(bounds, {
       quarantined: (feature, replicas, isShared) => this.handleQuarantine(feature, replicas, isShared),
+      presumed: (feature) => this.refuseProvisionally(feature),
       lifted: (fingerprint) =>
         options.log.decide('request.released', 'A request is no longer quarantined.', { fingerprint }),
     });
@@ -125,10 +137,9 @@
    * @param fingerprints - Computes its fingerprints; not called while nothing is known of any request.
    */
   suspicionOf(fingerprints: () => RequestFingerprints): Suspicion {
-    if (this.crashes.isEmpty) return Suspicion.Clear;
+    if (this.crashes.isEmpty && this.provisionalUntil.size === 0) return Suspicion.Clear;
     const { exact, anyQuery, shared } = fingerprints();
-    if (shared.some(({ feature }) => this.crashes.quarantineOf(feature) !== undefined))
-      return Suspicion.Quarantined;
+    if (shared.some(({ feature }) => this.remainingMs(feature) > 0)) return Suspicion.Quarantined;
     const suspicion = this.crashes.lookUp(exact);
     if (anyQuery === undefined || suspicion === Suspicion.Quarantined) return suspicion;
     const suspicionOfPath = this.crashes.lookUp(anyQuery);
@@ -141,8 +152,8 @@
   }
 
   private remainingMs(fingerprint: string): number {
-    const entry = this.crashes.quarantineOf(fingerprint);
-    return entry === undefined ? 0 : entry.until - this.options.timers.now();
+    const until = this.crashes.quarantineOf(fingerprint)?.until ?? this.provisionalUntil.get(fingerprint);
+    return until === undefined ? 0 : Math.max(0, until - this.options.timers.now());
   }
 
   /**
@@ -168,20 +179,25 @@
   }
 
   /** Clears what an answer that goes on shares with others, and weighs what others share again. */
-  private recordProgress(record: AttemptRecord): void {
+  private recordProgress(run: AnswerRun): void {
+    if (run.shared.length === 0) return;
+    this.statistics.recordRun(run);
     if (this.crashes.isEmpty) return;
-    const { route, shared, beganAt } = record;
-    if (shared.length === 0 || beganAt === undefined) return;
-    this.statistics.recordRun(route, record);
-    for (const { feature } of shared)
-      if (this.crashes.isSuspect(feature) && isSoundRun(record, this.crashes.longestMs(feature)))
-        this.clearShared(feature, beganAt);
+    this.clearBy(run);
     const now = this.options.timers.now();
     if (now - this.reviewedAt < REVIEW_INTERVAL_MS) return;
     this.reviewedAt = now;
     this.crashes.reviewShared();
   }
 
+  /** Clears what an answer shares with others, as far as it shows that this crashes no replica. */
+  private clearBy(run: AnswerRun): void {
+    for (const { feature } of run.shared) {
+      if (!this.crashes.isSuspect(feature)) continue;
+      if (isSoundRun(run, this.crashes.longestMs(feature))) this.clearShared(feature, run.beganAt!);
+    }
+  }
+
   /**
    * Records that the connection of an attempt ended before the response. If its replica has crashed, all requests that
    * it has not answered are suspects.
@@ -190,42 +206,86 @@
    */
   async attemptCut(replica: ReplicaEntry, hasCrashed?: boolean): Promise<void> {
     if (!(hasCrashed ?? (await this.options.detector.hasCrashed(replica)))) return;
-    this.reportUnanswered(replica.id, this.options.timers.now());
+    this.reportEnd(replica.id, EndSign.Closed);
+  }
+
+  /** Reports that a replica has ended, with the requests that it has not answered. */
+  reportEnd(replica: string, sign: EndSign): void {
+    const { certainty, isDated } = END_SIGNS[sign];
+    const at = isDated ? this.options.timers.now() : this.estimateEnd(replica);
+    if (certainty === EndCertainty.Confirmed) this.crashes.confirm(replica);
+    this.reportUnanswered(replica, at, certainty, sign);
+  }
+
+  /** Estimates when a silent replica has ended: at its last bytes, or as peers have found if it has sent nothing here. */
+  private estimateEnd(replica: string): number {
+    const { attempts, timers } = this.options;
+    const heardAt = attempts.lastHeardAt(replica) ?? Number.NEGATIVE_INFINITY;
+    const sentAt = attempts
+      .unanswered(replica)
+      .filter(({ endedAt = heardAt }) => endedAt >= heardAt - GIVEN_UP_MS)
+      .map((record) => record.sentAt);
+    const firstSentAt = Math.min(timers.now(), ...sentAt);
+    if (firstSentAt <= heardAt) return heardAt;
+    return this.crashes.crashedAt(replica) ?? Math.min(timers.now(), firstSentAt + UNHEARD_MS);
   }
 
   /** Reports the requests that a replica has not answered, as far as peers have not been told. */
-  private reportUnanswered(replica: string, endedAt: number): void {
-    const { self, attempts, log } = this.options;
+  private reportUnanswered(replica: string, endedAt: number, certainty: EndCertainty, sign: EndSign): void {
+    const { self, log } = this.options;
     const known = this.ownReports.get(replica);
-    const at = known?.at ?? endedAt;
-    const reported = new Set(known?.requests.map(({ fingerprint }) => fingerprint));
-    const records = attempts
-      .unanswered(replica)
-      .filter((record) => record.endedAt === undefined || record.endedAt >= at - GIVEN_UP_MS)
-      .filter((record) => !reported.has(record.fingerprints().exact));
-    if (records.length === 0) return;
+    const records = this.unreported(replica, Math.min(known?.at ?? endedAt, endedAt));
+    const isSurer = known !== undefined && certainty > known.certainty;
+    if (records.length === 0 && !isSurer) return;
     const requests = [...(known?.requests ?? []), ...records.flatMap((record) => this.suspectsOf(record))];
     const row: CrashRow = {
       kind: SuspectRowKind.Crash,
       replica,
       reporter: self,
-      at,
+      at: known?.at ?? endedAt,
+      certainty: isSurer ? certainty : (known?.certainty ?? certainty),
       requests: requests.slice(-MAX_REQUESTS),
     };
     this.ownReports.set(replica, row);
-    log.decide('replica.crashed', `Replica ${replica} crashed with requests in flight.`, {
+    log.decide('replica.crashed', `Replica ${replica} has ended with requests in flight: ${sign}.`, {
       replica,
+      sign,
+      isPresumed: certainty === EndCertainty.Presumed,
+      endedAgoMs: Math.round(this.options.timers.now() - row.at),
       inFlight: requests.length,
       fingerprints: records.map((record) => record.fingerprints().exact).join(' '),
-      answeredMs: records.map(({ livedMs }) => Math.round(livedMs)).join(' '),
+      answeredMs: records.map(({ answer }) => Math.round(answer.livedMs)).join(' '),
     });
     this.merge(row);
     this.publish(row);
   }
 
-  private suspectsOf({ fingerprints, shared, beganAt }: AttemptRecord): SuspectRequest[] {
+  /** Attempts that a replica has not answered, that were made until its end, and of which peers have not been told. */
+  private unreported(replica: string, endedAt: number): AttemptRecord[] {
+    const reported = new Set(this.ownReports.get(replica)?.requests.map(({ fingerprint }) => fingerprint));
+    return this.options.attempts
+      .unanswered(replica)
+      .filter((record) => record.endedAt === undefined || record.endedAt >= endedAt - GIVEN_UP_MS)
+      .filter((record) => !reported.has(record.fingerprints().exact));
+  }
+
+  /** Adds what this daemon had in flight to what a peer has reported, unless the replica goes on here. */
+  private contribute({ replica, at, certainty }: CrashRow): void {
+    const heardAt = this.options.attempts.lastHeardAt(replica) ?? Number.NEGATIVE_INFINITY;
+    const isPresumed = certainty === EndCertainty.Presumed;
+    if (heardAt > at + REFUTE_FROM_MS) {
+      if (isPresumed) this.refute(replica);
+      return;
+    }
+    const isOpen = (record: AttemptRecord): boolean => record.endedAt === undefined;
+    // What is still open at a replica whose connections have closed is reported when this daemon finds that out.
+    const records = this.unreported(replica, at).filter((record) => isPresumed || !isOpen(record));
+    if (records.length > 0) this.reportUnanswered(replica, at, certainty, EndSign.Reported);
+  }
+
+  private suspectsOf({ fingerprints, shared, sentAt, answer: { beganAt } }: AttemptRecord): SuspectRequest[] {
     const { exact, anyQuery } = fingerprints();
-    const request: SuspectRequest = { fingerprint: exact, shared, beganAt };
+    const request: SuspectRequest = { fingerprint: exact, shared, sentAt, beganAt };
     // What comes again as it was needs no other name; the query may be what differs the next time.
     const isNew = this.crashes.lookUp(exact) === Suspicion.Clear;
     return isNew && anyQuery !== undefined ? [request, { fingerprint: anyQuery, shared: [] }] : [request];
@@ -290,11 +350,44 @@
         ({ upstream, at, isExplained }) =>
           upstream === replica && !isExplained && now - at > REFUTE_FROM_MS && now - at < REFUTE_UNTIL_MS,
       );
-    if (!isRefuted) return;
+    if (isRefuted) this.refute(replica);
+  }
+
+  /**
+   * Returns the monotonic time of the last sign of life of a replica that is presumed to have ended, in milliseconds;
+   * undefined if it is not.
+   */
+  presumedEnd(replica: string): number | undefined {
+    return this.crashes.presumedCrash(replica)?.at;
+  }
+
+  /** Records that a replica that was reported to have ended goes on. */
+  refute(replica: string): void {
     const row: SuspectRow = { kind: SuspectRowKind.Refuted, replica };
     if (this.merge(row)) this.publish(row);
   }
 
+  /** Refuses what requests share that would be a cause if the ends that are presumed were confirmed. */
+  private refuseProvisionally(feature: string): void {
+    const until = this.options.timers.now() + PROVISIONAL_MS;
+    const replicas = this.crashes.upstreamsOf(feature);
+    const row = { ...quarantineRow(feature, replicas, until), isProvisional: true };
+    if (this.merge(row)) this.publish(row);
+  }
+
+  private mergeProvisional({ fingerprint, replicas, until }: QuarantineRow): boolean {
+    const known = this.provisionalUntil.get(fingerprint);
+    if (known !== undefined && until - known < PROVISIONAL_MS / 2) return false;
+    this.provisionalUntil.set(fingerprint, until);
+    if (known === undefined)
+      this.options.log.decide('request.held', 'Requests that may end replicas are refused for the moment.', {
+        fingerprint,
+        replicas: replicas.join(' '),
+        forMs: Math.round(until - this.options.timers.now()),
+      });
+    return true;
+  }
+
   private handleQuarantine(feature: string, replicas: readonly string[], isShared: boolean): void {
     const entry = this.crashes.quarantineOf(feature);
     if (entry === undefined) return;
@@ -334,19 +427,26 @@
   private readonly merges: {
     readonly [Kind in SuspectRowKind]: (row: Extract<SuspectRow, { kind: Kind }>) => boolean;
   } = {
-    [SuspectRowKind.Crash]: ({ replica, at, requests }) => {
-      const isNew = this.crashes.add(replica, at, requests);
+    [SuspectRowKind.Crash]: (row) => {
+      const { replica, at, certainty, requests, reporter } = row;
+      const isNew = this.crashes.add(replica, at, requests, certainty);
+      // An end may become known only after answers that began since have shown what does not cause it.
+      if (isNew) for (const run of this.statistics.runsSince(at)) this.clearBy(run);
+      if (isNew && reporter !== this.options.self) this.contribute(row);
       if (isNew) this.options.timers.after(SETTLE_MS, () => this.crashes.reviewAll());
       return isNew;
     },
     [SuspectRowKind.Cleared]: ({ fingerprint, at }) => this.crashes.clear(fingerprint, at),
-    [SuspectRowKind.Quarantine]: ({ fingerprint, replicas, until }) => {
+    [SuspectRowKind.Quarantine]: (row) => {
+      if (row.isProvisional) return this.mergeProvisional(row);
+      const { fingerprint, replicas, until } = row;
       const isNew = this.crashes.addQuarantine(fingerprint, { upstreams: replicas, until });
       if (isNew) this.logQuarantine(fingerprint, replicas);
       return isNew;
     },
     [SuspectRowKind.Refuted]: ({ replica }) => {
       const isNew = this.crashes.refute(replica);
+      this.ownReports.delete(replica);
       if (isNew)
         this.options.log.decide('replica.crashed', `Replica ${replica} responds, so it has not crashed.`, {
           replica,
@@ -363,10 +463,24 @@
 
   private expire(): void {
     this.crashes.expire();
+    this.crashes.reviewShared();
+    this.expireProvisional();
     const oldest = this.options.timers.now() - QUARANTINE_MS;
     for (const [replica, { at }] of this.ownReports) if (at < oldest) this.ownReports.delete(replica);
   }
 
+  private expireProvisional(): void {
+    const { timers, log } = this.options;
+    for (const [feature, until] of this.provisionalUntil) {
+      if (until > timers.now()) continue;
+      this.provisionalUntil.delete(feature);
+      if (this.crashes.quarantineOf(feature) === undefined)
+        log.decide('request.released', 'What requests share is no longer refused for the moment.', {
+          fingerprint: feature,
+        });
+    }
+  }
+
   private topic(): TopicHandler<SuspectRow> {
     const { timers } = this.options;
     return {
@@ -386,19 +500,20 @@
       yield quarantineRow(fingerprint, upstreams, until);
     for (const [fingerprint, at] of this.crashes.cleared().slice(0, MAX_SNAPSHOT_ROWS))
       yield { kind: SuspectRowKind.Cleared, fingerprint, at };
-    for (const { upstream, at, requests } of this.crashes.recent().slice(0, MAX_SNAPSHOT_ROWS))
+    for (const { upstream, at, certainty, requests } of this.crashes.recent().slice(0, MAX_SNAPSHOT_ROWS))
       yield {
         kind: SuspectRowKind.Crash,
         replica: upstream,
         reporter: self,
         at,
+        certainty,
         requests: [...requests.values()].slice(0, MAX_REQUESTS),
       };
   }
 }
 
 function quarantineRow(fingerprint: string, replicas: readonly string[], until: number): QuarantineRow {
-  return { kind: SuspectRowKind.Quarantine, fingerprint, replicas, until };
+  return { kind: SuspectRowKind.Quarantine, fingerprint, isProvisional: false, replicas, until };
 }
 
 function keyOf(row: SuspectRow): string {
--- a/packages/routing/src/core/suspects/types.ts
+++ b/packages/routing/src/core/suspects/types.ts
@@ -1,5 +1,5 @@
 /** What daemons tell each other about requests under which replicas crash. */
-import type { SuspectRequest } from '@celeryyoke/core';
+import type { EndCertainty, SuspectRequest } from '@celeryyoke/core';
 
 /** Kinds of rows; the numbers are sent. */
 export enum SuspectRowKind {
@@ -20,8 +20,9 @@
   readonly replica: string;
   /** Address of the daemon. */
   readonly reporter: string;
-  /** Monotonic time of the crash, in milliseconds. */
+  /** Monotonic time of the crash, or of the last bytes from a replica that is silent, in milliseconds. */
   readonly at: number;
+  readonly certainty: EndCertainty;
   readonly requests: readonly SuspectRequest[];
 }
 
@@ -37,6 +38,8 @@
 export interface QuarantineRow {
   readonly kind: SuspectRowKind.Quarantine;
   readonly fingerprint: string;
+  /** Whether the ends of these replicas are only presumed, so that it is refused for a short time. */
+  readonly isProvisional: boolean;
   /** Incarnations of the replicas that crashed under it. */
   readonly replicas: readonly string[];
   /** Monotonic time of the end, in milliseconds. */
--- a/packages/routing/src/core/view/index.ts
+++ b/packages/routing/src/core/view/index.ts
@@ -3,7 +3,7 @@
  * the others.
  */
 export type { EpochStart, SnapshotListener } from './replicated-store.js';
-export type { DeclaredVersion } from './registry.js';
+export type { DeclaredVersion, ReplicaListener } from './registry.js';
 export { ReplicaRegistry } from './registry.js';
 export type { Listing, TakeOver } from './store-watcher.js';
 export { StoreWatcher } from './store-watcher.js';
--- /dev/null
+++ b/packages/routing/test/silent-ends.test.ts
@@ -0,0 +1,55 @@
+/** Parts of prompts under which replicas fall silent: how soon a fleet finds them, and what it refuses besides. */
+import test from 'ava';
+
+import type { Scenario } from './crash-play.js';
+import { BUSY, Ending, play } from './crash-play.js';
+
+/** Number of seeds; set the variable to play more than in CI. */
+const SEEDS = Number(process.env.CELERYYOKE_SOAK_PLAYS ?? 8);
+/** Requests with the part that may reach an engine after that. */
+const ALLOWED_LATE = 3;
+
+const SILENT_SCENARIOS: Readonly<Record<string, Scenario>> = {
+  'a rare part that silences': {
+    engines: 6,
+    perSecond: 40,
+    secondParts: 300,
+    guiltyEvery: 60,
+    ending: Ending.Silent,
+  },
+  'a part that silences': { ...BUSY, ending: Ending.Silent },
+  'a part of each fourth request that silences': { ...BUSY, guiltyEvery: 4, ending: Ending.Silent },
+  'a part that silences half a second after the first bytes': {
+    ...BUSY,
+    ending: Ending.Silent,
+    crashAfterMs: 500,
+  },
+  'a part that silences a second after the first bytes': {
+    ...BUSY,
+    ending: Ending.Silent,
+    crashAfterMs: 1000,
+    answerMs: 1500,
+  },
+  'a part that silences until another start': { ...BUSY, ending: Ending.Replaced },
+  'a part that silences before the first bytes': { ...BUSY, ending: Ending.Silent, crashAfterMs: -20 },
+};
+
+// Guards against a part that ends one replica after the other, as none of them closes its connections.
+for (const [name, scenario] of Object.entries(SILENT_SCENARIOS))
+  test(`${name} is found after few crashes, and requests without it are served`, async (t) => {
+    for (let seed = 0; seed < SEEDS; seed += 1) {
+      const { crashes, lateArrivals, refused } = await play(scenario, seed);
+      t.log(`seed ${seed}: ${crashes} crashes, ${lateArrivals} late arrivals, ${refused} others refused`);
+      t.true(lateArrivals <= ALLOWED_LATE, `seed ${seed}: ${lateArrivals} late arrivals`);
+      t.is(refused, 0, `seed ${seed}`);
+    }
+  });
+
+// Guards against refusing anything because replicas pause: they go on, and so do their answers.
+test('replicas that are silent for a while and go on show nothing about what requests share', async (t) => {
+  const scenario = { ...BUSY, guiltyEvery: undefined, pauses: [0, 2500, 5000, 7500] };
+  for (let seed = 0; seed < SEEDS; seed += 1) {
+    const { refused } = await play(scenario, seed);
+    t.is(refused, 0, `seed ${seed}`);
+  }
+});
--- a/packages/routing/test/suspect-fleet.ts
+++ b/packages/routing/test/suspect-fleet.ts
@@ -5,12 +5,21 @@
 import type {
   FollowedAttempt,
   ReplicaEntry,
+  ReplicaListener,
   RequestFingerprints,
   SuspectRegistryOptions,
   TopicHandler,
 } from '../src/index.js';
-import { AttemptEnd, AttemptLedger, MessageType, SuspectRegistry } from '../src/index.js';
+import {
+  AttemptEnd,
+  AttemptLedger,
+  MessageType,
+  ReplicaEnds,
+  ReplicaState,
+  SuspectRegistry,
+} from '../src/index.js';
 
+const SERVICE = 'llm';
 /** Delay of messages over the tree, in milliseconds. */
 export const TREE_DELAY_MS = 40;
 /** Delay of messages from one daemon to another, in milliseconds. */
@@ -35,6 +44,11 @@
   /** Messages sent to peers directly. */
   directMessages = 0;
 
+  /** Replicas that the platform lists, by incarnation. */
+  private readonly listed = new Map<string, ReplicaEntry>();
+
+  private readonly replicaListeners: ReplicaListener[] = [];
+
   private readonly topics: TopicHandler<unknown>[] = [];
 
   private readonly handlers: Handler[] = [];
@@ -56,11 +70,25 @@
     await this.registries[daemon]!.attemptCut({ id } as ReplicaEntry);
   }
 
+  /** Lists an incarnation of a replica. */
+  list(id: string): void {
+    const entry = { id, service: SERVICE, state: ReplicaState.Ready } as ReplicaEntry;
+    this.listed.set(id, entry);
+    for (const listener of this.replicaListeners) listener(id, entry, undefined);
+  }
+
+  /** Removes the entry of an incarnation. */
+  unlist(id: string): void {
+    const entry = this.listed.get(id);
+    this.listed.delete(id);
+    for (const listener of this.replicaListeners) listener(id, undefined, entry);
+  }
+
   /** Begins an attempt of a daemon. */
   begin(daemon: number, replica: string, request: RequestFingerprints): FollowedAttempt {
     return this.attempts[daemon]!.begin({
       replica,
-      service: 'llm',
+      service: SERVICE,
       route: 'route',
       shared: request.shared,
       fingerprints: () => request,
@@ -106,7 +134,34 @@
     const attempts = new AttemptLedger(timers);
     this.attempts[index] = attempts;
     const options = { self, cluster, tree, detector, attempts, timers, log: createSilentLog() };
-    return new SuspectRegistry(options as unknown as SuspectRegistryOptions);
+    const suspects = new SuspectRegistry(options as unknown as SuspectRegistryOptions);
+    this.createEnds(index, attempts, suspects);
+    return suspects;
+  }
+
+  private createEnds(index: number, attempts: AttemptLedger, suspects: SuspectRegistry): ReplicaEnds {
+    const registry = {
+      onReplica: (listener: ReplicaListener) => this.replicaListeners.push(listener),
+      replica: (id: string) => this.listed.get(id),
+    };
+    const witness = {
+      ask: async (_service: string, [id]: readonly string[]) => {
+        await this.timers.sleep(2 * DIRECT_DELAY_MS);
+        const peers = this.attempts.filter((_one, peer) => peer !== index);
+        const heardAt = Math.max(...peers.map((peer) => peer.lastHeardAt(id!) ?? 0));
+        return { heardAt: new Map([[id!, heardAt]]), isReached: false };
+      },
+    };
+    return new ReplicaEnds({
+      registry,
+      attempts,
+      suspects,
+      witness,
+      paths: { causeOf: () => undefined },
+      isRecovering: () => false,
+      timers: this.timers,
+      log: createSilentLog(),
+    });
   }
 
   private publish(from: number, row: unknown): void {
