suspects: take a removed entry for an end only where silence is its own

Now an answer must have begun and fallen silent when the replica sent its last byte, the host must not be cut off or have been paused, and peers are asked, as for a silent replica. An entry of another start of the same name shows an end by itself. Any daemon that hears from the replica on an attempt of before refutes an end, by whatever sign it was found.

--- a/packages/core/src/core/suspects/crash-log.ts
+++ b/packages/core/src/core/suspects/crash-log.ts
@@ -85,8 +85,8 @@
 
   private readonly clearedAt = new Map<string, number>();
 
-  /** Crashes that are only presumed, by upstream. */
-  private readonly presumed = new Map<string, Crash>();
+  /** Latest crash of each upstream. */
+  private readonly byUpstream = new Map<string, Crash>();
 
   /** Monotonic times at which upstreams turned out to run on, in milliseconds. */
   private readonly refutedAt = new Map<string, number>();
@@ -115,11 +115,6 @@
     return this.byFeature.has(feature);
   }
 
-  /** Monotonic time of the latest known crash of an upstream, in milliseconds; undefined if none is known. */
-  crashedAt(upstream: string): number | undefined {
-    return this.crashes.findLast((crash) => crash.upstream === upstream)?.at;
-  }
-
   /** Upstreams at whose crashes a feature is suspected. */
   upstreamsOf(feature: string): string[] {
     return [...(this.byFeature.get(feature) ?? [])].map(({ upstream }) => upstream);
@@ -153,7 +148,7 @@
     if (at <= (this.refutedAt.get(upstream) ?? Number.NEGATIVE_INFINITY)) return false;
     const crash = this.find(upstream, at, certainty);
     let hasChanged = certainty > crash.certainty;
-    if (hasChanged) this.makeCertain(crash);
+    if (hasChanged) Object.assign(crash, { certainty });
     // What several daemons have heard last of it is the closest to its end.
     if (at > crash.at) Object.assign(crash, { at });
     for (const request of requests) if (this.addRequest(request, crash)) hasChanged = true;
@@ -168,11 +163,9 @@
     this.reviewShared();
   }
 
-  /** Returns the crash of an upstream that is only presumed, if there is one. */
-  presumedCrash(upstream: string): Crash | undefined {
-    return this.crashes.find(
-      (crash) => crash.upstream === upstream && crash.certainty === EndCertainty.Presumed,
-    );
+  /** Returns the latest crash of an upstream, if one is known. */
+  crashOf(upstream: string): Crash | undefined {
+    return this.byUpstream.get(upstream);
   }
 
   /**
@@ -180,18 +173,19 @@
    * @returns Whether that is new.
    */
   confirm(upstream: string): boolean {
-    const crash = this.presumedCrash(upstream);
-    if (crash === undefined) return false;
-    this.makeCertain(crash);
+    const crash = this.byUpstream.get(upstream);
+    if (crash?.certainty !== EndCertainty.Presumed) return false;
+    Object.assign(crash, { certainty: EndCertainty.Confirmed });
     this.reviewAll();
     return true;
   }
 
   /** Quarantines what requests share that caused crashes; to be called when others of them have run since. */
   reviewShared(): void {
+    const isAnyPresumed = this.crashes.some(({ certainty }) => certainty === EndCertainty.Presumed);
     for (const feature of [...this.byFeature.keys()])
       if (this.isSharedCause(feature, EndCertainty.Confirmed)) this.convict(feature);
-      else if (this.presumed.size > 0 && this.isSharedCause(feature, EndCertainty.Presumed))
+      else if (isAnyPresumed && this.isSharedCause(feature, EndCertainty.Presumed))
         this.listener.presumed?.(feature);
   }
 
@@ -307,13 +301,8 @@
     this.clearedAt.delete(oldest!);
   }
 
-  private makeCertain(crash: Crash): void {
-    Object.assign(crash, { certainty: EndCertainty.Confirmed });
-    this.presumed.delete(crash.upstream);
-  }
-
   private drop(crash: Crash): void {
-    if (this.presumed.get(crash.upstream) === crash) this.presumed.delete(crash.upstream);
+    if (this.byUpstream.get(crash.upstream) === crash) this.byUpstream.delete(crash.upstream);
     for (const feature of [...crash.features]) this.removeSuspect(feature, crash);
     this.crashes = this.crashes.filter((known) => known !== crash);
   }
@@ -333,7 +322,7 @@
       isExplained: false,
     };
     this.crashes.push(crash);
-    if (certainty === EndCertainty.Presumed) this.presumed.set(upstream, crash);
+    this.byUpstream.set(upstream, crash);
     return crash;
   }
 
--- a/packages/routing/src/core/suspects/end-signs.ts
+++ b/packages/routing/src/core/suspects/end-signs.ts
@@ -5,7 +5,9 @@
 export enum EndSign {
   /** All connections to it have closed, and it refuses new ones. */
   Closed = 'closed',
-  /** It is silent, and its entry was removed, or replaced by the entry of another start. */
+  /** Its entry was replaced by that of another start of the same replica. */
+  Replaced = 'replaced',
+  /** Its entry was removed while it was silent. */
   Removed = 'removed',
   /** It sends nothing on connections on which answers had begun, and peers have not heard from it either. */
   Silent = 'silent',
@@ -20,10 +22,10 @@
   readonly isDated: boolean;
 }
 
-/** Rules by sign. */
-export const END_SIGNS: Readonly<Record<EndSign, EndSignRule>> = {
+/** Rules by sign, for what a daemon sees itself; a report of a peer has the certainty that it states. */
+export const END_SIGNS: Readonly<Record<Exclude<EndSign, EndSign.Reported>, EndSignRule>> = {
   [EndSign.Closed]: { certainty: EndCertainty.Confirmed, isDated: true },
+  [EndSign.Replaced]: { certainty: EndCertainty.Confirmed, isDated: false },
   [EndSign.Removed]: { certainty: EndCertainty.Confirmed, isDated: false },
   [EndSign.Silent]: { certainty: EndCertainty.Presumed, isDated: false },
-  [EndSign.Reported]: { certainty: EndCertainty.Presumed, isDated: false },
 };
--- a/packages/routing/src/core/suspects/replica-ends.ts
+++ b/packages/routing/src/core/suspects/replica-ends.ts
@@ -2,8 +2,8 @@
  * Finds replicas that end with requests in flight and close no connection.
  *
  * A replica that sends nothing on connections on which answers had begun is presumed to have ended if other replicas
- * still send, and no peer has heard from it. That its entry is removed, or replaced by another start, confirms it. Any
- * byte on a connection of before refutes it.
+ * still send, and no peer has heard from it. That its entry is removed confirms it; that it is replaced by another start
+ * shows it by itself. Any byte on a connection of before refutes it.
  */
 import type { DecisionLog, TimerHandle, TimerService } from '@celeryyoke/core';
 
@@ -20,6 +20,10 @@
 const SILENT_AFTER_MS = 500;
 /** Time without a byte after which a replica whose entry is removed has ended, in milliseconds. */
 const REMOVED_AFTER_MS = 400;
+/** Time after an end from which on bytes refute it, in milliseconds: they may have been on their way before. */
+const REFUTE_AFTER_MS = 300;
+/** Time between the last bytes of two attempts that a replica served at the same time, in milliseconds. */
+const SAME_TIME_MS = 250;
 /** Time between two questions to peers about one replica, in milliseconds. */
 const ASK_INTERVAL_MS = 1000;
 /** Time by which bytes at a peer must be later than the last ones here, in milliseconds. */
@@ -27,9 +31,9 @@
 
 /** What the finder uses. */
 export interface ReplicaEndsOptions {
-  readonly registry: Pick<ReplicaRegistry, 'onReplica' | 'replica'>;
+  readonly registry: Pick<ReplicaRegistry, 'onReplica' | 'replica' | 'all'>;
   readonly attempts: Pick<AttemptLedger, 'replicas' | 'unanswered' | 'lastHeardAt' | 'onBytes' | 'expire'>;
-  readonly suspects: Pick<SuspectRegistry, 'reportEnd' | 'presumedEnd' | 'refute'>;
+  readonly suspects: Pick<SuspectRegistry, 'reportEnd' | 'unexplainedEnd' | 'refute'>;
   readonly witness: Pick<PeerWitness, 'ask'>;
   readonly paths: Pick<PathMonitor, 'causeOf'>;
   /** Whether this process was paused so recently that it may not have read what has arrived since. */
@@ -48,11 +52,17 @@
   private isStopped = false;
 
   constructor(private readonly options: ReplicaEndsOptions) {
-    const { registry, attempts, timers } = options;
+    const { registry, attempts, timers, log } = options;
     registry.onReplica((id, entry, before) => {
       if (entry !== undefined) return;
       this.askedAt.delete(id);
-      if (before?.state === ReplicaState.Ready) this.handleRemoved(id);
+      // The entry of another start is listed after this one is removed.
+      if (before?.state === ReplicaState.Ready)
+        queueMicrotask(() => {
+          this.handleRemoved(before).catch((err: unknown) =>
+            log.warn(`Failed to find out how ${id} has ended: ${String(err)}.`),
+          );
+        });
     });
     attempts.onBytes((record) => this.handleBytes(record));
     this.timerHandles = [
@@ -68,27 +78,36 @@
   }
 
   private review(): void {
-    if (this.options.isRecovering()) return;
     for (const id of this.options.attempts.replicas()) {
       const entry = this.options.registry.replica(id);
-      if (entry !== undefined && this.mayHaveEnded(entry)) void this.askPeers(entry);
+      if (entry !== undefined && this.mayHaveEnded(entry)) void this.checkSilent(entry);
     }
   }
 
   /** Whether answers of a replica that had begun are silent, while other replicas of its service send. */
   private mayHaveEnded({ id, service }: ReplicaEntry): boolean {
-    const { attempts, suspects, paths, timers } = this.options;
-    const now = timers.now();
+    const { suspects, timers } = this.options;
     if (this.silenceMs(id) <= SILENT_AFTER_MS) return false;
-    if (now - (this.askedAt.get(id) ?? Number.NEGATIVE_INFINITY) < ASK_INTERVAL_MS) return false;
-    if (suspects.presumedEnd(id) !== undefined || paths.causeOf(service) !== undefined) return false;
-    const isWaiting = attempts
-      .unanswered(id)
-      .some(
-        ({ answer, endedAt, isRelayed }) =>
-          answer.beganAt !== undefined && endedAt === undefined && !isRelayed,
-      );
-    return isWaiting && this.isHeardBeside(id, service);
+    const askedAgoMs = timers.now() - (this.askedAt.get(id) ?? Number.NEGATIVE_INFINITY);
+    if (askedAgoMs < ASK_INTERVAL_MS || suspects.unexplainedEnd(id) !== undefined) return false;
+    const isOpen = this.silentAnswers(id).some(({ endedAt }) => endedAt === undefined);
+    return isOpen && this.canTell(service) && this.isHeardBeside(id, service);
+  }
+
+  /** Whether silence of a replica is its own: this daemon reads what arrives, and is not cut off from the service. */
+  private canTell(service: string): boolean {
+    const { paths, isRecovering } = this.options;
+    return !this.isStopped && !isRecovering() && paths.causeOf(service) === undefined;
+  }
+
+  /** Attempts whose answers had begun, and which were silent for a while at the end of what the replica has sent. */
+  private silentAnswers(replica: string): AttemptRecord[] {
+    const { attempts, timers } = this.options;
+    const lastAt = (attempts.lastHeardAt(replica) ?? Number.POSITIVE_INFINITY) - SAME_TIME_MS;
+    return attempts.unanswered(replica).filter(({ answer, heardAt, endedAt = timers.now(), isRelayed }) => {
+      if (isRelayed || answer.beganAt === undefined || heardAt === undefined) return false;
+      return heardAt >= lastAt && endedAt - heardAt > REMOVED_AFTER_MS;
+    });
   }
 
   /** Whether another replica of a service sends something. */
@@ -106,31 +125,40 @@
     return timers.now() - (attempts.lastHeardAt(replica) ?? Number.NEGATIVE_INFINITY);
   }
 
-  private async askPeers({ id, service }: ReplicaEntry): Promise<void> {
-    const { witness, suspects, attempts, timers } = this.options;
-    this.askedAt.set(id, timers.now());
+  private async checkSilent(entry: ReplicaEntry): Promise<void> {
+    const { suspects, timers } = this.options;
+    this.askedAt.set(entry.id, timers.now());
+    if (await this.isSilentEverywhere(entry)) suspects.reportEnd(entry.id, EndSign.Silent);
+  }
+
+  /** Asks peers whether they have heard from a replica since this daemon has. */
+  private async isSilentEverywhere({ id, service }: ReplicaEntry): Promise<boolean> {
+    const { witness, attempts } = this.options;
     const heardAt = attempts.lastHeardAt(id) ?? 0;
     const evidence = await witness.ask(service, [id], false);
     const isHeardSince = (evidence.heardAt.get(id) ?? 0) > heardAt + PEER_MARGIN_MS;
-    const hasSentSince = this.silenceMs(id) <= SILENT_AFTER_MS;
-    if (!this.isStopped && !isHeardSince && !hasSentSince) suspects.reportEnd(id, EndSign.Silent);
+    return this.canTell(service) && !isHeardSince && this.silenceMs(id) > REMOVED_AFTER_MS;
   }
 
-  private handleRemoved(replica: string): void {
-    const { attempts, suspects } = this.options;
-    const records = attempts.unanswered(replica);
-    const isSilent = this.silenceMs(replica) > REMOVED_AFTER_MS;
-    this.logRemoved(replica, records);
-    if (isSilent && (records.length > 0 || suspects.presumedEnd(replica) !== undefined))
-      suspects.reportEnd(replica, EndSign.Removed);
+  private async handleRemoved(entry: ReplicaEntry): Promise<void> {
+    const { attempts, suspects, registry } = this.options;
+    const { id, name } = entry;
+    const records = attempts.unanswered(id);
+    this.logRemoved(id, records);
+    const isReplaced = [...registry.all()].some((other) => other.name === name && other.id !== id);
+    if (isReplaced && records.length > 0) suspects.reportEnd(id, EndSign.Replaced);
+    // A replica that leaves without a word is removed while it still answers.
+    if (isReplaced || this.silentAnswers(id).length === 0) return;
+    if (await this.isSilentEverywhere(entry)) suspects.reportEnd(id, EndSign.Removed);
   }
 
-  /** Refutes a presumed end: by an attempt of before, or by any one where another start has another name. */
+  /** Refutes an end: by an attempt of before, or by any one where another start has another name. */
   private handleBytes({ replica, sentAt, answer }: AttemptRecord): void {
-    const { suspects, registry, isRecovering } = this.options;
-    const endedAt = suspects.presumedEnd(replica);
-    if (endedAt === undefined || isRecovering()) return;
-    const isSameStart = answer.beganAt !== undefined && registry.replica(replica)?.bornAt === undefined;
+    const { suspects, registry, isRecovering, timers } = this.options;
+    const endedAt = suspects.unexplainedEnd(replica);
+    if (endedAt === undefined || isRecovering() || timers.now() - endedAt <= REFUTE_AFTER_MS) return;
+    const entry = registry.replica(replica);
+    const isSameStart = answer.beganAt !== undefined && entry !== undefined && entry.bornAt === undefined;
     if (sentAt <= endedAt || isSameStart) suspects.refute(replica);
   }
 
--- a/packages/routing/src/core/suspects/suspect-registry.ts
+++ b/packages/routing/src/core/suspects/suspect-registry.ts
@@ -210,7 +210,7 @@
   }
 
   /** Reports that a replica has ended, with the requests that it has not answered. */
-  reportEnd(replica: string, sign: EndSign): void {
+  reportEnd(replica: string, sign: Exclude<EndSign, EndSign.Reported>): void {
     const { certainty, isDated } = END_SIGNS[sign];
     const at = isDated ? this.options.timers.now() : this.estimateEnd(replica);
     if (certainty === EndCertainty.Confirmed) this.crashes.confirm(replica);
@@ -227,7 +227,7 @@
       .map((record) => record.sentAt);
     const firstSentAt = Math.min(timers.now(), ...sentAt);
     if (firstSentAt <= heardAt) return heardAt;
-    return this.crashes.crashedAt(replica) ?? Math.min(timers.now(), firstSentAt + UNHEARD_MS);
+    return this.crashes.crashOf(replica)?.at ?? Math.min(timers.now(), firstSentAt + UNHEARD_MS);
   }
 
   /** Reports the requests that a replica has not answered, as far as peers have not been told. */
@@ -274,7 +274,7 @@
     const heardAt = this.options.attempts.lastHeardAt(replica) ?? Number.NEGATIVE_INFINITY;
     const isPresumed = certainty === EndCertainty.Presumed;
     if (heardAt > at + REFUTE_FROM_MS) {
-      if (isPresumed) this.refute(replica);
+      this.refute(replica);
       return;
     }
     const isOpen = (record: AttemptRecord): boolean => record.endedAt === undefined;
@@ -354,11 +354,12 @@
   }
 
   /**
-   * Returns the monotonic time of the last sign of life of a replica that is presumed to have ended, in milliseconds;
-   * undefined if it is not.
+   * Returns the monotonic time of the end of a replica as far as it may still be refuted, in milliseconds; undefined if
+   * none is known.
    */
-  presumedEnd(replica: string): number | undefined {
-    return this.crashes.presumedCrash(replica)?.at;
+  unexplainedEnd(replica: string): number | undefined {
+    const crash = this.crashes.crashOf(replica);
+    return crash === undefined || crash.isExplained ? undefined : crash.at;
   }
 
   /** Records that a replica that was reported to have ended goes on. */
--- a/packages/routing/test/suspect-fleet.ts
+++ b/packages/routing/test/suspect-fleet.ts
@@ -72,7 +72,8 @@
 
   /** Lists an incarnation of a replica. */
   list(id: string): void {
-    const entry = { id, service: SERVICE, state: ReplicaState.Ready } as ReplicaEntry;
+    const [name] = id.split('.');
+    const entry = { id, name, service: SERVICE, state: ReplicaState.Ready } as ReplicaEntry;
     this.listed.set(id, entry);
     for (const listener of this.replicaListeners) listener(id, entry, undefined);
   }
@@ -143,6 +144,7 @@
     const registry = {
       onReplica: (listener: ReplicaListener) => this.replicaListeners.push(listener),
       replica: (id: string) => this.listed.get(id),
+      all: () => this.listed.values(),
     };
     const witness = {
       ask: async (_service: string, [id]: readonly string[]) => {
