suspects: presume the end of a replica that answers reports only

Reports, which their owners poll, and what peers had heard of these, were taken for signs of life. Silence is now that of answers: only bytes in an attempt refute a presumed end, here or at a peer, which is told at once instead of asked. A replica that turns out to go on is presumed to have ended only after twice the time, so that slow ones are reported a few times at most.

--- a/packages/routing/src/core/suspects/replica-ends.ts
+++ b/packages/routing/src/core/suspects/replica-ends.ts
@@ -2,7 +2,7 @@
  * Finds replicas that end with requests in flight and close no connection.
  *
  * A replica that sends nothing on connections on which answers had begun is presumed to have ended if other replicas
- * still send, and no peer has heard from it. That its entry is removed confirms it; that it is replaced by another start
+ * still send. That its entry is removed confirms it; that it is replaced by another start
  * shows it by itself. Any byte on a connection of before refutes it.
  */
 import type { DecisionLog, TimerHandle, TimerService } from '@celeryyoke/core';
@@ -16,16 +16,17 @@
 
 const EXPIRY_INTERVAL_MS = 1000;
 const REVIEW_INTERVAL_MS = 100;
-/** Time without a byte after which a replica with answers in progress may have ended, in milliseconds. */
+/** Time without a byte after which a replica with answers in progress is presumed to have ended, in milliseconds. */
 const SILENT_AFTER_MS = 500;
+/** Factor by which that time grows for a replica each time that it turns out to go on, and its limit. */
+const REFUTED_FACTOR = 2;
+const MAX_SILENT_AFTER_MS = 8000;
 /** Time without a byte after which a replica whose entry is removed has ended, in milliseconds. */
 const REMOVED_AFTER_MS = 400;
 /** Time after an end from which on bytes refute it, in milliseconds: they may have been on their way before. */
 const REFUTE_AFTER_MS = 300;
 /** Time between the last bytes of two attempts that a replica served at the same time, in milliseconds. */
 const SAME_TIME_MS = 250;
-/** Time between two questions to peers about one replica, in milliseconds. */
-const ASK_INTERVAL_MS = 1000;
 /** Time by which bytes at a peer must be later than the last ones here, in milliseconds. */
 const PEER_MARGIN_MS = 200;
 
@@ -33,7 +34,10 @@
 export interface ReplicaEndsOptions {
   readonly registry: Pick<ReplicaRegistry, 'onReplica' | 'replica' | 'all'>;
   readonly attempts: Pick<AttemptLedger, 'replicas' | 'unanswered' | 'lastHeardAt' | 'onBytes' | 'expire'>;
-  readonly suspects: Pick<SuspectRegistry, 'reportEnd' | 'unexplainedEnd' | 'refute'>;
+  readonly suspects: Pick<
+    SuspectRegistry,
+    'reportEnd' | 'unexplainedEnd' | 'isPresumed' | 'refute' | 'onRefuted'
+  >;
   readonly witness: Pick<PeerWitness, 'ask'>;
   readonly paths: Pick<PathMonitor, 'causeOf'>;
   /** Whether this process was paused so recently that it may not have read what has arrived since. */
@@ -46,16 +50,16 @@
 export class ReplicaEnds {
   private readonly timerHandles: readonly TimerHandle[];
 
-  /** Monotonic times at which peers were asked about replicas, in milliseconds. */
-  private readonly askedAt = new Map<string, number>();
+  /** Times without a byte after which replicas that have been silent before are presumed to have ended, in milliseconds. */
+  private readonly silentAfterMs = new Map<string, number>();
 
   private isStopped = false;
 
   constructor(private readonly options: ReplicaEndsOptions) {
-    const { registry, attempts, timers, log } = options;
+    const { registry, attempts, suspects, timers, log } = options;
     registry.onReplica((id, entry, before) => {
       if (entry !== undefined) return;
-      this.askedAt.delete(id);
+      this.silentAfterMs.delete(id);
       // The entry of another start is listed after this one is removed.
       if (before?.state === ReplicaState.Ready)
         queueMicrotask(() => {
@@ -64,6 +68,7 @@
           );
         });
     });
+    suspects.onRefuted((replica) => this.handleRefuted(replica));
     attempts.onBytes((record) => this.handleBytes(record));
     this.timerHandles = [
       timers.repeat(REVIEW_INTERVAL_MS, () => this.review()),
@@ -78,22 +83,27 @@
   }
 
   private review(): void {
-    for (const id of this.options.attempts.replicas()) {
-      const entry = this.options.registry.replica(id);
-      if (entry !== undefined && this.mayHaveEnded(entry)) void this.checkSilent(entry);
+    const { attempts, registry, suspects } = this.options;
+    for (const id of attempts.replicas()) {
+      const entry = registry.replica(id);
+      if (entry !== undefined && this.mayHaveEnded(entry)) suspects.reportEnd(id, EndSign.Silent);
     }
   }
 
   /** Whether answers of a replica that had begun are silent, while other replicas of its service send. */
   private mayHaveEnded({ id, service }: ReplicaEntry): boolean {
-    const { suspects, timers } = this.options;
-    if (this.silenceMs(id) <= SILENT_AFTER_MS) return false;
-    const askedAgoMs = timers.now() - (this.askedAt.get(id) ?? Number.NEGATIVE_INFINITY);
-    if (askedAgoMs < ASK_INTERVAL_MS || suspects.unexplainedEnd(id) !== undefined) return false;
+    if (this.silenceMs(id) <= (this.silentAfterMs.get(id) ?? SILENT_AFTER_MS)) return false;
+    if (this.options.suspects.unexplainedEnd(id) !== undefined) return false;
     const isOpen = this.silentAnswers(id).some(({ endedAt }) => endedAt === undefined);
     return isOpen && this.canTell(service) && this.isHeardBeside(id, service);
   }
 
+  /** Takes longer to presume the end of a replica that was silent and goes on. */
+  private handleRefuted(replica: string): void {
+    const ms = (this.silentAfterMs.get(replica) ?? SILENT_AFTER_MS) * REFUTED_FACTOR;
+    this.silentAfterMs.set(replica, Math.min(MAX_SILENT_AFTER_MS, ms));
+  }
+
   /** Whether silence of a replica is its own: this daemon reads what arrives, and is not cut off from the service. */
   private canTell(service: string): boolean {
     const { paths, isRecovering } = this.options;
@@ -125,12 +135,6 @@
     return timers.now() - (attempts.lastHeardAt(replica) ?? Number.NEGATIVE_INFINITY);
   }
 
-  private async checkSilent(entry: ReplicaEntry): Promise<void> {
-    const { suspects, timers } = this.options;
-    this.askedAt.set(entry.id, timers.now());
-    if (await this.isSilentEverywhere(entry)) suspects.reportEnd(entry.id, EndSign.Silent);
-  }
-
   /** Asks peers whether they have heard from a replica since this daemon has. */
   private async isSilentEverywhere({ id, service }: ReplicaEntry): Promise<boolean> {
     const { witness, attempts } = this.options;
@@ -148,8 +152,10 @@
     const isReplaced = [...registry.all()].some((other) => other.name === name && other.id !== id);
     if (isReplaced && records.length > 0) suspects.reportEnd(id, EndSign.Replaced);
     // A replica that leaves without a word is removed while it still answers.
-    if (isReplaced || this.silentAnswers(id).length === 0) return;
-    if (await this.isSilentEverywhere(entry)) suspects.reportEnd(id, EndSign.Removed);
+    const mayHaveEnded = suspects.isPresumed(id) || this.silentAnswers(id).length > 0;
+    if (isReplaced || !mayHaveEnded) return;
+    if (suspects.isPresumed(id) || (await this.isSilentEverywhere(entry)))
+      suspects.reportEnd(id, EndSign.Removed);
   }
 
   /** Refutes an end: by an attempt of before, or by any one where another start has another name. */
--- a/packages/routing/src/core/suspects/suspect-registry.ts
+++ b/packages/routing/src/core/suspects/suspect-registry.ts
@@ -93,6 +93,8 @@
   /** Monotonic times until which features are refused provisionally, in milliseconds. */
   private readonly provisionalUntil = new Map<string, number>();
 
+  private readonly refutedListeners: ((replica: string) => void)[] = [];
+
   private readonly expiryTimer: TimerHandle;
 
   /** Monotonic time of the latest review of what requests share, in milliseconds. */
@@ -340,15 +342,22 @@
     });
   }
 
-  /** Records that a replica has responded: if it was reported to have crashed, that was wrong. */
+  /**
+   * Records that a replica has responded: if it was reported to have crashed, that was wrong. One that is silent may
+   * respond to reports, and to nothing else.
+   */
   recordResponse(replica: string): void {
     if (this.crashes.isEmpty) return;
     const now = this.options.timers.now();
     const isRefuted = this.crashes
       .recent()
       .some(
-        ({ upstream, at, isExplained }) =>
-          upstream === replica && !isExplained && now - at > REFUTE_FROM_MS && now - at < REFUTE_UNTIL_MS,
+        ({ upstream, at, certainty, isExplained }) =>
+          upstream === replica &&
+          certainty === EndCertainty.Confirmed &&
+          !isExplained &&
+          now - at > REFUTE_FROM_MS &&
+          now - at < REFUTE_UNTIL_MS,
       );
     if (isRefuted) this.refute(replica);
   }
@@ -362,6 +371,16 @@
     return crash === undefined || crash.isExplained ? undefined : crash.at;
   }
 
+  /** Whether the end of a replica is presumed only. */
+  isPresumed(replica: string): boolean {
+    return this.crashes.crashOf(replica)?.certainty === EndCertainty.Presumed;
+  }
+
+  /** Subscribes to replicas that turn out to go on. */
+  onRefuted(listener: (replica: string) => void): void {
+    this.refutedListeners.push(listener);
+  }
+
   /** Records that a replica that was reported to have ended goes on. */
   refute(replica: string): void {
     const row: SuspectRow = { kind: SuspectRowKind.Refuted, replica };
@@ -447,6 +466,7 @@
     },
     [SuspectRowKind.Refuted]: ({ replica }) => {
       const isNew = this.crashes.refute(replica);
+      if (isNew) for (const listener of this.refutedListeners) listener(replica);
       this.ownReports.delete(replica);
       if (isNew)
         this.options.log.decide('replica.crashed', `Replica ${replica} responds, so it has not crashed.`, {
