--- a/packages/routing/test/crash-play.ts
+++ b/packages/routing/test/crash-play.ts
@@ -1,5 +1,6 @@
 /** Plays loads through a fleet of daemons on the virtual clock, some requests of which end their replicas. */
 import { Suspicion } from '@celeryyoke/core';
+import type { ExecutionContext } from 'ava';
 
 import type { FollowedAttempt, ReplicaEntry, RequestFingerprints } from '../src/index.js';
 import { AttemptEnd, fingerprintsOf, sharedFeatures } from '../src/index.js';
@@ -29,6 +30,10 @@
 /** Crashes that users allow until a part must be known, and the time until it must be refused, in milliseconds. */
 const ALLOWED_CRASHES = 5;
 const REFUSED_AFTER_MS = 3000;
+/** Number of seeds; set the variable to play more than in CI. */
+export const SEEDS = Number(process.env.CELERYYOKE_SOAK_PLAYS ?? 8);
+/** Requests with the part that may reach an engine after that. */
+export const ALLOWED_LATE = 3;
 /** Part that ends engines. */
 export const GUILTY = 'dead';
 
@@ -267,5 +272,15 @@
   return one;
 }
 
+/** Checks with many seeds that a part is refused in time, and that nothing else is. */
+export async function checkFound(t: ExecutionContext, scenario: Scenario): Promise<void> {
+  for (let seed = 0; seed < SEEDS; seed += 1) {
+    const { crashes, lateArrivals, refused } = await play(scenario, seed);
+    t.log(`seed ${seed}: ${crashes} crashes, ${lateArrivals} late arrivals, ${refused} others refused`);
+    t.true(lateArrivals <= ALLOWED_LATE, `seed ${seed}: ${lateArrivals} late arrivals`);
+    t.is(refused, 0, `seed ${seed}`);
+  }
+}
+
 /** A busy fleet, of whose requests each twelfth has the guilty part. */
 export const BUSY: Scenario = { engines: 10, perSecond: 60, secondParts: 40, guiltyEvery: 12 };
--- a/packages/routing/test/prompt-parts.test.ts
+++ b/packages/routing/test/prompt-parts.test.ts
@@ -5,14 +5,9 @@
 import type { RequestFingerprints } from '../src/index.js';
 import { fingerprintsOf, sharedFeatures } from '../src/index.js';
 import type { Scenario } from './crash-play.js';
-import { BUSY, DAEMONS, GUILTY, play } from './crash-play.js';
+import { ALLOWED_LATE, BUSY, checkFound, DAEMONS, GUILTY, play, SEEDS } from './crash-play.js';
 import { SuspectFleet } from './suspect-fleet.js';
 
-/** Number of seeds; set the variable to play more than in CI. */
-const SEEDS = Number(process.env.CELERYYOKE_SOAK_PLAYS ?? 8);
-/** Requests with the part that may reach an engine after that. */
-const ALLOWED_LATE = 3;
-
 const GUILTY_SCENARIOS: Readonly<Record<string, Scenario>> = {
   'a rare part': { engines: 6, perSecond: 40, secondParts: 300, guiltyEvery: 60 },
   'a part of each twentieth request': { engines: 6, perSecond: 40, secondParts: 300, guiltyEvery: 20 },
@@ -32,14 +27,8 @@
 
 // Guards against a part that crashes one replica after the other, and against refusing what only shares other parts.
 for (const [name, scenario] of Object.entries(GUILTY_SCENARIOS))
-  test(`${name} is found after few crashes, and requests without it are served`, async (t) => {
-    for (let seed = 0; seed < SEEDS; seed += 1) {
-      const { crashes, lateArrivals, refused } = await play(scenario, seed);
-      t.log(`seed ${seed}: ${crashes} crashes, ${lateArrivals} late arrivals, ${refused} others refused`);
-      t.true(lateArrivals <= ALLOWED_LATE, `seed ${seed}: ${lateArrivals} late arrivals`);
-      t.is(refused, 0, `seed ${seed}`);
-    }
-  });
+  test(`${name} is found after few crashes, and requests without it are served`, (t) =>
+    checkFound(t, scenario));
 
 // Guards against a fleet that has to find a part anew after a restart, at the cost of as many crashes as before.
 test('a part that was found stays refused when all daemons start again at one moment', async (t) => {
--- a/packages/routing/test/silent-ends.test.ts
+++ b/packages/routing/test/silent-ends.test.ts
@@ -2,12 +2,7 @@
 import test from 'ava';
 
 import type { Scenario } from './crash-play.js';
-import { BUSY, Ending, play } from './crash-play.js';
-
-/** Number of seeds; set the variable to play more than in CI. */
-const SEEDS = Number(process.env.CELERYYOKE_SOAK_PLAYS ?? 8);
-/** Requests with the part that may reach an engine after that. */
-const ALLOWED_LATE = 3;
+import { BUSY, checkFound, Ending, play, SEEDS } from './crash-play.js';
 
 const SILENT_SCENARIOS: Readonly<Record<string, Scenario>> = {
   'a rare part that silences': {
@@ -36,14 +31,8 @@
 
 // Guards against a part that ends one replica after the other, as none of them closes its connections.
 for (const [name, scenario] of Object.entries(SILENT_SCENARIOS))
-  test(`${name} is found after few crashes, and requests without it are served`, async (t) => {
-    for (let seed = 0; seed < SEEDS; seed += 1) {
-      const { crashes, lateArrivals, refused } = await play(scenario, seed);
-      t.log(`seed ${seed}: ${crashes} crashes, ${lateArrivals} late arrivals, ${refused} others refused`);
-      t.true(lateArrivals <= ALLOWED_LATE, `seed ${seed}: ${lateArrivals} late arrivals`);
-      t.is(refused, 0, `seed ${seed}`);
-    }
-  });
+  test(`${name} is found after few crashes, and requests without it are served`, (t) =>
+    checkFound(t, scenario));
 
 // Guards against refusing anything because replicas pause: they go on, and so do their answers.
 test('replicas that are silent for a while and go on show nothing about what requests share', async (t) => {
