--- a/packages/routing/src/core/requests/execution.ts
+++ b/packages/routing/src/core/requests/execution.ts
@@ -424,7 +424,6 @@
       },
       onDataReceived: () => {
         retryPermit?.settle();
-        this.suspicion.recordBytes();
         health.recordBytes(replica.id);
         if (path.peer === undefined) this.parts.paths.recordBytes(exchange);
       },
--- a/packages/routing/src/core/requests/request-suspicion.ts
+++ b/packages/routing/src/core/requests/request-suspicion.ts
@@ -120,11 +120,6 @@
     });
   }
 
-  /** Notes bytes from the replica. */
-  recordBytes(): void {
-    this.attempt?.recordBytes();
-  }
-
   /** Notes a part of the answer's body. */
   recordBody(): void {
     this.attempt?.recordBody();
--- a/packages/routing/src/core/suspects/attempt-ledger.ts
+++ b/packages/routing/src/core/suspects/attempt-ledger.ts
@@ -50,7 +50,7 @@
 /** One attempt at a replica; times are monotonic milliseconds. */
 export interface AttemptRecord extends AttemptSubject {
   readonly sentAt: number;
-  /** Time of the last bytes. */
+  /** Time of the last part of the answer's body; a head may come from another start at the same address. */
   readonly heardAt: number | undefined;
   /** Time of its end. */
   readonly endedAt: number | undefined;
@@ -71,11 +71,9 @@
 
 interface MutableRecord extends Mutable<Omit<AttemptRecord, 'answer'>> {
   readonly answer: Mutable<AnswerRun>;
-  /** Time of the last part of the body. */
-  bodyAt: number | undefined;
 }
 
-/** Called with an attempt of which something arrives. */
+/** Called with an attempt of whose answer a part arrives. */
 export type AttemptListener = (record: AttemptRecord) => void;
 
 /** Called with an answer that begins, that has gone on for a while, or that is whole. */
@@ -83,8 +81,6 @@
 
 /** An attempt that is followed. */
 export interface FollowedAttempt {
-  /** Records bytes of the head or body. */
-  recordBytes(): void;
   /** Records a part of the body. */
   recordBody(): void;
   end(how: AttemptEnd): void;
@@ -94,18 +90,18 @@
 export class AttemptLedger {
   private readonly byReplica = new Map<string, Set<MutableRecord>>();
 
-  /** Monotonic times of the last bytes from replicas, in milliseconds. */
+  /** Monotonic times of the last parts of answers from replicas, in milliseconds. */
   private readonly heardAt = new Map<string, number>();
 
-  private readonly byteListeners: AttemptListener[] = [];
+  private readonly bodyListeners: AttemptListener[] = [];
 
   private readonly progressListeners: AnswerListener[] = [];
 
   constructor(private readonly timers: TimerService) {}
 
-  /** Subscribes to attempts of which bytes arrive. */
-  onBytes(listener: AttemptListener): void {
-    this.byteListeners.push(listener);
+  /** Subscribes to attempts of whose answers a part arrives. */
+  onBody(listener: AttemptListener): void {
+    this.bodyListeners.push(listener);
   }
 
   /** Subscribes to answers that begin, that have gone on for a while, and that are whole. */
@@ -119,14 +115,12 @@
     const record: MutableRecord = {
       ...subject,
       sentAt: this.timers.now(),
-      bodyAt: undefined,
       heardAt: undefined,
       endedAt: undefined,
       answer: { route, shared, beganAt: undefined, livedMs: 0, isWhole: false },
     };
     this.add(record);
     return {
-      recordBytes: () => this.recordBytes(record),
       recordBody: () => this.recordBody(record),
       end: (how) => this.end(record, how),
     };
@@ -145,7 +139,7 @@
     );
   }
 
-  /** Monotonic time of the last bytes from a replica in any attempt, in milliseconds; undefined if there were none. */
+  /** Monotonic time of the last part of any answer from a replica, in milliseconds; undefined if there was none. */
   lastHeardAt(replica: string): number | undefined {
     return this.heardAt.get(replica);
   }
@@ -171,22 +165,16 @@
     records.delete(oldest!);
   }
 
-  private recordBytes(record: MutableRecord): void {
-    const now = this.timers.now();
-    Object.assign(record, { heardAt: now });
-    this.heardAt.set(record.replica, now);
-    for (const listener of this.byteListeners) listener(record);
-  }
-
   private recordBody(record: MutableRecord): void {
     const { answer } = record;
     const now = this.timers.now();
     const isFirst = answer.beganAt === undefined;
     const before = answer.livedMs;
     answer.beganAt ??= now;
-    answer.livedMs += Math.min(now - (record.bodyAt ?? now), MAX_COUNTED_GAP_MS);
-    Object.assign(record, { bodyAt: now });
-    this.recordBytes(record);
+    answer.livedMs += Math.min(now - (record.heardAt ?? now), MAX_COUNTED_GAP_MS);
+    Object.assign(record, { heardAt: now });
+    this.heardAt.set(record.replica, now);
+    for (const listener of this.bodyListeners) listener(record);
     const step = (ms: number): number => Math.floor(ms / PROGRESS_STEP_MS);
     if (isFirst || step(answer.livedMs) > step(before)) this.tellProgress(record);
   }
--- a/packages/routing/src/core/suspects/replica-ends.ts
+++ b/packages/routing/src/core/suspects/replica-ends.ts
@@ -2,8 +2,8 @@
  * Finds replicas that end with requests in flight and close no connection.
  *
  * A replica that sends nothing on connections on which answers had begun is presumed to have ended if other replicas
- * still send. That its entry is removed confirms it; that it is replaced by another start
- * shows it by itself. Any byte on a connection of before refutes it.
+ * still send. That its entry is removed confirms it; that it is replaced by another start shows it by itself. A part of an
+ * answer to an attempt of before refutes it.
  */
 import type { DecisionLog, TimerHandle, TimerService } from '@celeryyoke/core';
 
@@ -33,7 +33,7 @@
 /** What the finder uses. */
 export interface ReplicaEndsOptions {
   readonly registry: Pick<ReplicaRegistry, 'onReplica' | 'replica' | 'all'>;
-  readonly attempts: Pick<AttemptLedger, 'replicas' | 'unanswered' | 'lastHeardAt' | 'onBytes' | 'expire'>;
+  readonly attempts: Pick<AttemptLedger, 'replicas' | 'unanswered' | 'lastHeardAt' | 'onBody' | 'expire'>;
   readonly suspects: Pick<
     SuspectRegistry,
     'reportEnd' | 'unexplainedEnd' | 'isPresumed' | 'refute' | 'onRefuted'
@@ -69,7 +69,7 @@
         });
     });
     suspects.onRefuted((replica) => this.handleRefuted(replica));
-    attempts.onBytes((record) => this.handleBytes(record));
+    attempts.onBody((record) => this.handleBody(record));
     this.timerHandles = [
       timers.repeat(REVIEW_INTERVAL_MS, () => this.review()),
       timers.repeat(EXPIRY_INTERVAL_MS, () => attempts.expire()),
@@ -159,12 +159,12 @@
   }
 
   /** Refutes an end: by an attempt of before, or by any one where another start has another name. */
-  private handleBytes({ replica, sentAt, answer }: AttemptRecord): void {
+  private handleBody({ replica, sentAt }: AttemptRecord): void {
     const { suspects, registry, isRecovering, timers } = this.options;
     const endedAt = suspects.unexplainedEnd(replica);
     if (endedAt === undefined || isRecovering() || timers.now() - endedAt <= REFUTE_AFTER_MS) return;
     const entry = registry.replica(replica);
-    const isSameStart = answer.beganAt !== undefined && entry !== undefined && entry.bornAt === undefined;
+    const isSameStart = entry !== undefined && entry.bornAt === undefined;
     if (sentAt <= endedAt || isSameStart) suspects.refute(replica);
   }
 
