--- a/packages/routing/src/core/suspects/crash-detector.ts
+++ b/packages/routing/src/core/suspects/crash-detector.ts
@@ -41,6 +41,11 @@
     return check;
   }
 
+  /** Looks at a replica anew when it is asked for next, as it turned out to go on. */
+  forget(replica: string): void {
+    this.checks.delete(replica);
+  }
+
   private async check(replica: ReplicaEntry): Promise<boolean> {
     const { timers, isConnected, probe } = this.options;
     await timers.sleep(CLOSE_SPREAD_MS);
--- a/packages/routing/src/core/suspects/suspect-registry.ts
+++ b/packages/routing/src/core/suspects/suspect-registry.ts
@@ -75,7 +75,7 @@
   readonly self: string;
   readonly cluster: Pick<Cluster, 'aliveAddresses' | 'send' | 'handle'>;
   readonly tree: Pick<DisseminationTree, 'register' | 'publish'>;
-  readonly detector: Pick<CrashDetector, 'hasCrashed'>;
+  readonly detector: Pick<CrashDetector, 'hasCrashed' | 'forget'>;
   readonly attempts: Pick<AttemptLedger, 'onProgress' | 'unanswered' | 'lastHeardAt'>;
   readonly timers: TimerService;
   readonly log: DecisionLog;
@@ -466,6 +466,7 @@
     },
     [SuspectRowKind.Refuted]: ({ replica }) => {
       const isNew = this.crashes.refute(replica);
+      this.options.detector.forget(replica);
       if (isNew) for (const listener of this.refutedListeners) listener(replica);
       this.ownReports.delete(replica);
       if (isNew)
--- a/packages/routing/test/suspect-fleet.ts
+++ b/packages/routing/test/suspect-fleet.ts
@@ -3,6 +3,7 @@
 import { createManualTimers, createSilentLog } from '@celeryyoke/core';
 
 import type {
+  CrashDetector,
   FollowedAttempt,
   ReplicaEntry,
   ReplicaListener,
@@ -57,7 +58,16 @@
 
   private readonly addresses: readonly string[];
 
-  constructor(size: number) {
+  /**
+   * @param detector - Finds out whether a replica has crashed; by default all have whose attempts are cut.
+   */
+  constructor(
+    size: number,
+    private readonly detector: Pick<CrashDetector, 'hasCrashed' | 'forget'> = {
+      hasCrashed: () => Promise.resolve(true),
+      forget: () => undefined,
+    },
+  ) {
     this.addresses = Array.from({ length: size }, (_, index) => `d${index}`);
     this.start();
   }
@@ -146,8 +156,7 @@
       },
       publish: (_topic: unknown, row: unknown) => this.publish(index, row),
     };
-    const detector = { hasCrashed: () => Promise.resolve(true) };
-    const { timers } = this;
+    const { timers, detector } = this;
     const attempts = new AttemptLedger(timers);
     this.attempts[index] = attempts;
     const options = { self, cluster, tree, detector, attempts, timers, log: createSilentLog() };
--- a/packages/routing/test/suspects.test.ts
+++ b/packages/routing/test/suspects.test.ts
@@ -232,3 +232,25 @@
   state.isConnected = true;
   t.false(await check());
 });
+
+// Guards against a daemon that reports a replica again that was found to go on, without looking at it again.
+test('a crash that was refuted is looked for anew', async (t) => {
+  const timers = createManualTimers();
+  const state = { listener: ListenerState.Refused };
+  const probe = (): Promise<ListenerState> => Promise.resolve(state.listener);
+  const detector = new CrashDetector({ timers, isConnected: () => false, probe });
+  const fleet = new SuspectFleet(2, detector);
+  const cut = async (): Promise<void> => {
+    const reported = fleet.crash(0, 'e1', 'cut');
+    await Promise.all([timers.advance(10), reported]);
+  };
+  await cut();
+  t.is(fleet.suspicions('cut')[0], Suspicion.Suspect);
+  await fleet.timers.advance(400);
+  fleet.registries[1]!.recordResponse('e1');
+  await fleet.timers.advance(TREE_DELAY_MS);
+  t.is(fleet.suspicions('cut')[0], Suspicion.Clear);
+  state.listener = ListenerState.Listening;
+  await cut();
+  t.is(fleet.suspicions('cut')[0], Suspicion.Clear);
+});
