--- a/packages/routing/src/core/requests/execution.ts
+++ b/packages/routing/src/core/requests/execution.ts
@@ -34,7 +34,7 @@
 import { PrefillAdmission, PrefillWait } from './prefill-wait.js';
 import { StreamRelay } from './relay.js';
 import type { SuspicionDependencies } from './request-suspicion.js';
-import { CUT_OUTCOMES, RequestSuspicion } from './request-suspicion.js';
+import { RequestSuspicion } from './request-suspicion.js';
 import type { StreamBindingDependencies } from './stream-binding.js';
 import { StreamBinding } from './stream-binding.js';
 import type { AdmittedAttempt } from './admitted-attempt.js';
@@ -43,7 +43,13 @@
 import { AttemptWatch, KeepReason } from './attempt-watch.js';
 
 import type { ReplicaResponse, RequestDialect, RequestHead, AttemptResult } from './types.js';
-import { AttemptOutcome, ContinuationWay, requestTimeoutMs } from './types.js';
+import {
+  AttemptOutcome,
+  ContinuationWay,
+  CUT_OUTCOMES,
+  NOT_RUN_OUTCOMES,
+  requestTimeoutMs,
+} from './types.js';
 
 /** Time after which a refused caller may retry, in milliseconds. */
 const RETRY_AFTER_MS = 250;
@@ -65,13 +71,6 @@
 /** Outcome of a request whose caller closed the connection first. */
 const CALLER_LEFT = 'left';
 
-/** Outcomes after which it is certain that the replica did not run the request. */
-const NOT_RUN_OUTCOMES: ReadonlySet<AttemptOutcome> = new Set([
-  AttemptOutcome.Withheld,
-  AttemptOutcome.NotRun,
-  AttemptOutcome.Misdirected,
-]);
-
 /** Outcomes that say nothing about the health of the replica. */
 const WITHOUT_VERDICT: ReadonlySet<AttemptOutcome> = new Set([
   AttemptOutcome.Cancelled,
--- a/packages/routing/src/core/requests/request-suspicion.ts
+++ b/packages/routing/src/core/requests/request-suspicion.ts
@@ -16,30 +16,11 @@
 import { AttemptEnd, fingerprintsOf, sharedFeatures } from '../suspects/index.js';
 import type { ReplicaEntry } from '../view/index.js';
 import type { AttemptResult, RequestHead } from './types.js';
-import { AttemptOutcome } from './types.js';
+import { COMPLETE_OUTCOMES, CUT_OUTCOMES, NOT_RUN_OUTCOMES } from './types.js';
 
 /** Pause between two looks at a suspect whose crashes are still being reported, in milliseconds. */
 const SUSPICION_POLL_MS = 20;
 
-/** Outcomes of attempts whose connection ended before the response, as all those at a replica that crashes do. */
-export const CUT_OUTCOMES: ReadonlySet<AttemptOutcome> = new Set([
-  AttemptOutcome.Unknown,
-  AttemptOutcome.BrokenStream,
-]);
-
-/** Outcomes of attempts whose replica has responded to the end, so that it has survived the request. */
-const COMPLETE_OUTCOMES: ReadonlySet<AttemptOutcome> = new Set([
-  AttemptOutcome.Responded,
-  AttemptOutcome.Relayed,
-]);
-
-/** Outcomes after which it is certain that the replica has not run the request. */
-const NOT_RUN_OUTCOMES: ReadonlySet<AttemptOutcome> = new Set([
-  AttemptOutcome.Withheld,
-  AttemptOutcome.NotRun,
-  AttemptOutcome.Misdirected,
-]);
-
 /** Components of the daemon that the suspicion of a request uses. */
 export interface SuspicionDependencies {
   readonly paths: Pick<PathMonitor, 'causeOf'>;
--- a/packages/routing/src/core/requests/types.ts
+++ b/packages/routing/src/core/requests/types.ts
@@ -138,6 +138,25 @@
   Cancelled = 'cancelled',
 }
 
+/** Outcomes of attempts whose connection ended before the response, as all those at a replica that crashes do. */
+export const CUT_OUTCOMES: ReadonlySet<AttemptOutcome> = new Set([
+  AttemptOutcome.Unknown,
+  AttemptOutcome.BrokenStream,
+]);
+
+/** Outcomes of attempts whose replica has responded to the end, so that it has survived the request. */
+export const COMPLETE_OUTCOMES: ReadonlySet<AttemptOutcome> = new Set([
+  AttemptOutcome.Responded,
+  AttemptOutcome.Relayed,
+]);
+
+/** Outcomes after which it is certain that the replica has not run the request. */
+export const NOT_RUN_OUTCOMES: ReadonlySet<AttemptOutcome> = new Set([
+  AttemptOutcome.Withheld,
+  AttemptOutcome.NotRun,
+  AttemptOutcome.Misdirected,
+]);
+
 /** How an attempt goes on with a stream of which the caller has events. */
 export enum ContinuationWay {
   /** Within the response that brought the earlier events. */
