suspects: find the crash of a replica by its id

Each response scanned a copy of all crashes while any was known; the log has an index by upstream since the ends that are presumed. A crash that is refuted is dropped, so an explanation always has a cause. No change of behaviour: an incarnation has one crash.

--- a/packages/core/src/core/suspects/crash-log.ts
+++ b/packages/core/src/core/suspects/crash-log.ts
@@ -28,7 +28,7 @@
   readonly features: Set<string>;
   /** Requests that were in flight, by fingerprint; only those that caused it, once these are known. */
   readonly requests: Map<string, SuspectRequest>;
-  /** Whether its cause is known, or it was none: requests that are reported later are no suspects. */
+  /** Whether its cause is known: requests that are reported later are no suspects. */
   isExplained: boolean;
 }
 
@@ -168,16 +168,12 @@
     return this.byUpstream.get(upstream);
   }
 
-  /**
-   * Records that an upstream that was presumed to have ended has.
-   * @returns Whether that is new.
-   */
-  confirm(upstream: string): boolean {
+  /** Records that an upstream that was presumed to have ended has. */
+  confirm(upstream: string): void {
     const crash = this.byUpstream.get(upstream);
-    if (crash?.certainty !== EndCertainty.Presumed) return false;
+    if (crash?.certainty !== EndCertainty.Presumed) return;
     Object.assign(crash, { certainty: EndCertainty.Confirmed });
     this.reviewAll();
-    return true;
   }
 
   /** Quarantines what requests share that caused crashes; to be called when others of them have run since. */
@@ -241,8 +237,8 @@
    * @returns Whether it was known.
    */
   refute(upstream: string): boolean {
-    const crash = this.crashes.find((known) => known.upstream === upstream && !known.isExplained);
-    if (crash === undefined) return false;
+    const crash = this.byUpstream.get(upstream);
+    if (crash === undefined || crash.isExplained) return false;
     this.refutedAt.set(upstream, this.bounds.timers.now());
     this.drop(crash);
     return true;
@@ -422,9 +418,9 @@
    * Clears the suspects of a crash whose cause is known; those in quarantine stay there. What a request that caused it
    * shares with others stays suspected: it may be the cause of that.
    */
-  private explain(crash: Crash, cause?: string): void {
+  private explain(crash: Crash, cause: string): void {
     Object.assign(crash, { isExplained: true });
-    const culprit = cause === undefined ? undefined : crash.requests.get(cause);
+    const culprit = crash.requests.get(cause);
     const kept = new Set(culprit?.shared.map(({ feature }) => feature));
     for (const fingerprint of [...crash.requests.keys()])
       if (!this.quarantine.has(fingerprint) || culprit === undefined) crash.requests.delete(fingerprint);
--- a/packages/routing/src/core/suspects/suspect-registry.ts
+++ b/packages/routing/src/core/suspects/suspect-registry.ts
@@ -347,19 +347,10 @@
    * respond to reports, and to nothing else.
    */
   recordResponse(replica: string): void {
-    if (this.crashes.isEmpty) return;
-    const now = this.options.timers.now();
-    const isRefuted = this.crashes
-      .recent()
-      .some(
-        ({ upstream, at, certainty, isExplained }) =>
-          upstream === replica &&
-          certainty === EndCertainty.Confirmed &&
-          !isExplained &&
-          now - at > REFUTE_FROM_MS &&
-          now - at < REFUTE_UNTIL_MS,
-      );
-    if (isRefuted) this.refute(replica);
+    const crash = this.crashes.crashOf(replica);
+    if (crash === undefined || crash.isExplained || crash.certainty === EndCertainty.Presumed) return;
+    const agoMs = this.options.timers.now() - crash.at;
+    if (agoMs > REFUTE_FROM_MS && agoMs < REFUTE_UNTIL_MS) this.refute(replica);
   }
 
   /**
