--- a/packages/routing/src/core/suspects/suspect-registry.ts
+++ b/packages/routing/src/core/suspects/suspect-registry.ts
@@ -28,6 +28,7 @@
 import type { RequestFingerprints } from './fingerprint.js';
 import { featureNames } from './fingerprint.js';
 import { rankReplicas } from './placement.js';
+import { PROVISIONAL_MS, ProvisionalRefusals } from './provisional-refusals.js';
 import type { SuspectFrame } from './suspect-codec.js';
 import { decodeSuspect, encodeSuspect } from './suspect-codec.js';
 import type { CrashRow, QuarantineRow, SuspectRow } from './types.js';
@@ -45,8 +46,6 @@
 const TIME_MARGIN_MS = 100;
 /** Time after which the end of a replica that is only presumed is forgotten, in milliseconds. */
 const PRESUMED_MS = 30_000;
-/** Time for which what requests share is refused while ends are presumed only, in milliseconds; renewed while they are. */
-const PROVISIONAL_MS = 2000;
 /** Shortest time between two reviews of what requests share, in milliseconds. */
 const REVIEW_INTERVAL_MS = 100;
 /** Time before a crash up to which a request that was given up may have caused it, in milliseconds. */
@@ -90,8 +89,7 @@
   /** Requests that this daemon had in flight on replicas that crashed, by replica. */
   private readonly ownReports = new Map<string, CrashRow>();
 
-  /** Monotonic times until which features are refused provisionally, in milliseconds. */
-  private readonly provisionalUntil = new Map<string, number>();
+  private readonly provisional: ProvisionalRefusals;
 
   private readonly refutedListeners: ((replica: string) => void)[] = [];
 
@@ -101,7 +99,8 @@
   private reviewedAt = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly options: SuspectRegistryOptions) {
-    const { cluster, tree, timers, attempts } = options;
+    const { cluster, tree, timers, attempts, log } = options;
+    this.provisional = new ProvisionalRefusals(timers, log);
     this.statistics = new FeatureStatistics(timers);
     const bounds = {
       timers,
@@ -119,7 +118,7 @@
       quarantined: (feature, replicas, isShared) => this.handleQuarantine(feature, replicas, isShared),
       presumed: (feature) => this.refuseProvisionally(feature),
       lifted: (fingerprint) =>
-        options.log.decide('request.released', 'A request is no longer quarantined.', { fingerprint }),
+        log.decide('request.released', 'A request is no longer quarantined.', { fingerprint }),
     });
     tree.register(Topic.Suspect, this.topic());
     cluster.handle(MessageType.Suspects, (_from, frames: SuspectFrame[]) => {
@@ -139,7 +138,7 @@
    * @param fingerprints - Computes its fingerprints; not called while nothing is known of any request.
    */
   suspicionOf(fingerprints: () => RequestFingerprints): Suspicion {
-    if (this.crashes.isEmpty && this.provisionalUntil.size === 0) return Suspicion.Clear;
+    if (this.crashes.isEmpty && this.provisional.isEmpty) return Suspicion.Clear;
     const { exact, anyQuery, shared } = fingerprints();
     if (shared.some(({ feature }) => this.remainingMs(feature) > 0)) return Suspicion.Quarantined;
     const suspicion = this.crashes.lookUp(exact);
@@ -154,7 +153,7 @@
   }
 
   private remainingMs(fingerprint: string): number {
-    const until = this.crashes.quarantineOf(fingerprint)?.until ?? this.provisionalUntil.get(fingerprint);
+    const until = this.crashes.quarantineOf(fingerprint)?.until ?? this.provisional.untilOf(fingerprint);
     return until === undefined ? 0 : Math.max(0, until - this.options.timers.now());
   }
 
@@ -386,19 +385,6 @@
     if (this.merge(row)) this.publish(row);
   }
 
-  private mergeProvisional({ fingerprint, replicas, until }: QuarantineRow): boolean {
-    const known = this.provisionalUntil.get(fingerprint);
-    if (known !== undefined && until - known < PROVISIONAL_MS / 2) return false;
-    this.provisionalUntil.set(fingerprint, until);
-    if (known === undefined)
-      this.options.log.decide('request.held', 'Requests that may end replicas are refused for the moment.', {
-        fingerprint,
-        replicas: replicas.join(' '),
-        forMs: Math.round(until - this.options.timers.now()),
-      });
-    return true;
-  }
-
   private handleQuarantine(feature: string, replicas: readonly string[], isShared: boolean): void {
     const entry = this.crashes.quarantineOf(feature);
     if (entry === undefined) return;
@@ -449,7 +435,7 @@
     },
     [SuspectRowKind.Cleared]: ({ fingerprint, at }) => this.crashes.clear(fingerprint, at),
     [SuspectRowKind.Quarantine]: (row) => {
-      if (row.isProvisional) return this.mergeProvisional(row);
+      if (row.isProvisional) return this.provisional.add(row);
       const { fingerprint, replicas, until } = row;
       const isNew = this.crashes.addQuarantine(fingerprint, { upstreams: replicas, until });
       if (isNew) this.logQuarantine(fingerprint, replicas);
@@ -477,23 +463,11 @@
   private expire(): void {
     this.crashes.expire();
     this.crashes.reviewShared();
-    this.expireProvisional();
+    this.provisional.expire((feature) => this.crashes.quarantineOf(feature) !== undefined);
     const oldest = this.options.timers.now() - QUARANTINE_MS;
     for (const [replica, { at }] of this.ownReports) if (at < oldest) this.ownReports.delete(replica);
   }
 
-  private expireProvisional(): void {
-    const { timers, log } = this.options;
-    for (const [feature, until] of this.provisionalUntil) {
-      if (until > timers.now()) continue;
-      this.provisionalUntil.delete(feature);
-      if (this.crashes.quarantineOf(feature) === undefined)
-        log.decide('request.released', 'What requests share is no longer refused for the moment.', {
-          fingerprint: feature,
-        });
-    }
-  }
-
   private topic(): TopicHandler<SuspectRow> {
     const { timers } = this.options;
     return {
