suspects: forget attempts that their replica has outlived

A request that its caller had given up stayed in the ledger for 12 s with its head and body, also when its replica went on to answer others and so could never be reported for it. It is dropped once the replica has gone on for a second.

--- a/packages/routing/src/core/suspects/attempt-ledger.ts
+++ b/packages/routing/src/core/suspects/attempt-ledger.ts
@@ -8,6 +8,8 @@
 
 /** Time for which an attempt without a whole answer is kept, in milliseconds; an entry is removed some seconds late. */
 const RETENTION_MS = 12_000;
+/** Time for which a replica must go on after an attempt has ended to show that it survives it, in milliseconds. */
+const OUTLIVED_MS = 1000;
 /** Largest number of attempts that are kept for one replica. */
 const MAX_ATTEMPTS = 512;
 /**
@@ -131,11 +133,13 @@
     return this.byReplica.keys();
   }
 
-  /** Attempts at a replica that go on, or ended a short time ago without a whole answer. */
+  /** Attempts at a replica that go on, or ended a short time ago without a whole answer, and which it has not outlived. */
   unanswered(replica: string): readonly AttemptRecord[] {
     const oldest = this.timers.now() - RETENTION_MS;
+    const outlived = (this.heardAt.get(replica) ?? Number.NEGATIVE_INFINITY) - OUTLIVED_MS;
+    const keptFrom = Math.max(oldest, outlived);
     return [...(this.byReplica.get(replica) ?? [])].filter(
-      ({ endedAt }) => endedAt === undefined || endedAt >= oldest,
+      ({ endedAt }) => endedAt === undefined || endedAt >= keptFrom,
     );
   }
 
