suspects: count the progress of answers once in 0.1 s, not by chunk

Each chunk of each stream updated a table, ran a listener and computed steps. Now a chunk notes its time, which its attempt knows already; what it shows is derived at most ten times a second for each answer.

--- a/packages/routing/src/core/requests/attempt.ts
+++ b/packages/routing/src/core/requests/attempt.ts
@@ -34,8 +34,11 @@
   readonly onSent: () => void;
   /** Called before the head of a stream is passed on. */
   readonly onStreamBegin: () => void;
-  /** Called for each chunk of a relayed stream; the first one shows that the prefill has ended. */
-  readonly onStreamData: () => void;
+  /**
+   * Called for each chunk of a relayed stream; the first one shows that the prefill has ended.
+   * @param at - Monotonic time of its arrival, in milliseconds.
+   */
+  readonly onStreamData: (at: number) => void;
   /** Called for the head and for each chunk that the replica sends. */
   readonly onDataReceived: () => void;
   /** Called with what the head of the response says. */
@@ -150,7 +153,7 @@
     this.options.onDataReceived();
     this.lastDataAt = this.options.timers.now();
     if (this.isRelaying) {
-      this.options.onStreamData();
+      this.options.onStreamData(this.lastDataAt);
       const result = this.options.relay!.forward(chunk);
       if (result !== ForwardResult.Forwarded) this.fail(FORWARD_FAILURES[result]);
       return;
--- a/packages/routing/src/core/requests/execution.ts
+++ b/packages/routing/src/core/requests/execution.ts
@@ -417,9 +417,9 @@
       relay: this.relay,
       onSent: () => retryPermit?.send(),
       onStreamBegin: () => this.binding?.begin(replica),
-      onStreamData: () => {
+      onStreamData: (at) => {
         handle.responseStarted();
-        this.suspicion.recordBody();
+        this.suspicion.recordBody(at);
       },
       onDataReceived: () => {
         retryPermit?.settle();
--- a/packages/routing/src/core/requests/request-suspicion.ts
+++ b/packages/routing/src/core/requests/request-suspicion.ts
@@ -101,9 +101,12 @@
     });
   }
 
-  /** Notes a part of the answer's body. */
-  recordBody(): void {
-    this.attempt?.recordBody();
+  /**
+   * Notes a part of the answer's body.
+   * @param at - Monotonic time of its arrival, in milliseconds.
+   */
+  recordBody(at: number): void {
+    this.attempt?.recordBody(at);
   }
 
   /**
@@ -116,9 +119,9 @@
     result: AttemptResult,
     isMigrated: boolean,
   ): Promise<void> {
-    const { suspects, paths } = this.parts;
+    const { suspects, paths, timers } = this.parts;
     const { outcome, wasSent, hasReplicaCrashed } = result;
-    this.attempt?.end(endOf(result, isMigrated));
+    this.attempt?.end(endOf(result, isMigrated), timers.now());
     const isCut = wasSent && CUT_OUTCOMES.has(outcome) && !isMigrated && !result.wasLeft;
     // A daemon without a path to the replica can't tell whether it has crashed; a peer that relays can.
     const isPathLost = path?.peer === undefined && paths.causeOf(replica.service) !== undefined;
--- a/packages/routing/src/core/suspects/attempt-ledger.ts
+++ b/packages/routing/src/core/suspects/attempt-ledger.ts
@@ -50,7 +50,8 @@
 }
 
 /** One attempt at a replica; times are monotonic milliseconds. */
-export interface AttemptRecord extends AttemptSubject {
+export interface AttemptRecord {
+  readonly subject: AttemptSubject;
   readonly sentAt: number;
   /** Time of the last part of the answer's body; a head may come from another start at the same address. */
   readonly heardAt: number | undefined;
@@ -69,30 +70,71 @@
   Unanswered = 'unanswered',
 }
 
-type Mutable<Type> = { -readonly [Key in keyof Type]: Type[Key] };
-
-interface MutableRecord extends Mutable<Omit<AttemptRecord, 'answer'>> {
-  readonly answer: Mutable<AnswerRun>;
-}
-
-/** Called with an attempt of whose answer a part arrives. */
+/** Called with an attempt of whose answer a part arrives, not with each part. */
 export type AttemptListener = (record: AttemptRecord) => void;
 
 /** Called with an answer that begins, that has gone on for a while, or that is whole. */
 export type AnswerListener = (answer: AnswerRun) => void;
 
+/** Receives what becomes of an attempt. */
+interface AttemptObserver {
+  progressed(attempt: FollowedAttempt): void;
+  ended(attempt: FollowedAttempt, how: AttemptEnd): void;
+}
+
 /** An attempt that is followed. */
-export interface FollowedAttempt {
-  /** Records a part of the body. */
-  recordBody(): void;
-  end(how: AttemptEnd): void;
+export class FollowedAttempt implements AttemptRecord {
+  heardAt: number | undefined;
+
+  endedAt: number | undefined;
+
+  readonly answer: { -readonly [Key in keyof AnswerRun]: AnswerRun[Key] };
+
+  /** Time up to which it is counted for how long the answer has gone on. */
+  private countedAt = Number.NEGATIVE_INFINITY;
+
+  constructor(
+    readonly subject: AttemptSubject,
+    readonly sentAt: number,
+    private readonly observer: AttemptObserver,
+  ) {
+    const { route, shared } = subject;
+    this.answer = { route, shared, beganAt: undefined, livedMs: 0, isWhole: false };
+  }
+
+  /**
+   * Records a part of the body.
+   * @param at - Monotonic time of its arrival, in milliseconds.
+   */
+  recordBody(at: number): void {
+    this.heardAt = at;
+    if (at - this.countedAt >= PROGRESS_STEP_MS) this.count(at);
+  }
+
+  /**
+   * Records the end.
+   * @param at - Its monotonic time, in milliseconds.
+   */
+  end(how: AttemptEnd, at: number): void {
+    this.endedAt = at;
+    this.answer.isWhole = how === AttemptEnd.Answered && this.answer.beganAt !== undefined;
+    this.observer.ended(this, how);
+  }
+
+  private count(at: number): void {
+    const { answer } = this;
+    if (answer.beganAt === undefined) answer.beganAt = at;
+    else answer.livedMs += Math.min(at - this.countedAt, MAX_COUNTED_GAP_MS);
+    this.countedAt = at;
+    this.observer.progressed(this);
+  }
 }
 
 /** Attempts at all replicas. */
-export class AttemptLedger {
-  private readonly byReplica = new Map<string, Set<MutableRecord>>();
+export class AttemptLedger implements AttemptObserver {
+  private readonly byReplica = new Map<string, Set<FollowedAttempt>>();
 
-  /** Monotonic times of the last parts of answers from replicas, in milliseconds. */
+  /** Monotonic times of the last parts of answers that are kept no longer, in milliseconds, by replica. */
   private readonly heardAt = new Map<string, number>();
 
   private readonly bodyListeners: AttemptListener[] = [];
@@ -113,19 +155,12 @@
 
   /** Follows an attempt from now on. */
   begin(subject: AttemptSubject): FollowedAttempt {
-    const { route, shared } = subject;
-    const record: MutableRecord = {
-      ...subject,
-      sentAt: this.timers.now(),
-      heardAt: undefined,
-      endedAt: undefined,
-      answer: { route, shared, beganAt: undefined, livedMs: 0, isWhole: false },
-    };
-    this.add(record);
-    return {
-      recordBody: () => this.recordBody(record),
-      end: (how) => this.end(record, how),
-    };
+    const attempt = new FollowedAttempt(subject, this.timers.now(), this);
+    const attempts = this.byReplica.get(subject.replica) ?? new Set();
+    this.byReplica.set(subject.replica, attempts);
+    attempts.add(attempt);
+    if (attempts.size > MAX_ATTEMPTS) this.drop([...attempts][0]!);
+    return attempt;
   }
 
   /** Replicas with attempts that are kept. */
@@ -136,7 +171,7 @@
   /** Attempts at a replica that go on, or ended a short time ago without a whole answer, and which it has not outlived. */
   unanswered(replica: string): readonly AttemptRecord[] {
     const oldest = this.timers.now() - RETENTION_MS;
-    const outlived = (this.heardAt.get(replica) ?? Number.NEGATIVE_INFINITY) - OUTLIVED_MS;
+    const outlived = (this.lastHeardAt(replica) ?? Number.NEGATIVE_INFINITY) - OUTLIVED_MS;
     const keptFrom = Math.max(oldest, outlived);
     return [...(this.byReplica.get(replica) ?? [])].filter(
       ({ endedAt }) => endedAt === undefined || endedAt >= keptFrom,
@@ -145,7 +180,10 @@
 
   /** Monotonic time of the last part of any answer from a replica, in milliseconds; undefined if there was none. */
   lastHeardAt(replica: string): number | undefined {
-    return this.heardAt.get(replica);
+    let latest = this.heardAt.get(replica);
+    for (const { heardAt } of this.byReplica.get(replica) ?? [])
+      if (heardAt !== undefined && heardAt > (latest ?? Number.NEGATIVE_INFINITY)) latest = heardAt;
+    return latest;
   }
 
   /** Drops what is kept no longer. */
@@ -153,48 +191,31 @@
     const oldest = this.timers.now() - RETENTION_MS;
     for (const [replica, at] of this.heardAt)
       if (at < oldest && !this.byReplica.has(replica)) this.heardAt.delete(replica);
-    for (const [replica, records] of this.byReplica) {
-      const kept = new Set(this.unanswered(replica));
-      for (const record of records) if (!kept.has(record)) records.delete(record);
-      if (records.size === 0) this.byReplica.delete(replica);
+    for (const [replica, attempts] of this.byReplica) {
+      const kept = new Set<AttemptRecord>(this.unanswered(replica));
+      for (const attempt of attempts) if (!kept.has(attempt)) this.drop(attempt);
     }
   }
 
-  private add(record: MutableRecord): void {
-    const records = this.byReplica.get(record.replica) ?? new Set();
-    this.byReplica.set(record.replica, records);
-    records.add(record);
-    if (records.size <= MAX_ATTEMPTS) return;
-    const [oldest] = records;
-    records.delete(oldest!);
-  }
-
-  private recordBody(record: MutableRecord): void {
-    const { answer } = record;
-    const now = this.timers.now();
-    const isFirst = answer.beganAt === undefined;
-    const before = answer.livedMs;
-    answer.beganAt ??= now;
-    answer.livedMs += Math.min(now - (record.heardAt ?? now), MAX_COUNTED_GAP_MS);
-    Object.assign(record, { heardAt: now });
-    this.heardAt.set(record.replica, now);
-    for (const listener of this.bodyListeners) listener(record);
-    const step = (ms: number): number => Math.floor(ms / PROGRESS_STEP_MS);
-    if (isFirst || step(answer.livedMs) > step(before)) this.tellProgress(record);
+  /** Called by an attempt whose answer begins or has gone on for a while. */
+  progressed(attempt: FollowedAttempt): void {
+    for (const listener of this.bodyListeners) listener(attempt);
+    for (const listener of this.progressListeners) listener(attempt.answer);
   }
 
-  private end(record: MutableRecord, how: AttemptEnd): void {
-    const { answer } = record;
-    Object.assign(record, { endedAt: this.timers.now() });
-    answer.isWhole = how === AttemptEnd.Answered && answer.beganAt !== undefined;
-    if (how === AttemptEnd.Unanswered) return;
-    const records = this.byReplica.get(record.replica);
-    records?.delete(record);
-    if (records?.size === 0) this.byReplica.delete(record.replica);
-    if (answer.isWhole) this.tellProgress(record);
+  /** Called by an attempt that has ended. */
+  ended(attempt: FollowedAttempt, how: AttemptEnd): void {
+    if (how !== AttemptEnd.Unanswered) this.drop(attempt);
+    if (attempt.answer.isWhole) for (const listener of this.progressListeners) listener(attempt.answer);
   }
 
-  private tellProgress({ answer }: AttemptRecord): void {
-    for (const listener of this.progressListeners) listener(answer);
+  private drop(attempt: FollowedAttempt): void {
+    const { subject, heardAt } = attempt;
+    const { replica } = subject;
+    const attempts = this.byReplica.get(replica);
+    attempts?.delete(attempt);
+    if (attempts?.size === 0) this.byReplica.delete(replica);
+    const known = this.heardAt.get(replica) ?? Number.NEGATIVE_INFINITY;
+    if (heardAt !== undefined && heardAt > known) this.heardAt.set(replica, heardAt);
   }
 }
--- a/packages/routing/src/core/suspects/replica-ends.ts
+++ b/packages/routing/src/core/suspects/replica-ends.ts
@@ -114,8 +114,8 @@
   private silentAnswers(replica: string): AttemptRecord[] {
     const { attempts, timers } = this.options;
     const lastAt = (attempts.lastHeardAt(replica) ?? Number.POSITIVE_INFINITY) - SAME_TIME_MS;
-    return attempts.unanswered(replica).filter(({ answer, heardAt, endedAt = timers.now(), isRelayed }) => {
-      if (isRelayed || answer.beganAt === undefined || heardAt === undefined) return false;
+    return attempts.unanswered(replica).filter(({ subject, answer, heardAt, endedAt = timers.now() }) => {
+      if (subject.isRelayed || answer.beganAt === undefined || heardAt === undefined) return false;
       return heardAt >= lastAt && endedAt - heardAt > REMOVED_AFTER_MS;
     });
   }
@@ -159,7 +159,7 @@
   }
 
   /** Refutes an end: by an attempt of before, or by any one where another start has another name. */
-  private handleBody({ replica, sentAt }: AttemptRecord): void {
+  private handleBody({ subject: { replica }, sentAt }: AttemptRecord): void {
     const { suspects, registry, isRecovering, timers } = this.options;
     const endedAt = suspects.unexplainedEnd(replica);
     if (endedAt === undefined || isRecovering() || timers.now() - endedAt <= REFUTE_AFTER_MS) return;
--- a/packages/routing/src/core/suspects/suspect-registry.ts
+++ b/packages/routing/src/core/suspects/suspect-registry.ts
@@ -254,7 +254,7 @@
       isPresumed: certainty === EndCertainty.Presumed,
       endedAgoMs: Math.round(this.options.timers.now() - row.at),
       inFlight: requests.length,
-      fingerprints: records.map((record) => record.fingerprints().exact).join(' '),
+      fingerprints: records.map((record) => record.subject.fingerprints().exact).join(' '),
       answeredMs: records.map(({ answer }) => Math.round(answer.livedMs)).join(' '),
     });
     this.merge(row);
@@ -267,7 +267,7 @@
     return this.options.attempts
       .unanswered(replica)
       .filter((record) => record.endedAt === undefined || record.endedAt >= endedAt - GIVEN_UP_MS)
-      .filter((record) => !reported.has(record.fingerprints().exact));
+      .filter((record) => !reported.has(record.subject.fingerprints().exact));
   }
 
   /** Adds what this daemon had in flight to what a peer has reported, unless the replica goes on here. */
@@ -284,7 +284,8 @@
     if (records.length > 0) this.reportUnanswered(replica, at, certainty, EndSign.Reported);
   }
 
-  private suspectsOf({ fingerprints, shared, sentAt, answer: { beganAt } }: AttemptRecord): SuspectRequest[] {
+  private suspectsOf({ subject, sentAt, answer: { beganAt } }: AttemptRecord): SuspectRequest[] {
+    const { fingerprints, shared } = subject;
     const { exact, anyQuery } = fingerprints();
     const request: SuspectRequest = { fingerprint: exact, shared, sentAt, beganAt };
     // What comes again as it was needs no other name; the query may be what differs the next time.
--- a/packages/routing/test/attempt-ledger.test.ts
+++ b/packages/routing/test/attempt-ledger.test.ts
@@ -24,14 +24,14 @@
 test('an attempt that was given up is dropped once its replica has answered others for a while', async (t) => {
   const { timers, ledger, begin } = createLedger();
   const other = begin();
-  begin().end(AttemptEnd.Unanswered);
+  begin().end(AttemptEnd.Unanswered, timers.now());
   await timers.advance(900);
-  other.recordBody();
+  other.recordBody(timers.now());
   t.is(ledger.unanswered('e1').length, 2);
   await timers.advance(200);
-  other.recordBody();
+  other.recordBody(timers.now());
   t.is(ledger.unanswered('e1').length, 1);
-  other.end(AttemptEnd.Answered);
+  other.end(AttemptEnd.Answered, timers.now());
   ledger.expire();
   t.deepEqual([...ledger.replicas()], []);
 });
@@ -40,9 +40,9 @@
 test('an attempt that was given up is kept for seconds while its replica is silent', async (t) => {
   const { timers, ledger, begin } = createLedger();
   const attempt = begin();
-  attempt.recordBody();
+  attempt.recordBody(timers.now());
   await timers.advance(2000);
-  attempt.end(AttemptEnd.Unanswered);
+  attempt.end(AttemptEnd.Unanswered, timers.now());
   await timers.advance(5000);
   ledger.expire();
   t.is(ledger.unanswered('e1').length, 1);
--- a/packages/routing/test/crash-play.ts
+++ b/packages/routing/test/crash-play.ts
@@ -197,7 +197,7 @@
     runs.add(run);
     // A caller leaves whatever has become of the engine.
     timers.after(CALLER_LEAVES_MS + PREFILL_MS + this.answerMs, () => {
-      if (runs.delete(run)) run.attempt.end(AttemptEnd.Unanswered);
+      if (runs.delete(run)) run.attempt.end(AttemptEnd.Unanswered, this.fleet.timers.now());
     });
     if (this.silentSince[engine] !== undefined) return;
     const isGuilty = run.parts.includes(GUILTY);
@@ -214,10 +214,10 @@
     };
     if (isGuilty) whileRunning(PREFILL_MS + crashAfterMs, () => this.crash(engine));
     for (let ms = 0; ms < this.answerMs; ms += EVENT_INTERVAL_MS)
-      whileRunning(PREFILL_MS + ms, () => run.attempt.recordBody());
+      whileRunning(PREFILL_MS + ms, () => run.attempt.recordBody(timers.now()));
     whileRunning(PREFILL_MS + this.answerMs, () => {
       runs.delete(run);
-      run.attempt.end(AttemptEnd.Answered);
+      run.attempt.end(AttemptEnd.Answered, this.fleet.timers.now());
       this.fleet.registries[run.daemon]!.attemptCompleted(run.request);
     });
   }
@@ -250,7 +250,7 @@
   private endRuns(engine: number): Run[] {
     const cut = [...this.engines[engine]!];
     this.engines[engine]!.clear();
-    for (const { attempt } of cut) attempt.end(AttemptEnd.Unanswered);
+    for (const { attempt } of cut) attempt.end(AttemptEnd.Unanswered, this.fleet.timers.now());
     return cut;
   }
 
--- a/packages/routing/test/suspect-fleet.ts
+++ b/packages/routing/test/suspect-fleet.ts
@@ -92,7 +92,8 @@
   }
 
   async crashUnder(daemon: number, id: string, requests: readonly RequestFingerprints[]): Promise<void> {
-    for (const request of requests) this.begin(daemon, id, request).end(AttemptEnd.Unanswered);
+    for (const request of requests)
+      this.begin(daemon, id, request).end(AttemptEnd.Unanswered, this.timers.now());
     await this.registries[daemon]!.attemptCut({ id } as ReplicaEntry);
   }
 
