suspects: take late reads of a slow host for no sign of life

Callers saw replicas end one after the other under a part although each end was silent for all daemons but one: a slow host reads up to 0.4 s late what a replica had sent before its end, and after 0.3 s any part of an answer refuted the end for the whole fleet, which then took no report of it any more.

A part now refutes an end only 0.8 s after it; a replica that goes on sends more, so a refutation comes at most half a second later than before.

--- a/packages/routing/src/core/suspects/end-signs.ts
+++ b/packages/routing/src/core/suspects/end-signs.ts
@@ -1,6 +1,12 @@
 /** Signs that show that a replica has ended, and how sure each is. */
 import { EndCertainty } from '@celeryyoke/core';
 
+/**
+ * Time after an end from which on bytes of its replica refute it, in milliseconds: a host that is slow reads late what the
+ * replica had sent before.
+ */
+export const REFUTE_AFTER_MS = 800;
+
 /** What shows that a replica has ended. */
 export enum EndSign {
   /** All connections to it have closed, and it refuses new ones. */
--- a/packages/routing/src/core/suspects/replica-ends.ts
+++ b/packages/routing/src/core/suspects/replica-ends.ts
@@ -11,7 +11,7 @@
 import type { ReplicaEntry, ReplicaRegistry } from '../view/index.js';
 import { ReplicaState } from '../view/index.js';
 import type { AttemptLedger, AttemptRecord } from './attempt-ledger.js';
-import { EndSign } from './end-signs.js';
+import { EndSign, REFUTE_AFTER_MS } from './end-signs.js';
 import type { SuspectRegistry } from './suspect-registry.js';
 
 const EXPIRY_INTERVAL_MS = 1000;
@@ -23,8 +23,6 @@
 const MAX_SILENT_AFTER_MS = 8000;
 /** Time without a byte after which a replica whose entry is removed has ended, in milliseconds. */
 const REMOVED_AFTER_MS = 400;
-/** Time after an end from which on bytes refute it, in milliseconds: they may have been on their way before. */
-const REFUTE_AFTER_MS = 300;
 /** Time between the last bytes of two attempts that a replica served at the same time, in milliseconds. */
 const SAME_TIME_MS = 250;
 /** Time by which bytes at a peer must be later than the last ones here, in milliseconds. */
--- a/packages/routing/src/core/suspects/suspect-registry.ts
+++ b/packages/routing/src/core/suspects/suspect-registry.ts
@@ -21,7 +21,7 @@
 import type { ReplicaEntry } from '../view/index.js';
 import type { AnswerRun, AttemptLedger, AttemptRecord } from './attempt-ledger.js';
 import type { CrashDetector } from './crash-detector.js';
-import { END_SIGNS, EndSign } from './end-signs.js';
+import { END_SIGNS, EndSign, REFUTE_AFTER_MS } from './end-signs.js';
 import type { FeatureUse } from './evidence.js';
 import { chanceOf, isCause } from './evidence.js';
 import { FeatureStatistics, isSoundRun } from './feature-statistics.js';
@@ -62,8 +62,8 @@
 /** Largest fleet in which each daemon is told directly, which is faster than the tree. */
 const MAX_DIRECT_PEERS = 16;
 /**
- * Times after a crash between which a response shows that there was none, in milliseconds: later than what the replica
- * may have sent before, and earlier than it can be back.
+ * Times after a crash between which a response to a report shows that there was none, in milliseconds: later than what the
+ * replica may have sent before, and earlier than it can be back.
  */
 const REFUTE_FROM_MS = 300;
 const REFUTE_UNTIL_MS = 1500;
@@ -274,7 +274,7 @@
   private contribute({ replica, at, certainty }: CrashRow): void {
     const heardAt = this.options.attempts.lastHeardAt(replica) ?? Number.NEGATIVE_INFINITY;
     const isPresumed = certainty === EndCertainty.Presumed;
-    if (heardAt > at + REFUTE_FROM_MS) {
+    if (heardAt > at + REFUTE_AFTER_MS) {
       this.refute(replica);
       return;
     }
