suspects: clear a shared feature only once its crash is reported whole

Callers saw two parts end replicas that fell silent, 13 requests with one of them later than allowed. The guilty part was no suspect any more at the first three of its ends: a silent end becomes known half a second late, and is reported by one daemon after the other. Where the first report had a young answer with the part, an answer that had gone on for 0.1 s longer cleared it, before the daemon with the guilty answer (0.5 s old) had reported.

Reports count as complete a while after an end became known, no longer after the end itself, and until then no answer that only goes on clears what it shares. What has run since the end is looked at when the reports are complete.

--- a/packages/core/src/core/suspects/crash-log.ts
+++ b/packages/core/src/core/suspects/crash-log.ts
@@ -23,6 +23,8 @@
   readonly upstream: string;
   /** Monotonic time of its end, or of the last sign of life of one that is silent, in milliseconds. */
   readonly at: number;
+  /** Monotonic time at which it became known, in milliseconds; the reports of other daemons come soon after. */
+  readonly knownAt: number;
   readonly certainty: EndCertainty;
   /** Features of requests that were in flight and are not cleared. */
   readonly features: Set<string>;
@@ -45,7 +47,7 @@
   readonly minCrashes: number;
   /** Crashes after which a request is quarantined in any case. */
   readonly maxCrashes: number;
-  /** Time after a crash in which other daemons report what they had in flight, in milliseconds. */
+  /** Time after a crash became known in which other daemons report what they had in flight, in milliseconds. */
   readonly settleMs: number;
   /** Reports about one upstream within this time are of one crash, in milliseconds. */
   readonly sameCrashMs: number;
@@ -115,6 +117,11 @@
     return this.byFeature.has(feature);
   }
 
+  /** Whether daemons may still report what they had in flight with a feature at one of its crashes. */
+  isUnsettled(feature: string): boolean {
+    return [...(this.byFeature.get(feature) ?? [])].some((crash) => !this.isSettled(crash));
+  }
+
   /** Upstreams at whose crashes a feature is suspected. */
   upstreamsOf(feature: string): string[] {
     return [...(this.byFeature.get(feature) ?? [])].map(({ upstream }) => upstream);
@@ -312,6 +319,7 @@
     const crash: Crash = {
       upstream,
       at,
+      knownAt: this.bounds.timers.now(),
       certainty,
       features: new Set(),
       requests: new Map(),
@@ -361,8 +369,8 @@
     return [...crashes].filter(({ certainty }) => certainty === EndCertainty.Confirmed);
   }
 
-  private isSettled({ at }: Crash): boolean {
-    return this.bounds.timers.now() - at >= this.bounds.settleMs;
+  private isSettled({ knownAt }: Crash): boolean {
+    return this.bounds.timers.now() - knownAt >= this.bounds.settleMs;
   }
 
   /** Whether a feature is something that requests share rather than one request. */
--- a/packages/routing/src/core/suspects/suspect-registry.ts
+++ b/packages/routing/src/core/suspects/suspect-registry.ts
@@ -191,10 +191,23 @@
     this.crashes.reviewShared();
   }
 
-  /** Clears what an answer shares with others, as far as it shows that this crashes no replica. */
+  /**
+   * Reviews what is known of an end, which may have become known only after answers that began since have shown what does
+   * not cause it.
+   * @param at - Monotonic time of the end, in milliseconds.
+   */
+  private reviewSince(at: number): void {
+    for (const run of this.statistics.runsSince(at)) this.clearBy(run);
+    this.crashes.reviewAll();
+  }
+
+  /**
+   * Clears what an answer shares with others, as far as it shows that this crashes no replica. How long an answer with it
+   * may go on until a crash is known once all daemons have reported theirs.
+   */
   private clearBy(run: AnswerRun): void {
     for (const { feature } of run.shared) {
-      if (!this.crashes.isSuspect(feature)) continue;
+      if (!this.crashes.isSuspect(feature) || this.crashes.isUnsettled(feature)) continue;
       if (isSoundRun(run, this.crashes.longestMs(feature))) this.clearShared(feature, run.beganAt!);
     }
   }
@@ -428,10 +441,8 @@
     [SuspectRowKind.Crash]: (row) => {
       const { replica, at, certainty, requests, reporter } = row;
       const isNew = this.crashes.add(replica, at, requests, certainty);
-      // An end may become known only after answers that began since have shown what does not cause it.
-      if (isNew) for (const run of this.statistics.runsSince(at)) this.clearBy(run);
       if (isNew && reporter !== this.options.self) this.contribute(row);
-      if (isNew) this.options.timers.after(SETTLE_MS, () => this.crashes.reviewAll());
+      if (isNew) this.options.timers.after(SETTLE_MS, () => this.reviewSince(at));
       return isNew;
     },
     [SuspectRowKind.Cleared]: ({ fingerprint, at }) => this.crashes.clear(fingerprint, at),
