suspects: weigh one other cause of crashes beside many

With two guilty parts at once, each crash of the one counted as a crash without known cause against the other, five times less likely each: after five such crashes 3,125 times, although one further cause explains them all. Now the likelier of two hypotheses counts: each has a cause of its own, or all have one, whose share of the crashes is unknown (2 x (crashes + 1)).

--- a/packages/routing/src/core/suspects/evidence.ts
+++ b/packages/routing/src/core/suspects/evidence.ts
@@ -3,8 +3,10 @@
 
 /** Largest probability that a cause is found although all crashes with it are chance. */
 const MAX_CHANCE = 0.003;
-/** Factor by which each crash that must have had another cause makes a feature less likely to be one. */
+/** Factor by which each crash with a cause of its own makes a feature less likely to be the cause of the others. */
 const OTHER_CAUSE_PENALTY = 5;
+/** Factor for weighing two hypotheses on the other crashes and keeping the likelier one. */
+const HYPOTHESES = 2;
 
 /** How often a feature is seen, and what has run without a crash since its first one. */
 export interface FeatureUse {
@@ -23,6 +25,14 @@
   return result;
 }
 
+/**
+ * Returns by how much crashes that a feature was not at make it less likely to be the cause of its own: either each of
+ * them has a cause of its own, or all have one, and each share of the crashes that may be due to it is as likely.
+ */
+function otherCausePenalty(own: number, others: number): number {
+  return Math.min(OTHER_CAUSE_PENALTY ** others, HYPOTHESES * (own + others + 1));
+}
+
 /**
  * Estimates how likely a feature, or another one that is as frequent, would be at its crashes and in no request that has
  * run since, if it did not cause them.
@@ -40,9 +50,10 @@
 ): number {
   const atCrashes = inFlight.reduce((chance, requests) => chance * (1 - (1 - share) ** requests), 1);
   const absent = (1 - shareAtLeast) ** soundRuns;
-  const crashes = combinations(inFlight.length + otherCrashes, inFlight.length);
+  const own = inFlight.length;
+  const crashes = combinations(own + otherCrashes, own) * otherCausePenalty(own, otherCrashes);
   // Features that are as frequent number at most the reciprocal of the share.
-  return (choices * crashes * atCrashes * absent * OTHER_CAUSE_PENALTY ** otherCrashes) / share;
+  return (choices * crashes * atCrashes * absent) / share;
 }
 
 /** Whether a feature is hardly at its crashes by chance. */
