suspects: let whole answers clear what they share at any time

That is needed only for answers that go on: a whole one shows that what it shares is sound, however long others with it had gone on.

--- a/packages/routing/src/core/suspects/suspect-registry.ts
+++ b/packages/routing/src/core/suspects/suspect-registry.ts
@@ -203,11 +203,12 @@
 
   /**
    * Clears what an answer shares with others, as far as it shows that this crashes no replica. How long an answer with it
-   * may go on until a crash is known once all daemons have reported theirs.
+   * may go on until a crash is known once all daemons have reported theirs; a whole one shows it in any case.
    */
   private clearBy(run: AnswerRun): void {
     for (const { feature } of run.shared) {
-      if (!this.crashes.isSuspect(feature) || this.crashes.isUnsettled(feature)) continue;
+      if (!this.crashes.isSuspect(feature)) continue;
+      if (!run.isWhole && this.crashes.isUnsettled(feature)) continue;
       if (isSoundRun(run, this.crashes.longestMs(feature))) this.clearShared(feature, run.beganAt!);
     }
   }
