suspects: count what replicas run, each request once, on its routes

The soak, whose callers now have prompt parts, saw hundreds of sound requests refused: part a0 of a third of all requests was found to be the cause of crashes, with a share of 1. How often a part is seen decides how telling it is that no answer has it, and that was wrong in three ways:

- one request that came 40 times counted as 40;

Now a request counts when a replica runs it, once, and a part is compared with all requests of its routes. Sound answers of one request count once too.

--- a/packages/routing/src/core/requests/execution.ts
+++ b/packages/routing/src/core/requests/execution.ts
@@ -229,7 +229,6 @@
   async run(): Promise<void> {
     const { res, service } = this.options;
     this.parts.budget(service).countRequest();
-    this.suspicion.countRequest();
     const onClose = (): void => this.end('caller closed the connection');
     res.once('close', onClose);
     const timer = this.startDeadlineTimer();
--- a/packages/routing/src/core/requests/request-suspicion.ts
+++ b/packages/routing/src/core/requests/request-suspicion.ts
@@ -26,7 +26,7 @@
   readonly paths: Pick<PathMonitor, 'causeOf'>;
   readonly suspects: Pick<
     SuspectRegistry,
-    'suspicionOf' | 'quarantineMs' | 'rankReplicas' | 'attemptCut' | 'attemptCompleted' | 'countRequest'
+    'suspicionOf' | 'quarantineMs' | 'rankReplicas' | 'attemptCut' | 'attemptCompleted'
   >;
   readonly attempts: Pick<AttemptLedger, 'begin'>;
   readonly timers: TimerService;
@@ -58,11 +58,6 @@
     this.shared = sharedFeatures(head.promptParts, account?.name);
   }
 
-  /** Counts the request. */
-  countRequest(): void {
-    if (this.shared.length > 0) this.parts.suspects.countRequest(this.subject.route.name, this.shared);
-  }
-
   /** What is known of the request now. */
   current(): Suspicion {
     return this.parts.suspects.suspicionOf(this.fingerprints);
--- a/packages/routing/src/core/suspects/attempt-ledger.ts
+++ b/packages/routing/src/core/suspects/attempt-ledger.ts
@@ -42,6 +42,8 @@
   readonly route: string;
   /** What the request shares with others. */
   readonly shared: readonly SharedFeature[];
+  /** Fingerprint of the request, once it has begun; empty for one that shares nothing. */
+  readonly request: string;
   /** Monotonic time of the first part of its body, in milliseconds. */
   readonly beganAt: number | undefined;
   /** Time for which it has gone on at least, in milliseconds. */
@@ -99,7 +101,7 @@
     private readonly observer: AttemptObserver,
   ) {
     const { route, shared } = subject;
-    this.answer = { route, shared, beganAt: undefined, livedMs: 0, isWhole: false };
+    this.answer = { route, shared, request: '', beganAt: undefined, livedMs: 0, isWhole: false };
   }
 
   /**
@@ -121,9 +123,15 @@
     this.observer.ended(this, how);
   }
 
+  private begin(at: number): void {
+    const { answer, subject } = this;
+    answer.beganAt = at;
+    if (answer.shared.length > 0) answer.request = subject.fingerprints().exact;
+  }
+
   private count(at: number): void {
     const { answer } = this;
-    if (answer.beganAt === undefined) answer.beganAt = at;
+    if (answer.beganAt === undefined) this.begin(at);
     else answer.livedMs += Math.min(at - this.countedAt, MAX_COUNTED_GAP_MS);
     this.countedAt = at;
     this.observer.progressed(this);
@@ -141,6 +149,8 @@
 
   private readonly progressListeners: AnswerListener[] = [];
 
+  private readonly unbegunListeners: AttemptListener[] = [];
+
   constructor(private readonly timers: TimerService) {}
 
   /** Subscribes to attempts of whose answers a part arrives. */
@@ -153,6 +163,11 @@
     this.progressListeners.push(listener);
   }
 
+  /** Subscribes to attempts that end without a whole answer before it has begun, although a replica may have run them. */
+  onUnbegun(listener: AttemptListener): void {
+    this.unbegunListeners.push(listener);
+  }
+
   /** Follows an attempt from now on. */
   begin(subject: AttemptSubject): FollowedAttempt {
     const attempt = new FollowedAttempt(subject, this.timers.now(), this);
@@ -206,6 +221,8 @@
   /** Called by an attempt that has ended. */
   ended(attempt: FollowedAttempt, how: AttemptEnd): void {
     if (how !== AttemptEnd.Unanswered) this.drop(attempt);
+    else if (attempt.answer.beganAt === undefined)
+      for (const listener of this.unbegunListeners) listener(attempt);
     if (attempt.answer.isWhole) for (const listener of this.progressListeners) listener(attempt.answer);
   }
 
--- a/packages/routing/src/core/suspects/feature-statistics.ts
+++ b/packages/routing/src/core/suspects/feature-statistics.ts
@@ -29,37 +29,60 @@
   return isWhole || livedMs > REFUTING_FACTOR * longestMs + REFUTING_MARGIN_MS;
 }
 
-/** Requests with one feature. */
+/** Largest number of requests of an epoch that are known apart. */
+const MAX_REQUESTS = 8192;
+
+/** A request that a replica runs. */
+export interface CountedRun {
+  /** Name of its route. */
+  readonly route: string;
+  readonly features: readonly string[];
+  /** Its fingerprint. */
+  readonly request: string;
+}
+
+/** Requests with one feature that replicas have run. */
 interface FeatureCount {
   requests: number;
-  /** Route of the last one. */
-  route: string;
+  /** Names of their routes. */
+  readonly routes: Set<string>;
 }
 
-/** Requests of one epoch. */
+/** Requests of one epoch that replicas have run, each counted once however often it came. */
 class Epoch {
   /** Requests by route. */
   readonly requests = new Map<string, number>();
 
   readonly features = new Map<string, FeatureCount>();
 
-  count(route: string, features: readonly string[]): void {
+  private readonly known = new Set<string>();
+
+  count({ route, features, request }: CountedRun): void {
+    if (this.known.has(request)) return;
+    if (this.known.size < MAX_REQUESTS) this.known.add(request);
     this.requests.set(route, (this.requests.get(route) ?? 0) + 1);
-    for (const feature of features) {
-      const known = this.features.get(feature);
-      if (known !== undefined) Object.assign(known, { requests: known.requests + 1, route });
-      else if (this.features.size < MAX_FEATURES) this.features.set(feature, { requests: 1, route });
-    }
+    for (const feature of features) this.countFeature(feature, route);
   }
 
-  /** Requests of a route, or of all of them. */
-  requestsOf(route: string | undefined): number {
-    if (route !== undefined) return this.requests.get(route) ?? 0;
-    return [...this.requests.values()].reduce((sum, count) => sum + count, 0);
+  private countFeature(feature: string, route: string): void {
+    const known = this.features.get(feature);
+    if (known !== undefined) {
+      known.requests += 1;
+      known.routes.add(route);
+    } else if (this.features.size < MAX_FEATURES)
+      this.features.set(feature, { requests: 1, routes: new Set([route]) });
+  }
+
+  /** Requests of some routes, or of all of them. */
+  requestsOf(routes: ReadonlySet<string> | undefined): number {
+    return [...this.requests].reduce(
+      (sum, [route, count]) => (routes === undefined || routes.has(route) ? sum + count : sum),
+      0,
+    );
   }
 }
 
-/** Use of features in the last half a minute or more, by route: requests of one route are alike in what they share. */
+/** Use of features in the last half a minute or more, on their routes: requests of one are alike in what they share. */
 export class FeatureStatistics {
   private current = new Epoch();
 
@@ -74,10 +97,13 @@
     this.epochEndsAt = timers.now() + EPOCH_MS;
   }
 
-  /** Counts a request of a caller. */
-  countRequest(route: string, features: readonly string[]): void {
+  /**
+   * Counts a request that a replica runs, not one that is refused: that no answer has what it shares shows nothing, and its
+   * caller may send it again and again.
+   */
+  countRun(run: CountedRun): void {
     if (this.timers.now() >= this.epochEndsAt) this.startEpoch();
-    this.current.count(route, features);
+    this.current.count(run);
   }
 
   /** Records an answer that has begun, or goes on; how long it goes on is read when it matters. */
@@ -100,27 +126,27 @@
   }
 
   /**
-   * Returns how often a feature is seen on its route; on all routes if it was not seen yet.
+   * Returns how often a feature is seen on its routes; on all of them if it was not seen yet.
    * @param since - Monotonic time from which on answers that begin count, in milliseconds.
    * @param longestMs - Longest time for which an answer with it had gone on at one of its crashes, in milliseconds.
    */
   useOf(feature: string, since: number, longestMs: number): FeatureUse {
-    const counts = [this.current, this.previous].map((epoch) => epoch.features.get(feature));
-    const route = counts.find((count) => count !== undefined)?.route;
-    const withFeature = counts.reduce((sum, count) => sum + (count?.requests ?? 0), 0);
-    const requests = this.current.requestsOf(route) + this.previous.requestsOf(route);
+    const counts = [this.current, this.previous].flatMap((epoch) => epoch.features.get(feature) ?? []);
+    const routes = counts.length === 0 ? undefined : new Set(counts.flatMap((count) => [...count.routes]));
+    const withFeature = counts.reduce((sum, { requests }) => sum + requests, 0);
+    const all = this.current.requestsOf(routes) + this.previous.requestsOf(routes);
     return {
-      share: Math.min(1, (withFeature + 1 + Math.sqrt(withFeature + 1)) / (requests + 1)),
-      shareAtLeast: Math.max(0, withFeature - Math.sqrt(withFeature)) / (requests + 1),
-      soundRuns: this.soundRunsSince(route, since, longestMs),
+      share: Math.min(1, (withFeature + 1 + Math.sqrt(withFeature + 1)) / (all + 1)),
+      shareAtLeast: Math.max(0, withFeature - Math.sqrt(withFeature)) / (all + 1),
+      soundRuns: this.soundRunsSince(routes, since, longestMs),
     };
   }
 
-  private soundRunsSince(route: string | undefined, since: number, longestMs: number): number {
-    let count = 0;
+  private soundRunsSince(routes: ReadonlySet<string> | undefined, since: number, longestMs: number): number {
+    const sound = new Set<string>();
     for (const run of this.runsSince(since))
-      if ((route === undefined || run.route === route) && isSoundRun(run, longestMs)) count += 1;
-    return count;
+      if ((routes?.has(run.route) ?? true) && isSoundRun(run, longestMs)) sound.add(run.request);
+    return sound.size;
   }
 
   private startEpoch(): void {
--- a/packages/routing/src/core/suspects/suspect-registry.ts
+++ b/packages/routing/src/core/suspects/suspect-registry.ts
@@ -75,7 +75,7 @@
   readonly cluster: Pick<Cluster, 'aliveAddresses' | 'send' | 'handle'>;
   readonly tree: Pick<DisseminationTree, 'register' | 'publish'>;
   readonly detector: Pick<CrashDetector, 'hasCrashed' | 'forget'>;
-  readonly attempts: Pick<AttemptLedger, 'onProgress' | 'unanswered' | 'lastHeardAt'>;
+  readonly attempts: Pick<AttemptLedger, 'onProgress' | 'onUnbegun' | 'unanswered' | 'lastHeardAt'>;
   readonly timers: TimerService;
   readonly log: DecisionLog;
 }
@@ -125,6 +125,9 @@
       for (const frame of frames) this.merge(decodeSuspect(frame, timers.now()));
     });
     attempts.onProgress((record) => this.recordProgress(record));
+    attempts.onUnbegun(({ subject: { route, shared, fingerprints } }) => {
+      if (shared.length > 0) this.countRun(route, shared, fingerprints().exact);
+    });
     this.expiryTimer = timers.repeat(EXPIRY_INTERVAL_MS, () => this.expire());
   }
 
@@ -168,20 +171,21 @@
   }
 
   /**
-   * Counts a request of a caller.
+   * Counts a request that a replica runs.
    * @param route - Name of its route.
    * @param shared - What it shares with others.
+   * @param request - Its fingerprint.
    */
-  countRequest(route: string, shared: readonly SharedFeature[]): void {
-    this.statistics.countRequest(
-      route,
-      shared.map(({ feature }) => feature),
-    );
+  countRun(route: string, shared: readonly SharedFeature[], request: string): void {
+    if (shared.length === 0) return;
+    const features = shared.map(({ feature }) => feature);
+    this.statistics.countRun({ route, features, request });
   }
 
   /** Clears what an answer that goes on shares with others, and weighs what others share again. */
   private recordProgress(run: AnswerRun): void {
     if (run.shared.length === 0) return;
+    if (run.livedMs === 0 && !run.isWhole) this.countRun(run.route, run.shared, run.request);
     this.statistics.recordRun(run);
     if (this.crashes.isEmpty) return;
     this.clearBy(run);
--- a/packages/routing/test/crash-play.ts
+++ b/packages/routing/test/crash-play.ts
@@ -316,7 +316,6 @@
     const shared = sharedFeatures(parts, undefined);
     const identity = { account: undefined, method: 'POST', host: 'h', target };
     const request = fingerprintsOf({ ...identity, body: undefined, shared });
-    registry.countRequest('route', shared);
     if (cause === undefined) this.sentAt.push(this.fleet.timers.now());
     if (registry.suspicionOf(() => request) === Suspicion.Quarantined) {
       if (cause === undefined) this.refused += 1;
--- a/packages/routing/test/prompt-parts.test.ts
+++ b/packages/routing/test/prompt-parts.test.ts
@@ -53,7 +53,7 @@
   const fleet = new SuspectFleet(DAEMONS);
   for (const registry of fleet.registries)
     for (let number = 0; number < 500; number += 1)
-      registry.countRequest('route', sharedFeatures([`b${number % 100}`], 'any'));
+      registry.countRun('route', sharedFeatures([`b${number % 100}`], 'any'), `${number}`);
   for (const [number, account] of accounts.entries()) {
     const id = `e${number}`;
     await fleet.crashUnder(number % DAEMONS, id, [requestOf(`/${number}`, account)]);
--- a/packages/routing/test/suspect-fleet.ts
+++ b/packages/routing/test/suspect-fleet.ts
@@ -102,8 +102,7 @@
   /** Has all daemons reach each other again; each part is told what the other one knows. */
   heal(): void {
     this.isDivided = false;
-    for (const daemon of this.addresses.keys())
-      this.tell(daemon % 2 === 0 ? 1 : 0, daemon, DIRECT_DELAY_MS);
+    for (const daemon of this.addresses.keys()) this.tell(daemon % 2 === 0 ? 1 : 0, daemon, DIRECT_DELAY_MS);
   }
 
   private start(): void {
