suspects: take one request for a cause only if no other was at as many

Sound streams that go on at another replica were refused in the soak: while a part ends replicas, each end cuts streams of which some are cut again, and a request at two crashes was found to be the cause, if no other at that crash was at two.

Now a request is found after two crashes only if no other request is at as many, whichever crash that is, and after four in any case.

Test in crash-log.test.ts; it fails without the change.

--- a/packages/core/src/core/suspects/crash-log.ts
+++ b/packages/core/src/core/suspects/crash-log.ts
@@ -4,8 +4,8 @@
  * A feature is the fingerprint of a request, or something that it shares with others. Every feature of a request in
  * flight at a crash is a suspect until a request with it ends well.
  *
- * A request that is in flight at another crash, as the only such request there, caused both; at a further crash it did
- * in any case. A shared feature caused its crashes if requests that differ otherwise had it at several, and it would
+ * A request that is in flight at another crash caused both if no other request was at as many; after some more crashes it
+ * did in any case. A shared feature caused its crashes if requests that differ otherwise had it at several, and it would
  * hardly be at all of them by chance. What caused a crash is quarantined, and what was beside it is cleared.
  */
 import type { TimerService } from '../time/index.js';
@@ -43,10 +43,12 @@
   readonly suspectMs: number;
   /** Time after which the end of an upstream that is only presumed is forgotten, in milliseconds; as a crash by default. */
   readonly presumedMs?: number;
-  /** Crashes after which a request is quarantined if no other request was in flight at several. */
+  /** Crashes after which a request is quarantined if no other request was in flight at as many. */
   readonly minCrashes: number;
   /** Crashes after which a request is quarantined in any case. */
   readonly maxCrashes: number;
+  /** Crashes after which a shared feature is looked at while some are only presumed; as many as confirmed ones by default. */
+  readonly minPresumed?: number;
   /** Time after a crash became known in which other daemons report what they had in flight, in milliseconds. */
   readonly settleMs: number;
   /** Reports about one upstream within this time are of one crash, in milliseconds. */
@@ -386,20 +388,34 @@
       this.convict(known);
       return;
     }
-    const repeated = [...crash.requests.keys()].filter(
-      (fingerprint) => crash.features.has(fingerprint) && this.isRepeated(fingerprint),
+    for (const fingerprint of [...crash.requests.keys()])
+      if (crash.features.has(fingerprint) && this.isRequestCause(fingerprint, crash))
+        this.convict(fingerprint);
+  }
+
+  /**
+   * Whether a request caused its crashes: it was at several, and no other one at as many. While upstreams crash often, for
+   * whatever reason, others are at several by chance; one of them has to be at more.
+   */
+  private isRequestCause(fingerprint: string, crash: Crash): boolean {
+    const { minCrashes, maxCrashes } = this.bounds;
+    const crashes = this.confirmedCrashes(fingerprint).length;
+    if (crashes >= maxCrashes) return true;
+    return crashes >= minCrashes && this.isSettled(crash) && !this.hasRival(fingerprint, crashes);
+  }
+
+  /** Whether another request was at as many crashes. */
+  private hasRival(fingerprint: string, crashes: number): boolean {
+    return [...this.byFeature.keys()].some(
+      (other) =>
+        other !== fingerprint && !this.isShared(other) && this.confirmedCrashes(other).length >= crashes,
     );
-    const isOnlyOne = repeated.length === 1 && this.isSettled(crash);
-    for (const fingerprint of repeated) {
-      const crashes = this.confirmedCrashes(fingerprint).length;
-      if (isOnlyOne || crashes >= this.bounds.maxCrashes) this.convict(fingerprint);
-    }
   }
 
   /** Whether a feature that requests share caused its crashes, as far as these are sure enough. */
   private isSharedCause(feature: string, certainty: EndCertainty): boolean {
-    const { isCause, minCrashes, maxCrashes } = this.bounds;
-    const least = certainty === EndCertainty.Confirmed ? minCrashes : maxCrashes;
+    const { isCause, minCrashes, minPresumed = minCrashes } = this.bounds;
+    const least = certainty === EndCertainty.Confirmed ? minCrashes : minPresumed;
     const crashes = this.byFeature.get(feature)?.size ?? 0;
     if (isCause === undefined || crashes < least || this.quarantine.has(feature)) return false;
     if (!this.isShared(feature)) return false;
--- a/packages/core/test/crash-log.test.ts
+++ b/packages/core/test/crash-log.test.ts
@@ -48,6 +48,21 @@
   for (const neighbour of ['a', 'b', 'c']) t.is(log.lookUp(neighbour), Suspicion.Clear);
 });
 
+// Guards against refusing requests that are resumed, and so at two crashes by chance, while upstreams crash often.
+test('of requests that were at two crashes each, one is quarantined only at a further one', async (t) => {
+  const { quarantined, crash, settle } = startLog();
+  crash('e1', 'a', 'c');
+  crash('e2', 'b', 'd');
+  await settle();
+  crash('e3', 'a', 'e');
+  crash('e4', 'b', 'f');
+  await settle();
+  t.deepEqual(quarantined, []);
+  crash('e5', 'b');
+  await settle();
+  t.deepEqual(quarantined, ['b']);
+});
+
 // Guards against taking a neighbour for the cause before all daemons have reported what they had in flight.
 test('of several requests in flight at two crashes none is quarantined before a third crash', async (t) => {
   const { log, quarantined, crash, settle } = startLog();
--- a/packages/routing/src/core/suspects/suspect-registry.ts
+++ b/packages/routing/src/core/suspects/suspect-registry.ts
@@ -39,7 +39,9 @@
 /** Time in which all daemons report what they had in flight at a crash, in milliseconds. */
 const SETTLE_MS = 150;
 const MIN_CRASHES = 2;
-const MAX_CRASHES = 3;
+const MAX_CRASHES = 4;
+/** Ends after which what requests share is looked at while some ends are only presumed. */
+const MIN_PRESUMED = 3;
 /** Reports about one incarnation of a replica are of one crash. */
 const SAME_CRASH_MS = QUARANTINE_MS;
 /** Largest delay of a message between daemons, by which a time is taken for a later one, in milliseconds. */
@@ -110,6 +112,7 @@
       presumedMs: PRESUMED_MS,
       minCrashes: MIN_CRASHES,
       maxCrashes: MAX_CRASHES,
+      minPresumed: MIN_PRESUMED,
       settleMs: SETTLE_MS,
       sameCrashMs: SAME_CRASH_MS,
       capacity: CAPACITY,
