soak: play parts of prompts that end engines, silently or not

Engines end in two more ways: they close all, or read and send nothing for 4 s and start again. Checked: at most three such streams arrive later than 3 s after the fifth end, at daemons that were not disturbed, and no other request is refused. The plans of before are drawn as before; the new fault is drawn apart.

--- a/packages/soak/src/core/callers/callers.ts
+++ b/packages/soak/src/core/callers/callers.ts
@@ -4,7 +4,8 @@
 import type { Random } from '@celeryyoke/routing/testing';
 import { Agent, request } from 'undici';
 
-import { CRASHING_PATH, REPLICA_HEADER } from '../replicas/index.js';
+import type { CrashingPart } from '../replicas/index.js';
+import { CRASHING_PATH, nameCrashingPart, PROMPT_PARTS_HEADER, REPLICA_HEADER } from '../replicas/index.js';
 import type { DaemonAddress, SoakRoute } from '../site/index.js';
 import { CALLER_HOST, ROUTES } from '../site/index.js';
 import type { Balancer } from './balancer.js';
@@ -29,6 +30,9 @@
 /** Shortest and longest pause of a caller that sends the same request again and again, in milliseconds. */
 const MIN_RESEND_MS = 20;
 const MAX_RESEND_MS = 700;
+/** Number of parts that prompts share in first and in second place. */
+const FIRST_PARTS = 3;
+const SECOND_PARTS = 40;
 const PROMISES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
 /** What a caller got. */
@@ -53,6 +57,8 @@
   readonly route: SoakRoute;
   /** The same for all attempts with one request. */
   readonly path: string;
+  /** Part of its prompt that ends engines; undefined if it has none. */
+  readonly crashingPart: string | undefined;
   /** Whether it is the first with its request. */
   readonly isFirst: boolean;
   /** Name of the daemon that it was sent to. */
@@ -91,6 +97,7 @@
 interface CallerRequest {
   readonly route: SoakRoute;
   readonly path: string;
+  readonly crashingPart?: string | undefined;
   readonly adapter: number;
   /** Undefined while the caller has no event. */
   readonly part?: StreamPart | undefined;
@@ -127,6 +134,12 @@
   /** Requests so far, which number their paths. */
   private requestCount = 0;
 
+  /** Streams so far, some of which have parts that end engines. */
+  private streamCount = 0;
+
+  /** Parts that end engines at present, and of how many streams each has one. */
+  private readonly crashingParts = new Map<string, number>();
+
   constructor(private readonly options: CallersOptions) {}
 
   /** Sends requests until {@link stop}. */
@@ -161,6 +174,23 @@
     return () => end.abort();
   }
 
+  /**
+   * Gives some streams a part that ends engines.
+   * @param every - One stream in so many has it.
+   * @returns A function that ends it.
+   */
+  sendCrashing(part: CrashingPart, every: number): () => void {
+    const name = nameCrashingPart(part);
+    this.crashingParts.set(name, every);
+    return () => this.crashingParts.delete(name);
+  }
+
+  private nextCrashingPart({ kind }: SoakRoute): string | undefined {
+    if (kind !== 'streaming') return undefined;
+    this.streamCount += 1;
+    return [...this.crashingParts].find(([, every]) => this.streamCount % every === 0)?.[0];
+  }
+
   private async resend(route: SoakRoute, path: string, signal: AbortSignal): Promise<void> {
     const { timers, random } = this.options;
     const adapter = this.pickAdapter();
@@ -190,7 +220,9 @@
     const { timers, hasRetries } = this.options;
     const deadlineAt = timers.now() + route.timeoutMs;
     const adapter = this.pickAdapter();
-    let wanted: CallerRequest = { route, path: this.nextPath(route), adapter, isFirst: true, deadlineAt };
+    const path = this.nextPath(route);
+    const crashingPart = this.nextCrashingPart(route);
+    let wanted: CallerRequest = { route, path, crashingPart, adapter, isFirst: true, deadlineAt };
     for (let sent = 1; ; sent += 1) {
       const attempt = await this.call(wanted);
       const mayRetry = attempt.outcome === CallerOutcome.Refused || route.kind !== 'unsafe';
@@ -205,7 +237,8 @@
     }
   }
 
-  private async call({ route, path, adapter, part, isFirst, deadlineAt }: CallerRequest) {
+  private async call(wanted: CallerRequest) {
+    const { route, path, crashingPart, adapter, part, isFirst, deadlineAt } = wanted;
     const { balancer, random, timers } = this.options;
     const daemon = random.pick(balancer.inRotation());
     const limitMs = Math.max(1, Math.floor(deadlineAt - timers.now()));
@@ -213,6 +246,7 @@
       id: `c${this.attempts.length}`,
       route,
       path,
+      crashingPart,
       isFirst,
       daemon: daemon.name,
       sentAt: timers.wall(),
@@ -277,13 +311,25 @@
   return last && { lastEventId: last.id, resumes: resumes ?? id };
 }
 
-function headersOf(
-  { id, route: { kind }, limitMs, lastEventId, resumes }: CallerAttempt,
-  adapter: number,
-): Record<string, string> {
+/** Parts of the prompt of a request; some are far more frequent than others, the last one is its own. */
+function promptPartsOf({ path, crashingPart }: CallerAttempt): string {
+  const number = Number(path.split('/')[2]);
+  const second = crashingPart ?? `b${(number * number) % SECOND_PARTS}`;
+  return `a${number % FIRST_PARTS}:80,${second}:40,c${number}:20`;
+}
+
+function headersOf(attempt: CallerAttempt, adapter: number): Record<string, string> {
+  const {
+    id,
+    route: { kind },
+    limitMs,
+    lastEventId,
+    resumes,
+  } = attempt;
   const generation = {
     'celeryyoke-model': `${MODEL_NAME}/a${adapter}`,
     'celeryyoke-token-count': '200,60',
+    [PROMPT_PARTS_HEADER]: promptPartsOf(attempt),
   };
   return {
     host: CALLER_HOST,
--- a/packages/soak/src/core/plan/plan.ts
+++ b/packages/soak/src/core/plan/plan.ts
@@ -26,6 +26,7 @@
   ...DECLARATIONS,
   ...CUTS,
   FaultKind.CrashingRequest,
+  FaultKind.CrashingPart,
   FaultKind.Brittle,
   FaultKind.Upgrade,
   FaultKind.StopReplicas,
@@ -59,6 +60,8 @@
 const MAX_AWAY_MS = 1500;
 /** Mean time between two callers whose request crashes replicas, in milliseconds. */
 const MS_PER_CRASHING_REQUEST = 10_000;
+/** Mean time between two times in which requests have a part that ends engines, in milliseconds. */
+const MS_PER_CRASHING_PART = 20_000;
 /** Mean time between two times at which engines get another software version, in milliseconds. */
 const MS_PER_UPGRADE = 7000;
 /** Shortest time for which such a caller comes again, in milliseconds: longer than the check's grace time. */
@@ -94,7 +97,8 @@
       ...failures,
       ...others,
       ...drawDeclarations(seed, lengthMs),
-      ...drawCrashingRequests(seed, lengthMs),
+      ...drawCrashing(FaultKind.CrashingRequest, `soak-crashing-${seed}`, MS_PER_CRASHING_REQUEST, lengthMs),
+      ...drawCrashing(FaultKind.CrashingPart, `soak-crashing-parts-${seed}`, MS_PER_CRASHING_PART, lengthMs),
       ...drawCuts(seed, lengthMs),
       ...drawBrittle(seed, lengthMs),
       ...drawUpgrades(seed, lengthMs),
@@ -116,12 +120,12 @@
   }));
 }
 
-/** Draws callers whose request crashes replicas, in series that may overlap. */
-function drawCrashingRequests(seed: number, lengthMs: number): Fault[] {
-  const random = createRandom(`soak-crashing-${seed}`);
-  const count = Math.max(1, Math.round(lengthMs / MS_PER_CRASHING_REQUEST));
+/** Draws callers whose requests crash replicas, in series that may overlap. */
+function drawCrashing(kind: FaultKind, seed: string, meanIntervalMs: number, lengthMs: number): Fault[] {
+  const random = createRandom(seed);
+  const count = Math.max(1, Math.round(lengthMs / meanIntervalMs));
   return Array.from({ length: count }, () => ({
-    kind: FaultKind.CrashingRequest,
+    kind,
     atMs: Math.round(random.between(0, lengthMs / 2)),
     forMs: Math.round(random.between(MIN_CRASHING_MS, lengthMs / 2)),
     share: random.between(0, 1),
--- a/packages/soak/src/core/plan/types.ts
+++ b/packages/soak/src/core/plan/types.ts
@@ -34,6 +34,8 @@
   Leave = 'leave',
   /** A caller sends one request again and again, which crashes each replica that runs it. */
   CrashingRequest = 'crashing-request',
+  /** Some requests have a part in their prompts that ends each engine that answers them; no two are alike. */
+  CrashingPart = 'crashing-part',
   /** Engines are replaced, at their addresses, by new incarnations of a newer software version. */
   Upgrade = 'upgrade',
   /** The replicas of the plain service are slow, and fall over when they have to reject many requests. */
--- a/packages/soak/src/core/replicas/fleet.ts
+++ b/packages/soak/src/core/replicas/fleet.ts
@@ -14,7 +14,7 @@
   ReplicaNews,
   ReplicaOptions,
 } from './messages.js';
-import { Behaviour, FIRST_VERSION, Holdable, incarnationId } from './messages.js';
+import { Behaviour, EngineEnd, FIRST_VERSION, Holdable, incarnationId } from './messages.js';
 
 const PROGRAM = fileURLToPath(new URL('./main.js', import.meta.url));
 
@@ -193,6 +193,7 @@
 
   private recordRestart(id: string): void {
     const before = this.incarnationOf(id);
+    this.note(this.interruptions, [id], false);
     this.countReplacement(id);
     this.noteVersion(id, this.versionOf(id));
     this.options.onRestart(id, before);
@@ -239,6 +240,7 @@
         arrivals: ({ arrivals }) => arrivals.forEach(onArrival),
         crashed: ({ crash }) => {
           this.crashes.push(crash);
+          if (crash.end === EngineEnd.Silent) this.note(this.interruptions, [idOf(crash.replica)], true);
           this.noteVersion(idOf(crash.replica), undefined);
         },
         fell: ({ fall }) => {
--- a/packages/soak/src/core/replicas/index.ts
+++ b/packages/soak/src/core/replicas/index.ts
@@ -2,6 +2,7 @@
 export type {
   Abandonment,
   Arrival,
+  CrashingPart,
   ReplicaCommand,
   ReplicaCrash,
   ReplicaFall,
@@ -11,9 +12,12 @@
 export {
   Behaviour,
   CRASHING_PATH,
+  EngineEnd,
   FIRST_VERSION,
   Holdable,
   incarnationId,
+  nameCrashingPart,
+  PROMPT_PARTS_HEADER,
   REPLICA_HEADER,
 } from './messages.js';
 export type { Interruption, VersionChange, ReplicaFleetOptions } from './fleet.js';
--- a/packages/soak/src/core/replicas/messages.ts
+++ b/packages/soak/src/core/replicas/messages.ts
@@ -87,6 +87,7 @@
   readonly replica: string;
   /** Unix milliseconds. */
   readonly at: number;
+  readonly end: EngineEnd;
 }
 
 /** A brittle replica that has fallen over, as it had to reject too many requests in a second. */
@@ -105,6 +106,37 @@
 /** Last part of the path of requests that crash each replica that runs them. */
 export const CRASHING_PATH = 'crash';
 
+/** Header that names the parts of a prompt, with the number of tokens of each. */
+export const PROMPT_PARTS_HEADER = 'celeryyoke-prompt-prefix';
+
+/** How an engine ends under a part of a prompt. */
+export enum EngineEnd {
+  /** Its connections are closed, and its port refuses new ones. */
+  Closed = 'closed',
+  /** It reads and sends nothing any more; its connections stay open until it has started again. */
+  Silent = 'silent',
+}
+
+/** A part of prompts that ends each engine that answers a request with it. */
+export interface CrashingPart {
+  readonly end: EngineEnd;
+  /** Time from the first event of an answer to the end, in milliseconds. */
+  readonly afterMs: number;
+}
+
+const CRASHING_PART = /dead-(\w+)-(\d+)/;
+
+/** Name of a part that ends engines. */
+export function nameCrashingPart({ end, afterMs }: CrashingPart): string {
+  return `dead-${end}-${afterMs}`;
+}
+
+/** Finds a part that ends engines among those of a prompt. */
+export function findCrashingPart(parts: string): CrashingPart | undefined {
+  const [, end, afterMs] = CRASHING_PART.exec(parts) ?? [];
+  return end === undefined ? undefined : { end: end as EngineEnd, afterMs: Number(afterMs) };
+}
+
 /**
  * Names an incarnation of a replica.
  * @param id - Name of the replica throughout the run.
--- a/packages/soak/src/core/replicas/replica.ts
+++ b/packages/soak/src/core/replicas/replica.ts
@@ -20,13 +20,23 @@
 import type { PathCut, Random, RawRequest } from '@celeryyoke/routing/testing';
 import { createRandom, headerValue, parseRequest, PathCuts } from '@celeryyoke/routing/testing';
 
-import type { Abandonment, Arrival, ReplicaCrash, ReplicaFall, ReplicaOptions } from './messages.js';
+import type {
+  Abandonment,
+  Arrival,
+  CrashingPart,
+  ReplicaCrash,
+  ReplicaFall,
+  ReplicaOptions,
+} from './messages.js';
 import {
   Behaviour,
   CRASHING_PATH,
+  EngineEnd,
+  findCrashingPart,
   FIRST_VERSION,
   Holdable,
   incarnationId,
+  PROMPT_PARTS_HEADER,
   REPLICA_HEADER,
 } from './messages.js';
 
@@ -52,6 +62,8 @@
 const CRASH_AFTER_MS = 60;
 /** Time until a replica that has crashed listens again, in milliseconds. */
 const RESTART_MS = 2500;
+/** Time from the end of an engine that falls silent until it has started again, in milliseconds. */
+const SILENT_RESTART_MS = 4000;
 const CRASHING_TARGET = new RegExp(`^\\S+ \\S+/${CRASHING_PATH} `);
 
 const timers = createSystemTimers();
@@ -141,6 +153,9 @@
   /** Whether it refuses connections until it starts again. */
   private isDown = false;
 
+  /** Whether it reads and sends nothing until it starts again. */
+  private isSilent = false;
+
   private readonly connections = new Set<Connection>();
 
   private readonly cuts = new PathCuts();
@@ -194,7 +209,7 @@
   upgrade(softwareVersion: string): void {
     this.softwareVersion = softwareVersion;
     // A replica that is down has the version when it listens again.
-    if (this.isDown) return;
+    if (this.isDown || this.isSilent) return;
     this.endProcess();
     this.replace();
     this.listener.onRestart();
@@ -223,6 +238,7 @@
   private readHeld(): void {
     const { heldOrders } = this;
     this.heldOrders = [];
+    if (this.isSilent) return;
     for (const order of heldOrders) this.takeOrder(order);
     if (this.held.has(Holdable.Everything)) return;
     for (const connection of this.connections) this.read(connection, connection.release());
@@ -236,6 +252,7 @@
     socket.on('error', () => connection.lose());
     socket.on('close', () => this.connections.delete(connection));
     socket.on('data', (chunk) => {
+      if (this.isSilent) return;
       const text = chunk.toString('latin1');
       if (this.held.has(Holdable.Everything)) connection.hold(text);
       else this.read(connection, text);
@@ -319,20 +336,49 @@
     };
     req.socket.once('close', onClose);
     if (CRASHING_TARGET.test(req.head)) await this.crashUnder(req);
-    else if (this.options.isEngine) await stream(req, this.declarations, this.softwareVersion);
+    else if (this.options.isEngine) await this.stream(req);
     else await answerLater(req, this.declarations, isBrittle ? BRITTLE_MS : PLAIN_MS);
     req.socket.off('close', onClose);
     if (isBrittle) this.noteDeclared();
     if (crashes === this.crashes) this.running -= 1;
   }
 
-  private async crashUnder({ head }: RawRequest): Promise<void> {
+  /** Streams events that name the software version that wrote them; a part of the prompt may end the engine meanwhile. */
+  private async stream(req: RawRequest): Promise<void> {
+    const part = findCrashingPart(headerValue(req.head, PROMPT_PARTS_HEADER) ?? '');
+    await timers.sleep(EVENT_MS);
+    const ended = part && this.crashUnder(req, part);
+    await stream(req, this.declarations, this.softwareVersion, () => this.isSilent);
+    await ended;
+  }
+
+  private async crashUnder(
+    { head }: RawRequest,
+    { end, afterMs }: CrashingPart = { end: EngineEnd.Closed, afterMs: CRASH_AFTER_MS },
+  ): Promise<void> {
     const { crashes } = this;
-    await timers.sleep(CRASH_AFTER_MS);
+    await timers.sleep(afterMs);
     if (crashes !== this.crashes) return;
     const request = headerValue(head, 'celeryyoke-request-id') ?? '';
-    this.listener.onCrash({ request, replica: this.incarnation, at: timers.wall() });
-    await this.restart();
+    this.listener.onCrash({ request, replica: this.incarnation, at: timers.wall(), end });
+    await this.ends[end]();
+  }
+
+  private readonly ends: Readonly<Record<EngineEnd, () => Promise<void>>> = {
+    [EngineEnd.Closed]: () => this.restart(),
+    [EngineEnd.Silent]: () => this.fallSilent(),
+  };
+
+  /** Keeps its connections and its port, and does nothing any more until it starts again. */
+  private async fallSilent(): Promise<void> {
+    this.crashes += 1;
+    this.running = 0;
+    this.isSilent = true;
+    await timers.sleep(SILENT_RESTART_MS);
+    this.endProcess();
+    this.isSilent = false;
+    this.replace();
+    this.listener.onRestart();
   }
 
   private endProcess(): void {
@@ -382,17 +428,26 @@
   respondComplete(req, OK, undefined, declarations);
 }
 
-/** Sends events that name the software version that wrote them. */
-async function stream(req: RawRequest, declarations: string, softwareVersion: string): Promise<void> {
+/**
+ * Sends events that name the software version that wrote them.
+ * @param isSilent - Whether the engine sends nothing any more.
+ */
+async function stream(
+  req: RawRequest,
+  declarations: string,
+  softwareVersion: string,
+  isSilent: () => boolean,
+): Promise<void> {
   const lastId = Number(headerValue(req.head, 'last-event-id') ?? 0);
-  await timers.sleep(EVENT_MS);
+  if (isSilent()) return;
   beginStream(req, declarations);
   for (let id = lastId + 1; id <= EVENTS && !req.socket.destroyed; id += 1) {
+    if (isSilent()) return;
     sendChunk(req, `id: ${id}\ndata: ${softwareVersion}\n\n`);
     await timers.sleep(EVENT_MS);
   }
   await afterSocketEvents();
-  if (!req.socket.destroyed) endStream(req);
+  if (!req.socket.destroyed && !isSilent()) endStream(req);
 }
 
 /** Behaviours of a replica that begins to run a request. */
--- a/packages/soak/src/core/run/faults.ts
+++ b/packages/soak/src/core/run/faults.ts
@@ -7,8 +7,8 @@
 import type { Fault } from '../plan/index.js';
 import { FaultKind } from '../plan/index.js';
 import type { RunningProcess } from '../processes/index.js';
-import type { ReplicaFleet } from '../replicas/index.js';
-import { Behaviour, FIRST_VERSION, Holdable } from '../replicas/index.js';
+import type { CrashingPart, ReplicaFleet } from '../replicas/index.js';
+import { Behaviour, EngineEnd, FIRST_VERSION, Holdable } from '../replicas/index.js';
 import type { StoreDrills } from '../site/index.js';
 import { GRACE_S } from '../site/index.js';
 import type { Daemons } from './daemons.js';
@@ -17,12 +17,19 @@
 /** Share of a fault from which on a caller sends several copies of its request at once, and how many. */
 const COPIES_SHARE = 0.7;
 const COPIES = 3;
+/** Parts that end engines, and of how many streams each has one. */
+const CRASHING_PARTS: readonly (CrashingPart & { readonly every: number })[] = [
+  { end: EngineEnd.Closed, afterMs: 0, every: 6 },
+  { end: EngineEnd.Silent, afterMs: 0, every: 6 },
+  { end: EngineEnd.Closed, afterMs: 400, every: 12 },
+  { end: EngineEnd.Silent, afterMs: 400, every: 12 },
+];
 
 /** What faults act on. */
 export interface FaultTargets {
   readonly daemons: Daemons;
   readonly replicas: ReplicaFleet;
-  readonly callers: Pick<Callers, 'repeatCrashing'>;
+  readonly callers: Pick<Callers, 'repeatCrashing' | 'sendCrashing'>;
   /** Has the registry list a replica under its current incarnation. */
   readonly relist: (id: string, before: string) => void;
   /** Records that the plain replicas are brittle; what it returns records the end. */
@@ -140,6 +147,10 @@
   [FaultKind.CutMuteOpen]: cutOff(PathCut.MuteOpen),
   [FaultKind.CrashingRequest]: ({ callers }, share) =>
     callers.repeatCrashing(share < COPIES_SHARE ? 1 : COPIES),
+  [FaultKind.CrashingPart]: ({ callers }, share) => {
+    const { every, ...part } = CRASHING_PARTS[Math.floor(share * CRASHING_PARTS.length)]!;
+    return callers.sendCrashing(part, every);
+  },
   [FaultKind.Errors]: misbehave(Behaviour.Errors),
   [FaultKind.Reset]: misbehave(Behaviour.Reset),
   [FaultKind.Hang]: misbehave(Behaviour.Hang),
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -52,7 +52,7 @@
   if (ranThoughRefused.length > 0) console.log(`ran though refused: ${ranThoughRefused.join(', ')}`);
   showViolations('sent to a replica that leaves', figures.sentToLeaving);
   showViolations('sent in a backoff', figures.sentInBackoff);
-  for (const [path, count] of crashes) console.log(`replicas crashed under ${path}: ${count}`);
+  for (const [cause, count] of crashes) console.log(`replicas crashed under ${cause}: ${count}`);
   for (const { daemons, served, servedByOthers } of cuts)
     console.log(
       `cut off: ${daemons.join(', ')} served ${served.join(' of ')}, others ${servedByOthers.join(' of ')}`,
@@ -61,8 +61,8 @@
     console.log(`brittle replicas fell over: ${falls.map(({ replica }) => replica).join(', ')}`);
   if (figures.tooManyFalls.length > 0) console.log('more of them than is allowed');
   if (figures.badlyServedInCuts.length > 0) console.log('served far worse while cut off');
-  for (const { path, sent } of figures.sentThoughCrashing)
-    console.log(`sent on after the third crash: ${path} as ${sent.join(', ')}`);
+  for (const { cause, sent } of figures.sentThoughCrashing)
+    console.log(`sent on after too many crashes: ${cause} as ${sent.join(', ')}`);
   const { wentOn, takenUp, expected } = takeUps;
   console.log(`streams taken up went on ${wentOn} of ${takenUp}, as new ones ${expected.toFixed(1)}`);
   if (figures.lostTakeUps.length > 0) console.log('went on far more seldom');
--- a/packages/soak/test/checks.test.ts
+++ b/packages/soak/test/checks.test.ts
@@ -6,7 +6,8 @@
 
 import type { CallerAttempt, LeavingNotice } from '../src/core/callers/index.js';
 import { CallerOutcome } from '../src/core/callers/index.js';
-import type { Arrival } from '../src/core/replicas/index.js';
+import type { Arrival, ReplicaCrash } from '../src/core/replicas/index.js';
+import { EngineEnd } from '../src/core/replicas/index.js';
 import { daemonAddress, DRAIN_MS, REPEAT_BOUNDS, ROUTES } from '../src/core/site/index.js';
 
 const REQUESTS = 1000;
@@ -22,6 +23,7 @@
     id: `c${index}`,
     route: routeOf(kind),
     path: `/${kind}/${index}`,
+    crashingPart: undefined,
     isFirst: true,
     daemon: 'front-a-0',
     sentAt: index * INTERVAL_MS,
@@ -189,6 +191,10 @@
 /** Time in which daemons must have learnt of a crash, in milliseconds. */
 const STABLE_MS = 3000;
 
+function crashUnder({ id, sentAt }: CallerAttempt): ReplicaCrash {
+  return { request: id, replica: 'p-0', at: sentAt, end: EngineEnd.Closed };
+}
+
 test('a fourth resend that arrives long after three replicas have crashed under its request is found', (t) => {
   const attempts = sentBy('d', 8).map((attempt, index) => ({
     ...attempt,
@@ -196,7 +202,7 @@
     sentAt: index < 3 ? index : STABLE_MS + 10 + index,
   }));
   const arrivals = attempts.map((attempt) => arrivalOf(attempt));
-  const crashes = attempts.slice(0, 3).map(({ id, sentAt }) => ({ request: id, replica: 'p-0', at: sentAt }));
+  const crashes = attempts.slice(0, 3).map((attempt) => crashUnder(attempt));
   const check = (count: number, seen = crashes, outages: DaemonOutage[] = []) =>
     checkRun(
       { ...EMPTY, attempts: attempts.slice(0, 3 + count), arrivals, crashes: seen },
@@ -210,6 +216,28 @@
   t.deepEqual(check(4, crashes, [{ daemon: 'e', at: STABLE_MS }]), [4]);
 });
 
+test('a fourth request that arrives long after five replicas have crashed under a part of it is found', (t) => {
+  const attempts = sentBy('d', 9).map((attempt, index) => ({
+    ...attempt,
+    crashingPart: 'dead',
+    sentAt: index < 5 ? index : STABLE_MS + 10 + index,
+  }));
+  const arrivals = attempts.map((attempt) => arrivalOf(attempt));
+  const check = (count: number, crashes: number, crashingPart = 'dead') =>
+    checkRun({
+      ...EMPTY,
+      attempts: attempts
+        .slice(0, 5 + count)
+        .map((attempt, index) => (index < 5 ? attempt : { ...attempt, crashingPart })),
+      arrivals,
+      crashes: attempts.slice(0, crashes).map((attempt) => crashUnder(attempt)),
+    }).sentThoughCrashing.map(({ sent }) => sent.length);
+  t.deepEqual(check(3, 5), []);
+  t.deepEqual(check(4, 5), [4]);
+  t.deepEqual(check(4, 4), []);
+  t.deepEqual(check(4, 5, 'other'), []);
+});
+
 test('a request that is refused for the crashes of another is found', (t) => {
   const { code } = ERROR_CATALOGUE.Quarantined;
   const [innocent, crashing] = sentBy('d', 2).map((attempt) => ({ ...attempt, code }));
