suspects: find replicas that fall silent before an answer has begun

An attempt to which a replica has sent nothing for 1 s, and nothing to any other since either, is a sign as silent answers are; presumed only, refuted by any byte later, confirmed when the entry goes and no peer has heard from it.

--- a/packages/routing/src/core/suspects/replica-ends.ts
+++ b/packages/routing/src/core/suspects/replica-ends.ts
@@ -1,7 +1,7 @@
 /**
  * Finds replicas that end with requests in flight and close no connection.
  *
- * A replica that sends nothing on connections on which answers had begun is presumed to have ended if other replicas
+ * A replica that sends nothing on connections on which answers had begun, or nothing at all for longer, is presumed to have ended if other replicas
  * still send. That its entry is removed confirms it; that it is replaced by another start shows it by itself. A part of an
  * answer to an attempt of before refutes it.
  */
@@ -21,6 +21,8 @@
 /** Factor by which that time grows for a replica each time that it turns out to go on, and its limit. */
 const REFUTED_FACTOR = 2;
 const MAX_SILENT_AFTER_MS = 8000;
+/** Time for which a replica sends nothing at all after a request to it, as it may have ended, in milliseconds. */
+const UNHEARD_AFTER_MS = 1000;
 /** Time without a byte after which a replica whose entry is removed has ended, in milliseconds. */
 const REMOVED_AFTER_MS = 400;
 /** Time between the last bytes of two attempts that a replica served at the same time, in milliseconds. */
@@ -92,7 +94,7 @@
   private mayHaveEnded({ id, service }: ReplicaEntry): boolean {
     if (this.silenceMs(id) <= (this.silentAfterMs.get(id) ?? SILENT_AFTER_MS)) return false;
     if (this.options.suspects.unexplainedEnd(id) !== undefined) return false;
-    const isOpen = this.silentAnswers(id).some(({ endedAt }) => endedAt === undefined);
+    const isOpen = this.silentAttempts(id).some(({ endedAt }) => endedAt === undefined);
     return isOpen && this.canTell(service) && this.isHeardBeside(id, service);
   }
 
@@ -108,13 +110,17 @@
     return !this.isStopped && !isRecovering() && paths.causeOf(service) === undefined;
   }
 
-  /** Attempts whose answers had begun, and which were silent for a while at the end of what the replica has sent. */
-  private silentAnswers(replica: string): AttemptRecord[] {
+  /**
+   * Attempts whose answers had begun, and which were silent for a while at the end of what the replica has sent; and those
+   * since whose begin it has sent nothing for long.
+   */
+  private silentAttempts(replica: string): AttemptRecord[] {
     const { attempts, timers } = this.options;
-    const lastAt = (attempts.lastHeardAt(replica) ?? Number.POSITIVE_INFINITY) - SAME_TIME_MS;
-    return attempts.unanswered(replica).filter(({ subject, answer, heardAt, endedAt = timers.now() }) => {
-      if (subject.isRelayed || answer.beganAt === undefined || heardAt === undefined) return false;
-      return heardAt >= lastAt && endedAt - heardAt > REMOVED_AFTER_MS;
+    const lastAt = attempts.lastHeardAt(replica) ?? Number.NEGATIVE_INFINITY;
+    return attempts.unanswered(replica).filter(({ subject, sentAt, heardAt, endedAt = timers.now() }) => {
+      if (subject.isRelayed) return false;
+      if (heardAt === undefined) return sentAt >= lastAt && endedAt - sentAt > UNHEARD_AFTER_MS;
+      return heardAt >= lastAt - SAME_TIME_MS && endedAt - heardAt > REMOVED_AFTER_MS;
     });
   }
 
@@ -150,7 +156,7 @@
     const isReplaced = [...registry.all()].some((other) => other.name === name && other.id !== id);
     if (isReplaced && records.length > 0) suspects.reportEnd(id, EndSign.Replaced);
     // A replica that leaves without a word is removed while it still answers.
-    const mayHaveEnded = suspects.isPresumed(id) || this.silentAnswers(id).length > 0;
+    const mayHaveEnded = suspects.isPresumed(id) || this.silentAttempts(id).length > 0;
     if (isReplaced || !mayHaveEnded) return;
     if (suspects.isPresumed(id) || (await this.isSilentEverywhere(entry)))
       suspects.reportEnd(id, EndSign.Removed);
