suspects: weigh the sound answers of this daemon only

Nobody tells a daemon what has run at its peers, so that no answer there had the part is no evidence; where one had, it is told.

--- a/packages/routing/src/core/suspects/suspect-registry.ts
+++ b/packages/routing/src/core/suspects/suspect-registry.ts
@@ -337,13 +337,11 @@
     if (this.clear(feature, beganAt, answeredMs)) this.crashes.clear(feature, beganAt + TIME_MARGIN_MS);
   }
 
-  /** Whether a shared feature caused its crashes; runs at the other daemons are estimated from those here. */
+  /** Whether a shared feature caused its crashes, as far as the runs at this daemon show. */
   private isCause(evidence: FeatureEvidence): boolean {
     const use = this.statistics.useOf(evidence.feature, evidence.since + TIME_MARGIN_MS, evidence.longestMs);
-    const likelyLeast = use.soundRuns - Math.sqrt(use.soundRuns);
-    const soundRuns = Math.max(0, likelyLeast) * this.options.cluster.aliveAddresses().length;
-    if (!isCause(evidence, { ...use, soundRuns })) return false;
-    this.logCause(evidence, { ...use, soundRuns });
+    if (!isCause(evidence, use)) return false;
+    this.logCause(evidence, use);
     return true;
   }
 
