soak: name parts that end engines by hexadecimal ids

The first plays with such parts named them dead-closed-0; the platform's ids are hexadecimal, and daemons leave a malformed part out, so they could not know it.

--- a/packages/soak/src/core/replicas/messages.ts
+++ b/packages/soak/src/core/replicas/messages.ts
@@ -124,17 +124,25 @@
   readonly afterMs: number;
 }
 
-const CRASHING_PART = /dead-(\w+)-(\d+)/;
-
-/** Name of a part that ends engines. */
+/** Ids of parts that end engines, without the time after which they do; ids are hexadecimal. */
+const CRASHING_PART_IDS: Readonly<Record<EngineEnd, string>> = {
+  [EngineEnd.Closed]: 'deadc',
+  [EngineEnd.Silent]: 'dead5',
+};
+const HEXADECIMAL = 16;
+
+/** Id of a part that ends engines. */
 export function nameCrashingPart({ end, afterMs }: CrashingPart): string {
-  return `dead-${end}-${afterMs}`;
+  return `${CRASHING_PART_IDS[end]}${afterMs.toString(HEXADECIMAL)}`;
 }
 
 /** Finds a part that ends engines among those of a prompt. */
 export function findCrashingPart(parts: string): CrashingPart | undefined {
-  const [, end, afterMs] = CRASHING_PART.exec(parts) ?? [];
-  return end === undefined ? undefined : { end: end as EngineEnd, afterMs: Number(afterMs) };
+  for (const end of Object.values(EngineEnd)) {
+    const [, afterMs] = new RegExp(`${CRASHING_PART_IDS[end]}([0-9a-f]+):`).exec(parts) ?? [];
+    if (afterMs !== undefined) return { end, afterMs: Number.parseInt(afterMs, HEXADECIMAL) };
+  }
+  return undefined;
 }
 
 /**
