suspects: keep one constant for replicas from which nothing is heard

Read as a newcomer: the same second stood in replica-ends.ts and in suspect-registry.ts; the registry checked twice that a request shares anything; a limit stood between two types; a comment ran over the line. No change of behaviour.

--- a/packages/routing/src/core/suspects/end-signs.ts
+++ b/packages/routing/src/core/suspects/end-signs.ts
@@ -7,6 +7,9 @@
  */
 export const REFUTE_AFTER_MS = 800;
 
+/** Time for which a replica sends nothing at all after a request to it, as it may have ended, in milliseconds. */
+export const UNHEARD_AFTER_MS = 1000;
+
 /** What shows that a replica has ended. */
 export enum EndSign {
   /** All connections to it have closed, and it refuses new ones. */
--- a/packages/routing/src/core/suspects/feature-statistics.ts
+++ b/packages/routing/src/core/suspects/feature-statistics.ts
@@ -8,6 +8,8 @@
 const EPOCH_MS = 30_000;
 /** Largest number of features that are counted in an epoch. */
 const MAX_FEATURES = 4096;
+/** Largest number of requests of an epoch that are known apart. */
+const MAX_REQUESTS = 8192;
 /** Largest number of runs that are remembered for each route. */
 const MAX_RUNS = 1024;
 
@@ -29,9 +31,6 @@
   return isWhole || livedMs > REFUTING_FACTOR * longestMs + REFUTING_MARGIN_MS;
 }
 
-/** Largest number of requests of an epoch that are known apart. */
-const MAX_REQUESTS = 8192;
-
 /** A request that a replica runs. */
 export interface CountedRun {
   /** Name of its route. */
--- a/packages/routing/src/core/suspects/replica-ends.ts
+++ b/packages/routing/src/core/suspects/replica-ends.ts
@@ -1,9 +1,9 @@
 /**
  * Finds replicas that end with requests in flight and close no connection.
  *
- * A replica that sends nothing on connections on which answers had begun, or nothing at all for longer, is presumed to have ended if other replicas
- * still send. That its entry is removed confirms it; that it is replaced by another start shows it by itself. A part of an
- * answer to an attempt of before refutes it.
+ * A replica that sends nothing on connections on which answers had begun, or nothing at all for longer, is presumed to have
+ * ended if other replicas still send. That its entry is removed confirms it; that it is replaced by another start shows it by
+ * itself. A part of an answer to an attempt of before refutes it.
  */
 import type { DecisionLog, TimerHandle, TimerService } from '@celeryyoke/core';
 
@@ -11,7 +11,7 @@
 import type { ReplicaEntry, ReplicaRegistry } from '../view/index.js';
 import { ReplicaState } from '../view/index.js';
 import type { AttemptLedger, AttemptRecord } from './attempt-ledger.js';
-import { EndSign, REFUTE_AFTER_MS } from './end-signs.js';
+import { EndSign, REFUTE_AFTER_MS, UNHEARD_AFTER_MS } from './end-signs.js';
 import type { SuspectRegistry } from './suspect-registry.js';
 
 const EXPIRY_INTERVAL_MS = 1000;
@@ -21,8 +21,6 @@
 /** Factor by which that time grows for a replica each time that it turns out to go on, and its limit. */
 const REFUTED_FACTOR = 2;
 const MAX_SILENT_AFTER_MS = 8000;
-/** Time for which a replica sends nothing at all after a request to it, as it may have ended, in milliseconds. */
-const UNHEARD_AFTER_MS = 1000;
 /** Time without a byte after which a replica whose entry is removed has ended, in milliseconds. */
 const REMOVED_AFTER_MS = 400;
 /** Time between the last bytes of two attempts that a replica served at the same time, in milliseconds. */
@@ -90,7 +88,7 @@
     }
   }
 
-  /** Whether answers of a replica that had begun are silent, while other replicas of its service send. */
+  /** Whether a replica is silent towards open attempts, while other replicas of its service send. */
   private mayHaveEnded({ id, service }: ReplicaEntry): boolean {
     if (this.silenceMs(id) <= (this.silentAfterMs.get(id) ?? SILENT_AFTER_MS)) return false;
     if (this.options.suspects.unexplainedEnd(id) !== undefined) return false;
--- a/packages/routing/src/core/suspects/suspect-registry.ts
+++ b/packages/routing/src/core/suspects/suspect-registry.ts
@@ -21,7 +21,7 @@
 import type { ReplicaEntry } from '../view/index.js';
 import type { AnswerRun, AttemptLedger, AttemptRecord } from './attempt-ledger.js';
 import type { CrashDetector } from './crash-detector.js';
-import { END_SIGNS, EndSign, REFUTE_AFTER_MS } from './end-signs.js';
+import { END_SIGNS, EndSign, REFUTE_AFTER_MS, UNHEARD_AFTER_MS } from './end-signs.js';
 import type { FeatureUse } from './evidence.js';
 import { chanceOf, isCause } from './evidence.js';
 import { FeatureStatistics, isSoundRun } from './feature-statistics.js';
@@ -52,8 +52,6 @@
 const REVIEW_INTERVAL_MS = 100;
 /** Time before a crash up to which a request that was given up may have caused it, in milliseconds. */
 const GIVEN_UP_MS = 250;
-/** Time in which a replica that has sent nothing is taken to have ended after the first request to it, in milliseconds. */
-const UNHEARD_MS = 1000;
 /** Largest number of features that are kept. */
 const CAPACITY = 4096;
 const EXPIRY_INTERVAL_MS = 1000;
@@ -174,13 +172,12 @@
   }
 
   /**
-   * Counts a request that a replica runs.
+   * Counts a request that a replica runs and that shares anything.
    * @param route - Name of its route.
    * @param shared - What it shares with others.
    * @param request - Its fingerprint.
    */
   countRun(route: string, shared: readonly SharedFeature[], request: string): void {
-    if (shared.length === 0) return;
     const features = shared.map(({ feature }) => feature);
     this.statistics.countRun({ route, features, request });
   }
@@ -249,7 +246,7 @@
       .map((record) => record.sentAt);
     const firstSentAt = Math.min(timers.now(), ...sentAt);
     if (firstSentAt <= heardAt) return heardAt;
-    return this.crashes.crashOf(replica)?.at ?? Math.min(timers.now(), firstSentAt + UNHEARD_MS);
+    return this.crashes.crashOf(replica)?.at ?? Math.min(timers.now(), firstSentAt + UNHEARD_AFTER_MS);
   }
 
   /** Reports the requests that a replica has not answered, as far as peers have not been told. */
