soak: play late event loops and callers that give up, listed red

Callers saw (GONE): requests reach replicas long after their callers have left. The soak had no daemon whose loop is late while it stays in touch, and no caller that gives up meanwhile. Both are faults now, with a check of what reaches a replica more than half a second after the close (3 tolerated).

--- a/packages/soak/src/core/callers/callers.ts
+++ b/packages/soak/src/core/callers/callers.ts
@@ -1,4 +1,6 @@
 /** Callers: they keep their connections, send requests at random moments, and come back once after a failure. */
+import { Readable } from 'node:stream';
+
 import { MODEL_NAME } from '@celeryyoke/adapter/testing';
 import type { TimerService } from '@celeryyoke/core';
 import type { Random } from '@celeryyoke/routing/testing';
@@ -22,6 +24,13 @@
 /** Share of the streams whose callers close the connection in between, and after how many events at most. */
 const LEAVING_SHARE = 0.05;
 const MAX_EVENTS_UNTIL_LEAVING = 10;
+/** Time after which a caller that gives up closes its connection, in milliseconds. */
+const GIVE_UP_MS = 300;
+/** Body of a caller that may give up, and the pause between its two parts where it is sent in two, in milliseconds. */
+const BODY_PART = 'part of a body ';
+const BODY_PAUSE_MS = 20;
+/** Of the requests that a caller sends while some give up, one in so many is sent on a connection of its own. */
+const NEW_CONNECTION_EVERY = 3;
 /** Loopback addresses of callers. */
 const CALLER_ADDRESSES = ['127.0.0.1', '127.0.0.2', '127.0.0.3'];
 const FIRST_FAILURE = 400;
@@ -80,6 +89,8 @@
   readonly events: ReceivedEvent[];
   /** Whether the caller closed the connection itself. */
   hasLeft: boolean;
+  /** Whether it did so soon after its request, and does not come back. */
+  hasGivenUp?: boolean;
   /** Of the event after which it takes a stream up; undefined if it begins one. */
   readonly lastEventId?: number | undefined;
   /** Attempt that brought the first event of the stream that it takes up. */
@@ -137,6 +148,9 @@
   /** Streams so far, some of which have parts that end engines. */
   private streamCount = 0;
 
+  /** Share of the callers that give up soon, from 0 to 1. */
+  private givingUpShare = 0;
+
   /** Parts that end engines at present, and of how many streams each has one. */
   private readonly crashingParts = new Map<string, number>();
 
@@ -185,6 +199,18 @@
     return () => this.crashingParts.delete(name);
   }
 
+  /**
+   * Has a part of the callers close their connections soon, and not come back.
+   * @param share - From 0 to 1.
+   * @returns A function that ends it.
+   */
+  giveUp(share: number): () => void {
+    this.givingUpShare = share;
+    return () => {
+      this.givingUpShare = 0;
+    };
+  }
+
   private nextCrashingPart({ kind }: SoakRoute): string | undefined {
     if (kind !== 'streaming') return undefined;
     this.streamCount += 1;
@@ -226,7 +252,7 @@
     for (let sent = 1; ; sent += 1) {
       const attempt = await this.call(wanted);
       const mayRetry = attempt.outcome === CallerOutcome.Refused || route.kind !== 'unsafe';
-      if (attempt.outcome === CallerOutcome.Served || !mayRetry) return;
+      if (attempt.outcome === CallerOutcome.Served || attempt.hasGivenUp || !mayRetry) return;
       const part = route.isResumable ? (partOf(attempt) ?? wanted.part) : undefined;
       const maxSent = part === undefined ? MAX_ATTEMPTS : MAX_STREAM_ATTEMPTS;
       if (!hasRetries || this.isStopped || sent >= maxSent) return;
@@ -275,7 +301,8 @@
       dispatcher: this.agents[this.attempts.length % this.agents.length]!,
       method: route.kind === 'safe' ? 'GET' : 'POST',
       headers: headersOf(attempt, adapter),
-      signal: AbortSignal.timeout(limitMs),
+      signal: this.leavingSignal(attempt, limitMs),
+      ...this.transferOf(attempt),
     });
     const replica = headers[REPLICA_HEADER];
     if (headers['server-leaving'] === '1' && typeof replica === 'string')
@@ -299,12 +326,44 @@
     return Math.ceil(random.between(0, MAX_EVENTS_UNTIL_LEAVING));
   }
 
+  /** Aborts a request at its deadline, or soon if its caller gives up. */
+  private leavingSignal(attempt: CallerAttempt, limitMs: number): AbortSignal {
+    const { random, timers } = this.options;
+    const deadline = AbortSignal.timeout(limitMs);
+    if (this.givingUpShare === 0 || limitMs <= GIVE_UP_MS || !random.chance(this.givingUpShare))
+      return deadline;
+    const leaving = new AbortController();
+    timers.after(GIVE_UP_MS, () => {
+      if (attempt.outcome === undefined) Object.assign(attempt, { hasLeft: true, hasGivenUp: true });
+      leaving.abort();
+    });
+    return AbortSignal.any([deadline, leaving.signal]);
+  }
+
+  /** How the request is sent: while callers give up, some have bodies in one or two parts, or connections of their own. */
+  private transferOf({ route }: CallerAttempt): { body?: Readable | string; reset?: boolean } {
+    if (this.givingUpShare === 0) return {};
+    const { length } = this.attempts;
+    const reset = length % NEW_CONNECTION_EVERY === 0;
+    if (route.kind === 'safe') return { reset };
+    return {
+      reset,
+      body: length % 2 === 0 ? BODY_PART + BODY_PART : Readable.from(bodyParts(this.options.timers)),
+    };
+  }
+
   private pickAdapter(): number {
     const { random, adapters } = this.options;
     return Math.floor(random.between(0, adapters));
   }
 }
 
+async function* bodyParts(timers: TimerService): AsyncGenerator<string, void, undefined> {
+  yield BODY_PART;
+  await timers.sleep(BODY_PAUSE_MS);
+  yield BODY_PART;
+}
+
 /** What a caller has of a stream after an attempt; undefined if that brought nothing of it. */
 function partOf({ id, events, resumes }: CallerAttempt): StreamPart | undefined {
   const last = events.at(-1);
--- a/packages/soak/src/core/checks/checks.ts
+++ b/packages/soak/src/core/checks/checks.ts
@@ -24,6 +24,8 @@
 import type { JoinedStream, TakeUpFigures } from './continuations.js';
 import { checkJoined, checkTakeUps, measureTakeUps } from './continuations.js';
 import type { Excuses, HostViolation } from './declarations.js';
+import type { DepartedRequest } from './departed.js';
+import { checkDeparted } from './departed.js';
 import { checkConfigs, checkDrills } from './drills.js';
 import { checkBackoffs, checkLeaving } from './declarations.js';
 import { allDisturbances } from './disturbances.js';
@@ -65,6 +67,8 @@
   readonly abandoned: readonly Abandonment[];
   /** Figures of streams that callers took up, if these went on far more seldom than new streams began. */
   readonly lostTakeUps: readonly TakeUpFigures[];
+  /** Requests that reached replicas long after their callers had left, if they are more than a few. */
+  readonly sentAfterLeaving: readonly DepartedRequest[];
   /** Probes that were answered as only an older configuration allows. */
   readonly lateConfigs: readonly ConfigProbe[];
   /** Drills after which the store was asked too often for a history that it did not have. */
@@ -142,6 +146,7 @@
     joinedStreams: checkJoined(attempts),
     abandoned: checkAbandoned(attempts, abandonments, cuts, allDisturbances(excuses)),
     lostTakeUps: checkTakeUps(measured.takeUps),
+    sentAfterLeaving: checkDeparted(attempts, arrivals, allDisturbances(excuses)),
     lateConfigs: checkConfigs(record.configProbes, allDisturbances(excuses), record.drills),
     busyDrills: checkDrills(record.drills, record.daemonCount),
   };
--- a/packages/soak/src/core/plan/plan.ts
+++ b/packages/soak/src/core/plan/plan.ts
@@ -33,6 +33,8 @@
   FaultKind.CutMuteOpen,
   FaultKind.Reconfigure,
   FaultKind.Drill,
+  FaultKind.LateLoop,
+  FaultKind.GiveUp,
 ];
 const OTHERS = Object.values(FaultKind).filter((kind) => !LATER.includes(kind));
 /** Mean time between two faults, in seconds. */
@@ -58,6 +60,9 @@
 const MS_PER_DRILL = 8000;
 const MIN_AWAY_MS = 300;
 const MAX_AWAY_MS = 1500;
+/** Mean time between two times at which event loops are late, and how long these last, in milliseconds. */
+const MS_PER_LATE_LOOP = 8000;
+const MAX_LATE_MS = 4000;
 /** Mean time between two callers whose request crashes replicas, in milliseconds. */
 const MS_PER_CRASHING_REQUEST = 10_000;
 /** Mean time between two times in which requests have a part that ends engines, in milliseconds. */
@@ -104,6 +109,7 @@
       ...drawUpgrades(seed, lengthMs),
       ...drawStops(seed, lengthMs),
       ...drawDrills(seed, lengthMs),
+      ...drawLateLoops(seed, lengthMs),
     ].sort((left, right) => left.atMs - right.atMs),
   };
 }
@@ -198,6 +204,22 @@
   return [...drills, ...configurations];
 }
 
+/** Draws times at which event loops of daemons are late, and callers that give up meanwhile. */
+function drawLateLoops(seed: number, lengthMs: number): Fault[] {
+  const random = createRandom(`soak-late-loops-${seed}`);
+  const count = Math.max(1, Math.round(lengthMs / MS_PER_LATE_LOOP));
+  return Array.from({ length: count }).flatMap(() => {
+    const time = {
+      atMs: Math.round(random.between(0, lengthMs - MAX_LATE_MS)),
+      forMs: Math.round(random.between(0, MAX_LATE_MS)),
+    };
+    return [
+      { ...time, kind: FaultKind.LateLoop, share: random.between(0.1, 0.4) },
+      { ...time, kind: FaultKind.GiveUp, share: random.between(0.2, 0.6) },
+    ];
+  });
+}
+
 function drawDeclarations(seed: number, lengthMs: number): Fault[] {
   const random = createRandom(`soak-declarations-${seed}`);
   return DECLARATIONS.flatMap((kind) =>
--- a/packages/soak/src/core/plan/types.ts
+++ b/packages/soak/src/core/plan/types.ts
@@ -1,5 +1,7 @@
 /** What a run of the soak does, and when. */
 
+import type { LatePhase } from '../processes/index.js';
+
 /** What goes wrong. */
 export enum FaultKind {
   /** Replicas refuse most of their requests without running them. */
@@ -46,6 +48,10 @@
   CutReset = 'cut-reset',
   /** New connections of daemons to all replicas are reset, while those that are open live on. */
   CutRefuse = 'cut-refuse',
+  /** The event loops of daemons are late, while these stay in touch. */
+  LateLoop = 'late-loop',
+  /** A part of the callers close their connections soon, and don't come back. */
+  GiveUp = 'give-up',
   /** Open connections of daemons to all replicas are silent for good, while new ones work. */
   CutMuteOpen = 'cut-mute-open',
 }
@@ -58,6 +64,10 @@
   readonly forMs: number;
   /** Part of the replicas or daemons that it hits, from 0 to 1. */
   readonly share: number;
+  /** Time that each turn of a late event loop takes, in milliseconds; drawn when it is left out. */
+  readonly turnMs?: number;
+  /** Phase of the event loop that takes it; drawn when it is left out. */
+  readonly phase?: LatePhase;
 }
 
 /** How large a run is. */
--- a/packages/soak/src/core/run/daemons.ts
+++ b/packages/soak/src/core/run/daemons.ts
@@ -1,11 +1,13 @@
 /** The daemons of a run: the bundled program, started as the deploy file does. */
 import { writeFileSync } from 'node:fs';
 import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
 
 import type { TimerService } from '@celeryyoke/core';
 
 import type { DaemonOutage } from '../checks/index.js';
-import type { ProcessGroup, RunningProcess } from '../processes/index.js';
+import type { LateLoop, ProcessGroup, RunningProcess } from '../processes/index.js';
+import { LATE_LOOP_SIGNAL, LATE_LOOP_VARIABLE } from '../processes/index.js';
 import type { DaemonAddress } from '../site/index.js';
 import { daemonAddress, settingsOf } from '../site/index.js';
 
@@ -16,6 +18,8 @@
   '--optimize-for-size',
   '--single-threaded',
 ] as const;
+/** Preloaded, so that a daemon's event loop can be made late. */
+const PRELOADED = ['--import', fileURLToPath(new URL('../processes/late-loop.js', import.meta.url))] as const;
 
 /** What the daemons need. */
 export interface DaemonsOptions {
@@ -59,8 +63,8 @@
     writeFileSync(settingsFile, settingsOf(daemon, storePort, isFirstStart));
     const started = processes.start({
       name: daemon.name,
-      args: [...FLAGS, program],
-      env: { CELERYYOKE_NODE_FILE: settingsFile },
+      args: [...FLAGS, ...PRELOADED, program],
+      env: { CELERYYOKE_NODE_FILE: settingsFile, [LATE_LOOP_VARIABLE]: this.lateLoopFile(daemon) },
       logFile: join(dir, `${daemon.name}.log`),
     });
     this.running.set(daemon.name, started);
@@ -80,6 +84,18 @@
     return running?.ended ?? Promise.resolve();
   }
 
+  /** Makes the event loop of a daemon late, which is no outage: it stays in touch. */
+  delayLoop(daemon: DaemonAddress, lateLoop: LateLoop): void {
+    const running = this.running.get(daemon.name);
+    if (running === undefined) return;
+    writeFileSync(this.lateLoopFile(daemon), JSON.stringify(lateLoop));
+    running.child.kill(LATE_LOOP_SIGNAL);
+  }
+
+  private lateLoopFile({ name }: DaemonAddress): string {
+    return join(this.options.dir, `${name}.late-loop.json`);
+  }
+
   private recordOutage(daemon: string): void {
     this.outages.push({ daemon, at: this.options.timers.wall() });
   }
--- a/packages/soak/src/core/run/faults.ts
+++ b/packages/soak/src/core/run/faults.ts
@@ -7,9 +7,10 @@
 import type { Fault } from '../plan/index.js';
 import { FaultKind } from '../plan/index.js';
 import type { RunningProcess } from '../processes/index.js';
+import { LatePhase } from '../processes/index.js';
 import type { CrashingPart, ReplicaFleet } from '../replicas/index.js';
 import { Behaviour, EngineEnd, FIRST_VERSION, Holdable } from '../replicas/index.js';
-import type { StoreDrills } from '../site/index.js';
+import type { DaemonAddress, StoreDrills } from '../site/index.js';
 import { GRACE_S } from '../site/index.js';
 import type { Daemons } from './daemons.js';
 
@@ -17,6 +18,9 @@
 /** Share of a fault from which on a caller sends several copies of its request at once, and how many. */
 const COPIES_SHARE = 0.7;
 const COPIES = 3;
+/** Time that a turn of a late event loop takes, in milliseconds. */
+const MIN_LATE_TURN_MS = 100;
+const MAX_LATE_TURN_MS = 900;
 /** Parts that end engines, and of how many streams each has one. */
 const CRASHING_PARTS: readonly (CrashingPart & { readonly every: number })[] = [
   { end: EngineEnd.Closed, afterMs: 0, every: 6 },
@@ -29,7 +33,7 @@
 export interface FaultTargets {
   readonly daemons: Daemons;
   readonly replicas: ReplicaFleet;
-  readonly callers: Pick<Callers, 'repeatCrashing' | 'sendCrashing'>;
+  readonly callers: Pick<Callers, 'giveUp' | 'repeatCrashing' | 'sendCrashing'>;
   /** Has the registry list a replica under its current incarnation. */
   readonly relist: (id: string, before: string) => void;
   /** Records that the plain replicas are brittle; what it returns records the end. */
@@ -44,12 +48,28 @@
 }
 
 /** Brings a fault about; what it returns ends it. */
-type FaultHandler = (targets: FaultTargets, share: number) => () => void;
+type FaultHandler = (targets: FaultTargets, share: number, fault: Fault) => () => void;
 
 function choose<T>(items: readonly T[], share: number, random: Random): T[] {
   return items.filter(() => random.chance(share));
 }
 
+/** Chooses daemons, one of them at least. */
+function chooseDaemons({ daemons: { addresses }, random }: FaultTargets, share: number): DaemonAddress[] {
+  const chosen = choose(addresses, share, random);
+  return chosen.length > 0 ? chosen : [random.pick(addresses)];
+}
+
+const delayLoops: FaultHandler = (targets, share, fault) => {
+  const { daemons, random } = targets;
+  for (const daemon of chooseDaemons(targets, share)) {
+    const turnMs = fault.turnMs ?? random.between(MIN_LATE_TURN_MS, MAX_LATE_TURN_MS);
+    const phase = fault.phase ?? random.pick(Object.values(LatePhase));
+    daemons.delayLoop(daemon, { turnMs, forMs: fault.forMs, phase });
+  }
+  return () => undefined;
+};
+
 function misbehave(behaviour: Behaviour): FaultHandler {
   return ({ replicas, random }, share) => {
     const ids = choose(replicas.ids, share, random);
@@ -68,9 +88,9 @@
 
 /** Cuts daemons off from all replicas, one of them at least. */
 function cutOff(cut: PathCut): FaultHandler {
-  return ({ daemons, replicas, recordCut, random }, share) => {
-    const chosen = choose(daemons.addresses, share, random);
-    const hit = chosen.length > 0 ? chosen : [random.pick(daemons.addresses)];
+  return (targets, share) => {
+    const { replicas, recordCut } = targets;
+    const hit = chooseDaemons(targets, share);
     const hosts = hit.map(({ host }) => host);
     const endRecord = recordCut(hit.map(({ name }) => name));
     replicas.cut(hosts, cut);
@@ -151,6 +171,8 @@
     const { every, ...part } = CRASHING_PARTS[Math.floor(share * CRASHING_PARTS.length)]!;
     return callers.sendCrashing(part, every);
   },
+  [FaultKind.GiveUp]: ({ callers }, share) => callers.giveUp(share),
+  [FaultKind.LateLoop]: delayLoops,
   [FaultKind.Errors]: misbehave(Behaviour.Errors),
   [FaultKind.Reset]: misbehave(Behaviour.Reset),
   [FaultKind.Hang]: misbehave(Behaviour.Hang),
@@ -175,6 +197,7 @@
  * @param targets - What it acts on.
  * @param fault - The fault.
  */
-export function inject(targets: FaultTargets, { kind, forMs, share }: Fault): void {
-  targets.timers.after(forMs, FAULTS[kind](targets, share));
+export function inject(targets: FaultTargets, fault: Fault): void {
+  const { kind, forMs, share } = fault;
+  targets.timers.after(forMs, FAULTS[kind](targets, share, fault));
 }
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -70,6 +70,8 @@
     console.log(`${isBroken ? 'events missing or twice' : versions.join(' and ')}: ${attempts.join(', ')}`);
   for (const { request, replica, host } of figures.abandoned)
     console.log(`left while ${replica} worked on it: ${request}, sent by ${host}`);
+  for (const { request, daemon, afterMs } of figures.sentAfterLeaving)
+    console.log(`sent on ${afterMs} ms after its caller had left: ${request} by ${daemon}`);
   for (const { daemon, version, status } of figures.lateConfigs)
     console.log(`version ${version} was not in force at ${daemon}: ${status}`);
   for (const { refusedWatches } of figures.busyDrills)
