requests: act on a late turn only once its closes are read

What callers saw (GONE): requests reach replicas up to 4 s after their callers have left, on daemons whose event loops are late.

Cause: a late reader takes what it reads for fresh.

Change: the timer service knows how old at most what is read now can be (LoopClock), and calls back once what has arrived since was read. Asked by: arrivals and deadlines of callers' requests, with the queue of new connections (CallerConnection), what is written to replicas, connections to them, relays by peers and their timeouts. The end of a caller's side is heard of when it is read. A peer that reads a relay late declines it at once.

A loop that is on time asks the clock and waits for nothing.

--- a/packages/bench/test/fleet/pause.test.ts
+++ b/packages/bench/test/fleet/pause.test.ts
@@ -25,6 +25,10 @@
   repeat: TimerService['repeat'] = (ms, callback) =>
     this.base.repeat(ms, (now) => this.run(() => callback(now)));
 
+  readAgeMs = (): number => this.base.readAgeMs();
+
+  afterPoll: TimerService['afterPoll'] = (callback) => this.base.afterPoll(() => this.run(callback));
+
   every: TimerService['every'] = (ms) => this.base.every(ms);
 
   sleep: TimerService['sleep'] = async (ms, signal) => {
--- a/packages/core/src/core/time/index.ts
+++ b/packages/core/src/core/time/index.ts
@@ -1,4 +1,5 @@
 /** Time: the timer service of a running process and its hand-driven twin. */
+export { afterLateTurn } from './late-turn.js';
 export { createManualTimers } from './manual.js';
 export type { ManualTimersOptions } from './manual.js';
 export { createSystemTimers } from './system.js';
--- a/packages/core/src/core/time/manual.ts
+++ b/packages/core/src/core/time/manual.ts
@@ -81,6 +81,9 @@
 
   private readonly wallOffset: number;
 
+  /** Length of the pause after which nothing was read yet, in milliseconds. */
+  private unreadMs = 0;
+
   constructor(options: ManualTimersOptions) {
     this.time = options.now ?? 0;
     this.wallOffset = (options.wall ?? DEFAULT_WALL) - this.time;
@@ -101,6 +104,10 @@
     };
   };
 
+  readonly readAgeMs = (): number => this.unreadMs;
+
+  readonly afterPoll = (callback: () => void): TimerHandle => this.after(0, callback);
+
   readonly repeat = (ms: number, callback: (now: number) => void): TimerHandle => {
     let handle: TimerHandle;
     let ended = false;
@@ -125,11 +132,13 @@
 
   readonly pause = (ms: number): void => {
     this.time += ms;
+    this.unreadMs += ms;
   };
 
   readonly advance = async (ms: number): Promise<void> => {
     const end = this.time + ms;
     await settle();
+    this.unreadMs = 0;
     while (this.fireNext(end)) await settle();
     this.time = Math.max(this.time, end);
     await settle();
@@ -137,6 +146,7 @@
 
   readonly advanceSync = (ms: number): void => {
     const end = this.time + ms;
+    this.unreadMs = 0;
     while (this.fireNext(end));
     this.time = Math.max(this.time, end);
   };
--- a/packages/core/src/core/time/system.ts
+++ b/packages/core/src/core/time/system.ts
@@ -1,6 +1,7 @@
 /** The timer service of a running process. */
 import { performance } from 'node:perf_hooks';
 
+import { LoopClock, TICK_MS } from './loop-clock.js';
 import { createTicks } from './ticks.js';
 import type { TimerHandle, TimerService } from './types.js';
 
@@ -10,14 +11,18 @@
  */
 const LATE_MS = 20;
 
-/** A timer that, when it is late, fires after what has come meanwhile was handled. */
-function fireAfterInput(ms: number, callback: () => void): TimerHandle {
+/**
+ * A timer that, when it is late, fires after what has come meanwhile was handled.
+ * @param isBackground - Whether it does not keep the process alive.
+ */
+function fireAfterInput(ms: number, callback: () => void, isBackground = false): TimerHandle {
   const dueAt = performance.now() + ms;
   let immediate: NodeJS.Immediate | undefined;
   const timer = setTimeout(() => {
     if (performance.now() - dueAt < LATE_MS) callback();
     else immediate = setImmediate(callback);
   }, ms);
+  if (isBackground) timer.unref();
   return {
     cancel: () => {
       clearTimeout(timer);
@@ -30,14 +35,14 @@
  * Ticks fall on multiples of their interval, so that intervals with a common multiple share their wake-ups: a process
  * that does nothing else pays mostly for those.
  */
-function repeat(ms: number, callback: (now: number) => void): TimerHandle {
+function repeat(ms: number, callback: (now: number) => void, isBackground = false): TimerHandle {
   let handle: TimerHandle;
   let dueAt = 0;
   const schedule = (tick: () => void): void => {
     const now = performance.now();
     // A timer may fire a little early; after a pause the ticks that were missed are left out.
     dueAt = Math.max(dueAt + ms, (Math.floor(now / ms) + 1) * ms);
-    handle = fireAfterInput(Math.ceil(dueAt - now), tick);
+    handle = fireAfterInput(Math.ceil(dueAt - now), tick, isBackground);
   };
   const tick = (): void => {
     schedule(tick);
@@ -78,11 +83,15 @@
  * @returns The service.
  */
 export function createSystemTimers(): TimerService {
+  const clock = new LoopClock();
+  repeat(TICK_MS, clock.observe, true);
   return {
     now: () => performance.now(),
     wall: () => Date.now(),
-    after: fireAfterInput,
-    repeat,
+    after: (ms, callback) => fireAfterInput(ms, callback),
+    repeat: (ms, callback) => repeat(ms, callback),
+    readAgeMs: clock.readAgeMs,
+    afterPoll: clock.afterPoll,
     every: (ms) => createTicks(repeat, ms),
     sleep: (ms, signal) => sleepWith(fireAfterInput, ms, signal),
   };
--- a/packages/core/src/core/time/types.ts
+++ b/packages/core/src/core/time/types.ts
@@ -39,6 +39,17 @@
    * @returns A handle that ends the interval.
    */
   repeat(ms: number, callback: (now: number) => void): TimerHandle;
+  /**
+   * Returns the longest time for which what is read now can have been waiting to be read: near 0 while the event loop is
+   * on time. A connection that is accepted now can have been waiting for longer.
+   * @returns Milliseconds.
+   */
+  readAgeMs(): number;
+  /**
+   * Calls back once all that had arrived shortly before has been read, so that what is done then rests on it.
+   * @returns A handle that takes the call back.
+   */
+  afterPoll(callback: () => void): TimerHandle;
   /**
    * Waits.
    * @param ms - Delay in milliseconds.
--- a/packages/routing/src/core/channels/channel.ts
+++ b/packages/routing/src/core/channels/channel.ts
@@ -7,13 +7,19 @@
 import { connect, type Socket } from 'node:net';
 
 import type { TimerHandle, TimerService } from '@celeryyoke/core';
+import { afterLateTurn } from '@celeryyoke/core';
 import type { Dispatcher } from 'undici';
 import { Client } from 'undici';
 
 import { isFramed } from './framing.js';
-import type { ResponseSink, HeaderMap, ExchangeHandle, UpstreamCall, ExchangePurpose } from './types.js';
-import { ChannelFailure } from './types.js';
-
+import type { ResponseSink, HeaderMap, ExchangeHandle, UpstreamCall } from './types.js';
+import { ChannelFailure, ExchangePurpose } from './types.js';
+
+/** What callers may have given up: in a late turn it waits until their connections have been read. */
+const CALLER_PURPOSES: ReadonlySet<ExchangePurpose> = new Set([
+  ExchangePurpose.Request,
+  ExchangePurpose.Continuation,
+]);
 const FIRST_FINAL_STATUS = 200;
 /** Largest number of interim responses to one request. */
 const MAX_INTERIM_RESPONSES = 16;
@@ -131,11 +137,16 @@
       body: call.body ?? null,
       idempotent: false,
     };
-    try {
-      this.client.dispatch(options, exchange);
-    } catch (err) {
-      exchange.fail(err as Error);
-    }
+    const dispatch = (): void => {
+      if (exchange.hasEnded) return;
+      try {
+        this.client.dispatch(options, exchange);
+      } catch (err) {
+        exchange.fail(err as Error);
+      }
+    };
+    if (CALLER_PURPOSES.has(call.purpose)) afterLateTurn(this.options.timers, dispatch);
+    else dispatch();
     return exchange;
   }
 
@@ -188,6 +199,10 @@
       keepAliveInitialDelay: KEEPALIVE_DELAY_MS,
     });
     this.socket = socket;
+    const handOver = (): void => {
+      if (socket.destroyed) callback(new Error('The connection has ended.'), null);
+      else callback(null, socket);
+    };
     let isSettled = false;
     const slowTimer = timers.after(SLOW_CONNECT_MS, onSlowConnect);
     const settle = (err: Error | undefined): void => {
@@ -197,7 +212,8 @@
       socket.setTimeout(0);
       if (err === undefined) {
         onConnected();
-        callback(null, socket);
+        // Undici writes the request that waits for the connection in this step.
+        afterLateTurn(timers, () => handOver());
       } else {
         onConnectFailed(err);
         callback(err, null);
@@ -236,7 +252,7 @@
 class Exchange implements Dispatcher.DispatchHandler, ExchangeHandle {
   private controller: Dispatcher.DispatchController | undefined;
 
-  private hasEnded = false;
+  hasEnded = false;
 
   private isCancelled = false;
 
--- a/packages/routing/src/core/relays/relay-server.ts
+++ b/packages/routing/src/core/relays/relay-server.ts
@@ -51,19 +51,30 @@
   }
 
   private start({ address }: Member, request: RelayRequest, channel: PeerChannel): void {
-    const { registry, isLeaving } = this.options;
+    const { registry, isLeaving, timers } = this.options;
     const report = (event: RelayEvent): void => channel.push(encodePush(encodeRelayEvent(event)));
     const replica = registry.replica(request.replica);
     const isRelayed = RELAYED_PURPOSES.has(request.call.purpose) && !this.exchanges.has(channel);
     const { softwareVersion } = request;
     const isOtherVersion = softwareVersion !== undefined && softwareVersion !== replica?.softwareVersion;
-    if (replica === undefined || isOtherVersion || !isRelayed || isLeaving()) {
+    const unreadMs = timers.readAgeMs();
+    // The peer may have closed the connection long since; another one carries it out sooner.
+    const isLate = unreadMs >= SEND_TIMEOUT_MS;
+    if (replica === undefined || isOtherVersion || !isRelayed || isLeaving() || isLate) {
       const reason = `${request.replica} can't be reached over this daemon.`;
       report({ kind: RelayEventKind.Failed, failure: ChannelFailure.NotSent, reason, hasCrashed: false });
       return;
     }
     report({ kind: RelayEventKind.Accepted });
-    const call = new RelayedCall({ ...this.options, from: address, request, replica, report });
+    // The time that the peer has stated counts from before this daemon read it.
+    const timeoutMs = Math.max(1, request.timeoutMs - unreadMs);
+    const call = new RelayedCall({
+      ...this.options,
+      from: address,
+      request: { ...request, timeoutMs },
+      replica,
+      report,
+    });
     this.exchanges.set(channel, call);
     void call.ended.then(() => this.exchanges.delete(channel));
   }
--- a/packages/routing/src/core/relays/relayed-exchange.ts
+++ b/packages/routing/src/core/relays/relayed-exchange.ts
@@ -6,6 +6,7 @@
  * when it has responded on the connection: the system of one that is stopped accepts connections for it.
  */
 import type { TimerHandle, TimerService } from '@celeryyoke/core';
+import { afterLateTurn } from '@celeryyoke/core';
 
 import type { ExchangeHandle, ResponseSink } from '../channels/index.js';
 import { ChannelFailure } from '../channels/index.js';
@@ -54,7 +55,7 @@
     });
     this.acceptTimer = timers.after(ACCEPT_TIMEOUT_MS, () => this.giveUp());
     this.link.request(MessageType.Clock, null, ACCEPT_TIMEOUT_MS).then(
-      () => this.request(),
+      () => afterLateTurn(timers, () => this.request()),
       // The timer and the end of the link give the exchange up.
       () => undefined,
     );
--- /dev/null
+++ b/packages/routing/src/core/requests/caller-connection.ts
@@ -0,0 +1,87 @@
+/** Connections of callers: since when a request can have been waiting to be read, and whether its caller is still there. */
+import type { Socket } from 'node:net';
+
+import type { TimerService } from '@celeryyoke/core';
+
+/** One connection of a caller. */
+export class CallerConnection {
+  /** Whether the caller has closed its side, or the connection is gone. */
+  hasLeft = false;
+
+  private readonly listeners = new Set<() => void>();
+
+  /** Earliest monotonic time at which its first request can have arrived, in milliseconds. */
+  private readonly openedAt: number;
+
+  /** Monotonic time of its acceptance, in milliseconds. */
+  private readonly acceptedAt: number;
+
+  constructor(
+    socket: Socket,
+    private readonly timers: TimerService,
+    queuedSince: number,
+  ) {
+    this.acceptedAt = timers.now();
+    this.openedAt = Math.min(queuedSince, this.acceptedAt - timers.readAgeMs());
+    const leave = (): void => this.leave();
+    // The end of the caller's side is read before the response hears of it.
+    socket.once('end', leave);
+    socket.once('error', leave);
+    socket.once('close', leave);
+  }
+
+  /** Returns the earliest monotonic time at which a request that is read now can have arrived, in milliseconds. */
+  earliestArrival(): number {
+    const since = this.timers.now() - this.timers.readAgeMs();
+    return this.acceptedAt >= since ? this.openedAt : since;
+  }
+
+  /**
+   * Calls back when the caller leaves; at once if it has left.
+   * @returns A function that takes the call back.
+   */
+  onLeave(callback: () => void): () => void {
+    if (this.hasLeft) callback();
+    else this.listeners.add(callback);
+    return () => this.listeners.delete(callback);
+  }
+
+  private leave(): void {
+    if (this.hasLeft) return;
+    this.hasLeft = true;
+    for (const callback of this.listeners) callback();
+    this.listeners.clear();
+  }
+}
+
+/** Connections of all callers. */
+export class CallerConnections {
+  private readonly connections = new WeakMap<Socket, CallerConnection>();
+
+  /** Monotonic time at which the queue of new connections was last known to be empty, in milliseconds. */
+  private queueEmptyAt: number;
+
+  /** Monotonic time of the last acceptance, in milliseconds. */
+  private acceptedAt = Number.NEGATIVE_INFINITY;
+
+  constructor(private readonly timers: TimerService) {
+    this.queueEmptyAt = timers.now();
+  }
+
+  /** Records a connection that was accepted. */
+  accept(socket: Socket): CallerConnection {
+    const now = this.timers.now();
+    // The event loop accepts one connection in each turn; if it accepted none in the last one, none was waiting.
+    const lastTurnAt = now - this.timers.readAgeMs();
+    if (this.acceptedAt < lastTurnAt) this.queueEmptyAt = lastTurnAt;
+    this.acceptedAt = now;
+    const connection = new CallerConnection(socket, this.timers, this.queueEmptyAt);
+    this.connections.set(socket, connection);
+    return connection;
+  }
+
+  /** Returns the connection of a socket. */
+  of(socket: Socket): CallerConnection {
+    return this.connections.get(socket) ?? this.accept(socket);
+  }
+}
--- a/packages/routing/src/core/requests/execution.ts
+++ b/packages/routing/src/core/requests/execution.ts
@@ -28,6 +28,7 @@
 import { LocalReply, sendLocalReply } from './local-reply.js';
 import type { EngineStream, StreamMigrator, MigratedStream } from './migration.js';
 import type { BufferedBytes } from './buffered-bytes.js';
+import type { CallerConnection } from './caller-connection.js';
 import type { FinderDependencies, RoutedRequest } from './finder.js';
 import { ReplicaFinder } from './finder.js';
 import { writeResponseHead } from './headers.js';
@@ -117,8 +118,11 @@
   /** The client account; undefined for an anonymous request. */
   readonly account: ClientAccount | undefined;
   readonly res: ServerResponse;
-  /** Monotonic time of its arrival, in milliseconds. */
+  readonly caller: Pick<CallerConnection, 'onLeave'>;
+  /** Monotonic time from which its deadline counts, in milliseconds: that of its arrival, or earlier. */
   readonly arrivedAt: number;
+  /** Longest time for which it can have been waiting to be read, in milliseconds. */
+  readonly unreadMs: number;
 }
 
 /** Serves one request, in as many attempts as it takes and its route and the retry budget allow. */
@@ -227,10 +231,11 @@
 
   /** Serves the request; when it resolves, the response to the caller has ended. */
   async run(): Promise<void> {
-    const { res, service } = this.options;
+    const { res, caller, service } = this.options;
     this.parts.budget(service).countRequest();
     const onClose = (): void => this.end('caller closed the connection');
     res.once('close', onClose);
+    const stopListening = caller.onLeave(onClose);
     const timer = this.startDeadlineTimer();
     try {
       await this.binding?.resume();
@@ -241,6 +246,7 @@
       if (this.next !== undefined) discardAdmission(this.next);
       timer.cancel();
       res.off('close', onClose);
+      stopListening();
       this.parts.metrics.recordRequest(
         this.options.route.kind,
         this.outcome,
@@ -570,6 +576,7 @@
       ...(CUT_OUTCOMES.has(outcome) ? this.suspicion.identity() : undefined),
       send: this.attemptCount,
       sentAfterMs: this.sentAfterMs,
+      unreadMs: Math.round(this.options.unreadMs),
       chosenAgoMs: this.chosenAgoMs,
       replicaState: availability.state,
       via: this.path?.peer,
@@ -762,6 +769,7 @@
       refusals: this.refusals,
       afterMs: Math.round(this.parts.timers.now() - this.options.arrivedAt),
       limitMs: Math.round(this.deadlineAt - this.options.arrivedAt),
+      unreadMs: Math.round(this.options.unreadMs),
       loadMs: this.finder.loadMs,
       viewAgeMs: this.parts.viewAgeMs(),
     });
--- a/packages/routing/src/core/requests/server.ts
+++ b/packages/routing/src/core/requests/server.ts
@@ -7,7 +7,7 @@
 import type { Socket } from 'node:net';
 
 import type { DecisionLog, TimerHandle, TimerService } from '@celeryyoke/core';
-import { hash32, startListening } from '@celeryyoke/core';
+import { afterLateTurn, hash32, startListening } from '@celeryyoke/core';
 
 import type { ClientAccount } from '../accounts/index.js';
 import { authenticate, AuthOutcome } from '../accounts/index.js';
@@ -15,6 +15,7 @@
 import type { ReplicaRegistry } from '../view/index.js';
 import { LocalReply, sendLocalReply } from './local-reply.js';
 import { BodyProblem, readCallerBody } from './body.js';
+import { CallerConnections } from './caller-connection.js';
 import type { RequestExecutionOptions, ExecutionDependencies } from './execution.js';
 import { RequestExecution } from './execution.js';
 import type { RequestHead } from './types.js';
@@ -35,6 +36,11 @@
 const LATE_HEAD_GRACE_MS = 100;
 /** Timeout of a whole request including its body, in milliseconds. */
 const BODY_TIMEOUT_MS = 30_000;
+/**
+ * Share of its time that a request can have lost at most before it was read: what may have passed is not known to have,
+ * and a caller that is still there is served.
+ */
+const MAX_LOST_SHARE = 0.5;
 /** Length of the queue of connections that wait to be accepted. */
 const BACKLOG = 1024;
 /** Number of steps into which the sum of the weights of a route is divided. */
@@ -69,6 +75,8 @@
 
   private readonly server: Server;
 
+  private readonly connections: CallerConnections;
+
   /** Connections with an overdue request head, until it has been read or the connection is rejected. */
   private readonly overdueHeads = new Map<Socket, TimerHandle>();
 
@@ -81,6 +89,7 @@
   private isClosing = false;
 
   constructor(private readonly options: RequestServerOptions) {
+    this.connections = new CallerConnections(options.timers);
     this.server = createServer(
       {
         maxHeaderSize: MAX_HEAD_BYTES,
@@ -94,6 +103,7 @@
         void this.handle(req, res);
       },
     );
+    this.server.on('connection', (socket: Socket) => this.connections.accept(socket));
     this.server.on('clientError', (err: NodeJS.ErrnoException, socket: Socket) =>
       this.handleClientError(err, socket),
     );
@@ -184,7 +194,8 @@
 
   private async route(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const { registry, parts, timers, log } = this.options;
-    const arrivedAt = timers.now();
+    const caller = this.connections.of(req.socket);
+    const unreadMs = timers.now() - caller.earliestArrival();
     const head = parts.dialect.readHead(req);
     if ('reason' in head) {
       log.decide('request.refused', head.reason, { status: head.status, target: req.url });
@@ -220,6 +231,7 @@
       return;
     }
     const timeoutMs = requestTimeoutMs(head, route);
+    const arrivedAt = timers.now() - Math.min(unreadMs, timeoutMs * MAX_LOST_SHARE);
     parts.callerTimeouts.record(route.name, timeoutMs);
     const isLate = parts.callerTimeouts.isLate(route, timeoutMs);
     if (account !== undefined && !(await this.charge(account, head, isLate, res))) {
@@ -229,7 +241,7 @@
     const { maxBodyBytes } = table.document.bounds;
     const { hasAccounts } = table;
     const service = pickService(route, head);
-    const accepted = { head, route, service, hasAccounts, account, res, arrivedAt };
+    const accepted = { head, route, service, hasAccounts, account, res, caller, arrivedAt, unreadMs };
     const mayHaveRun = await this.execute(req, maxBodyBytes, accepted);
     if (account !== undefined && !mayHaveRun) parts.quotas.refund(account, head.statedTokens);
   }
@@ -249,6 +261,10 @@
       sendLocalReply(accepted.res, LocalReply.BodyTooLarge, 'The body is too large.');
       return false;
     }
+    // The close of a connection is read in a later turn than the request before it.
+    await new Promise<void>((resolve) => {
+      afterLateTurn(this.options.timers, resolve, accepted.unreadMs);
+    });
     const execution = new RequestExecution(this.options.parts, { ...accepted, body });
     await execution.run();
     return execution.mayHaveRun;
--- a/packages/routing/test/repeats/execution-site.ts
+++ b/packages/routing/test/repeats/execution-site.ts
@@ -219,6 +219,8 @@
       hasAccounts: false,
       account: undefined,
       res: res as unknown as ServerResponse,
+      caller: { onLeave: () => () => undefined },
+      unreadMs: 0,
       arrivedAt: this.timers.now(),
     });
     await execution.run();
