origins: prove from the store which versions can have begun a stream

What callers saw (ORDER): streams that they take up after all daemons have ended are joined from two versions, where the old one has left.

Cause: a young fleet concludes what it can't prove. A daemon whose settings say that the fleet starts for the first time took the only version that it saw for the only one that has ever served; the settings may be those of the fleet before.

Change: the daemon that reads all records for an empty copy asks the store for the history of replicas since its beginning, and tells its peers when asked. Where the store no longer has it, or has come back from a copy, nothing is concluded until the streams of before are over, whatever the settings say. Peers are asked every 2 s at most (5 s before).

--- a/packages/routing/src/core/daemon/services.ts
+++ b/packages/routing/src/core/daemon/services.ts
@@ -281,7 +281,7 @@
       ),
       part(
         PART.watcher,
-        [PART.view, PART.cluster, PART.tree, PART.protocol],
+        [PART.view, PART.cluster, PART.tree, PART.protocol, PART.versionHistory],
         (kernel) => this.startWatcher(kernel),
         (watcher) => watcher.stop(),
       ),
@@ -485,7 +485,7 @@
   }
 
   private createVersionHistory(kernel: ServiceFinder): VersionHistory {
-    const { settings, timers, log } = this.options;
+    const { source, timers, log } = this.options;
     const settling = kernel.get<FleetSettling>(PART.settling);
     const pauses = kernel.get<PauseDetector>(PART.pauseDetector);
     return new VersionHistory({
@@ -497,7 +497,7 @@
       log,
       resumedAt: () => pauses.resumedAt,
       hasSettled: () => settling.hasSettled(),
-      isFirstStart: settings.isFirstStart,
+      readHistory: (signal) => source.replicaHistory(signal),
     });
   }
 
@@ -808,6 +808,7 @@
           epoch,
           viewAgeMs: roundAge(view.ageMs),
         }),
+      onFirstList: () => void kernel.get<VersionHistory>(PART.versionHistory).askStore(),
       onTakeOver: ({ rank, ageMs }) =>
         log.decide('view.take-over', 'Took over reading the platform’s records for the fleet.', {
           rank,
--- a/packages/routing/src/core/origins/version-history.ts
+++ b/packages/routing/src/core/origins/version-history.ts
@@ -3,7 +3,8 @@
  *
  * While that is one version only, nothing has to be recorded of any stream. A daemon may conclude that only if its
  * view is recent and it has known all versions for as long as a stream can last: by its own view, or, if it has
- * started or was cut off since, by what it asks of its peers.
+ * started or was cut off since, by what it asks of its peers. A fleet that has started knows what the history of the
+ * platform's store proves; that it starts for the first time is no proof, as its settings may outlast its processes.
  */
 import type { DecisionLog, TimerHandle, TimerService } from '@celeryyoke/core';
 
@@ -11,12 +12,12 @@
 import { RouteKind } from '../catalog/index.js';
 import type { Cluster } from '../cluster/index.js';
 import { MessageType } from '../cluster/index.js';
-import type { ReplicaEntry, ReplicaRegistry, ReplicatedStore } from '../view/index.js';
+import type { RecordSource, ReplicaEntry, ReplicaRegistry, ReplicatedStore } from '../view/index.js';
 import type { VersionHistoryFrame } from './origin-codec.js';
 import { decodeHistory, encodeHistory } from './origin-codec.js';
 import type { KnownTime, SharedHistory } from './types.js';
 import { VersionDoubt } from './types.js';
-import { VersionTable } from './version-table.js';
+import { UNKNOWN_VERSION, VersionTable } from './version-table.js';
 
 /** Largest age of a view from which versions are concluded, in milliseconds. */
 const MAX_VIEW_AGE_MS = 1500;
@@ -29,8 +30,9 @@
 /** Interval at which a daemon checks whether it has to ask a peer, in milliseconds. */
 const REVIEW_MS = 200;
 /** Longest pause between two requests while no peer knows enough, in milliseconds. */
-const MAX_ASK_INTERVAL_MS = 5000;
+const MAX_ASK_INTERVAL_MS = 2000;
 const ASK_TIMEOUT_MS = 500;
+const ASK_STORE_TIMEOUT_MS = 1500;
 
 /** Parts of the daemon that a history uses. */
 export interface VersionHistoryOptions {
@@ -45,8 +47,8 @@
   readonly resumedAt: () => number;
   /** Whether this daemon knows its peers and has received their state. */
   readonly hasSettled: () => boolean;
-  /** Whether the whole fleet starts for the first time, before any stream. */
-  readonly isFirstStart: boolean;
+  /** Reads all entries that replicas have ever had; undefined if a part of them is lost. */
+  readonly readHistory: RecordSource['replicaHistory'];
 }
 
 /** Software versions of each service, present and former. */
@@ -59,8 +61,6 @@
   /** What a peer has known before this daemon's own view began. */
   private peerTime: KnownTime | undefined;
 
-  private hasAnswer = false;
-
   private askIntervalMs = REVIEW_MS;
 
   /** Monotonic time of the next request to a peer, in milliseconds. */
@@ -133,9 +133,7 @@
 
   /** Whether all versions are known that have served for as long as a stream can last. */
   private knowsHistory(): boolean {
-    const { timers, isFirstStart } = this.options;
-    // A daemon that comes up later than the others at the first start of the fleet has missed what was before.
-    if (isFirstStart && !this.hasAnswer && this.peers().length > 0) return false;
+    const { timers } = this.options;
     return timers.now() - this.knownSince() >= this.retentionMs - TOLERANCE_MS;
   }
 
@@ -152,13 +150,37 @@
 
   /** Versions may have come and gone unseen since the view was last known to be up to date. */
   private recordSnapshot(ageMs: number): void {
-    const { view, timers, isFirstStart, resumedAt } = this.options;
-    const isFirst = view.upTo === 0;
-    if (isFirst && isFirstStart) this.ownSince = Number.NEGATIVE_INFINITY;
-    else if (isFirst || ageMs > MAX_VIEW_AGE_MS || view.confirmedAt < resumedAt())
+    const { view, timers, resumedAt } = this.options;
+    if (view.upTo === 0 || ageMs > MAX_VIEW_AGE_MS || view.confirmedAt < resumedAt())
       this.ownSince = timers.now();
   }
 
+  /**
+   * Asks the store which versions have ever served; called when this daemon has read all of the store's records, so that
+   * one daemon asks for all.
+   */
+  async askStore(): Promise<void> {
+    const { timers, log, readHistory } = this.options;
+    const gapAt = this.ownSince;
+    let entries: readonly ReplicaEntry[] | undefined;
+    try {
+      entries = await readHistory(AbortSignal.timeout(ASK_STORE_TIMEOUT_MS));
+    } catch (err) {
+      log.warn(`The store did not tell which versions have served: ${String(err)}.`);
+      return;
+    }
+    const isProof = entries !== undefined && this.ownSince === gapAt;
+    log.decide('stream.history', 'Asked the store which software versions have ever served.', {
+      entries: entries?.length,
+      isProof,
+    });
+    if (!isProof) return;
+    // When the last replica of a version was removed is not known.
+    for (const { service, softwareVersion = UNKNOWN_VERSION } of entries!)
+      this.table.mergeFormer({ service, softwareVersion, removedAt: timers.now() });
+    this.ownSince = Number.NEGATIVE_INFINITY;
+  }
+
   private peers(): string[] {
     const { self, cluster } = this.options;
     return cluster.aliveAddresses().filter((address) => address !== self);
@@ -189,7 +211,6 @@
   }
 
   private merge({ former, time }: SharedHistory): void {
-    this.hasAnswer = true;
     for (const version of former) this.table.mergeFormer(version);
     if (time === undefined) return;
     const isBetter = this.isJoined(time) && time.since < this.knownSince();
--- a/packages/routing/src/core/origins/version-table.ts
+++ b/packages/routing/src/core/origins/version-table.ts
@@ -7,7 +7,7 @@
 /** Largest number of versions of a service that are remembered after their replicas; the first to go is dropped. */
 const MAX_FORMER_VERSIONS = 32;
 /** Stands for the version of replicas whose version is not known; entries have no empty one. */
-const UNKNOWN_VERSION = '';
+export const UNKNOWN_VERSION = '';
 
 /** Replicas of one service and version. */
 interface VersionUse {
--- a/packages/routing/src/core/view/store-watcher.ts
+++ b/packages/routing/src/core/view/store-watcher.ts
@@ -77,6 +77,8 @@
   readonly onReachabilityChange: (isReachable: boolean, reason: string) => void;
   /** Called when this daemon has read all records. */
   readonly onList: (listing: Listing) => void;
+  /** Called when it has read them for an empty copy, and the copy has them. */
+  readonly onFirstList: () => void;
   /** Called when this daemon begins to read in place of those ranked before it. */
   readonly onTakeOver: (takeOver: TakeOver) => void;
 }
@@ -199,12 +201,14 @@
   }
 
   private applyResult({ delta, readAt }: ReadResult): void {
-    const { view, timers } = this.options;
+    const { view, timers, onFirstList } = this.options;
     const { epoch = 0, upTo } = delta;
     if (epoch < view.epoch) return;
+    const isFirst = view.upTo === 0;
     view.apply(delta);
     view.confirmUpToDate(upTo, timers.now() - readAt, epoch);
     this.lastReadAt = readAt;
+    if (isFirst) onFirstList();
   }
 
   private pauseMs(): number {
--- a/packages/routing/src/core/view/types.ts
+++ b/packages/routing/src/core/view/types.ts
@@ -124,4 +124,9 @@
    * @returns The changes since, or undefined if the source no longer has that history.
    */
   watch(after: number, waitMs: number, signal: AbortSignal): Promise<Delta | undefined>;
+  /**
+   * Reads what has happened to replicas since the source began.
+   * @returns All entries that replicas have had, or undefined if the source no longer has a part of them.
+   */
+  replicaHistory(signal: AbortSignal): Promise<readonly ReplicaEntry[] | undefined>;
 }
--- a/packages/routing/test/drills/drill-fleet.ts
+++ b/packages/routing/test/drills/drill-fleet.ts
@@ -230,6 +230,7 @@
       publish: (hasChanges) => tree.publishView(hasChanges),
       onReachabilityChange: () => undefined,
       onList: () => undefined,
+      onFirstList: () => undefined,
       onTakeOver: () => undefined,
     });
     this.observed.set(address, {
--- a/packages/routing/test/drills/drill-store.ts
+++ b/packages/routing/test/drills/drill-store.ts
@@ -105,6 +105,7 @@
           );
         });
       },
+      replicaHistory: () => Promise.resolve(undefined),
     };
   }
 
--- a/packages/routing/test/fleet/freshness.test.ts
+++ b/packages/routing/test/fleet/freshness.test.ts
@@ -68,6 +68,7 @@
       publish: (isNews) => tree.publishView(isNews),
       onReachabilityChange: () => undefined,
       onList: () => undefined,
+      onFirstList: () => undefined,
       onTakeOver: () => undefined,
     });
     this.watchers.push(watcher);
--- a/packages/routing/test/fleet/store.ts
+++ b/packages/routing/test/fleet/store.ts
@@ -69,6 +69,7 @@
           await this.timers.sleep(POLL_INTERVAL_MS);
         return this.answer(daemon, signal, () => this.delta(after, false));
       },
+      replicaHistory: () => Promise.resolve(undefined),
     };
   }
 
--- a/packages/routing/test/origins/fleet.ts
+++ b/packages/routing/test/origins/fleet.ts
@@ -42,7 +42,7 @@
   constructor(
     private readonly fleet: OriginFleet,
     readonly address: string,
-    isFirstStart: boolean,
+    formerEntries: readonly ReplicaEntry[] | undefined,
   ) {
     const { timers } = fleet;
     this.view = new ReplicatedStore(timers);
@@ -68,7 +68,7 @@
       log,
       resumedAt: () => this.resumedAt,
       hasSettled: () => true,
-      isFirstStart,
+      readHistory: () => Promise.resolve(formerEntries),
     });
     this.origins = new StreamOrigins({ self, cluster, history: this.history, timers, log });
   }
@@ -109,12 +109,17 @@
     this.timers.repeat(CONFIRM_MS, () => this.confirm());
   }
 
-  /** Starts a daemon, which reads all records. */
-  start(address: string, isFirstStart = false): OriginDaemon {
-    const daemon = new OriginDaemon(this, address, isFirstStart);
+  /**
+   * Starts a daemon, which reads all records.
+   * @param history - Entries of all replicas that were ever listed; `true` for none, `false` if the store no longer knows.
+   */
+  start(address: string, history: readonly ReplicaEntry[] | boolean = false): OriginDaemon {
+    const known = history === true ? [] : history;
+    const daemon = new OriginDaemon(this, address, known === false ? undefined : known);
     this.daemons.set(address, daemon);
     this.alive = [...this.daemons.keys()].sort();
     this.readAll(daemon);
+    void daemon.history.askStore();
     return daemon;
   }
 
--- a/packages/routing/test/origins/version-history.test.ts
+++ b/packages/routing/test/origins/version-history.test.ts
@@ -2,6 +2,7 @@
 import { VersionDoubt } from '@celeryyoke/routing';
 import test from 'ava';
 
+import { engineEntry } from '../fakes.js';
 import { OriginFleet, RETENTION_MS, SERVICE } from './fleet.js';
 
 function startFleet(...versions: readonly string[]) {
@@ -122,3 +123,20 @@
   await fleet.timers.advance(1500);
   t.deepEqual(established(), ['e0', 'e1']);
 });
+
+// Guards against a fleet that has ended whole and takes the version that it finds for the only one that has served.
+test('the history of the store shows versions that have left, and nothing is concluded without it', async (t) => {
+  const fleet = new OriginFleet();
+  const [unsure, sure] = [fleet.start('a:1'), fleet.start('b:1', true)];
+  fleet.list('e0', 'v2');
+  fleet.kill('b:1');
+  await fleet.timers.advance(1000);
+  t.is(unsure.history.doubtOf(SERVICE), VersionDoubt.NoHistory);
+  sure.history.stop();
+  const told = fleet.start('c:1', [{ ...engineEntry('e1'), softwareVersion: 'v1' }]);
+  await fleet.timers.advance(1000);
+  t.is(told.history.doubtOf(SERVICE), VersionDoubt.Several);
+  t.is(unsure.history.doubtOf(SERVICE), VersionDoubt.Several);
+  await fleet.timers.advance(RETENTION_MS);
+  t.is(told.history.onlyVersion(SERVICE), 'v2');
+});
--- a/packages/routing/test/store-watcher.test.ts
+++ b/packages/routing/test/store-watcher.test.ts
@@ -35,10 +35,12 @@
         await timers.sleep(600);
         return respond({ from: after, upTo: after, isWhole: false, changes: [] });
       },
+      replicaHistory: () => Promise.resolve(undefined),
     },
     publish: () => undefined,
     onReachabilityChange: () => undefined,
     onList: () => undefined,
+    onFirstList: () => undefined,
     onTakeOver: (takeOver) => takeOvers.push(takeOver),
   });
   watcher.start();
