--- a/packages/routing/src/core/daemon/services.ts
+++ b/packages/routing/src/core/daemon/services.ts
@@ -808,7 +808,9 @@
           epoch,
           viewAgeMs: roundAge(view.ageMs),
         }),
-      onFirstList: () => void kernel.get<VersionHistory>(PART.versionHistory).askStore(),
+      onFirstList: () => {
+        void kernel.get<VersionHistory>(PART.versionHistory).askStore();
+      },
       onTakeOver: ({ rank, ageMs }) =>
         log.decide('view.take-over', 'Took over reading the platform’s records for the fleet.', {
           rank,
--- a/packages/routing/test/fleet/freshness.test.ts
+++ b/packages/routing/test/fleet/freshness.test.ts
@@ -1,80 +1,14 @@
 /** Freshness of the platform's view on each daemon; no daemon may report a lower age than the true one. */
-import { storeReaderRank, StoreWatcher } from '@celeryyoke/routing';
 import test from 'ava';
 import fc from 'fast-check';
 
 import type { TestDaemon } from './daemons.js';
-import { TestFleet } from './daemons.js';
-import { createRandom } from '../orders/random.js';
-import { timersOf } from './network.js';
-import { TestStore } from './store.js';
+import { WatchingFleet } from './watching-fleet.js';
 
 /** Bound on the time until a change in the store is in force, for the smallest fleets, in milliseconds. */
 const IN_FORCE_MS = 2000;
 /** Tolerance for the rounding of ages on the wire and for the steps of a run, in milliseconds. */
 const ROUNDING_MS = 5;
-const STEP_MS = 20;
-const ZONES = 3;
-
-/** A fleet whose daemons watch a store that changes all the time. */
-class WatchingFleet {
-  readonly fleet: TestFleet;
-
-  readonly store: TestStore;
-
-  private readonly watchers: StoreWatcher[] = [];
-
-  private readonly random = createRandom('freshness');
-
-  constructor() {
-    this.fleet = new TestFleet(ZONES, ZONES, (daemon) => this.startWatcher(daemon));
-    this.store = new TestStore(this.fleet.network, this.fleet.timers);
-  }
-
-  async settle(count: number): Promise<void> {
-    await this.fleet.startAll(count);
-    await this.fleet.timers.advance(7000);
-  }
-
-  /** Advances time while the store changes, and calls back after each step. */
-  async run(forMs: number, everyMs: number, observe: () => void): Promise<void> {
-    for (let atMs = 0; atMs < forMs; atMs += STEP_MS) {
-      if (atMs % everyMs === 0) this.store.write();
-      await this.fleet.timers.advance(STEP_MS);
-      observe();
-    }
-  }
-
-  /** Time by which the true age of a daemon's view exceeds the age that it reports, in milliseconds. */
-  understatedMs({ view }: TestDaemon): number {
-    return this.store.staleMs(view.upTo) - view.ageMs;
-  }
-
-  stop(): void {
-    for (const watcher of this.watchers) watcher.stop();
-  }
-
-  private startWatcher(daemon: TestDaemon): void {
-    const { address, view, cluster, tree } = daemon;
-    const watcher = new StoreWatcher({
-      view,
-      source: this.store.sourceOf(address),
-      timers: timersOf(this.fleet.network, address),
-      rank: () =>
-        storeReaderRank(address, cluster.aliveAddresses(), (member) => cluster.member(member)?.zone),
-      isAlone: () => cluster.aliveAddresses().length <= 1,
-      isFirstStart: true,
-      random: () => this.random.between(0, 1),
-      publish: (isNews) => tree.publishView(isNews),
-      onReachabilityChange: () => undefined,
-      onList: () => undefined,
-      onFirstList: () => undefined,
-      onTakeOver: () => undefined,
-    });
-    this.watchers.push(watcher);
-    watcher.start();
-  }
-}
 
 /** Measurements of some daemons over a run. */
 interface Ages {
--- a/packages/routing/test/fleet/store.ts
+++ b/packages/routing/test/fleet/store.ts
@@ -25,6 +25,12 @@
   /** Number of watches that were started. */
   watches = 0;
 
+  /** Time by which the responses to the calls of daemons are late, in milliseconds. */
+  readonly delayedMs = new Map<string, number>();
+
+  /** Whether the store keeps no history, so that each watch of an earlier revision fails. */
+  hasNoHistory = false;
+
   /** Daemons whose calls are refused at once. */
   readonly refused = new Set<string>();
 
@@ -60,14 +66,16 @@
       list: (signal) =>
         this.refused.has(daemon)
           ? this.refuse(daemon)
-          : this.answer(daemon, signal, () => this.delta(0, true)),
+          : this.answer<Delta>(daemon, signal, () => this.delta(0, true)),
       watch: async (after, waitMs, signal) => {
         this.watches += 1;
         if (this.refused.has(daemon)) return this.refuse(daemon);
         const endAt = this.timers.now() + LATENCY_MS + waitMs;
         while (this.revision <= after && this.timers.now() < endAt && !signal.aborted)
           await this.timers.sleep(POLL_INTERVAL_MS);
-        return this.answer(daemon, signal, () => this.delta(after, false));
+        return this.answer(daemon, signal, () =>
+          this.hasNoHistory && after < this.revision ? undefined : this.delta(after, false),
+        );
       },
       replicaHistory: () => Promise.resolve(undefined),
     };
@@ -78,7 +86,7 @@
     throw new Error('The store is busy.');
   }
 
-  private async answer(daemon: string, signal: AbortSignal, read: () => Delta): Promise<Delta> {
+  private async answer<Result>(daemon: string, signal: AbortSignal, read: () => Result): Promise<Result> {
     await this.timers.sleep(LATENCY_MS);
     if (this.unreachable.has(daemon)) {
       await new Promise<void>((resolve) => {
@@ -87,7 +95,7 @@
       throw signal.reason;
     }
     const delta = read();
-    await this.timers.sleep(LATENCY_MS + this.network.lagOf(daemon));
+    await this.timers.sleep(LATENCY_MS + (this.delayedMs.get(daemon) ?? 0) + this.network.lagOf(daemon));
     signal.throwIfAborted();
     return delta;
   }
