view: have daemons far down in rank take over the store sooner

What callers saw (CONFIG): a change is not in force in time, in a fleet whose store refuses daemons and whose event loops are late.

Cause: the daemon next in rank reads when its view is 1 s old, and each doubling of the rank waits for 0.25 s more: 1.5 s at 69 daemons. With what late loops add on each hop of the tree that is beyond the 3 s allowed.

Change: 0.15 s for each doubling, 1.9 s for the last of 69 daemons in place of 2.5 s. More daemons read while many can't, as far as the store's rate allows: 195 daemons that all read make some 1,200 calls a second.

--- a/packages/routing/src/core/view/store-watcher.ts
+++ b/packages/routing/src/core/view/store-watcher.ts
@@ -41,7 +41,7 @@
  * Additional wait of daemons further down in rank, in milliseconds per doubling of the rank: a few take over
  * first, and many that can't read delay the others only a little.
  */
-const TAKE_OVER_STEP_MS = 250;
+const TAKE_OVER_STEP_MS = 150;
 /**
  * Time after its start for which a daemon that knows no other waits until it does, in milliseconds, so that
  * at the first start of the fleet one daemon reads for all.
