--- a/packages/routing/src/core/requests/server.ts
+++ b/packages/routing/src/core/requests/server.ts
@@ -36,11 +36,6 @@
 const LATE_HEAD_GRACE_MS = 100;
 /** Timeout of a whole request including its body, in milliseconds. */
 const BODY_TIMEOUT_MS = 30_000;
-/**
- * Share of its time that a request can have lost at most before it was read: what may have passed is not known to have,
- * and a caller that is still there is served.
- */
-const MAX_LOST_SHARE = 0.5;
 /** Length of the queue of connections that wait to be accepted. */
 const BACKLOG = 1024;
 /** Number of steps into which the sum of the weights of a route is divided. */
@@ -194,8 +189,9 @@
 
   private async route(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const { registry, parts, timers, log } = this.options;
+    const arrivedAt = timers.now();
     const caller = this.connections.of(req.socket);
-    const unreadMs = timers.now() - caller.earliestArrival();
+    const unreadMs = arrivedAt - caller.earliestArrival();
     const head = parts.dialect.readHead(req);
     if ('reason' in head) {
       log.decide('request.refused', head.reason, { status: head.status, target: req.url });
@@ -231,7 +227,6 @@
       return;
     }
     const timeoutMs = requestTimeoutMs(head, route);
-    const arrivedAt = timers.now() - Math.min(unreadMs, timeoutMs * MAX_LOST_SHARE);
     parts.callerTimeouts.record(route.name, timeoutMs);
     const isLate = parts.callerTimeouts.isLate(route, timeoutMs);
     if (account !== undefined && !(await this.charge(account, head, isLate, res))) {
