requests: hold no request beyond its deadline for the age of its reading

Cause: a request that waited for up to a turn before it was read is held for as long beyond its caller's deadline.

In a loop that is on time nothing changes.

--- a/packages/routing/src/core/requests/execution.ts
+++ b/packages/routing/src/core/requests/execution.ts
@@ -63,8 +63,6 @@
  * Share of the remaining time after which a refused generation may retry: callers wait a third of it at most.
  */
 const RETRY_AFTER_SHARE = 0.3;
-/** Largest share of its time that counts as lost before it was read: it may have been shorter. */
-const MAX_UNREAD_SHARE = 0.5;
 /** Largest number of attempts of one request that are refused without having run. */
 const MAX_REFUSALS = 4;
 const MIN_FAILURE_STATUS = 500;
@@ -121,9 +119,9 @@
   readonly account: ClientAccount | undefined;
   readonly res: ServerResponse;
   readonly caller: Pick<CallerConnection, 'onLeave'>;
-  /** Monotonic time at which it was read, in milliseconds. */
+  /** Monotonic time from which its deadline counts, in milliseconds: when it was read, or before. */
   readonly arrivedAt: number;
-  /** Longest time for which it can have been waiting before, in milliseconds. */
+  /** Longest time for which it can have been waiting to be read, in milliseconds. */
   readonly unreadMs: number;
 }
 
@@ -380,22 +378,13 @@
     return undefined;
   }
 
-  /**
-   * Time that replicas are told of less, as the request may have been waiting before it was read, in milliseconds. The
-   * request itself goes on until its latest deadline, as long as its caller is there.
-   */
-  private unreadMs(): number {
-    const { unreadMs, arrivedAt } = this.options;
-    return Math.floor(Math.min(unreadMs, (this.deadlineAt - arrivedAt) * MAX_UNREAD_SHARE));
-  }
-
   private async sendAttempt({ choice, continuation, handle }: AdmittedAttempt): Promise<AttemptResult> {
     const { replica, residentVersion } = choice;
     const { dialect, sender, timers, health, limits, slotPermits } = this.parts;
     const { head, body, hasAccounts, account } = this.options;
     const timeoutMs = Math.max(1, Math.floor(this.deadlineAt - timers.now()));
     const headers = dialect.upstreamHeaders(head, {
-      waitMs: Math.max(1, timeoutMs - this.unreadMs()),
+      waitMs: timeoutMs,
       instance: replica.name,
       version: residentVersion === undefined || residentVersion === 0 ? undefined : residentVersion,
       rank: head.generation === undefined ? undefined : this.rank,
