requests: take no request for a late one because of the age of its reading

The age of what is read is a bound. The search for a replica, and the wait for a prompt, count from the reading again; only the time at which the request is given up, and what replicas are told, is earlier by it.

--- a/packages/routing/src/core/requests/execution.ts
+++ b/packages/routing/src/core/requests/execution.ts
@@ -63,6 +63,10 @@
  * Share of the remaining time after which a refused generation may retry: callers wait a third of it at most.
  */
 const RETRY_AFTER_SHARE = 0.3;
+/** Time by which a request may outlast its caller's deadline at most, as far as that is known, in milliseconds. */
+const MAX_OUTLAST_MS = 250;
+/** Largest share of its time that counts as lost before it was read: it may have been shorter. */
+const MAX_LOST_SHARE = 0.5;
 /** Largest number of attempts of one request that are refused without having run. */
 const MAX_REFUSALS = 4;
 const MIN_FAILURE_STATUS = 500;
@@ -119,7 +123,7 @@
   readonly account: ClientAccount | undefined;
   readonly res: ServerResponse;
   readonly caller: Pick<CallerConnection, 'onLeave'>;
-  /** Monotonic time from which its deadline counts, in milliseconds: when it was read, or before. */
+  /** Monotonic time at which it was read, in milliseconds. */
   readonly arrivedAt: number;
   /** Longest time for which it can have been waiting to be read, in milliseconds. */
   readonly unreadMs: number;
@@ -206,7 +210,8 @@
     const { head, route, res, arrivedAt, account } = options;
     this.suspicion = new RequestSuspicion(parts, options);
     this.rank = account?.rank ?? route.rank;
-    this.deadlineAt = arrivedAt + requestTimeoutMs(head, route);
+    const timeoutMs = requestTimeoutMs(head, route);
+    this.deadlineAt = arrivedAt + timeoutMs - lostMs(options.unreadMs, timeoutMs);
     if (route.kind === RouteKind.Streaming) {
       this.relay = new StreamRelay(res, head.lastEventId, parts.timers.now);
       this.binding = new StreamBinding(parts, {
@@ -218,7 +223,8 @@
     const request: RoutedRequest = {
       ...options,
       rank: this.rank,
-      deadlineAt: this.deadlineAt,
+      // The age is a bound: a request that may have lost time is not taken for a late one.
+      deadlineAt: arrivedAt + timeoutMs,
       hasEnded: () => this.hasEnded,
       hasResponseBegun: () => this.relay?.hasBegun ?? false,
       softwareVersion: () => this.binding?.softwareVersion,
@@ -779,6 +785,14 @@
   }
 }
 
+/**
+ * Returns how much of its time a request counts as having lost before it was read.
+ * @param unreadMs - Longest time for which it can have been waiting, in milliseconds.
+ */
+function lostMs(unreadMs: number, timeoutMs: number): number {
+  return Math.min(Math.max(0, unreadMs - MAX_OUTLAST_MS), timeoutMs * MAX_LOST_SHARE);
+}
+
 /** Records the result of an attempt in the health of its replica. */
 function recordHealth(replica: ReplicaEntry, result: AttemptResult, health: ReplicaHealth): void {
   const { outcome, response, wasSent, firstByteMs } = result;
--- a/packages/routing/src/core/requests/server.ts
+++ b/packages/routing/src/core/requests/server.ts
@@ -36,10 +36,6 @@
 const LATE_HEAD_GRACE_MS = 100;
 /** Timeout of a whole request including its body, in milliseconds. */
 const BODY_TIMEOUT_MS = 30_000;
-/** Time by which a request may outlast its caller's deadline at most, as far as that is known, in milliseconds. */
-const MAX_OUTLAST_MS = 250;
-/** Largest share of its time that counts as lost before it was read: it may have been shorter. */
-const MAX_LOST_SHARE = 0.5;
 /** Length of the queue of connections that wait to be accepted. */
 const BACKLOG = 1024;
 /** Number of steps into which the sum of the weights of a route is divided. */
@@ -193,9 +189,9 @@
 
   private async route(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const { registry, parts, timers, log } = this.options;
-    const readAt = timers.now();
+    const arrivedAt = timers.now();
     const caller = this.connections.of(req.socket);
-    const unreadMs = readAt - caller.earliestArrival();
+    const unreadMs = arrivedAt - caller.earliestArrival();
     const head = parts.dialect.readHead(req);
     if ('reason' in head) {
       log.decide('request.refused', head.reason, { status: head.status, target: req.url });
@@ -231,7 +227,6 @@
       return;
     }
     const timeoutMs = requestTimeoutMs(head, route);
-    const arrivedAt = readAt - lostMs(unreadMs, timeoutMs);
     parts.callerTimeouts.record(route.name, timeoutMs);
     const isLate = parts.callerTimeouts.isLate(route, timeoutMs);
     if (account !== undefined && !(await this.charge(account, head, isLate, res))) {
@@ -328,14 +323,6 @@
   }
 }
 
-/**
- * Returns how much of its time a request counts as having lost before it was read.
- * @param unreadMs - Longest time for which it can have been waiting, in milliseconds.
- */
-function lostMs(unreadMs: number, timeoutMs: number): number {
-  return Math.min(Math.max(0, unreadMs - MAX_OUTLAST_MS), timeoutMs * MAX_LOST_SHARE);
-}
-
 function pathOf(target: string): string {
   const query = target.indexOf('?');
   return query < 0 ? target : target.slice(0, query);
