requests: count an attempt that has ended as a run until its end is known

Cause: an attempt whose connection breaks is looked into before its request counts it as a possible run. If the deadline passes meanwhile, no attempt is in progress and no run is counted, so the reply promises that there was none.

Change: the reply also asks whether any replica may have run the request, which is recorded when the attempt ends.

Result: ended-attempts.test.ts, 503 before, 504 now.

--- a/packages/routing/src/core/requests/execution.ts
+++ b/packages/routing/src/core/requests/execution.ts
@@ -264,7 +264,8 @@
   private startDeadlineTimer(): TimerHandle {
     const { timers } = this.parts;
     return timers.after(Math.max(0, this.deadlineAt - timers.now()), () => {
-      if (this.possibleRuns > 0 || this.attempt?.mayHaveArrived)
+      // An attempt that has ended counts as a possible run only when its end is reported.
+      if (this.mayHaveRun || this.possibleRuns > 0 || this.attempt?.mayHaveArrived)
         this.finishLocally(LocalReply.TimedOut, 'The time is over.');
       else this.finishLocally(LocalReply.NotRun, 'No replica could take it in time.', RETRY_AFTER_MS);
       this.end('deadline exceeded');
