--- a/packages/routing/src/core/suspects/index.ts
+++ b/packages/routing/src/core/suspects/index.ts
@@ -16,3 +16,5 @@
 export { ReplicaEnds } from './replica-ends.js';
 export type { SuspectRegistryOptions } from './suspect-registry.js';
 export { SuspectRegistry } from './suspect-registry.js';
+export type { CrashRow, SuspectRow } from './types.js';
+export { SuspectRowKind } from './types.js';
--- a/packages/routing/test/suspect-fleet.ts
+++ b/packages/routing/test/suspect-fleet.ts
@@ -9,6 +9,7 @@
   ReplicaListener,
   RequestFingerprints,
   SuspectRegistryOptions,
+  SuspectRow,
   TopicHandler,
 } from '../src/index.js';
 import {
@@ -160,6 +161,12 @@
     });
   }
 
+  /** Hands a daemon a row that a peer has published. */
+  mergeAt(daemon: number, row: SuspectRow): void {
+    const topic = this.topics[daemon]!;
+    topic.merge(topic.decode(topic.encode(row)));
+  }
+
   suspicions(name: string): Suspicion[] {
     return this.registries.map((registry) => registry.suspicionOf(() => named(name)));
   }
