suspects: review a crash once its reports are complete, not at each one

Each report of each daemon had all shared features weighed when it was added, and set a timer of its own after which all crashes were reviewed: the work grew with the square of the reports. What requests share can be found only once the reports of a crash are complete, so one review at that moment, and one for what comes late within 50 ms, find the same. It stays at exactly that moment: suspects may be sent again from then on (with a review up to 50 ms later, suspects.test.ts saw a fourth engine end). A request that was at one crash only is no longer looked at.

--- a/packages/core/src/core/suspects/crash-log.ts
+++ b/packages/core/src/core/suspects/crash-log.ts
@@ -143,7 +143,8 @@
   }
 
   /**
-   * Adds requests that were in flight at a crash.
+   * Adds requests that were in flight at a crash. What they share is weighed by {@link reviewAll} and
+   * {@link reviewShared}: each crash is reported by many daemons, and weighing looks at all crashes.
    * @param at - Monotonic time of the crash, in milliseconds.
    * @returns Whether any of them, or that the crash is certain, was not known.
    */
@@ -162,10 +163,14 @@
     if (at > crash.at) Object.assign(crash, { at });
     for (const request of requests) if (this.addRequest(request, crash)) hasChanged = true;
     this.reviewRequests(crash);
-    this.reviewShared();
     return hasChanged;
   }
 
+  /** Returns the monotonic time from which on the reports of a crash count as complete, in milliseconds. */
+  settledAt({ knownAt }: Crash): number {
+    return knownAt + this.bounds.settleMs;
+  }
+
   /** Quarantines what caused crashes whose reports are complete by now. */
   reviewAll(): void {
     for (const crash of this.crashes) this.reviewRequests(crash);
@@ -371,8 +376,8 @@
     return [...crashes].filter(({ certainty }) => certainty === EndCertainty.Confirmed);
   }
 
-  private isSettled({ knownAt }: Crash): boolean {
-    return this.bounds.timers.now() - knownAt >= this.bounds.settleMs;
+  private isSettled(crash: Crash): boolean {
+    return this.bounds.timers.now() >= this.settledAt(crash);
   }
 
   /** Whether a feature is something that requests share rather than one request. */
@@ -399,6 +404,7 @@
    */
   private isRequestCause(fingerprint: string, crash: Crash): boolean {
     const { minCrashes, maxCrashes } = this.bounds;
+    if ((this.byFeature.get(fingerprint)?.size ?? 0) < minCrashes) return false;
     const crashes = this.confirmedCrashes(fingerprint).length;
     if (crashes >= maxCrashes) return true;
     return crashes >= minCrashes && this.isSettled(crash) && !this.hasRival(fingerprint, crashes);
@@ -406,9 +412,12 @@
 
   /** Whether another request was at as many crashes. */
   private hasRival(fingerprint: string, crashes: number): boolean {
-    return [...this.byFeature.keys()].some(
-      (other) =>
-        other !== fingerprint && !this.isShared(other) && this.confirmedCrashes(other).length >= crashes,
+    return [...this.byFeature].some(
+      ([other, { size }]) =>
+        size >= crashes &&
+        other !== fingerprint &&
+        !this.isShared(other) &&
+        this.confirmedCrashes(other).length >= crashes,
     );
   }
 
--- a/packages/routing/src/core/suspects/suspect-registry.ts
+++ b/packages/routing/src/core/suspects/suspect-registry.ts
@@ -50,6 +50,8 @@
 const PRESUMED_MS = 30_000;
 /** Shortest time between two reviews of what requests share, in milliseconds. */
 const REVIEW_INTERVAL_MS = 100;
+/** Reports that come late within such a time are reviewed together, in milliseconds. */
+const LATE_REPORTS_MS = 50;
 /** Time before a crash up to which a request that was given up may have caused it, in milliseconds. */
 const GIVEN_UP_MS = 250;
 /** Largest number of features that are kept. */
@@ -95,7 +97,10 @@
 
   private readonly expiryTimer: TimerHandle;
 
-  /** Monotonic time of the latest review of what requests share, in milliseconds. */
+  /** Earliest crash that each scheduled review looks at, by the time of the review, in monotonic milliseconds. */
+  private readonly scheduledReviews = new Map<number, number>();
+
+  /** Monotonic time at which the latest review of what requests share ended, in milliseconds. */
   private reviewedAt = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly options: SuspectRegistryOptions) {
@@ -189,10 +194,29 @@
     this.statistics.recordRun(run);
     if (this.crashes.isEmpty) return;
     this.clearBy(run);
-    const now = this.options.timers.now();
-    if (now - this.reviewedAt < REVIEW_INTERVAL_MS) return;
-    this.reviewedAt = now;
+    const { timers } = this.options;
+    if (timers.now() - this.reviewedAt < REVIEW_INTERVAL_MS) return;
     this.crashes.reviewShared();
+    this.reviewedAt = timers.now();
+  }
+
+  /** Schedules one review for all reports of a crash, at the moment from which on its suspects may be sent again. */
+  private scheduleReview(replica: string, at: number): void {
+    const { timers } = this.options;
+    const crash = this.crashes.crashOf(replica);
+    if (crash === undefined) return;
+    const settledAt = this.crashes.settledAt(crash);
+    const lateAt = Math.ceil(timers.now() / LATE_REPORTS_MS) * LATE_REPORTS_MS;
+    const dueAt = settledAt > timers.now() ? settledAt : lateAt;
+    const since = this.scheduledReviews.get(dueAt);
+    this.scheduledReviews.set(dueAt, Math.min(at, since ?? at));
+    if (since === undefined) timers.after(dueAt - timers.now(), () => this.runScheduledReview(dueAt));
+  }
+
+  private runScheduledReview(dueAt: number): void {
+    const since = this.scheduledReviews.get(dueAt);
+    this.scheduledReviews.delete(dueAt);
+    if (since !== undefined) this.reviewSince(since);
   }
 
   /**
@@ -445,7 +469,7 @@
       const { replica, at, certainty, requests, reporter } = row;
       const isNew = this.crashes.add(replica, at, requests, certainty);
       if (isNew && reporter !== this.options.self) this.contribute(row);
-      if (isNew) this.options.timers.after(SETTLE_MS, () => this.reviewSince(at));
+      if (isNew) this.scheduleReview(replica, at);
       return isNew;
     },
     [SuspectRowKind.Cleared]: ({ fingerprint, at }) => this.crashes.clear(fingerprint, at),
