choice: show streams refused beside free slots of a new version

Callers of resumable streams get 503 for up to 1.5 s after an engine of another version has joined, as long as the engines of the old version are full.

--- a/packages/routing/test/chooser.test.ts
+++ b/packages/routing/test/chooser.test.ts
@@ -143,3 +143,11 @@
   unestablished.add('e2');
   t.is(choose({ beginsResumable: true }), 'e1');
 });
+
+// Guards against streams that are refused for lack of a slot while a replica of a new version has free ones.
+test('a stream that may be resumed is given a replica that is not established if the others are full', (t) => {
+  const { choose, fill, unestablished } = setUp();
+  unestablished.add('e1');
+  fill('e2', SLOTS);
+  t.is(choose({ beginsResumable: true }), 'e1');
+});
