suspects: index what was in flight at each crash for its reviews

Callers waited unread while engines went on ending: each review made lists of all requests of all crashes several times for each feature, single requests included, and every crash had a review of its own.

What was in flight at a crash is indexed once by feature and age, and again only after it has changed. Reviews go through shared features only. Reports count as complete at multiples of 25 ms, so crashes at about the same time share a review, and suspects are still sent again only after it.

The tests of suspects are as before (two listed ones red).

--- a/packages/core/src/core/suspects/crash-log.ts
+++ b/packages/core/src/core/suspects/crash-log.ts
@@ -9,15 +9,13 @@
  * hardly be at all of them by chance. What caused a crash is quarantined, and what was beside it is cleared.
  */
 import type { TimerService } from '../time/index.js';
+import { InFlightIndex } from './in-flight-index.js';
 import type { FeatureEvidence, SuspectRequest } from './types.js';
 import { EndCertainty, Suspicion } from './types.js';
 
 /** Difference by which the ages of answers at several crashes may be off, in milliseconds. */
 const AGE_MARGIN_MS = 50;
 
-/** Time after the end of an upstream at which a request may have been sent and still reach it, in milliseconds. */
-const SENT_MARGIN_MS = 150;
-
 /** One crash of one upstream, as the reports of all daemons describe it together. */
 export interface Crash {
   readonly upstream: string;
@@ -32,6 +30,8 @@
   readonly requests: Map<string, SuspectRequest>;
   /** Whether its cause is known: requests that are reported later are no suspects. */
   isExplained: boolean;
+  /** Index of its requests; undefined until it is needed, and after they have changed. */
+  readonly index: InFlightIndex | undefined;
 }
 
 /** Bounds of the log. */
@@ -51,6 +51,11 @@
   readonly minPresumed?: number;
   /** Time after a crash became known in which other daemons report what they had in flight, in milliseconds. */
   readonly settleMs: number;
+  /**
+   * Reports count as complete at multiples of this time only, so that crashes at about the same time are reviewed
+   * together, in milliseconds; at any time by default.
+   */
+  readonly settleStepMs?: number;
   /** Reports about one upstream within this time are of one crash, in milliseconds. */
   readonly sameCrashMs: number;
   /** Largest number of features that are kept. */
@@ -85,6 +90,9 @@
 
   private readonly byFeature = new Map<string, Set<Crash>>();
 
+  /** Features of these that requests share. */
+  private readonly sharedFeatures = new Set<string>();
+
   private readonly quarantine = new Map<string, QuarantineEntry>();
 
   private readonly clearedAt = new Map<string, number>();
@@ -160,7 +168,7 @@
     let hasChanged = certainty > crash.certainty;
     if (hasChanged) Object.assign(crash, { certainty });
     // What several daemons have heard last of it is the closest to its end.
-    if (at > crash.at) Object.assign(crash, { at });
+    if (at > crash.at) Object.assign(crash, { at, index: undefined });
     for (const request of requests) if (this.addRequest(request, crash)) hasChanged = true;
     this.reviewRequests(crash);
     return hasChanged;
@@ -168,7 +176,9 @@
 
   /** Returns the monotonic time from which on the reports of a crash count as complete, in milliseconds. */
   settledAt({ knownAt }: Crash): number {
-    return knownAt + this.bounds.settleMs;
+    const { settleMs, settleStepMs } = this.bounds;
+    const at = knownAt + settleMs;
+    return settleStepMs === undefined ? at : Math.ceil(at / settleStepMs) * settleStepMs;
   }
 
   /** Quarantines what caused crashes whose reports are complete by now. */
@@ -193,7 +203,7 @@
   /** Quarantines what requests share that caused crashes; to be called when others of them have run since. */
   reviewShared(): void {
     const isAnyPresumed = this.crashes.some(({ certainty }) => certainty === EndCertainty.Presumed);
-    for (const feature of [...this.byFeature.keys()])
+    for (const feature of [...this.sharedFeatures])
       if (this.isSharedCause(feature, EndCertainty.Confirmed)) this.convict(feature);
       else if (isAnyPresumed && this.isSharedCause(feature, EndCertainty.Presumed))
         this.listener.presumed?.(feature);
@@ -205,13 +215,13 @@
    */
   evidenceOf(feature: string, certainty: EndCertainty): FeatureEvidence {
     const isWeighed = (crash: Crash): boolean => crash.certainty >= certainty && this.isSettled(crash);
-    const crashes = [...(this.byFeature.get(feature) ?? [])].filter(
-      (crash) => isWeighed(crash) && requestsWith(crash, feature).length > 0,
-    );
+    const suspected = this.byFeature.get(feature) ?? new Set<Crash>();
+    const crashes = [...suspected].filter((crash) => isWeighed(crash) && inFlightAt(crash).has(feature));
+    const own = new Set(crashes);
     const since = Math.min(...crashes.map(({ at }) => at));
-    const variants = new Set(crashes.flatMap((crash) => variantsAt(crash, feature)));
+    const variants = new Set(crashes.flatMap((crash) => [...inFlightAt(crash).variants(feature)]));
     const others = this.crashes.filter(
-      (crash) => crash.at >= since && isWeighed(crash) && !crash.isExplained && !crashes.includes(crash),
+      (crash) => crash.at >= since && !crash.isExplained && !own.has(crash) && isWeighed(crash),
     );
     // Requests that differ in nothing else show nothing that one of them does not.
     const ranges = ageRanges(crashes, feature).map(({ choices, inFlight }) => ({
@@ -228,7 +238,7 @@
   longestMs(feature: string): number {
     return Math.max(
       0,
-      ...[...(this.byFeature.get(feature) ?? [])].map((crash) => longestAnswerMs(crash, feature)),
+      ...[...(this.byFeature.get(feature) ?? [])].map((crash) => inFlightAt(crash).longestMs(feature)),
     );
   }
 
@@ -331,6 +341,7 @@
       features: new Set(),
       requests: new Map(),
       isExplained: false,
+      index: undefined,
     };
     this.crashes.push(crash);
     this.byUpstream.set(upstream, crash);
@@ -343,9 +354,13 @@
     if (crash.isExplained || this.byFeature.size >= this.bounds.capacity) return false;
     if (crash.features.has(fingerprint) || this.isClearedSince(fingerprint, crash)) return false;
     crash.requests.set(fingerprint, request);
+    Object.assign(crash, { index: undefined });
     this.addSuspect(fingerprint, crash);
     for (const { feature } of shared)
-      if (!this.isClearedSince(feature, crash)) this.addSuspect(feature, crash);
+      if (!this.isClearedSince(feature, crash)) {
+        this.sharedFeatures.add(feature);
+        this.addSuspect(feature, crash);
+      }
     return true;
   }
 
@@ -364,7 +379,9 @@
     crash.features.delete(feature);
     const crashes = this.byFeature.get(feature);
     crashes?.delete(crash);
-    if (crashes?.size === 0) this.byFeature.delete(feature);
+    if (crashes?.size !== 0) return;
+    this.byFeature.delete(feature);
+    this.sharedFeatures.delete(feature);
   }
 
   private isRepeated(feature: string): boolean {
@@ -452,7 +469,7 @@
    * shares with others stays suspected: it may be the cause of that.
    */
   private explain(crash: Crash, cause: string): void {
-    Object.assign(crash, { isExplained: true });
+    Object.assign(crash, { isExplained: true, index: undefined });
     const culprit = crash.requests.get(cause);
     const kept = new Set(culprit?.shared.map(({ feature }) => feature));
     for (const fingerprint of [...crash.requests.keys()])
@@ -462,31 +479,11 @@
   }
 }
 
-/** Time for which the answer to a request had gone on at a crash, in milliseconds. */
-function answeredMs({ beganAt }: SuspectRequest, { at }: Crash): number {
-  return beganAt === undefined ? 0 : Math.max(0, at - beganAt);
-}
-
-/** Requests that a crash may be due to: one that was sent later has not reached the upstream. */
-function candidates(crash: Crash): SuspectRequest[] {
-  return [...crash.requests.values()].filter(({ sentAt = crash.at }) => sentAt <= crash.at + SENT_MARGIN_MS);
-}
-
-function requestsWith(crash: Crash, feature: string): SuspectRequest[] {
-  return candidates(crash).filter(({ shared }) => shared.some((one) => one.feature === feature));
-}
-
-/** Longest time for which an answer with a feature had gone on at a crash, in milliseconds. */
-function longestAnswerMs(crash: Crash, feature: string): number {
-  return Math.max(0, ...requestsWith(crash, feature).map((request) => answeredMs(request, crash)));
-}
-
-/** Number of requests in flight at a crash that share anything, whose answers had gone on for a time in a range. */
-function countSharing(crash: Crash, fromMs: number, toMs: number): number {
-  return candidates(crash).filter((request) => {
-    const ms = answeredMs(request, crash);
-    return request.shared.length > 0 && ms >= fromMs && ms <= toMs;
-  }).length;
+/** Index of what was in flight at a crash, made when it is first needed and after each change. */
+function inFlightAt(crash: Crash): InFlightIndex {
+  if (crash.index === undefined)
+    Object.assign(crash, { index: new InFlightIndex(crash.requests.values(), crash.at) });
+  return crash.index!;
 }
 
 /**
@@ -494,22 +491,14 @@
  * about as old, as what causes crashes does so about as long after an answer begins.
  */
 function ageRanges(crashes: readonly Crash[], feature: string): { choices: number; inFlight: number[] }[] {
-  const ages = crashes.map((crash) => longestAnswerMs(crash, feature));
+  const indexes = crashes.map(inFlightAt);
+  const ages = indexes.map((index) => index.longestMs(feature));
   const fromMs = Math.max(0, Math.min(...ages) - AGE_MARGIN_MS);
   const toMs = Math.max(...ages) + AGE_MARGIN_MS;
-  const oldestMs = Math.max(
-    ...crashes.flatMap((crash) => [...crash.requests.values()].map((request) => answeredMs(request, crash))),
-  );
-  const count = (from: number, to: number): number[] => crashes.map((crash) => countSharing(crash, from, to));
+  const oldestMs = Math.max(...indexes.map((index) => index.oldestMs));
+  const count = (from: number, to: number): number[] => indexes.map((index) => index.countSharing(from, to));
   return [
     { choices: 1, inFlight: count(0, Math.max(...ages)) },
     { choices: 1 + oldestMs / (toMs - fromMs), inFlight: count(fromMs, toMs) },
   ];
 }
-
-/** In what the requests with a feature differ at a crash. */
-function variantsAt(crash: Crash, feature: string): string[] {
-  return requestsWith(crash, feature).flatMap(({ fingerprint, shared }) =>
-    shared.filter((one) => one.feature === feature).map(({ within }) => within ?? fingerprint),
-  );
-}
--- a/packages/routing/src/core/suspects/suspect-registry.ts
+++ b/packages/routing/src/core/suspects/suspect-registry.ts
@@ -50,6 +50,8 @@
 const PRESUMED_MS = 30_000;
 /** Shortest time between two reviews of what requests share, in milliseconds. */
 const REVIEW_INTERVAL_MS = 100;
+/** Crashes whose reports are complete within such a time are reviewed together, in milliseconds. */
+const SETTLE_STEP_MS = 25;
 /** Reports that come late within such a time are reviewed together, in milliseconds. */
 const LATE_REPORTS_MS = 50;
 /** Time before a crash up to which a request that was given up may have caused it, in milliseconds. */
@@ -117,6 +119,7 @@
       maxCrashes: MAX_CRASHES,
       minPresumed: MIN_PRESUMED,
       settleMs: SETTLE_MS,
+      settleStepMs: SETTLE_STEP_MS,
       sameCrashMs: SAME_CRASH_MS,
       capacity: CAPACITY,
     };
