time: bound the work of late timers in one turn of the event loop

Cause: timers that are late fire after the sockets were read, all of them in the same turn. libuv accepts one connection in a turn.

Change: late timers fire in their order, in each turn for 5 ms, or for as long as the rest of the turn took, so that long turns don't put them off again and again. Timers that come due meanwhile fire behind them.

With a budget of 5 ms alone, the timers need 60 turns of 0.1 s; now 6 at most. A turn that is one computation is not split.

--- a/packages/core/src/core/time/system.ts
+++ b/packages/core/src/core/time/system.ts
@@ -1,6 +1,7 @@
 /** The timer service of a running process. */
 import { performance } from 'node:perf_hooks';
 
+import { LateCallbacks } from './late-callbacks.js';
 import { LoopClock, TICK_MS } from './loop-clock.js';
 import { createTicks } from './ticks.js';
 import type { TimerHandle, TimerService } from './types.js';
@@ -11,22 +12,26 @@
  */
 const LATE_MS = 20;
 
+/** Timers that are late; those that come due before all of them have fired wait behind. */
+const lateCallbacks = new LateCallbacks();
+
 /**
  * A timer that, when it is late, fires after what has come meanwhile was handled.
  * @param isBackground - Whether it does not keep the process alive.
  */
 function fireAfterInput(ms: number, callback: () => void, isBackground = false): TimerHandle {
   const dueAt = performance.now() + ms;
-  let immediate: NodeJS.Immediate | undefined;
+  let late: TimerHandle | undefined;
   const timer = setTimeout(() => {
-    if (performance.now() - dueAt < LATE_MS) callback();
-    else immediate = setImmediate(callback);
+    const isOnTime = performance.now() - dueAt < LATE_MS;
+    if (isOnTime && lateCallbacks.isEmpty) callback();
+    else late = lateCallbacks.add(callback);
   }, ms);
   if (isBackground) timer.unref();
   return {
     cancel: () => {
       clearTimeout(timer);
-      clearImmediate(immediate);
+      late?.cancel();
     },
   };
 }
--- a/packages/core/test/late-work.test.ts
+++ b/packages/core/test/late-work.test.ts
@@ -88,3 +88,22 @@
   await later;
   t.deepEqual(order, ['last late one', 'later']);
 });
+
+// Guards against late timers that are put off again and again while other work makes each turn long.
+test.serial('late timers get half of the time while other work makes each turn long', async (t) => {
+  const turnMs = 100;
+  let turns = 0;
+  let isDone = false;
+  const turn = (): void => {
+    turns += 1;
+    block(turnMs);
+    if (!isDone) setImmediate(turn);
+  };
+  setImmediate(turn);
+  await startLate((_index, callback) => {
+    timers.after(1, callback);
+  });
+  isDone = true;
+  const needed = (TIMERS * WORK_MS) / turnMs;
+  t.true(turns <= 2 * needed, `${turns} turns`);
+});
