--- /dev/null
+++ b/packages/routing/test/unreachable-replicas.test.ts
@@ -0,0 +1,59 @@
+/** Requests whose replicas accept no connection, as they have ended and are still listed. */
+import type { Need, ResponseSink } from '@celeryyoke/routing';
+import { ChannelFailure, PathKind } from '@celeryyoke/routing';
+import test from 'ava';
+
+import { engineEntry } from './fakes.js';
+import { createChooser, ExecutionSite, ROUTE } from './repeats/execution-site.js';
+
+const BOUNDS = { ratio: 0.2, windowMs: 10_000, slack: 50 };
+const OK = 200;
+const NOT_RUN = 503;
+/** Time in which a connection is refused, in milliseconds. */
+const REFUSED_AFTER_MS = 5;
+
+/** Sends a request to a service of which some replicas have ended; returns its status and the attempts made. */
+async function play(replicas: number, ended: number): Promise<{ status?: number; attempts: number }> {
+  const ids = Array.from({ length: replicas }, (_, index) => `e${index}`);
+  const gone = new Set(ids.slice(0, ended));
+  let attempts = 0;
+  const site: ExecutionSite = new ExecutionSite(BOUNDS, {
+    chooser: createChooser(({ tried }: Need) => {
+      const id = ids.find((one) => !tried.has(one)) ?? ids[0]!;
+      return { replica: engineEntry(id), residentVersion: 1, needsLoad: false, cost: 0 };
+    }),
+    sender: {
+      choosePath: () => ({ kind: PathKind.Direct, peer: undefined }),
+      send: (_path: unknown, { id }: { id: string }, _request: unknown, sink: ResponseSink) => {
+        attempts += 1;
+        site.timers.after(REFUSED_AFTER_MS, () => {
+          if (gone.has(id)) sink.onFail(ChannelFailure.NotSent, new Error('connect ECONNREFUSED'));
+          else {
+            sink.onSent();
+            sink.onHead(OK, {});
+            sink.onEnd();
+          }
+        });
+        return { cancel: () => undefined, mayHaveArrived: () => false };
+      },
+    },
+  });
+  const ending = site.request(ROUTE);
+  await site.timers.advance(1000);
+  const { status } = await ending;
+  return { status, attempts };
+}
+
+// Guards against requests that are refused beside sound replicas, as several that have ended are tried first.
+test('a request is served though six replicas that it is sent to first accept no connection', async (t) => {
+  const { status } = await play(12, 6);
+  t.is(status, OK);
+});
+
+// Guards against attempts without end where no replica accepts a connection.
+test('a request is refused once all replicas of its service accept no connection', async (t) => {
+  const { status, attempts } = await play(4, 4);
+  t.log(`${attempts} attempts`);
+  t.is(status, NOT_RUN);
+  t.true(attempts <= 8);
+});
