requests: try other replicas after four refused connections

Engines that have ended stay listed for up to three seconds and seem idle, so several are chosen first.

A request now goes on beyond four refusals while each attempt fails to reach a replica that it had not tried before, 16 of them at most. Where all replicas refuse connections it takes one attempt more than before (five for four replicas).

--- a/packages/routing/src/core/requests/execution.ts
+++ b/packages/routing/src/core/requests/execution.ts
@@ -70,6 +70,8 @@
 const MAX_LOST_SHARE = 0.5;
 /** Largest number of attempts of one request that are refused without having run. */
 const MAX_REFUSALS = 4;
+/** Largest number of replicas that a request is tried at and that accept no connection. */
+const MAX_UNREACHED = 16;
 const MIN_FAILURE_STATUS = 500;
 /** Outcome of a stream that was relayed to its end. */
 const STREAMED = 'streamed';
@@ -163,6 +165,9 @@
   /** Number of attempts that were refused without having run. */
   private refusals = 0;
 
+  /** Replicas that could not be sent anything. */
+  private readonly unreached = new Set<string>();
+
   /** Aborts waits when the request ends. */
   private readonly endController = new AbortController();
 
@@ -656,11 +661,17 @@
   /**
    * The replica did not run the request: another one is tried, unless an earlier attempt may have run and the
    * route allows no retry.
+   * @param wasSent - Whether the replica was sent anything.
    */
-  onNotRun(): boolean {
+  onNotRun({ id }: ReplicaEntry, wasSent: boolean): boolean {
     this.refusals += 1;
+    // Replicas that have ended stay listed for a while, and seem idle: several of them may be chosen first.
+    const isNewlyUnreached = !wasSent && !this.unreached.has(id);
+    if (isNewlyUnreached) this.unreached.add(id);
     if (this.possibleRuns > 0 && !this.isRetryable) return false;
-    return this.refusals < MAX_REFUSALS && this.tryReserveRetry();
+    const isAnotherAllowed =
+      this.refusals < MAX_REFUSALS || (isNewlyUnreached && this.unreached.size < MAX_UNREACHED);
+    return isAnotherAllowed && this.tryReserveRetry();
   }
 
   /** The replica takes no requests any more, and was sent nothing: another one is tried like after a refusal. */
@@ -679,7 +690,7 @@
       this.parts.markAbsent(replica.id, key);
       this.finder.recordAdapterMissing(replica.id);
     }
-    return this.onNotRun();
+    return this.onNotRun(replica, true);
   }
 
   /** The request may have run: it is retried only where its route allows that. */
@@ -831,7 +842,7 @@
 > = {
   [AttemptOutcome.Responded]: (execution, _replica, { response }) => execution.onResponse(response!),
   [AttemptOutcome.Relayed]: (execution) => execution.onRelayed(),
-  [AttemptOutcome.NotRun]: (execution) => execution.onNotRun(),
+  [AttemptOutcome.NotRun]: (execution, replica, { wasSent }) => execution.onNotRun(replica, wasSent),
   [AttemptOutcome.Withheld]: (execution) => execution.onWithheld(),
   [AttemptOutcome.Misdirected]: (execution, replica) => execution.onMisdirected(replica),
   [AttemptOutcome.Unknown]: (execution) => execution.onOutcomeUnknown(),
