--- a/packages/routing/src/core/requests/execution.ts
+++ b/packages/routing/src/core/requests/execution.ts
@@ -42,6 +42,7 @@
 import { discardAdmission, endAdmission } from './admitted-attempt.js';
 import { Attempt } from './attempt.js';
 import { AttemptWatch, KeepReason } from './attempt-watch.js';
+import { WaitCause, WaitTimes } from './wait-times.js';
 
 import type { ReplicaResponse, RequestDialect, RequestHead, AttemptResult } from './types.js';
 import {
@@ -69,6 +70,8 @@
 const MAX_LOST_SHARE = 0.5;
 /** Largest number of attempts of one request that are refused without having run. */
 const MAX_REFUSALS = 4;
+/** Largest number of replicas that a request is tried at and that accept no connection. */
+const MAX_UNREACHED = 16;
 const MIN_FAILURE_STATUS = 500;
 /** Outcome of a stream that was relayed to its end. */
 const STREAMED = 'streamed';
@@ -135,6 +138,8 @@
 
   private readonly prefillWait: PrefillWait;
 
+  private readonly waits: WaitTimes;
+
   private readonly deadlineAt: number;
 
   private readonly rank: number;
@@ -160,6 +165,9 @@
   /** Number of attempts that were refused without having run. */
   private refusals = 0;
 
+  /** Replicas that could not be sent anything. */
+  private readonly unreached = new Set<string>();
+
   /** Aborts waits when the request ends. */
   private readonly endController = new AbortController();
 
@@ -209,6 +217,7 @@
   ) {
     const { head, route, res, arrivedAt, account } = options;
     this.suspicion = new RequestSuspicion(parts, options);
+    this.waits = new WaitTimes(parts.timers, arrivedAt);
     this.rank = account?.rank ?? route.rank;
     const timeoutMs = requestTimeoutMs(head, route);
     this.deadlineAt = arrivedAt + timeoutMs - lostMs(options.unreadMs, timeoutMs);
@@ -231,8 +240,8 @@
       beginsResumable: () => route.isResumable && this.binding?.isBound === false,
       suspectRanking: () => this.suspicion.ranking(),
     };
-    this.finder = new ReplicaFinder(parts, request);
-    this.prefillWait = new PrefillWait(parts, request);
+    this.finder = new ReplicaFinder(parts, request, this.waits);
+    this.prefillWait = new PrefillWait(parts, request, this.waits);
   }
 
   /** Serves the request; when it resolves, the response to the caller has ended. */
@@ -244,7 +253,7 @@
     const stopListening = caller.onLeave(onClose);
     const timer = this.startDeadlineTimer();
     try {
-      await this.binding?.resume();
+      await this.waits.measure(WaitCause.Version, this.binding?.resume());
       await this.attemptUntilDone();
     } finally {
       this.binding?.end(this.outcome === STREAMED);
@@ -285,7 +294,7 @@
       const { migrated } = this;
       const prepared = this.takeNext();
       const isNew = migrated === undefined && prepared === undefined;
-      if (isNew && (await this.suspicion.resolve(() => this.hasEnded)) === Suspicion.Quarantined) break;
+      if (isNew && (await this.isQuarantined())) break;
       const choice = prepared?.choice ?? migrated?.choice ?? (await this.finder.find());
       if (choice === undefined || this.hasEnded) break;
       const admitted = prepared ?? (await this.admit(choice, migrated?.continuation));
@@ -297,6 +306,12 @@
     if (!this.hasEnded) this.finishUnserved();
   }
 
+  /** Waits until it is known whether the request crashes replicas. */
+  private async isQuarantined(): Promise<boolean> {
+    const resolved = this.suspicion.resolve(() => this.hasEnded);
+    return (await this.waits.measure(WaitCause.Suspicion, resolved)) === Suspicion.Quarantined;
+  }
+
   /** Takes the attempt that was prepared for the one before, unless the stream was migrated meanwhile. */
   private takeNext(): AdmittedAttempt | undefined {
     const { next } = this;
@@ -325,7 +340,10 @@
     let permit: SlotPermit | undefined;
     try {
       if (await this.isPromptAdmitted(replica, continuation))
-        permit = await this.acquirePermit(replica, continuation !== undefined);
+        permit = await this.waits.measure(
+          WaitCause.Permit,
+          this.acquirePermit(replica, continuation !== undefined),
+        );
     } finally {
       if (permit === undefined) handle.requestEnded();
     }
@@ -444,7 +462,7 @@
       },
     });
     const stopWatching = this.watchPath(this.attempt, path, replica);
-    const result = await this.awaitResult(this.attempt, replica);
+    const result = await this.waits.measure(WaitCause.Attempt, this.awaitResult(this.attempt, replica));
     stopWatching();
     this.attempt = undefined;
     if (result.wasSent) {
@@ -591,6 +609,7 @@
       declaredAgoMs: isAccepting ? undefined : Math.round(availability.forMs),
       loadMs: this.finder.loadMs,
       heldBackMs: this.prefillWait.totalDelayMs,
+      ...this.waits.summary(),
       longestPauseMs: this.relay === undefined ? undefined : Math.round(this.relay.longestGapMs),
       firstByteMs: firstByteMs === undefined ? undefined : Math.round(firstByteMs),
       silentMs: Math.round(silentMs),
@@ -642,11 +661,17 @@
   /**
    * The replica did not run the request: another one is tried, unless an earlier attempt may have run and the
    * route allows no retry.
+   * @param wasSent - Whether the replica was sent anything.
    */
-  onNotRun(): boolean {
+  onNotRun({ id }: ReplicaEntry, wasSent: boolean): boolean {
     this.refusals += 1;
+    // Replicas that have ended stay listed for a while, and seem idle: several of them may be chosen first.
+    const isNewlyUnreached = !wasSent && !this.unreached.has(id);
+    if (isNewlyUnreached) this.unreached.add(id);
     if (this.possibleRuns > 0 && !this.isRetryable) return false;
-    return this.refusals < MAX_REFUSALS && this.tryReserveRetry();
+    const isAnotherAllowed =
+      this.refusals < MAX_REFUSALS || (isNewlyUnreached && this.unreached.size < MAX_UNREACHED);
+    return isAnotherAllowed && this.tryReserveRetry();
   }
 
   /** The replica takes no requests any more, and was sent nothing: another one is tried like after a refusal. */
@@ -665,7 +690,7 @@
       this.parts.markAbsent(replica.id, key);
       this.finder.recordAdapterMissing(replica.id);
     }
-    return this.onNotRun();
+    return this.onNotRun(replica, true);
   }
 
   /** The request may have run: it is retried only where its route allows that. */
@@ -778,6 +803,7 @@
       limitMs: Math.round(this.deadlineAt - this.options.arrivedAt),
       unreadMs: Math.round(this.options.unreadMs),
       loadMs: this.finder.loadMs,
+      ...this.waits.summary(),
       viewAgeMs: this.parts.viewAgeMs(),
     });
     if (this.relay?.hasBegun) this.relay.abort();
@@ -816,7 +842,7 @@
 > = {
   [AttemptOutcome.Responded]: (execution, _replica, { response }) => execution.onResponse(response!),
   [AttemptOutcome.Relayed]: (execution) => execution.onRelayed(),
-  [AttemptOutcome.NotRun]: (execution) => execution.onNotRun(),
+  [AttemptOutcome.NotRun]: (execution, replica, { wasSent }) => execution.onNotRun(replica, wasSent),
   [AttemptOutcome.Withheld]: (execution) => execution.onWithheld(),
   [AttemptOutcome.Misdirected]: (execution, replica) => execution.onMisdirected(replica),
   [AttemptOutcome.Unknown]: (execution) => execution.onOutcomeUnknown(),
