--- a/packages/core/src/core/http/index.ts
+++ b/packages/core/src/core/http/index.ts
@@ -1,4 +1,5 @@
 /** What every part that serves HTTP or passes it on needs. */
 export { isHopByHop } from './hop-by-hop.js';
 export { startListening } from './listen.js';
+export { openSocket } from './open-socket.js';
 export { ListenerState, probeListener } from './probe.js';
--- a/packages/core/src/core/http/probe.ts
+++ b/packages/core/src/core/http/probe.ts
@@ -1,7 +1,6 @@
 /** Finds out whether anything listens at an address, to tell a crashed process from a cut connection. */
-import { connect } from 'node:net';
-
 import type { TimerService } from '../time/index.js';
+import { openSocket } from './open-socket.js';
 
 const REFUSED = 'ECONNREFUSED';
 
@@ -36,7 +35,7 @@
 ): Promise<ListenerState> {
   return new Promise((resolve) => {
     const { host, port, localAddress } = target;
-    const socket = connect({ host, port, localAddress });
+    const socket = openSocket({ host, port, localAddress });
     let timer = timers.after(timeoutMs, () => settle(ListenerState.Unknown));
     function settle(state: ListenerState): void {
       timer.cancel();
