platform, routing: show what impossible addresses of replicas and peers cost

Entries with a port of 99999 or an octet of 999 are listed as replicas. The connection to them throws before it exists, so that requests end with 502. The address of a peer throws in the timer that probes peers.

--- a/packages/routing/test/channels.test.ts
+++ b/packages/routing/test/channels.test.ts
@@ -98,6 +98,62 @@
   pool.close();
 });
 
+/** Sends a request over a pool to an upstream; resolves to its failure, or to undefined if it has none. */
+function failureOf(pool: ChannelPool, host: string, port: number): Promise<ChannelFailure | undefined> {
+  const sink = { onSent: () => undefined, onHead: () => undefined, onData: () => undefined };
+  const call = { purpose: ExchangePurpose.Request, method: 'GET', path: '/x', headers: ['host', 'h'] };
+  return new Promise((resolve) => {
+    pool.send(
+      { id: 'r', host, port },
+      { ...call, body: undefined },
+      { ...sink, onEnd: () => resolve(undefined), onFail: resolve },
+    );
+  });
+}
+
+// Guards against a request that counts as run, or ends as a fault of the daemon, though it never had a connection.
+test('an error before any connection exists shows that nothing was sent, whatever its kind', async (t) => {
+  const replica = await startRawReplica(() => undefined);
+  t.teardown(() => replica.close());
+  const { port } = replica;
+  const failed: string[] = [];
+  const guard = { ...NO_GUARD, onConnectFailed: (upstream: string) => failed.push(upstream) };
+  const cases: readonly (readonly [host: string, port: number, from?: string])[] = [
+    ['127.0.0.1', 65_536],
+    ['127.0.0.1', 99_999],
+    ['127.0.0.1', -1],
+    ['127.0.0.1', Number.NaN],
+    ['999.0.0.1', 80],
+    ['127.0.0.1', port, 'no address'],
+    // An address of no interface of this machine (RFC 5737).
+    ['127.0.0.1', port, '192.0.2.1'],
+  ];
+  for (const [index, [host, upstreamPort, from]] of cases.entries()) {
+    const pool = new ChannelPool(timers, guard, from);
+    t.teardown(() => pool.close());
+    t.is(await failureOf(pool, host, upstreamPort), ChannelFailure.NotSent, `${host}:${upstreamPort}`);
+    t.is(failed.length, index + 1);
+  }
+  t.is(replica.connections(), 0);
+});
+
+// Guards against an order to an address without a connection that ends its owner.
+test('a call on an exclusive channel to an impossible address fails as one that was not sent', async (t) => {
+  const pool = new ChannelPool(timers);
+  const call = { purpose: ExchangePurpose.Order, method: 'GET', path: '/', headers: ['host', 'h'] };
+  for (const [host, port] of [
+    ['127.0.0.1', 99_999],
+    ['999.0.0.1', 80],
+  ] as const) {
+    const channel = pool.openExclusive({ id: 'r', host, port }, () => undefined);
+    const err = await t.throwsAsync(channel.call({ ...call, body: undefined }, { timers, timeoutMs: 800 }), {
+      instanceOf: ExchangeError,
+    });
+    t.is(err?.failure, ChannelFailure.NotSent);
+    t.false(channel.isOpen);
+  }
+});
+
 test('a reset before the response leaves the outcome unknown', (t) =>
   withReplica(
     ({ socket }) => socket.resetAndDestroy(),
