channels: count every error before a connection as not sent

Requests to a replica with an impossible address ended with 502: the HTTP client threw as it was made, outside of the exchange. It is now made with the first request, and what it or connect() throws fails that exchange, whose class comes from its state: nothing was written, so nothing was sent. Such a failure is reported after the handle is returned.

--- a/packages/routing/src/core/channels/channel.ts
+++ b/packages/routing/src/core/channels/channel.ts
@@ -4,10 +4,10 @@
  * Each failure says whether a byte was handed to the connection. A response without a length whose connection
  * is reset counts as broken; undici itself would report it as complete.
  */
-import { connect, type Socket } from 'node:net';
+import type { Socket } from 'node:net';
 
 import type { TimerHandle, TimerService } from '@celeryyoke/core';
-import { afterLateTurn } from '@celeryyoke/core';
+import { afterLateTurn, openSocket } from '@celeryyoke/core';
 import type { Dispatcher } from 'undici';
 import { Client } from 'undici';
 
@@ -65,7 +65,8 @@
 
 /** One connection with at most one exchange at a time; it connects with the first. */
 export class Channel {
-  private readonly client: Client;
+  /** Created with the first exchange. */
+  private client: Client | undefined;
 
   /** Whether the connection failed, for instance by a reset, rather than being closed. */
   private wasReset = false;
@@ -83,19 +84,7 @@
   /** Ends the wait for the head of a cancelled exchange. */
   private cancelTimer: TimerHandle | undefined;
 
-  constructor(private readonly options: ChannelOptions) {
-    this.client = new Client(`http://${options.host}:${options.port}`, {
-      pipelining: 1,
-      headersTimeout: NO_TIMEOUT,
-      bodyTimeout: NO_TIMEOUT,
-      keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS,
-      keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
-      keepAliveMaxTimeout: MAX_IDLE_TIMEOUT_MS,
-      connect: (_opts, callback) => this.connect(callback),
-    });
-    this.client.on('disconnect', () => this.close());
-    this.client.on('connectionError', () => this.close());
-  }
+  constructor(private readonly options: ChannelOptions) {}
 
   /** Whether the channel can take another exchange. */
   get isUsable(): boolean {
@@ -139,11 +128,7 @@
     };
     const dispatch = (): void => {
       if (exchange.hasEnded) return;
-      try {
-        this.client.dispatch(options, exchange);
-      } catch (err) {
-        exchange.fail(err as Error);
-      }
+      exchange.start(() => this.openClient().dispatch(options, exchange));
     };
     if (CALLER_PURPOSES.has(call.purpose)) afterLateTurn(this.options.timers, dispatch);
     else dispatch();
@@ -176,11 +161,42 @@
     this.isClosed = true;
     this.cancelTimer?.cancel();
     this.options.onClosed(this);
-    this.client.destroy().catch(() => {
+    this.client?.destroy().catch(() => {
       // It only rejects when the client is being destroyed already.
     });
   }
 
+  /**
+   * Returns the client, which connects with its first request.
+   * @throws Error if the channel is closed, or no connection to the address is possible.
+   */
+  private openClient(): Client {
+    if (this.isClosed) throw new Error('The connection is closed.');
+    this.client ??= this.createClient();
+    return this.client;
+  }
+
+  private createClient(): Client {
+    const { host, port, onConnectFailed } = this.options;
+    try {
+      const client = new Client(`http://${host}:${port}`, {
+        pipelining: 1,
+        headersTimeout: NO_TIMEOUT,
+        bodyTimeout: NO_TIMEOUT,
+        keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS,
+        keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
+        keepAliveMaxTimeout: MAX_IDLE_TIMEOUT_MS,
+        connect: (_opts, callback) => this.connect(callback),
+      });
+      client.on('disconnect', () => this.close());
+      client.on('connectionError', () => this.close());
+      return client;
+    } catch (err) {
+      onConnectFailed(err as Error);
+      throw err;
+    }
+  }
+
   private connect(callback: (...args: [null, Socket] | [Error, null]) => void): void {
     const { host, port, localAddress, connectTimeoutMs, timers } = this.options;
     const { onConnected, onConnectFailed, onSlowConnect } = this.options;
@@ -190,7 +206,7 @@
       callback(new Error('The connection was closed and is not opened again.'), null);
       return;
     }
-    const socket = connect({
+    const socket = openSocket({
       host,
       port,
       localAddress,
@@ -254,6 +270,8 @@
 
   hasEnded = false;
 
+  private isStarting = false;
+
   private isCancelled = false;
 
   private isFramed = true;
@@ -264,6 +282,21 @@
 
   constructor(private readonly context: ExchangeContext) {}
 
+  /**
+   * Starts the exchange. A failure meanwhile is reported in a later step, as all others are: callers do not have the
+   * handle of the exchange yet.
+   */
+  start(dispatch: () => void): void {
+    this.isStarting = true;
+    try {
+      dispatch();
+    } catch (err) {
+      this.fail(err as Error);
+    } finally {
+      this.isStarting = false;
+    }
+  }
+
   onRequestStart(controller: Dispatcher.DispatchController): void {
     // undici may retry a request on a second connection when the first one closed; it must never be sent
     // twice.
@@ -275,7 +308,7 @@
     const refusal = this.context.refusal();
     if (refusal !== undefined) {
       const err = new Error(refusal);
-      this.withhold(err);
+      this.end(ChannelFailure.Withheld, err);
       controller.abort(err);
       return;
     }
@@ -327,16 +360,16 @@
   }
 
   fail(err: Error): void {
-    if (this.hasEnded) return;
-    this.hasEnded = true;
     const failureAfterSend = this.isCancelled ? ChannelFailure.Cancelled : ChannelFailure.Broken;
-    this.context.sink.onFail(this.controller === undefined ? ChannelFailure.NotSent : failureAfterSend, err);
+    this.end(this.controller === undefined ? ChannelFailure.NotSent : failureAfterSend, err);
   }
 
-  private withhold(err: Error): void {
+  private end(failure: ChannelFailure, err: Error): void {
     if (this.hasEnded) return;
     this.hasEnded = true;
-    this.context.sink.onFail(ChannelFailure.Withheld, err);
+    const report = (): void => this.context.sink.onFail(failure, err);
+    if (this.isStarting) queueMicrotask(report);
+    else report();
   }
 
   mayHaveArrived(): boolean {
--- a/packages/routing/test/channels.test.ts
+++ b/packages/routing/test/channels.test.ts
@@ -3,7 +3,14 @@
 
 import { createManualTimers, createSystemTimers } from '@celeryyoke/core';
 import type { ResponseSink, ExclusiveChannel } from '@celeryyoke/routing';
-import { ChannelFailure, ChannelPool, NO_GUARD, ExchangeError, ExchangePurpose } from '@celeryyoke/routing';
+import {
+  ChannelFailure,
+  ChannelPool,
+  NO_GUARD,
+  ExchangeError,
+  ExchangePurpose,
+  requestBuffered,
+} from '@celeryyoke/routing';
 import type { ExecutionContext } from 'ava';
 import test from 'ava';
 
@@ -137,6 +144,20 @@
   t.is(replica.connections(), 0);
 });
 
+// Guards against a failure that is reported before the caller has the handle of its exchange.
+test('a request that can’t be written fails as one that was not sent, in a later step', async (t) => {
+  const replica = await startRawReplica(() => undefined);
+  const pool = new ChannelPool(timers);
+  releaseAfter(t, pool, replica);
+  const call = { purpose: ExchangePurpose.Request, method: 'GET', path: '/x', headers: ['x-name', 'a\nb'] };
+  const upstream = { id: 'r', host: '127.0.0.1', port: replica.port };
+  const options = { timers, timeoutMs: 800 };
+  const err = await t.throwsAsync(requestBuffered(pool, upstream, { ...call, body: undefined }, options), {
+    instanceOf: ExchangeError,
+  });
+  t.is(err?.failure, ChannelFailure.NotSent);
+});
+
 // Guards against an order to an address without a connection that ends its owner.
 test('a call on an exclusive channel to an impossible address fails as one that was not sent', async (t) => {
   const pool = new ChannelPool(timers);
