cluster: end links to impossible addresses without an exception

One record of a member with port 99999 ended each daemon that probed it: the error of connect() was thrown in a timer.

--- a/packages/routing/src/core/cluster/link.ts
+++ b/packages/routing/src/core/cluster/link.ts
@@ -1,6 +1,8 @@
 /** The link to one peer over TCP: connects, sends messages, and matches responses to requests. */
+import type { Socket } from 'node:net';
+
 import type { TimerHandle, TimerService } from '@celeryyoke/core';
-import { connect, type Socket } from 'node:net';
+import { openSocket } from '@celeryyoke/core';
 
 import { encodeFrame, FrameReader, HEARTBEAT_ID, PUSH_ID } from './frames.js';
 import type { LinkEvents, PeerLink } from './types.js';
@@ -72,7 +74,7 @@
     const [localAddress] = from.split(':');
     this.lastReceivedAt = timers.now();
     this.lastUsedAt = this.lastReceivedAt;
-    this.socket = connect({ host, port: Number(port), localAddress, noDelay: true });
+    this.socket = openSocket({ host, port: Number(port), localAddress, noDelay: true });
     const timer = timers.after(CONNECT_TIMEOUT_MS, () => this.finish(LinkEnd.Silent, 'connect timeout'));
     this.socket.on('connect', () => {
       timer.cancel();
