cluster, dissemination: let a malformed record of a peer cost itself only

A record that was null, or whose address no connection can be opened to, ended an exchange of members with all its records, or was taken and spread. Rows of the other topics are decoded one by one.

--- a/packages/routing/src/core/cluster/cluster.ts
+++ b/packages/routing/src/core/cluster/cluster.ts
@@ -372,17 +372,27 @@
       const link = this.linkTo(address, true);
       const known = this.members.records().map(encodeMember);
       const response = await link?.request(MessageType.Join, known, JOIN_TIMEOUT_MS);
-      for (const frame of (response ?? []) as MemberFrame[]) this.members.merge(decodeMember(frame));
+      this.mergeFrames((response ?? []) as MemberFrame[]);
     } catch (err) {
       this.options.log.debug(`Could not exchange members with ${address}: ${String(err)}.`);
     }
   }
 
   private handleJoin(frames: readonly MemberFrame[]): MemberFrame[] {
-    for (const frame of frames) this.members.merge(decodeMember(frame));
+    this.mergeFrames(frames);
     return this.members.records().map(encodeMember);
   }
 
+  /** Merges records of members; a malformed one does not affect the others. */
+  private mergeFrames(frames: readonly MemberFrame[]): void {
+    for (const frame of frames)
+      try {
+        this.members.merge(decodeMember(frame));
+      } catch (err) {
+        this.options.log.debug(`Ignored the record of a member: ${String(err)}.`);
+      }
+  }
+
   /**
    * Exchanges the member tables with a probed daemon whose members have differed for a while. Changes
    * normally spread through the shared state; this repairs what was missed there, also when a daemon is cut
--- a/packages/routing/src/core/dissemination/topics.ts
+++ b/packages/routing/src/core/dissemination/topics.ts
@@ -1,4 +1,6 @@
 /** The topics of the shared state: merges, collects and encodes rows through the handler of each topic. */
+import type { DecisionLog } from '@celeryyoke/core';
+
 import type { EncodedRows } from './batch.js';
 import type { Topic, TopicHandler } from './types.js';
 
@@ -24,6 +26,8 @@
 export class TopicRegistry {
   private readonly handlers = new Map<Topic, TopicHandler<unknown>>();
 
+  constructor(private readonly log: Pick<DecisionLog, 'debug'>) {}
+
   register<Row>(topic: Topic, handler: TopicHandler<Row>): void {
     this.handlers.set(topic, handler);
   }
@@ -37,19 +41,29 @@
   }
 
   /**
-   * Merges rows that another daemon sent. Rows of topics that are not registered are ignored.
+   * Merges rows that another daemon sent. Rows of topics that are not registered and malformed ones are ignored.
    * @param onChanged - Called with each row that changed the state of this daemon.
    */
   merge(rows: EncodedRows, onChanged: (topic: Topic, key: string, row: unknown) => void): void {
     for (const [topic, encoded] of rows) {
       const handler = this.handlers.get(topic);
       for (const wire of handler === undefined ? [] : encoded) {
-        const row = handler!.decode(wire);
-        if (handler!.merge(row)) onChanged(topic, handler!.keyOf(row), row);
+        const row = this.decode(topic, handler!, wire);
+        if (row !== undefined && handler!.merge(row)) onChanged(topic, handler!.keyOf(row), row);
       }
     }
   }
 
+  /** Decodes a row; undefined if it is malformed. */
+  private decode(topic: Topic, handler: TopicHandler<unknown>, wire: unknown): unknown {
+    try {
+      return handler.decode(wire);
+    } catch (err) {
+      this.log.debug(`Ignored a row of topic ${topic}: ${String(err)}.`);
+      return undefined;
+    }
+  }
+
   /** Encoded rows of all topics. */
   snapshot(): EncodedRows {
     return [...this.handlers].map(
--- a/packages/routing/src/core/dissemination/tree.ts
+++ b/packages/routing/src/core/dissemination/tree.ts
@@ -91,7 +91,7 @@
  * merged and forwarded to the subscribers with their rows unchanged.
  */
 export class DisseminationTree {
-  private readonly topics = new TopicRegistry();
+  private readonly topics: TopicRegistry;
 
   private readonly pendingRows = new RowSet();
 
@@ -149,6 +149,7 @@
    */
   constructor(private readonly options: DisseminationOptions) {
     const { cluster, timers } = options;
+    this.topics = new TopicRegistry(options.log);
     this.subscriberTable = new Subscribers(timers);
     this.viewFeed = new ViewFeed(options);
     this.batchTimer = new BatchTimer(timers, () => this.sendBatch());
