--- a/packages/routing/test/fleet/network.ts
+++ b/packages/routing/test/fleet/network.ts
@@ -167,6 +167,13 @@
       timers.repeat(ms, (now) => {
         if (!network.isFrozen(self)) callback(now);
       }),
+    sleep: async (ms, signal) => {
+      await timers.sleep(ms, signal);
+      if (network.isFrozen(self))
+        await new Promise<void>((resolve) => {
+          network.whenRunning(self, resolve);
+        });
+    },
   };
 }
 
--- a/packages/routing/test/fleet/store.ts
+++ b/packages/routing/test/fleet/store.ts
@@ -1,6 +1,6 @@
 /** The platform's store on the virtual clock, with faults for each daemon. */
 import type { TimerService } from '@celeryyoke/core';
-import type { Change, Delta, RecordSource } from '@celeryyoke/routing';
+import type { Change, Delta, RecordSource, ReplicaEntry } from '@celeryyoke/routing';
 import { RecordKind } from '@celeryyoke/routing';
 
 import { engineEntry } from '../fakes.js';
@@ -31,6 +31,9 @@
   /** Whether the store keeps no history, so that each watch of an earlier revision fails. */
   hasNoHistory = false;
 
+  /** Whether the store proves that no replica was ever listed but those that it shows. */
+  hasWholeHistory = false;
+
   /** Daemons whose calls are refused at once. */
   readonly refused = new Set<string>();
 
@@ -47,9 +50,15 @@
 
   /** Writes a record and returns its revision. */
   write(): number {
+    const name = `e${this.revision + FIRST_REVISION}`;
+    return this.put(name, engineEntry(name));
+  }
+
+  /** Writes the entry of a replica, or removes it, and returns the revision. */
+  put(key: string, replica: ReplicaEntry | undefined): number {
     const revision = this.revision + FIRST_REVISION;
-    const record = { kind: RecordKind.Replica as const, replica: engineEntry(`e${revision}`) };
-    this.changes.push({ key: `e${revision}`, revision, record });
+    const record = replica === undefined ? undefined : { kind: RecordKind.Replica as const, replica };
+    this.changes.push({ key, revision, record });
     this.writtenAt.set(revision, this.timers.now());
     return revision;
   }
@@ -77,10 +86,16 @@
           this.hasNoHistory && after < this.revision ? undefined : this.delta(after, false),
         );
       },
-      replicaHistory: () => Promise.resolve(undefined),
+      replicaHistory: () => Promise.resolve(this.hasWholeHistory ? this.everListed() : undefined),
     };
   }
 
+  private everListed(): ReplicaEntry[] {
+    return this.changes.flatMap(({ record }) =>
+      record?.kind === RecordKind.Replica ? [record.replica] : [],
+    );
+  }
+
   private async refuse(daemon: string): Promise<never> {
     await this.timers.sleep(2 * LATENCY_MS + this.network.lagOf(daemon));
     throw new Error('The store is busy.');
@@ -96,6 +111,9 @@
     }
     const delta = read();
     await this.timers.sleep(LATENCY_MS + (this.delayedMs.get(daemon) ?? 0) + this.network.lagOf(daemon));
+    await new Promise<void>((resolve) => {
+      this.network.whenRunning(daemon, resolve);
+    });
     signal.throwIfAborted();
     return delta;
   }
--- a/packages/routing/test/fleet/watching-fleet.ts
+++ b/packages/routing/test/fleet/watching-fleet.ts
@@ -12,6 +12,15 @@
 /** Time in which a fleet finds itself, in milliseconds. */
 const SETTLE_MS = 7000;
 
+/** Called as the daemons of a fleet are created and read the store. */
+export interface WatchingHooks {
+  readonly onDaemon: (daemon: TestDaemon) => void;
+  /** Called when a daemon has read all records into its empty view. */
+  readonly onFirstList: (daemon: TestDaemon) => void;
+}
+
+const NO_HOOKS: WatchingHooks = { onDaemon: () => undefined, onFirstList: () => undefined };
+
 /** The daemons and the store. */
 export class WatchingFleet {
   readonly fleet: TestFleet;
@@ -22,8 +31,11 @@
 
   private readonly random = createRandom('freshness');
 
-  constructor() {
-    this.fleet = new TestFleet(ZONES, ZONES, (daemon) => this.startWatcher(daemon));
+  constructor(private readonly hooks = NO_HOOKS) {
+    this.fleet = new TestFleet(ZONES, ZONES, (daemon) => {
+      this.hooks.onDaemon(daemon);
+      this.startWatcher(daemon);
+    });
     this.store = new TestStore(this.fleet.network, this.fleet.timers);
   }
 
@@ -64,7 +76,7 @@
       publish: (isNews) => tree.publishView(isNews),
       onReachabilityChange: () => undefined,
       onList: () => undefined,
-      onFirstList: () => undefined,
+      onFirstList: () => this.hooks.onFirstList(daemon),
       onTakeOver: () => undefined,
     });
     this.watchers.push(watcher);
