origins: resume streams only by a view later than the take-up

What callers saw (ORDER): a stream that had begun at a new software version was resumed at a daemon that was cut off from its peers, or late, and went on at the old version.

Cause: a view of up to 1.5 s counted as proof that only one version can have begun the stream. Another version may have appeared, begun the stream and lost it since, where no replica of the old one has a slot.

Change: a daemon concludes that only one version can have begun a stream that a caller resumes only once its view is confirmed later than that; it waits up to 1.5 s, and a quarter of the time left.

--- a/packages/routing/src/core/origins/stream-origins.ts
+++ b/packages/routing/src/core/origins/stream-origins.ts
@@ -119,14 +119,20 @@
     return this.table.droppedCount;
   }
 
-  /** Returns the only version that can have begun a stream of a service; undefined if there may be others. */
-  onlyVersion(service: string): string | undefined {
-    return this.options.history.onlyVersion(service);
+  /**
+   * Returns the only version that can have begun a stream of a service; undefined if there may be others.
+   * @param before - See {@link VersionHistory.onlyVersion}.
+   */
+  onlyVersion(service: string, before?: number): string | undefined {
+    return this.options.history.onlyVersion(service, before);
   }
 
-  /** Returns why there may be others. */
-  doubtOf(service: string): VersionDoubt | undefined {
-    return this.options.history.doubtOf(service);
+  /**
+   * Returns why there may be others.
+   * @param before - See {@link VersionHistory.onlyVersion}.
+   */
+  doubtOf(service: string, before?: number): VersionDoubt | undefined {
+    return this.options.history.doubtOf(service, before);
   }
 
   /** Registers a stream before its caller gets the first event; it is recorded at once, or when that is needed. */
--- a/packages/routing/src/core/origins/types.ts
+++ b/packages/routing/src/core/origins/types.ts
@@ -11,6 +11,8 @@
   UnknownVersion = 'unknown-version',
   /** The view is too old, or older than a pause of this process. */
   StaleView = 'stale-view',
+  /** The view is older than what is asked about, so a version that has appeared since may be missing. */
+  EarlierView = 'earlier-view',
   /** This daemon does not know its peers yet, which may know. */
   Starting = 'starting',
   /** This daemon, and all peers that it has asked, are too new to know which versions have served. */
--- a/packages/routing/src/core/origins/version-history.ts
+++ b/packages/routing/src/core/origins/version-history.ts
@@ -2,7 +2,7 @@
  * Knows which software versions can have begun the streams of a service that are still alive.
  *
  * While that is one version only, nothing has to be recorded of any stream. A daemon may conclude that only if its
- * view is recent and it has known all versions for as long as a stream can last: by its own view, or, if it has
+ * view is recent, for a stream of a peer also later than its begin, and it has known all versions for as long as a stream can last: by its own view, or, if it has
  * started or was cut off since, by what it asks of its peers. A fleet that has started knows what the history of the
  * platform's store proves; that it starts for the first time is no proof, as its settings may outlast its processes.
  */
@@ -98,19 +98,27 @@
     return this.retention;
   }
 
-  /** Returns the only version that can have begun a stream of a service; undefined if there may be others. */
-  onlyVersion(service: string): string | undefined {
-    return this.doubtOf(service) === undefined ? this.table.versionsOf(service).first : undefined;
+  /**
+   * Returns the only version that can have begun a stream of a service; undefined if there may be others.
+   * @param before - Monotonic time by which the stream had begun, in milliseconds; without it, streams are meant that
+   *   this daemon has begun itself, at a replica that it knows.
+   */
+  onlyVersion(service: string, before?: number): string | undefined {
+    return this.doubtOf(service, before) === undefined ? this.table.versionsOf(service).first : undefined;
   }
 
-  /** Returns why streams of a service may have begun at several versions; undefined if there is only one. */
-  doubtOf(service: string): VersionDoubt | undefined {
+  /**
+   * Returns why streams of a service may have begun at several versions; undefined if there is only one.
+   * @param before - See {@link VersionHistory.onlyVersion}.
+   */
+  doubtOf(service: string, before = Number.NEGATIVE_INFINITY): VersionDoubt | undefined {
     if (!this.isViewRecent()) return VersionDoubt.StaleView;
     if (!this.options.hasSettled()) return VersionDoubt.Starting;
     if (!this.knowsHistory()) return VersionDoubt.NoHistory;
     const { count, hasUnknown, newestMs } = this.table.versionsOf(service);
     if (count > 1) return newestMs < MAX_VIEW_AGE_MS ? VersionDoubt.NewVersion : VersionDoubt.Several;
-    return count === 0 || hasUnknown ? VersionDoubt.UnknownVersion : undefined;
+    if (count === 0 || hasUnknown) return VersionDoubt.UnknownVersion;
+    return this.options.view.confirmedAt < before ? VersionDoubt.EarlierView : undefined;
   }
 
   /**
--- a/packages/routing/src/core/requests/stream-binding.ts
+++ b/packages/routing/src/core/requests/stream-binding.ts
@@ -39,16 +39,16 @@
   readonly remainingMs: () => number;
 }
 
-/** Doubts that end soon in most cases, so that a request waits a moment in place of being refused. */
-const TRANSIENT_DOUBTS: ReadonlySet<VersionDoubt | undefined> = new Set([
-  VersionDoubt.Starting,
-  VersionDoubt.StaleView,
-  VersionDoubt.UnknownVersion,
-  VersionDoubt.NewVersion,
+/** Longest wait for the end of doubts that end soon in most cases, in milliseconds; the others end a request at once. */
+const MAX_WAIT_MS: ReadonlyMap<VersionDoubt | undefined, number> = new Map([
+  [VersionDoubt.Starting, 1000],
+  [VersionDoubt.StaleView, 1000],
+  // Until then the view is confirmed, or stale; callers wait for two seconds at least.
+  [VersionDoubt.EarlierView, 1500],
+  [VersionDoubt.UnknownVersion, 1000],
+  [VersionDoubt.NewVersion, 1000],
 ]);
-/** Longest such wait, in milliseconds: a view is confirmed more often while the platform can be read. */
-const MAX_WAIT_MS = 1000;
-/** Share of the time left that it takes at most. */
+/** Share of the time left that such a wait takes at most. */
 const MAX_WAIT_SHARE = 1 / 4;
 const POLL_INTERVAL_MS = 100;
 
@@ -57,8 +57,8 @@
 /** What was found out of a stream that is resumed. */
 interface Finding extends LookUpResult {
   readonly doubt: VersionDoubt | undefined;
-  /** Whether more may be known soon. */
-  readonly isTransient: boolean;
+  /** Time from the take-up for which it is worth to look again, in milliseconds. */
+  readonly maxWaitMs: number;
 }
 
 /** What one response knows of the origin of its stream. */
@@ -110,26 +110,32 @@
     if (head.lastEventId === undefined) return;
     const { timers } = this.parts;
     const startedAt = timers.now();
-    const endAt = startedAt + Math.min(MAX_WAIT_MS, this.request.remainingMs() * MAX_WAIT_SHARE);
-    let finding = await this.findOrigin();
-    while (finding.isTransient && timers.now() < endAt && this.request.remainingMs() > 0) {
+    const limitMs = this.request.remainingMs() * MAX_WAIT_SHARE;
+    const waitedMs = (): number => timers.now() - startedAt;
+    let finding = await this.findOrigin(startedAt);
+    while (waitedMs() < Math.min(finding.maxWaitMs, limitMs) && this.request.remainingMs() > 0) {
       await timers.sleep(POLL_INTERVAL_MS);
-      finding = await this.findOrigin();
+      finding = await this.findOrigin(startedAt);
     }
     this.origin = finding.origin;
     this.isBound = true;
-    this.logResumed(finding, timers.now() - startedAt);
+    this.logResumed(finding, waitedMs());
   }
 
-  private async findOrigin(): Promise<Finding> {
+  /**
+   * @param resumedAt - Monotonic time at which the caller has resumed the stream, in milliseconds.
+   */
+  private async findOrigin(resumedAt: number): Promise<Finding> {
     const { origins } = this.parts;
     const { service } = this.request;
-    const doubt = origins.doubtOf(service);
-    const onlyVersion = origins.onlyVersion(service);
-    const asked = onlyVersion === undefined ? await origins.lookUp(this.wantedKey()) : NOT_ASKED;
+    const doubt = origins.doubtOf(service, resumedAt);
+    const onlyVersion = origins.onlyVersion(service, resumedAt);
+    // As far as this daemon knows, one version serves, so that nothing is recorded.
+    const isAsked = onlyVersion === undefined && doubt !== VersionDoubt.EarlierView;
+    const asked = isAsked ? await origins.lookUp(this.wantedKey()) : NOT_ASKED;
     const softwareVersion = continuationVersion({ origin: asked.origin, onlyVersion });
-    if (softwareVersion === undefined) return { ...asked, doubt, isTransient: TRANSIENT_DOUBTS.has(doubt) };
-    return { ...asked, doubt, isTransient: false, origin: { state: OriginState.Known, softwareVersion } };
+    if (softwareVersion === undefined) return { ...asked, doubt, maxWaitMs: MAX_WAIT_MS.get(doubt) ?? 0 };
+    return { ...asked, doubt, maxWaitMs: 0, origin: { state: OriginState.Known, softwareVersion } };
   }
 
   /** Binds a new stream to the version of its first replica, before the caller gets anything of it. */
--- a/packages/routing/test/origins/out-of-step.test.ts
+++ b/packages/routing/test/origins/out-of-step.test.ts
@@ -29,7 +29,7 @@
 /** Time that a look-up takes, and owners that a daemon asks for a record that it owns itself. */
 const LOOK_UP_MS = 20;
 const OTHER_OWNERS = 2;
-const TEST_TIMEOUT_MS = 600_000;
+const TEST_TIMEOUT_MS = 1_800_000;
 /** Plays the whole table in place of the cells that CI plays. */
 const IS_WHOLE = process.env.CELERYYOKE_TABLE === 'whole';
 
--- a/packages/routing/test/origins/stream-binding.test.ts
+++ b/packages/routing/test/origins/stream-binding.test.ts
@@ -104,6 +104,23 @@
     t.true(never.binding.isStuck);
   });
 
+// Guards against a version that has appeared after this daemon last heard of the platform, where one version served.
+test('a stream that is resumed waits until the view is confirmed later than that, or is stuck', async (t) => {
+  const confirmed = setUp(2, VersionDoubt.EarlierView);
+  const resumed = confirmed.binding.resume();
+  await confirmed.timers.advance(1400);
+  t.is(confirmed.state.lookUps, 0);
+  confirmed.state.doubt = undefined;
+  await confirmed.timers.advance(100);
+  await resumed;
+  t.is(confirmed.binding.softwareVersion, 'v1');
+  const never = setUp(2, VersionDoubt.EarlierView);
+  const ended = never.binding.resume();
+  await never.timers.advance(1600);
+  await ended;
+  t.true(never.binding.isStuck);
+});
+
 test('a stream that began at a replica of unknown version has it when its entry is known', (t) => {
   const { binding, state } = setUp(undefined, VersionDoubt.UnknownVersion);
   binding.begin({ ...engineEntry('e1'), softwareVersion: undefined });
--- a/packages/routing/test/origins/version-history.test.ts
+++ b/packages/routing/test/origins/version-history.test.ts
@@ -49,6 +49,18 @@
   t.is(daemon.history.onlyVersion(SERVICE), 'v1');
 });
 
+// Guards against a version that has appeared since the view was confirmed, and has begun the stream.
+test('a recent view shows what began streams until it was confirmed, not later', async (t) => {
+  const { fleet, daemon } = startFleet('v1');
+  await fleet.timers.advance(300);
+  const before = fleet.timers.now();
+  t.is(daemon.history.onlyVersion(SERVICE), 'v1');
+  t.is(daemon.history.doubtOf(SERVICE, before), VersionDoubt.EarlierView);
+  t.is(daemon.history.onlyVersion(SERVICE, before), undefined);
+  await fleet.timers.advance(300);
+  t.is(daemon.history.onlyVersion(SERVICE, before), 'v1');
+});
+
 // Guards against a restart under the same id that keeps the version of the process before it.
 test('a replica that has restarted has no version until its entry states one', async (t) => {
   const { fleet, daemon } = startFleet('v1');
