origins: play restarts under old ids whose entries come late, listed red

Daemons that are in step, or that their peers don't hear, go on at them with streams of the version before.

--- a/packages/routing/test/origins/out-of-step.test.ts
+++ b/packages/routing/test/origins/out-of-step.test.ts
@@ -120,7 +120,7 @@
 /** The cells that are played. */
 const PLAYED = IS_WHOLE
   ? { joins: Object.keys(JOINS), joinAt: Object.keys(JOIN_AT), ranks: [0, 1, DAEMONS - 1] }
-  : { joins: ['beside the old ones', 'under old ids'], joinAt: ['soon', 'during'], ranks: [1] };
+  : { joins: ['beside the old ones', 'under old ids, listed late'], joinAt: ['soon', 'during'], ranks: [1] };
 
 /** When streams are taken up at the daemon. */
 enum When {
