choice: eject a replica that any daemon has found ended

All daemons knew of the ends from their peers' reports within 0.1 s, but only their own attempts ejected a replica, for 0.4 s.

An end that is certain, whoever has found it, ejects the replica until its entry is removed, counted from the end, so that a report that is read late ejects less. A refuted end takes the ejection back.

--- a/packages/routing/src/core/choice/replica-health.ts
+++ b/packages/routing/src/core/choice/replica-health.ts
@@ -19,6 +19,8 @@
  */
 const MIN_EJECTION_MS = 400;
 const MAX_EJECTION_MS = 3000;
+/** Time after the end of a replica in which its entry is removed, in milliseconds. */
+const ENTRY_REMOVAL_MS = 3000;
 
 interface HealthRecord {
   failureRate: number;
@@ -62,6 +64,23 @@
     this.recordOutcome(replica, false, undefined);
   }
 
+  /**
+   * Records that a replica has ended, as this daemon or a peer has found, and ejects it until its entry is removed.
+   * @param at - Monotonic time of its end, in milliseconds.
+   */
+  recordEnd(replica: string, at: number): void {
+    const until = at + ENTRY_REMOVAL_MS;
+    if (until <= this.timers.now()) return;
+    const record = this.decayedRecord(replica);
+    record.ejectedUntil = Math.max(record.ejectedUntil, until);
+  }
+
+  /** Records that a replica that was found ended runs on. */
+  recordReturn(replica: string): void {
+    const record = this.records.get(replica);
+    if (record !== undefined) record.ejectedUntil = 0;
+  }
+
   /** Records that a request was sent. */
   recordSent(replica: string): void {
     const requests = this.outstanding.get(replica) ?? { count: 0, since: 0 };
@@ -96,7 +115,7 @@
   }
 
   /**
-   * Returns whether a replica is ejected: it could not be reached, or it sends nothing although it has
+   * Returns whether a replica is ejected: it has ended, could not be reached, or sends nothing although it has
    * requests.
    */
   isEjected(replica: string): boolean {
--- a/packages/routing/src/core/daemon/services.ts
+++ b/packages/routing/src/core/daemon/services.ts
@@ -214,7 +214,7 @@
       part(PART.attempts, [], () => new AttemptLedger(timers)),
       part(
         PART.suspects,
-        [PART.cluster, PART.tree, PART.crashDetector, PART.attempts],
+        [PART.cluster, PART.tree, PART.crashDetector, PART.attempts, PART.health],
         (kernel) => this.createSuspects(kernel),
         (suspects) => suspects.stop(),
       ),
@@ -679,7 +679,7 @@
 
   private createSuspects(kernel: ServiceFinder): SuspectRegistry {
     const { timers, log } = this.options;
-    return new SuspectRegistry({
+    const suspects = new SuspectRegistry({
       self: addressOf(this.options),
       cluster: kernel.get(PART.cluster),
       tree: kernel.get(PART.tree),
@@ -688,6 +688,10 @@
       timers,
       log,
     });
+    const health = kernel.get<ReplicaHealth>(PART.health);
+    suspects.onEnded((replica, at) => health.recordEnd(replica, at));
+    suspects.onRefuted((replica) => health.recordReturn(replica));
+    return suspects;
   }
 
   /** Whether this daemon has recently received messages from its peers and the shared state. */
--- a/packages/routing/src/core/suspects/suspect-registry.ts
+++ b/packages/routing/src/core/suspects/suspect-registry.ts
@@ -97,6 +97,8 @@
 
   private readonly refutedListeners: ((replica: string) => void)[] = [];
 
+  private readonly endedListeners: ((replica: string, at: number) => void)[] = [];
+
   private readonly expiryTimer: TimerHandle;
 
   /** Earliest crash that each scheduled review looks at, by the time of the review, in monotonic milliseconds. */
@@ -410,6 +412,14 @@
     return this.crashes.crashOf(replica)?.certainty === EndCertainty.Presumed;
   }
 
+  /**
+   * Subscribes to replicas that have ended for certain, as this daemon or a peer has found.
+   * @param listener - Called with the monotonic time of the end, in milliseconds.
+   */
+  onEnded(listener: (replica: string, at: number) => void): void {
+    this.endedListeners.push(listener);
+  }
+
   /** Subscribes to replicas that turn out to go on. */
   onRefuted(listener: (replica: string) => void): void {
     this.refutedListeners.push(listener);
@@ -471,6 +481,8 @@
     [SuspectRowKind.Crash]: (row) => {
       const { replica, at, certainty, requests, reporter } = row;
       const isNew = this.crashes.add(replica, at, requests, certainty);
+      if (isNew && certainty === EndCertainty.Confirmed)
+        for (const listener of this.endedListeners) listener(replica, at);
       if (isNew && reporter !== this.options.self) this.contribute(row);
       if (isNew) this.scheduleReview(replica, at);
       return isNew;
