--- a/packages/routing/src/core/daemon/metrics.ts
+++ b/packages/routing/src/core/daemon/metrics.ts
@@ -9,7 +9,8 @@
 import type { ChannelPool } from '../channels/index.js';
 import type { Cluster } from '../cluster/index.js';
 import type { DisseminationTree } from '../dissemination/index.js';
-import type { ReplicatedStore } from '../view/index.js';
+import type { RecordSource, ReplicatedStore } from '../view/index.js';
+import { ItemRefusal } from '../view/index.js';
 
 const OK = 200;
 
@@ -17,6 +18,7 @@
 export interface MetricSources {
   readonly metrics: Metrics;
   readonly view: ReplicatedStore;
+  readonly source: Pick<RecordSource, 'refusedCounts'>;
   readonly cluster: Cluster;
   readonly tree: DisseminationTree;
   readonly leases: EngineLeases;
@@ -32,7 +34,7 @@
 /** Registers the metrics whose values are sampled when the metrics are requested. */
 export function registerMetrics(sources: MetricSources): void {
   const { metrics, view, cluster, tree, leases, channels, pauses, requests, suspects } = sources;
-  const { origins, droppedLines, configVersion } = sources;
+  const { origins, source, droppedLines, configVersion } = sources;
   const counter = { isCounter: true };
   metrics.sample('router_requests_running', 'Requests in progress.', () => requests.running);
   metrics.sample(
@@ -52,6 +54,13 @@
     counter,
   );
   metrics.sample('router_view_age_ms', 'Age of what is known of the platform.', () => view.ageMs);
+  for (const reason of Object.values(ItemRefusal))
+    metrics.sample(
+      'router_items_refused_total',
+      'Versions of items of the platform’s store that this daemon has read and refused.',
+      () => source.refusedCounts?.[reason] ?? 0,
+      { ...counter, labels: { reason } },
+    );
   metrics.sample('router_config_version', 'Version of the configuration in force.', configVersion);
   metrics.sample(
     'router_peers_alive',
--- a/packages/routing/src/core/daemon/services.ts
+++ b/packages/routing/src/core/daemon/services.ts
@@ -946,12 +946,13 @@
   }
 
   private async startMetrics(kernel: ServiceFinder): Promise<Server | undefined> {
-    const { settings, droppedLines } = this.options;
+    const { settings, source, droppedLines } = this.options;
     const metrics = kernel.get<Metrics>(PART.metrics);
     const registry = kernel.get<ReplicaRegistry>(PART.registry);
     registerMetrics({
       metrics,
       view: kernel.get(PART.view),
+      source,
       cluster: kernel.get(PART.cluster),
       tree: kernel.get(PART.tree),
       leases: kernel.get(PART.leases),
--- a/packages/routing/src/core/view/index.ts
+++ b/packages/routing/src/core/view/index.ts
@@ -20,5 +20,5 @@
 } from './types.js';
 export type { Position } from './position.js';
 export { isAfter, NO_POSITION } from './position.js';
-export { RecordKind, replicaId, ReplicaState } from './types.js';
+export { ItemRefusal, RecordKind, replicaId, ReplicaState } from './types.js';
 export { ReplicatedStore } from './replicated-store.js';
--- a/packages/routing/src/core/view/types.ts
+++ b/packages/routing/src/core/view/types.ts
@@ -113,8 +113,24 @@
   readonly changes: readonly Change[];
 }
 
+/** Why a version of an item of the source is not used. */
+export enum ItemRefusal {
+  /** It has no key or no revision. */
+  Malformed = 'malformed',
+  /** Its value can't be parsed. */
+  Encoding = 'encoding',
+  /** It is a replica that no connection can be opened to. */
+  Address = 'address',
+  /** It is a replica at an address of this daemon. */
+  OwnAddress = 'ownAddress',
+  /** Its value is not valid for its key in another way. */
+  Value = 'value',
+}
+
 /** Source of the records: the platform's store, or a stand-in in tests. */
 export interface RecordSource {
+  /** Number of versions of items that this daemon has read and refused, by reason; left out if it counts none. */
+  readonly refusedCounts?: Readonly<Record<ItemRefusal, number>>;
   /** Reads all records; returns a full delta. */
   list(signal: AbortSignal): Promise<Delta>;
   /**
