origins: compare take-ups that can go on after a daemon was out of step

The check compared shares of all streams. Where the replicas of a version have all ended, their streams can't go on anywhere, and a fault changes how many streams begin at which version: in the whole table the share was below that of a daemon in step for this alone, in cells where all old replicas leave. Only streams of which a replica of their version runs are compared now; of these as many have to go on as at a daemon in step, as before.

--- a/packages/routing/test/origins/out-of-step.test.ts
+++ b/packages/routing/test/origins/out-of-step.test.ts
@@ -141,6 +141,8 @@
   readonly owner: Owner;
   readonly when: When;
   readonly result: TakeUp;
+  /** Whether a replica of its version runs. */
+  readonly isPossible: boolean;
 }
 
 /** One cell of the table. */
@@ -215,7 +217,8 @@
   }
 
   private async takeUp(stream: BegunStream, owner: Owner, when: When): Promise<void> {
-    this.ended.push({ stream, owner, when, result: await this.release.takeUp(this.subject, stream) });
+    const result = await this.release.takeUp(this.subject, stream);
+    this.ended.push({ stream, owner, when, result, isPossible: this.release.canContinue(stream) });
   }
 }
 
@@ -229,9 +232,11 @@
   return played;
 }
 
-/** Share of some take-ups that went on. */
+/** Share of the take-ups that went on of those that can: faults change how many streams begin at which version. */
 function continuedShare(ended: readonly Ended[], when: When, owner: Owner): number {
-  const counted = ended.filter((one) => one.when === when && one.owner === owner && !one.stream.isMistaken);
+  const counted = ended.filter(
+    (one) => one.when === when && one.owner === owner && one.isPossible && !one.stream.isMistaken,
+  );
   return counted.filter(({ result }) => result === TakeUp.Continued).length / Math.max(1, counted.length);
 }
 
--- a/packages/routing/test/origins/release-fleet.ts
+++ b/packages/routing/test/origins/release-fleet.ts
@@ -135,6 +135,11 @@
     return { id, body, softwareVersion, isMistaken: softwareVersion !== replica.softwareVersion };
   }
 
+  /** Whether a process runs that could go on with a stream. */
+  canContinue({ softwareVersion }: BegunStream): boolean {
+    return [...this.processes.values()].some((runs) => runs.softwareVersion === softwareVersion);
+  }
+
   /** Has a caller resume a stream at a daemon. */
   async takeUp(daemon: TestDaemon, stream: BegunStream): Promise<TakeUp> {
     const head = { id: `${stream.id}-again`, lastEventId: LAST_EVENT_ID, firstAttempt: stream.id };
