origins: show take-ups with little time that are refused, listed red

A take-up waits for a view that is later than itself, a quarter of its time left at most. In a quiet fleet of six with one version and the store at hand it takes 0.5 s in the mean and 0.9 s at most until there is one, so 41 of 100 take-ups with two seconds left are refused.

--- a/packages/routing/test/origins/release-fleet.ts
+++ b/packages/routing/test/origins/release-fleet.ts
@@ -135,10 +135,17 @@
     return { id, body, softwareVersion, isMistaken: softwareVersion !== replica.softwareVersion };
   }
 
-  /** Has a caller resume a stream at a daemon. */
-  async takeUp(daemon: TestDaemon, stream: BegunStream): Promise<TakeUp> {
+  /**
+   * Has a caller resume a stream at a daemon.
+   * @param timeoutMs - Time left until the deadline, in milliseconds.
+   */
+  async takeUp(
+    daemon: TestDaemon,
+    stream: BegunStream,
+    timeoutMs: number = CALLER_TIMEOUT_MS,
+  ): Promise<TakeUp> {
     const head = { id: `${stream.id}-again`, lastEventId: LAST_EVENT_ID, firstAttempt: stream.id };
-    const binding = this.bind(daemon, stream.body, head);
+    const binding = this.bind(daemon, stream.body, head, timeoutMs);
     await binding.resume();
     if (binding.isStuck) return TakeUp.Refused;
     const serving = this.partsOf(daemon)
@@ -174,8 +181,9 @@
     daemon: TestDaemon,
     body: string,
     head: { id: string; lastEventId: number | undefined; firstAttempt: string | undefined },
+    timeoutMs: number = CALLER_TIMEOUT_MS,
   ): StreamBinding {
-    const deadline = this.timers.now() + CALLER_TIMEOUT_MS;
+    const deadline = this.timers.now() + timeoutMs;
     return new StreamBinding(this.partsOf(daemon), {
       head,
       service: SERVICE,
--- a/packages/routing/test/origins/take-up-wait.test.ts
+++ b/packages/routing/test/origins/take-up-wait.test.ts
@@ -12,6 +12,8 @@
 const MAX_WAIT_MS = 1500;
 /** Time by which what reaches the daemons is late, in milliseconds. */
 const LATE_MS = [0, 100, 300];
+/** Time that callers wait at least, in milliseconds. */
+const SHORT_TIMEOUT_MS = 2000;
 
 for (const lateMs of LATE_MS)
   // Guards against refusals while one version serves, as the proof of that takes too long.
@@ -41,3 +43,26 @@
     t.log(`mean ${Math.round(waits.reduce((sum, ms) => sum + ms) / TAKE_UPS)} ms, longest ${longestMs} ms`);
     t.true(longestMs <= MAX_WAIT_MS);
   });
+
+// Guards against callers with little time who are refused though nothing is wrong and one version serves.
+test('while one version serves, take-ups with two seconds left go on', async (t) => {
+  const release = new ReleaseFleet();
+  const { timers, watching } = release;
+  await release.start(DAEMONS, ['a', 'b'], 'v1');
+  const daemons = watching.fleet.running();
+  await timers.advance(SETTLE_MS);
+  const results: TakeUp[] = [];
+  const takeUp = async (index: number): Promise<void> => {
+    const daemon = daemons[index % DAEMONS]!;
+    const stream = release.begin(daemon, release.replicasOf(daemon)[0]!, 'prompt', 1)!;
+    results.push(await release.takeUp(daemons[(index + 1) % DAEMONS]!, stream, SHORT_TIMEOUT_MS));
+  };
+  for (let index = 0; index < TAKE_UPS; index += 1) {
+    void takeUp(index);
+    await timers.advance(INTERVAL_MS);
+  }
+  await timers.advance(SHORT_TIMEOUT_MS);
+  release.stop();
+  t.is(results.length, TAKE_UPS);
+  t.is(results.filter((result) => result === TakeUp.Refused).length, 0);
+});
