--- a/packages/routing/test/suspect-fleet.ts
+++ b/packages/routing/test/suspect-fleet.ts
@@ -1,5 +1,5 @@
 /** Daemons with a registry of suspects each, on the virtual clock. */
-import type { ManualTimerService, Suspicion } from '@celeryyoke/core';
+import type { DecisionLog, ManualTimerService, Suspicion } from '@celeryyoke/core';
 import { createManualTimers, createSilentLog } from '@celeryyoke/core';
 
 import type {
@@ -64,6 +64,7 @@
 
   /**
    * @param detector - Finds out whether a replica has crashed; by default all have whose attempts are cut.
+   * @param log - Log of all daemons.
    */
   constructor(
     size: number,
@@ -71,6 +72,7 @@
       hasCrashed: () => Promise.resolve(true),
       forget: () => undefined,
     },
+    private readonly log: DecisionLog = createSilentLog(),
   ) {
     this.addresses = Array.from({ length: size }, (_, index) => `d${index}`);
     this.start();
@@ -149,11 +151,17 @@
   }
 
   /** Begins an attempt of a daemon, which a peer carries out if it is relayed. */
-  begin(daemon: number, replica: string, request: RequestFingerprints, isRelayed = false): FollowedAttempt {
+  begin(
+    daemon: number,
+    replica: string,
+    request: RequestFingerprints,
+    isRelayed = false,
+    route = 'route',
+  ): FollowedAttempt {
     return this.attempts[daemon]!.begin({
       replica,
       service: SERVICE,
-      route: 'route',
+      route,
       shared: request.shared,
       fingerprints: () => request,
       isRelayed,
@@ -192,10 +200,10 @@
       },
       publish: (_topic: unknown, row: unknown) => this.publish(index, row),
     };
-    const { timers, detector } = this;
+    const { timers, detector, log } = this;
     const attempts = new AttemptLedger(timers);
     this.attempts[index] = attempts;
-    const options = { self, cluster, tree, detector, attempts, timers, log: createSilentLog() };
+    const options = { self, cluster, tree, detector, attempts, timers, log };
     const suspects = new SuspectRegistry(options as unknown as SuspectRegistryOptions);
     this.ends[index] = this.createEnds(index, attempts, suspects);
     return suspects;
