suspects: weigh a part against its share in flight at the ends

Callers of a class were refused (4007) although none of their requests had ended a replica: the part that all of them share was taken for the cause.

How frequent the part is was taken from what one host had seen, also if that was four requests, and the host with the smallest share decided for all. In a range of ages chosen around the part, one or two requests at each end were taken for that many independent draws with this share.

Take the larger of the host's share and the share in flight at all ends, which the reports of all hosts show. Within a range, let the share be uncertain, as three requests with the part would show it, and compare chance with one request with the part at each end. What was in flight is indexed once for each end: plays without a culprit took most of their time on reading it again.

--- a/packages/core/src/core/suspects/crash-log.ts
+++ b/packages/core/src/core/suspects/crash-log.ts
@@ -9,15 +9,18 @@
  * hardly be at all of them by chance. What caused a crash is quarantined, and what was beside it is cleared.
  */
 import type { TimerService } from '../time/index.js';
-import type { FeatureEvidence, SuspectRequest } from './types.js';
+import {
+  ageRanges,
+  compareEvidence,
+  dropIndex,
+  longestAnswerMs,
+  sampleOf,
+  variantsAt,
+  wasInFlight,
+} from './crash-samples.js';
+import type { FeatureEvidence, FeatureSample, SuspectRequest } from './types.js';
 import { EndCertainty, Suspicion } from './types.js';
 
-/** Difference by which the ages of answers at several crashes may be off, in milliseconds. */
-const AGE_MARGIN_MS = 50;
-
-/** Time after the end of an upstream at which a request may have been sent and still reach it, in milliseconds. */
-const SENT_MARGIN_MS = 150;
-
 /** One crash of one upstream, as the reports of all daemons describe it together. */
 export interface Crash {
   readonly upstream: string;
@@ -159,7 +162,10 @@
     let hasChanged = certainty > crash.certainty;
     if (hasChanged) Object.assign(crash, { certainty });
     // What several daemons have heard last of it is the closest to its end.
-    if (at > crash.at) Object.assign(crash, { at });
+    if (at > crash.at) {
+      Object.assign(crash, { at });
+      dropIndex(crash);
+    }
     for (const request of requests) if (this.addRequest(request, crash)) hasChanged = true;
     this.reviewRequests(crash);
     this.reviewShared();
@@ -201,19 +207,43 @@
   evidenceOf(feature: string, certainty: EndCertainty): FeatureEvidence {
     const isWeighed = (crash: Crash): boolean => crash.certainty >= certainty && this.isSettled(crash);
     const crashes = [...(this.byFeature.get(feature) ?? [])].filter(
-      (crash) => isWeighed(crash) && requestsWith(crash, feature).length > 0,
+      (crash) => isWeighed(crash) && wasInFlight(crash, feature),
     );
     const since = Math.min(...crashes.map(({ at }) => at));
-    const variants = new Set(crashes.flatMap((crash) => variantsAt(crash, feature)));
+    const variants = new Set(crashes.flatMap((crash) => [...variantsAt(crash, feature)]));
     const others = this.crashes.filter(
       (crash) => crash.at >= since && isWeighed(crash) && !crash.isExplained && !crashes.includes(crash),
     );
     // Requests that differ in nothing else show nothing that one of them does not.
     const ranges = ageRanges(crashes, feature).map(({ choices, inFlight }) => ({
       choices,
-      inFlight: inFlight.sort((left, right) => left - right).slice(0, variants.size),
+      inFlight: inFlight.sort(compareEvidence).slice(0, variants.size),
     }));
-    return { feature, since, longestMs: this.longestMs(feature), ranges, otherCrashes: others.length };
+    return {
+      feature,
+      since,
+      longestMs: this.longestMs(feature),
+      ranges,
+      beside: this.inFlightBeside(feature),
+      otherCrashes: others.length,
+    };
+  }
+
+  /**
+   * Counts all requests that were in flight at crashes whose cause is not known, as the reports of all daemons show them.
+   * At each crash with the feature one request with it is left out: the crash may be due to that one.
+   */
+  private inFlightBeside(feature: string): FeatureSample {
+    let requests = 0;
+    let withFeature = 0;
+    for (const crash of this.crashes) {
+      if (crash.isExplained) continue;
+      const sample = sampleOf(crash, feature);
+      const left = Math.min(1, sample.withFeature);
+      requests += sample.requests - left;
+      withFeature += sample.withFeature - left;
+    }
+    return { requests, withFeature };
   }
 
   /**
@@ -338,6 +368,7 @@
     if (crash.isExplained || this.byFeature.size >= this.bounds.capacity) return false;
     if (crash.features.has(fingerprint) || this.isClearedSince(fingerprint, crash)) return false;
     crash.requests.set(fingerprint, request);
+    dropIndex(crash);
     this.addSuspect(fingerprint, crash);
     for (const { feature } of shared)
       if (!this.isClearedSince(feature, crash)) this.addSuspect(feature, crash);
@@ -444,6 +475,7 @@
    */
   private explain(crash: Crash, cause: string): void {
     Object.assign(crash, { isExplained: true });
+    dropIndex(crash);
     const culprit = crash.requests.get(cause);
     const kept = new Set(culprit?.shared.map(({ feature }) => feature));
     for (const fingerprint of [...crash.requests.keys()])
@@ -452,55 +484,3 @@
       if (!this.quarantine.has(feature) && !kept.has(feature)) this.removeSuspect(feature, crash);
   }
 }
-
-/** Time for which the answer to a request had gone on at a crash, in milliseconds. */
-function answeredMs({ beganAt }: SuspectRequest, { at }: Crash): number {
-  return beganAt === undefined ? 0 : Math.max(0, at - beganAt);
-}
-
-/** Requests that a crash may be due to: one that was sent later has not reached the upstream. */
-function candidates(crash: Crash): SuspectRequest[] {
-  return [...crash.requests.values()].filter(({ sentAt = crash.at }) => sentAt <= crash.at + SENT_MARGIN_MS);
-}
-
-function requestsWith(crash: Crash, feature: string): SuspectRequest[] {
-  return candidates(crash).filter(({ shared }) => shared.some((one) => one.feature === feature));
-}
-
-/** Longest time for which an answer with a feature had gone on at a crash, in milliseconds. */
-function longestAnswerMs(crash: Crash, feature: string): number {
-  return Math.max(0, ...requestsWith(crash, feature).map((request) => answeredMs(request, crash)));
-}
-
-/** Number of requests in flight at a crash that share anything, whose answers had gone on for a time in a range. */
-function countSharing(crash: Crash, fromMs: number, toMs: number): number {
-  return candidates(crash).filter((request) => {
-    const ms = answeredMs(request, crash);
-    return request.shared.length > 0 && ms >= fromMs && ms <= toMs;
-  }).length;
-}
-
-/**
- * Lists ranges of ages in which the oldest answer with a feature was at all its crashes: all younger ones, and those
- * about as old, as what causes crashes does so about as long after an answer begins.
- */
-function ageRanges(crashes: readonly Crash[], feature: string): { choices: number; inFlight: number[] }[] {
-  const ages = crashes.map((crash) => longestAnswerMs(crash, feature));
-  const fromMs = Math.max(0, Math.min(...ages) - AGE_MARGIN_MS);
-  const toMs = Math.max(...ages) + AGE_MARGIN_MS;
-  const oldestMs = Math.max(
-    ...crashes.flatMap((crash) => [...crash.requests.values()].map((request) => answeredMs(request, crash))),
-  );
-  const count = (from: number, to: number): number[] => crashes.map((crash) => countSharing(crash, from, to));
-  return [
-    { choices: 1, inFlight: count(0, Math.max(...ages)) },
-    { choices: 1 + oldestMs / (toMs - fromMs), inFlight: count(fromMs, toMs) },
-  ];
-}
-
-/** In what the requests with a feature differ at a crash. */
-function variantsAt(crash: Crash, feature: string): string[] {
-  return requestsWith(crash, feature).flatMap(({ fingerprint, shared }) =>
-    shared.filter((one) => one.feature === feature).map(({ within }) => within ?? fingerprint),
-  );
-}
--- a/packages/core/src/core/suspects/types.ts
+++ b/packages/core/src/core/suspects/types.ts
@@ -38,15 +38,18 @@
   readonly beganAt?: number;
 }
 
+/** Requests that share anything, and those of them that have a certain feature. */
+export interface FeatureSample {
+  readonly requests: number;
+  readonly withFeature: number;
+}
+
 /** A range of the ages of answers, and what was in flight in it at the crashes with a feature. */
 export interface AgeRange {
   /** Number of ranges of this width, of which the one was chosen in which the feature was at its crashes. */
   readonly choices: number;
-  /**
-   * Number of requests that share anything whose answers had an age in the range, at each crash with the feature, as far
-   * as different requests had it.
-   */
-  readonly inFlight: readonly number[];
+  /** Requests whose answers had an age in the range, at each crash with the feature, as far as different requests had it. */
+  readonly inFlight: readonly FeatureSample[];
 }
 
 /** What speaks for a shared feature as the cause of crashes. */
@@ -58,6 +61,8 @@
   readonly longestMs: number;
   /** Ranges of the ages of answers in which the feature was at all its crashes. */
   readonly ranges: readonly AgeRange[];
+  /** All requests in flight at the crashes whose cause is not known, less one with the feature at each crash with it. */
+  readonly beside: FeatureSample;
   /** Number of crashes since then that it was not at and whose cause is not known. */
   readonly otherCrashes: number;
 }
--- a/packages/routing/src/core/suspects/suspect-registry.ts
+++ b/packages/routing/src/core/suspects/suspect-registry.ts
@@ -7,6 +7,7 @@
 import type {
   DecisionLog,
   FeatureEvidence,
+  FeatureSample,
   SharedFeature,
   SuspectRequest,
   TimerHandle,
@@ -343,12 +344,13 @@
   }
 
   private logCause(evidence: FeatureEvidence, use: FeatureUse): void {
-    const { feature, since, longestMs, ranges, otherCrashes } = evidence;
+    const { feature, since, longestMs, ranges, beside, otherCrashes } = evidence;
     this.options.log.decide('request.cause', 'Requests that crash replicas have one thing in common.', {
       fingerprint: feature,
       crashes: ranges[0]?.inFlight.length,
       longestMs: Math.round(longestMs),
-      inFlight: ranges.map(({ inFlight }) => inFlight.join(' ')).join(' / '),
+      inFlight: ranges.map(({ inFlight }) => inFlight.map(describeSample).join(' ')).join(' / '),
+      beside: describeSample(beside),
       otherCrashes,
       firstAgoMs: Math.round(this.options.timers.now() - since),
       share: use.share,
@@ -514,6 +516,10 @@
   }
 }
 
+function describeSample({ requests, withFeature }: FeatureSample): string {
+  return `${withFeature}/${requests}`;
+}
+
 function quarantineRow(fingerprint: string, replicas: readonly string[], until: number): QuarantineRow {
   return { kind: SuspectRowKind.Quarantine, fingerprint, isProvisional: false, replicas, until };
 }
