suspects: count no answers while a part is refused

While a part is refused for presumed ends, no answer with it can come, but answers without it went on counting against it: the refusal proved itself. Classes whose answers are short are whole sooner than those of others, so that the first answers after an end counted against parts of long ones, too.

Count answers that began while the part was not refused, and so long ago that one with the part would have gone on for long enough to refute it.

--- a/packages/routing/src/core/suspects/feature-statistics.ts
+++ b/packages/routing/src/core/suspects/feature-statistics.ts
@@ -28,7 +28,12 @@
   { livedMs, isWhole }: Pick<AnswerRun, 'livedMs' | 'isWhole'>,
   longestMs: number,
 ): boolean {
-  return isWhole || livedMs > REFUTING_FACTOR * longestMs + REFUTING_MARGIN_MS;
+  return isWhole || livedMs > refutingMs(longestMs);
+}
+
+/** Time for which an answer must go on to refute a feature, in milliseconds. */
+function refutingMs(longestMs: number): number {
+  return REFUTING_FACTOR * longestMs + REFUTING_MARGIN_MS;
 }
 
 /** A request that a replica runs. */
@@ -128,8 +133,14 @@
    * Returns how often a feature is seen on its routes; on all of them if it was not seen yet.
    * @param since - Monotonic time from which on answers that begin count, in milliseconds.
    * @param longestMs - Longest time for which an answer with it had gone on at one of its crashes, in milliseconds.
+   * @param wasRefusedAt - Whether the feature was refused at a monotonic time in milliseconds.
    */
-  useOf(feature: string, since: number, longestMs: number): FeatureUse {
+  useOf(
+    feature: string,
+    since: number,
+    longestMs: number,
+    wasRefusedAt: (at: number) => boolean = () => false,
+  ): FeatureUse {
     const counts = [this.current, this.previous].flatMap((epoch) => epoch.features.get(feature) ?? []);
     const routes = counts.length === 0 ? undefined : new Set(counts.flatMap((count) => [...count.routes]));
     const withFeature = counts.reduce((sum, { requests }) => sum + requests, 0);
@@ -137,14 +148,27 @@
     return {
       share: Math.min(1, (withFeature + 1 + Math.sqrt(withFeature + 1)) / (all + 1)),
       shareAtLeast: Math.max(0, withFeature - Math.sqrt(withFeature)) / (all + 1),
-      soundRuns: this.soundRunsSince(routes, since, longestMs),
+      soundRuns: this.soundRunsSince(routes, since, longestMs, wasRefusedAt),
     };
   }
 
-  private soundRunsSince(routes: ReadonlySet<string> | undefined, since: number, longestMs: number): number {
+  /**
+   * Counts answers in whose place one with a feature would have refuted it. Classes of requests differ in how long their
+   * answers take, so an answer counts once any would have gone on for long enough.
+   */
+  private soundRunsSince(
+    routes: ReadonlySet<string> | undefined,
+    since: number,
+    longestMs: number,
+    wasRefusedAt: (at: number) => boolean,
+  ): number {
+    const latest = this.timers.now() - refutingMs(longestMs);
     const sound = new Set<string>();
-    for (const run of this.runsSince(since))
-      if ((routes?.has(run.route) ?? true) && isSoundRun(run, longestMs)) sound.add(run.request);
+    for (const run of this.runsSince(since)) {
+      const isOnRoute = routes?.has(run.route) ?? true;
+      const isJudged = run.beganAt! <= latest && !wasRefusedAt(run.beganAt!);
+      if (isOnRoute && isJudged && isSoundRun(run, longestMs)) sound.add(run.request);
+    }
     return sound.size;
   }
 
--- a/packages/routing/src/core/suspects/suspect-registry.ts
+++ b/packages/routing/src/core/suspects/suspect-registry.ts
@@ -337,7 +337,10 @@
 
   /** Whether a shared feature caused its crashes, as far as the runs at this daemon show. */
   private isCause(evidence: FeatureEvidence): boolean {
-    const use = this.statistics.useOf(evidence.feature, evidence.since + TIME_MARGIN_MS, evidence.longestMs);
+    const { feature, since, longestMs } = evidence;
+    const use = this.statistics.useOf(feature, since + TIME_MARGIN_MS, longestMs, (at) =>
+      this.provisional.wasRefusedAt(feature, at),
+    );
     if (!isCause(evidence, use)) return false;
     this.logCause(evidence, use);
     return true;
--- a/packages/routing/test/feature-statistics.test.ts
+++ b/packages/routing/test/feature-statistics.test.ts
@@ -35,6 +35,34 @@
   t.true(useIn(statistics).share < 0.02);
 });
 
+/** Records a whole answer of a request without the feature that begins now. */
+function recordAnswer(statistics: FeatureStatistics, beganAt: number): void {
+  const run = { route: 'r', shared: [], beganAt, livedMs: 0, isWhole: false, request: `${beganAt}` };
+  statistics.recordRun(run);
+  Object.assign(run, { livedMs: 50, isWhole: true });
+}
+
+// Guards against refusing a part since no answer has it, although it was refused when the others began.
+test('answers that began while a feature was refused do not count against it', async (t) => {
+  const timers = createManualTimers();
+  const statistics = new FeatureStatistics(timers);
+  for (const beganAt of [10, 20, 30, 40]) recordAnswer(statistics, beganAt);
+  await timers.advance(1000);
+  t.is(statistics.useOf(FEATURE, 0, 0).soundRuns, 4);
+  t.is(statistics.useOf(FEATURE, 0, 0, (at) => at >= 20 && at <= 30).soundRuns, 2);
+});
+
+// Guards against refusing a part of long answers since short ones are whole sooner.
+test('answers count once one with the feature would have refuted it, too', async (t) => {
+  const timers = createManualTimers();
+  const statistics = new FeatureStatistics(timers);
+  recordAnswer(statistics, 10);
+  await timers.advance(500);
+  t.is(statistics.useOf(FEATURE, 0, 300).soundRuns, 0);
+  await timers.advance(500);
+  t.is(statistics.useOf(FEATURE, 0, 300).soundRuns, 1);
+});
+
 // Guards against refusing a part since no answer has it, although replicas ran no request with it.
 test('a request that replicas refuse to run does not count', (t) => {
   const fleet = new SuspectFleet(1);
