--- a/packages/core/src/core/suspects/crash-log.ts
+++ b/packages/core/src/core/suspects/crash-log.ts
@@ -9,13 +9,18 @@
  * hardly be at all of them by chance. What caused a crash is quarantined, and what was beside it is cleared.
  */
 import type { TimerService } from '../time/index.js';
-import { InFlightIndex } from './in-flight-index.js';
-import type { FeatureEvidence, SuspectRequest } from './types.js';
+import {
+  ageRanges,
+  compareEvidence,
+  dropIndex,
+  longestAnswerMs,
+  sampleOf,
+  variantsAt,
+  wasInFlight,
+} from './crash-samples.js';
+import type { FeatureEvidence, FeatureSample, SuspectRequest } from './types.js';
 import { EndCertainty, Suspicion } from './types.js';
 
-/** Difference by which the ages of answers at several crashes may be off, in milliseconds. */
-const AGE_MARGIN_MS = 50;
-
 /** One crash of one upstream, as the reports of all daemons describe it together. */
 export interface Crash {
   readonly upstream: string;
@@ -30,8 +35,6 @@
   readonly requests: Map<string, SuspectRequest>;
   /** Whether its cause is known: requests that are reported later are no suspects. */
   isExplained: boolean;
-  /** Index of its requests; undefined until it is needed, and after they have changed. */
-  readonly index: InFlightIndex | undefined;
 }
 
 /** Bounds of the log. */
@@ -168,7 +171,10 @@
     let hasChanged = certainty > crash.certainty;
     if (hasChanged) Object.assign(crash, { certainty });
     // What several daemons have heard last of it is the closest to its end.
-    if (at > crash.at) Object.assign(crash, { at, index: undefined });
+    if (at > crash.at) {
+      Object.assign(crash, { at });
+      dropIndex(crash);
+    }
     for (const request of requests) if (this.addRequest(request, crash)) hasChanged = true;
     this.reviewRequests(crash);
     return hasChanged;
@@ -215,20 +221,45 @@
    */
   evidenceOf(feature: string, certainty: EndCertainty): FeatureEvidence {
     const isWeighed = (crash: Crash): boolean => crash.certainty >= certainty && this.isSettled(crash);
-    const suspected = this.byFeature.get(feature) ?? new Set<Crash>();
-    const crashes = [...suspected].filter((crash) => isWeighed(crash) && inFlightAt(crash).has(feature));
+    const crashes = [...(this.byFeature.get(feature) ?? [])].filter(
+      (crash) => isWeighed(crash) && wasInFlight(crash, feature),
+    );
     const own = new Set(crashes);
     const since = Math.min(...crashes.map(({ at }) => at));
-    const variants = new Set(crashes.flatMap((crash) => [...inFlightAt(crash).variants(feature)]));
+    const variants = new Set(crashes.flatMap((crash) => [...variantsAt(crash, feature)]));
     const others = this.crashes.filter(
       (crash) => crash.at >= since && !crash.isExplained && !own.has(crash) && isWeighed(crash),
     );
     // Requests that differ in nothing else show nothing that one of them does not.
     const ranges = ageRanges(crashes, feature).map(({ choices, inFlight }) => ({
       choices,
-      inFlight: inFlight.sort((left, right) => left - right).slice(0, variants.size),
+      inFlight: inFlight.sort(compareEvidence).slice(0, variants.size),
     }));
-    return { feature, since, longestMs: this.longestMs(feature), ranges, otherCrashes: others.length };
+    return {
+      feature,
+      since,
+      longestMs: this.longestMs(feature),
+      ranges,
+      beside: this.inFlightBeside(feature),
+      otherCrashes: others.length,
+    };
+  }
+
+  /**
+   * Counts all requests that were in flight at crashes whose cause is not known, as the reports of all daemons show them.
+   * At each crash with the feature one request with it is left out: the crash may be due to that one.
+   */
+  private inFlightBeside(feature: string): FeatureSample {
+    let requests = 0;
+    let withFeature = 0;
+    for (const crash of this.crashes) {
+      if (crash.isExplained) continue;
+      const sample = sampleOf(crash, feature);
+      const left = Math.min(1, sample.withFeature);
+      requests += sample.requests - left;
+      withFeature += sample.withFeature - left;
+    }
+    return { requests, withFeature };
   }
 
   /**
@@ -238,7 +269,7 @@
   longestMs(feature: string): number {
     return Math.max(
       0,
-      ...[...(this.byFeature.get(feature) ?? [])].map((crash) => inFlightAt(crash).longestMs(feature)),
+      ...[...(this.byFeature.get(feature) ?? [])].map((crash) => longestAnswerMs(crash, feature)),
     );
   }
 
@@ -341,7 +372,6 @@
       features: new Set(),
       requests: new Map(),
       isExplained: false,
-      index: undefined,
     };
     this.crashes.push(crash);
     this.byUpstream.set(upstream, crash);
@@ -354,7 +384,7 @@
     if (crash.isExplained || this.byFeature.size >= this.bounds.capacity) return false;
     if (crash.features.has(fingerprint) || this.isClearedSince(fingerprint, crash)) return false;
     crash.requests.set(fingerprint, request);
-    Object.assign(crash, { index: undefined });
+    dropIndex(crash);
     this.addSuspect(fingerprint, crash);
     for (const { feature } of shared)
       if (!this.isClearedSince(feature, crash)) {
@@ -469,7 +499,8 @@
    * shares with others stays suspected: it may be the cause of that.
    */
   private explain(crash: Crash, cause: string): void {
-    Object.assign(crash, { isExplained: true, index: undefined });
+    Object.assign(crash, { isExplained: true });
+    dropIndex(crash);
     const culprit = crash.requests.get(cause);
     const kept = new Set(culprit?.shared.map(({ feature }) => feature));
     for (const fingerprint of [...crash.requests.keys()])
@@ -478,27 +509,3 @@
       if (!this.quarantine.has(feature) && !kept.has(feature)) this.removeSuspect(feature, crash);
   }
 }
-
-/** Index of what was in flight at a crash, made when it is first needed and after each change. */
-function inFlightAt(crash: Crash): InFlightIndex {
-  if (crash.index === undefined)
-    Object.assign(crash, { index: new InFlightIndex(crash.requests.values(), crash.at) });
-  return crash.index!;
-}
-
-/**
- * Lists ranges of ages in which the oldest answer with a feature was at all its crashes: all younger ones, and those
- * about as old, as what causes crashes does so about as long after an answer begins.
- */
-function ageRanges(crashes: readonly Crash[], feature: string): { choices: number; inFlight: number[] }[] {
-  const indexes = crashes.map(inFlightAt);
-  const ages = indexes.map((index) => index.longestMs(feature));
-  const fromMs = Math.max(0, Math.min(...ages) - AGE_MARGIN_MS);
-  const toMs = Math.max(...ages) + AGE_MARGIN_MS;
-  const oldestMs = Math.max(...indexes.map((index) => index.oldestMs));
-  const count = (from: number, to: number): number[] => indexes.map((index) => index.countSharing(from, to));
-  return [
-    { choices: 1, inFlight: count(0, Math.max(...ages)) },
-    { choices: 1 + oldestMs / (toMs - fromMs), inFlight: count(fromMs, toMs) },
-  ];
-}
--- a/packages/routing/src/core/suspects/evidence.ts
+++ b/packages/routing/src/core/suspects/evidence.ts
@@ -7,14 +7,16 @@
 const OTHER_CAUSE_PENALTY = 5;
 /** Factor for weighing two hypotheses on the other crashes and keeping the likelier one. */
 const HYPOTHESES = 2;
-
 /** How often a feature is seen, and what has run without a crash since its first one. */
 export interface FeatureUse {
   /** Largest likely share of the requests that have the feature, above 0 and at most 1. */
   readonly share: number;
   /** Smallest likely share of the requests that have the feature, from 0 to below 1. */
   readonly shareAtLeast: number;
-  /** Answers since the first crash with the feature, none of which had it, that went on for longer than those that had. */
+  /**
+   * Answers since the first crash with the feature that went on for longer than those that had it, and that began while it
+   * was not refused and so long ago that one with it would have gone on for longer, too.
+   */
   readonly soundRuns: number;
 }
 
@@ -33,27 +35,25 @@
   return Math.min(OTHER_CAUSE_PENALTY ** others, HYPOTHESES * (own + others + 1));
 }
 
+/** Estimates how likely a feature is in flight at all its crashes by chance, in one range of ages of several. */
+function chanceInRange({ choices, inFlight }: AgeRange, share: number): number {
+  return inFlight.reduce((chance, { requests }) => chance * (1 - (1 - share) ** requests), choices);
+}
+
 /**
  * Estimates how likely a feature, or another one that is as frequent, would be at its crashes and in no request that has
  * run since, if it did not cause them.
  * @returns From 0 to 1.
  */
 export function chanceOf(evidence: FeatureEvidence, use: FeatureUse): number {
-  return Math.min(1, ...evidence.ranges.map((range) => chanceInRange(evidence, use, range)));
-}
-
-/** The same, as far as the answers of one range of ages show it. */
-function chanceInRange(
-  { otherCrashes }: FeatureEvidence,
-  { share, shareAtLeast, soundRuns }: FeatureUse,
-  { choices, inFlight }: AgeRange,
-): number {
-  const atCrashes = inFlight.reduce((chance, requests) => chance * (1 - (1 - share) ** requests), 1);
-  const absent = (1 - shareAtLeast) ** soundRuns;
-  const own = inFlight.length;
+  const { ranges, otherCrashes } = evidence;
+  const { share } = use;
+  const [own = 0] = ranges.map(({ inFlight }) => inFlight.length);
+  const absent = (1 - use.shareAtLeast) ** use.soundRuns;
   const crashes = combinations(own + otherCrashes, own) * otherCausePenalty(own, otherCrashes);
+  const atCrashes = Math.min(...ranges.map((range) => chanceInRange(range, share)));
   // Features that are as frequent number at most the reciprocal of the share.
-  return (choices * crashes * atCrashes * absent) / share;
+  return Math.min(1, (crashes * atCrashes * absent) / share);
 }
 
 /** Whether a feature is hardly at its crashes by chance. */
