--- a/packages/routing/src/core/suspects/suspect-registry.ts
+++ b/packages/routing/src/core/suspects/suspect-registry.ts
@@ -154,6 +154,7 @@
    */
   suspicionOf(fingerprints: () => RequestFingerprints): Suspicion {
     if (this.crashes.isEmpty && this.provisional.isEmpty) return Suspicion.Clear;
+    this.runDueReviews();
     const { exact, anyQuery, shared } = fingerprints();
     if (shared.some(({ feature }) => this.remainingMs(feature) > 0)) return Suspicion.Quarantined;
     const suspicion = this.crashes.lookUp(exact);
@@ -216,7 +217,22 @@
     const dueAt = settledAt > timers.now() ? settledAt : lateAt;
     const since = this.scheduledReviews.get(dueAt);
     this.scheduledReviews.set(dueAt, Math.min(at, since ?? at));
-    if (since === undefined) timers.after(dueAt - timers.now(), () => this.runScheduledReview(dueAt));
+    if (since === undefined) this.startReviewTimer(dueAt);
+  }
+
+  private startReviewTimer(dueAt: number): void {
+    const { timers } = this.options;
+    timers.after(Math.ceil(dueAt - timers.now()), () => {
+      // Timers may fire up to a millisecond early, when the reports do not count as complete yet.
+      if (timers.now() < dueAt) this.startReviewTimer(dueAt);
+      else this.runScheduledReview(dueAt);
+    });
+  }
+
+  /** Runs reviews whose timers are late: a suspect may be sent again once the reports of its crash are complete. */
+  private runDueReviews(): void {
+    const now = this.options.timers.now();
+    for (const dueAt of [...this.scheduledReviews.keys()]) if (dueAt <= now) this.runScheduledReview(dueAt);
   }
 
   private runScheduledReview(dueAt: number): void {
