suspects: let a malformed row of a peer cost itself only

Reports of crashes that a peer sends directly were lost behind a malformed one in the same message, as decoding threw out of the handler.

--- a/packages/routing/src/core/suspects/suspect-registry.ts
+++ b/packages/routing/src/core/suspects/suspect-registry.ts
@@ -134,7 +134,7 @@
     });
     tree.register(Topic.Suspect, this.topic());
     cluster.handle(MessageType.Suspects, (_from, frames: SuspectFrame[]) => {
-      for (const frame of frames) this.merge(decodeSuspect(frame, timers.now()));
+      for (const frame of frames) this.mergeFrame(frame);
     });
     attempts.onProgress((record) => this.recordProgress(record));
     attempts.onUnbegun(({ subject: { route, shared, fingerprints } }) => {
@@ -488,6 +488,16 @@
     for (const address of peers) cluster.send(address, MessageType.Suspects, frames);
   }
 
+  /** Merges a row of a peer; a malformed one does not affect the others. */
+  private mergeFrame(frame: SuspectFrame): void {
+    const { timers, log } = this.options;
+    try {
+      this.merge(decodeSuspect(frame, timers.now()));
+    } catch (err) {
+      log.debug(`Ignored a malformed row about suspects: ${String(err)}.`);
+    }
+  }
+
   /**
    * Merges a row.
    * @returns Whether it changed anything.
