--- a/packages/routing/src/core/choice/replica-health.ts
+++ b/packages/routing/src/core/choice/replica-health.ts
@@ -41,6 +41,9 @@
 export class ReplicaHealth {
   private readonly records = new Map<string, HealthRecord>();
 
+  /** Monotonic times up to which replicas that have ended are ejected, in milliseconds. */
+  private readonly endedUntil = new Map<string, number>();
+
   private readonly outstanding = new Map<string, OutstandingRequests>();
 
   constructor(private readonly timers: TimerService) {}
@@ -69,16 +72,15 @@
    * @param at - Monotonic time of its end, in milliseconds.
    */
   recordEnd(replica: string, at: number): void {
-    const until = at + ENTRY_REMOVAL_MS;
-    if (until <= this.timers.now()) return;
-    const record = this.decayedRecord(replica);
-    record.ejectedUntil = Math.max(record.ejectedUntil, until);
+    const now = this.timers.now();
+    for (const [ended, until] of this.endedUntil) if (until <= now) this.endedUntil.delete(ended);
+    const until = Math.min(at, now) + ENTRY_REMOVAL_MS;
+    if (until > now) this.endedUntil.set(replica, Math.max(until, this.endedUntil.get(replica) ?? 0));
   }
 
   /** Records that a replica that was found ended runs on. */
   recordReturn(replica: string): void {
-    const record = this.records.get(replica);
-    if (record !== undefined) record.ejectedUntil = 0;
+    this.endedUntil.delete(replica);
   }
 
   /** Records that a request was sent. */
@@ -121,7 +123,8 @@
   isEjected(replica: string): boolean {
     const now = this.timers.now();
     if (this.silenceMs(replica) > SILENCE_TIMEOUT_MS) return true;
-    return (this.records.get(replica)?.ejectedUntil ?? 0) > now;
+    const ejectedUntil = this.records.get(replica)?.ejectedUntil ?? 0;
+    return Math.max(ejectedUntil, this.endedUntil.get(replica) ?? 0) > now;
   }
 
   /**
--- a/packages/routing/src/core/suspects/suspect-codec.ts
+++ b/packages/routing/src/core/suspects/suspect-codec.ts
@@ -87,6 +87,15 @@
   return [kind, row.replica, 0, '', []];
 }
 
+/**
+ * Returns a time in the past; one that is stated as future counts as now.
+ * @throws TypeError if the age is no number.
+ */
+function timeAgo(ageMs: number, now: number): number {
+  if (!Number.isFinite(ageMs)) throw new TypeError(`The age of a row is no number: ${String(ageMs)}.`);
+  return now - Math.max(0, ageMs);
+}
+
 type Decoder = (frame: SuspectFrame, now: number) => SuspectRow;
 
 const DECODERS: Readonly<Record<SuspectRowKind, Decoder>> = {
@@ -97,7 +106,7 @@
     kind: SuspectRowKind.Crash,
     replica,
     reporter,
-    at: now - ageMs,
+    at: timeAgo(ageMs, now),
     certainty,
     requests: requests.map((request, index) => decodeRequest(request, ages[index] ?? UNKNOWN_AGES, now)),
   }),
