view: take an early response of the store for as old as its request

Found in review: a response without usable changes that was read 0.6 s late counted as sent when it was read, though the store had sent it at once with a later position. The view seemed 0.6 s too young, and streams that were taken up meanwhile could be concluded to have one version only. Such a response counts as having waited only if the position has not moved.

--- a/packages/routing/src/core/view/store-watcher.ts
+++ b/packages/routing/src/core/view/store-watcher.ts
@@ -230,8 +230,9 @@
       return isAfter(view.position, position) ? undefined : this.list(true);
     }
     // A response that arrives late may have been sent early, unless the source had no changes until the end
-    // of its wait.
-    const hasWaited = delta.changes.length === 0 && timers.now() - startedAt >= WATCH_WAIT_MS;
+    // of its wait; its position also moves with changes that are of no use here.
+    const isUnchanged = delta.changes.length === 0 && delta.upTo === view.upTo;
+    const hasWaited = isUnchanged && timers.now() - startedAt >= WATCH_WAIT_MS;
     return { delta, readAt: hasWaited ? startedAt + WATCH_WAIT_MS : startedAt };
   }
 
