--- a/packages/core/src/core/time/late-callbacks.ts
+++ b/packages/core/src/core/time/late-callbacks.ts
@@ -54,8 +54,8 @@
     try {
       entry();
     } finally {
-      // What the call has resolved runs before the next one, and counts as its work.
-      queueMicrotask(() => this.continue());
+      // What the call has resolved or put off to the next tick runs before the next one, and counts as its work.
+      queueMicrotask(() => process.nextTick(() => this.continue()));
     }
   }
 
