streams: wait for a later view for most of the time that is left

Found in review: of 100 streams resumed with 2 s left in a quiet fleet with one version, 41 were refused: the wait for a view that is later than the take-up ended after a quarter of the time left, and views are confirmed within 0.9 s. That wait may take three quarters now; nobody can be served before. take-up-wait.test.ts was red: 41 of 100 refused, none now.

--- a/packages/routing/src/core/requests/stream-binding.ts
+++ b/packages/routing/src/core/requests/stream-binding.ts
@@ -48,8 +48,9 @@
   [VersionDoubt.UnknownVersion, 1000],
   [VersionDoubt.NewVersion, 1000],
 ]);
-/** Share of the time left that such a wait takes at most. */
+/** Share of the time left that such a wait takes at most, and the wait for a view that is confirmed within a second. */
 const MAX_WAIT_SHARE = 1 / 4;
+const MAX_VIEW_WAIT_SHARE = 3 / 4;
 const POLL_INTERVAL_MS = 100;
 
 const NOT_ASKED: LookUpResult = { origin: UNKNOWN_ORIGIN, askedCount: 0, answeredCount: 0 };
@@ -109,10 +110,15 @@
     if (head.lastEventId === undefined) return;
     const { timers } = this.parts;
     const startedAt = timers.now();
-    const limitMs = this.request.remainingMs() * MAX_WAIT_SHARE;
+    const remainingMs = this.request.remainingMs();
+    const limitMs = ({ doubt, maxWaitMs }: Finding): number =>
+      Math.min(
+        maxWaitMs,
+        remainingMs * (doubt === VersionDoubt.EarlierView ? MAX_VIEW_WAIT_SHARE : MAX_WAIT_SHARE),
+      );
     const waitedMs = (): number => timers.now() - startedAt;
     let finding = await this.findOrigin(startedAt);
-    while (waitedMs() < Math.min(finding.maxWaitMs, limitMs) && this.request.remainingMs() > 0) {
+    while (waitedMs() < limitMs(finding) && this.request.remainingMs() > 0) {
       await timers.sleep(POLL_INTERVAL_MS);
       finding = await this.findOrigin(startedAt);
     }
