requests: count only replicas that this daemon can't reach itself

Found in review: attempts that a peer did not accept, or that nobody could send, counted as replicas that accept no connection, so that a request was tried 16 times, for 4.8 s, before its 503 (a trial where peers do not accept within 0.3 s). They count as refusals again, four at most.

--- a/packages/routing/src/core/requests/execution.ts
+++ b/packages/routing/src/core/requests/execution.ts
@@ -666,7 +666,8 @@
   onNotRun({ id }: ReplicaEntry, wasSent: boolean): boolean {
     this.refusals += 1;
     // Replicas that have ended stay listed for a while, and seem idle: several of them may be chosen first.
-    const isNewlyUnreached = !wasSent && !this.unreached.has(id);
+    const isOwnPath = this.path?.peer === undefined && this.path?.kind !== PathKind.Blocked;
+    const isNewlyUnreached = !wasSent && isOwnPath && !this.unreached.has(id);
     if (isNewlyUnreached) this.unreached.add(id);
     if (this.possibleRuns > 0 && !this.isRetryable) return false;
     const isAnotherAllowed =
