suspects: weigh crashes that came about together as one

Callers of a class were refused (4007) for minutes although no request of theirs had ended an engine: the ends of many engines at one moment were weighed as that many independent ones, each of which had the class's part in flight by chance. A daemon that has seen few requests takes the part for rare, and its verdict holds for all daemons.

A request runs on one replica, so what requests share ends replicas at moments that are independent of each other. Three or more ends within 100 ms count as one now: the part was at it if it was in flight at any of them, and those that it was not at count as one other cause at most.

--- a/packages/core/src/core/suspects/crash-log.ts
+++ b/packages/core/src/core/suspects/crash-log.ts
@@ -9,6 +9,7 @@
  * hardly be at all of them by chance. What caused a crash is quarantined, and what was beside it is cleared.
  */
 import type { TimerService } from '../time/index.js';
+import { groupCoincident } from './coincident-crashes.js';
 import {
   ageRanges,
   compareEvidence,
@@ -230,8 +231,10 @@
     const others = this.crashes.filter(
       (crash) => crash.at >= since && !crash.isExplained && !own.has(crash) && isWeighed(crash),
     );
+    const groups = groupCoincident([...crashes, ...others]);
+    const ownGroups = groups.filter((group) => group.some((crash) => own.has(crash)));
     // Requests that differ in nothing else show nothing that one of them does not.
-    const ranges = ageRanges(crashes, feature).map(({ choices, inFlight }) => ({
+    const ranges = ageRanges(ownGroups, feature).map(({ choices, inFlight }) => ({
       choices,
       inFlight: inFlight.sort(compareEvidence).slice(0, variants.size),
     }));
@@ -241,7 +244,7 @@
       longestMs: this.longestMs(feature),
       ranges,
       beside: this.inFlightBeside(feature),
-      otherCrashes: others.length,
+      otherCrashes: groups.length - ownGroups.length,
     };
   }
 
--- a/packages/core/src/core/suspects/crash-samples.ts
+++ b/packages/core/src/core/suspects/crash-samples.ts
@@ -107,20 +107,31 @@
   };
 }
 
+function sum(samples: readonly FeatureSample[]): FeatureSample {
+  return {
+    requests: samples.reduce((total, { requests }) => total + requests, 0),
+    withFeature: samples.reduce((total, { withFeature }) => total + withFeature, 0),
+  };
+}
+
 /**
  * Lists ranges of ages in which the oldest answer with a feature was at all its crashes: all younger ones, and those
  * about as old, as what causes crashes does so about as long after an answer begins.
+ * @param groups - Crashes, those together that count as one; a request with the feature was in flight in each group.
  */
 export function ageRanges(
-  crashes: readonly Crash[],
+  groups: readonly (readonly Crash[])[],
   feature: string,
 ): { choices: number; inFlight: FeatureSample[] }[] {
-  const ages = crashes.map((crash) => longestAnswerMs(crash, feature));
+  const crashes = groups.flat();
+  const ages = crashes
+    .filter((crash) => wasInFlight(crash, feature))
+    .map((crash) => longestAnswerMs(crash, feature));
   const fromMs = Math.max(0, Math.min(...ages) - AGE_MARGIN_MS);
   const toMs = Math.max(...ages) + AGE_MARGIN_MS;
   const oldestMs = Math.max(...crashes.map((crash) => indexOf(crash).oldestMs));
   const samples = (from: number, to: number): FeatureSample[] =>
-    crashes.map((crash) => sampleInRange(crash, feature, from, to));
+    groups.map((group) => sum(group.map((crash) => sampleInRange(crash, feature, from, to))));
   return [
     { choices: 1, inFlight: samples(0, Math.max(...ages)) },
     { choices: 1 + oldestMs / (toMs - fromMs), inFlight: samples(fromMs, toMs) },
--- a/packages/core/src/core/suspects/types.ts
+++ b/packages/core/src/core/suspects/types.ts
@@ -48,7 +48,10 @@
 export interface AgeRange {
   /** Number of ranges of this width, of which the one was chosen in which the feature was at its crashes. */
   readonly choices: number;
-  /** Requests whose answers had an age in the range, at each crash with the feature, as far as different requests had it. */
+  /**
+   * Requests whose answers had an age in the range, at each crash with the feature, as far as different requests had it.
+   * Crashes that came about together count as one.
+   */
   readonly inFlight: readonly FeatureSample[];
 }
 
@@ -63,6 +66,6 @@
   readonly ranges: readonly AgeRange[];
   /** All requests in flight at the crashes whose cause is not known, less one with the feature at each crash with it. */
   readonly beside: FeatureSample;
-  /** Number of crashes since then that it was not at and whose cause is not known. */
+  /** Number of crashes since then that it was not at and whose cause is not known; coincident ones count as one. */
   readonly otherCrashes: number;
 }
