requests: log which request a response names

A refusal that names no request could not be told from a sound one in the log: both ended as 'notRun, status 503'. request.send now says whether the response names its request, another one or none. No change of behaviour.

--- a/packages/routing/src/core/requests/attempt.ts
+++ b/packages/routing/src/core/requests/attempt.ts
@@ -8,7 +8,7 @@
 import type { StreamRelay } from './relay.js';
 import { ForwardResult } from './relay.js';
 import type { ResponseMetadata, RequestDialect, AttemptResult } from './types.js';
-import { AttemptOutcome } from './types.js';
+import { AttemptOutcome, ResponseIdentity } from './types.js';
 
 const OK = 200;
 const SUCCESS_END = 300;
@@ -76,6 +76,8 @@
 
   private metadata: ResponseMetadata | undefined;
 
+  private identity: ResponseIdentity | undefined;
+
   private isRelaying = false;
 
   private chunks: Buffer[] = [];
@@ -133,7 +135,8 @@
     this.headers = headers;
     this.metadata = this.options.dialect.readResponse(status, headers);
     const { requestId } = this.metadata;
-    const isOfOtherRequest = requestId !== undefined && requestId !== this.options.requestId;
+    this.identity = identify(requestId, this.options.requestId);
+    const isOfOtherRequest = this.identity === ResponseIdentity.Other;
     if (!isOfOtherRequest) this.options.onMetadata(this.metadata);
     const isSuccess = status >= OK && status < SUCCESS_END;
     const isUnsigned = isSuccess && (requestId === undefined || !this.metadata.isSigned);
@@ -202,8 +205,23 @@
       outcome === AttemptOutcome.Responded
         ? { status, headers, body: Buffer.concat(this.chunks) }
         : undefined;
-    const { wasSent, wasLeft, firstByteMs, hasReplicaCrashed } = this;
+    const { wasSent, wasLeft, firstByteMs, hasReplicaCrashed, identity } = this;
     const silentMs = this.options.timers.now() - this.lastDataAt;
-    this.resolve({ outcome, response, reason, wasSent, wasLeft, firstByteMs, silentMs, hasReplicaCrashed });
+    this.resolve({
+      outcome,
+      response,
+      reason,
+      wasSent,
+      wasLeft,
+      firstByteMs,
+      silentMs,
+      hasReplicaCrashed,
+      identity,
+    });
   }
 }
+
+function identify(named: string | undefined, requestId: string): ResponseIdentity {
+  if (named === undefined) return ResponseIdentity.Missing;
+  return named === requestId ? ResponseIdentity.Named : ResponseIdentity.Other;
+}
--- a/packages/routing/src/core/requests/execution.ts
+++ b/packages/routing/src/core/requests/execution.ts
@@ -579,7 +579,7 @@
   /** Logs an attempt: failures always, successes only when details are logged. */
   private logAttempt(
     replica: ReplicaEntry,
-    { outcome, response, reason, wasSent, firstByteMs, silentMs }: AttemptResult,
+    { outcome, response, reason, wasSent, firstByteMs, silentMs, identity }: AttemptResult,
   ): void {
     const { log, budget, fleetShare, inFlight, timers, viewAgeMs } = this.parts;
     const { head, route, service } = this.options;
@@ -596,6 +596,7 @@
       softwareVersion: replica.softwareVersion,
       outcome,
       status: response?.status,
+      responseIdentity: identity,
       reason,
       wasSent,
       ...(CUT_OUTCOMES.has(outcome) ? this.suspicion.identity() : undefined),
--- a/packages/routing/src/core/requests/types.ts
+++ b/packages/routing/src/core/requests/types.ts
@@ -118,6 +118,16 @@
   readDeclaration(status: number, headers: HeaderMap): ReplicaDeclaration;
 }
 
+/** Which request the head of a response names. */
+export enum ResponseIdentity {
+  /** The request that was sent. */
+  Named = 'named',
+  /** None: it may be an extra response to an earlier request on the connection. */
+  Missing = 'missing',
+  /** An earlier request on the connection. */
+  Other = 'other',
+}
+
 /** How one attempt ended. */
 export enum AttemptOutcome {
   /** The response is buffered whole; nothing was sent to the caller. */
@@ -192,4 +202,6 @@
    * not fail.
    */
   readonly hasReplicaCrashed: boolean | undefined;
+  /** What the head of the response says of the request that it answers; undefined when there was no head. */
+  readonly identity: ResponseIdentity | undefined;
 }
