requests: take no proof from a response that names no request

Callers saw 408, 429 or 503 for unsafe requests that ran, and unsafe requests ran twice. A replica may send an extra response where the next one is expected; only one that named another request was recognised, and one without an id was believed, including its denial of the execution.

A response must name its request now, as replicas echo the id; one that does not proves nothing, ends the attempt with an unknown outcome and closes its connection. Replies that promise that a request has not run take a NotRunProof, which only the record of the request's attempts gives out, so the compiler rejects one without it. The stand-ins refused without an id, which is why no test could see it; they echo it now.

--- a/packages/routing/src/core/requests/attempt.ts
+++ b/packages/routing/src/core/requests/attempt.ts
@@ -7,6 +7,7 @@
 import type { BufferedBytes } from './buffered-bytes.js';
 import type { StreamRelay } from './relay.js';
 import { ForwardResult } from './relay.js';
+import { AttemptProof } from './run-record.js';
 import type { ResponseMetadata, RequestDialect, AttemptResult } from './types.js';
 import { AttemptOutcome, ResponseIdentity } from './types.js';
 
@@ -18,6 +19,17 @@
   [ForwardResult.EventTooLong]: 'stream contains an event that is too long',
 };
 
+const IDENTITY_FAILURES: Readonly<Record<Exclude<ResponseIdentity, ResponseIdentity.Named>, string>> = {
+  [ResponseIdentity.Missing]: 'response names no request',
+  [ResponseIdentity.Other]: 'response belongs to another request',
+};
+
+/** Outcomes of attempts that were not sent, by the failure that says so. */
+const UNSENT_OUTCOMES: Readonly<Partial<Record<ChannelFailure, AttemptOutcome>>> = {
+  [ChannelFailure.NotSent]: AttemptOutcome.NotRun,
+  [ChannelFailure.Withheld]: AttemptOutcome.Withheld,
+};
+
 /** What to send, where to, and who is informed of its progress. */
 export interface AttemptOptions {
   /** Sends the request. */
@@ -107,7 +119,8 @@
 
   /** Cancels the attempt; the replica sees its connection close. */
   cancel(reason: string): void {
-    this.settle(AttemptOutcome.Cancelled, reason);
+    const proof = this.mayHaveArrived ? undefined : AttemptProof.Unsent;
+    this.settle(AttemptOutcome.Cancelled, reason, proof);
     this.exchange.cancel(reason);
   }
 
@@ -134,14 +147,17 @@
     this.status = status;
     this.headers = headers;
     this.metadata = this.options.dialect.readResponse(status, headers);
-    const { requestId } = this.metadata;
-    this.identity = identify(requestId, this.options.requestId);
-    const isOfOtherRequest = this.identity === ResponseIdentity.Other;
-    if (!isOfOtherRequest) this.options.onMetadata(this.metadata);
+    this.identity = identify(this.metadata.requestId, this.options.requestId);
+    if (this.identity !== ResponseIdentity.Named) {
+      // Nothing in it is about this request, so it proves nothing either.
+      this.metadata = undefined;
+      this.fail(IDENTITY_FAILURES[this.identity]);
+      return;
+    }
+    this.options.onMetadata(this.metadata);
     const isSuccess = status >= OK && status < SUCCESS_END;
-    const isUnsigned = isSuccess && (requestId === undefined || !this.metadata.isSigned);
-    if (isOfOtherRequest || isUnsigned) {
-      this.fail(isOfOtherRequest ? 'response belongs to another request' : 'response is not signed');
+    if (isSuccess && !this.metadata.isSigned) {
+      this.fail('response is not signed');
       return;
     }
     const { relay } = this.options;
@@ -175,19 +191,29 @@
       else this.settle(AttemptOutcome.Relayed, '');
       return;
     }
-    if (this.metadata?.isMisdirected) this.settle(AttemptOutcome.Misdirected, `status ${this.status}`);
-    else if (this.metadata?.isNotRun) this.settle(AttemptOutcome.NotRun, `status ${this.status}`);
-    else this.settle(AttemptOutcome.Responded, `status ${this.status}`);
+    const reason = `status ${this.status}`;
+    if (!this.settleDenied(reason)) this.settle(AttemptOutcome.Responded, reason);
   }
 
   onFail(failure: ChannelFailure, err: Error): void {
     if (err instanceof RelayError) this.hasReplicaCrashed = err.hasCrashed;
-    if (failure === ChannelFailure.Withheld) this.settle(AttemptOutcome.Withheld, err.message);
-    else if (failure === ChannelFailure.NotSent) this.settle(AttemptOutcome.NotRun, err.message);
+    const unsentOutcome = this.wasSent ? undefined : UNSENT_OUTCOMES[failure];
+    if (unsentOutcome !== undefined) this.settle(unsentOutcome, err.message, AttemptProof.Unsent);
     // The head alone proves that the request was refused; the body may be missing.
-    else if (this.metadata?.isMisdirected) this.settle(AttemptOutcome.Misdirected, err.message);
-    else if (this.metadata?.isNotRun) this.settle(AttemptOutcome.NotRun, err.message);
-    else this.settle(this.isRelaying ? AttemptOutcome.BrokenStream : AttemptOutcome.Unknown, err.message);
+    else if (!this.settleDenied(err.message))
+      this.settle(this.isRelaying ? AttemptOutcome.BrokenStream : AttemptOutcome.Unknown, err.message);
+  }
+
+  /**
+   * Settles the attempt if the head of the response denies that the request was executed.
+   * @returns Whether it does.
+   */
+  private settleDenied(reason: string): boolean {
+    const { metadata } = this;
+    if (!metadata?.isNotRun) return false;
+    const outcome = metadata.isMisdirected ? AttemptOutcome.Misdirected : AttemptOutcome.NotRun;
+    this.settle(outcome, reason, AttemptProof.Denied);
+    return true;
   }
 
   /** Ends the attempt because the response can't be used. */
@@ -196,7 +222,7 @@
     this.exchange?.cancel(reason);
   }
 
-  private settle(outcome: AttemptOutcome, reason: string): void {
+  private settle(outcome: AttemptOutcome, reason: string, proof?: AttemptProof): void {
     if (this.hasSettled) return;
     this.hasSettled = true;
     this.options.buffered.release(this.size);
@@ -209,6 +235,7 @@
     const silentMs = this.options.timers.now() - this.lastDataAt;
     this.resolve({
       outcome,
+      proof,
       response,
       reason,
       wasSent,
--- a/packages/routing/src/core/requests/execution.ts
+++ b/packages/routing/src/core/requests/execution.ts
@@ -25,7 +25,8 @@
 import type { UpstreamPath, UpstreamSender } from '../relays/index.js';
 import { PathKind } from '../relays/index.js';
 import type { ReplicaEntry } from '../view/index.js';
-import { LocalReply, sendLocalReply } from './local-reply.js';
+import type { RefusalKind } from './local-reply.js';
+import { LocalReply, sendLocalReply, sendRefusal } from './local-reply.js';
 import type { EngineStream, StreamMigrator, MigratedStream } from './migration.js';
 import type { BufferedBytes } from './buffered-bytes.js';
 import type { CallerConnection } from './caller-connection.js';
@@ -42,16 +43,12 @@
 import { discardAdmission, endAdmission } from './admitted-attempt.js';
 import { Attempt } from './attempt.js';
 import { AttemptWatch, KeepReason } from './attempt-watch.js';
+import type { RunRecord } from './run-record.js';
+import { NotRunProof } from './run-record.js';
 import { WaitCause, WaitTimes } from './wait-times.js';
 
 import type { ReplicaResponse, RequestDialect, RequestHead, AttemptResult } from './types.js';
-import {
-  AttemptOutcome,
-  ContinuationWay,
-  CUT_OUTCOMES,
-  NOT_RUN_OUTCOMES,
-  requestTimeoutMs,
-} from './types.js';
+import { AttemptOutcome, ContinuationWay, CUT_OUTCOMES, requestTimeoutMs } from './types.js';
 
 /** Time after which a refused caller may retry, in milliseconds. */
 const RETRY_AFTER_MS = 250;
@@ -125,6 +122,8 @@
   /** The client account; undefined for an anonymous request. */
   readonly account: ClientAccount | undefined;
   readonly res: ServerResponse;
+  /** Records the attempts of the request. */
+  readonly runs: RunRecord;
   readonly caller: Pick<CallerConnection, 'onLeave'>;
   /** Monotonic time at which it was read, in milliseconds. */
   readonly arrivedAt: number;
@@ -153,9 +152,6 @@
 
   private attemptCount = 0;
 
-  /** Whether any replica may have run the request. */
-  mayHaveRun = false;
-
   /** Whether any replica may have received the request, whether or not it ran it. */
   private mayHaveArrived = false;
 
@@ -273,10 +269,8 @@
   private startDeadlineTimer(): TimerHandle {
     const { timers } = this.parts;
     return timers.after(Math.max(0, this.deadlineAt - timers.now()), () => {
-      // An attempt that has ended counts as a possible run only when its end is reported.
-      if (this.mayHaveRun || this.possibleRuns > 0 || this.attempt?.mayHaveArrived)
-        this.finishLocally(LocalReply.TimedOut, 'The time is over.');
-      else this.finishLocally(LocalReply.NotRun, 'No replica could take it in time.', RETRY_AFTER_MS);
+      if (this.options.runs.mayHaveRun) this.finishLocally(LocalReply.TimedOut, 'The time is over.');
+      else this.refuse(LocalReply.NotRun, 'No replica could take it in time.', RETRY_AFTER_MS);
       this.end('deadline exceeded');
     });
   }
@@ -461,15 +455,17 @@
         slotPermits.updateFromResponse(replica.id, rejectionsPerSecond, sentAt);
       },
     });
-    const stopWatching = this.watchPath(this.attempt, path, replica);
-    const result = await this.waits.measure(WaitCause.Attempt, this.awaitResult(this.attempt, replica));
+    const { attempt } = this;
+    this.options.runs.begin(() => attempt.mayHaveArrived);
+    const stopWatching = this.watchPath(attempt, path, replica);
+    const result = await this.waits.measure(WaitCause.Attempt, this.awaitResult(attempt, replica));
+    this.options.runs.end(result.proof);
     stopWatching();
     this.attempt = undefined;
     if (result.wasSent) {
       this.mayHaveArrived = true;
       retryPermit?.settle();
     } else retryPermit?.release();
-    if (!NOT_RUN_OUTCOMES.has(result.outcome) && result.wasSent) this.mayHaveRun = true;
     health.recordEnded(replica.id);
     this.parts.paths.recordEnded(exchange);
     this.parts.metrics.recordAttempt(result.outcome);
@@ -756,23 +752,23 @@
   /** Ends the request when no further attempt is allowed. */
   private finishUnserved(): void {
     if (this.bufferedResponse !== undefined) this.sendResponse(this.bufferedResponse);
-    else if (this.possibleRuns > 0)
+    else if (this.options.runs.mayHaveRun)
       this.finishLocally(LocalReply.OutcomeUnknown, 'It may have run, and no answer came.');
     else if (this.suspicion.current() === Suspicion.Quarantined) {
-      this.finishLocally(
+      this.refuse(
         LocalReply.Quarantined,
         'It, or another one that shares something with it, has crashed several replicas.',
         this.suspicion.quarantineMs(),
       );
     } else if (this.binding?.isStuck || !this.finder.hasVersion()) {
       const reason = 'No replica has the software version that began the stream, or it is not known.';
-      this.finishLocally(LocalReply.StreamNotResumable, reason, GENERATION_RETRY_AFTER_MS);
+      this.refuse(LocalReply.StreamNotResumable, reason, GENERATION_RETRY_AFTER_MS);
     } else {
       const isGeneration = this.options.head.generation !== undefined;
       // Callers retry only once: their response is late either way, and bursts of load end in some seconds.
       const delayMs = Math.max(GENERATION_RETRY_AFTER_MS, this.remainingMs() * RETRY_AFTER_SHARE);
       const retryAfterMs = Math.max(isGeneration ? delayMs : RETRY_AFTER_MS, this.finder.backoffMs());
-      this.finishLocally(LocalReply.NotRun, 'No replica can take it now.', retryAfterMs);
+      this.refuse(LocalReply.NotRun, 'No replica can take it now.', retryAfterMs);
     }
   }
 
@@ -786,10 +782,29 @@
     res.end(body);
   }
 
+  /** Refuses the request; if there is no proof that it has not run, its outcome is unknown. */
+  private refuse(kind: RefusalKind, reason: string, retryAfterMs: number): void {
+    const proof = NotRunProof.of(this.options.runs);
+    if (proof === undefined) {
+      this.finishLocally(LocalReply.OutcomeUnknown, `It may have run. ${reason}`);
+      return;
+    }
+    this.recordEnd(kind, reason, proof);
+    if (this.relay?.hasBegun) this.relay.abort();
+    else sendRefusal(this.options.res, kind, proof, reason, { retryAfterMs });
+  }
+
   /**
    * Ends the request with a local reply, or with the buffered failure response of a replica if there is one.
    */
-  private finishLocally(kind: LocalReply, reason: string, retryAfterMs?: number): void {
+  private finishLocally(kind: Exclude<LocalReply, RefusalKind>, reason: string): void {
+    this.recordEnd(kind, reason, undefined);
+    if (this.relay?.hasBegun) this.relay.abort();
+    else if (this.bufferedResponse !== undefined) this.sendResponse(this.bufferedResponse);
+    else sendLocalReply(this.options.res, kind, reason);
+  }
+
+  private recordEnd(kind: LocalReply, reason: string, proof: NotRunProof | undefined): void {
     this.hasEnded = true;
     this.outcome = kind;
     const { head, route } = this.options;
@@ -801,6 +816,8 @@
       sends: this.attemptCount,
       runs: this.possibleRuns,
       refusals: this.refusals,
+      denials: proof?.denied,
+      unsent: proof?.unsent,
       afterMs: Math.round(this.parts.timers.now() - this.options.arrivedAt),
       limitMs: Math.round(this.deadlineAt - this.options.arrivedAt),
       unreadMs: Math.round(this.options.unreadMs),
@@ -808,9 +825,6 @@
       ...this.waits.summary(),
       viewAgeMs: this.parts.viewAgeMs(),
     });
-    if (this.relay?.hasBegun) this.relay.abort();
-    else if (this.bufferedResponse !== undefined) this.sendResponse(this.bufferedResponse);
-    else sendLocalReply(this.options.res, kind, reason, { retryAfterMs });
   }
 }
 
--- a/packages/routing/src/core/requests/index.ts
+++ b/packages/routing/src/core/requests/index.ts
@@ -1,5 +1,6 @@
 /** Serves the requests of callers, from their arrival to the end of the response. */
 export { LocalReply } from './local-reply.js';
+export { AttemptProof, NotRunProof, RunRecord } from './run-record.js';
 export { CallerTimeouts } from './caller-timeouts.js';
 export type { EngineStream, MigrationDependencies, MigratedStream, RunStateCopier } from './migration.js';
 export { StreamMigration, StreamMigrator } from './migration.js';
--- a/packages/routing/src/core/requests/local-reply.ts
+++ b/packages/routing/src/core/requests/local-reply.ts
@@ -3,6 +3,8 @@
 
 import { ERROR_CATALOGUE } from '@celeryyoke/core';
 
+import type { NotRunProof } from './run-record.js';
+
 /** Why the daemon replies in place of a replica. */
 export enum LocalReply {
   BadRequest = 'badRequest',
@@ -24,6 +26,18 @@
   TimedOut = 'timedOut',
 }
 
+/** Replies that promise that the request has not run and never will. */
+export type RefusalKind =
+  LocalReply.OverQuota | LocalReply.NotRun | LocalReply.Quarantined | LocalReply.StreamNotResumable;
+
+/** Statuses that promise that a request has not run and never will, whoever sends them. */
+const PROMISES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
+/** Whether callers take a status for the promise that their request has not run. */
+export function isPromise(status: number): boolean {
+  return PROMISES.has(status);
+}
+
 /** HTTP status of a reply and its result code from the error catalogue. */
 interface ReplyStatus {
   readonly status: number;
@@ -55,10 +69,34 @@
 const MS_PER_SECOND = 1000;
 
 /**
- * Sends a local reply. Does nothing when the response has begun or its connection has closed.
+ * Refuses a request. Does nothing when the response has begun or its connection has closed.
+ * @param _proof - Proves what the reply promises.
+ * @param reason - A short sentence for people.
+ */
+export function sendRefusal(
+  res: ServerResponse,
+  kind: RefusalKind,
+  _proof: NotRunProof,
+  reason: string,
+  hints?: ReplyHints,
+): void {
+  writeReply(res, kind, reason, hints);
+}
+
+/**
+ * Sends a local reply that promises nothing. Does nothing when the response has begun or its connection has closed.
  * @param reason - A short sentence for people.
  */
 export function sendLocalReply(
+  res: ServerResponse,
+  kind: Exclude<LocalReply, RefusalKind>,
+  reason: string,
+  hints?: ReplyHints,
+): void {
+  writeReply(res, kind, reason, hints);
+}
+
+function writeReply(
   res: ServerResponse,
   kind: LocalReply,
   reason: string,
--- a/packages/routing/src/core/requests/server.ts
+++ b/packages/routing/src/core/requests/server.ts
@@ -13,11 +13,13 @@
 import { authenticate, AuthOutcome } from '../accounts/index.js';
 import type { Route, RouteTable } from '../catalog/index.js';
 import type { ReplicaRegistry } from '../view/index.js';
-import { LocalReply, sendLocalReply } from './local-reply.js';
+import type { RefusalKind, ReplyHints } from './local-reply.js';
+import { LocalReply, sendLocalReply, sendRefusal } from './local-reply.js';
 import { BodyProblem, readCallerBody } from './body.js';
 import { CallerConnections } from './caller-connection.js';
 import type { RequestExecutionOptions, ExecutionDependencies } from './execution.js';
 import { RequestExecution } from './execution.js';
+import { NotRunProof, RunRecord } from './run-record.js';
 import type { RequestHead } from './types.js';
 import { requestTimeoutMs } from './types.js';
 
@@ -192,6 +194,7 @@
     const arrivedAt = timers.now();
     const caller = this.connections.of(req.socket);
     const unreadMs = arrivedAt - caller.earliestArrival();
+    const runs = new RunRecord();
     const head = parts.dialect.readHead(req);
     if ('reason' in head) {
       log.decide('request.refused', head.reason, { status: head.status, target: req.url });
@@ -204,7 +207,7 @@
       req.resume();
       const reason = this.isClosing ? 'This daemon is shutting down.' : 'No configuration yet.';
       const retryAfterMs = this.isClosing ? 0 : NO_CONFIG_RETRY_MS;
-      sendLocalReply(res, LocalReply.NotRun, reason, { retryAfterMs });
+      refuse(res, runs, LocalReply.NotRun, reason, { retryAfterMs });
       return;
     }
     const route = table.match(head.host, pathOf(head.target));
@@ -223,46 +226,41 @@
     const { outcome, account } = authenticate(table, route, head.credentials);
     if (outcome !== AuthOutcome.Accepted) {
       req.resume();
-      this.rejectKey(head, table, outcome, res);
+      this.rejectKey(head, table, outcome, runs, res);
       return;
     }
     const timeoutMs = requestTimeoutMs(head, route);
     parts.callerTimeouts.record(route.name, timeoutMs);
     const isLate = parts.callerTimeouts.isLate(route, timeoutMs);
-    if (account !== undefined && !(await this.charge(account, head, isLate, res))) {
+    if (account !== undefined && !(await this.charge(account, head, isLate, runs, res))) {
       req.resume();
       return;
     }
     const { maxBodyBytes } = table.document.bounds;
     const { hasAccounts } = table;
     const service = pickService(route, head);
-    const accepted = { head, route, service, hasAccounts, account, res, caller, arrivedAt, unreadMs };
-    const mayHaveRun = await this.execute(req, maxBodyBytes, accepted);
-    if (account !== undefined && !mayHaveRun) parts.quotas.refund(account, head.statedTokens);
+    const accepted = { head, route, service, hasAccounts, account, res, runs, caller, arrivedAt, unreadMs };
+    await this.execute(req, maxBodyBytes, accepted);
+    if (account !== undefined && !runs.mayHaveRun) parts.quotas.refund(account, head.statedTokens);
   }
 
-  /**
-   * Reads the body and serves the request.
-   * @returns Whether a replica may have run the request.
-   */
+  /** Reads the body and serves the request. */
   private async execute(
     req: IncomingMessage,
     maxBodyBytes: number,
     accepted: Omit<RequestExecutionOptions, 'body'>,
-  ): Promise<boolean> {
+  ): Promise<void> {
     const body = await readCallerBody(req, maxBodyBytes);
-    if (body === BodyProblem.Broken || this.rejectedSockets.has(req.socket)) return false;
+    if (body === BodyProblem.Broken || this.rejectedSockets.has(req.socket)) return;
     if (body === BodyProblem.TooLarge) {
       sendLocalReply(accepted.res, LocalReply.BodyTooLarge, 'The body is too large.');
-      return false;
+      return;
     }
     // The close of a connection is read in a later turn than the request before it.
     await new Promise<void>((resolve) => {
       afterLateTurn(this.options.timers, resolve, accepted.unreadMs);
     });
-    const execution = new RequestExecution(this.options.parts, { ...accepted, body });
-    await execution.run();
-    return execution.mayHaveRun;
+    await new RequestExecution(this.options.parts, { ...accepted, body }).run();
   }
 
   /**
@@ -273,6 +271,7 @@
     account: ClientAccount,
     head: RequestHead,
     isLate: boolean,
+    runs: RunRecord,
     res: ServerResponse,
   ): Promise<boolean> {
     const { parts, log, registry } = this.options;
@@ -292,7 +291,7 @@
       retryAfterMs: Math.round(retryAfterMs),
       configVersion: registry.table?.document.version,
     });
-    sendLocalReply(res, LocalReply.OverQuota, 'The quota of the account is used up.', { retryAfterMs });
+    refuse(res, runs, LocalReply.OverQuota, 'The quota of the account is used up.', { retryAfterMs });
     return false;
   }
 
@@ -300,7 +299,13 @@
    * Refuses a request without a valid key. While the configuration may be out of date, an unknown key may be
    * a new one, so the caller is then asked to retry instead.
    */
-  private rejectKey(head: RequestHead, table: RouteTable, problem: KeyProblem, res: ServerResponse): void {
+  private rejectKey(
+    head: RequestHead,
+    table: RouteTable,
+    problem: KeyProblem,
+    runs: RunRecord,
+    res: ServerResponse,
+  ): void {
     const { parts, log } = this.options;
     parts.accountMetrics.countUnauthorized(problem);
     const viewAgeMs = parts.viewAgeMs();
@@ -314,7 +319,7 @@
     });
     if (isDoubtful) {
       const hints = { retryAfterMs: NO_CONFIG_RETRY_MS };
-      sendLocalReply(res, LocalReply.NotRun, 'The configuration may be out of date.', hints);
+      refuse(res, runs, LocalReply.NotRun, 'The configuration may be out of date.', hints);
       return;
     }
     sendLocalReply(res, LocalReply.Unauthorized, KEY_REASONS[problem], {
@@ -323,6 +328,19 @@
   }
 }
 
+/** Refuses a request; if there is no proof that it has not run, its outcome is unknown. */
+function refuse(
+  res: ServerResponse,
+  runs: RunRecord,
+  kind: RefusalKind,
+  reason: string,
+  hints: ReplyHints,
+): void {
+  const proof = NotRunProof.of(runs);
+  if (proof === undefined) sendLocalReply(res, LocalReply.OutcomeUnknown, `It may have run. ${reason}`);
+  else sendRefusal(res, kind, proof, reason, hints);
+}
+
 function pathOf(target: string): string {
   const query = target.indexOf('?');
   return query < 0 ? target : target.slice(0, query);
--- a/packages/routing/src/core/requests/types.ts
+++ b/packages/routing/src/core/requests/types.ts
@@ -5,6 +5,7 @@
 import type { ReplicaDeclaration } from '../availability/index.js';
 import type { Route } from '../catalog/index.js';
 import type { HeaderMap } from '../channels/index.js';
+import type { AttemptProof } from './run-record.js';
 
 /** A generation as the request headers describe it. */
 export interface GenerationRequest {
@@ -187,6 +188,8 @@
 /** Result of one attempt. */
 export interface AttemptResult {
   readonly outcome: AttemptOutcome;
+  /** Why it is certain that the attempt has not run; undefined if it may have. */
+  readonly proof: AttemptProof | undefined;
   readonly response: ReplicaResponse | undefined;
   readonly reason: string;
   /** Whether a byte was written to a connection. */
--- a/packages/routing/test/dead-connections.test.ts
+++ b/packages/routing/test/dead-connections.test.ts
@@ -22,7 +22,7 @@
 }
 
 function respond({ sink }: SentExchange): void {
-  sink.onHead(200, { 'transfer-encoding': 'chunked' });
+  sink.onHead(200, { 'transfer-encoding': 'chunked', id: 'r1' });
   sink.onEnd();
 }
 
--- a/packages/routing/test/repeats/execution-site.ts
+++ b/packages/routing/test/repeats/execution-site.ts
@@ -26,6 +26,7 @@
   RequestExecution,
   RequestMetrics,
   RouteKind,
+  RunRecord,
 } from '@celeryyoke/routing';
 
 import { engineEntry, log, MODEL } from '../fakes.js';
@@ -126,11 +127,11 @@
       },
       dialect: {
         upstreamHeaders: ({ id }: { id: string }) => [id],
-        readResponse: (status: number) => ({
+        readResponse: (status: number, headers: { id?: string }) => ({
           isSigned: true,
           isNotRun: status === NOT_RUN,
           isMisdirected: false,
-          requestId: undefined,
+          requestId: headers.id,
         }),
       },
       inFlight: {
@@ -219,6 +220,7 @@
       hasAccounts: false,
       account: undefined,
       res: res as unknown as ServerResponse,
+      runs: new RunRecord(),
       caller: { onLeave: () => () => undefined },
       unreadMs: 0,
       arrivedAt: this.timers.now(),
@@ -244,7 +246,7 @@
     const arrive = (): void => {
       if (isCancelled) return;
       this.record.recordArrival(id!, this.timers.now());
-      sink.onHead(engine === REFUSING && this.isRefusing ? NOT_RUN : OK, {});
+      sink.onHead(engine === REFUSING && this.isRefusing ? NOT_RUN : OK, { id });
       sink.onEnd();
     };
     queueMicrotask(() => {
--- a/packages/routing/test/unreachable-replicas.test.ts
+++ b/packages/routing/test/unreachable-replicas.test.ts
@@ -31,7 +31,7 @@
           if (gone.has(id)) sink.onFail(ChannelFailure.NotSent, new Error('connect ECONNREFUSED'));
           else {
             sink.onSent();
-            sink.onHead(ANSWERED, {});
+            sink.onHead(ANSWERED, { id: 'r1' });
             sink.onEnd();
           }
         });
