requests: pass on no status that promises no run without a proof

Callers saw 408, 429 and 503 for unsafe requests that ran: the status of a replica was passed on although only its denial proves that it did not run the request.

Such a request, or a stream that can't be resumed, now ends with 502 and without the replica's seal, which belongs to another status. Where the request may be repeated the status is returned unchanged: there the rule does not bind, and callers gain from the replica's own answer. 502 tells callers of unsafe requests not to repeat them, which is what is known.

--- a/packages/routing/src/core/requests/execution.ts
+++ b/packages/routing/src/core/requests/execution.ts
@@ -26,7 +26,7 @@
 import { PathKind } from '../relays/index.js';
 import type { ReplicaEntry } from '../view/index.js';
 import type { RefusalKind } from './local-reply.js';
-import { LocalReply, sendLocalReply, sendRefusal } from './local-reply.js';
+import { isPromise, LocalReply, sendLocalReply, sendRefusal } from './local-reply.js';
 import type { EngineStream, StreamMigrator, MigratedStream } from './migration.js';
 import type { BufferedBytes } from './buffered-bytes.js';
 import type { CallerConnection } from './caller-connection.js';
@@ -772,9 +772,20 @@
     }
   }
 
-  /** Sends a replica's buffered response to the caller. */
+  /**
+   * Sends a replica's buffered response to the caller. A status that promises that the request has not run is passed on
+   * only where the request may be repeated, as the replica does not prove what it promises.
+   */
   private sendResponse({ status, headers, body }: ReplicaResponse): void {
     const { res } = this.options;
+    if (isPromise(status) && !this.isRetryable) {
+      this.bufferedResponse = undefined;
+      this.finishLocally(
+        LocalReply.OutcomeUnknown,
+        `The replica responded ${status} and did not deny the run.`,
+      );
+      return;
+    }
     this.hasEnded = true;
     this.outcome = `answered ${Math.floor(status / 100)}xx`;
     if (res.headersSent || res.destroyed) return;
