server: answer a running request before its connection is rejected

A caller that sends the beginning of another request, or bytes that are none, behind a request that runs got 408 or 400 in place of its answer: 408 promises that the request has not run. The reply to what can't be read was written to the connection without regard to the request before it.

The connection now closes after the response to that request. A request whose own body is overdue or malformed is rejected as before: it is not passed on before its body is whole.

--- a/packages/routing/src/core/requests/server.ts
+++ b/packages/routing/src/core/requests/server.ts
@@ -80,6 +80,9 @@
   /** Connections that were rejected; requests that still arrive on them are not run. */
   private readonly rejectedSockets = new WeakSet<Socket>();
 
+  /** Responses after which their connections close, as what follows their requests is no valid request. */
+  private readonly endingResponses = new WeakSet<ServerResponse>();
+
   private isDraining = false;
 
   /** Whether new requests are refused. */
@@ -155,11 +158,22 @@
       this.rejectedSockets.add(socket);
       rejectConnection(err, socket);
     };
-    const isResponding = [...this.openResponses].some((res) => res.socket === socket);
-    if (err.code !== REQUEST_TIMEOUT_CODE || isResponding) reject();
+    const open = [...this.openResponses].find((res) => res.socket === socket);
+    if (open?.req.complete) this.endAfterResponse(open, err);
+    else if (err.code !== REQUEST_TIMEOUT_CODE || open !== undefined) reject();
     else this.overdueHeads.set(socket, this.options.timers.after(LATE_HEAD_GRACE_MS, reject));
   }
 
+  /** Closes a connection after a response: a reply to the bytes behind its request would be taken for that response. */
+  private endAfterResponse(res: ServerResponse, { code }: NodeJS.ErrnoException): void {
+    if (this.endingResponses.has(res)) return;
+    this.endingResponses.add(res);
+    res.shouldKeepAlive = false;
+    this.options.log.debug(
+      `A connection closes after its response: what follows the request is invalid (${code}).`,
+    );
+  }
+
   private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
     this.overdueHeads.get(req.socket)?.cancel();
     this.overdueHeads.delete(req.socket);
@@ -174,7 +188,7 @@
     // The head of a stream that began before the shutdown announced a kept-alive connection: close it when
     // the stream ends.
     res.once('finish', () => {
-      if (this.isClosing) req.socket.destroySoon();
+      if (this.isClosing || this.endingResponses.has(res)) req.socket.destroySoon();
     });
     try {
       await this.route(req, res);
