buffers: bound the memory and the time of bodies in small pieces

A replica whose body came in one-byte chunks filled the heap of a daemon, an event in one-byte chunks kept its event loop busy, a stream without end was kept for a slower caller, and a caller's body in one-byte chunks took many times its size. Memory was limited by payload, not by what is kept: each chunk is an object, and may keep the block that it was read into.

One budget for all bodies that are held, in both directions: each is one block that grows by doubling, counted with its overhead until its reader has taken it. Chunks that are parsed in one step are passed on together. A response of more than 65,536 tiny chunks is none. A caller that does not take its stream holds the replica back, over relays as well. The socket is held back and not undici's parser, which fails an assertion when a paused last response of a connection ends.

--- a/packages/routing/src/core/channels/buffered-response.ts
+++ b/packages/routing/src/core/channels/buffered-response.ts
@@ -1,9 +1,13 @@
 /** Exchanges whose response is small and buffered as a whole. */
 import type { TimerService } from '@celeryyoke/core';
 
+import { ByteBuffer } from '../buffers/index.js';
 import type { ChannelPool, UpstreamAddress } from './pool.js';
 import type { ResponseSink, ChannelFailure, HeaderMap, ExchangeHandle, UpstreamCall } from './types.js';
 
+/** Largest body, in bytes: many pages of the platform's store, whose items are a megabyte at most. */
+const MAX_BODY_BYTES = 64 * 1024 * 1024;
+
 /** A complete response. */
 export interface BufferedResponse {
   readonly status: number;
@@ -56,7 +60,7 @@
   options: ExchangeOptions,
 ): Promise<BufferedResponse> {
   return new Promise((resolve, reject) => {
-    const chunks: Buffer[] = [];
+    const body = new ByteBuffer();
     let status = 0;
     let headers: HeaderMap = {};
     const exchange = start({
@@ -65,10 +69,13 @@
         status = code;
         headers = fields;
       },
-      onData: (chunk) => chunks.push(chunk),
+      onData: (chunk) => {
+        body.append(chunk);
+        if (body.length > MAX_BODY_BYTES) exchange.cancel('The response is too large.');
+      },
       onEnd: () => {
         cleanUp();
-        resolve({ status, headers, body: Buffer.concat(chunks) });
+        resolve({ status, headers, body: body.bytes });
       },
       onFail: (failure, err) => {
         cleanUp();
--- a/packages/routing/src/core/channels/channel.ts
+++ b/packages/routing/src/core/channels/channel.ts
@@ -11,7 +11,9 @@
 import type { Dispatcher } from 'undici';
 import { Client } from 'undici';
 
+import { ChunkBatch } from '../buffers/index.js';
 import { isFramed } from './framing.js';
+import { ReadGate } from './read-gate.js';
 import type { ResponseSink, HeaderMap, ExchangeHandle, UpstreamCall } from './types.js';
 import { ChannelFailure, ExchangePurpose } from './types.js';
 
@@ -23,6 +25,10 @@
 const FIRST_FINAL_STATUS = 200;
 /** Largest number of interim responses to one request. */
 const MAX_INTERIM_RESPONSES = 16;
+/** Size below which a chunk is tiny, in bytes: it costs more time to parse than to send. */
+const TINY_CHUNK_BYTES = 16;
+/** Largest number of tiny chunks in a response: more than the tokens of any stream, and parsed in a fraction of a second. */
+const MAX_TINY_CHUNKS = 65_536;
 const NO_TIMEOUT = 0;
 /** Idle timeout of a connection when the replica declares none of its own. */
 const DEFAULT_IDLE_TIMEOUT_MS = 400;
@@ -75,6 +81,8 @@
 
   private socket: Socket | undefined;
 
+  private readGate: ReadGate | undefined;
+
   /** Whether the connection closes after the current exchange. */
   private isClosing = false;
 
@@ -115,6 +123,8 @@
       },
       wasReset: () => this.wasReset,
       reset: () => this.reset(),
+      pause: () => this.readGate?.close(),
+      resume: () => this.readGate?.open(),
       onConnectionClosing: () => {
         this.isClosing = true;
       },
@@ -215,6 +225,7 @@
       keepAliveInitialDelay: KEEPALIVE_DELAY_MS,
     });
     this.socket = socket;
+    this.readGate = new ReadGate(socket);
     const handOver = (): void => {
       if (socket.destroyed) callback(new Error('The connection has ended.'), null);
       else callback(null, socket);
@@ -261,6 +272,10 @@
   readonly wasReset: () => boolean;
   /** Resets the connection. */
   readonly reset: () => void;
+  /** Stops reading from the connection. */
+  readonly pause: () => void;
+  /** Goes on reading from the connection. */
+  readonly resume: () => void;
   readonly onConnectionClosing: () => void;
 }
 
@@ -280,6 +295,12 @@
 
   private interimResponses = 0;
 
+  private tinyChunks = 0;
+
+  private readonly batch = new ChunkBatch((bytes) => {
+    if (!this.hasEnded) this.context.sink.onData(bytes);
+  });
+
   constructor(private readonly context: ExchangeContext) {}
 
   /**
@@ -342,20 +363,30 @@
   }
 
   onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
-    if (!this.hasEnded) this.context.sink.onData(chunk);
+    if (this.hasEnded) return;
+    if (chunk.length < TINY_CHUNK_BYTES) this.tinyChunks += 1;
+    if (this.tinyChunks <= MAX_TINY_CHUNKS) {
+      this.batch.add(chunk);
+      return;
+    }
+    this.fail(new Error(`The replica sent more than ${MAX_TINY_CHUNKS} tiny chunks.`));
+    this.context.reset();
   }
 
   onResponseEnd(): void {
+    this.batch.flush();
     if (this.hasEnded) return;
     if (!this.isFramed && this.context.wasReset()) {
       this.fail(new Error('The connection was reset during a response without a length.'));
       return;
     }
     this.hasEnded = true;
+    this.context.resume();
     this.context.sink.onEnd();
   }
 
   onResponseError(_controller: Dispatcher.DispatchController, err: Error): void {
+    this.batch.flush();
     this.fail(err);
   }
 
@@ -367,6 +398,7 @@
   private end(failure: ChannelFailure, err: Error): void {
     if (this.hasEnded) return;
     this.hasEnded = true;
+    this.context.resume();
     const report = (): void => this.context.sink.onFail(failure, err);
     if (this.isStarting) queueMicrotask(report);
     else report();
@@ -376,6 +408,14 @@
     return this.controller !== undefined;
   }
 
+  pause(): void {
+    if (!this.hasEnded) this.context.pause();
+  }
+
+  resume(): void {
+    if (!this.hasEnded) this.context.resume();
+  }
+
   cancel(reason: string): void {
     if (this.hasEnded) return;
     this.isCancelled = true;
--- a/packages/routing/src/core/channels/fail-later.ts
+++ b/packages/routing/src/core/channels/fail-later.ts
@@ -10,5 +10,6 @@
     sink.onFail(failure, new Error(text));
   };
   queueMicrotask(() => fail(reason));
-  return { cancel: fail, mayHaveArrived: () => false };
+  const ignore = (): void => undefined;
+  return { cancel: fail, mayHaveArrived: () => false, pause: ignore, resume: ignore };
 }
--- a/packages/routing/src/core/channels/types.ts
+++ b/packages/routing/src/core/channels/types.ts
@@ -85,4 +85,8 @@
   cancel(reason: string): void;
   /** Whether the replica may have received a byte of the request. */
   mayHaveArrived(): boolean;
+  /** Stops reading the response, which holds the replica back; what was read before is still passed on. */
+  pause(): void;
+  /** Goes on reading the response. */
+  resume(): void;
 }
--- a/packages/routing/src/core/cluster/link.ts
+++ b/packages/routing/src/core/cluster/link.ts
@@ -140,6 +140,14 @@
     this.rejectPending('The link to the peer was reset.');
   }
 
+  pause(): void {
+    this.socket.pause();
+  }
+
+  resume(): void {
+    this.socket.resume();
+  }
+
   private write(frame: Buffer): void {
     if (this.hasEnded) return;
     if (this.socket.writableLength > MAX_BACKLOG_BYTES) this.finish(LinkEnd.Silent, 'the peer does not read');
--- a/packages/routing/src/core/cluster/listener.ts
+++ b/packages/routing/src/core/cluster/listener.ts
@@ -48,10 +48,15 @@
     });
   }
 
-  push(frame: Buffer): void {
-    if (!this.socket.writable) return;
-    if (this.socket.writableLength > MAX_BACKLOG_BYTES) this.socket.destroy();
-    else this.socket.write(frame);
+  push(frame: Buffer): boolean {
+    if (!this.socket.writable) return true;
+    if (this.socket.writableLength <= MAX_BACKLOG_BYTES) return this.socket.write(frame);
+    this.socket.destroy();
+    return true;
+  }
+
+  onDrain(callback: () => void): void {
+    this.socket.once('drain', callback);
   }
 
   private receive(chunk: Buffer): void {
--- a/packages/routing/src/core/cluster/types.ts
+++ b/packages/routing/src/core/cluster/types.ts
@@ -85,8 +85,11 @@
   /**
    * Sends a message that is no response.
    * @param frame - Encoded with `encodePush`.
+   * @returns Whether the peer keeps up; if not, `onDrain` tells when it does again.
    */
-  push(frame: Buffer): void;
+  push(frame: Buffer): boolean;
+  /** Calls back once, when the peer has taken what was pushed. */
+  onDrain(callback: () => void): void;
 }
 
 /** Handles the messages of one type; what it returns or resolves to is the response to a request. */
@@ -135,6 +138,10 @@
   close(): void;
   /** Resets the connection: what the peer has not received yet is lost. */
   abort(): void;
+  /** Stops reading from the peer, which holds it back. */
+  pause(): void;
+  /** Goes on reading from the peer. */
+  resume(): void;
 }
 
 /** Callbacks of the listening side. */
--- a/packages/routing/src/core/daemon/services.ts
+++ b/packages/routing/src/core/daemon/services.ts
@@ -16,6 +16,7 @@
 import { StreamOrigins, VersionHistory } from '../origins/index.js';
 import { EngineLeases, FleetSettling, PauseDetector } from '../ownership/index.js';
 import { RetryBudgets } from '../budget/index.js';
+import { BufferBudget } from '../buffers/index.js';
 import { ChannelPool, ExchangePurpose } from '../channels/index.js';
 import { Chooser, InFlightTable, ReplicaHealth } from '../choice/index.js';
 import type { MemberRecord } from '../cluster/index.js';
@@ -26,13 +27,7 @@
 import { PromptAdmission } from '../pacing/index.js';
 import { CutOffTable, PathMonitor, PeerWitness, ReachabilityTable } from '../paths/index.js';
 import { RelayServer, UpstreamSender } from '../relays/index.js';
-import {
-  BufferedBytes,
-  CallerTimeouts,
-  StreamMigrator,
-  RequestMetrics,
-  RequestServer,
-} from '../requests/index.js';
+import { CallerTimeouts, StreamMigrator, RequestMetrics, RequestServer } from '../requests/index.js';
 import { FleetShare } from '../shares/index.js';
 import { AttemptLedger, CrashDetector, ReplicaEnds, SuspectRegistry } from '../suspects/index.js';
 import type { ReplicaEntry } from '../view/index.js';
@@ -937,7 +932,7 @@
           ensure,
         }),
         markAbsent: (replica, key) => residency.markAbsent(replica, key),
-        buffered: new BufferedBytes(),
+        buffers: new BufferBudget(),
         metrics: new RequestMetrics(kernel.get<Metrics>(PART.metrics)),
         viewAgeMs: () => roundAge(view.ageMs),
         fleetShare: () => share.ownShare(),
--- a/packages/routing/src/core/relays/proved-exchange.ts
+++ b/packages/routing/src/core/relays/proved-exchange.ts
@@ -52,6 +52,9 @@
   /** Steps that wait for the proof; undefined when none wait. */
   private held: (() => void)[] | undefined;
 
+  /** Whether the sink wants no more for now. */
+  private isPaused = false;
+
   private hasFailed = false;
 
   private hasEnded = false;
@@ -78,6 +81,16 @@
     this.exchange.cancel(reason);
   }
 
+  pause(): void {
+    this.isPaused = true;
+    this.exchange.pause();
+  }
+
+  resume(): void {
+    this.isPaused = false;
+    if (this.held === undefined) this.exchange.resume();
+  }
+
   onSent(): void {
     this.sink.onSent();
   }
@@ -88,6 +101,7 @@
       return;
     }
     this.held = [() => this.sink.onHead(status, headers)];
+    this.exchange.pause();
     void this.awaitProof();
   }
 
@@ -123,6 +137,7 @@
     this.held = undefined;
     if (isProved) for (const next of held) next();
     else if (isWaiting) this.reject();
+    if (isProved && !this.isPaused) this.exchange.resume();
   }
 
   private reject(): void {
--- a/packages/routing/src/core/relays/relay-server.ts
+++ b/packages/routing/src/core/relays/relay-server.ts
@@ -52,7 +52,7 @@
 
   private start({ address }: Member, request: RelayRequest, channel: PeerChannel): void {
     const { registry, isLeaving, timers } = this.options;
-    const report = (event: RelayEvent): void => channel.push(encodePush(encodeRelayEvent(event)));
+    const report = (event: RelayEvent): boolean => channel.push(encodePush(encodeRelayEvent(event)));
     const replica = registry.replica(request.replica);
     const isRelayed = RELAYED_PURPOSES.has(request.call.purpose) && !this.exchanges.has(channel);
     const { softwareVersion } = request;
@@ -74,6 +74,7 @@
       request: { ...request, timeoutMs },
       replica,
       report,
+      onDrain: (callback) => channel.onDrain(callback),
     });
     this.exchanges.set(channel, call);
     void call.ended.then(() => this.exchanges.delete(channel));
@@ -86,7 +87,10 @@
   readonly from: string;
   readonly request: RelayRequest;
   readonly replica: ReplicaEntry;
-  readonly report: (event: RelayEvent) => void;
+  /** Reports to that daemon; returns whether it keeps up. */
+  readonly report: (event: RelayEvent) => boolean;
+  /** Calls back once, when that daemon has taken what was reported. */
+  readonly onDrain: (callback: () => void) => void;
 }
 
 /** One exchange for a peer; starts on construction. */
@@ -104,6 +108,9 @@
 
   private wasSent = false;
 
+  /** Whether the replica is held back, as the daemon that asked does not keep up. */
+  private isPaused = false;
+
   private status: number | undefined;
 
   private resolve!: () => void;
@@ -139,7 +146,15 @@
   }
 
   onData(chunk: Buffer): void {
-    this.options.report({ kind: RelayEventKind.Data, chunk });
+    const { report, onDrain } = this.options;
+    const keepsUp = report({ kind: RelayEventKind.Data, chunk });
+    if (keepsUp || this.isPaused) return;
+    this.isPaused = true;
+    this.exchange.pause();
+    onDrain(() => {
+      this.isPaused = false;
+      this.exchange.resume();
+    });
   }
 
   onEnd(): void {
--- a/packages/routing/src/core/relays/relayed-exchange.ts
+++ b/packages/routing/src/core/relays/relayed-exchange.ts
@@ -76,6 +76,14 @@
     this.fail(mayHaveArrived ? ChannelFailure.Cancelled : ChannelFailure.NotSent, reason);
   }
 
+  pause(): void {
+    if (!this.hasEnded) this.link.pause();
+  }
+
+  resume(): void {
+    if (!this.hasEnded) this.link.resume();
+  }
+
   private request(): void {
     if (this.hasEnded) return;
     this.wasRequested = true;
--- a/packages/routing/src/core/requests/attempt-watch.ts
+++ b/packages/routing/src/core/requests/attempt-watch.ts
@@ -89,7 +89,7 @@
   private proof(): DeathProof | undefined {
     const { attempt, replica, rank, paths } = this.options;
     const { hasBegun, startedAt, lastDataAt } = attempt;
-    if (!attempt.mayHaveArrived) return undefined;
+    if (!attempt.mayHaveArrived || attempt.isHeldBack) return undefined;
     return paths.proofOf({ replica, rank, hasBegun, startedAt, lastDataAt });
   }
 
--- a/packages/routing/src/core/requests/attempt.ts
+++ b/packages/routing/src/core/requests/attempt.ts
@@ -3,20 +3,29 @@
 
 import type { ResponseSink, HeaderMap, ExchangeHandle } from '../channels/index.js';
 import { ChannelFailure } from '../channels/index.js';
+import type { BufferBudget } from '../buffers/index.js';
+import { BudgetedBuffer, BufferLimit } from '../buffers/index.js';
 import { RelayError } from '../relays/index.js';
-import type { BufferedBytes } from './buffered-bytes.js';
 import type { StreamRelay } from './relay.js';
 import { ForwardResult } from './relay.js';
 import { AttemptProof } from './run-record.js';
 import type { ResponseMetadata, RequestDialect, AttemptResult } from './types.js';
 import { AttemptOutcome, ResponseIdentity } from './types.js';
 
+/** Largest response that is buffered, in bytes; plain services respond with some kilobytes. */
+const MAX_RESPONSE_BYTES = 4 * 1024 * 1024;
 const OK = 200;
 const SUCCESS_END = 300;
 
 const FORWARD_FAILURES: Readonly<Record<Exclude<ForwardResult, ForwardResult.Forwarded>, string>> = {
   [ForwardResult.EventsMissing]: 'stream does not continue the events already relayed',
   [ForwardResult.EventTooLong]: 'stream contains an event that is too long',
+  [ForwardResult.NoMemory]: 'no memory is left for an event',
+};
+
+const BUFFER_FAILURES: Readonly<Record<BufferLimit, string>> = {
+  [BufferLimit.Size]: 'response is too large to buffer',
+  [BufferLimit.Memory]: 'no memory is left for the response',
 };
 
 const IDENTITY_FAILURES: Readonly<Record<Exclude<ResponseIdentity, ResponseIdentity.Named>, string>> = {
@@ -36,8 +45,7 @@
   readonly send: (sink: ResponseSink) => ExchangeHandle;
   readonly dialect: RequestDialect;
   readonly timers: TimerService;
-  /** Counts the bytes of all responses that are buffered. */
-  readonly buffered: BufferedBytes;
+  readonly buffers: BufferBudget;
   /** Id of the request; the response must carry the same one. */
   readonly requestId: string;
   /** Receives a streamed response; undefined when every response is buffered. */
@@ -53,6 +61,8 @@
   readonly onStreamData: (at: number) => void;
   /** Called for the head and for each chunk that the replica sends. */
   readonly onDataReceived: () => void;
+  /** Called when the replica is held back for a caller that does not keep up, and when it no longer is. */
+  readonly onHeldBack: (isHeldBack: boolean) => void;
   /** Called with what the head of the response says. */
   readonly onMetadata: (metadata: ResponseMetadata) => void;
 }
@@ -92,9 +102,10 @@
 
   private isRelaying = false;
 
-  private chunks: Buffer[] = [];
+  private readonly body: BudgetedBuffer;
 
-  private size = 0;
+  /** Whether the replica is held back, as the caller does not keep up. */
+  isHeldBack = false;
 
   private hasSettled = false;
 
@@ -102,6 +113,7 @@
     this.result = new Promise((resolve) => {
       this.resolve = resolve;
     });
+    this.body = new BudgetedBuffer(options.buffers, MAX_RESPONSE_BYTES);
     this.startedAt = options.timers.now();
     this.lastDataAt = this.startedAt;
     this.exchange = options.send(this);
@@ -173,16 +185,35 @@
     this.lastDataAt = this.options.timers.now();
     if (this.isRelaying) {
       this.options.onStreamData(this.lastDataAt);
-      const result = this.options.relay!.forward(chunk);
-      if (result !== ForwardResult.Forwarded) this.fail(FORWARD_FAILURES[result]);
+      this.forward(chunk);
       return;
     }
-    if (!this.options.buffered.add(chunk.length, this.size + chunk.length)) {
-      this.fail('response is too large to buffer');
-      return;
+    const limit = this.body.append(chunk);
+    if (limit !== undefined) this.fail(BUFFER_FAILURES[limit]);
+  }
+
+  private forward(chunk: Buffer): void {
+    const relay = this.options.relay!;
+    const result = relay.forward(chunk);
+    if (result !== ForwardResult.Forwarded) this.fail(FORWARD_FAILURES[result]);
+    else if (relay.isBlocked && !this.isHeldBack) {
+      this.setHeldBack(true);
+      this.exchange.pause();
+      relay.onceDrained(() => this.goOn());
     }
-    this.chunks.push(chunk);
-    this.size += chunk.length;
+  }
+
+  /** Goes on reading, as the caller has taken what was written. */
+  private goOn(): void {
+    if (!this.isHeldBack) return;
+    this.lastDataAt = this.options.timers.now();
+    this.setHeldBack(false);
+    this.exchange.resume();
+  }
+
+  private setHeldBack(isHeldBack: boolean): void {
+    this.isHeldBack = isHeldBack;
+    this.options.onHeldBack(isHeldBack);
   }
 
   onEnd(): void {
@@ -225,12 +256,12 @@
   private settle(outcome: AttemptOutcome, reason: string, proof?: AttemptProof): void {
     if (this.hasSettled) return;
     this.hasSettled = true;
-    this.options.buffered.release(this.size);
-    const { status, headers } = this;
+    if (this.isHeldBack) this.setHeldBack(false);
+    const { status, headers, body } = this;
+    const release = (): void => body.release();
     const response =
-      outcome === AttemptOutcome.Responded
-        ? { status, headers, body: Buffer.concat(this.chunks) }
-        : undefined;
+      outcome === AttemptOutcome.Responded ? { status, headers, body: body.bytes, release } : undefined;
+    if (response === undefined) release();
     const { wasSent, wasLeft, firstByteMs, hasReplicaCrashed, identity } = this;
     const silentMs = this.options.timers.now() - this.lastDataAt;
     this.resolve({
--- a/packages/routing/src/core/requests/execution.ts
+++ b/packages/routing/src/core/requests/execution.ts
@@ -13,6 +13,7 @@
 import type { Availability, ReplicaAvailability } from '../availability/index.js';
 import { AvailabilityState } from '../availability/index.js';
 import type { RetryBudget, RetryPermit } from '../budget/index.js';
+import type { BufferBudget } from '../buffers/index.js';
 import type { Route } from '../catalog/index.js';
 import { RouteKind } from '../catalog/index.js';
 import { ExchangePurpose } from '../channels/index.js';
@@ -28,7 +29,6 @@
 import type { RefusalKind } from './local-reply.js';
 import { isPromise, LocalReply, sendLocalReply, sendRefusal } from './local-reply.js';
 import type { EngineStream, StreamMigrator, MigratedStream } from './migration.js';
-import type { BufferedBytes } from './buffered-bytes.js';
 import type { CallerConnection } from './caller-connection.js';
 import type { FinderDependencies, RoutedRequest } from './finder.js';
 import { ReplicaFinder } from './finder.js';
@@ -101,8 +101,8 @@
   readonly availability: Pick<ReplicaAvailability, 'availabilityOf'>;
   /** Records that an adapter is not resident on an engine. */
   readonly markAbsent: (replica: string, key: string) => void;
-  /** Counts the bytes of all responses that are buffered. */
-  readonly buffered: BufferedBytes;
+  /** Limits the memory of all bodies that are held. */
+  readonly buffers: BufferBudget;
   readonly quotas: AccountQuotas;
   readonly accountMetrics: AccountMetrics;
   /** This daemon's share of the fleet-wide allowances, from 0 to 1. */
@@ -218,7 +218,7 @@
     const timeoutMs = requestTimeoutMs(head, route);
     this.deadlineAt = arrivedAt + timeoutMs - lostMs(options.unreadMs, timeoutMs);
     if (route.kind === RouteKind.Streaming) {
-      this.relay = new StreamRelay(res, head.lastEventId, parts.timers.now);
+      this.relay = new StreamRelay(res, head.lastEventId, parts.timers.now, parts.buffers);
       this.binding = new StreamBinding(parts, {
         ...options,
         fingerprint: () => this.suspicion.fingerprints().exact,
@@ -254,6 +254,8 @@
     } finally {
       this.binding?.end(this.outcome === STREAMED);
       this.retryPermit?.release();
+      this.bufferedResponse?.release();
+      this.relay?.release();
       if (this.next !== undefined) discardAdmission(this.next);
       timer.cancel();
       res.off('close', onClose);
@@ -436,7 +438,7 @@
         ),
       dialect,
       timers,
-      buffered: this.parts.buffered,
+      buffers: this.parts.buffers,
       requestId: head.id,
       relay: this.relay,
       onSent: () => retryPermit?.send(),
@@ -450,6 +452,9 @@
         health.recordBytes(replica.id);
         if (path.peer === undefined) this.parts.paths.recordBytes(exchange);
       },
+      // Nothing is awaited from a replica that is held back.
+      onHeldBack: (isHeldBack) =>
+        isHeldBack ? health.recordEnded(replica.id) : health.recordSent(replica.id),
       onMetadata: ({ limitPerSecond, rejectionsPerSecond }) => {
         limits.updateFromResponse(replica.id, limitPerSecond, sentAt);
         slotPermits.updateFromResponse(replica.id, rejectionsPerSecond, sentAt);
@@ -639,6 +644,7 @@
     const isFailure = response.status >= MIN_FAILURE_STATUS;
     const canRetry = kind === RouteKind.Safe && this.possibleRuns < maxAttempts && this.remainingMs() > 0;
     if (isFailure && canRetry && this.reserveRetry()) {
+      this.bufferedResponse?.release();
       this.bufferedResponse = response;
       return true;
     }
@@ -776,10 +782,12 @@
    * Sends a replica's buffered response to the caller. A status that promises that the request has not run is passed on
    * only where the request may be repeated, as the replica does not prove what it promises.
    */
-  private sendResponse({ status, headers, body }: ReplicaResponse): void {
+  private sendResponse(response: ReplicaResponse): void {
     const { res } = this.options;
+    const { status, headers, body, release } = response;
+    if (this.bufferedResponse === response) this.bufferedResponse = undefined;
     if (isPromise(status) && !this.isRetryable) {
-      this.bufferedResponse = undefined;
+      release();
       this.finishLocally(
         LocalReply.OutcomeUnknown,
         `The replica responded ${status} and did not deny the run.`,
@@ -788,7 +796,11 @@
     }
     this.hasEnded = true;
     this.outcome = `answered ${Math.floor(status / 100)}xx`;
-    if (res.headersSent || res.destroyed) return;
+    if (res.headersSent || res.destroyed) {
+      release();
+      return;
+    }
+    res.once('close', release);
     writeResponseHead(res, status, headers, body.length);
     res.end(body);
   }
--- a/packages/routing/src/core/requests/index.ts
+++ b/packages/routing/src/core/requests/index.ts
@@ -9,7 +9,6 @@
 export type { RequestExecutionOptions, ExecutionDependencies } from './execution.js';
 export { RequestExecution } from './execution.js';
 export { RequestMetrics } from './metrics.js';
-export { BufferedBytes } from './buffered-bytes.js';
 export { ForwardResult, StreamRelay } from './relay.js';
 export type { BoundRequest, StreamBindingDependencies } from './stream-binding.js';
 export { StreamBinding } from './stream-binding.js';
--- a/packages/routing/src/core/requests/relay.ts
+++ b/packages/routing/src/core/requests/relay.ts
@@ -9,13 +9,14 @@
 
 import { EventScanner, NO_ID } from '@celeryyoke/core';
 
+import type { BufferBudget } from '../buffers/index.js';
+import { BudgetedBuffer, BufferLimit } from '../buffers/index.js';
 import type { HeaderMap } from '../channels/index.js';
 import { isFramed } from '../channels/index.js';
 import { writeResponseHead } from './headers.js';
 
 const LF = 0x0a;
 const CR = 0x0d;
-const EMPTY = Buffer.alloc(0);
 /** Largest event, in bytes; a longer one is no event. */
 const MAX_EVENT_BYTES = 256 * 1024;
 
@@ -26,8 +27,15 @@
   EventsMissing = 'eventsMissing',
   /** They belong to an event that is too long to be one. */
   EventTooLong = 'eventTooLong',
+  /** All bodies that are held take too much memory. */
+  NoMemory = 'noMemory',
 }
 
+const LIMIT_RESULTS: Readonly<Record<BufferLimit, ForwardResult>> = {
+  [BufferLimit.Size]: ForwardResult.EventTooLong,
+  [BufferLimit.Memory]: ForwardResult.NoMemory,
+};
+
 /** Writes a stream to the caller and tracks the last event that the caller has received. */
 export class StreamRelay {
   /** Id of the last event that the caller has received; undefined before the first. */
@@ -46,7 +54,7 @@
   private isFramed = true;
 
   /** Bytes after the last complete event. */
-  private partialEvent: Buffer = EMPTY;
+  private readonly partialEvent: BudgetedBuffer;
 
   private scanner = new EventScanner();
 
@@ -59,13 +67,31 @@
   /**
    * @param resumeFromId - Id of the last event that the caller says it has received.
    * @param now - Returns the monotonic time, in milliseconds.
+   * @param buffers - Limits the memory of all bodies that are held.
    */
   constructor(
     private readonly res: ServerResponse,
     resumeFromId: number | undefined,
     private readonly now: () => number,
+    buffers: BufferBudget,
   ) {
     this.lastEventId = resumeFromId;
+    this.partialEvent = new BudgetedBuffer(buffers, MAX_EVENT_BYTES);
+  }
+
+  /** Whether the caller has not taken what was written, and nothing more should be. */
+  get isBlocked(): boolean {
+    return this.res.writableNeedDrain;
+  }
+
+  /** Calls back once, when the caller has taken what was written. */
+  onceDrained(callback: () => void): void {
+    this.res.once('drain', callback);
+  }
+
+  /** Frees the memory of what is held back. */
+  release(): void {
+    this.partialEvent.release();
   }
 
   /**
@@ -73,7 +99,7 @@
    * dropped.
    */
   begin(status: number, headers: HeaderMap): void {
-    this.partialEvent = EMPTY;
+    this.partialEvent.release();
     this.scanner = new EventScanner();
     this.isResumed = this.hasBegun;
     if (this.hasBegun) return;
@@ -89,7 +115,11 @@
    */
   forward(chunk: Buffer): ForwardResult {
     this.recordGap();
-    const bytes = this.partialEvent.length === 0 ? chunk : Buffer.concat([this.partialEvent, chunk]);
+    const { partialEvent } = this;
+    const isContinued = partialEvent.length > 0;
+    const limit = isContinued ? partialEvent.append(chunk) : undefined;
+    if (limit !== undefined) return LIMIT_RESULTS[limit];
+    const bytes = isContinued ? partialEvent.bytes : chunk;
     let writeFrom = 0;
     let start = 0;
     while (this.scanner.next(bytes, start)) {
@@ -109,18 +139,24 @@
       start = end;
     }
     this.write(bytes, writeFrom, start);
-    this.partialEvent = start === bytes.length ? EMPTY : bytes.subarray(start);
-    return this.partialEvent.length > MAX_EVENT_BYTES ? ForwardResult.EventTooLong : ForwardResult.Forwarded;
+    return isContinued && start === 0 ? ForwardResult.Forwarded : this.holdBack(bytes.subarray(start));
+  }
+
+  /** Holds the beginning of an event back, in place of what was held back before. */
+  private holdBack(bytes: Buffer): ForwardResult {
+    this.partialEvent.release();
+    const limit = bytes.length === 0 ? undefined : this.partialEvent.append(bytes);
+    return limit === undefined ? ForwardResult.Forwarded : LIMIT_RESULTS[limit];
   }
 
   /** Whether the replica has sent a part of an event only: blank lines are none. */
   get isWithinEvent(): boolean {
-    return this.partialEvent.some((byte) => byte !== LF && byte !== CR);
+    return this.partialEvent.bytes.some((byte) => byte !== LF && byte !== CR);
   }
 
   /** Ends the response as complete, with any blank lines that follow the last event. */
   end(): void {
-    if (this.partialEvent.length > 0) this.res.write(this.partialEvent);
+    if (this.partialEvent.length > 0) this.res.write(this.partialEvent.bytes);
     this.res.end();
   }
 
--- a/packages/routing/src/core/requests/server.ts
+++ b/packages/routing/src/core/requests/server.ts
@@ -11,6 +11,7 @@
 
 import type { ClientAccount } from '../accounts/index.js';
 import { authenticate, AuthOutcome } from '../accounts/index.js';
+import { BudgetedBuffer } from '../buffers/index.js';
 import type { Route, RouteTable } from '../catalog/index.js';
 import type { ReplicaRegistry } from '../view/index.js';
 import type { RefusalKind, ReplyHints } from './local-reply.js';
@@ -25,6 +26,8 @@
 
 /** Time after which a caller may retry at a daemon without a configuration, in milliseconds. */
 const NO_CONFIG_RETRY_MS = 300;
+/** Time after which a caller may retry at a daemon that has no memory for its body, in milliseconds. */
+const NO_MEMORY_RETRY_MS = 500;
 /** Age of the view above which a key that it lacks may have been added since, in milliseconds. */
 const MAX_KEY_VIEW_AGE_MS = 1500;
 /** Timeouts until the first configuration, which replaces them, in milliseconds. */
@@ -264,12 +267,32 @@
     maxBodyBytes: number,
     accepted: Omit<RequestExecutionOptions, 'body'>,
   ): Promise<void> {
-    const body = await readCallerBody(req, maxBodyBytes);
+    const held = new BudgetedBuffer(this.options.parts.buffers, maxBodyBytes);
+    try {
+      await this.serve(req, await readCallerBody(req, maxBodyBytes, held), accepted);
+    } finally {
+      held.release();
+    }
+  }
+
+  private async serve(
+    req: IncomingMessage,
+    body: Buffer | undefined | BodyProblem,
+    accepted: Omit<RequestExecutionOptions, 'body'>,
+  ): Promise<void> {
     if (body === BodyProblem.Broken || this.rejectedSockets.has(req.socket)) return;
     if (body === BodyProblem.TooLarge) {
       sendLocalReply(accepted.res, LocalReply.BodyTooLarge, 'The body is too large.');
       return;
     }
+    if (body === BodyProblem.NoMemory) {
+      const { res, runs } = accepted;
+      res.shouldKeepAlive = false;
+      refuse(res, runs, LocalReply.NotRun, 'No memory is left for the body.', {
+        retryAfterMs: NO_MEMORY_RETRY_MS,
+      });
+      return;
+    }
     // The close of a connection is read in a later turn than the request before it.
     await new Promise<void>((resolve) => {
       afterLateTurn(this.options.timers, resolve, accepted.unreadMs);
--- a/packages/routing/src/core/requests/types.ts
+++ b/packages/routing/src/core/requests/types.ts
@@ -183,6 +183,8 @@
   readonly status: number;
   readonly headers: HeaderMap;
   readonly body: Buffer;
+  /** Gives back the memory of the body, once it is not needed any more. */
+  readonly release: () => void;
 }
 
 /** Result of one attempt. */
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -5,6 +5,7 @@
 export * from './core/origins/index.js';
 export * from './core/ownership/index.js';
 export * from './core/budget/index.js';
+export * from './core/buffers/index.js';
 export * from './core/catalog/index.js';
 export * from './core/channels/index.js';
 export * from './core/choice/index.js';
--- a/packages/routing/test/fleet/network.ts
+++ b/packages/routing/test/fleet/network.ts
@@ -182,8 +182,15 @@
   readonly reject: (err: Error) => void;
 }
 
+/** Nothing holds the writer of a link in memory back. */
+const noop = (): void => undefined;
+
 /** A link between two daemons, with the behaviour of the link over TCP. */
 export class MemoryLink implements PeerLink {
+  readonly pause = noop;
+
+  readonly resume = noop;
+
   isUp = false;
 
   lastReceivedAt: number;
@@ -212,7 +219,14 @@
     this.lastReceivedAt = timers.now();
     this.lastUsedAt = this.lastReceivedAt;
     network.links.add(this);
-    this.channel = { isOpen: true, push: (frame) => this.pushToOpener(frame) };
+    this.channel = {
+      isOpen: true,
+      push: (frame) => {
+        this.pushToOpener(frame);
+        return true;
+      },
+      onDrain: () => undefined,
+    };
     const hello = copy(events.hello());
     timers.after(CONNECT_TIMEOUT_MS, () => {
       if (!this.isUp) this.finish(LinkEnd.Silent);
--- a/packages/routing/test/origins/proved-exchange.test.ts
+++ b/packages/routing/test/origins/proved-exchange.test.ts
@@ -25,7 +25,12 @@
   const exchange = new ProvedExchange(
     (target) => {
       inner = target;
-      return { cancel: (reason) => cancels.push(reason), mayHaveArrived: () => true };
+      return {
+        cancel: (reason) => cancels.push(reason),
+        mayHaveArrived: () => true,
+        pause: () => undefined,
+        resume: () => undefined,
+      };
     },
     ask,
     sink,
--- a/packages/routing/test/pacing.test.ts
+++ b/packages/routing/test/pacing.test.ts
@@ -230,7 +230,7 @@
   t.truthy(owner);
   const from: Member = { address: 'p', zone: 'z', incarnation: 1 };
   const frame = ['e', KEY, SLOTS, 5000, MAX_GAP_MS, 100, [], [false, [['e', 1, 1]], [['e', KEY, 1, 1]]]];
-  t.deepEqual(handler!(from, frame as never, { push: () => undefined }), [
+  t.deepEqual(handler!(from, frame as never, { push: () => true, onDrain: () => undefined }), [
     AdmissionVerdict.Admitted,
     0,
     3,
--- a/packages/routing/test/relay.test.ts
+++ b/packages/routing/test/relay.test.ts
@@ -1,7 +1,7 @@
 /** A stream reaches the caller in whole events, without missing or duplicate ones. */
 import type { ServerResponse } from 'node:http';
 
-import { ForwardResult, StreamRelay } from '@celeryyoke/routing';
+import { BufferBudget, ForwardResult, StreamRelay } from '@celeryyoke/routing';
 import test from 'ava';
 import fc from 'fast-check';
 
@@ -39,7 +39,12 @@
 function setUp(firstId?: number) {
   const res = new FakeServerResponse();
   const clock = { now: 0 };
-  const relay = new StreamRelay(res as unknown as ServerResponse, firstId, () => clock.now);
+  const relay = new StreamRelay(
+    res as unknown as ServerResponse,
+    firstId,
+    () => clock.now,
+    new BufferBudget(),
+  );
   return { res, relay, clock };
 }
 
--- a/packages/routing/test/relays.test.ts
+++ b/packages/routing/test/relays.test.ts
@@ -88,8 +88,16 @@
     isLinkHeld: false,
     isListening: true,
     isRunning: true,
+    /** Whether the host that is cut off does not take what is relayed to it. */
+    isPeerSlow: false,
   };
 
+  /** Steps in which reading was paused and resumed. */
+  readonly reading: string[] = [];
+
+  /** Lets the relaying host know that the other one has taken everything. */
+  drain: (() => void) | undefined;
+
   cause: CutCause | undefined = CutCause.NoConnection;
 
   readonly cutOff = new Set<string>();
@@ -170,6 +178,8 @@
         wasSent = true;
         return wasSent;
       },
+      pause: () => this.reading.push('replica paused'),
+      resume: () => this.reading.push('replica resumed'),
     };
   }
 
@@ -189,6 +199,10 @@
         timers.after(DELAY_MS, () => {
           if (isOpen && !flags.isLinkHeld) onPush(body);
         });
+        return !flags.isPeerSlow;
+      },
+      onDrain: (callback) => {
+        this.drain = callback;
       },
     };
     const close = (): void => {
@@ -208,6 +222,8 @@
       if (!flags.isListening) this.endLink();
     });
     return Object.assign(link, {
+      pause: () => this.reading.push('peer paused'),
+      resume: () => this.reading.push('peer resumed'),
       request: () =>
         new Promise<void>((resolve) => {
           timers.after(2 * DELAY_MS, () => {
@@ -245,6 +261,27 @@
   t.is(site.server.running, 0);
 });
 
+// Guards against a relaying host that keeps what the host that asked does not take.
+test('a replica is held back while the host that asked does not take what is relayed', async (t) => {
+  const { site, relayed } = await start();
+  relayed!.sink.onSent();
+  relayed!.sink.onHead(200, HEADERS);
+  site.flags.isPeerSlow = true;
+  relayed!.sink.onData(Buffer.from('o'));
+  relayed!.sink.onData(Buffer.from('k'));
+  t.deepEqual(site.reading, ['replica paused']);
+  site.drain!();
+  t.deepEqual(site.reading, ['replica paused', 'replica resumed']);
+});
+
+// Guards against a host that goes on reading from a peer for a caller that does not read.
+test('a relayed exchange that is paused reads nothing from its peer', async (t) => {
+  const { site, exchange } = await start();
+  exchange.pause();
+  exchange.resume();
+  t.deepEqual(site.reading, ['peer paused', 'peer resumed']);
+});
+
 // Guards against replicas that work on for callers who have left.
 test('a cancel ends the exchange at the replica', async (t) => {
   const { site, sink, exchange, relayed } = await start();
--- a/packages/routing/test/repeats/execution-site.ts
+++ b/packages/routing/test/repeats/execution-site.ts
@@ -18,7 +18,7 @@
 import {
   AttemptLedger,
   AvailabilityState,
-  BufferedBytes,
+  BufferBudget,
   CallerTimeouts,
   ChannelFailure,
   PathKind,
@@ -157,7 +157,7 @@
       limits: { admit: () => Promise.resolve(true), updateFromResponse: noop },
       slotPermits: { acquire: () => Promise.resolve({ release: noop }), updateFromResponse: noop },
       admission: { recordFirstEvent: noop, prefillMs: () => 0 },
-      buffered: new BufferedBytes(),
+      buffers: new BufferBudget(),
       fleetShare: () => 1,
       budget: () => budget,
       metrics: new RequestMetrics(createMetrics()),
@@ -265,6 +265,8 @@
         sink.onFail(ChannelFailure.Cancelled, new Error(reason));
       },
       mayHaveArrived: () => wasSent,
+      pause: () => undefined,
+      resume: () => undefined,
     };
   }
 }
