daemon: begin nothing in a shutdown that can't be finished

Callers whose requests became whole late in the grace period had them passed on and cut at its end without an answer, unsafe ones too. A second SIGTERM ended the process at once. Streams without a length that were cut at the end looked complete.

A shutdown has one schedule that requests ask. After the load balancer has stopped sending, a request is passed on only if its deadline comes before the end; others, those that wait and those whose bodies are not whole, are refused at once with a proof and may return at once elsewhere. Streams that have begun go on. At the end each request gets its final answer and each stream is broken off, reset if it has no length. A second signal waits for the same shutdown.

--- a/packages/routing/src/core/daemon/router.ts
+++ b/packages/routing/src/core/daemon/router.ts
@@ -23,6 +23,8 @@
 /** Part of the grace period that is reserved for closing, in milliseconds. */
 const GRACE_MARGIN_MS = 400;
 const DRAIN_CHECK_MS = 50;
+/** Time for the last answers to be written to their connections, in milliseconds. */
+const FLUSH_MS = 100;
 
 /** A daemon that routes requests. */
 export class Router {
@@ -30,6 +32,9 @@
 
   private readonly state: RouterState;
 
+  /** The shutdown in progress. */
+  private shutdown: Promise<void> | undefined;
+
   /** Registers all parts at the kernel; {@link Router.start} starts them. */
   constructor(private readonly options: RouterOptions) {
     this.state = { seeds: options.settings.seeds, isLeaving: false, failedProbes: 0 };
@@ -53,9 +58,14 @@
    * Shuts down without interrupting requests, within the grace period: hands over the engines, waits until
    * the load balancer sends no new connections, and lets the requests in progress end.
    * @param cause - Cause of the shutdown, for the log.
+   * @returns A promise that settles at the end of the shutdown, also when it has begun before.
    */
-  async drain(cause: string): Promise<void> {
-    if (this.state.isLeaving) return;
+  drain(cause: string): Promise<void> {
+    this.shutdown ??= this.shutDown(cause);
+    return this.shutdown;
+  }
+
+  private async shutDown(cause: string): Promise<void> {
     this.state.isLeaving = true;
     const { timers, settings, log } = this.options;
     const startedAt = timers.now();
@@ -66,17 +76,22 @@
     const cluster = this.get<Cluster>(PART.cluster);
     cluster.leave();
     requests.drain();
-    await this.waitForRotation(startedAt);
-    requests.close();
     const end = startedAt + settings.graceMs - GRACE_MARGIN_MS;
+    await this.waitForRotation(startedAt);
+    requests.refuse(end);
     while (timers.now() < end && requests.running + relays.running > 0) {
       await timers.sleep(DRAIN_CHECK_MS);
       // Responses that began before the signal have announced keep-alive, so their connections must be closed
       // once idle.
       requests.closeIdleConnections();
     }
+    const unfinished = requests.running;
+    if (unfinished > 0) {
+      requests.giveUp();
+      await timers.sleep(FLUSH_MS);
+    }
     cluster.close();
-    log.info(`Stopped ${settings.name} with ${requests.running} requests in progress.`);
+    log.info(`Stopped ${settings.name}; ${unfinished} requests in progress were given up.`);
   }
 
   /**
--- a/packages/routing/src/core/daemon/services.ts
+++ b/packages/routing/src/core/daemon/services.ts
@@ -27,7 +27,13 @@
 import { PromptAdmission } from '../pacing/index.js';
 import { CutOffTable, PathMonitor, PeerWitness, ReachabilityTable } from '../paths/index.js';
 import { RelayServer, UpstreamSender } from '../relays/index.js';
-import { CallerTimeouts, StreamMigrator, RequestMetrics, RequestServer } from '../requests/index.js';
+import {
+  CallerTimeouts,
+  StreamMigrator,
+  RequestMetrics,
+  RequestServer,
+  Shutdown,
+} from '../requests/index.js';
 import { FleetShare } from '../shares/index.js';
 import { AttemptLedger, CrashDetector, ReplicaEnds, SuspectRegistry } from '../suspects/index.js';
 import type { ReplicaEntry } from '../view/index.js';
@@ -933,6 +939,7 @@
         }),
         markAbsent: (replica, key) => residency.markAbsent(replica, key),
         buffers: new BufferBudget(),
+        shutdown: new Shutdown(),
         metrics: new RequestMetrics(kernel.get<Metrics>(PART.metrics)),
         viewAgeMs: () => roundAge(view.ageMs),
         fleetShare: () => share.ownShare(),
--- a/packages/routing/src/core/requests/body.ts
+++ b/packages/routing/src/core/requests/body.ts
@@ -4,11 +4,16 @@
 import type { BudgetedBuffer } from '../buffers/index.js';
 import { BufferLimit } from '../buffers/index.js';
 
+/** Takes a call back. */
+type StopFollowing = () => unknown;
+
 /** Why a body was not read. */
 export enum BodyProblem {
   TooLarge = 'tooLarge',
   /** All bodies that are held take too much memory. */
   NoMemory = 'noMemory',
+  /** It was not whole when the daemon stopped passing requests on. */
+  ShuttingDown = 'shuttingDown',
   /** The connection ended or failed before the whole body was received. */
   Broken = 'broken',
 }
@@ -22,12 +27,14 @@
  * Reads a body.
  * @param limitBytes - Largest size that is accepted.
  * @param body - Holds what has been read.
+ * @param onRefuse - Calls back when the request would not be passed on any more; returns how to take the call back.
  * @returns The bytes, undefined when the request has no body, or why it was not read.
  */
 export function readCallerBody(
   req: IncomingMessage,
   limitBytes: number,
   body: BudgetedBuffer,
+  onRefuse: (callback: () => void) => StopFollowing,
 ): Promise<Buffer | undefined | BodyProblem> {
   const declared = Number(req.headers['content-length'] ?? Number.NaN);
   if (declared > limitBytes) return Promise.resolve(BodyProblem.TooLarge);
@@ -37,17 +44,20 @@
     return Promise.resolve(undefined);
   }
   return new Promise((resolve) => {
-    let problem: BodyProblem | undefined;
+    let hasEnded = false;
+    let stopFollowing: StopFollowing = () => undefined;
+    const finish = (result: Buffer | BodyProblem): void => {
+      hasEnded = true;
+      stopFollowing();
+      resolve(result);
+    };
+    stopFollowing = onRefuse(() => finish(BodyProblem.ShuttingDown));
     req.on('data', (chunk: Buffer) => {
-      if (problem !== undefined) return;
-      const limit = body.append(chunk);
-      if (limit === undefined) return;
-      problem = LIMIT_PROBLEMS[limit];
-      body.release();
-      resolve(problem);
+      const limit = hasEnded ? undefined : body.append(chunk);
+      if (limit !== undefined) finish(LIMIT_PROBLEMS[limit]);
     });
-    req.on('end', () => resolve(body.bytes));
-    req.on('error', () => resolve(BodyProblem.Broken));
-    req.on('close', () => resolve(BodyProblem.Broken));
+    req.on('end', () => finish(body.bytes));
+    req.on('error', () => finish(BodyProblem.Broken));
+    req.on('close', () => finish(BodyProblem.Broken));
   });
 }
--- a/packages/routing/src/core/requests/execution.ts
+++ b/packages/routing/src/core/requests/execution.ts
@@ -45,6 +45,7 @@
 import { AttemptWatch, KeepReason } from './attempt-watch.js';
 import type { RunRecord } from './run-record.js';
 import { NotRunProof } from './run-record.js';
+import type { Shutdown } from './shutdown.js';
 import { WaitCause, WaitTimes } from './wait-times.js';
 
 import type { ReplicaResponse, RequestDialect, RequestHead, AttemptResult } from './types.js';
@@ -72,6 +73,7 @@
 const MIN_FAILURE_STATUS = 500;
 /** Outcome of a stream that was relayed to its end. */
 const STREAMED = 'streamed';
+const SHUTTING_DOWN = 'This daemon is shutting down.';
 const PATH_BROKEN = 'The path to the replica is broken.';
 /** Outcome of a request whose caller closed the connection first. */
 const CALLER_LEFT = 'left';
@@ -103,6 +105,8 @@
   readonly markAbsent: (replica: string, key: string) => void;
   /** Limits the memory of all bodies that are held. */
   readonly buffers: BufferBudget;
+  /** Which requests are still passed on while this daemon shuts down. */
+  readonly shutdown: Shutdown;
   readonly quotas: AccountQuotas;
   readonly accountMetrics: AccountMetrics;
   /** This daemon's share of the fleet-wide allowances, from 0 to 1. */
@@ -248,6 +252,7 @@
     res.once('close', onClose);
     const stopListening = caller.onLeave(onClose);
     const timer = this.startDeadlineTimer();
+    const stopFollowing = this.followShutdown();
     try {
       await this.waits.measure(WaitCause.Version, this.binding?.resume());
       await this.attemptUntilDone();
@@ -258,6 +263,7 @@
       this.relay?.release();
       if (this.next !== undefined) discardAdmission(this.next);
       timer.cancel();
+      stopFollowing();
       res.off('close', onClose);
       stopListening();
       this.parts.metrics.recordRequest(
@@ -277,6 +283,33 @@
     });
   }
 
+  /** Ends the request when the daemon does, and while it waits as soon as it may not be passed on any more. */
+  private followShutdown(): () => void {
+    const { shutdown } = this.parts;
+    const stops = [
+      shutdown.onRefuse(() => {
+        if (this.attempt === undefined && !this.mayAttempt) this.endWithDaemon();
+      }),
+      shutdown.onEnd(() => this.endWithDaemon()),
+    ];
+    return () => {
+      for (const stop of stops) stop();
+    };
+  }
+
+  /** Whether another attempt may begin: a request that may outlast the daemon is not begun, but goes on. */
+  private get mayAttempt(): boolean {
+    return this.relay?.hasBegun || this.parts.shutdown.allowsStart(this.deadlineAt);
+  }
+
+  /** Ends the request, as the daemon shuts down; others can serve it if it has not run. */
+  private endWithDaemon(): void {
+    if (this.hasEnded) return;
+    if (this.bufferedResponse !== undefined) this.sendResponse(this.bufferedResponse);
+    else this.refuse(LocalReply.NotRun, SHUTTING_DOWN, 0);
+    this.end('the daemon shuts down');
+  }
+
   /** Ends the request and cancels the attempt in progress. */
   private end(reason: string): void {
     this.hasEnded = true;
@@ -286,7 +319,7 @@
 
   /** Makes attempts until the request has ended or no other attempt is allowed. */
   private async attemptUntilDone(): Promise<void> {
-    while (!this.hasEnded && !this.binding?.isStuck) {
+    while (!this.hasEnded && !this.binding?.isStuck && this.mayAttempt) {
       const { migrated } = this;
       const prepared = this.takeNext();
       const isNew = migrated === undefined && prepared === undefined;
@@ -299,6 +332,7 @@
       await this.suspicion.report(choice.replica, this.path, result, this.migrated !== undefined);
       if (!this.handleResult(choice, result)) break;
     }
+    if (!this.hasEnded && !this.mayAttempt) this.endWithDaemon();
     if (!this.hasEnded) this.finishUnserved();
   }
 
--- a/packages/routing/src/core/requests/index.ts
+++ b/packages/routing/src/core/requests/index.ts
@@ -14,6 +14,7 @@
 export { StreamBinding } from './stream-binding.js';
 export type { RequestServerOptions } from './server.js';
 export { RequestServer } from './server.js';
+export { Shutdown } from './shutdown.js';
 export type {
   ResponseMetadata,
   GenerationRequest,
--- a/packages/routing/src/core/requests/server.ts
+++ b/packages/routing/src/core/requests/server.ts
@@ -48,6 +48,14 @@
 /** Error code of Node.js for a request that is not complete in time. */
 const REQUEST_TIMEOUT_CODE = 'ERR_HTTP_REQUEST_TIMEOUT';
 
+const SHUTTING_DOWN = 'This daemon is shutting down.';
+
+/** Why a body was not read to its end, and when its caller may retry. */
+const UNREAD_BODIES = {
+  [BodyProblem.NoMemory]: { reason: 'No memory is left for the body.', retryAfterMs: NO_MEMORY_RETRY_MS },
+  [BodyProblem.ShuttingDown]: { reason: SHUTTING_DOWN, retryAfterMs: 0 },
+} as const;
+
 /** Why a key was not accepted. */
 type KeyProblem = Exclude<AuthOutcome, AuthOutcome.Accepted>;
 
@@ -132,6 +140,20 @@
     for (const res of this.openResponses) res.shouldKeepAlive = false;
   }
 
+  /**
+   * Closes the listener and idle connections, and refuses new requests and those that may outlast this daemon.
+   * @param endsAt - Monotonic time at which requests in progress will be given up, in milliseconds.
+   */
+  refuse(endsAt: number): void {
+    this.close();
+    this.options.parts.shutdown.refuse(endsAt);
+  }
+
+  /** Gives up the requests in progress: each gets its final answer, or its stream is broken off. */
+  giveUp(): void {
+    this.options.parts.shutdown.end();
+  }
+
   /** Closes the listener and idle connections, and refuses new requests. */
   close(): void {
     this.isClosing = true;
@@ -222,7 +244,7 @@
     const { table } = registry;
     if (table === undefined || this.isClosing) {
       req.resume();
-      const reason = this.isClosing ? 'This daemon is shutting down.' : 'No configuration yet.';
+      const reason = this.isClosing ? SHUTTING_DOWN : 'No configuration yet.';
       const retryAfterMs = this.isClosing ? 0 : NO_CONFIG_RETRY_MS;
       refuse(res, runs, LocalReply.NotRun, reason, { retryAfterMs });
       return;
@@ -269,12 +291,27 @@
   ): Promise<void> {
     const held = new BudgetedBuffer(this.options.parts.buffers, maxBodyBytes);
     try {
-      await this.serve(req, await readCallerBody(req, maxBodyBytes, held), accepted);
+      const body = await readCallerBody(req, maxBodyBytes, held, (callback) =>
+        this.onRefuse(accepted, callback),
+      );
+      await this.serve(req, body, accepted);
     } finally {
       held.release();
     }
   }
 
+  /** Calls back when a request may not be passed on any more, as it may outlast this daemon. */
+  private onRefuse(
+    { arrivedAt, head, route }: Omit<RequestExecutionOptions, 'body'>,
+    callback: () => void,
+  ): () => void {
+    const { shutdown } = this.options.parts;
+    const deadlineAt = arrivedAt + requestTimeoutMs(head, route);
+    return shutdown.onRefuse(() => {
+      if (!shutdown.allowsStart(deadlineAt)) callback();
+    });
+  }
+
   private async serve(
     req: IncomingMessage,
     body: Buffer | undefined | BodyProblem,
@@ -285,12 +322,11 @@
       sendLocalReply(accepted.res, LocalReply.BodyTooLarge, 'The body is too large.');
       return;
     }
-    if (body === BodyProblem.NoMemory) {
+    if (body === BodyProblem.NoMemory || body === BodyProblem.ShuttingDown) {
       const { res, runs } = accepted;
+      const { reason, retryAfterMs } = UNREAD_BODIES[body];
       res.shouldKeepAlive = false;
-      refuse(res, runs, LocalReply.NotRun, 'No memory is left for the body.', {
-        retryAfterMs: NO_MEMORY_RETRY_MS,
-      });
+      refuse(res, runs, LocalReply.NotRun, reason, { retryAfterMs });
       return;
     }
     // The close of a connection is read in a later turn than the request before it.
--- a/packages/routing/test/repeats/execution-site.ts
+++ b/packages/routing/test/repeats/execution-site.ts
@@ -27,6 +27,7 @@
   RequestMetrics,
   RouteKind,
   RunRecord,
+  Shutdown,
 } from '@celeryyoke/routing';
 
 import { engineEntry, log, MODEL } from '../fakes.js';
@@ -78,6 +79,11 @@
 
   readonly record = new RetryRecord();
 
+  readonly shutdown = new Shutdown();
+
+  /** Response to the request that was sent last. */
+  latestResponse: FakeServerResponse | undefined;
+
   /** Whether the first engine refuses all requests. */
   isRefusing = false;
 
@@ -158,6 +164,7 @@
       slotPermits: { acquire: () => Promise.resolve({ release: noop }), updateFromResponse: noop },
       admission: { recordFirstEvent: noop, prefillMs: () => 0 },
       buffers: new BufferBudget(),
+      shutdown: this.shutdown,
       fleetShare: () => 1,
       budget: () => budget,
       metrics: new RequestMetrics(createMetrics()),
@@ -203,6 +210,7 @@
     this.record.recordRequest(this.timers.now());
     const generation = { model: MODEL, adapter: id, promptTokens: 0, maxTokens: 10 };
     const res = new FakeServerResponse();
+    this.latestResponse = res;
     const execution = new RequestExecution(this.parts, {
       head: {
         id,
