soak: play replicas that seem to deny what they run

Extra responses that name no request, half of them with a denial, and refusals without one; drawn apart, so that other faults stay the same for a seed.

--- a/packages/soak/src/core/plan/plan.ts
+++ b/packages/soak/src/core/plan/plan.ts
@@ -19,6 +19,8 @@
 const FAILURES = [FaultKind.Shed, FaultKind.Errors, FaultKind.Reset, FaultKind.Hang] as const;
 /** Kinds by which replicas declare something; drawn apart from the others, so that these stay the same. */
 const DECLARATIONS = [FaultKind.Backoff, FaultKind.Leave] as const;
+/** Kinds by which replicas seem to deny that they ran a request. */
+const FALSE_DENIALS = [FaultKind.ExtraResponses, FaultKind.UnprovedRefusals] as const;
 /** Kinds that cut daemons off from all replicas. */
 const CUTS = [FaultKind.CutHang, FaultKind.CutReset, FaultKind.CutRefuse] as const;
 /** Kinds that were added later and are drawn apart, so that the others stay the same for a seed. */
@@ -35,6 +37,8 @@
   FaultKind.Drill,
   FaultKind.LateLoop,
   FaultKind.GiveUp,
+  FaultKind.ExtraResponses,
+  FaultKind.UnprovedRefusals,
 ];
 const OTHERS = Object.values(FaultKind).filter((kind) => !LATER.includes(kind));
 /** Mean time between two faults, in seconds. */
@@ -63,6 +67,9 @@
 /** Mean time between two times at which event loops are late, and how long these last, in milliseconds. */
 const MS_PER_LATE_LOOP = 8000;
 const MAX_LATE_MS = 4000;
+/** How long replicas seem to deny runs, in milliseconds. */
+const MIN_FALSE_DENIAL_MS = 1000;
+const MAX_FALSE_DENIAL_MS = 4000;
 /** Mean time between two callers whose request crashes replicas, in milliseconds. */
 const MS_PER_CRASHING_REQUEST = 10_000;
 /** Mean time between two times in which requests have a part that ends engines, in milliseconds. */
@@ -110,6 +117,7 @@
       ...drawStops(seed, lengthMs),
       ...drawDrills(seed, lengthMs),
       ...drawLateLoops(seed, lengthMs),
+      ...drawFalseDenials(seed, lengthMs),
     ].sort((left, right) => left.atMs - right.atMs),
   };
 }
@@ -220,6 +228,17 @@
   });
 }
 
+/** Draws times in which replicas seem to deny runs. */
+function drawFalseDenials(seed: number, lengthMs: number): Fault[] {
+  const random = createRandom(`soak-false-denials-${seed}`);
+  return FALSE_DENIALS.map((kind) => ({
+    kind,
+    atMs: Math.round(random.between(0, lengthMs - MAX_FALSE_DENIAL_MS)),
+    forMs: Math.round(random.between(MIN_FALSE_DENIAL_MS, MAX_FALSE_DENIAL_MS)),
+    share: random.between(0.2, 0.6),
+  }));
+}
+
 function drawDeclarations(seed: number, lengthMs: number): Fault[] {
   const random = createRandom(`soak-declarations-${seed}`);
   return DECLARATIONS.flatMap((kind) =>
--- a/packages/soak/src/core/replicas/messages.ts
+++ b/packages/soak/src/core/replicas/messages.ts
@@ -14,6 +14,10 @@
   Errors = 'errors',
   Reset = 'reset',
   Hang = 'hang',
+  /** Serves, and sends one more response that names no request. */
+  Extra = 'extra',
+  /** Runs a request and answers with the status of a refusal, without denying the run. */
+  Unproved = 'unproved',
 }
 
 /** What can be held up on its path to a replica. */
--- a/packages/soak/src/core/replicas/replica.ts
+++ b/packages/soak/src/core/replicas/replica.ts
@@ -54,6 +54,12 @@
 const BRITTLE_NOTICE_MS = 3000;
 const OK = '200 OK';
 const ERROR = '500 Internal Server Error';
+/** Statuses by which callers are promised that their request has not run. */
+const REFUSALS = ['503 Service Unavailable', '429 Too Many Requests', '408 Request Timeout'] as const;
+/** Times after a response at which an extra one is sent, in milliseconds. */
+const EXTRA_DELAYS_MS = [0, 5, 30, 300] as const;
+/** Share of the extra responses that deny an execution. */
+const DENIAL_CHANCE = 0.5;
 /** Shortest and longest time that a replica asks a daemon to back off, in seconds. */
 const MIN_BACKOFF_S = 1;
 const MAX_BACKOFF_S = 4;
@@ -71,6 +77,9 @@
 /** Addresses of the daemons that have opened connections; a closed one has forgotten its own. */
 const hostOf = new WeakMap<Socket, string>();
 
+/** Connections with an extra response: which bytes belong to which request can't be told any more, so daemons close them. */
+const unframed = new WeakSet<Socket>();
+
 /** Bytes of one connection that the replica has not read yet. */
 class Connection {
   /** What arrived while the path was held up. */
@@ -327,6 +336,23 @@
     return Math.round(this.random.between(MIN_BACKOFF_S, MAX_BACKOFF_S) * 10) / 10;
   }
 
+  /** Sends one more response on the connection of a request, at once or where the next one is expected. */
+  sendExtra({ socket }: RawRequest): void {
+    const denial = this.random.chance(DENIAL_CHANCE) ? 'Celeryyoke-Not-Executed: 1\r\n' : '';
+    const extra = `HTTP/1.1 ${this.drawRefusal()}\r\n${denial}Content-Length: 0\r\n\r\n`;
+    const delayMs = this.random.pick(EXTRA_DELAYS_MS);
+    void timers.sleep(delayMs).then(() => {
+      if (socket.destroyed) return;
+      unframed.add(socket);
+      socket.write(extra);
+    });
+  }
+
+  /** Draws the status line of a refusal. */
+  drawRefusal(): string {
+    return this.random.pick(REFUSALS);
+  }
+
   /** Serves a request to its end, or crashes under it. */
   async run(req: RawRequest): Promise<void> {
     const { crashes, isBrittle } = this;
@@ -401,6 +427,7 @@
   }
 
   private noteAbandoned({ head, socket }: RawRequest): void {
+    if (unframed.has(socket)) return;
     const request = headerValue(head, 'celeryyoke-request-id') ?? '';
     const host = hostOf.get(socket) ?? '';
     this.listener.onAbandoned({ request, replica: this.incarnation, host, at: timers.wall() });
@@ -461,6 +488,12 @@
   [Behaviour.Errors]: (replica, req) => respondComplete(req, ERROR, undefined, replica.declarations),
   [Behaviour.Reset]: (_replica, { socket }) => socket.resetAndDestroy(),
   [Behaviour.Hang]: () => undefined,
+  [Behaviour.Extra]: (replica, req) => {
+    void replica.run(req).then(() => replica.sendExtra(req));
+  },
+  [Behaviour.Unproved]: (replica, req) => {
+    respondComplete(req, replica.drawRefusal(), undefined, replica.declarations);
+  },
 };
 
 function answer(behaviour: RunningBehaviour, replica: SoakReplica, req: RawRequest): void {
--- a/packages/soak/src/core/run/faults.ts
+++ b/packages/soak/src/core/run/faults.ts
@@ -176,6 +176,8 @@
   [FaultKind.Errors]: misbehave(Behaviour.Errors),
   [FaultKind.Reset]: misbehave(Behaviour.Reset),
   [FaultKind.Hang]: misbehave(Behaviour.Hang),
+  [FaultKind.ExtraResponses]: misbehave(Behaviour.Extra),
+  [FaultKind.UnprovedRefusals]: misbehave(Behaviour.Unproved),
   [FaultKind.HoldWay]: hold(Holdable.Everything),
   [FaultKind.HoldOrders]: hold(Holdable.Orders),
   [FaultKind.FreezeReplicas]: ({ replicas, random }, share) =>
