core: hold bytes that arrive in pieces in one block everywhere

The same cause as in bodies of the router: packages/serving and packages/platform kept a list of chunks for each body, and their relay of streams and the frames between daemons copied all that had come before for each chunk. ByteBuffer moves to packages/core and serves all of them.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,5 +1,6 @@
 /** Entry of the core package: what every other package builds on. */
 export * from './core/audit/index.js';
+export * from './core/buffers/index.js';
 export * from './core/codec/index.js';
 export * from './core/errors/index.js';
 export * from './core/events/index.js';
--- a/packages/platform/src/core/http/read.ts
+++ b/packages/platform/src/core/http/read.ts
@@ -1,6 +1,6 @@
 /** Reads small answers whole, within a time limit. */
 import type { TimerService } from '@celeryyoke/core';
-import { CeleryyokeError } from '@celeryyoke/core';
+import { ByteBuffer, CeleryyokeError } from '@celeryyoke/core';
 import type { Readable } from 'node:stream';
 
 import type { ExchangeCall, Exchanger, HeaderMap } from './types.js';
@@ -29,14 +29,13 @@
  * @returns All bytes.
  */
 export async function readBody(body: Readable, limitBytes = DEFAULT_LIMIT_BYTES): Promise<Buffer> {
-  const chunks: Buffer[] = [];
-  let size = 0;
+  const held = new ByteBuffer();
   for await (const chunk of body) {
-    size += (chunk as Buffer).length;
-    if (size > limitBytes) throw new CeleryyokeError('BodyTooLarge', { limit: limitBytes });
-    chunks.push(chunk as Buffer);
+    if (held.length + (chunk as Buffer).length > limitBytes)
+      throw new CeleryyokeError('BodyTooLarge', { limit: limitBytes });
+    held.append(chunk as Buffer);
   }
-  return chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks, size);
+  return held.bytes;
 }
 
 /**
--- a/packages/routing/src/core/buffers/budgeted-buffer.ts
+++ b/packages/routing/src/core/buffers/budgeted-buffer.ts
@@ -1,6 +1,7 @@
 /** A body that is held, whose memory is counted. */
+import { ByteBuffer } from '@celeryyoke/core';
+
 import type { BufferBudget } from './buffer-budget.js';
-import { ByteBuffer } from './byte-buffer.js';
 
 /** Memory of a buffer beside its block, in bytes. */
 const OVERHEAD_BYTES = 256;
--- a/packages/routing/src/core/buffers/chunk-batch.ts
+++ b/packages/routing/src/core/buffers/chunk-batch.ts
@@ -1,5 +1,5 @@
 /** Joins the chunks that are parsed in one step, so that small ones cost no more than large ones. */
-import { ByteBuffer } from './byte-buffer.js';
+import { ByteBuffer } from '@celeryyoke/core';
 
 /** Chunks of one step. */
 export class ChunkBatch {
--- a/packages/routing/src/core/buffers/index.ts
+++ b/packages/routing/src/core/buffers/index.ts
@@ -1,5 +1,4 @@
 /** Memory of bodies that are held, and its limit. */
 export { BufferBudget } from './buffer-budget.js';
 export { BudgetedBuffer, BufferLimit } from './budgeted-buffer.js';
-export { ByteBuffer } from './byte-buffer.js';
 export { ChunkBatch } from './chunk-batch.js';
--- a/packages/routing/src/core/channels/buffered-response.ts
+++ b/packages/routing/src/core/channels/buffered-response.ts
@@ -1,7 +1,7 @@
 /** Exchanges whose response is small and buffered as a whole. */
 import type { TimerService } from '@celeryyoke/core';
+import { ByteBuffer } from '@celeryyoke/core';
 
-import { ByteBuffer } from '../buffers/index.js';
 import type { ChannelPool, UpstreamAddress } from './pool.js';
 import type { ResponseSink, ChannelFailure, HeaderMap, ExchangeHandle, UpstreamCall } from './types.js';
 
--- a/packages/routing/src/core/cluster/frames.ts
+++ b/packages/routing/src/core/cluster/frames.ts
@@ -3,7 +3,7 @@
  */
 import { deflateRawSync, inflateRawSync } from 'node:zlib';
 
-import { decode, encode } from '@celeryyoke/core';
+import { ByteBuffer, decode, encode } from '@celeryyoke/core';
 
 const HEADER_BYTES = 4;
 /** Bit of the header that is set when the body is compressed; the other bits are the length of the body. */
@@ -39,7 +39,9 @@
   return frame;
 }
 
-function decodeBody(body: Buffer, isCompressed: boolean): unknown {
+function decodeFrame(frame: Buffer): unknown {
+  const isCompressed = frame.readUInt32BE(0) >= COMPRESSED_FLAG;
+  const body = frame.subarray(HEADER_BYTES);
   return decode(isCompressed ? inflateRawSync(body, { maxOutputLength: MAX_BODY_BYTES }) : body);
 }
 
@@ -53,7 +55,8 @@
 
 /** Splits a byte stream into frames and decodes them. */
 export class FrameReader {
-  private buffered: Buffer = Buffer.alloc(0);
+  /** Beginning of a frame that is not complete. */
+  private readonly partial = new ByteBuffer();
 
   /**
    * Adds bytes to the stream.
@@ -62,17 +65,32 @@
    * @throws Error when a frame is too large or can't be decoded; the stream can't be read any further then.
    */
   *read(chunk: Buffer): Generator {
-    this.buffered = this.buffered.length === 0 ? chunk : Buffer.concat([this.buffered, chunk]);
-    while (this.buffered.length >= HEADER_BYTES) {
-      const header = this.buffered.readUInt32BE(0);
-      const isCompressed = header >= COMPRESSED_FLAG;
-      const length = isCompressed ? header - COMPRESSED_FLAG : header;
-      if (length > MAX_BODY_BYTES) throw new RangeError(`A frame of ${length} bytes is too large.`);
-      const end = HEADER_BYTES + length;
-      if (this.buffered.length < end) return;
-      const value = decodeBody(this.buffered.subarray(HEADER_BYTES, end), isCompressed);
-      this.buffered = this.buffered.subarray(end);
-      yield value;
+    const isContinued = this.partial.length > 0;
+    if (isContinued) this.partial.append(chunk);
+    const bytes = isContinued ? this.partial.bytes : chunk;
+    let start = 0;
+    for (let end = frameEnd(bytes, start); end !== undefined; end = frameEnd(bytes, start)) {
+      yield decodeFrame(bytes.subarray(start, end));
+      start = end;
     }
+    if (isContinued && start === 0) return;
+    this.partial.clear();
+    if (start < bytes.length) this.partial.append(bytes.subarray(start));
   }
 }
+
+/**
+ * Returns where a frame ends; undefined while it is not complete.
+ * @throws RangeError when it is too large.
+ */
+function frameEnd(bytes: Buffer, start: number): number | undefined {
+  if (bytes.length - start < HEADER_BYTES) return undefined;
+  const length = bodyLength(bytes.readUInt32BE(start));
+  if (length > MAX_BODY_BYTES) throw new RangeError(`A frame of ${length} bytes is too large.`);
+  const end = start + HEADER_BYTES + length;
+  return end > bytes.length ? undefined : end;
+}
+
+function bodyLength(header: number): number {
+  return header >= COMPRESSED_FLAG ? header - COMPRESSED_FLAG : header;
+}
--- a/packages/routing/test/frames.test.ts
+++ b/packages/routing/test/frames.test.ts
@@ -25,6 +25,21 @@
   t.pass();
 });
 
+// Guards against a peer whose segments are small, so that each of them copies all that came before.
+test('a large frame that comes in pieces of one byte is read in a fraction of a second', (t) => {
+  const text = Array.from({ length: 50_000 }, (_, index) =>
+    ((index * 2_654_435_761) % 4_294_967_296).toString(36),
+  );
+  const bytes = encodeFrame([-1, text]);
+  t.true(bytes.length > 200_000, `${bytes.length} bytes`);
+  const reader = new FrameReader();
+  const received: unknown[] = [];
+  const startedAt = Date.now();
+  for (let at = 0; at < bytes.length; at += 1) received.push(...reader.read(bytes.subarray(at, at + 1)));
+  t.true(Date.now() - startedAt < 2000, `${Date.now() - startedAt} ms`);
+  t.deepEqual(received, [[-1, text]]);
+});
+
 test('a configuration that has grown by 1,700 routes takes less than 0.1 s at 10 Mbit/s', (t) => {
   const document = sampleDocument(2);
   const routes = Array.from({ length: 1700 }, (_, index) => ({
--- a/packages/serving/src/core/generation/whole.ts
+++ b/packages/serving/src/core/generation/whole.ts
@@ -2,7 +2,7 @@
 import type { Readable } from 'node:stream';
 
 import type { TimerService } from '@celeryyoke/core';
-import { CeleryyokeError } from '@celeryyoke/core';
+import { ByteBuffer, CeleryyokeError } from '@celeryyoke/core';
 
 /** How long an answer may take to end after its last event, in milliseconds. */
 const END_MS = 1000;
@@ -23,8 +23,7 @@
 
 function collect(body: Readable, { upstream, maxBytes, signal }: WholeOptions): Promise<Buffer> {
   return new Promise((resolve, reject) => {
-    const chunks: Buffer[] = [];
-    let size = 0;
+    const answer = new ByteBuffer();
     const onAbort = (): void => fail(signal.reason);
     function fail(reason: unknown): void {
       signal.removeEventListener('abort', onAbort);
@@ -33,13 +32,12 @@
     const onBroken = (cause: Error): void =>
       fail(new CeleryyokeError('OutcomeUnknown', { upstream }, { cause }));
     body.on('data', (chunk: Buffer) => {
-      size += chunk.length;
-      chunks.push(chunk);
-      if (size > maxBytes) onBroken(new Error('The answer is too large.'));
+      if (answer.length + chunk.length > maxBytes) onBroken(new Error('The answer is too large.'));
+      else answer.append(chunk);
     });
     body.once('end', () => {
       signal.removeEventListener('abort', onAbort);
-      resolve(Buffer.concat(chunks, size));
+      resolve(answer.bytes);
     });
     body.on('error', onBroken);
     body.once('close', () => onBroken(new Error('The answer was cut off.')));
--- a/packages/serving/src/core/streams/relay.ts
+++ b/packages/serving/src/core/streams/relay.ts
@@ -2,7 +2,7 @@
 import type { Readable, Writable } from 'node:stream';
 
 import type { TimerHandle, TimerService } from '@celeryyoke/core';
-import { EventKind, EventScanner } from '@celeryyoke/core';
+import { ByteBuffer, EventKind, EventScanner } from '@celeryyoke/core';
 
 import type { StreamPosition } from './position.js';
 import { Verdict } from './position.js';
@@ -36,7 +36,7 @@
   private readonly scanner = new EventScanner();
 
   /** Bytes of an event that is not complete yet. */
-  private tail: Buffer | undefined;
+  private readonly tail = new ByteBuffer();
 
   private isPaused = false;
 
@@ -99,16 +99,23 @@
 
   private readonly onData = (chunk: Buffer): void => {
     this.moves += 1;
-    const bytes = this.tail === undefined ? chunk : Buffer.concat([this.tail, chunk]);
-    this.tail = undefined;
+    const isContinued = this.tail.length > 0;
+    if (isContinued) this.tail.append(chunk);
+    const bytes = isContinued ? this.tail.bytes : chunk;
     const used = this.passEvents(bytes);
-    if (this.resolve === undefined || used === bytes.length) return;
-    this.tail = used === 0 ? bytes : bytes.subarray(used);
+    if (this.resolve === undefined) return;
+    if (!isContinued || used > 0) this.holdBack(bytes.subarray(used));
     if (this.tail.length > MAX_EVENT_BYTES) {
       this.settle({ end: RelayEnd.Broken, reason: 'an event was too large' });
     }
   };
 
+  /** Holds back the beginning of an event, in place of what was held back before. */
+  private holdBack(bytes: Buffer): void {
+    this.tail.clear();
+    if (bytes.length > 0) this.tail.append(bytes);
+  }
+
   /** Passes the events on that are complete; returns where the first incomplete one begins. */
   private passEvents(bytes: Buffer): number {
     const { scanner } = this;
