--- a/packages/routing/src/core/requests/server.ts
+++ b/packages/routing/src/core/requests/server.ts
@@ -246,6 +246,7 @@
       req.resume();
       const reason = this.isClosing ? SHUTTING_DOWN : 'No configuration yet.';
       const retryAfterMs = this.isClosing ? 0 : NO_CONFIG_RETRY_MS;
+      log.decide('request.refused', reason, { request: head.id, viewAgeMs: parts.viewAgeMs() });
       refuse(res, runs, LocalReply.NotRun, reason, { retryAfterMs });
       return;
     }
@@ -323,8 +324,9 @@
       return;
     }
     if (body === BodyProblem.NoMemory || body === BodyProblem.ShuttingDown) {
-      const { res, runs } = accepted;
+      const { res, runs, head } = accepted;
       const { reason, retryAfterMs } = UNREAD_BODIES[body];
+      this.options.log.decide('request.refused', reason, { request: head.id, bodyProblem: body });
       res.shouldKeepAlive = false;
       refuse(res, runs, LocalReply.NotRun, reason, { retryAfterMs });
       return;
