relays: compress nothing of a relayed response

A daemon that relayed a stream without end to one whose caller did not read compressed it: a few bytes in the buffers of the connection expanded to megabytes in the step that read them, before they could be held back.

Streams and plain answers of usual size were never compressed.

--- a/packages/routing/src/core/cluster/frames.ts
+++ b/packages/routing/src/core/cluster/frames.ts
@@ -28,13 +28,14 @@
 /**
  * Encodes a value as one frame.
  * @param value - Plain data.
+ * @param mayCompress - Whether it is compressed if it is large.
  */
-export function encodeFrame(value: unknown): Buffer {
+export function encodeFrame(value: unknown, mayCompress = true): Buffer {
   const plain = encode(value);
-  const isLarge = plain.length >= MIN_COMPRESSED_BYTES;
-  const body = isLarge ? deflateRawSync(plain, COMPRESSION_OPTIONS) : plain;
+  const isCompressed = mayCompress && plain.length >= MIN_COMPRESSED_BYTES;
+  const body = isCompressed ? deflateRawSync(plain, COMPRESSION_OPTIONS) : plain;
   const frame = Buffer.allocUnsafe(HEADER_BYTES + body.length);
-  frame.writeUInt32BE(body.length + (isLarge ? COMPRESSED_FLAG : 0), 0);
+  frame.writeUInt32BE(body.length + (isCompressed ? COMPRESSED_FLAG : 0), 0);
   frame.set(body, HEADER_BYTES);
   return frame;
 }
@@ -48,9 +49,10 @@
 /**
  * Encodes a message that the listening side sends without a request.
  * @param body - Plain data.
+ * @param mayCompress - Whether it is compressed if it is large.
  */
-export function encodePush(body: unknown): Buffer {
-  return encodeFrame([PUSH_ID, body]);
+export function encodePush(body: unknown, mayCompress = true): Buffer {
+  return encodeFrame([PUSH_ID, body], mayCompress);
 }
 
 /** Splits a byte stream into frames and decodes them. */
--- a/packages/routing/src/core/relays/relay-server.ts
+++ b/packages/routing/src/core/relays/relay-server.ts
@@ -52,7 +52,8 @@
 
   private start({ address }: Member, request: RelayRequest, channel: PeerChannel): void {
     const { registry, isLeaving, timers } = this.options;
-    const report = (event: RelayEvent): boolean => channel.push(encodePush(encodeRelayEvent(event)));
+    // A few bytes that expand to megabytes would not be held back.
+    const report = (event: RelayEvent): boolean => channel.push(encodePush(encodeRelayEvent(event), false));
     const replica = registry.replica(request.replica);
     const isRelayed = RELAYED_PURPOSES.has(request.call.purpose) && !this.exchanges.has(channel);
     const { softwareVersion } = request;
