core: join pieces before a whole one in one place

Three readers held the beginning of a piece back in the same way (frames between daemons, streams of packages/serving, and the router's streams, which count memory and keep their own): ByteBuffer.join and keepRest serve the first two. The limit of a caller's body was passed twice, and the text of a shutdown stood twice.

--- a/packages/core/src/core/buffers/byte-buffer.ts
+++ b/packages/core/src/core/buffers/byte-buffer.ts
@@ -43,6 +43,24 @@
     this.length += chunk.length;
   }
 
+  /** Returns the bytes held with a chunk behind them; the chunk itself, not copied, while none are held. */
+  join(chunk: Buffer): Buffer {
+    if (this.length === 0) return chunk;
+    this.append(chunk);
+    return this.bytes;
+  }
+
+  /**
+   * Holds only the rest of joined bytes.
+   * @param joined - What {@link ByteBuffer.join} has returned.
+   * @param start - Where the rest begins.
+   */
+  keepRest(joined: Buffer, start: number): void {
+    if (start === 0 && this.length > 0) return;
+    this.clear();
+    if (start < joined.length) this.append(joined.subarray(start));
+  }
+
   /** Removes all bytes. */
   clear(): void {
     this.block = Buffer.alloc(0);
--- a/packages/routing/src/core/buffers/budgeted-buffer.ts
+++ b/packages/routing/src/core/buffers/budgeted-buffer.ts
@@ -26,7 +26,7 @@
    */
   constructor(
     private readonly budget: BufferBudget,
-    private readonly maxBytes: number,
+    readonly maxBytes: number,
   ) {}
 
   get length(): number {
--- a/packages/routing/src/core/cluster/frames.ts
+++ b/packages/routing/src/core/cluster/frames.ts
@@ -67,17 +67,13 @@
    * @throws Error when a frame is too large or can't be decoded; the stream can't be read any further then.
    */
   *read(chunk: Buffer): Generator {
-    const isContinued = this.partial.length > 0;
-    if (isContinued) this.partial.append(chunk);
-    const bytes = isContinued ? this.partial.bytes : chunk;
+    const bytes = this.partial.join(chunk);
     let start = 0;
     for (let end = frameEnd(bytes, start); end !== undefined; end = frameEnd(bytes, start)) {
       yield decodeFrame(bytes.subarray(start, end));
       start = end;
     }
-    if (isContinued && start === 0) return;
-    this.partial.clear();
-    if (start < bytes.length) this.partial.append(bytes.subarray(start));
+    this.partial.keepRest(bytes, start);
   }
 }
 
--- a/packages/routing/src/core/requests/body.ts
+++ b/packages/routing/src/core/requests/body.ts
@@ -4,9 +4,6 @@
 import type { BudgetedBuffer } from '../buffers/index.js';
 import { BufferLimit } from '../buffers/index.js';
 
-/** Takes a call back. */
-type StopFollowing = () => unknown;
-
 /** Why a body was not read. */
 export enum BodyProblem {
   TooLarge = 'tooLarge',
@@ -25,19 +22,17 @@
 
 /**
  * Reads a body.
- * @param limitBytes - Largest size that is accepted.
- * @param body - Holds what has been read.
+ * @param body - Holds what has been read, up to the largest size that is accepted.
  * @param onRefuse - Calls back when the request would not be passed on any more; returns how to take the call back.
  * @returns The bytes, undefined when the request has no body, or why it was not read.
  */
 export function readCallerBody(
   req: IncomingMessage,
-  limitBytes: number,
   body: BudgetedBuffer,
-  onRefuse: (callback: () => void) => StopFollowing,
+  onRefuse: (callback: () => void) => () => void,
 ): Promise<Buffer | undefined | BodyProblem> {
   const declared = Number(req.headers['content-length'] ?? Number.NaN);
-  if (declared > limitBytes) return Promise.resolve(BodyProblem.TooLarge);
+  if (declared > body.maxBytes) return Promise.resolve(BodyProblem.TooLarge);
   const hasBody = declared > 0 || req.headers['transfer-encoding'] !== undefined;
   if (!hasBody) {
     req.resume();
@@ -45,7 +40,7 @@
   }
   return new Promise((resolve) => {
     let hasEnded = false;
-    let stopFollowing: StopFollowing = () => undefined;
+    let stopFollowing = (): void => undefined;
     const finish = (result: Buffer | BodyProblem): void => {
       hasEnded = true;
       stopFollowing();
--- a/packages/routing/src/core/requests/execution.ts
+++ b/packages/routing/src/core/requests/execution.ts
@@ -46,6 +46,7 @@
 import type { RunRecord } from './run-record.js';
 import { NotRunProof } from './run-record.js';
 import type { Shutdown } from './shutdown.js';
+import { SHUTTING_DOWN } from './shutdown.js';
 import { WaitCause, WaitTimes } from './wait-times.js';
 
 import type { ReplicaResponse, RequestDialect, RequestHead, AttemptResult } from './types.js';
@@ -73,7 +74,6 @@
 const MIN_FAILURE_STATUS = 500;
 /** Outcome of a stream that was relayed to its end. */
 const STREAMED = 'streamed';
-const SHUTTING_DOWN = 'This daemon is shutting down.';
 const PATH_BROKEN = 'The path to the replica is broken.';
 /** Outcome of a request whose caller closed the connection first. */
 const CALLER_LEFT = 'left';
--- a/packages/routing/src/core/requests/server.ts
+++ b/packages/routing/src/core/requests/server.ts
@@ -21,6 +21,7 @@
 import type { RequestExecutionOptions, ExecutionDependencies } from './execution.js';
 import { RequestExecution } from './execution.js';
 import { NotRunProof, RunRecord } from './run-record.js';
+import { SHUTTING_DOWN } from './shutdown.js';
 import type { RequestHead } from './types.js';
 import { requestTimeoutMs } from './types.js';
 
@@ -48,8 +49,6 @@
 /** Error code of Node.js for a request that is not complete in time. */
 const REQUEST_TIMEOUT_CODE = 'ERR_HTTP_REQUEST_TIMEOUT';
 
-const SHUTTING_DOWN = 'This daemon is shutting down.';
-
 /** Why a body was not read to its end, and when its caller may retry. */
 const UNREAD_BODIES = {
   [BodyProblem.NoMemory]: { reason: 'No memory is left for the body.', retryAfterMs: NO_MEMORY_RETRY_MS },
@@ -292,9 +291,7 @@
   ): Promise<void> {
     const held = new BudgetedBuffer(this.options.parts.buffers, maxBodyBytes);
     try {
-      const body = await readCallerBody(req, maxBodyBytes, held, (callback) =>
-        this.onRefuse(accepted, callback),
-      );
+      const body = await readCallerBody(req, held, (callback) => this.onRefuse(accepted, callback));
       await this.serve(req, body, accepted);
     } finally {
       held.release();
--- a/packages/routing/src/core/requests/shutdown.ts
+++ b/packages/routing/src/core/requests/shutdown.ts
@@ -1,5 +1,8 @@
 /** The end of a daemon's service: which requests it still passes on, and when those in progress are given up. */
 
+/** What callers are told whose requests are not passed on, or given up, for that. */
+export const SHUTTING_DOWN = 'This daemon is shutting down.';
+
 /** Follows the shutdown of a daemon; requests ask it what they may still do. */
 export class Shutdown {
   /** Monotonic time at which requests in progress are given up, in milliseconds; infinite before the shutdown. */
--- a/packages/serving/src/core/streams/relay.ts
+++ b/packages/serving/src/core/streams/relay.ts
@@ -99,23 +99,15 @@
 
   private readonly onData = (chunk: Buffer): void => {
     this.moves += 1;
-    const isContinued = this.tail.length > 0;
-    if (isContinued) this.tail.append(chunk);
-    const bytes = isContinued ? this.tail.bytes : chunk;
+    const bytes = this.tail.join(chunk);
     const used = this.passEvents(bytes);
     if (this.resolve === undefined) return;
-    if (!isContinued || used > 0) this.holdBack(bytes.subarray(used));
+    this.tail.keepRest(bytes, used);
     if (this.tail.length > MAX_EVENT_BYTES) {
       this.settle({ end: RelayEnd.Broken, reason: 'an event was too large' });
     }
   };
 
-  /** Holds back the beginning of an event, in place of what was held back before. */
-  private holdBack(bytes: Buffer): void {
-    this.tail.clear();
-    if (bytes.length > 0) this.tail.append(bytes);
-  }
-
   /** Passes the events on that are complete; returns where the first incomplete one begins. */
   private passEvents(bytes: Buffer): number {
     const { scanner } = this;
