requests: repeat a request at a replica over a new connection

Callers got 503 for requests that ran, and requests ran twice. A response names its request, not the attempt: when a request went back to a replica that had refused it, on the connection that was used last, a late copy of that refusal counted as the response to the new attempt and as a proof that it had not run. After the fourth attempt the caller was refused.

An attempt at a replica that may have received the request before now uses a new connection, on which no earlier response can arrive; a peer that relays it does so too.

repeated-responses.test.ts: 8 of 12 refused and run, 7 of 12 run twice before; none now, direct and over a peer.

--- a/packages/routing/src/core/relays/relay-codec.ts
+++ b/packages/routing/src/core/relays/relay-codec.ts
@@ -13,6 +13,7 @@
   body: Buffer | null,
   timeoutMs: number,
   softwareVersion?: string | null,
+  isRepeated?: boolean,
 ];
 
 type RelayEventFrame = readonly [kind: RelayEventKind, ...facts: unknown[]];
@@ -24,14 +25,27 @@
   timeoutMs,
   softwareVersion,
 }: RelayRequest): RelayRequestFrame {
-  const { purpose, method, path, headers, body } = call;
-  return [request, replica, purpose, method, path, headers, body ?? null, timeoutMs, softwareVersion ?? null];
+  const { purpose, method, path, headers, body, isRepeated = false } = call;
+  return [
+    request,
+    replica,
+    purpose,
+    method,
+    path,
+    headers,
+    body ?? null,
+    timeoutMs,
+    softwareVersion ?? null,
+    isRepeated,
+  ];
 }
 
 /** Decodes a request; the frame's types are not checked. */
 export function decodeRelayRequest(frame: RelayRequestFrame): RelayRequest {
-  const [request, replica, purpose, method, path, headers, body, timeoutMs, softwareVersion] = frame;
-  const call = { purpose, method, path, headers, body: body === null ? undefined : Buffer.from(body) };
+  const [request, replica, purpose, method, path, headers, bytes, timeoutMs, softwareVersion, isRepeated] =
+    frame;
+  const body = bytes === null ? undefined : Buffer.from(bytes);
+  const call = { purpose, method, path, headers, body, isRepeated: isRepeated === true };
   return { request, replica, call, timeoutMs, softwareVersion: softwareVersion ?? undefined };
 }
 
--- a/packages/routing/src/core/requests/execution.ts
+++ b/packages/routing/src/core/requests/execution.ts
@@ -156,8 +156,8 @@
 
   private attemptCount = 0;
 
-  /** Whether any replica may have received the request, whether or not it ran it. */
-  private mayHaveArrived = false;
+  /** Replicas that may have received the request, whether or not they ran it. */
+  private readonly sentTo = new Set<string>();
 
   /** Number of attempts in which the request may have run. */
   private possibleRuns = 0;
@@ -449,7 +449,8 @@
       continuation,
     });
     const purpose = continuation === undefined ? ExchangePurpose.Request : ExchangePurpose.Continuation;
-    const call = { purpose, method: head.method, path: head.target, headers, body };
+    const isRepeated = this.sentTo.has(replica.id);
+    const call = { purpose, method: head.method, path: head.target, headers, body, isRepeated };
     const path = sender.choosePath(replica, this.isRetryable, this.attemptCount === 0);
     this.path = path;
     this.attemptCount += 1;
@@ -502,7 +503,7 @@
     stopWatching();
     this.attempt = undefined;
     if (result.wasSent) {
-      this.mayHaveArrived = true;
+      this.sentTo.add(replica.id);
       retryPermit?.settle();
     } else retryPermit?.release();
     health.recordEnded(replica.id);
@@ -766,7 +767,7 @@
    * Reserves the next attempt in the retry budget. It is no retry while no earlier attempt can have arrived.
    */
   private reserveRetry(): boolean {
-    if (!this.mayHaveArrived || this.next !== undefined) return true;
+    if (this.sentTo.size === 0 || this.next !== undefined) return true;
     this.retryPermit = this.reservePermit();
     return this.retryPermit !== undefined;
   }
