soak: play replicas that send their refusals twice

The soak's extra responses named no request, so that it could not show a late copy of a refusal that names the request and denies a later attempt.

--- a/packages/soak/src/core/plan/types.ts
+++ b/packages/soak/src/core/plan/types.ts
@@ -54,7 +54,10 @@
   GiveUp = 'give-up',
   /** Open connections of daemons to all replicas are silent for good, while new ones work. */
   CutMuteOpen = 'cut-mute-open',
-  /** Replicas send one more response after their own, which names no request, and often denies that one was executed. */
+  /**
+   * Replicas send one more response after their own: one that names no request and often denies that one was executed, or
+   * their refusal once more.
+   */
   ExtraResponses = 'extra-responses',
   /** Replicas run most of their requests and answer them with a status of a refusal that does not deny the run. */
   UnprovedRefusals = 'unproved-refusals',
--- a/packages/soak/src/core/replicas/replica.ts
+++ b/packages/soak/src/core/replicas/replica.ts
@@ -60,6 +60,8 @@
 const EXTRA_DELAYS_MS = [0, 5, 30, 300] as const;
 /** Share of the extra responses that deny an execution. */
 const DENIAL_CHANCE = 0.5;
+/** Share of the requests with an extra response that are refused, twice. */
+const REFUSED_TWICE_CHANCE = 0.5;
 /** Shortest and longest time that a replica asks a daemon to back off, in seconds. */
 const MIN_BACKOFF_S = 1;
 const MAX_BACKOFF_S = 4;
@@ -296,7 +298,10 @@
     const isFull = this.running >= this.options.slots;
     if (isFull) this.noteRejection(req);
     const isRefused = isFull || behaviour === Behaviour.Shed || behaviour === Behaviour.Backoff;
-    if (isRefused) this.refuse(req, behaviour === Behaviour.Backoff ? this.drawBackoffSeconds() : undefined);
+    const isRefusedTwice = behaviour === Behaviour.Extra && this.random.chance(REFUSED_TWICE_CHANCE);
+    if (isRefusedTwice) this.refuseTwice(req);
+    else if (isRefused)
+      this.refuse(req, behaviour === Behaviour.Backoff ? this.drawBackoffSeconds() : undefined);
     else {
       this.note(req, { hasRun: true });
       answer(behaviour, this, req);
@@ -312,6 +317,12 @@
     this.noteDeclared();
   }
 
+  /** Refuses a request, and sends the refusal, which names the request, once more. */
+  private refuseTwice(req: RawRequest): void {
+    this.refuse(req, undefined);
+    this.sendLate(req, () => refuseWith(req, this.declarations));
+  }
+
   /** Falls over if it is brittle and has rejected too many requests for want of room. */
   private noteRejection({ head }: RawRequest): void {
     const now = timers.now();
@@ -336,15 +347,20 @@
     return Math.round(this.random.between(MIN_BACKOFF_S, MAX_BACKOFF_S) * 10) / 10;
   }
 
-  /** Sends one more response on the connection of a request, at once or where the next one is expected. */
-  sendExtra({ socket }: RawRequest): void {
+  /** Sends one more response, which names no request, on the connection of a request. */
+  sendExtra(req: RawRequest): void {
     const denial = this.random.chance(DENIAL_CHANCE) ? 'Celeryyoke-Not-Executed: 1\r\n' : '';
     const extra = `HTTP/1.1 ${this.drawRefusal()}\r\n${denial}Content-Length: 0\r\n\r\n`;
+    this.sendLate(req, () => req.socket.write(extra));
+  }
+
+  /** Sends a response at once or where the one to the next request on the connection is expected. */
+  private sendLate({ socket }: RawRequest, send: () => void): void {
     const delayMs = this.random.pick(EXTRA_DELAYS_MS);
     void timers.sleep(delayMs).then(() => {
       if (socket.destroyed) return;
       unframed.add(socket);
-      socket.write(extra);
+      send();
     });
   }
 
