streams: prove for each connection which start of a replica responds

Callers got events of two software versions in one response: a replica that starts again under its id with another version begins streams before its entry says so, and they counted as streams of the version before.

The version of a new stream that may go on elsewhere is unknown until a report, asked for after its connection was established, shows the listed start; one report serves all streams on the connections of before. The stream itself is not held back. A peer that relays holds it back until it is proved. A later start that a report shows is published. Plain replicas are asked too; a plain replica without a report is trusted.

--- a/packages/routing/src/core/adapters/adapter-loader.ts
+++ b/packages/routing/src/core/adapters/adapter-loader.ts
@@ -108,7 +108,8 @@
 
   /** Starts the owner of an engine whose lease this daemon has acquired. */
   startOwner(lease: EngineLease): void {
-    const { registry, leases, control, isFenced, timers, log, self, acceptsOrders } = this.options;
+    const { registry, leases, control, isFenced, timers, log, self, acceptsOrders, publishStart } =
+      this.options;
     const replica = registry.replica(lease.replica);
     const engine = replica && registry.table?.service(replica.service)?.engine;
     if (replica?.state !== ReplicaState.Ready || engine === undefined) return;
@@ -125,7 +126,7 @@
       acceptsOrders: () => acceptsOrders(replica.id),
       onFenced: (token) => leases.handleRefusedToken(replica.id, token),
       onResidencyChange: (residency) => this.publishResidency(residency),
-      onRestart: (bornAt) => this.publishRestart(replica, bornAt),
+      onRestart: (bornAt) => publishStart({ name: replica.name, bornAt }),
     });
     this.owners.set(replica.id, owner);
     void owner.run();
@@ -209,14 +210,6 @@
     return residencies;
   }
 
-  /** Publishes a restart to all daemons; each then treats the engine as a new replica. */
-  private publishRestart({ id, name }: ReplicaEntry, bornAt: number): void {
-    const { registry, log, publishStart } = this.options;
-    if (!registry.recordStart({ name, bornAt })) return;
-    log.decide('replica.started-again', `Replica ${id} has restarted.`, { replica: id, bornAt });
-    publishStart({ name, bornAt });
-  }
-
   private removeOwner(replica: string): void {
     this.owners.get(replica)?.stop();
     this.owners.delete(replica);
--- a/packages/routing/src/core/channels/channel.ts
+++ b/packages/routing/src/core/channels/channel.ts
@@ -83,6 +83,9 @@
 
   private readGate: ReadGate | undefined;
 
+  /** Monotonic time at which the connection was established, in milliseconds. */
+  private connectedAt: number | undefined;
+
   /** Whether the connection closes after the current exchange. */
   private isClosing = false;
 
@@ -123,6 +126,7 @@
       },
       wasReset: () => this.wasReset,
       reset: () => this.reset(),
+      connectedAt: () => this.connectedAt,
       pause: () => this.readGate?.close(),
       resume: () => this.readGate?.open(),
       onConnectionClosing: () => {
@@ -238,6 +242,7 @@
       slowTimer.cancel();
       socket.setTimeout(0);
       if (err === undefined) {
+        this.connectedAt = timers.now();
         onConnected();
         // Undici writes the request that waits for the connection in this step.
         afterLateTurn(timers, () => handOver());
@@ -272,6 +277,7 @@
   readonly wasReset: () => boolean;
   /** Resets the connection. */
   readonly reset: () => void;
+  readonly connectedAt: () => number | undefined;
   /** Stops reading from the connection. */
   readonly pause: () => void;
   /** Goes on reading from the connection. */
@@ -408,6 +414,10 @@
     return this.controller !== undefined;
   }
 
+  connectedAt(): number | undefined {
+    return this.context.connectedAt();
+  }
+
   pause(): void {
     if (!this.hasEnded) this.context.pause();
   }
--- a/packages/routing/src/core/channels/types.ts
+++ b/packages/routing/src/core/channels/types.ts
@@ -90,6 +90,11 @@
   cancel(reason: string): void;
   /** Whether the replica may have received a byte of the request. */
   mayHaveArrived(): boolean;
+  /**
+   * Monotonic time at which the connection to the replica was established, in milliseconds; undefined before that, and if
+   * a peer holds the connection.
+   */
+  connectedAt?(): number | undefined;
   /** Stops reading the response, which holds the replica back; what was read before is still passed on. */
   pause(): void;
   /** Goes on reading the response. */
--- a/packages/routing/src/core/daemon/part-names.ts
+++ b/packages/routing/src/core/daemon/part-names.ts
@@ -17,6 +17,7 @@
   replicaEnds: 'replica-ends',
   reachability: 'reachability',
   versionHistory: 'version-history',
+  incarnations: 'incarnation-proofs',
   origins: 'origins',
   cutOffs: 'cutOffs',
   paths: 'paths',
--- a/packages/routing/src/core/daemon/services.ts
+++ b/packages/routing/src/core/daemon/services.ts
@@ -13,11 +13,11 @@
 import { ResidencyTable, AdapterLoader } from '../adapters/index.js';
 import { AccountMetrics, AccountQuotas } from '../accounts/index.js';
 import type { ReplicaAvailability } from '../availability/index.js';
-import { StreamOrigins, VersionHistory } from '../origins/index.js';
+import { IncarnationProofs, StreamOrigins, VersionHistory } from '../origins/index.js';
 import { EngineLeases, FleetSettling, PauseDetector } from '../ownership/index.js';
 import { RetryBudgets } from '../budget/index.js';
 import { BufferBudget } from '../buffers/index.js';
-import { ChannelPool, ExchangePurpose } from '../channels/index.js';
+import { ChannelPool, ExchangeError, ExchangePurpose } from '../channels/index.js';
 import { Chooser, InFlightTable, ReplicaHealth } from '../choice/index.js';
 import type { MemberRecord } from '../cluster/index.js';
 import { Cluster, createTcpTransport, MemberState } from '../cluster/index.js';
@@ -36,7 +36,7 @@
 } from '../requests/index.js';
 import { FleetShare } from '../shares/index.js';
 import { AttemptLedger, CrashDetector, ReplicaEnds, SuspectRegistry } from '../suspects/index.js';
-import type { ReplicaEntry } from '../view/index.js';
+import type { ReplicaEntry, ReplicaStart } from '../view/index.js';
 import { ReplicaRegistry, StoreWatcher, RecordKind, ReplicatedStore } from '../view/index.js';
 import { startMetricsServer, registerMetrics } from './metrics.js';
 import { InFlightReporter } from './in-flight-reporter.js';
@@ -173,6 +173,9 @@
         (kernel) => this.createVersionHistory(kernel),
         (history) => history.stop(),
       ),
+      part(PART.incarnations, [PART.registry, PART.control, PART.tree], (kernel) =>
+        this.createIncarnations(kernel),
+      ),
       part(
         PART.origins,
         [PART.cluster, PART.versionHistory],
@@ -313,6 +316,7 @@
           PART.budgets,
           PART.versionHistory,
           PART.origins,
+          PART.incarnations,
         ],
         (kernel) => this.startRequestServer(kernel),
         (requests) => requests.closeAllConnections(),
@@ -513,22 +517,47 @@
     });
   }
 
+  private createIncarnations(kernel: ServiceFinder): IncarnationProofs {
+    const proofs = new IncarnationProofs({
+      isRunning: (replica) => this.isRunning(replica),
+      timers: this.options.timers,
+    });
+    kernel.get<ReplicaRegistry>(PART.registry).onReplica((id, entry) => {
+      if (entry === undefined) proofs.forget(id);
+    });
+    return proofs;
+  }
+
   /** Whether the listed incarnation of a replica still runs, as its own report shows. */
   private async isRunning(replica: ReplicaEntry): Promise<boolean | undefined> {
     const { name, bornAt, models } = replica;
     // Without a stated start, a restart has another name, which the request says and a replica checks.
-    if (bornAt === undefined || models === undefined) return true;
+    if (bornAt === undefined) return true;
     try {
       const report = await this.get<EngineControl>(PART.control).report(replica);
+      if (report.bornAt !== undefined) this.publishStart({ name, bornAt: report.bornAt });
       return report.bornAt === bornAt;
     } catch (err) {
       const { log, timers } = this.options;
       log.debug(`Failed to read the report of ${name}: ${String(err)}.`);
+      // A plain replica may have no report, so that nothing can be told from its response.
+      if (models === undefined && !(err instanceof ExchangeError)) return true;
       await timers.sleep(REPORT_PAUSE_MS);
       return undefined;
     }
   }
 
+  /** Publishes a start of a replica to all daemons if it is news; each then treats it as a new replica. */
+  private publishStart(start: ReplicaStart): void {
+    if (!this.get<ReplicaRegistry>(PART.registry).recordStart(start)) return;
+    const { name, bornAt } = start;
+    this.options.log.decide('replica.started-again', `Replica ${name} has restarted.`, {
+      replica: name,
+      bornAt,
+    });
+    this.get<DisseminationTree>(PART.tree).publish(Topic.ReplicaStart, start);
+  }
+
   private createLimits(kernel: ServiceFinder): ReplicaLimits {
     return new ReplicaLimits(this.limitsOptions(kernel));
   }
@@ -764,7 +793,7 @@
       log,
       acceptsOrders: (replica) => availability.accepts(replica, ExchangePurpose.Order),
       publishResidency: (residency) => this.get<PeerProtocol>(PART.protocol).publishResidency(residency),
-      publishStart: (start) => this.get<DisseminationTree>(PART.tree).publish(Topic.ReplicaStart, start),
+      publishStart: (start) => this.publishStart(start),
     });
     const channels = kernel.get<ChannelPool>(PART.channels);
     const inFlight = kernel.get<InFlightTable>(PART.inFlight);
@@ -925,6 +954,7 @@
         suspects: kernel.get(PART.suspects),
         attempts: kernel.get(PART.attempts),
         origins: kernel.get(PART.origins),
+        incarnations: kernel.get(PART.incarnations),
         registry,
         accountMetrics: new AccountMetrics(kernel.get<Metrics>(PART.metrics)),
         callerTimeouts: new CallerTimeouts(),
--- a/packages/routing/src/core/origins/index.ts
+++ b/packages/routing/src/core/origins/index.ts
@@ -1,6 +1,8 @@
 /** Origins of streams: the software version that began each one, at which alone it may go on. */
 export type { ContinuationFacts } from './continuation-rule.js';
 export { continuationVersion } from './continuation-rule.js';
+export type { IncarnationProofsOptions } from './incarnation-proofs.js';
+export { IncarnationProofs } from './incarnation-proofs.js';
 export { OriginTable } from './origin-table.js';
 export type { NamedStreamKey, StreamKey } from './stream-key.js';
 export { streamKey } from './stream-key.js';
--- a/packages/routing/src/core/relays/proved-exchange.ts
+++ b/packages/routing/src/core/relays/proved-exchange.ts
@@ -76,6 +76,10 @@
     return this.exchange.mayHaveArrived();
   }
 
+  connectedAt(): number | undefined {
+    return this.exchange.connectedAt?.();
+  }
+
   cancel(reason: string): void {
     this.held = undefined;
     this.exchange.cancel(reason);
--- a/packages/routing/src/core/requests/attempt.ts
+++ b/packages/routing/src/core/requests/attempt.ts
@@ -129,6 +129,11 @@
     return this.wasSent || this.exchange.mayHaveArrived();
   }
 
+  /** Monotonic time at which its connection was established, in milliseconds; undefined if a peer holds it. */
+  get connectedAt(): number | undefined {
+    return this.exchange.connectedAt?.();
+  }
+
   /** Cancels the attempt; the replica sees its connection close. */
   cancel(reason: string): void {
     const proof = this.mayHaveArrived ? undefined : AttemptProof.Unsent;
--- a/packages/routing/src/core/requests/execution.ts
+++ b/packages/routing/src/core/requests/execution.ts
@@ -25,6 +25,7 @@
 import type { PathMonitor } from '../paths/index.js';
 import type { UpstreamPath, UpstreamSender } from '../relays/index.js';
 import { PathKind } from '../relays/index.js';
+import type { IncarnationProofs } from '../origins/index.js';
 import type { ReplicaEntry } from '../view/index.js';
 import type { RefusalKind } from './local-reply.js';
 import { isPromise, LocalReply, sendLocalReply, sendRefusal } from './local-reply.js';
@@ -90,6 +91,7 @@
   extends FinderDependencies, StreamBindingDependencies, Omit<SuspicionDependencies, 'paths'> {
   readonly dialect: RequestDialect;
   readonly sender: Pick<UpstreamSender, 'choosePath' | 'send'>;
+  readonly incarnations: Pick<IncarnationProofs, 'prove'>;
   readonly paths: Pick<
     PathMonitor,
     'causeOf' | 'onCut' | 'onReview' | 'proofOf' | 'respondingReplicas' | 'recordBytes' | 'recordEnded'
@@ -463,21 +465,21 @@
     const exchange = { replica, rank: this.rank, startedAt: sentAt };
     health.recordSent(replica.id);
     this.suspicion.beginAttempt(replica, path);
+    const isRelayed = path.peer !== undefined;
+    const versionToProve = this.binding?.versionToProve(replica, isRelayed && this.isRetryable);
     this.attempt = new Attempt({
       send: (sink) =>
-        sender.send(
-          path,
-          replica,
-          { id: head.id, call, timeoutMs, softwareVersion: this.binding?.versionToProve(replica) },
-          sink,
-        ),
+        sender.send(path, replica, { id: head.id, call, timeoutMs, softwareVersion: versionToProve }, sink),
       dialect,
       timers,
       buffers: this.parts.buffers,
       requestId: head.id,
       relay: this.relay,
       onSent: () => retryPermit?.send(),
-      onStreamBegin: () => this.binding?.begin(replica),
+      onStreamBegin: () => {
+        const proof = versionToProve === undefined ? this.proveIncarnation(replica) : undefined;
+        this.binding?.begin(replica, proof);
+      },
       onStreamData: (at) => {
         handle.responseStarted();
         this.suspicion.recordBody(at);
@@ -519,6 +521,16 @@
     return result;
   }
 
+  /**
+   * Has it proved, where the stream may go on elsewhere, which incarnation of the replica has responded.
+   * @returns Undefined if that is known.
+   */
+  private proveIncarnation(replica: ReplicaEntry): Promise<boolean> | undefined {
+    const connectedAt = this.attempt?.connectedAt;
+    if (connectedAt === undefined || !this.isRetryable) return undefined;
+    return this.parts.incarnations.prove(replica, connectedAt);
+  }
+
   /** Watches the connection of an attempt; what it returns ends that. */
   private watchPath(attempt: Attempt, { kind }: UpstreamPath, replica: ReplicaEntry): () => void {
     if (kind === PathKind.Relayed || kind === PathKind.Blocked) return () => undefined;
--- a/packages/routing/src/core/requests/stream-binding.ts
+++ b/packages/routing/src/core/requests/stream-binding.ts
@@ -95,13 +95,15 @@
   }
 
   /**
-   * Returns the version that a replica must prove to have, as a restart that this daemon has not heard of may have
-   * changed it: always where a stream goes on, also while this daemon knows one version only.
-   * @returns Undefined where nothing follows from its version.
+   * Returns the version that a replica must prove to have before anything of its response is passed on, as a restart that
+   * this daemon has not heard of may have changed it: always where a stream goes on, also while this daemon knows one
+   * version only.
+   * @param isRelayed - Whether a peer holds the connection, for which this daemon can't prove anything later.
+   * @returns Undefined where nothing follows from its version, or it can be proved while the stream is passed on.
    */
-  versionToProve({ softwareVersion }: ReplicaEntry): string | undefined {
+  versionToProve({ softwareVersion }: ReplicaEntry, isRelayed = false): string | undefined {
     const isStale = this.parts.origins.doubtOf(this.request.service) === VersionDoubt.StaleView;
-    return this.isBound || isStale ? softwareVersion : undefined;
+    return this.isBound || isStale || isRelayed ? softwareVersion : undefined;
   }
 
   /** Finds out at which version a stream goes on that the caller resumes; does nothing for a new one. */
@@ -143,16 +145,37 @@
     return { ...asked, doubt, maxWaitMs: 0, origin: { state: OriginState.Known, softwareVersion } };
   }
 
-  /** Binds a new stream to the version of its first replica, before the caller gets anything of it. */
-  begin({ id, softwareVersion }: ReplicaEntry): void {
+  /**
+   * Binds a new stream to the version of its first replica, before the caller gets anything of it.
+   * @param proof - Whether the listed incarnation of the replica has sent it, which nothing shows yet; until then its
+   *   version is not known. Undefined if that is proved.
+   */
+  begin(replica: ReplicaEntry, proof?: Promise<boolean>): void {
     if (!this.isBound) {
       this.isBound = true;
-      this.firstReplica = id;
-      if (softwareVersion !== undefined) this.origin = { state: OriginState.Known, softwareVersion };
+      if (proof === undefined) this.recordFirst(replica);
+      else void this.recordProved(replica, proof);
     }
     this.parts.origins.begin(this.stream);
   }
 
+  private recordFirst({ id, softwareVersion }: ReplicaEntry): void {
+    this.firstReplica = id;
+    if (softwareVersion !== undefined) this.origin = { state: OriginState.Known, softwareVersion };
+  }
+
+  private async recordProved(replica: ReplicaEntry, proof: Promise<boolean>): Promise<void> {
+    if (await proof) {
+      this.recordFirst(replica);
+      return;
+    }
+    this.parts.log.decide('stream.unproved', `Another start of ${replica.name} may have begun the stream.`, {
+      request: this.request.head.id,
+      replica: replica.id,
+      softwareVersion: replica.softwareVersion,
+    });
+  }
+
   /**
    * Ends the binding with its response.
    * @param isComplete - Whether the caller got the whole stream.
--- a/packages/routing/test/origins/release-fleet.ts
+++ b/packages/routing/test/origins/release-fleet.ts
@@ -1,5 +1,5 @@
 /** A fleet on the virtual clock whose replicas get another software version while one daemon is out of step. */
-import type { ReplicaEntry, StreamBindingDependencies } from '@celeryyoke/routing';
+import type { ReplicaEntry, ReplicaStart, StreamBindingDependencies } from '@celeryyoke/routing';
 import {
   FleetSettling,
   PauseDetector,
@@ -7,6 +7,7 @@
   replicaId,
   StreamBinding,
   StreamOrigins,
+  Topic,
   VersionHistory,
 } from '@celeryyoke/routing';
 
@@ -23,6 +24,8 @@
 /** Replica that the store of the tests lists from the start. */
 const FIRST_NAME = 'e1';
 const COLD_START_MS = 12_000;
+/** Time in which a replica reports, in milliseconds. */
+const REPORT_MS = 5;
 
 /** The process that runs under the name of a replica. */
 interface EngineProcess {
@@ -129,12 +132,22 @@
     const id = `s${this.streamCount}`;
     const binding = this.bind(daemon, body, { id, lastEventId: undefined, firstAttempt: undefined });
     if (runs === undefined || !this.isProved(binding, replica)) return undefined;
-    binding.begin(replica);
+    binding.begin(replica, this.prove(daemon, replica));
     this.timers.after(breaksAfterMs, () => binding.end(false));
     const { softwareVersion } = runs;
     return { id, body, softwareVersion, isMistaken: softwareVersion !== replica.softwareVersion };
   }
 
+  /** Proves, with a report, which process has begun a stream, and publishes a start that the report shows. */
+  private async prove(daemon: TestDaemon, { name, bornAt }: ReplicaEntry): Promise<boolean> {
+    await this.timers.sleep(REPORT_MS);
+    const runs = this.processes.get(name);
+    if (runs === undefined) return false;
+    const start = { name, bornAt: runs.bornAt };
+    if (this.partsOf(daemon).registry.recordStart(start)) daemon.tree.publish(Topic.ReplicaStart, start);
+    return runs.bornAt === bornAt;
+  }
+
   /** Whether a process runs that could go on with a stream. */
   canContinue({ softwareVersion }: BegunStream): boolean {
     return [...this.processes.values()].some((runs) => runs.softwareVersion === softwareVersion);
@@ -207,6 +220,17 @@
     const { address: self, cluster, view } = daemon;
     const timers = timersOf(this.watching.fleet.network, self);
     const registry = new ReplicaRegistry(view, createAvailability(timers), timers);
+    daemon.tree.register<ReplicaStart>(Topic.ReplicaStart, {
+      isUrgent: true,
+      keyOf: ({ name }) => name,
+      merge: (start) => registry.recordStart(start),
+      snapshot: () => [],
+      encode: ({ name, bornAt }) => [name, bornAt],
+      decode: (wire) => {
+        const [name, bornAt] = wire as [string, number];
+        return { name, bornAt };
+      },
+    });
     const pauses = new PauseDetector(timers, () => undefined);
     pauses.start();
     const settling = new FleetSettling({
--- a/packages/routing/test/origins/stream-binding.test.ts
+++ b/packages/routing/test/origins/stream-binding.test.ts
@@ -154,3 +154,28 @@
     t.is(binding.versionToProve(replica), 'v1');
   }
 });
+
+// Guards against a version that is taken from an entry although another start of the replica may have responded.
+test('a new stream has no version until it is proved which start of its replica began it', async (t) => {
+  const replica = { ...engineEntry('e1'), softwareVersion: 'v1' };
+  const proved = setUp(undefined, undefined);
+  proved.state.replica = replica;
+  proved.binding.begin(replica, Promise.resolve(true));
+  t.true(proved.binding.isStuck);
+  await Promise.resolve();
+  await Promise.resolve();
+  t.is(proved.binding.softwareVersion, 'v1');
+  const refuted = setUp(undefined, undefined);
+  refuted.state.replica = replica;
+  refuted.binding.begin(replica, Promise.resolve(false));
+  await Promise.resolve();
+  await Promise.resolve();
+  t.true(refuted.binding.isStuck);
+});
+
+test('a peer that relays a new stream proves the version of its replica before anything is passed on', (t) => {
+  const { binding } = setUp(undefined, undefined);
+  const replica = { ...engineEntry('e1'), softwareVersion: 'v1' };
+  t.is(binding.versionToProve(replica), undefined);
+  t.is(binding.versionToProve(replica, true), 'v1');
+});
