--- a/packages/routing/src/core/channels/pool.ts
+++ b/packages/routing/src/core/channels/pool.ts
@@ -47,13 +47,13 @@
   ) {}
 
   /**
-   * Sends a request to a replica on an idle connection or a new one; a repeated request always on a new one.
+   * Sends a request to a replica on an idle connection or a new one.
    * @param sink - Called at each step of the exchange.
    */
   send(upstream: UpstreamAddress, call: UpstreamCall, sink: ResponseSink): ExchangeHandle {
     const refusal = this.guard.refusal(upstream.id, call.purpose);
     if (refusal !== undefined) return failLater(sink, ChannelFailure.Withheld, refusal);
-    const channel = call.isRepeated ? this.create(upstream) : this.acquire(upstream);
+    const channel = call.needsNewConnection ? this.create(upstream) : this.acquire(upstream);
     let hasHead = false;
     return channel.send(call, {
       onSent: () => sink.onSent(),
--- a/packages/routing/src/core/channels/types.ts
+++ b/packages/routing/src/core/channels/types.ts
@@ -28,11 +28,8 @@
   /** Alternating names and values. */
   readonly headers: readonly string[];
   readonly body: Buffer | undefined;
-  /**
-   * Whether the upstream was sent the same request before. It then goes over a new connection: a late response to the
-   * earlier attempt names the same request, and must not be taken for the one to this attempt.
-   */
-  readonly isRepeated?: boolean;
+  /** Whether it must not go over a connection that was used before. */
+  readonly needsNewConnection?: boolean;
 }
 
 /** Why an exchange failed. */
--- a/packages/routing/src/core/relays/relay-codec.ts
+++ b/packages/routing/src/core/relays/relay-codec.ts
@@ -13,7 +13,7 @@
   body: Buffer | null,
   timeoutMs: number,
   softwareVersion?: string | null,
-  isRepeated?: boolean,
+  needsNewConnection?: boolean,
 ];
 
 type RelayEventFrame = readonly [kind: RelayEventKind, ...facts: unknown[]];
@@ -25,7 +25,7 @@
   timeoutMs,
   softwareVersion,
 }: RelayRequest): RelayRequestFrame {
-  const { purpose, method, path, headers, body, isRepeated = false } = call;
+  const { purpose, method, path, headers, body, needsNewConnection = false } = call;
   return [
     request,
     replica,
@@ -36,16 +36,26 @@
     body ?? null,
     timeoutMs,
     softwareVersion ?? null,
-    isRepeated,
+    needsNewConnection,
   ];
 }
 
 /** Decodes a request; the frame's types are not checked. */
 export function decodeRelayRequest(frame: RelayRequestFrame): RelayRequest {
-  const [request, replica, purpose, method, path, headers, bytes, timeoutMs, softwareVersion, isRepeated] =
-    frame;
+  const [
+    request,
+    replica,
+    purpose,
+    method,
+    path,
+    headers,
+    bytes,
+    timeoutMs,
+    softwareVersion,
+    needsNewConnection,
+  ] = frame;
   const body = bytes === null ? undefined : Buffer.from(bytes);
-  const call = { purpose, method, path, headers, body, isRepeated: isRepeated === true };
+  const call = { purpose, method, path, headers, body, needsNewConnection: needsNewConnection === true };
   return { request, replica, call, timeoutMs, softwareVersion: softwareVersion ?? undefined };
 }
 
--- a/packages/routing/src/core/requests/execution.ts
+++ b/packages/routing/src/core/requests/execution.ts
@@ -451,8 +451,9 @@
       continuation,
     });
     const purpose = continuation === undefined ? ExchangePurpose.Request : ExchangePurpose.Continuation;
-    const isRepeated = this.sentTo.has(replica.id);
-    const call = { purpose, method: head.method, path: head.target, headers, body, isRepeated };
+    // A late response to an earlier attempt names the same request; on a new connection none can arrive.
+    const needsNewConnection = this.sentTo.has(replica.id);
+    const call = { purpose, method: head.method, path: head.target, headers, body, needsNewConnection };
     const path = sender.choosePath(replica, this.isRetryable, this.attemptCount === 0);
     this.path = path;
     this.attemptCount += 1;
