streams: ask for the proof of a start on a connection of its own

Requests that were sent on kept connections which had fallen silent for good waited until their deadlines more often: the report that proves a start was asked for on pooled connections, and left one more idle connection there, or was lost on a dead one.

--- a/packages/routing/src/core/daemon/services.ts
+++ b/packages/routing/src/core/daemon/services.ts
@@ -533,8 +533,10 @@
     const { name, bornAt, models } = replica;
     // Without a stated start, a restart has another name, which the request says and a replica checks.
     if (bornAt === undefined) return true;
+    // Kept connections may be dead, or lead to a process that has ended.
+    const connection = this.get<EngineControl>(PART.control).connect(replica, () => undefined);
     try {
-      const report = await this.get<EngineControl>(PART.control).report(replica);
+      const report = await connection.report();
       if (report.bornAt !== undefined) this.publishStart({ name, bornAt: report.bornAt });
       return report.bornAt === bornAt;
     } catch (err) {
@@ -544,6 +546,8 @@
       if (models === undefined && !(err instanceof ExchangeError)) return true;
       await timers.sleep(REPORT_PAUSE_MS);
       return undefined;
+    } finally {
+      connection.close();
     }
   }
 
