streams: keep no proof of a start that is not listed any more

A report that came after its replica was delisted left an entry behind, and a plain replica whose report states no start was never trusted, so that its streams could not go on. Both have a line in the unit test or follow the rule for replicas without a report.

--- a/packages/routing/src/core/daemon/services.ts
+++ b/packages/routing/src/core/daemon/services.ts
@@ -533,17 +533,19 @@
     const { name, bornAt, models } = replica;
     // Without a stated start, a restart has another name, which the request says and a replica checks.
     if (bornAt === undefined) return true;
+    // A plain replica may report nothing, so that it can't be told from one that has restarted.
+    const isTrusted = models === undefined;
     // Kept connections may be dead, or lead to a process that has ended.
     const connection = this.get<EngineControl>(PART.control).connect(replica, () => undefined);
     try {
       const report = await connection.report();
-      if (report.bornAt !== undefined) this.publishStart({ name, bornAt: report.bornAt });
+      if (report.bornAt === undefined) return isTrusted;
+      this.publishStart({ name, bornAt: report.bornAt });
       return report.bornAt === bornAt;
     } catch (err) {
       const { log, timers } = this.options;
       log.debug(`Failed to read the report of ${name}: ${String(err)}.`);
-      // A plain replica may have no report, so that nothing can be told from its response.
-      if (models === undefined && !(err instanceof ExchangeError)) return true;
+      if (isTrusted && !(err instanceof ExchangeError)) return true;
       await timers.sleep(REPORT_PAUSE_MS);
       return undefined;
     } finally {
--- a/packages/routing/src/core/origins/incarnation-proofs.ts
+++ b/packages/routing/src/core/origins/incarnation-proofs.ts
@@ -53,6 +53,7 @@
   /** Drops what is known of an incarnation that is not listed any more. */
   forget(id: string): void {
     this.provedAt.delete(id);
+    this.pending.delete(id);
   }
 
   private start(replica: ReplicaEntry): Promise<boolean> {
@@ -61,8 +62,9 @@
     const pending = { startedAt, result: this.askForReport(replica) };
     this.pending.set(id, pending);
     void pending.result.then((isProved) => {
+      if (this.pending.get(id) !== pending) return;
+      this.pending.delete(id);
       if (isProved) this.provedAt.set(id, startedAt);
-      if (this.pending.get(id) === pending) this.pending.delete(id);
     });
     return pending.result;
   }
--- a/packages/routing/test/origins/incarnation-proofs.test.ts
+++ b/packages/routing/test/origins/incarnation-proofs.test.ts
@@ -59,7 +59,12 @@
   await other.timers.advance(REPORT_MS);
   await proved;
   other.proofs.forget(REPLICA.id);
-  t.not(other.proofs.prove(REPLICA, 0), undefined);
+  const late = other.proofs.prove(REPLICA, 0);
+  t.not(late, undefined);
+  other.proofs.forget(REPLICA.id);
+  await other.timers.advance(REPORT_MS);
+  await late;
+  t.not(other.proofs.prove(REPLICA, 0), undefined, 'what is proved after it was delisted is not kept');
 });
 
 test('a replica that states no start needs no proof', (t) => {
