streams: wait for a pending proof, and ask for none after the stop

The report is read inside the error handling, and no further one is asked for after the stop. A stream that breaks waits until it is known whether its replica is proved; the wait is bounded by the reports. The codec of relays leaves the flag out unless it is set.

--- a/packages/routing/src/core/daemon/services.ts
+++ b/packages/routing/src/core/daemon/services.ts
@@ -173,8 +173,11 @@
         (kernel) => this.createVersionHistory(kernel),
         (history) => history.stop(),
       ),
-      part(PART.incarnations, [PART.registry, PART.control, PART.tree], (kernel) =>
-        this.createIncarnations(kernel),
+      part(
+        PART.incarnations,
+        [PART.registry, PART.control, PART.tree],
+        (kernel) => this.createIncarnations(kernel),
+        (incarnations) => incarnations.stop(),
       ),
       part(
         PART.origins,
@@ -535,19 +538,25 @@
     if (bornAt === undefined) return true;
     // A plain replica may report nothing, so that it can't be told from one that has restarted.
     const isTrusted = models === undefined;
-    // Kept connections may be dead, or lead to a process that has ended.
-    const connection = this.get<EngineControl>(PART.control).connect(replica, () => undefined);
     try {
-      const report = await connection.report();
-      if (report.bornAt === undefined) return isTrusted;
-      this.publishStart({ name, bornAt: report.bornAt });
-      return report.bornAt === bornAt;
+      const reportedStart = await this.readStart(replica);
+      if (reportedStart === undefined) return isTrusted;
+      this.publishStart({ name, bornAt: reportedStart });
+      return reportedStart === bornAt;
     } catch (err) {
       const { log, timers } = this.options;
       log.debug(`Failed to read the report of ${name}: ${String(err)}.`);
       if (isTrusted && !(err instanceof ExchangeError)) return true;
       await timers.sleep(REPORT_PAUSE_MS);
       return undefined;
+    }
+  }
+
+  /** Reads the start that a replica reports, on a new connection: kept ones may be dead, or lead to a process that has ended. */
+  private async readStart(replica: ReplicaEntry): Promise<number | undefined> {
+    const connection = this.get<EngineControl>(PART.control).connect(replica, () => undefined);
+    try {
+      return (await connection.report()).bornAt;
     } finally {
       connection.close();
     }
--- a/packages/routing/src/core/origins/incarnation-proofs.ts
+++ b/packages/routing/src/core/origins/incarnation-proofs.ts
@@ -33,8 +33,15 @@
 
   private readonly pending = new Map<string, PendingProof>();
 
+  private isStopped = false;
+
   constructor(private readonly options: IncarnationProofsOptions) {}
 
+  /** Asks for no further report; what is not proved by now is not proved any more. */
+  stop(): void {
+    this.isStopped = true;
+  }
+
   /**
    * Finds out whether the listed incarnation of a replica has sent what arrives on a connection.
    * @param connectedAt - Monotonic time at which the connection was established, in milliseconds.
@@ -70,7 +77,7 @@
   }
 
   private async askForReport(replica: ReplicaEntry): Promise<boolean> {
-    for (let count = 0; count < MAX_REPORTS; count += 1) {
+    for (let count = 0; count < MAX_REPORTS && !this.isStopped; count += 1) {
       const isRunning = await this.options.isRunning(replica);
       if (isRunning !== undefined) return isRunning;
     }
--- a/packages/routing/src/core/relays/relay-codec.ts
+++ b/packages/routing/src/core/relays/relay-codec.ts
@@ -55,7 +55,8 @@
     needsNewConnection,
   ] = frame;
   const body = bytes === null ? undefined : Buffer.from(bytes);
-  const call = { purpose, method, path, headers, body, needsNewConnection: needsNewConnection === true };
+  const flags = needsNewConnection ? { needsNewConnection } : {};
+  const call = { purpose, method, path, headers, body, ...flags };
   return { request, replica, call, timeoutMs, softwareVersion: softwareVersion ?? undefined };
 }
 
--- a/packages/routing/src/core/requests/execution.ts
+++ b/packages/routing/src/core/requests/execution.ts
@@ -333,6 +333,7 @@
       if (result === undefined) continue;
       await this.suspicion.report(choice.replica, this.path, result, this.migrated !== undefined);
       if (!this.handleResult(choice, result)) break;
+      await this.binding?.settle();
     }
     if (!this.hasEnded && !this.mayAttempt) this.endWithDaemon();
     if (!this.hasEnded) this.finishUnserved();
--- a/packages/routing/src/core/requests/stream-binding.ts
+++ b/packages/routing/src/core/requests/stream-binding.ts
@@ -74,6 +74,9 @@
 
   private readonly stream: RunningStream;
 
+  /** Settles when it is known whether the first replica is proved. */
+  private proof: Promise<void> = Promise.resolve();
+
   constructor(
     private readonly parts: StreamBindingDependencies,
     private readonly request: BoundRequest,
@@ -154,11 +157,16 @@
     if (!this.isBound) {
       this.isBound = true;
       if (proof === undefined) this.recordFirst(replica);
-      else void this.recordProved(replica, proof);
+      else this.proof = this.recordProved(replica, proof);
     }
     this.parts.origins.begin(this.stream);
   }
 
+  /** Waits until it is known whether the version of a stream that has begun can be told. */
+  settle(): Promise<void> {
+    return this.proof;
+  }
+
   private recordFirst({ id, softwareVersion }: ReplicaEntry): void {
     this.firstReplica = id;
     if (softwareVersion !== undefined) this.origin = { state: OriginState.Known, softwareVersion };
--- a/packages/routing/test/origins/incarnation-proofs.test.ts
+++ b/packages/routing/test/origins/incarnation-proofs.test.ts
@@ -72,3 +72,13 @@
   t.is(proofs.prove({ ...REPLICA, bornAt: undefined }, timers.now()), undefined);
   t.is(state.reports, 0);
 });
+
+// Guards against a question to a daemon that is gone, whose failure nobody handles.
+test('no further report is asked for after the stop', async (t) => {
+  const { timers, state, proofs } = setUp([undefined]);
+  const proof = proofs.prove(REPLICA, timers.now());
+  proofs.stop();
+  await timers.advance(REPORT_MS);
+  t.false(await proof);
+  t.is(state.reports, 1);
+});
