--- a/packages/routing/src/core/suspects/feature-statistics.ts
+++ b/packages/routing/src/core/suspects/feature-statistics.ts
@@ -3,7 +3,6 @@
 
 import type { AnswerRun } from './attempt-ledger.js';
 import type { FeatureUse } from './evidence.js';
-import type { FeatureTally } from './types.js';
 
 /** Time after which older counts are dropped, in milliseconds; the newest are up to twice as old. */
 const EPOCH_MS = 30_000;
@@ -87,16 +86,7 @@
   }
 }
 
-/** What one peer has counted. */
-interface PeerTally extends FeatureTally {
-  /** Monotonic milliseconds. */
-  readonly receivedAt: number;
-}
-
-/**
- * Use of features in the last half a minute or more, on their routes: requests of one are alike in what they share. Few
- * requests show little, so the counts of peers that have reported crashes are added.
- */
+/** Use of features in the last half a minute or more, on their routes: requests of one are alike in what they share. */
 export class FeatureStatistics {
   private current = new Epoch();
 
@@ -104,9 +94,6 @@
 
   private epochEndsAt: number;
 
-  /** Latest counts of peers, by feature and peer. */
-  private readonly peerTallies = new Map<string, Map<string, PeerTally>>();
-
   /** Answers that have begun, by route, in the order of their begin. */
   private readonly runs = new Map<string, AnswerRun[]>();
 
@@ -123,21 +110,6 @@
     this.current.count(run);
   }
 
-  /** Returns how often this daemon has seen features. */
-  talliesOf(features: Iterable<string>): FeatureTally[] {
-    return [...features].map((feature) => ({ feature, ...this.ownTally(feature) }));
-  }
-
-  /** Takes what a peer has counted in place of what it had told before. */
-  mergeTallies(peer: string, tallies: readonly FeatureTally[]): void {
-    const receivedAt = this.timers.now();
-    for (const tally of tallies) {
-      const known = this.peerTallies.get(tally.feature) ?? new Map<string, PeerTally>();
-      if (known.size === 0 && this.peerTallies.size >= MAX_FEATURES) continue;
-      this.peerTallies.set(tally.feature, known.set(peer, { ...tally, receivedAt }));
-    }
-  }
-
   /** Records an answer that has begun, or goes on; how long it goes on is read when it matters. */
   recordRun(run: AnswerRun): void {
     const runs = this.runs.get(run.route) ?? [];
@@ -169,44 +141,17 @@
     longestMs: number,
     wasRefusedAt: (at: number) => boolean = () => false,
   ): FeatureUse {
-    const { requests, all } = this.fleetTally(feature);
+    const counts = [this.current, this.previous].flatMap((epoch) => epoch.features.get(feature) ?? []);
+    const routes = counts.length === 0 ? undefined : new Set(counts.flatMap((count) => [...count.routes]));
+    const withFeature = counts.reduce((sum, { requests }) => sum + requests, 0);
+    const all = this.current.requestsOf(routes) + this.previous.requestsOf(routes);
     return {
-      share: Math.min(1, (requests + 1 + Math.sqrt(requests + 1)) / (all + 1)),
-      shareAtLeast: Math.max(0, requests - Math.sqrt(requests)) / (all + 1),
-      soundRuns: this.soundRunsSince(this.routesOf(feature), since, longestMs, wasRefusedAt),
+      share: Math.min(1, (withFeature + 1 + Math.sqrt(withFeature + 1)) / (all + 1)),
+      shareAtLeast: Math.max(0, withFeature - Math.sqrt(withFeature)) / (all + 1),
+      soundRuns: this.soundRunsSince(routes, since, longestMs, wasRefusedAt),
     };
   }
 
-  private countsOf(feature: string): FeatureCount[] {
-    return [this.current, this.previous].flatMap((epoch) => epoch.features.get(feature) ?? []);
-  }
-
-  /** Routes on which this daemon has seen a feature; undefined if it has not. */
-  private routesOf(feature: string): ReadonlySet<string> | undefined {
-    const counts = this.countsOf(feature);
-    return counts.length === 0 ? undefined : new Set(counts.flatMap((count) => [...count.routes]));
-  }
-
-  private ownTally(feature: string): Omit<FeatureTally, 'feature'> {
-    const routes = this.routesOf(feature);
-    return {
-      requests: this.countsOf(feature).reduce((sum, { requests }) => sum + requests, 0),
-      all: this.current.requestsOf(routes) + this.previous.requestsOf(routes),
-    };
-  }
-
-  /** Adds what peers have counted to the counts of this daemon. */
-  private fleetTally(feature: string): Omit<FeatureTally, 'feature'> {
-    const oldest = this.timers.now() - 2 * EPOCH_MS;
-    const told = [...(this.peerTallies.get(feature)?.values() ?? [])];
-    return told
-      .filter(({ receivedAt }) => receivedAt >= oldest)
-      .reduce(
-        (sum, { requests, all }) => ({ requests: sum.requests + requests, all: sum.all + all }),
-        this.ownTally(feature),
-      );
-  }
-
   /**
    * Counts answers in whose place one with a feature would have refuted it. Classes of requests differ in how long their
    * answers take, so an answer counts once any would have gone on for long enough.
@@ -230,11 +175,6 @@
   private startEpoch(): void {
     this.previous = this.current;
     this.current = new Epoch();
-    const oldest = this.timers.now() - 2 * EPOCH_MS;
-    for (const [feature, tallies] of this.peerTallies) {
-      for (const [peer, { receivedAt }] of tallies) if (receivedAt < oldest) tallies.delete(peer);
-      if (tallies.size === 0) this.peerTallies.delete(feature);
-    }
     this.epochEndsAt = this.timers.now() + EPOCH_MS;
   }
 }
--- a/packages/routing/src/core/suspects/suspect-codec.ts
+++ b/packages/routing/src/core/suspects/suspect-codec.ts
@@ -2,7 +2,7 @@
 import type { SharedFeature, SuspectRequest } from '@celeryyoke/core';
 import { EndCertainty } from '@celeryyoke/core';
 
-import type { FeatureTally, SuspectRow } from './types.js';
+import type { SuspectRow } from './types.js';
 import { SuspectRowKind } from './types.js';
 
 /** Fingerprint of a request, then each shared feature with what it must differ in, which may be empty. */
@@ -11,12 +11,9 @@
 /** Ages of a request and of its answer at the sending, in milliseconds; negative if that is not known or has not begun. */
 type AgesFrame = readonly [requestMs: number, answerMs: number];
 
-/** A feature, the requests with it, and all on its routes. */
-type TallyFrame = readonly [feature: string, requests: number, all: number];
-
 /**
  * Kind, name, time relative to the sending in milliseconds, reporter, a list of names or of requests, the ages of these
- * requests, how sure the row is, and how often the reporter has seen what these requests share.
+ * requests, and how sure the row is.
  */
 export type SuspectFrame = readonly [
   kind: SuspectRowKind,
@@ -26,7 +23,6 @@
   list: readonly string[] | readonly RequestFrame[],
   ages?: readonly AgesFrame[],
   certainty?: EndCertainty,
-  tallies?: readonly TallyFrame[],
 ];
 
 const UNKNOWN_AGE = -1;
@@ -76,7 +72,6 @@
       row.requests.map(encodeRequest),
       row.requests.map((request) => encodeAges(request, now)),
       row.certainty,
-      row.tallies.map(({ feature, requests, all }) => [feature, requests, all]),
     ];
   if (kind === SuspectRowKind.Cleared) return [kind, row.fingerprint, Math.round(now - row.at), '', []];
   if (kind === SuspectRowKind.Quarantine)
@@ -101,18 +96,11 @@
   return now - Math.max(0, ageMs);
 }
 
-/** @throws TypeError if its numbers are no counts. */
-function decodeTally([feature, requests, all]: TallyFrame): FeatureTally {
-  const isValid = Number.isFinite(all) && requests >= 0 && requests <= all;
-  if (!isValid) throw new TypeError(`A tally has ${String(requests)} of ${String(all)} requests.`);
-  return { feature, requests, all };
-}
-
 type Decoder = (frame: SuspectFrame, now: number) => SuspectRow;
 
 const DECODERS: Readonly<Record<SuspectRowKind, Decoder>> = {
   [SuspectRowKind.Crash]: (
-    [, replica, ageMs, reporter, requests, ages = [], certainty = EndCertainty.Confirmed, tallies = []],
+    [, replica, ageMs, reporter, requests, ages = [], certainty = EndCertainty.Confirmed],
     now,
   ) => ({
     kind: SuspectRowKind.Crash,
@@ -121,7 +109,6 @@
     at: timeAgo(ageMs, now),
     certainty,
     requests: requests.map((request, index) => decodeRequest(request, ages[index] ?? UNKNOWN_AGES, now)),
-    tallies: tallies.map(decodeTally),
   }),
   [SuspectRowKind.Cleared]: ([, fingerprint, ageMs], now) => ({
     kind: SuspectRowKind.Cleared,
--- a/packages/routing/src/core/suspects/suspect-registry.ts
+++ b/packages/routing/src/core/suspects/suspect-registry.ts
@@ -32,7 +32,7 @@
 import { PROVISIONAL_MS, ProvisionalRefusals } from './provisional-refusals.js';
 import type { SuspectFrame } from './suspect-codec.js';
 import { decodeSuspect, encodeSuspect } from './suspect-codec.js';
-import type { CrashRow, FeatureTally, QuarantineRow, SuspectRow } from './types.js';
+import type { CrashRow, QuarantineRow, SuspectRow } from './types.js';
 import { SuspectRowKind } from './types.js';
 
 /** Time for which a request that crashes replicas is refused, in milliseconds. */
@@ -310,7 +310,6 @@
       at: known?.at ?? endedAt,
       certainty: isSurer ? certainty : (known?.certainty ?? certainty),
       requests: requests.slice(-MAX_REQUESTS),
-      tallies: this.talliesOf(requests),
     };
     this.ownReports.set(replica, row);
     log.decide('replica.crashed', `Replica ${replica} has ended with requests in flight: ${sign}.`, {
@@ -326,11 +325,6 @@
     this.publish(row);
   }
 
-  private talliesOf(requests: readonly SuspectRequest[]): FeatureTally[] {
-    const features = requests.flatMap(({ shared }) => shared.map(({ feature }) => feature));
-    return this.statistics.talliesOf(new Set(features));
-  }
-
   /** Attempts that a replica has not answered, that were made until its end, and of which peers have not been told. */
   private unreported(replica: string, endedAt: number): AttemptRecord[] {
     const reported = new Set(this.ownReports.get(replica)?.requests.map(({ fingerprint }) => fingerprint));
@@ -516,8 +510,7 @@
     readonly [Kind in SuspectRowKind]: (row: Extract<SuspectRow, { kind: Kind }>) => boolean;
   } = {
     [SuspectRowKind.Crash]: (row) => {
-      const { replica, at, certainty, requests, reporter, tallies } = row;
-      if (reporter !== this.options.self) this.statistics.mergeTallies(reporter, tallies);
+      const { replica, at, certainty, requests, reporter } = row;
       const isNew = this.crashes.add(replica, at, requests, certainty);
       if (isNew && certainty === EndCertainty.Confirmed)
         for (const listener of this.endedListeners) listener(replica, at);
@@ -587,7 +580,6 @@
         at,
         certainty,
         requests: [...requests.values()].slice(0, MAX_REQUESTS),
-        tallies: [],
       };
   }
 }
--- a/packages/routing/src/core/suspects/types.ts
+++ b/packages/routing/src/core/suspects/types.ts
@@ -13,15 +13,6 @@
   Refuted = 4,
 }
 
-/** How often one daemon has seen a shared feature in the requests that replicas have run for it lately. */
-export interface FeatureTally {
-  readonly feature: string;
-  /** Requests with the feature. */
-  readonly requests: number;
-  /** Requests on its routes. */
-  readonly all: number;
-}
-
 /** Requests that one daemon had in flight at a crash. */
 export interface CrashRow {
   readonly kind: SuspectRowKind.Crash;
@@ -33,8 +24,6 @@
   readonly at: number;
   readonly certainty: EndCertainty;
   readonly requests: readonly SuspectRequest[];
-  /** Of what these requests share; empty if the reporter has counted nothing. */
-  readonly tallies: readonly FeatureTally[];
 }
 
 /** A suspect that has ended well. */
--- a/packages/routing/test/crash-reports-load.test.ts
+++ b/packages/routing/test/crash-reports-load.test.ts
@@ -42,7 +42,6 @@
       at: now,
       certainty: EndCertainty.Confirmed,
       requests: [request],
-      tallies: parts.map((feature) => ({ feature, requests: 1, all: DAEMONS })),
     };
   });
 }
--- a/packages/routing/test/ended-replicas.test.ts
+++ b/packages/routing/test/ended-replicas.test.ts
@@ -55,7 +55,6 @@
     kind: SuspectRowKind.Crash,
     replica: 'e1',
     reporter: 'd9',
-    tallies: [],
     at: fleet.timers.now() + 60_000,
     certainty: EndCertainty.Confirmed,
     requests: [{ fingerprint: CULPRIT, shared: [] }],
