requests: give one owner to responses that end early

Callers saw a stream without a length that its daemon had cut as whole, now and then at the end of the grace period, always after an error that nothing handles. A caller that reads slowly got less than the whole response from a daemon that shut down.

Cause: how a connection ends was decided on many paths. A response that is written but not taken counted as over, so that the exit did not reset it and closeIdleConnections of Node.js closed it as idle.

response-end.ts decides it for all: a response is open until its last byte was handed to the system; without a length it is reset 50 ms after its last byte, and in the handler of the exit. Connections are idle by what has arrived and what is open on them.

--- a/packages/routing/src/core/daemon/router.ts
+++ b/packages/routing/src/core/daemon/router.ts
@@ -105,6 +105,11 @@
     await timers.sleep(CONNECTION_ARRIVAL_MS);
   }
 
+  /** Breaks off the responses that are not written, as the process ends, so that none of them looks complete. */
+  breakOffResponses(): void {
+    this.get<RequestServer>(PART.requests).breakOffResponses();
+  }
+
   /** Stops all parts in reverse order without waiting; requests in progress are aborted. */
   async stop(): Promise<void> {
     this.state.isLeaving = true;
--- a/packages/routing/src/core/requests/caller-connection.ts
+++ b/packages/routing/src/core/requests/caller-connection.ts
@@ -16,8 +16,11 @@
   /** Monotonic time of its acceptance, in milliseconds. */
   private readonly acceptedAt: number;
 
+  /** Number of bytes that were received by the end of the last exchange. */
+  private settledBytes = 0;
+
   constructor(
-    socket: Socket,
+    private readonly socket: Socket,
     private readonly timers: TimerService,
     queuedSince: number,
   ) {
@@ -30,6 +33,16 @@
     socket.once('close', leave);
   }
 
+  /** Records that a response has been written. */
+  settle(): void {
+    this.settledBytes = this.socket.bytesRead;
+  }
+
+  /** Whether nothing of a request has arrived since the last exchange. */
+  get isIdle(): boolean {
+    return this.socket.bytesRead === this.settledBytes;
+  }
+
   /** Returns the earliest monotonic time at which a request that is read now can have arrived, in milliseconds. */
   earliestArrival(): number {
     const since = this.timers.now() - this.timers.readAgeMs();
@@ -56,7 +69,7 @@
 
 /** Connections of all callers. */
 export class CallerConnections {
-  private readonly connections = new WeakMap<Socket, CallerConnection>();
+  private readonly connections = new Map<Socket, CallerConnection>();
 
   /** Monotonic time at which the queue of new connections was last known to be empty, in milliseconds. */
   private queueEmptyAt: number;
@@ -77,9 +90,15 @@
     this.acceptedAt = now;
     const connection = new CallerConnection(socket, this.timers, this.queueEmptyAt);
     this.connections.set(socket, connection);
+    socket.once('close', () => this.connections.delete(socket));
     return connection;
   }
 
+  /** Connections of which nothing of a request has arrived since the last exchange. */
+  idle(): Socket[] {
+    return [...this.connections].filter(([, { isIdle }]) => isIdle).map(([socket]) => socket);
+  }
+
   /** Returns the connection of a socket. */
   of(socket: Socket): CallerConnection {
     return this.connections.get(socket) ?? this.accept(socket);
--- a/packages/routing/src/core/requests/execution.ts
+++ b/packages/routing/src/core/requests/execution.ts
@@ -224,7 +224,7 @@
     const timeoutMs = requestTimeoutMs(head, route);
     this.deadlineAt = arrivedAt + timeoutMs - lostMs(options.unreadMs, timeoutMs);
     if (route.kind === RouteKind.Streaming) {
-      this.relay = new StreamRelay(res, head.lastEventId, parts.timers.now, parts.buffers);
+      this.relay = new StreamRelay(res, head.lastEventId, parts.timers, parts.buffers);
       this.binding = new StreamBinding(parts, {
         ...options,
         fingerprint: () => this.suspicion.fingerprints().exact,
--- a/packages/routing/src/core/requests/headers.ts
+++ b/packages/routing/src/core/requests/headers.ts
@@ -5,6 +5,7 @@
 
 import type { HeaderMap } from '../channels/index.js';
 import { isFramed } from '../channels/index.js';
+import { markWithoutLength } from './response-end.js';
 
 /**
  * Returns all headers but the hop-by-hop ones.
@@ -41,6 +42,7 @@
   bodyBytes?: number,
 ): void {
   if (!isFramed(headers) && !BODYLESS_STATUSES.has(status)) {
+    markWithoutLength(res);
     res.shouldKeepAlive = false;
     res.removeHeader('transfer-encoding');
     res.writeHead(status, endToEndHeaders(headers));
--- a/packages/routing/src/core/requests/relay.ts
+++ b/packages/routing/src/core/requests/relay.ts
@@ -7,13 +7,14 @@
  */
 import type { ServerResponse } from 'node:http';
 
+import type { TimerService } from '@celeryyoke/core';
 import { EventScanner, NO_ID } from '@celeryyoke/core';
 
 import type { BufferBudget } from '../buffers/index.js';
 import { BudgetedBuffer, BufferLimit } from '../buffers/index.js';
 import type { HeaderMap } from '../channels/index.js';
-import { isFramed } from '../channels/index.js';
 import { writeResponseHead } from './headers.js';
+import { breakOff } from './response-end.js';
 
 const LF = 0x0a;
 const CR = 0x0d;
@@ -50,14 +51,13 @@
   /** Whether the response head was sent to the caller. */
   hasBegun = false;
 
-  /** Whether the response to the caller has a length or is sent in chunks. */
-  private isFramed = true;
-
   /** Bytes after the last complete event. */
   private readonly partialEvent: BudgetedBuffer;
 
   private scanner = new EventScanner();
 
+  private isAborted = false;
+
   /** Whether a later replica continues the stream. */
   private isResumed = false;
 
@@ -66,13 +66,12 @@
 
   /**
    * @param resumeFromId - Id of the last event that the caller says it has received.
-   * @param now - Returns the monotonic time, in milliseconds.
    * @param buffers - Limits the memory of all bodies that are held.
    */
   constructor(
     private readonly res: ServerResponse,
     resumeFromId: number | undefined,
-    private readonly now: () => number,
+    private readonly timers: Pick<TimerService, 'after' | 'now'>,
     buffers: BufferBudget,
   ) {
     this.lastEventId = resumeFromId;
@@ -104,7 +103,6 @@
     this.isResumed = this.hasBegun;
     if (this.hasBegun) return;
     this.hasBegun = true;
-    this.isFramed = isFramed(headers);
     writeResponseHead(this.res, status, headers);
     this.res.flushHeaders();
   }
@@ -160,20 +158,21 @@
     this.res.end();
   }
 
-  /** Closes the connection, so that the stream does not look complete; one without a length only if it is reset. */
+  /** Ends the response so that it does not look complete. */
   abort(): void {
-    if (this.isFramed) this.res.destroy();
-    else this.res.socket?.resetAndDestroy();
+    this.isAborted = true;
+    breakOff(this.res, this.timers);
   }
 
   private recordGap(): void {
-    const now = this.now();
+    const now = this.timers.now();
     if (this.lastChunkAt !== undefined)
       this.longestGapMs = Math.max(this.longestGapMs, now - this.lastChunkAt);
     this.lastChunkAt = now;
   }
 
   private write(bytes: Buffer, from: number, to: number): void {
-    if (to > from) this.res.write(from === 0 && to === bytes.length ? bytes : bytes.subarray(from, to));
+    if (to > from && !this.isAborted)
+      this.res.write(from === 0 && to === bytes.length ? bytes : bytes.subarray(from, to));
   }
 }
--- a/packages/routing/src/core/requests/server.ts
+++ b/packages/routing/src/core/requests/server.ts
@@ -5,6 +5,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { createServer } from 'node:http';
 import type { Socket } from 'node:net';
+import { Server as NetServer } from 'node:net';
 
 import type { DecisionLog, TimerHandle, TimerService } from '@celeryyoke/core';
 import { afterLateTurn, hash32, startListening } from '@celeryyoke/core';
@@ -20,6 +21,7 @@
 import { CallerConnections } from './caller-connection.js';
 import type { RequestExecutionOptions, ExecutionDependencies } from './execution.js';
 import { RequestExecution } from './execution.js';
+import { breakOff, OpenResponses } from './response-end.js';
 import { NotRunProof, RunRecord } from './run-record.js';
 import { SHUTTING_DOWN } from './shutdown.js';
 import type { RequestHead } from './types.js';
@@ -77,8 +79,7 @@
 
 /** Listens for callers and serves each of their requests. */
 export class RequestServer {
-  /** Responses that have not ended. */
-  private readonly openResponses = new Set<ServerResponse>();
+  private readonly responses = new OpenResponses();
 
   private readonly server: Server;
 
@@ -123,9 +124,9 @@
     });
   }
 
-  /** Number of requests in progress. */
+  /** Number of requests in progress, until their responses are written. */
   get running(): number {
-    return this.openResponses.size;
+    return this.responses.count;
   }
 
   listen(): Promise<void> {
@@ -136,7 +137,7 @@
   /** Makes each response the last one on its connection. Requests that still arrive are served. */
   drain(): void {
     this.isDraining = true;
-    for (const res of this.openResponses) res.shouldKeepAlive = false;
+    for (const res of this.responses) res.shouldKeepAlive = false;
   }
 
   /**
@@ -156,19 +157,27 @@
   /** Closes the listener and idle connections, and refuses new requests. */
   close(): void {
     this.isClosing = true;
-    this.server.close();
-    this.server.closeIdleConnections();
+    // The method of HTTP servers also closes connections whose responses are not written yet.
+    NetServer.prototype.close.call(this.server);
+    this.closeIdleConnections();
   }
 
   /** Closes the listener and all connections, which aborts the requests in progress. */
   closeAllConnections(): void {
     this.close();
+    this.breakOffResponses();
     this.server.closeAllConnections();
   }
 
-  /** Closes connections without a request in progress. */
+  /** Breaks off the responses that are not written in this step, as the process ends. */
+  breakOffResponses(): void {
+    this.responses.breakOffNow();
+  }
+
+  /** Closes connections without a request in progress, or a response that is still written. */
   closeIdleConnections(): void {
-    this.server.closeIdleConnections();
+    for (const socket of this.connections.idle())
+      if (this.responses.on(socket) === undefined) socket.destroy();
   }
 
   /**
@@ -182,7 +191,7 @@
       this.rejectedSockets.add(socket);
       rejectConnection(err, socket);
     };
-    const open = [...this.openResponses].find((res) => res.socket === socket);
+    const open = this.responses.on(socket);
     if (open?.req.complete) this.endAfterResponse(open, err);
     else if (err.code !== REQUEST_TIMEOUT_CODE || open !== undefined) reject();
     else this.overdueHeads.set(socket, this.options.timers.after(LATE_HEAD_GRACE_MS, reject));
@@ -206,12 +215,13 @@
       req.resume();
       return;
     }
-    this.openResponses.add(res);
+    this.responses.add(res);
     res.on('error', (err) => this.options.log.debug(`Failed to write a response: ${err.message}.`));
     if (this.isDraining) res.shouldKeepAlive = false;
     // The head of a stream that began before the shutdown announced a kept-alive connection: close it when
     // the stream ends.
     res.once('finish', () => {
+      this.connections.of(req.socket).settle();
       if (this.isClosing || this.endingResponses.has(res)) req.socket.destroySoon();
     });
     try {
@@ -220,10 +230,8 @@
       this.options.log.error(
         `Unexpected error in a request: ${err instanceof Error ? err.stack : String(err)}`,
       );
-      if (res.headersSent) res.destroy();
+      if (res.headersSent) breakOff(res, this.options.timers);
       else sendLocalReply(res, LocalReply.OutcomeUnknown, 'Internal error.');
-    } finally {
-      this.openResponses.delete(res);
     }
   }
 
--- a/packages/routing/test/relay.test.ts
+++ b/packages/routing/test/relay.test.ts
@@ -1,6 +1,7 @@
 /** A stream reaches the caller in whole events, without missing or duplicate ones. */
 import type { ServerResponse } from 'node:http';
 
+import { createManualTimers } from '@celeryyoke/core';
 import { BufferBudget, ForwardResult, StreamRelay } from '@celeryyoke/routing';
 import test from 'ava';
 import fc from 'fast-check';
@@ -32,20 +33,28 @@
   destroy(): void {
     this.broken = true;
   }
+
+  removeHeader(): void {
+    this.text += '';
+  }
+
+  /** Whether its connection was reset. */
+  wasReset = false;
+
+  readonly socket = {
+    resetAndDestroy: (): void => {
+      this.wasReset = true;
+    },
+  };
 }
 
 const FRAMED = { 'transfer-encoding': 'chunked' };
 
 function setUp(firstId?: number) {
   const res = new FakeServerResponse();
-  const clock = { now: 0 };
-  const relay = new StreamRelay(
-    res as unknown as ServerResponse,
-    firstId,
-    () => clock.now,
-    new BufferBudget(),
-  );
-  return { res, relay, clock };
+  const timers = createManualTimers();
+  const relay = new StreamRelay(res as unknown as ServerResponse, firstId, timers, new BufferBudget());
+  return { res, relay, timers };
 }
 
 const event = (id: number): string => `id: ${id}\ndata: t${id}\n\n`;
@@ -100,19 +109,34 @@
   t.is(res.text, events(1, 3));
 });
 
-test('the longest gap is measured from the first chunk on, across all replicas', (t) => {
-  const { relay, clock } = setUp();
+test('the longest gap is measured from the first chunk on, across all replicas', async (t) => {
+  const { relay, timers } = setUp();
+  const startedAt = timers.now();
   relay.begin(200, FRAMED);
   for (const [at, id] of [
     [500, 1],
     [600, 2],
     [950, 3],
   ] as const) {
-    clock.now = at;
+    await timers.advance(at - (timers.now() - startedAt));
     relay.forward(Buffer.from(event(id)));
   }
   relay.begin(200, FRAMED);
-  clock.now = 1400;
+  await timers.advance(1400 - (timers.now() - startedAt));
   relay.forward(Buffer.from(event(4)));
   t.is(relay.longestGapMs, 450);
 });
+
+// Guards against a reset that a caller reads together with the last events and takes for a plain end.
+test('a stream without a length is reset a moment after its last event, and nothing is written meanwhile', async (t) => {
+  const { res, relay, timers } = setUp();
+  relay.begin(200, {});
+  relay.forward(Buffer.from(events(1, 2)));
+  relay.abort();
+  relay.forward(Buffer.from(event(3)));
+  await timers.advance(20);
+  t.false(res.wasReset);
+  await timers.advance(80);
+  t.true(res.wasReset);
+  t.is(res.text, events(1, 2));
+});
