origins: date the store's history by the writes of replicas

Cause: a history without times proved all or nothing, and all streams of the last 30 to 50 s had to be covered, however old the one in question could be.

Replicas write their entries at a known interval, so the number of their writes bounds from below how long the rest of the history is. A young daemon concludes for the streams that began since. How old a stream can be follows from what its caller has left, against the longest deadline that callers of its route and account state, or the timeout of the route. What left or was replaced within the history counts until then; what it does not show counts as unknown. The owners of records are asked as well.

--- a/packages/routing/src/core/daemon/services.ts
+++ b/packages/routing/src/core/daemon/services.ts
@@ -493,7 +493,7 @@
   }
 
   private createVersionHistory(kernel: ServiceFinder): VersionHistory {
-    const { source, timers, log } = this.options;
+    const { settings, source, timers, log } = this.options;
     const settling = kernel.get<FleetSettling>(PART.settling);
     const pauses = kernel.get<PauseDetector>(PART.pauseDetector);
     return new VersionHistory({
@@ -505,7 +505,8 @@
       log,
       resumedAt: () => pauses.resumedAt,
       hasSettled: () => settling.hasSettled(),
-      readHistory: (signal) => source.replicaHistory(signal),
+      source,
+      replicaWriteIntervalMs: settings.replicaWriteIntervalMs,
     });
   }
 
@@ -973,6 +974,7 @@
         registry,
         accountMetrics: new AccountMetrics(kernel.get<Metrics>(PART.metrics)),
         callerTimeouts: new CallerTimeouts(),
+        callerDeadlines: history.deadlines,
         migrator: new StreamMigrator({
           registry,
           chooser,
--- a/packages/routing/src/core/daemon/types.ts
+++ b/packages/routing/src/core/daemon/types.ts
@@ -30,6 +30,8 @@
   readonly drainMs: number;
   /** Duration of the lease with which a daemon owns an engine, in milliseconds. */
   readonly leaseMs: number;
+  /** Interval at which replicas write their entries in the platform's registry, in milliseconds; 0 if it is not known. */
+  readonly replicaWriteIntervalMs: number;
   /** Whether engines refuse an order whose fencing token is lower than one they have seen. */
   readonly isFenced: boolean;
   readonly budget: BudgetBounds;
--- a/packages/routing/src/core/origins/origin-codec.ts
+++ b/packages/routing/src/core/origins/origin-codec.ts
@@ -10,6 +10,7 @@
   former: readonly (readonly [service: string, softwareVersion: string, removedAgoMs: number])[],
   knownUntilAgoMs: number | null,
   knownForMs: number,
+  deadlines: readonly (readonly [route: string, account: string | null, longestMs: number])[],
 ];
 export type OriginFrame = readonly [state: OriginState, softwareVersion: string | null];
 
@@ -42,7 +43,7 @@
  * Encodes a history.
  * @param now - Monotonic milliseconds.
  */
-export function encodeHistory({ former, time }: SharedHistory, now: number): VersionHistoryFrame {
+export function encodeHistory({ former, time, deadlines }: SharedHistory, now: number): VersionHistoryFrame {
   return [
     former.map(({ service, softwareVersion, removedAt }) => [
       service,
@@ -51,6 +52,7 @@
     ]),
     time === undefined ? null : Math.ceil(now - time.until),
     time === undefined ? 0 : Math.floor(time.until - time.since),
+    deadlines.map(({ route, account, longestMs }) => [route, account ?? null, longestMs]),
   ];
 }
 
@@ -59,7 +61,7 @@
  * @param now - Monotonic milliseconds.
  */
 export function decodeHistory(
-  [former, untilAgoMs, knownForMs]: VersionHistoryFrame,
+  [former, untilAgoMs, knownForMs, deadlines]: VersionHistoryFrame,
   now: number,
 ): SharedHistory {
   const until = now - (untilAgoMs ?? 0);
@@ -70,5 +72,10 @@
       removedAt: now - agoMs,
     })),
     time: untilAgoMs === null ? undefined : { since: until - knownForMs, until },
+    deadlines: deadlines.map(([route, account, longestMs]) => ({
+      route,
+      account: account ?? undefined,
+      longestMs,
+    })),
   };
 }
--- a/packages/routing/src/core/origins/stream-origins.ts
+++ b/packages/routing/src/core/origins/stream-origins.ts
@@ -21,7 +21,7 @@
 import { OriginOwners } from './origin-owners.js';
 import { combineOrigins, OriginTable } from './origin-table.js';
 import type { NamedStreamKey, StreamKey } from './stream-key.js';
-import type { OriginRecord, StreamOrigin, VersionDoubt } from './types.js';
+import type { BeginBounds, OriginRecord, StreamOrigin, VersionDoubt } from './types.js';
 import type { VersionHistory } from './version-history.js';
 
 /** Timeout of a request to an owner, in milliseconds. */
@@ -54,7 +54,7 @@
   /** Address of this daemon. */
   readonly self: string;
   readonly cluster: Pick<Cluster, 'aliveAddresses' | 'handle' | 'member' | 'request' | 'send'>;
-  readonly history: Pick<VersionHistory, 'doubtOf' | 'onlyVersion' | 'retentionMs'>;
+  readonly history: Pick<VersionHistory, 'doubtOf' | 'knownForMs' | 'onlyVersion' | 'retentionMs'>;
   readonly timers: TimerService;
   readonly log: DecisionLog;
 }
@@ -121,18 +121,23 @@
 
   /**
    * Returns the only version that can have begun a stream of a service; undefined if there may be others.
-   * @param before - See {@link VersionHistory.onlyVersion}.
+   * @param bounds - See {@link VersionHistory.onlyVersion}.
    */
-  onlyVersion(service: string, before?: number): string | undefined {
-    return this.options.history.onlyVersion(service, before);
+  onlyVersion(service: string, bounds?: BeginBounds): string | undefined {
+    return this.options.history.onlyVersion(service, bounds);
   }
 
   /**
    * Returns why there may be others.
-   * @param before - See {@link VersionHistory.onlyVersion}.
+   * @param bounds - See {@link VersionHistory.onlyVersion}.
    */
-  doubtOf(service: string, before?: number): VersionDoubt | undefined {
-    return this.options.history.doubtOf(service, before);
+  doubtOf(service: string, bounds?: BeginBounds): VersionDoubt | undefined {
+    return this.options.history.doubtOf(service, bounds);
+  }
+
+  /** Time for which all versions are known, in milliseconds. */
+  get knownForMs(): number {
+    return this.options.history.knownForMs;
   }
 
   /** Registers a stream before its caller gets the first event; it is recorded at once, or when that is needed. */
--- a/packages/routing/src/core/origins/types.ts
+++ b/packages/routing/src/core/origins/types.ts
@@ -15,12 +15,24 @@
   EarlierView = 'earlier-view',
   /** This daemon does not know its peers yet, which may know. */
   Starting = 'starting',
-  /** This daemon, and all peers that it has asked, are too new to know which versions have served. */
+  /**
+   * This daemon, and all peers that it has asked, are too new to know which versions have served since the stream began,
+   * and the platform's store does not show it.
+   */
   NoHistory = 'no-history',
+  /** The same, and it is not known how long ago the stream can have begun, as no caller of its route has been seen. */
+  UnknownAge = 'unknown-age',
+}
+
+/** Times between which a stream began, in monotonic milliseconds. */
+export interface BeginBounds {
+  readonly after: number;
+  readonly before: number;
 }
 
 /** A software version that no listed replica has any more. */
 export interface FormerVersion {
+  /** Empty if it is not known. */
   readonly service: string;
   /** Empty for replicas whose version never became known. */
   readonly softwareVersion: string;
@@ -36,11 +48,21 @@
   readonly until: number;
 }
 
+/** The longest deadline that callers of a route have stated. */
+export interface CallerDeadline {
+  /** Name of the route. */
+  readonly route: string;
+  /** Name of the client account; undefined for callers without one. */
+  readonly account: string | undefined;
+  readonly longestMs: number;
+}
+
 /** What a daemon tells a peer that has started later. */
 export interface SharedHistory {
   readonly former: readonly FormerVersion[];
   /** Undefined while the daemon can't tell. */
   readonly time: KnownTime | undefined;
+  readonly deadlines: readonly CallerDeadline[];
 }
 
 /** What a daemon has recorded of a stream. */
--- a/packages/routing/src/core/origins/version-history.ts
+++ b/packages/routing/src/core/origins/version-history.ts
@@ -1,10 +1,11 @@
 /**
  * Knows which software versions can have begun the streams of a service that are still alive.
  *
- * While that is one version only, nothing has to be recorded of any stream. A daemon may conclude that only if its
- * view is recent, for a stream of a peer also later than its begin, and it has known all versions for as long as a stream can last: by its own view, or, if it has
- * started or was cut off since, by what it asks of its peers. A fleet that has started knows what the history of the
- * platform's store proves; that it starts for the first time is no proof, as its settings may outlast its processes.
+ * While that is one version only, nothing has to be recorded of any stream. A daemon may conclude that only if its view is
+ * recent, for a stream of a peer also later than its begin, and it has known all versions for as long as a stream can last:
+ * by its own view, or, if it has started or was cut off since, by what it asks of its peers. A fleet that has started knows
+ * what the history of the platform's store proves; that it starts for the first time is no proof, as its settings may
+ * outlast its processes. Until it has known all versions for that long, it concludes for the streams that began since.
  */
 import type { DecisionLog, TimerHandle, TimerService } from '@celeryyoke/core';
 
@@ -13,11 +14,14 @@
 import type { Cluster } from '../cluster/index.js';
 import { MessageType } from '../cluster/index.js';
 import type { RecordSource, ReplicaEntry, ReplicaRegistry, ReplicatedStore } from '../view/index.js';
+import { CallerDeadlines } from './caller-deadlines.js';
 import type { VersionHistoryFrame } from './origin-codec.js';
 import { decodeHistory, encodeHistory } from './origin-codec.js';
-import type { KnownTime, SharedHistory } from './types.js';
+import type { StoreHistory } from './store-history.js';
+import { pastVersions, readStoreHistory, shortestSpanMs } from './store-history.js';
+import type { BeginBounds, KnownTime, SharedHistory } from './types.js';
 import { VersionDoubt } from './types.js';
-import { UNKNOWN_VERSION, VersionTable } from './version-table.js';
+import { VersionTable } from './version-table.js';
 
 /** Largest age of a view from which versions are concluded, in milliseconds. */
 const MAX_VIEW_AGE_MS = 1500;
@@ -32,7 +36,12 @@
 /** Longest pause between two requests while no peer knows enough, in milliseconds. */
 const MAX_ASK_INTERVAL_MS = 2000;
 const ASK_TIMEOUT_MS = 500;
-const ASK_STORE_TIMEOUT_MS = 1500;
+/** Timeout of reading the store's history, in milliseconds. */
+const ASK_STORE_TIMEOUT_MS = 3000;
+/** Pause before the store is asked again after a failed call, in milliseconds. */
+const ASK_STORE_PAUSE_MS = 1000;
+/** Bounds of streams that this daemon has begun itself, at replicas that it knows. */
+const OWN_STREAMS: BeginBounds = { after: Number.NEGATIVE_INFINITY, before: Number.NEGATIVE_INFINITY };
 
 /** Parts of the daemon that a history uses. */
 export interface VersionHistoryOptions {
@@ -47,12 +56,17 @@
   readonly resumedAt: () => number;
   /** Whether this daemon knows its peers and has received their state. */
   readonly hasSettled: () => boolean;
-  /** Reads all entries that replicas have ever had; undefined if a part of them is lost. */
-  readonly readHistory: RecordSource['replicaHistory'];
+  /** Where the history of the records is read. */
+  readonly source: Pick<RecordSource, 'hasHistory' | 'replicaWrites'>;
+  /** Interval at which replicas write their entries, in milliseconds. */
+  readonly replicaWriteIntervalMs: number;
 }
 
 /** Software versions of each service, present and former. */
 export class VersionHistory {
+  /** What callers of this daemon and of its peers state. */
+  readonly deadlines = new CallerDeadlines();
+
   private readonly table: VersionTable;
 
   /** Monotonic time from which on this daemon's own view has missed no version, in milliseconds. */
@@ -72,6 +86,8 @@
   /** See {@link VersionHistory.retentionMs}. */
   private retention = MIN_RETENTION_MS;
 
+  private isStopped = false;
+
   private readonly reviewTimer: TimerHandle;
 
   /** Registers the message handler, and asks peers until this daemon knows enough. */
@@ -83,6 +99,7 @@
     registry.onReplica((id, entry, before) => this.table.update(id, entry, before, view.upTo === 0));
     registry.onTable(({ document }) => {
       this.retention = retentionOf(document.routes);
+      this.deadlines.retain(new Set(document.routes.map(({ name }) => name)));
     });
     cluster.handle(MessageType.VersionHistory, () => encodeHistory(this.shared(), timers.now()));
     this.reviewTimer = timers.repeat(REVIEW_MS, () => this.review());
@@ -90,6 +107,7 @@
 
   /** Cancels the timer. */
   stop(): void {
+    this.isStopped = true;
     this.reviewTimer.cancel();
   }
 
@@ -100,25 +118,30 @@
 
   /**
    * Returns the only version that can have begun a stream of a service; undefined if there may be others.
-   * @param before - Monotonic time by which the stream had begun, in milliseconds; without it, streams are meant that
-   *   this daemon has begun itself, at a replica that it knows.
+   * @param bounds - When it began; without them, streams are meant that this daemon has begun itself.
    */
-  onlyVersion(service: string, before?: number): string | undefined {
-    return this.doubtOf(service, before) === undefined ? this.table.versionsOf(service).first : undefined;
+  onlyVersion(service: string, bounds = OWN_STREAMS): string | undefined {
+    if (this.doubtOf(service, bounds) !== undefined) return undefined;
+    return this.table.versionsOf(service, this.countedSince(bounds)).first;
   }
 
   /**
    * Returns why streams of a service may have begun at several versions; undefined if there is only one.
-   * @param before - See {@link VersionHistory.onlyVersion}.
+   * @param bounds - See {@link VersionHistory.onlyVersion}.
    */
-  doubtOf(service: string, before = Number.NEGATIVE_INFINITY): VersionDoubt | undefined {
+  doubtOf(service: string, bounds = OWN_STREAMS): VersionDoubt | undefined {
     if (!this.isViewRecent()) return VersionDoubt.StaleView;
     if (!this.options.hasSettled()) return VersionDoubt.Starting;
-    if (!this.knowsHistory()) return VersionDoubt.NoHistory;
-    const { count, hasUnknown, newestMs } = this.table.versionsOf(service);
+    if (!this.knowsHistory() && this.knownSince() > listedSince(bounds)) return VersionDoubt.NoHistory;
+    const { count, hasUnknown, newestMs } = this.table.versionsOf(service, this.countedSince(bounds));
     if (count > 1) return newestMs < MAX_VIEW_AGE_MS ? VersionDoubt.NewVersion : VersionDoubt.Several;
     if (count === 0 || hasUnknown) return VersionDoubt.UnknownVersion;
-    return this.options.view.confirmedAt < before ? VersionDoubt.EarlierView : undefined;
+    return this.options.view.confirmedAt < bounds.before ? VersionDoubt.EarlierView : undefined;
+  }
+
+  /** Monotonic time since which former versions count; all that are remembered do where streams may be recorded. */
+  private countedSince(bounds: BeginBounds): number {
+    return this.knowsHistory() ? Number.NEGATIVE_INFINITY : listedSince(bounds);
   }
 
   /**
@@ -151,6 +174,11 @@
     return timers.now() - this.knownSince() >= this.retentionMs - TOLERANCE_MS;
   }
 
+  /** Time for which all versions are known, in milliseconds. */
+  get knownForMs(): number {
+    return this.options.timers.now() - this.knownSince();
+  }
+
   /** Monotonic time from which on all versions are known, in milliseconds. */
   private knownSince(): number {
     const { ownSince, peerTime } = this;
@@ -170,29 +198,47 @@
   }
 
   /**
-   * Asks the store which versions have ever served; called when this daemon has read all of the store's records, so that
-   * one daemon asks for all.
+   * Asks the store which versions have served; called when this daemon has read all of the store's records, so that one
+   * daemon asks for all. Repeats a failed call.
    */
   async askStore(): Promise<void> {
-    const { timers, log, readHistory } = this.options;
-    const gapAt = this.ownSince;
-    let entries: readonly ReplicaEntry[] | undefined;
-    try {
-      entries = await readHistory(AbortSignal.timeout(ASK_STORE_TIMEOUT_MS));
-    } catch (err) {
-      log.warn(`The store did not tell which versions have served: ${String(err)}.`);
-      return;
+    const { timers, log } = this.options;
+    while (!this.isStopped && !this.knowsHistory()) {
+      const gapAt = this.ownSince;
+      try {
+        await this.readStore(gapAt);
+        if (this.ownSince <= gapAt) return;
+      } catch (err) {
+        log.warn(`The store did not tell which versions have served: ${String(err)}.`);
+        await timers.sleep(ASK_STORE_PAUSE_MS);
+      }
     }
-    const isProof = entries !== undefined && this.ownSince === gapAt;
-    log.decide('stream.history', 'Asked the store which software versions have ever served.', {
-      entries: entries?.length,
+  }
+
+  /**
+   * @param gapAt - Monotonic time of the last gap in this daemon's view; a later one invalidates what is read.
+   */
+  private async readStore(gapAt: number): Promise<void> {
+    const { source, view, log } = this.options;
+    const history = await readStoreHistory(source, view.upTo, AbortSignal.timeout(ASK_STORE_TIMEOUT_MS));
+    const isProof = history !== undefined && this.ownSince === gapAt;
+    if (isProof) this.mergeStoreHistory(history);
+    log.decide('stream.history', 'Asked the store which software versions have served.', {
+      writes: history?.writes.length,
+      from: history?.from,
+      upTo: view.upTo,
       isProof,
+      knownForMs: Math.round(this.knownForMs),
     });
-    if (!isProof) return;
-    // When the last replica of a version was removed is not known.
-    for (const { service, softwareVersion = UNKNOWN_VERSION } of entries!)
-      this.table.mergeFormer({ service, softwareVersion, removedAt: timers.now() });
-    this.ownSince = Number.NEGATIVE_INFINITY;
+  }
+
+  private mergeStoreHistory(history: StoreHistory): void {
+    const { timers, replicaWriteIntervalMs: intervalMs } = this.options;
+    const now = timers.now();
+    for (const version of pastVersions(history, { intervalMs, wall: timers.wall() }))
+      this.table.mergeFormer({ ...version, removedAt: now - version.removedAgoMs });
+    const since = now - shortestSpanMs(history.writes, intervalMs);
+    this.ownSince = Math.min(this.ownSince, history.from === 0 ? Number.NEGATIVE_INFINITY : since);
   }
 
   private peers(): string[] {
@@ -224,7 +270,8 @@
     }
   }
 
-  private merge({ former, time }: SharedHistory): void {
+  private merge({ former, time, deadlines }: SharedHistory): void {
+    for (const deadline of deadlines) this.deadlines.record(deadline);
     for (const version of former) this.table.mergeFormer(version);
     if (time === undefined) return;
     const isBetter = this.isJoined(time) && time.since < this.knownSince();
@@ -236,10 +283,19 @@
     const until = view.confirmedAt;
     const since = Math.max(this.knownSince(), until - this.retentionMs);
     const isKnown = until >= resumedAt() && since <= until;
-    return { former: [...this.table.formerVersions()], time: isKnown ? { since, until } : undefined };
+    return {
+      former: [...this.table.formerVersions()],
+      time: isKnown ? { since, until } : undefined,
+      deadlines: [...this.deadlines.all()],
+    };
   }
 }
 
+/** Monotonic time since which a version must have been listed to have begun a stream: views may be that old. */
+function listedSince({ after }: BeginBounds): number {
+  return after - MAX_VIEW_AGE_MS;
+}
+
 function retentionOf(routes: readonly Route[]): number {
   const longestMs = routes.reduce(
     (longest, { kind, timeoutMs }) => (kind === RouteKind.Streaming ? Math.max(longest, timeoutMs) : longest),
--- a/packages/routing/src/core/origins/version-table.ts
+++ b/packages/routing/src/core/origins/version-table.ts
@@ -8,6 +8,8 @@
 const MAX_FORMER_VERSIONS = 32;
 /** Stands for the version of replicas whose version is not known; entries have no empty one. */
 export const UNKNOWN_VERSION = '';
+/** Stands for every service, where that of a former replica is not known. */
+export const ANY_SERVICE = '';
 
 /** Replicas of one service and version. */
 interface VersionUse {
@@ -65,15 +67,21 @@
     use.replicas.add(id);
   }
 
-  /** Returns the versions of a service that count. */
-  versionsOf(service: string): KnownVersions {
-    const uses = this.usesOf(service);
-    const [first] = uses.keys();
-    const newestAt = Math.max(...[...uses.values()].map(({ seenAt }) => seenAt));
+  /**
+   * Returns the versions of a service that count.
+   * @param since - Monotonic time before which the last replica of a version was gone if it does not count, in
+   *   milliseconds.
+   */
+  versionsOf(service: string, since = Number.NEGATIVE_INFINITY): KnownVersions {
+    const uses = [...this.usesOf(service), ...this.usesOf(ANY_SERVICE)].filter(
+      ([, { replicas, removedAt }]) => replicas.size > 0 || removedAt >= since,
+    );
+    const versions = uses.map(([version]) => version);
+    const newestAt = Math.max(...uses.map(([, { seenAt }]) => seenAt));
     return {
-      count: uses.size,
-      first: first || undefined,
-      hasUnknown: uses.has(UNKNOWN_VERSION),
+      count: versions.length,
+      first: versions[0] || undefined,
+      hasUnknown: versions.includes(UNKNOWN_VERSION),
       newestMs: this.timers.now() - newestAt,
     };
   }
--- a/packages/routing/src/core/requests/server.ts
+++ b/packages/routing/src/core/requests/server.ts
@@ -278,6 +278,8 @@
     }
     const timeoutMs = requestTimeoutMs(head, route);
     parts.callerTimeouts.record(route.name, timeoutMs);
+    if (route.isResumable && head.waitMs !== undefined && head.lastEventId === undefined)
+      parts.callerDeadlines.record({ route: route.name, account: account?.name, longestMs: head.waitMs });
     const isLate = parts.callerTimeouts.isLate(route, timeoutMs);
     if (account !== undefined && !(await this.charge(account, head, isLate, runs, res))) {
       req.resume();
--- a/packages/routing/src/core/requests/stream-binding.ts
+++ b/packages/routing/src/core/requests/stream-binding.ts
@@ -1,7 +1,11 @@
 /** Binds the response to one request to the software version at which its stream may go on. */
 import type { DecisionLog, TimerService } from '@celeryyoke/core';
 
+import type { ClientAccount } from '../accounts/index.js';
+import type { Route } from '../catalog/index.js';
 import type {
+  BeginBounds,
+  CallerDeadlines,
   LookUpResult,
   NamedStreamKey,
   RunningStream,
@@ -25,14 +29,21 @@
   readonly registry: Pick<ReplicaRegistry, 'replica'>;
   readonly timers: TimerService;
   readonly log: DecisionLog;
+  readonly callerDeadlines: CallerDeadlines;
   /** Age of this daemon's view of the platform, in milliseconds. */
   readonly viewAgeMs: () => number;
 }
 
 /** The request whose response is bound. */
 export interface BoundRequest {
-  readonly head: Pick<RequestHead, 'id' | 'lastEventId' | 'firstAttempt'>;
+  readonly head: Pick<RequestHead, 'id' | 'lastEventId' | 'firstAttempt' | 'waitMs'>;
+  readonly route: Pick<Route, 'name' | 'timeoutMs'>;
+  readonly account: Pick<ClientAccount, 'name'> | undefined;
   readonly service: string;
+  /** Monotonic time at which it was read, in milliseconds. */
+  readonly arrivedAt: number;
+  /** Longest time for which it can have been waiting to be read, in milliseconds. */
+  readonly unreadMs: number;
   /** Fingerprint of the request, computed when it is needed. */
   readonly fingerprint: () => string;
   /** Time left until the deadline, in milliseconds; 0 when the request has ended. */
@@ -46,6 +57,7 @@
   // Until then the view is confirmed, or stale; callers wait for two seconds at least.
   [VersionDoubt.EarlierView, 1500],
   [VersionDoubt.UnknownVersion, 1000],
+  [VersionDoubt.UnknownAge, 1000],
   [VersionDoubt.NewVersion, 1000],
 ]);
 /** Share of the time left that such a wait takes at most, and the wait for a view that is confirmed within a second. */
@@ -58,6 +70,8 @@
 /** What was found out of a stream that is resumed. */
 interface Finding extends LookUpResult {
   readonly doubt: VersionDoubt | undefined;
+  /** Longest time since the stream began, in milliseconds; Infinity if it is not known. */
+  readonly maxAgeMs: number;
   /** Time from the take-up for which it is worth to look again, in milliseconds. */
   readonly maxWaitMs: number;
 }
@@ -138,14 +152,35 @@
   private async findOrigin(resumedAt: number): Promise<Finding> {
     const { origins } = this.parts;
     const { service } = this.request;
-    const doubt = origins.doubtOf(service, resumedAt);
-    const onlyVersion = origins.onlyVersion(service, resumedAt);
-    // As far as this daemon knows, one version serves, so that nothing is recorded.
-    const isAsked = onlyVersion === undefined && doubt !== VersionDoubt.EarlierView;
-    const asked = isAsked ? await origins.lookUp(this.wantedKey()) : NOT_ASKED;
+    const bounds = this.beginBounds(resumedAt);
+    const doubt = this.doubtOf(bounds);
+    const onlyVersion = origins.onlyVersion(service, bounds);
+    // As long as this daemon knows of one version only for its own streams, nothing is recorded.
+    const isRecorded = origins.doubtOf(service) !== undefined;
+    const asked = isRecorded ? await origins.lookUp(this.wantedKey()) : NOT_ASKED;
     const softwareVersion = continuationVersion({ origin: asked.origin, onlyVersion });
-    if (softwareVersion === undefined) return { ...asked, doubt, maxWaitMs: MAX_WAIT_MS.get(doubt) ?? 0 };
-    return { ...asked, doubt, maxWaitMs: 0, origin: { state: OriginState.Known, softwareVersion } };
+    const finding = { ...asked, doubt, maxAgeMs: resumedAt - bounds.after };
+    if (softwareVersion === undefined) return { ...finding, maxWaitMs: MAX_WAIT_MS.get(doubt) ?? 0 };
+    return { ...finding, maxWaitMs: 0, origin: { state: OriginState.Known, softwareVersion } };
+  }
+
+  /** When the stream that the caller resumes can have begun. */
+  private beginBounds(resumedAt: number): BeginBounds {
+    const { head, route, account, arrivedAt, unreadMs } = this.request;
+    const after = this.parts.callerDeadlines.beganAfter({
+      route: route.name,
+      timeoutMs: route.timeoutMs,
+      account: account?.name,
+      waitMs: head.waitMs,
+      arrivedAt: arrivedAt - unreadMs,
+    });
+    return { after: after ?? Number.NEGATIVE_INFINITY, before: resumedAt };
+  }
+
+  private doubtOf(bounds: BeginBounds): VersionDoubt | undefined {
+    const doubt = this.parts.origins.doubtOf(this.request.service, bounds);
+    const isAgeUnknown = bounds.after === Number.NEGATIVE_INFINITY;
+    return doubt === VersionDoubt.NoHistory && isAgeUnknown ? VersionDoubt.UnknownAge : doubt;
   }
 
   /**
@@ -212,7 +247,7 @@
     return streamKey(fingerprint(), firstAttempt);
   }
 
-  private logResumed({ origin, doubt, askedCount, answeredCount }: Finding, tookMs: number): void {
+  private logResumed({ origin, doubt, maxAgeMs, askedCount, answeredCount }: Finding, tookMs: number): void {
     const { head } = this.request;
     const version = this.softwareVersion;
     const text = version === undefined ? 'must not go on' : `goes on at version ${version}`;
@@ -225,6 +260,8 @@
       doubt: doubt ?? 'none',
       asked: askedCount,
       answered: answeredCount,
+      maxAgeMs: Math.round(maxAgeMs),
+      knownForMs: Math.round(this.parts.origins.knownForMs),
       tookMs: Math.round(tookMs),
       viewAgeMs: this.parts.viewAgeMs(),
     });
--- a/packages/routing/src/core/view/index.ts
+++ b/packages/routing/src/core/view/index.ts
@@ -11,6 +11,7 @@
   AdapterVersion,
   Change,
   Delta,
+  EntryWrite,
   ResidentModel,
   RecordSource,
   ReplicaEntry,
--- a/packages/routing/src/core/view/types.ts
+++ b/packages/routing/src/core/view/types.ts
@@ -113,6 +113,22 @@
   readonly changes: readonly Change[];
 }
 
+/** A write to the entry of a replica. */
+export interface EntryWrite {
+  /** The platform's name of the replica. */
+  readonly name: string;
+  readonly revision: number;
+  /** The entry from then on; undefined if it was removed, or names no replica that can be used. */
+  readonly replica: ReplicaEntry | undefined;
+  /**
+   * Number of times that the replica had written by then, in the entry's words; also counts those that changed nothing
+   * else, which the source does not show. Undefined if the entry does not state it.
+   */
+  readonly writeCount: number | undefined;
+  /** Whether it is known that there was no entry before. */
+  readonly isCreation: boolean;
+}
+
 /** Why a version of an item of the source is not used. */
 export enum ItemRefusal {
   /** It has no key or no revision. */
@@ -140,9 +156,11 @@
    * @returns The changes since, or undefined if the source no longer has that history.
    */
   watch(after: number, waitMs: number, signal: AbortSignal): Promise<Delta | undefined>;
+  /** Whether the source still has all changes after a revision. */
+  hasHistory(after: number, signal: AbortSignal): Promise<boolean>;
   /**
-   * Reads what has happened to replicas since the source began.
-   * @returns All entries that replicas have had, or undefined if the source no longer has a part of them.
+   * Reads all writes to entries of replicas after a revision, in their order.
+   * @returns Undefined if the source no longer has a part of them.
    */
-  replicaHistory(signal: AbortSignal): Promise<readonly ReplicaEntry[] | undefined>;
+  replicaWrites(after: number, signal: AbortSignal): Promise<readonly EntryWrite[] | undefined>;
 }
--- a/packages/routing/test/confirmed-views.test.ts
+++ b/packages/routing/test/confirmed-views.test.ts
@@ -4,6 +4,8 @@
 import { ReplicatedStore, StoreWatcher } from '@celeryyoke/routing';
 import test from 'ava';
 
+import { NO_HISTORY } from './fakes.js';
+
 const LISTED_UPTO = 7;
 /** Time for which this daemon does not read what the store has sent at once, in milliseconds. */
 const UNREAD_MS = 700;
@@ -29,7 +31,7 @@
         await timers.sleep(UNREAD_MS);
         return { from: after, upTo: after + 1, isWhole: false, changes: [] };
       },
-      replicaHistory: () => Promise.resolve(undefined),
+      ...NO_HISTORY,
     },
     publish: () => undefined,
     onReachabilityChange: () => undefined,
--- a/packages/routing/test/drills/drill-store.ts
+++ b/packages/routing/test/drills/drill-store.ts
@@ -2,6 +2,7 @@
 import type { TimerService } from '@celeryyoke/core';
 import type { Change, Delta, RecordSource, ViewRecord } from '@celeryyoke/routing';
 
+import { NO_HISTORY } from '../fakes.js';
 import type { MemoryNetwork } from '../fleet/network.js';
 
 /** Time in transit of a call or its response, in milliseconds. */
@@ -105,7 +106,7 @@
           );
         });
       },
-      replicaHistory: () => Promise.resolve(undefined),
+      ...NO_HISTORY,
     };
   }
 
--- a/packages/routing/test/fakes.ts
+++ b/packages/routing/test/fakes.ts
@@ -15,6 +15,12 @@
 export const MODEL = 'base';
 export const log = createSilentLog();
 
+/** What a source of records that has no history says of it. */
+export const NO_HISTORY = {
+  hasHistory: () => Promise.resolve(false),
+  replicaWrites: () => Promise.resolve(undefined),
+} as const;
+
 /** Time for which a replica that leaves may still get requests, in milliseconds. */
 const LEAVING_GRACE_MS = 1500;
 
--- a/packages/routing/test/fleet/store.ts
+++ b/packages/routing/test/fleet/store.ts
@@ -1,6 +1,6 @@
 /** The platform's store on the virtual clock, with faults for each daemon. */
 import type { TimerService } from '@celeryyoke/core';
-import type { Change, Delta, RecordSource, ReplicaEntry } from '@celeryyoke/routing';
+import type { Change, Delta, EntryWrite, RecordSource, ReplicaEntry } from '@celeryyoke/routing';
 import { RecordKind } from '@celeryyoke/routing';
 
 import { engineEntry } from '../fakes.js';
@@ -86,14 +86,16 @@
           this.hasNoHistory && after < this.revision ? undefined : this.delta(after, false),
         );
       },
-      replicaHistory: () => Promise.resolve(this.hasWholeHistory ? this.everListed() : undefined),
+      hasHistory: () => Promise.resolve(this.hasWholeHistory),
+      replicaWrites: () => Promise.resolve(this.hasWholeHistory ? this.writes() : undefined),
     };
   }
 
-  private everListed(): ReplicaEntry[] {
-    return this.changes.flatMap(({ record }) =>
-      record?.kind === RecordKind.Replica ? [record.replica] : [],
-    );
+  private writes(): EntryWrite[] {
+    return this.changes.map(({ key, revision, record }) => {
+      const replica = record?.kind === RecordKind.Replica ? record.replica : undefined;
+      return { name: key, revision, replica, writeCount: undefined, isCreation: false };
+    });
   }
 
   private async refuse(daemon: string): Promise<never> {
--- a/packages/routing/test/origins/fleet.ts
+++ b/packages/routing/test/origins/fleet.ts
@@ -1,7 +1,13 @@
 /** Daemons that record where streams began, on a virtual clock, with a bus between them that counts messages. */
 import type { ManualTimerService } from '@celeryyoke/core';
 import { createManualTimers, decode, encode } from '@celeryyoke/core';
-import type { MessageHandler, MessageType, ReplicaEntry, RunningStream } from '@celeryyoke/routing';
+import type {
+  EntryWrite,
+  MessageHandler,
+  MessageType,
+  ReplicaEntry,
+  RunningStream,
+} from '@celeryyoke/routing';
 import {
   RecordKind,
   ReplicaRegistry,
@@ -21,6 +27,10 @@
 
 type Change = Parameters<ReplicatedStore['apply']>[0]['changes'][number];
 
+function writeOf(replica: ReplicaEntry): EntryWrite {
+  return { name: replica.name, revision: 1, replica, writeCount: undefined, isCreation: true };
+}
+
 /** One daemon. */
 export class OriginDaemon {
   readonly view: ReplicatedStore;
@@ -68,7 +78,11 @@
       log,
       resumedAt: () => this.resumedAt,
       hasSettled: () => true,
-      readHistory: () => Promise.resolve(formerEntries),
+      source: {
+        hasHistory: () => Promise.resolve(formerEntries !== undefined),
+        replicaWrites: () => Promise.resolve(formerEntries?.map(writeOf)),
+      },
+      replicaWriteIntervalMs: 0,
     });
     this.origins = new StreamOrigins({ self, cluster, history: this.history, timers, log });
   }
--- a/packages/routing/test/origins/release-fleet.ts
+++ b/packages/routing/test/origins/release-fleet.ts
@@ -203,7 +203,11 @@
   ): StreamBinding {
     const deadline = this.timers.now() + timeoutMs;
     return new StreamBinding(this.partsOf(daemon), {
-      head,
+      head: { ...head, waitMs: undefined },
+      route: { name: 'resume', timeoutMs: CALLER_TIMEOUT_MS },
+      account: undefined,
+      arrivedAt: this.timers.now(),
+      unreadMs: 0,
       service: SERVICE,
       fingerprint: () => body,
       remainingMs: () => deadline - this.timers.now(),
@@ -247,9 +251,11 @@
       log,
       resumedAt: () => pauses.resumedAt,
       hasSettled: () => settling.hasSettled(),
-      readHistory: (signal) => this.watching.store.sourceOf(self).replicaHistory(signal),
+      source: this.watching.store.sourceOf(self),
+      replicaWriteIntervalMs: 0,
     });
     const origins = new StreamOrigins({ self, cluster, history, timers, log });
-    return { registry, pauses, history, origins, timers, log, viewAgeMs: () => view.ageMs };
+    const callerDeadlines = history.deadlines;
+    return { registry, pauses, history, origins, callerDeadlines, timers, log, viewAgeMs: () => view.ageMs };
   }
 }
--- a/packages/routing/test/origins/stream-binding.test.ts
+++ b/packages/routing/test/origins/stream-binding.test.ts
@@ -1,6 +1,6 @@
 /** How one response is bound to the version of its stream. */
-import type { ReplicaEntry, StreamBindingDependencies, StreamOrigin } from '@celeryyoke/routing';
-import { OriginState, StreamBinding, VersionDoubt } from '@celeryyoke/routing';
+import type { BeginBounds, ReplicaEntry, StreamBindingDependencies, StreamOrigin } from '@celeryyoke/routing';
+import { CallerDeadlines, OriginState, StreamBinding, VersionDoubt } from '@celeryyoke/routing';
 import { createManualTimers } from '@celeryyoke/core';
 import test from 'ava';
 
@@ -14,7 +14,9 @@
   const state = { doubt, origin, lookUps: 0, replica: undefined as ReplicaEntry | undefined };
   const parts = {
     origins: {
-      doubtOf: () => state.doubt,
+      // A view that is earlier than a take-up leaves no doubt of the streams of this daemon itself.
+      doubtOf: (_service: string, bounds?: BeginBounds) =>
+        bounds === undefined && state.doubt === VersionDoubt.EarlierView ? undefined : state.doubt,
       onlyVersion: () => (state.doubt === undefined ? 'v1' : undefined),
       lookUp: () => {
         state.lookUps += 1;
@@ -24,12 +26,17 @@
       end: () => undefined,
     },
     registry: { replica: () => state.replica },
+    callerDeadlines: new CallerDeadlines(),
     timers,
     log,
     viewAgeMs: () => 0,
   } as unknown as StreamBindingDependencies;
   const binding = new StreamBinding(parts, {
-    head: { id: 't', lastEventId, firstAttempt: 's' },
+    head: { id: 't', lastEventId, firstAttempt: 's', waitMs: undefined },
+    route: { name: 'resume', timeoutMs: REMAINING_MS },
+    account: undefined,
+    arrivedAt: timers.now(),
+    unreadMs: 0,
     service: 'engines',
     fingerprint: () => 'f',
     remainingMs: () => REMAINING_MS - timers.now(),
--- a/packages/routing/test/origins/version-history.test.ts
+++ b/packages/routing/test/origins/version-history.test.ts
@@ -54,11 +54,12 @@
   const { fleet, daemon } = startFleet('v1');
   await fleet.timers.advance(300);
   const before = fleet.timers.now();
+  const after = before - 100;
   t.is(daemon.history.onlyVersion(SERVICE), 'v1');
-  t.is(daemon.history.doubtOf(SERVICE, before), VersionDoubt.EarlierView);
-  t.is(daemon.history.onlyVersion(SERVICE, before), undefined);
+  t.is(daemon.history.doubtOf(SERVICE, { after, before }), VersionDoubt.EarlierView);
+  t.is(daemon.history.onlyVersion(SERVICE, { after, before }), undefined);
   await fleet.timers.advance(300);
-  t.is(daemon.history.onlyVersion(SERVICE, before), 'v1');
+  t.is(daemon.history.onlyVersion(SERVICE, { after, before }), 'v1');
 });
 
 // Guards against a restart under the same id that keeps the version of the process before it.
--- a/packages/routing/test/store-watcher.test.ts
+++ b/packages/routing/test/store-watcher.test.ts
@@ -4,6 +4,8 @@
 import { StoreWatcher, ReplicatedStore } from '@celeryyoke/routing';
 import test from 'ava';
 
+import { NO_HISTORY } from './fakes.js';
+
 interface Options {
   readonly rank?: () => number;
   readonly isAlone?: () => boolean;
@@ -35,7 +37,7 @@
         await timers.sleep(600);
         return respond({ from: after, upTo: after, isWhole: false, changes: [] });
       },
-      replicaHistory: () => Promise.resolve(undefined),
+      ...NO_HISTORY,
     },
     publish: () => undefined,
     onReachabilityChange: () => undefined,
