buffers: count what callers have not taken of their streams

A stream that is held back for its caller keeps up to one read of its replica in the memory of the process, which no budget counted: with thousands of callers that read nothing, more than all bodies may take.

What a caller has not taken counts like a body until it is taken or the connection has closed. relay.test.ts has it.

--- a/packages/routing/src/core/requests/relay.ts
+++ b/packages/routing/src/core/requests/relay.ts
@@ -54,6 +54,9 @@
   /** Bytes after the last complete event. */
   private readonly partialEvent: BudgetedBuffer;
 
+  /** Memory of what the caller has not taken yet, as it was counted last, in bytes. */
+  private untakenBytes = 0;
+
   private scanner = new EventScanner();
 
   private isAborted = false;
@@ -72,7 +75,7 @@
     private readonly res: ServerResponse,
     resumeFromId: number | undefined,
     private readonly timers: Pick<TimerService, 'after' | 'now'>,
-    buffers: BufferBudget,
+    private readonly buffers: BufferBudget,
   ) {
     this.lastEventId = resumeFromId;
     this.partialEvent = new BudgetedBuffer(buffers, MAX_EVENT_BYTES);
@@ -85,12 +88,24 @@
 
   /** Calls back once, when the caller has taken what was written. */
   onceDrained(callback: () => void): void {
-    this.res.once('drain', callback);
+    this.res.once('drain', () => {
+      this.countUntaken(0);
+      callback();
+    });
   }
 
-  /** Frees the memory of what is held back. */
+  /** Frees the memory of what is held back, and of what the caller has not taken once its connection has. */
   release(): void {
     this.partialEvent.release();
+    if (this.untakenBytes === 0) return;
+    if (this.res.destroyed) this.countUntaken(0);
+    else this.res.once('close', () => this.countUntaken(0));
+  }
+
+  private countUntaken(bytes: number): boolean {
+    if (!this.buffers.take(bytes - this.untakenBytes, bytes)) return false;
+    this.untakenBytes = bytes;
+    return true;
   }
 
   /**
@@ -137,6 +152,7 @@
       start = end;
     }
     this.write(bytes, writeFrom, start);
+    if (this.isBlocked && !this.countUntaken(this.res.writableLength)) return ForwardResult.NoMemory;
     return isContinued && start === 0 ? ForwardResult.Forwarded : this.holdBack(bytes.subarray(start));
   }
 
--- a/packages/routing/test/relay.test.ts
+++ b/packages/routing/test/relay.test.ts
@@ -38,6 +38,19 @@
     this.text += '';
   }
 
+  /** Bytes that the caller has not taken. */
+  writableLength = 0;
+
+  get writableNeedDrain(): boolean {
+    return this.writableLength > 0;
+  }
+
+  readonly listeners = new Map<string, () => void>();
+
+  once(name: string, listener: () => void): void {
+    this.listeners.set(name, listener);
+  }
+
   /** Whether its connection was reset. */
   wasReset = false;
 
@@ -53,8 +66,9 @@
 function setUp(firstId?: number) {
   const res = new FakeServerResponse();
   const timers = createManualTimers();
-  const relay = new StreamRelay(res as unknown as ServerResponse, firstId, timers, new BufferBudget());
-  return { res, relay, timers };
+  const buffers = new BufferBudget();
+  const relay = new StreamRelay(res as unknown as ServerResponse, firstId, timers, buffers);
+  return { res, relay, timers, buffers };
 }
 
 const event = (id: number): string => `id: ${id}\ndata: t${id}\n\n`;
@@ -140,3 +154,20 @@
   t.true(res.wasReset);
   t.is(res.text, events(1, 2));
 });
+
+// Guards against callers that take nothing of their streams, and whose memory nobody counts.
+test('what a caller has not taken is counted until it has, or until its connection has closed', (t) => {
+  const { res, relay, buffers } = setUp();
+  relay.begin(200, FRAMED);
+  res.writableLength = 5000;
+  relay.forward(Buffer.from(event(1)));
+  t.is(buffers.takenBytes, 5000);
+  relay.onceDrained(() => undefined);
+  res.listeners.get('drain')!();
+  t.is(buffers.takenBytes, 0);
+  relay.forward(Buffer.from(event(2)));
+  relay.release();
+  t.is(buffers.takenBytes, 5000);
+  res.listeners.get('close')!();
+  t.is(buffers.takenBytes, 0);
+});
