availability: take no declaration from a response that names no request

A replica that sends one extra 503 with Server-Leaving or Retry-After, of any time and for nobody, was left alone for that: with one replica its callers were refused for a minute.

Replicas echo the id of the request, which tells which response it is. A declaration counts only in a response that names the request it is taken for, over peers as well; responses to reports and orders, which have no id, are read as before. Limits were already read from named ones only.

The call in relays.test.ts has the id that real calls have.

--- a/packages/routing/src/core/channels/channel.ts
+++ b/packages/routing/src/core/channels/channel.ts
@@ -60,7 +60,7 @@
   /** Returns why an exchange must not be sent now; undefined when it may be. */
   readonly refusal: (purpose: ExchangePurpose) => string | undefined;
   /** Called with the head of each response. */
-  readonly onResponseHead: (status: number, headers: HeaderMap) => void;
+  readonly onResponseHead: (status: number, headers: HeaderMap, requestId: string | undefined) => void;
   readonly onConnected: () => void;
   readonly onConnectFailed: (err: Error) => void;
   /** Called when the connection takes longer than usual. */
@@ -122,7 +122,7 @@
       },
       onResponseHead: (status, headers) => {
         this.isAwaitingHead = false;
-        onResponseHead(status, headers);
+        onResponseHead(status, headers, call.requestId);
       },
       wasReset: () => this.wasReset,
       reset: () => this.reset(),
@@ -273,7 +273,7 @@
   /** Called in the step that writes the request. */
   readonly onWritten: () => void;
   /** Called with the head of the response, also after a cancel. */
-  readonly onResponseHead: ChannelOptions['onResponseHead'];
+  readonly onResponseHead: (status: number, headers: HeaderMap) => void;
   readonly wasReset: () => boolean;
   /** Resets the connection. */
   readonly reset: () => void;
--- a/packages/routing/src/core/channels/pool.ts
+++ b/packages/routing/src/core/channels/pool.ts
@@ -125,7 +125,8 @@
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
       timers: this.timers,
       refusal: (purpose) => this.guard.refusal(id, purpose),
-      onResponseHead: (status, headers) => this.guard.onResponseHead(id, status, headers),
+      onResponseHead: (status, headers, requestId) =>
+        this.guard.onResponseHead(id, status, headers, requestId),
       onConnected: () => this.guard.onConnected(id),
       onConnectFailed: (err) => this.guard.onConnectFailed(id, err),
       onSlowConnect: () => this.guard.onSlowConnect(id),
--- a/packages/routing/src/core/channels/types.ts
+++ b/packages/routing/src/core/channels/types.ts
@@ -30,6 +30,8 @@
   readonly body: Buffer | undefined;
   /** Whether it must not go over a connection that was used before. */
   readonly needsNewConnection?: boolean;
+  /** Id of the caller's request, which the response names; undefined for other calls. */
+  readonly requestId?: string;
 }
 
 /** Why an exchange failed. */
@@ -69,8 +71,9 @@
   /**
    * Called with the head of each response, before the sink of its exchange.
    * @param upstream - Id of the upstream that the exchange was sent to.
+   * @param requestId - Id of the request that was sent; undefined if it was no caller's.
    */
-  onResponseHead(upstream: string, status: number, headers: HeaderMap): void;
+  onResponseHead(upstream: string, status: number, headers: HeaderMap, requestId: string | undefined): void;
   /** Called when a connection to an upstream has been established. */
   onConnected(upstream: string): void;
   /** Called when a connection to an upstream could not be established. */
--- a/packages/routing/src/core/daemon/services.ts
+++ b/packages/routing/src/core/daemon/services.ts
@@ -671,7 +671,7 @@
       monitor: kernel.get(PART.paths),
       table: kernel.get(PART.cutOffs),
       availability: kernel.get(PART.availability),
-      readDeclaration: (status, headers) => dialect.readDeclaration(status, headers),
+      readDeclaration: (status, headers, requestId) => dialect.readDeclaration(status, headers, requestId),
       isRunning: (replica) => this.isRunning(replica),
       timers,
       random: Math.random,
--- a/packages/routing/src/core/daemon/upstreams.ts
+++ b/packages/routing/src/core/daemon/upstreams.ts
@@ -45,8 +45,8 @@
   const availability = kernel.get<ReplicaAvailability>(PART.availability);
   const guard: UpstreamGuard = {
     refusal: (replica, purpose) => availability.refusal(replica, purpose),
-    onResponseHead: (replica, status, headers) => {
-      availability.recordDeclaration(replica, dialect.readDeclaration(status, headers));
+    onResponseHead: (replica, status, headers, requestId) => {
+      availability.recordDeclaration(replica, dialect.readDeclaration(status, headers, requestId));
       reachability().recordReached(replica);
       paths().recordResponse(replica);
       onResponse(replica);
--- a/packages/routing/src/core/relays/relay-codec.ts
+++ b/packages/routing/src/core/relays/relay-codec.ts
@@ -56,7 +56,7 @@
   ] = frame;
   const body = bytes === null ? undefined : Buffer.from(bytes);
   const flags = needsNewConnection ? { needsNewConnection } : {};
-  const call = { purpose, method, path, headers, body, ...flags };
+  const call = { purpose, method, path, headers, body, ...flags, requestId: request };
   return { request, replica, call, timeoutMs, softwareVersion: softwareVersion ?? undefined };
 }
 
--- a/packages/routing/src/core/relays/upstream-sender.ts
+++ b/packages/routing/src/core/relays/upstream-sender.ts
@@ -46,7 +46,7 @@
   readonly monitor: Pick<PathMonitor, 'causeOf' | 'takeTrial'>;
   readonly availability: Pick<ReplicaAvailability, 'refusal' | 'recordDeclaration'>;
   /** Returns what the head of a response declares about its replica. */
-  readonly readDeclaration: (status: number, headers: HeaderMap) => ReplicaDeclaration;
+  readonly readDeclaration: (status: number, headers: HeaderMap, requestId: string) => ReplicaDeclaration;
   readonly timers: TimerService;
   /** Returns a new random number from 0 to 1 on each call. */
   readonly random: () => number;
@@ -117,19 +117,19 @@
       timers,
       peer,
       request: { request: id, replica: replica.id, call, timeoutMs, softwareVersion },
-      sink: this.recordingDeclarations(replica, sink),
+      sink: this.recordingDeclarations(replica, id, sink),
       onRefused: () => this.avoidedUntil.set(peer, timers.now() + AVOID_MS),
       onEnded: () => this.count(peer, -1),
     });
   }
 
   /** What a replica declares holds for the daemon whose request it is, too: it may send another over another peer. */
-  private recordingDeclarations({ id }: ReplicaEntry, sink: ResponseSink): ResponseSink {
+  private recordingDeclarations({ id }: ReplicaEntry, requestId: string, sink: ResponseSink): ResponseSink {
     const { availability, readDeclaration } = this.options;
     return {
       onSent: () => sink.onSent(),
       onHead: (status, headers) => {
-        availability.recordDeclaration(id, readDeclaration(status, headers));
+        availability.recordDeclaration(id, readDeclaration(status, headers, requestId));
         sink.onHead(status, headers);
       },
       onData: (chunk) => sink.onData(chunk),
--- a/packages/routing/src/core/requests/execution.ts
+++ b/packages/routing/src/core/requests/execution.ts
@@ -454,7 +454,15 @@
     const purpose = continuation === undefined ? ExchangePurpose.Request : ExchangePurpose.Continuation;
     // A late response to an earlier attempt names the same request; on a new connection none can arrive.
     const needsNewConnection = this.sentTo.has(replica.id);
-    const call = { purpose, method: head.method, path: head.target, headers, body, needsNewConnection };
+    const call = {
+      purpose,
+      method: head.method,
+      path: head.target,
+      headers,
+      body,
+      needsNewConnection,
+      requestId: head.id,
+    };
     const path = sender.choosePath(replica, this.isRetryable, this.attemptCount === 0);
     this.path = path;
     this.attemptCount += 1;
--- a/packages/routing/src/core/requests/types.ts
+++ b/packages/routing/src/core/requests/types.ts
@@ -115,8 +115,12 @@
   upstreamHeaders(head: RequestHead, metadata: UpstreamMetadata): string[];
   /** Reads the head of a replica's response. */
   readResponse(status: number, headers: HeaderMap): ResponseMetadata;
-  /** Reads what the head of any response of a replica declares about the replica itself. */
-  readDeclaration(status: number, headers: HeaderMap): ReplicaDeclaration;
+  /**
+   * Reads what the head of any response of a replica declares about the replica itself.
+   * @param requestId - Id of the request that was sent: a response that does not name it declares nothing. Undefined if
+   *   it was no caller's.
+   */
+  readDeclaration(status: number, headers: HeaderMap, requestId?: string): ReplicaDeclaration;
 }
 
 /** Which request the head of a response names. */
--- a/packages/routing/test/relays.test.ts
+++ b/packages/routing/test/relays.test.ts
@@ -37,6 +37,7 @@
   path: '/p',
   headers: ['x-own', '1'],
   body: Buffer.from('body'),
+  requestId: 'r1',
 };
 
 type MessageHandler = (from: unknown, frame: unknown, channel: PeerChannel) => void;
