soak: kill the whole fleet, write entries at intervals, keep 20 s of them

The soak never ended all daemons at once, and its replicas wrote their entries once, so that its store could not show what a fleet that has ended has to prove. A caller that no daemon answers comes back until one does.

--- a/packages/soak/src/core/callers/callers.ts
+++ b/packages/soak/src/core/callers/callers.ts
@@ -21,6 +21,8 @@
 /** Attempts with one request: the first and a retry; more where a stream is taken up. */
 const MAX_ATTEMPTS = 2;
 const MAX_STREAM_ATTEMPTS = 4;
+/** Time after which a caller comes back whom no daemon has answered, in milliseconds. */
+const UNREACHED_WAIT_MS = 500;
 /** Share of the streams whose callers close the connection in between, and after how many events at most. */
 const LEAVING_SHARE = 0.05;
 const MAX_EVENTS_UNTIL_LEAVING = 10;
@@ -254,6 +256,11 @@
       const mayRetry = attempt.outcome === CallerOutcome.Refused || route.kind !== 'unsafe';
       if (attempt.outcome === CallerOutcome.Served || attempt.hasGivenUp || !mayRetry) return;
       const part = route.isResumable ? (partOf(attempt) ?? wanted.part) : undefined;
+      if (part !== undefined && attempt.status === undefined && attempt.events.length === 0) {
+        // No daemon took it: a caller that has a part of a stream comes back until one does.
+        sent -= 1;
+        await timers.sleep(UNREACHED_WAIT_MS);
+      }
       const maxSent = part === undefined ? MAX_ATTEMPTS : MAX_STREAM_ATTEMPTS;
       if (!hasRetries || this.isStopped || sent >= maxSent) return;
       const leftMs = Math.max(0, deadlineAt - timers.now());
--- a/packages/soak/src/core/plan/plan.ts
+++ b/packages/soak/src/core/plan/plan.ts
@@ -39,6 +39,7 @@
   FaultKind.GiveUp,
   FaultKind.ExtraResponses,
   FaultKind.UnprovedRefusals,
+  FaultKind.KillFleet,
 ];
 const OTHERS = Object.values(FaultKind).filter((kind) => !LATER.includes(kind));
 /** Mean time between two faults, in seconds. */
--- a/packages/soak/src/core/plan/types.ts
+++ b/packages/soak/src/core/plan/types.ts
@@ -26,6 +26,8 @@
   Drill = 'drill',
   /** Daemons are killed, and start again when the fault ends. */
   KillDaemons = 'kill-daemons',
+  /** All daemons are killed at the same moment, and start again when the fault ends. */
+  KillFleet = 'kill-fleet',
   /** Daemons are signalled to shut down, and are restarted when the fault ends. */
   TermDaemons = 'term-daemons',
   /** Daemons are stopped and go on. */
--- a/packages/soak/src/core/run/faults.ts
+++ b/packages/soak/src/core/run/faults.ts
@@ -184,6 +184,7 @@
     stop(replicas, choose(replicas.processes, share, random)),
   [FaultKind.StopReplicas]: ({ replicas }) => stop(replicas, replicas.processes),
   [FaultKind.KillDaemons]: restart('SIGKILL'),
+  [FaultKind.KillFleet]: (targets, _share, fault) => restart('SIGKILL')(targets, 1, fault),
   [FaultKind.TermDaemons]: restart('SIGTERM'),
   [FaultKind.FreezeDaemons]: ({ daemons, random }, share) => {
     const hit = choose(daemons.addresses, share, random);
--- a/packages/soak/src/core/run/run.ts
+++ b/packages/soak/src/core/run/run.ts
@@ -1,7 +1,7 @@
 /** One run: starts the platform, the replicas, the daemons and the callers, brings the faults about, and checks. */
 import { join } from 'node:path';
 
-import type { TimerService } from '@celeryyoke/core';
+import type { TimerHandle, TimerService } from '@celeryyoke/core';
 import { createSystemTimers } from '@celeryyoke/core';
 import { createRandom } from '@celeryyoke/routing/testing';
 
@@ -15,7 +15,9 @@
 import { ReplicaFleet } from '../replicas/index.js';
 import {
   claimNetworks,
+  discardHistory,
   ENGINE_SLOTS,
+  HEARTBEAT_MS,
   listReplica,
   PLAIN_SLOTS,
   putConfiguration,
@@ -80,9 +82,18 @@
   });
   const { port: storePort } = store;
   const daemons = new Daemons({ processes, program, dir, storePort, count: plan.daemons, timers });
+  const writeCounts = new Map<string, number>();
   function list(option: ReplicaOptions): void {
     const { id } = option;
-    listReplica(store, replicas.incarnationOf(id), option, replicas.ports.get(id)!, replicas.versionOf(id));
+    const incarnation = replicas.incarnationOf(id);
+    const count = (writeCounts.get(incarnation) ?? 0) + 1;
+    writeCounts.set(incarnation, count);
+    listReplica(store, incarnation, option, replicas.ports.get(id)!, replicas.versionOf(id), count);
+  }
+  function writeEntries(): void {
+    if (store.isDown) return;
+    for (const option of replicasOf(plan)) list(option);
+    discardHistory(store, timers.wall());
   }
   function relist(id: string, before: string): void {
     store.remove(`servers/${before}`);
@@ -110,9 +121,11 @@
   const random = createRandom(`run-${plan.seed}`);
   const { requestsPerSecond, adapters, hasRetries } = plan;
   const callers = new Callers({ balancer, random, timers, requestsPerSecond, adapters, hasRetries });
+  let heartbeats: TimerHandle | undefined;
   try {
     await replicas.start();
-    for (const option of replicasOf(plan)) list(option);
+    writeEntries();
+    heartbeats = timers.repeat(HEARTBEAT_MS, writeEntries);
     startAll(plan, daemons, timers);
     await timers.sleep(plan.trafficAfterMs);
     for (const fault of plan.faults)
@@ -139,6 +152,7 @@
     await timers.sleep(SETTLE_MS);
   } finally {
     balancer.stop();
+    heartbeats?.cancel();
     await processes.stop();
     await store.close();
   }
--- a/packages/soak/src/core/site/site.ts
+++ b/packages/soak/src/core/site/site.ts
@@ -34,6 +34,10 @@
 export const REPEAT_BOUNDS: RetryBounds = { ratio: 0.2, windowMs: 10_000, slack: 196 };
 /** Time from which on a daemon sends nothing to a replica that has told it that it leaves, in milliseconds. */
 export const DRAIN_MS = 2000;
+/** Interval at which replicas write their entries, in milliseconds. */
+export const HEARTBEAT_MS = 1200;
+/** How much of its history the store keeps, in milliseconds. */
+const HISTORY_MS = 20_000;
 /** Time for a graceful shutdown, in seconds. */
 export const GRACE_S = 8;
 
@@ -188,6 +192,7 @@
     `port_range=${FIRST_FREE_PORT},${LAST_FREE_PORT}`,
     `seeds=${seeds.join(',')}`,
     `bootstrap=${isFirstStart}`,
+    `heartbeat_ms=${HEARTBEAT_MS}`,
     `bounds.grace_s=${GRACE_S}`,
     `bounds.drain_ms=${DRAIN_MS}`,
     'bounds.lease_ms=3000',
@@ -272,6 +277,7 @@
  * Lists a replica in the store.
  * @param incarnation - Name of its current incarnation.
  * @param softwareVersion - Version of its software.
+ * @param writeCount - How often it has written its entry.
  */
 export function listReplica(
   store: StoreStandIn,
@@ -279,6 +285,7 @@
   { isEngine, slots }: ReplicaOptions,
   port: number,
   softwareVersion: string,
+  writeCount: number,
 ): void {
   const models = isEngine ? { models: [{ name: MODEL_NAME, version: 1, adapters: [] }] } : {};
   store.put(`servers/${incarnation}`, {
@@ -288,7 +295,12 @@
     version: softwareVersion,
     slots,
     state: 'ready',
-    sequence: 1,
+    sequence: writeCount,
     ...models,
   });
 }
+
+/** Has the store discard what is older than the history that it keeps. */
+export function discardHistory(store: StoreStandIn, wall: number): void {
+  Object.assign(store, { historyFrom: store.revisionAt(wall - HISTORY_MS) });
+}
