origins, requests: name what a history's first write hides, hold no closed socket

Found in the read of the diff: the search for former versions passed a time under the name of another one, a response that ends after its connection could have kept the connection in a table, and an exit before the start had failed in the handler that breaks responses off.

--- a/packages/routing/src/core/daemon/router.ts
+++ b/packages/routing/src/core/daemon/router.ts
@@ -32,6 +32,8 @@
 
   private readonly state: RouterState;
 
+  private hasStarted = false;
+
   /** The shutdown in progress. */
   private shutdown: Promise<void> | undefined;
 
@@ -45,6 +47,7 @@
   async start(): Promise<void> {
     const { settings, log } = this.options;
     await this.kernel.start();
+    this.hasStarted = true;
     log.info(`Started ${settings.name} at ${settings.host}, zone ${settings.zone}.`);
   }
 
@@ -107,7 +110,7 @@
 
   /** Breaks off the responses that are not written, as the process ends, so that none of them looks complete. */
   breakOffResponses(): void {
-    this.get<RequestServer>(PART.requests).breakOffResponses();
+    if (this.hasStarted) this.get<RequestServer>(PART.requests).breakOffResponses();
   }
 
   /** Stops all parts in reverse order without waiting; requests in progress are aborted. */
--- a/packages/routing/src/core/origins/store-history.ts
+++ b/packages/routing/src/core/origins/store-history.ts
@@ -121,7 +121,7 @@
   { from, writes }: StoreHistory,
   { intervalMs, wall }: HistoryContext,
 ): PastVersion[] {
-  const sinceWall = wall - shortestSpanMs(writes, intervalMs);
+  const startsWithin = wall - shortestSpanMs(writes, intervalMs) - CLOCK_TOLERANCE_MS;
   const latest = new Map<string, EntryWrite>();
   const versions: PastVersion[] = [];
   for (const [index, write] of writes.entries()) {
@@ -129,35 +129,36 @@
     const before = latest.get(name);
     const isFirst = from > 0 && before === undefined && !write.isCreation;
     latest.set(name, write);
-    if (isFirst) versions.push(...versionBefore(write, writes.slice(index), { intervalMs, wall: sinceWall }));
-    if (before?.replica !== undefined && !isSameVersion(before.replica, write.replica)) {
-      const removedAgoMs = shortestSpanMs(writes.slice(index), intervalMs);
-      versions.push({ ...versionOf(before.replica), removedAgoMs });
-    }
+    const former = isFirst ? unknownBefore(write, startsWithin) : versionReplaced(before?.replica, write);
+    if (former !== undefined)
+      versions.push({ ...former, removedAgoMs: shortestSpanMs(writes.slice(index), intervalMs) });
   }
   for (const { replica } of latest.values()) if (replica !== undefined) versions.push(versionOf(replica));
   return versions;
 }
 
 /**
- * Returns what an entry may have stated before the first write to it that the history has; nothing if that is the same.
- * @param since - The write and all later ones.
+ * Returns what an entry may have stated before the first write to it that the history has.
+ * @param startsWithin - Unix milliseconds since which a replica has started within the history.
+ * @returns Undefined if it stated the same version.
  */
-function versionBefore(
-  { replica }: EntryWrite,
-  since: readonly EntryWrite[],
-  { intervalMs, wall }: HistoryContext,
-): PastVersion[] {
-  const unknown = { softwareVersion: UNKNOWN_VERSION, removedAgoMs: shortestSpanMs(since, intervalMs) };
-  if (replica === undefined) return [{ service: ANY_SERVICE, ...unknown }];
-  const mayBeRestarted = replica.bornAt !== undefined && replica.bornAt > wall - CLOCK_TOLERANCE_MS;
-  return mayBeRestarted ? [{ service: replica.service, ...unknown }] : [];
+function unknownBefore({ replica }: EntryWrite, startsWithin: number): PastVersion | undefined {
+  const unknown = { softwareVersion: UNKNOWN_VERSION, removedAgoMs: 0 };
+  if (replica === undefined) return { service: ANY_SERVICE, ...unknown };
+  const mayHaveRestarted = replica.bornAt !== undefined && replica.bornAt > startsWithin;
+  return mayHaveRestarted ? { service: replica.service, ...unknown } : undefined;
 }
 
-function versionOf({ service, softwareVersion = UNKNOWN_VERSION }: ReplicaEntry): PastVersion {
-  return { service, softwareVersion, removedAgoMs: 0 };
+/** Returns the version that a write replaces or removes; undefined if it leaves it as it is. */
+function versionReplaced(
+  before: ReplicaEntry | undefined,
+  { replica: after }: EntryWrite,
+): PastVersion | undefined {
+  if (before === undefined) return undefined;
+  const isSame = before.service === after?.service && before.softwareVersion === after.softwareVersion;
+  return isSame ? undefined : versionOf(before);
 }
 
-function isSameVersion(before: ReplicaEntry, after: ReplicaEntry | undefined): boolean {
-  return before.service === after?.service && before.softwareVersion === after.softwareVersion;
+function versionOf({ service, softwareVersion = UNKNOWN_VERSION }: ReplicaEntry): PastVersion {
+  return { service, softwareVersion, removedAgoMs: 0 };
 }
--- a/packages/routing/src/core/requests/caller-connection.ts
+++ b/packages/routing/src/core/requests/caller-connection.ts
@@ -89,6 +89,7 @@
     if (this.acceptedAt < lastTurnAt) this.queueEmptyAt = lastTurnAt;
     this.acceptedAt = now;
     const connection = new CallerConnection(socket, this.timers, this.queueEmptyAt);
+    if (socket.destroyed) return connection;
     this.connections.set(socket, connection);
     socket.once('close', () => this.connections.delete(socket));
     return connection;
--- a/packages/routing/src/core/requests/server.ts
+++ b/packages/routing/src/core/requests/server.ts
@@ -216,12 +216,13 @@
       return;
     }
     this.responses.add(res);
+    const connection = this.connections.of(req.socket);
     res.on('error', (err) => this.options.log.debug(`Failed to write a response: ${err.message}.`));
     if (this.isDraining) res.shouldKeepAlive = false;
     // The head of a stream that began before the shutdown announced a kept-alive connection: close it when
     // the stream ends.
     res.once('finish', () => {
-      this.connections.of(req.socket).settle();
+      connection.settle();
       if (this.isClosing || this.endingResponses.has(res)) req.socket.destroySoon();
     });
     try {
