accounts: charge requests in the order of their arrival

Callers that came with less time than others had were taken for repeats: half of their account's bucket was kept from them, on the owner and in the frame of a charge.

Cause: `isLate` in the ledger, from the deadlines of other callers. Change: the ledger knows the account and the units only. An older daemon reads the shorter frame as a request that is not late.

--- a/packages/routing/src/core/accounts/index.ts
+++ b/packages/routing/src/core/accounts/index.ts
@@ -2,7 +2,7 @@
 export { AccountMetrics } from './account-metrics.js';
 export type { AccountLookup, Authentication } from './authentication.js';
 export { authenticate, AuthOutcome } from './authentication.js';
-export type { AccountQuotasOptions, QuotaDecision, RequestCost } from './quotas.js';
+export type { AccountQuotasOptions, QuotaDecision } from './quotas.js';
 export { AccountQuotas, QuotaDecider } from './quotas.js';
 export { digestKey } from './key-digest.js';
 export type { AccountQuota, ClientAccount, Credentials } from './types.js';
--- a/packages/routing/src/core/accounts/quota-ledger.ts
+++ b/packages/routing/src/core/accounts/quota-ledger.ts
@@ -24,11 +24,6 @@
 const CONTESTED_REPUBLISH_MS = 100;
 /** Time for which an account counts as contested after a row of another owner, in milliseconds. */
 const CONTESTED_MS = 2000;
-/**
- * Share of the capacity that is reserved for requests that can still be answered in time: when an account
- * demands more than its quota, a retry that is already late would otherwise displace a request that is not.
- */
-const LATE_RESERVE_SHARE = GUARD_BELOW_SHARE;
 /**
  * Time constant with which the backlog of refused requests that are expected to be retried decays, in
  * milliseconds.
@@ -126,16 +121,15 @@
   constructor(private readonly options: QuotaLedgerOptions) {}
 
   /**
-   * Charges a request if the bucket, the window and the reserve for requests in time allow it. A refused
-   * request is added to the backlog, so that the retry times of refused requests are spread.
+   * Charges a request if the bucket and the window allow it. A refused request is added to the backlog, so that the
+   * retry times of refused requests are spread.
    */
-  charge(quota: AccountQuota, { account, units, isLate }: ChargeRequest): ChargeResult {
+  charge(quota: AccountQuota, { account, units }: ChargeRequest): ChargeResult {
     const now = this.options.timers.now();
     const entry = this.entryFor(account, quota, now);
     const { bucket, windowUsage } = entry;
     const isWindowFull = windowUsage.total(now) >= this.maxUnitsInWindow(quota);
-    const isHeldBack = isLate && this.availableUnits(entry, now) < bucket.capacity * LATE_RESERVE_SHARE;
-    const isAdmitted = !isWindowFull && !isHeldBack && bucket.tryTake(units, now);
+    const isAdmitted = !isWindowFull && bucket.tryTake(units, now);
     if (isAdmitted) countUnits(entry, units, now);
     else entry.backlog += units;
     this.updateMode(account, entry, now);
--- a/packages/routing/src/core/accounts/quota-messages.ts
+++ b/packages/routing/src/core/accounts/quota-messages.ts
@@ -5,8 +5,6 @@
 export interface ChargeRequest {
   readonly account: string;
   readonly units: number;
-  /** Whether the response will be late in any case. */
-  readonly isLate: boolean;
 }
 
 /** Units that a daemon has admitted without the owner, or refunds. */
@@ -16,7 +14,7 @@
   readonly units: number;
 }
 
-export type ChargeFrame = readonly [account: string, units: number, isLate: boolean];
+export type ChargeFrame = readonly [account: string, units: number];
 
 /** Null if the requested daemon does not decide for the account. */
 export type ChargeResponseFrame =
@@ -27,12 +25,12 @@
 /** Maximum time in a frame, in milliseconds: infinite times can't be encoded. */
 const MAX_ENCODED_MS = 60_000;
 
-export function encodeCharge({ account, units, isLate }: ChargeRequest): ChargeFrame {
-  return [account, units, isLate];
+export function encodeCharge({ account, units }: ChargeRequest): ChargeFrame {
+  return [account, units];
 }
 
-export function decodeCharge([account, units, isLate]: ChargeFrame): ChargeRequest {
-  return { account, units, isLate };
+export function decodeCharge([account, units]: ChargeFrame): ChargeRequest {
+  return { account, units };
 }
 
 /**
--- a/packages/routing/src/core/accounts/quotas.ts
+++ b/packages/routing/src/core/accounts/quotas.ts
@@ -91,14 +91,6 @@
   readonly retryAfterMs: number;
 }
 
-/** What a request costs its account, and whether it can still be answered in time. */
-export interface RequestCost {
-  /** Undefined if the request does not state its number of tokens. */
-  readonly statedTokens: number | undefined;
-  /** Whether the response will be late in any case. */
-  readonly isLate: boolean;
-}
-
 /** Parts of the daemon that quotas use. */
 export interface AccountQuotasOptions {
   /** Address of this daemon. */
@@ -180,20 +172,23 @@
     this.reporter.stop();
   }
 
-  /** Charges a request to its account, and decides whether it may be sent. */
-  async charge(account: ClientAccount, { statedTokens, isLate }: RequestCost): Promise<QuotaDecision> {
+  /**
+   * Charges a request to its account, and decides whether it may be sent.
+   * @param statedTokens - Undefined if the request does not state its number of tokens.
+   */
+  async charge(account: ClientAccount, statedTokens: number | undefined): Promise<QuotaDecision> {
     const { name, quota } = account;
     if (quota === undefined) return admitted(QuotaDecider.Open);
     const units = costOf(quota, statedTokens);
     const localAccount = this.localAccountOf(name);
-    const decision = await this.decide(quota, { account: name, units, isLate }, localAccount);
+    const decision = await this.decide(quota, { account: name, units }, localAccount);
     if (decision.isAdmitted) localAccount.share.recordAdmitted(units, this.options.timers.now());
     return decision;
   }
 
   /**
    * Refunds the cost of a request that did not run.
-   * @param statedTokens - Tokens that the request stated, as in {@link RequestCost}.
+   * @param statedTokens - Tokens that the request stated, as when it was charged.
    */
   refund({ name, quota }: ClientAccount, statedTokens: number | undefined): void {
     if (quota !== undefined) this.reporter.add(name, -costOf(quota, statedTokens));
--- a/packages/routing/src/core/requests/server.ts
+++ b/packages/routing/src/core/requests/server.ts
@@ -281,8 +281,7 @@
     parts.callerTimeouts.record(route.name, timeoutMs);
     if (route.isResumable && head.waitMs !== undefined && head.lastEventId === undefined)
       parts.callerDeadlines.record({ route: route.name, account: account?.name, longestMs: head.waitMs });
-    const isLate = parts.callerTimeouts.isLate(route, timeoutMs);
-    if (account !== undefined && !(await this.charge(account, head, isLate, runs, res))) {
+    if (account !== undefined && !(await this.charge(account, head, runs, res))) {
       req.resume();
       return;
     }
@@ -353,16 +352,12 @@
   private async charge(
     account: ClientAccount,
     head: RequestHead,
-    isLate: boolean,
     runs: RunRecord,
     res: ServerResponse,
   ): Promise<boolean> {
     const { parts, log, registry } = this.options;
     const { statedTokens } = head;
-    const { isAdmitted, decider, retryAfterMs } = await parts.quotas.charge(account, {
-      statedTokens,
-      isLate,
-    });
+    const { isAdmitted, decider, retryAfterMs } = await parts.quotas.charge(account, statedTokens);
     parts.accountMetrics.countRequest(account.name, isAdmitted);
     if (isAdmitted) return true;
     log.decide('request.over-quota', `${account.name} has used up its quota.`, {
@@ -370,7 +365,6 @@
       account: account.name,
       decider,
       statedTokens,
-      isLate,
       retryAfterMs: Math.round(retryAfterMs),
       configVersion: registry.table?.document.version,
     });
