adapters: order waiting loads by the deadlines of their requests

Loads were started in three classes by the objective of their route: first those about to miss their last chance, then those that could still meet the objective, then the rest in order of arrival. What the caller feels of an objective is nothing; what it has is its deadline, and the configuration promises a priority.

Change: priority first, then the time by which the load must end for its requests to be served before their deadlines; loads whose requests can't be served any more come last instead of first. Test: 'waiting loads start by priority, ...' fails on the former queue (a hopeless load starts first, by 'due' times). It replaces the test that expected the three classes, and checks one order of five loads as before.

--- a/packages/routing/src/core/adapters/adapter-loader.ts
+++ b/packages/routing/src/core/adapters/adapter-loader.ts
@@ -43,8 +43,7 @@
 const UPGRADE_URGENCY: Urgency = {
   rank: 0,
   waitedMs: 0,
-  dueInMs: 0,
-  lastCallMs: 0,
+  lastCallMs: 5000,
   patienceMs: 5000,
   timeoutMs: 5000,
 };
--- a/packages/routing/src/core/adapters/queue.ts
+++ b/packages/routing/src/core/adapters/queue.ts
@@ -10,16 +10,6 @@
  */
 const MIN_QUEUE_WAIT_MS = 60;
 
-/** Priority classes of waiting loads, highest first. */
-enum LoadPriority {
-  /** Must start now, or its request will not be served at all. */
-  LastCall,
-  /** The response can still be on time. */
-  OnTime,
-  /** The response will be late, and no worse a second later. */
-  Late,
-}
-
 /** A load that requests wait for. */
 export interface PendingLoad extends AdapterRef {
   readonly key: string;
@@ -27,9 +17,9 @@
   requestedAt: number;
   /** Rank of the most urgent request waiting for the load. */
   rank: number;
-  /** Monotonic time by which the load must start for the next response that can still be on time. */
-  dueAt: number;
-  /** Monotonic time by which the load must start for the first of its requests to be served at all. */
+  /**
+   * Monotonic time by which the load must end for the next of its requests to be served before its deadline.
+   */
   lastCallAt: number;
   /** Monotonic time at which the last waiting request gives up. */
   expiresAt: number;
@@ -81,16 +71,15 @@
   }
 
   /** Adds a request to a load, which becomes at least as urgent as the request. */
-  addRequest(load: PendingLoad, { rank, waitedMs, dueInMs, lastCallMs, patienceMs }: Urgency): void {
+  addRequest(load: PendingLoad, { rank, waitedMs, lastCallMs, patienceMs }: Urgency): void {
     const now = this.timers.now();
-    const dueAt = now + dueInMs;
-    // A request that is already too late does not make the others late.
-    const isLate = load.dueAt < now;
+    const lastCallAt = now + lastCallMs;
+    // A request that can't be served any more does not decide for those that can.
+    const hasPassed = load.lastCallAt < now;
     Object.assign(load, {
-      dueAt: isLate ? Math.max(load.dueAt, dueAt) : Math.min(load.dueAt, dueAt),
       rank: Math.min(load.rank, rank),
       requestedAt: Math.min(load.requestedAt, now - waitedMs),
-      lastCallAt: Math.min(load.lastCallAt, now + lastCallMs),
+      lastCallAt: hasPassed ? Math.max(load.lastCallAt, lastCallAt) : Math.min(load.lastCallAt, lastCallAt),
       expiresAt: Math.max(load.expiresAt, now + Math.max(patienceMs, MIN_QUEUE_WAIT_MS)),
     } satisfies Partial<PendingLoad>);
   }
@@ -180,8 +169,7 @@
     key: adapterKey(ref.model, ref.adapter),
     requestedAt: now,
     rank: Number.MAX_SAFE_INTEGER,
-    dueAt: Number.NEGATIVE_INFINITY,
-    lastCallAt: Number.POSITIVE_INFINITY,
+    lastCallAt: Number.NEGATIVE_INFINITY,
     expiresAt: 0,
     hasExpired: false,
     started,
@@ -193,21 +181,13 @@
 }
 
 /**
- * Returns whether a load comes before another one.
- *
- * A late response is worth the same a second later. Loads whose response can still be on time therefore come
- * first, by rank and then by due time; late ones follow, oldest first, unless they are about to miss their
- * last chance to be served.
+ * Returns whether a load comes before another one: by the priority of their requests, then by the time that those have
+ * left. Loads whose requests can't be served before their deadlines any more come last.
  */
 function precedes(one: PendingLoad, other: PendingLoad, now: number): boolean {
-  const priority = priorityAt(one, now);
-  const otherPriority = priorityAt(other, now);
-  if (priority !== otherPriority) return priority < otherPriority;
-  if (priority !== LoadPriority.OnTime) return one.requestedAt < other.requestedAt;
-  return one.rank === other.rank ? one.dueAt < other.dueAt : one.rank < other.rank;
-}
-
-function priorityAt({ dueAt, lastCallAt }: PendingLoad, now: number): LoadPriority {
-  if (lastCallAt < now) return LoadPriority.LastCall;
-  return dueAt >= now ? LoadPriority.OnTime : LoadPriority.Late;
+  const hasPassed = one.lastCallAt < now;
+  if (hasPassed !== other.lastCallAt < now) return !hasPassed;
+  if (one.rank !== other.rank) return one.rank < other.rank;
+  if (one.lastCallAt !== other.lastCallAt) return one.lastCallAt < other.lastCallAt;
+  return one.requestedAt < other.requestedAt;
 }
--- a/packages/routing/src/core/adapters/types.ts
+++ b/packages/routing/src/core/adapters/types.ts
@@ -131,12 +131,7 @@
   readonly rank: number;
   /** Time that the request has already waited for the adapter, on any engine, in milliseconds. */
   readonly waitedMs: number;
-  /**
-   * Time left until the load must start for the response to be on time, in milliseconds; negative when that
-   * has passed.
-   */
-  readonly dueInMs: number;
-  /** Time left until the load must start for the request to be served at all, in milliseconds. */
+  /** Time left until the load must end for the request to be served before its deadline, in milliseconds. */
   readonly lastCallMs: number;
   /**
    * Longest wait until the load starts, in milliseconds; 0 accepts only a load that can start immediately.
--- a/packages/routing/src/core/requests/finder.ts
+++ b/packages/routing/src/core/requests/finder.ts
@@ -22,8 +22,6 @@
  * late it is, and more than none. With 1/8 and with 1/2, days under load were worth 0.01 less.
  */
 const LATE_WAIT_SHARE = 1 / 4;
-/** Time of a load and the first event after it on a busy engine, in milliseconds: a quarter second each. */
-const LOAD_AND_FIRST_EVENT_MS = 400;
 /** Share of its timeout that a stream needs until its end, and that must be left when a load begins. */
 const MIN_STREAM_SHARE = 0.6;
 /** Pause between two choices while there is no replica, in milliseconds. */
@@ -229,13 +227,11 @@
   }
 
   private urgency(queueTimeoutMs: number): Urgency {
-    const { arrivedAt, route, rank } = this.request;
+    const { rank } = this.request;
     const remainingMs = this.remainingMs();
-    const elapsedMs = this.parts.timers.now() - arrivedAt;
     return {
       rank,
       waitedMs: this.loadMs,
-      dueInMs: Math.round(route.objectiveMs - elapsedMs - LOAD_AND_FIRST_EVENT_MS),
       lastCallMs: this.lastCallMs(),
       patienceMs: queueTimeoutMs,
       timeoutMs: Math.min(LOAD_TIMEOUT_MS, remainingMs),
--- a/packages/routing/src/core/requests/migration.ts
+++ b/packages/routing/src/core/requests/migration.ts
@@ -208,7 +208,6 @@
     const urgency: Urgency = {
       rank,
       waitedMs: 0,
-      dueInMs: remainingMs,
       lastCallMs: remainingMs,
       patienceMs: Math.min(remainingMs, QUEUE_TIMEOUT_MS),
       timeoutMs: remainingMs,
