requests: wait and refuse by the caller's time, not by objectives

What callers saw: the same callers got something else when the operator's target_latency_ms or the deadlines of other callers changed. Without a replica, 5 s before their deadlines, they were refused after 45 ms or after 0.8 to 1.0 s; none was served by replicas that were back 0.7 s later.

Cause: waits were shares of the objective (1/8, 1/2, 0.9); who had less time than others had stated was taken for a repeat and got 1/4 and 0.1 of it, fewer slots, and 0.3 of its time as Retry-After.

Change: - A request waits until the time after which it can't be served any more: its deadline less the fastest recent response of its route, and for a stream the gap that every caller bears (2 s, or eight pauses of the route). - It is refused at once when that comes before a replica can be expected: the end of a backoff is known; a service without a replica, or a stalled line, is expected to stay so for as long again; no replica known at all is refused at once. - Those that wait for the same replicas do so in one line, by the priority of the configuration and then by that time. The objective and the deadlines of others are no longer read (CallerDeadlines aside, which bounds the age of streams for the proof of their version).

--- a/packages/routing/src/core/adapters/index.ts
+++ b/packages/routing/src/core/adapters/index.ts
@@ -5,6 +5,7 @@
 export { EngineOwner } from './engine-owner.js';
 export type { EnsureRequest, AdapterLoaderOptions } from './adapter-loader.js';
 export { AdapterLoader } from './adapter-loader.js';
+export { COLD_LOAD_ESTIMATE_MS, WARM_LOAD_ESTIMATE_MS } from './load-times.js';
 export { SlotState, SlotTable } from './slots.js';
 export type {
   AdapterRef,
--- a/packages/routing/src/core/adapters/load-times.ts
+++ b/packages/routing/src/core/adapters/load-times.ts
@@ -3,9 +3,9 @@
  * load finds a copy on the engine's host.
  */
 
-/** Initial estimates, in milliseconds; replaced by measurements. */
-const COLD_LOAD_ESTIMATE_MS = 250;
-const WARM_LOAD_ESTIMATE_MS = 25;
+/** Estimates of loads that were not measured, in milliseconds. */
+export const COLD_LOAD_ESTIMATE_MS = 250;
+export const WARM_LOAD_ESTIMATE_MS = 25;
 /** Weight of a new measurement in the moving average. */
 const SMOOTHING_FACTOR = 0.3;
 /** Adapters that are remembered as loaded before. */
--- a/packages/routing/src/core/catalog/types.ts
+++ b/packages/routing/src/core/catalog/types.ts
@@ -30,15 +30,13 @@
   readonly kind: RouteKind;
   /** Longest time until the caller gets its response, in milliseconds. */
   readonly timeoutMs: number;
-  /** Time within which a response is on time, in milliseconds; for a stream, its first event. */
-  readonly objectiveMs: number;
   /** Priority; 0 is the most urgent. */
   readonly rank: number;
   readonly targets: readonly RouteTarget[];
   /** Upstreams that one request of a caller may run on. */
   readonly maxAttempts: number;
   /**
-   * Longest gap between two events with which a stream is on time, in milliseconds; undefined where none is
+   * Longest gap between two events of a stream that its callers expect, in milliseconds; undefined where none is
    * declared.
    */
   readonly maxPauseMs: number | undefined;
--- a/packages/routing/src/core/choice/chooser.ts
+++ b/packages/routing/src/core/choice/chooser.ts
@@ -9,7 +9,7 @@
 import { hash32 } from '@celeryyoke/core';
 
 import type { ResidencyTable } from '../adapters/index.js';
-import { adapterKey } from '../adapters/index.js';
+import { adapterKey, COLD_LOAD_ESTIMATE_MS, WARM_LOAD_ESTIMATE_MS } from '../adapters/index.js';
 import type { ReplicaRegistry, ReplicaEntry } from '../view/index.js';
 import type { InFlightTable } from './in-flight.js';
 import type { ReplicaHealth } from './replica-health.js';
@@ -21,17 +21,11 @@
  */
 const RUNNING_COST_MS = 5;
 /**
- * Share of an engine's slots that each step down in priority leaves free. Beyond its slots an engine queues
- * requests for seconds, and what it then serves is late or cut off. With half of the engines gone, this
- * raised the responses on time by a third.
+ * Share of an engine's slots that each step down in priority leaves free for the more urgent requests, which arrive
+ * while the engine is full. Beyond its slots an engine queues requests for seconds.
  */
 const RESERVED_SHARE_PER_RANK = 0.03;
 const MAX_RESERVED_RANK = 3;
-/**
- * Share of the slots that late requests leave to those that can still be on time; a late response earns a
- * third.
- */
-const RESERVED_SHARE_FROM_LATE = 0.12;
 /** Cost of a replica of a plain service whose slots are all in use. */
 const SERVICE_FULL_COST_MS = 60;
 /**
@@ -39,13 +33,9 @@
  * it all of them would choose the same one of several equal replicas.
  */
 const SERVICE_JITTER_MS = 20;
-/** Cost of loading an adapter that the engine had resident recently. */
-const RELOAD_COST_MS = 40;
-/** Cost of a first load: it is priced like a third of a request and takes 250 ms. */
-const FIRST_LOAD_COST_MS = 400;
 /**
- * Cost of the slot that a load takes, by the number of free slots; the last entry is for that number and
- * above.
+ * Expected delay of later loads by the slot that a load takes, by the number of free slots: without one, a load waits
+ * until the requests of another adapter have ended. The last entry is for that number and above.
  */
 const SLOT_COSTS_MS = [700, 500, 400, 300, 220, 150, 100, 70, 40, 20];
 /** Cost of each load that is queued ahead. */
@@ -61,7 +51,7 @@
 const SUSPECT_RANK_COST_MS = 20_000;
 /** Weight of the time by which a replica's first byte is later than that of the fastest candidate. */
 const SLOWNESS_WEIGHT = 0.5;
-/** Cost of a replica in another failure domain: the network delay and the bytes that are billed. */
+/** Cost of a replica in another failure domain: a round trip between the two. */
 const CROSS_DOMAIN_COST_MS = 2;
 /** Time for which the previous version of an adapter may still be used while a newly declared one loads. */
 const OLDER_VERSION_GRACE_MS = 2000;
@@ -78,14 +68,14 @@
   readonly beginsResumable: boolean;
   /** Replicas that the request was already sent to; chosen again only when there is no other. */
   readonly tried: ReadonlySet<string>;
+  /** Replicas that have repeatedly accepted no connection for the request; not chosen again while they are ejected. */
+  readonly unreached: ReadonlySet<string>;
   /** Replicas that may be chosen; all when it is undefined. */
   readonly among?: ReadonlySet<string> | undefined;
   /** Replicas that can't load the adapter at present. */
   readonly cannotLoad: ReadonlySet<string>;
   /** Priority; 0 is the most urgent. */
   readonly rank: number;
-  /** Whether the response will be late whichever replica is chosen. */
-  readonly isLate: boolean;
   /** Whether it already ran on another replica, so that it may go to an engine without free slots. */
   readonly isUnderWay: boolean;
   /** Ranks replicas for a request under which one has crashed; undefined for any other request. */
@@ -192,11 +182,17 @@
   }
 
   /** Replicas that accept the request. */
-  private readyReplicas({ service, softwareVersion, among }: Need): readonly ReplicaEntry[] {
+  private readyReplicas(need: Need): readonly ReplicaEntry[] {
     const { registry, mayReceive } = this.options;
+    const { service, softwareVersion, among } = need;
     return registry
       .readyReplicas(service, softwareVersion)
-      .filter(({ id }) => mayReceive(id) && (among?.has(id) ?? true));
+      .filter(({ id }) => mayReceive(id) && (among?.has(id) ?? true) && !this.isOutOfReach(id, need));
+  }
+
+  /** Whether a replica has accepted no connection for the request and is ejected. */
+  private isOutOfReach(replica: string, { unreached }: Need): boolean {
+    return unreached.has(replica) && this.options.health.isEjected(replica);
   }
 
   /** Returns whether a service has replicas of a software version that are ready or left a moment ago. */
@@ -234,6 +230,14 @@
     return replicas.length === 0 ? 0 : Math.min(...replicas.map(({ id }) => backoffMs(id)));
   }
 
+  /**
+   * Returns for how long a service has had no ready replica, in milliseconds.
+   * @returns 0 if it has one, Infinity if none has been known.
+   */
+  absentMs(service: string): number {
+    return this.options.registry.absentMs(service);
+  }
+
   /** Returns the replicas that can take the request, with their requests in flight. */
   private candidatesFor(replicas: readonly ReplicaEntry[], need: Need): Candidate[] {
     const { residency, inFlight } = this.options;
@@ -276,7 +280,7 @@
 
   private loadCost(replica: string, key: string): number {
     const { residency } = this.options;
-    const load = residency.wasRecentlyResident(replica, key) ? RELOAD_COST_MS : FIRST_LOAD_COST_MS;
+    const load = residency.wasRecentlyResident(replica, key) ? WARM_LOAD_ESTIMATE_MS : COLD_LOAD_ESTIMATE_MS;
     const { freeSlots, queued } = residency.availabilityOf(replica);
     if (freeSlots < 0) return EJECTED_COST_MS;
     return (
@@ -295,11 +299,10 @@
  * @param slots - Requests that the engine works on at once.
  * @returns Infinity for a request that has already run elsewhere.
  */
-export function maxInFlightFor(slots: number, need: Pick<Need, 'rank' | 'isLate' | 'isUnderWay'>): number {
+export function maxInFlightFor(slots: number, need: Pick<Need, 'rank' | 'isUnderWay'>): number {
   if (need.isUnderWay) return Number.POSITIVE_INFINITY;
   const reservedByRank = slots * RESERVED_SHARE_PER_RANK * Math.min(need.rank, MAX_RESERVED_RANK);
-  const reservedFromLate = need.isLate ? Math.max(1, slots * RESERVED_SHARE_FROM_LATE) : 0;
-  return Math.ceil(slots - reservedByRank - reservedFromLate);
+  return Math.ceil(slots - reservedByRank);
 }
 
 function hasFreeSlot({ replica: { slots }, running }: Candidate, need: Need): boolean {
--- a/packages/routing/src/core/daemon/services.ts
+++ b/packages/routing/src/core/daemon/services.ts
@@ -28,11 +28,12 @@
 import { CutOffTable, PathMonitor, PeerWitness, ReachabilityTable } from '../paths/index.js';
 import { RelayServer, UpstreamSender } from '../relays/index.js';
 import {
-  CallerTimeouts,
   StreamMigrator,
   RequestMetrics,
   RequestServer,
   Shutdown,
+  WaitingLines,
+  WorkTimes,
 } from '../requests/index.js';
 import { FleetShare } from '../shares/index.js';
 import { AttemptLedger, CrashDetector, ReplicaEnds, SuspectRegistry } from '../suspects/index.js';
@@ -973,7 +974,8 @@
         incarnations: kernel.get(PART.incarnations),
         registry,
         accountMetrics: new AccountMetrics(kernel.get<Metrics>(PART.metrics)),
-        callerTimeouts: new CallerTimeouts(),
+        workTimes: new WorkTimes(timers),
+        waitingLines: new WaitingLines(timers),
         callerDeadlines: history.deadlines,
         migrator: new StreamMigrator({
           registry,
--- a/packages/routing/src/core/requests/execution.ts
+++ b/packages/routing/src/core/requests/execution.ts
@@ -49,30 +49,29 @@
 import type { Shutdown } from './shutdown.js';
 import { SHUTTING_DOWN } from './shutdown.js';
 import { WaitCause, WaitTimes } from './wait-times.js';
+import type { WorkTimes } from './work-times.js';
 
 import type { ReplicaResponse, RequestDialect, RequestHead, AttemptResult } from './types.js';
 import { AttemptOutcome, ContinuationWay, CUT_OUTCOMES, requestTimeoutMs } from './types.js';
 
-/** Time after which a refused caller may retry, in milliseconds. */
+/** Shortest time after which a refused caller may retry, in milliseconds. */
 const RETRY_AFTER_MS = 250;
 /**
  * Shortest such time for a generation: an engine gets a new owner and reports its adapters in about that
  * time.
  */
 const GENERATION_RETRY_AFTER_MS = 600;
-/**
- * Share of the remaining time after which a refused generation may retry: callers wait a third of it at most.
- */
-const RETRY_AFTER_SHARE = 0.3;
 /** Time by which a request may outlast its caller's deadline at most, as far as that is known, in milliseconds. */
 const MAX_OUTLAST_MS = 250;
-/** Largest share of its time that counts as lost before it was read: it may have been shorter. */
-const MAX_LOST_SHARE = 0.5;
+/** Callers give up a request that may be repeated and is not read within this time, in milliseconds, or this share of theirs. */
+const MAX_UNREAD_MS = 1000;
+const MAX_UNREAD_SHARE = 1 / 3;
 /** Largest number of attempts of one request that are refused without having run. */
 const MAX_REFUSALS = 4;
-/** Largest number of replicas that a request is tried at and that accept no connection. */
-const MAX_UNREACHED = 16;
+/** Largest number of attempts of one request whose replicas accept no connection. */
+const MAX_UNSENT = 32;
 const MIN_FAILURE_STATUS = 500;
+const FIRST_STATUS_AFTER_SUCCESS = 300;
 /** Outcome of a stream that was relayed to its end. */
 const STREAMED = 'streamed';
 const PATH_BROKEN = 'The path to the replica is broken.';
@@ -98,6 +97,7 @@
   >;
   readonly inFlight: InFlightTable;
   readonly health: ReplicaHealth;
+  readonly workTimes: WorkTimes;
   readonly migrator: StreamMigrator;
   readonly admission: PromptAdmission;
   readonly limits: Pick<ReplicaLimits, 'admit' | 'updateFromResponse'>;
@@ -167,8 +167,8 @@
   /** Number of attempts that were refused without having run. */
   private refusals = 0;
 
-  /** Replicas that could not be sent anything. */
-  private readonly unreached = new Set<string>();
+  /** Number of attempts that were not sent, as their replicas accepted no connection. */
+  private unsent = 0;
 
   /** Aborts waits when the request ends. */
   private readonly endController = new AbortController();
@@ -222,20 +222,19 @@
     this.waits = new WaitTimes(parts.timers, arrivedAt);
     this.rank = account?.rank ?? route.rank;
     const timeoutMs = requestTimeoutMs(head, route);
-    this.deadlineAt = arrivedAt + timeoutMs - lostMs(options.unreadMs, timeoutMs);
+    this.deadlineAt = arrivedAt + timeoutMs - this.lostMs(timeoutMs);
     if (route.kind === RouteKind.Streaming) {
       this.relay = new StreamRelay(res, head.lastEventId, parts.timers, parts.buffers);
       this.binding = new StreamBinding(parts, {
         ...options,
         fingerprint: () => this.suspicion.fingerprints().exact,
-        remainingMs: () => (this.hasEnded ? 0 : this.remainingMs()),
+        lastCallMs: () => (this.hasEnded ? 0 : this.finder.lastCallMs()),
       });
     }
     const request: RoutedRequest = {
       ...options,
       rank: this.rank,
-      // The age is a bound: a request that may have lost time is not taken for a late one.
-      deadlineAt: arrivedAt + timeoutMs,
+      deadlineAt: this.deadlineAt,
       hasEnded: () => this.hasEnded,
       hasResponseBegun: () => this.relay?.hasBegun ?? false,
       softwareVersion: () => this.binding?.softwareVersion,
@@ -387,11 +386,10 @@
   private async isPromptAdmitted(replica: ReplicaEntry, continuation: string | undefined): Promise<boolean> {
     const { chooser, markAbsent } = this.parts;
     const key = this.adapterKey();
-    const { isLate } = this.finder;
     const admission = await this.prefillWait.waitForAdmission(
       replica,
       key,
-      isLate,
+      this.finder.lastCallMs(),
       this.endController.signal,
     );
     if (this.hasEnded || admission === PrefillAdmission.Full) return false;
@@ -521,6 +519,7 @@
     health.recordEnded(replica.id);
     this.parts.paths.recordEnded(exchange);
     this.parts.metrics.recordAttempt(result.outcome);
+    if (this.attemptCount === 1) this.recordWork(result, timers.now() - sentAt);
     if (result.firstByteMs !== undefined && head.generation !== undefined)
       this.parts.admission.recordFirstEvent(replica, {
         tokens: head.generation.promptTokens,
@@ -531,6 +530,15 @@
     return result;
   }
 
+  /** Records how long the whole response to the first attempt has taken. */
+  private recordWork({ outcome, response, firstByteMs }: AttemptResult, totalMs: number): void {
+    const { head, route } = this.options;
+    const isWhole = outcome === AttemptOutcome.Relayed || outcome === AttemptOutcome.Responded;
+    const isSuccess = isWhole && (response === undefined || response.status < FIRST_STATUS_AFTER_SUCCESS);
+    if (!isSuccess || firstByteMs === undefined || head.lastEventId !== undefined) return;
+    this.parts.workTimes.record(route.name, { firstByteMs, totalMs });
+  }
+
   /**
    * Has it proved, where the stream may go on elsewhere, which incarnation of the replica has responded.
    * @returns Undefined if that is known.
@@ -724,15 +732,14 @@
    * @param wasSent - Whether the replica was sent anything.
    */
   onNotRun({ id }: ReplicaEntry, wasSent: boolean): boolean {
-    this.refusals += 1;
-    // Replicas that have ended stay listed for a while, and seem idle: several of them may be chosen first.
     const isOwnPath = this.path?.peer === undefined && this.path?.kind !== PathKind.Blocked;
-    const isNewlyUnreached = !wasSent && isOwnPath && !this.unreached.has(id);
-    if (isNewlyUnreached) this.unreached.add(id);
+    // Replicas that have ended stay listed for a while, and seem idle: several of them may be chosen first.
+    if (!wasSent && isOwnPath) {
+      this.finder.recordUnreached(id);
+      this.unsent += 1;
+    } else this.refusals += 1;
     if (this.possibleRuns > 0 && !this.isRetryable) return false;
-    const isAnotherAllowed =
-      this.refusals < MAX_REFUSALS || (isNewlyUnreached && this.unreached.size < MAX_UNREACHED);
-    return isAnotherAllowed && this.tryReserveRetry();
+    return this.refusals < MAX_REFUSALS && this.unsent < MAX_UNSENT && this.tryReserveRetry();
   }
 
   /** The replica takes no requests any more, and was sent nothing: another one is tried like after a refusal. */
@@ -774,6 +781,18 @@
     return isResumable && this.possibleRuns < maxAttempts && this.tryReserveRetry();
   }
 
+  /**
+   * Returns how much of its time the request counts as having lost before it was read, in milliseconds: no more than its
+   * caller waits for that, or than leaves the time to serve it, as it may have been read at once.
+   */
+  private lostMs(timeoutMs: number): number {
+    const { route, unreadMs } = this.options;
+    const maxLostMs = this.isRetryable
+      ? Math.min(MAX_UNREAD_MS, timeoutMs * MAX_UNREAD_SHARE)
+      : timeoutMs - this.parts.workTimes.shortest(route.name).totalMs;
+    return Math.max(0, Math.min(unreadMs - MAX_OUTLAST_MS, maxLostMs));
+  }
+
   /** Whether the route allows retries of a request that may have run. */
   private get isRetryable(): boolean {
     const { kind, isResumable } = this.options.route;
@@ -827,14 +846,21 @@
       const reason = 'No replica has the software version that began the stream, or it is not known.';
       this.refuse(LocalReply.StreamNotResumable, reason, GENERATION_RETRY_AFTER_MS);
     } else {
-      const isGeneration = this.options.head.generation !== undefined;
-      // Callers retry only once: their response is late either way, and bursts of load end in some seconds.
-      const delayMs = Math.max(GENERATION_RETRY_AFTER_MS, this.remainingMs() * RETRY_AFTER_SHARE);
-      const retryAfterMs = Math.max(isGeneration ? delayMs : RETRY_AFTER_MS, this.finder.backoffMs());
-      this.refuse(LocalReply.NotRun, 'No replica can take it now.', retryAfterMs);
+      this.refuse(LocalReply.NotRun, 'No replica can take it in time.', this.retryAfterMs());
     }
   }
 
+  /**
+   * Returns the time after which a caller that no replica could take may be served, in milliseconds. Backoffs are known;
+   * what is only expected may end sooner, so the caller is asked to return while it still has the time to be served.
+   */
+  private retryAfterMs(): number {
+    const { finder, options } = this;
+    const shortestMs = options.head.generation === undefined ? RETRY_AFTER_MS : GENERATION_RETRY_AFTER_MS;
+    const expectedMs = Number.isFinite(finder.expectedMs) ? finder.expectedMs : 0;
+    return Math.max(shortestMs, finder.backoffMs(), Math.min(expectedMs, finder.lastCallMs()));
+  }
+
   /**
    * Sends a replica's buffered response to the caller. A status that promises that the request has not run is passed on
    * only where the request may be repeated, as the replica does not prove what it promises.
@@ -902,20 +928,13 @@
       limitMs: Math.round(this.deadlineAt - this.options.arrivedAt),
       unreadMs: Math.round(this.options.unreadMs),
       loadMs: this.finder.loadMs,
+      expectedMs: Math.round(this.finder.expectedMs),
       ...this.waits.summary(),
       viewAgeMs: this.parts.viewAgeMs(),
     });
   }
 }
 
-/**
- * Returns how much of its time a request counts as having lost before it was read.
- * @param unreadMs - Longest time for which it can have been waiting, in milliseconds.
- */
-function lostMs(unreadMs: number, timeoutMs: number): number {
-  return Math.min(Math.max(0, unreadMs - MAX_OUTLAST_MS), timeoutMs * MAX_LOST_SHARE);
-}
-
 /** Records the result of an attempt in the health of its replica. */
 function recordHealth(replica: ReplicaEntry, result: AttemptResult, health: ReplicaHealth): void {
   const { outcome, response, wasSent, firstByteMs } = result;
--- a/packages/routing/src/core/requests/finder.ts
+++ b/packages/routing/src/core/requests/finder.ts
@@ -3,27 +3,17 @@
 
 import type { EnsureAdapter, Urgency } from '../adapters/index.js';
 import type { Route } from '../catalog/index.js';
+import { RouteKind } from '../catalog/index.js';
 import type { Choice, Chooser, Need } from '../choice/index.js';
 import type { ReplicaEntry } from '../view/index.js';
-import type { CallerTimeouts } from './caller-timeouts.js';
 import type { RequestMetrics } from './metrics.js';
 import type { RequestHead } from './types.js';
+import { callerGapMs } from './types.js';
 import type { WaitTimes } from './wait-times.js';
 import { WaitCause } from './wait-times.js';
+import type { WaitingLine, WaitingLines, WaitingRequest } from './waiting-line.js';
+import type { WorkTimes } from './work-times.js';
 
-/**
- * Share of the objective that a request waits while its service has no replica; users penalize longer waits.
- */
-const NO_REPLICA_WAIT_SHARE = 1 / 8;
-/** The same while loads of its adapter fail: a connection to an engine, or its owner, is back soon. */
-const LOAD_FAILED_WAIT_SHARE = 1 / 2;
-/**
- * Share of the time left for which a late request waits for a slot: its response is worth the same however
- * late it is, and more than none. With 1/8 and with 1/2, days under load were worth 0.01 less.
- */
-const LATE_WAIT_SHARE = 1 / 4;
-/** Share of its timeout that a stream needs until its end, and that must be left when a load begins. */
-const MIN_STREAM_SHARE = 0.6;
 /** Pause between two choices while there is no replica, in milliseconds. */
 const POLL_INTERVAL_MS = 20;
 /** Longest wait for an adapter on one engine before another engine is tried, in milliseconds. */
@@ -40,7 +30,8 @@
   readonly timers: TimerService;
   readonly log: DecisionLog;
   readonly metrics: RequestMetrics;
-  readonly callerTimeouts: CallerTimeouts;
+  readonly workTimes: Pick<WorkTimes, 'shortest'>;
+  readonly waitingLines: Pick<WaitingLines, 'of'>;
   readonly ensure: EnsureAdapter;
 }
 
@@ -71,12 +62,23 @@
   /** Replicas that the request was sent to. */
   readonly tried = new Set<string>();
 
+  /** Replicas that have accepted no connection for the request once, and those that have repeatedly. */
+  private readonly missed = new Set<string>();
+
+  private readonly unreached = new Set<string>();
+
   /** Total wait for adapters to be loaded, in milliseconds. */
   loadMs = 0;
 
   /** Monotonic time of the latest choice, in milliseconds. */
   chosenAt = Number.NEGATIVE_INFINITY;
 
+  /** Expected time until a replica can take the request, as of the last choice, in milliseconds. */
+  expectedMs = 0;
+
+  /** Monotonic time at which the current search began, in milliseconds. */
+  private searchedSince = 0;
+
   /** Engines that refused this request because they lack its adapter, whatever was published about them. */
   private readonly adapterMissing = new Set<string>();
 
@@ -90,29 +92,47 @@
   ) {}
 
   /**
-   * Chooses replicas until one has the adapter resident, or the wait has lasted too long.
+   * Chooses replicas until one has the adapter resident, or none can be expected to serve the request in time.
    * @param among - Replicas that may be chosen; all when it is left out.
    * @returns The choice; undefined when there is none or the request has ended.
    */
   async find(among?: ReadonlySet<string>): Promise<Choice | undefined> {
+    const { timers, waitingLines } = this.parts;
+    this.searchedSince = timers.now();
+    const line = waitingLines.of(this.request.service, this.request.softwareVersion());
+    const waiting = { rank: this.request.rank, lastCallAt: timers.now() + this.lastCallMs() };
+    try {
+      return await this.findInTurn(line, waiting, among);
+    } finally {
+      line.leave(waiting);
+    }
+  }
+
+  private async findInTurn(
+    line: WaitingLine,
+    waiting: WaitingRequest,
+    among: ReadonlySet<string> | undefined,
+  ): Promise<Choice | undefined> {
     const { timers } = this.parts;
-    const startedAt = timers.now();
     // Engines that can't begin a load at once; the chooser has received the state of their slots.
     const full = new Set<string>();
     while (!this.request.hasEnded() && this.hasVersion()) {
-      const choice = this.chooseInTime(among);
+      const isTurn = among !== undefined || line.mayChoose(waiting);
+      const choice = isTurn ? this.choose(among) : undefined;
+      if (choice !== undefined) line.recordTurn(waiting);
+      else if (among === undefined) line.join(waiting);
+      const opensInMs = choice?.opensInMs ?? 0;
       if (choice !== undefined && (!choice.needsLoad || (await this.loadOrMarkFull(choice.replica, full)))) {
         if (choice.opensInMs === undefined) return choice;
         // Another replica may get a free slot before.
-        await timers.sleep(Math.min(POLL_INTERVAL_MS, choice.opensInMs));
-        continue;
+        if (opensInMs <= this.lastCallMs()) {
+          await timers.sleep(Math.min(POLL_INTERVAL_MS, opensInMs));
+          continue;
+        }
       }
-      const waitedMs = timers.now() - startedAt;
-      // No choice is possible before the first replica accepts requests again.
-      const minWaitMs = choice === undefined ? this.backoffMs() : 0;
-      const hasTimedOut = waitedMs + minWaitMs >= this.maxWaitMs();
-      // A request that can still meet its objective keeps waiting for its adapter; a late one does not.
-      if (hasTimedOut && (choice === undefined || this.isLate)) return undefined;
+      const turnMs = among === undefined ? line.expectedMs(waiting) : 0;
+      this.expectedMs = choice === undefined ? this.expectedWaitMs(turnMs) : opensInMs;
+      if (this.expectedMs >= this.lastCallMs()) return undefined;
       if (choice === undefined) {
         this.loadFailed.clear();
         await this.waits.measure(WaitCause.Replica, timers.sleep(POLL_INTERVAL_MS));
@@ -130,19 +150,18 @@
     this.adapterMissing.add(replica);
   }
 
+  /** Records that a replica accepted no connection for the request: it is asked once more, as this host may be at fault. */
+  recordUnreached(replica: string): void {
+    if (this.missed.has(replica)) this.unreached.add(replica);
+    this.missed.add(replica);
+  }
+
   /** Whether the service still has replicas of the version at which the request must run. */
   hasVersion(): boolean {
     const version = this.request.softwareVersion();
     return version === undefined || this.parts.chooser.hasVersion(this.request.service, version);
   }
 
-  /** Chooses a replica; none if it opens too late for a stream to end in time. */
-  private chooseInTime(among: ReadonlySet<string> | undefined): Choice | undefined {
-    const choice = this.choose(among);
-    const opensInMs = choice?.opensInMs ?? 0;
-    return opensInMs === 0 || opensInMs <= this.lastCallMs() ? choice : undefined;
-  }
-
   private choose(among: ReadonlySet<string> | undefined): Choice | undefined {
     const { head, service, rank, hasResponseBegun, suspectRanking } = this.request;
     this.chosenAt = this.parts.timers.now();
@@ -153,10 +172,10 @@
       softwareVersion: this.request.softwareVersion(),
       beginsResumable: this.request.beginsResumable(),
       tried: this.tried,
+      unreached: this.unreached,
       among,
       cannotLoad: this.loadFailed,
       rank,
-      isLate: this.isLate,
       isUnderWay: hasResponseBegun(),
       rankForSuspect: suspectRanking(),
     });
@@ -166,31 +185,34 @@
     return this.request.deadlineAt - this.parts.timers.now();
   }
 
-  /** Time after which a stream that begins can no longer be expected to end before the deadline, in milliseconds. */
-  private lastCallMs(): number {
-    const { arrivedAt, deadlineAt } = this.request;
-    return Math.round(this.remainingMs() - MIN_STREAM_SHARE * (deadlineAt - arrivedAt));
-  }
-
-  /** Time until the service has a replica that accepts requests at all, in milliseconds. */
-  backoffMs(): number {
-    return this.parts.chooser.backoffMs(this.request.service);
-  }
-
-  /** Longest wait while no replica can take the request, in milliseconds. */
-  private maxWaitMs(): number {
-    if (this.isLate) return Math.max(0, this.remainingMs()) * LATE_WAIT_SHARE;
-    const share = this.loadFailed.size > 0 ? LOAD_FAILED_WAIT_SHARE : NO_REPLICA_WAIT_SHARE;
-    return this.request.route.objectiveMs * share;
+  /**
+   * Returns the time until which a request that gets a replica can still be served, in milliseconds from now: before its
+   * deadline, and for a stream before its caller leaves for want of an event.
+   */
+  lastCallMs(): number {
+    const { head, route, arrivedAt, hasResponseBegun } = this.request;
+    const { firstByteMs, totalMs } = this.parts.workTimes.shortest(route.name);
+    const hasPart = hasResponseBegun() || head.lastEventId !== undefined;
+    const untilDeadlineMs = this.remainingMs() - (hasPart ? firstByteMs : totalMs);
+    if (route.kind !== RouteKind.Streaming) return untilDeadlineMs;
+    const gapSince = hasResponseBegun() ? this.searchedSince : arrivedAt;
+    const gapEndsInMs = gapSince + callerGapMs(route) - this.parts.timers.now();
+    return Math.min(untilDeadlineMs, gapEndsInMs - firstByteMs);
   }
 
   /**
-   * Whether the response will miss its objective whatever is done: callers that retry have used up part of
-   * their time.
+   * Returns the expected time until a replica can take the request, in milliseconds: the end of a backoff is known; a
+   * service without a replica is expected to have none for as long again.
+   * @param turnMs - Expected time until it is the request's turn, in milliseconds.
    */
-  get isLate(): boolean {
-    const { route } = this.request;
-    return this.parts.callerTimeouts.isLate(route, this.remainingMs());
+  private expectedWaitMs(turnMs: number): number {
+    const backoffMs = this.backoffMs();
+    return backoffMs > 0 ? backoffMs : Math.max(turnMs, this.parts.chooser.absentMs(this.request.service));
+  }
+
+  /** Time until the first replica of the service ends its backoff, in milliseconds; 0 if not all are in one. */
+  backoffMs(): number {
+    return this.parts.chooser.backoffMs(this.request.service);
   }
 
   /**
@@ -232,7 +254,7 @@
     return {
       rank,
       waitedMs: this.loadMs,
-      lastCallMs: this.lastCallMs(),
+      lastCallMs: Math.round(this.lastCallMs()),
       patienceMs: queueTimeoutMs,
       timeoutMs: Math.min(LOAD_TIMEOUT_MS, remainingMs),
     };
--- a/packages/routing/src/core/requests/index.ts
+++ b/packages/routing/src/core/requests/index.ts
@@ -1,7 +1,10 @@
 /** Serves the requests of callers, from their arrival to the end of the response. */
 export { LocalReply } from './local-reply.js';
 export { AttemptProof, NotRunProof, RunRecord } from './run-record.js';
-export { CallerTimeouts } from './caller-timeouts.js';
+export { WaitingLine, WaitingLines } from './waiting-line.js';
+export type { WaitingRequest } from './waiting-line.js';
+export { WorkTimes } from './work-times.js';
+export type { ResponseTimes } from './work-times.js';
 export type { EngineStream, MigrationDependencies, MigratedStream, RunStateCopier } from './migration.js';
 export { StreamMigration, StreamMigrator } from './migration.js';
 export type { FinderDependencies, RoutedRequest } from './finder.js';
--- a/packages/routing/src/core/requests/migration.ts
+++ b/packages/routing/src/core/requests/migration.ts
@@ -186,9 +186,9 @@
         softwareVersion,
         beginsResumable: false,
         tried,
+        unreached: new Set<string>(),
         cannotLoad: loadFailed,
         rank,
-        isLate: false,
         isUnderWay: true,
         rankForSuspect: undefined,
       };
--- a/packages/routing/src/core/requests/prefill-wait.ts
+++ b/packages/routing/src/core/requests/prefill-wait.ts
@@ -11,19 +11,6 @@
 import type { WaitTimes } from './wait-times.js';
 import { WaitCause } from './wait-times.js';
 
-/**
- * Share of the time left until the objective for which a prompt may be delayed; the rest covers the steps
- * that follow.
- */
-const MAX_DELAY_SHARE = 0.9;
-/**
- * Share of its remaining time for which a late request may be delayed: how late the response is makes no
- * difference.
- */
-const LATE_DELAY_SHARE = 0.1;
-/** Longest delay of a late request, in milliseconds. */
-const MAX_LATE_DELAY_MS = 1000;
-
 /** Result of a request for admission. */
 export enum PrefillAdmission {
   /** The prompt may be sent; it was not delayed. */
@@ -63,23 +50,23 @@
   /**
    * Waits until the prompt may be sent.
    * @param key - `model/adapter`; undefined where the prompt needs no adapter.
-   * @param isLate - Whether the response will miss its objective whatever is done.
+   * @param lastCallMs - Time until which the prompt must be sent for the request to be served, in milliseconds.
    * @param signal - Ends the delay early.
    */
   async waitForAdmission(
     replica: ReplicaEntry,
     key: string | undefined,
-    isLate: boolean,
+    lastCallMs: number,
     signal: AbortSignal,
   ): Promise<PrefillAdmission> {
     const { admission, inFlight, timers, metrics } = this.parts;
     const { head, route, rank } = this.request;
     const tokens = head.generation?.promptTokens ?? 0;
-    const maxDelayMs = this.maxDelayMs(tokens, isLate);
+    const maxDelayMs = this.maxDelayMs(tokens, lastCallMs);
     if (tokens === 0 || route.maxPauseMs === undefined || maxDelayMs <= 0) return PrefillAdmission.AtOnce;
     const requestedAt = timers.now();
     const prompt = { tokens, maxGapMs: route.maxPauseMs, maxDelayMs };
-    const maxInFlight = maxInFlightFor(replica.slots, { rank, isLate, isUnderWay: false });
+    const maxInFlight = maxInFlightFor(replica.slots, { rank, isUnderWay: false });
     const admitted = admission.admit(replica.id, key, maxInFlight, prompt);
     const { verdict, delayMs, counts } = await this.waits.measure(WaitCause.Admission, admitted);
     metrics.recordAdmissionWait(timers.now() - requestedAt);
@@ -94,14 +81,9 @@
     return PrefillAdmission.Delayed;
   }
 
-  /** Longest delay of the prompt, in milliseconds, so that its first event still meets the objective. */
-  private maxDelayMs(tokens: number, isLate: boolean): number {
-    const { route, arrivedAt, deadlineAt, service, hasResponseBegun } = this.request;
-    const now = this.parts.timers.now();
-    // A stream that has begun must not be delayed.
-    if (hasResponseBegun()) return 0;
-    if (isLate) return Math.min(MAX_LATE_DELAY_MS, (deadlineAt - now) * LATE_DELAY_SHARE);
-    const prefillMs = this.parts.admission.prefillMs(service, tokens);
-    return (route.objectiveMs - (now - arrivedAt)) * MAX_DELAY_SHARE - prefillMs;
+  /** Longest delay of the prompt, in milliseconds: its prefill takes time as well. A stream that has begun has none. */
+  private maxDelayMs(tokens: number, lastCallMs: number): number {
+    const { service, hasResponseBegun } = this.request;
+    return hasResponseBegun() ? 0 : lastCallMs - this.parts.admission.prefillMs(service, tokens);
   }
 }
--- a/packages/routing/src/core/requests/server.ts
+++ b/packages/routing/src/core/requests/server.ts
@@ -277,8 +277,6 @@
       this.rejectKey(head, table, outcome, runs, res);
       return;
     }
-    const timeoutMs = requestTimeoutMs(head, route);
-    parts.callerTimeouts.record(route.name, timeoutMs);
     if (route.isResumable && head.waitMs !== undefined && head.lastEventId === undefined)
       parts.callerDeadlines.record({ route: route.name, account: account?.name, longestMs: head.waitMs });
     if (account !== undefined && !(await this.charge(account, head, runs, res))) {
--- a/packages/routing/src/core/requests/stream-binding.ts
+++ b/packages/routing/src/core/requests/stream-binding.ts
@@ -46,8 +46,8 @@
   readonly unreadMs: number;
   /** Fingerprint of the request, computed when it is needed. */
   readonly fingerprint: () => string;
-  /** Time left until the deadline, in milliseconds; 0 when the request has ended. */
-  readonly remainingMs: () => number;
+  /** Time until which a replica must be sent the request to serve it, in milliseconds; 0 when the request has ended. */
+  readonly lastCallMs: () => number;
 }
 
 /** Longest wait for the end of doubts that end soon in most cases, in milliseconds; the others end a request at once. */
@@ -60,9 +60,6 @@
   [VersionDoubt.UnknownAge, 1000],
   [VersionDoubt.NewVersion, 1000],
 ]);
-/** Share of the time left that such a wait takes at most, and the wait for a view that is confirmed within a second. */
-const MAX_WAIT_SHARE = 1 / 4;
-const MAX_VIEW_WAIT_SHARE = 3 / 4;
 const POLL_INTERVAL_MS = 100;
 
 const NOT_ASKED: LookUpResult = { origin: UNKNOWN_ORIGIN, askedCount: 0, answeredCount: 0 };
@@ -72,7 +69,7 @@
   readonly doubt: VersionDoubt | undefined;
   /** Longest time since the stream began, in milliseconds; Infinity if it is not known. */
   readonly maxAgeMs: number;
-  /** Time from the take-up for which it is worth to look again, in milliseconds. */
+  /** Time from the take-up in which the doubt may end, in milliseconds. */
   readonly maxWaitMs: number;
 }
 
@@ -129,15 +126,9 @@
     if (head.lastEventId === undefined) return;
     const { timers } = this.parts;
     const startedAt = timers.now();
-    const remainingMs = this.request.remainingMs();
-    const limitMs = ({ doubt, maxWaitMs }: Finding): number =>
-      Math.min(
-        maxWaitMs,
-        remainingMs * (doubt === VersionDoubt.EarlierView ? MAX_VIEW_WAIT_SHARE : MAX_WAIT_SHARE),
-      );
     const waitedMs = (): number => timers.now() - startedAt;
     let finding = await this.findOrigin(startedAt);
-    while (waitedMs() < limitMs(finding) && this.request.remainingMs() > 0) {
+    while (waitedMs() < finding.maxWaitMs && this.request.lastCallMs() > POLL_INTERVAL_MS) {
       await timers.sleep(POLL_INTERVAL_MS);
       finding = await this.findOrigin(startedAt);
     }
--- a/packages/routing/src/core/requests/types.ts
+++ b/packages/routing/src/core/requests/types.ts
@@ -54,6 +54,18 @@
   return Math.min(head.waitMs ?? timeoutMs, timeoutMs);
 }
 
+/** Longest gap between events, its wait for the first one included, that every caller of a stream bears, in milliseconds. */
+const MIN_CALLER_GAP_MS = 2000;
+/** The same in pauses of the route: callers leave a stream after the longer of both. */
+const PAUSES_PER_CALLER_GAP = 8;
+
+/**
+ * Returns the gap between two events of a stream after which its callers may leave, in milliseconds.
+ */
+export function callerGapMs({ maxPauseMs = 0 }: Pick<Route, 'maxPauseMs'>): number {
+  return Math.max(MIN_CALLER_GAP_MS, PAUSES_PER_CALLER_GAP * maxPauseMs);
+}
+
 /** Why a request was rejected for its head. */
 export interface HeadRejection {
   readonly status: number;
--- a/packages/routing/src/core/view/registry.ts
+++ b/packages/routing/src/core/view/registry.ts
@@ -69,6 +69,9 @@
 
   private readonly replicaListeners: ReplicaListener[] = [];
 
+  /** Monotonic time at which the last ready replica of each service was lost, in milliseconds. */
+  private readonly lostAt = new Map<string, number>();
+
   private readonly heldBackListeners: ((id: string, forMs: number) => void)[] = [];
 
   private readonly tableListeners: ((table: RouteTable) => void)[] = [];
@@ -120,6 +123,16 @@
     return found.length > 0 ? found : this.recentlyDeparted().filter(isWanted);
   }
 
+  /**
+   * Returns for how long a service has had no ready replica, in milliseconds.
+   * @returns 0 if it has one, Infinity if none has been known.
+   */
+  absentMs(service: string): number {
+    if (this.readyReplicas(service).length > 0) return 0;
+    const lostAt = this.lostAt.get(service);
+    return lostAt === undefined ? Number.POSITIVE_INFINITY : this.timers.now() - lostAt;
+  }
+
   /** Newest declared version of an adapter; undefined if none was declared. */
   declaredVersion(model: string, adapter: string): DeclaredVersion | undefined {
     return this.declaredVersions.get(`${model}/${adapter}`);
@@ -143,6 +156,8 @@
       this.declaredVersions.set(`${model}/${adapter}`, { version, receivedAt: this.timers.now() });
     } else if (this.isNewDocument(record.document)) {
       this.table = new RouteTable(record.document);
+      const services = new Set(record.document.services.map(({ name }) => name));
+      for (const service of this.lostAt.keys()) if (!services.has(service)) this.lostAt.delete(service);
       for (const listener of this.tableListeners) listener(this.table);
     }
   }
@@ -249,6 +264,7 @@
     this.replicas.set(entry.id, entry);
     if (entry.state === ReplicaState.Ready) this.departed.delete(entry.id);
     else this.departed.set(entry.id, entry);
+    if (before?.state === ReplicaState.Ready) this.lostAt.set(before.service, this.timers.now());
     for (const listener of this.replicaListeners) listener(entry.id, entry, before);
   }
 
@@ -260,6 +276,7 @@
     this.replicas.delete(id);
     this.availability.recordListed(id, false);
     if (entry !== undefined) this.departed.set(id, entry);
+    if (entry?.state === ReplicaState.Ready) this.lostAt.set(entry.service, this.timers.now());
     for (const listener of this.replicaListeners) listener(id, undefined, entry);
   }
 }
