--- a/packages/soak/src/core/run/daemons.ts
+++ b/packages/soak/src/core/run/daemons.ts
@@ -4,6 +4,7 @@
 import { fileURLToPath } from 'node:url';
 
 import type { TimerService } from '@celeryyoke/core';
+import type { RetryBounds } from '@celeryyoke/routing/testing';
 
 import type { DaemonOutage } from '../checks/index.js';
 import type { LateLoop, ProcessGroup, RunningProcess } from '../processes/index.js';
@@ -30,6 +31,8 @@
   readonly dir: string;
   readonly storePort: number;
   readonly count: number;
+  /** Allowed retries of each service, if they are not those of the site. */
+  readonly retryBounds?: RetryBounds;
   readonly timers: TimerService;
 }
 
@@ -58,9 +61,9 @@
     // A daemon that shuts down passes on answers after its signal, and knows nothing of them when it starts again.
     if (isFirstStart) this.firstStarts.push({ daemon: daemon.name, at: this.options.timers.wall() });
     else this.recordOutage(daemon.name);
-    const { processes, program, dir, storePort } = this.options;
+    const { processes, program, dir, storePort, retryBounds } = this.options;
     const settingsFile = join(dir, `${daemon.name}.conf`);
-    writeFileSync(settingsFile, settingsOf(daemon, storePort, isFirstStart));
+    writeFileSync(settingsFile, settingsOf(daemon, storePort, isFirstStart, retryBounds));
     const started = processes.start({
       name: daemon.name,
       args: [...FLAGS, ...PRELOADED, program],
--- a/packages/soak/src/core/site/site.ts
+++ b/packages/soak/src/core/site/site.ts
@@ -178,10 +178,15 @@
  * @param daemon - The daemon.
  * @param storePort - Port of the store.
  * @param isFirstStart - Whether the whole fleet starts for the first time.
+ * @param bounds - Allowed retries of each service.
  */
-export function settingsOf(daemon: DaemonAddress, storePort: number, isFirstStart: boolean): string {
+export function settingsOf(
+  daemon: DaemonAddress,
+  storePort: number,
+  isFirstStart: boolean,
+  { ratio, windowMs, slack }: RetryBounds = REPEAT_BOUNDS,
+): string {
   const seeds = ZONES.map((_zone, index) => daemonAddress(index).peers);
-  const { ratio, windowMs, slack } = REPEAT_BOUNDS;
   return [
     `node=${daemon.name}`,
     `ip=${daemon.host}`,
