budget: count retries until stopped replicas have read them

What was seen: three of four replicas stopped for 15 s, all refusing while they run: 227 of 186 retries in 10 s, 128 within 0.3 s as they go on.

Cause: a retry counted from its reservation until one window after its attempt had ended, which for one at a stopped replica is the deadline of its caller. What was written there is read when the replica goes on, whatever became of the connection, and its permit had left the count by then. Retries went there as the choice prefers replicas that were not tried, also silent ones. Class: an end that the sender decides is taken for one at the receiver.

Change: - An attempt that ends without a byte from its replica is tracked until the replica is heard from 0.3 s or more after it was sent, refuses connections, is listed as another incarnation, or is not listed for a window. Until then the permit of a retry stays pending, and so does the permit of the retry that followed such an attempt, as that one is then the extra arrival. - A retry goes to a silent replica only if no other is heard, tried or not.

Further plays with a fleet that starts, relays, stopped and killed daemons are added, by hand.

--- a/packages/routing/src/core/budget/permit.ts
+++ b/packages/routing/src/core/budget/permit.ts
@@ -1,4 +1,5 @@
 /** Permit for one retry that a budget has allowed. */
+import type { LateArrival } from './late-arrivals.js';
 
 /** Callbacks by which a permit reports to its budget. */
 export interface PermitCallbacks {
@@ -16,6 +17,11 @@
 
   private wasSent = false;
 
+  private isSettling = false;
+
+  /** Attempts that may still arrive and that the permit covers. */
+  private openArrivals = 0;
+
   constructor(private readonly callbacks: PermitCallbacks) {}
 
   /** Notes that the retry is handed to a connection. Does nothing on a permit that was sent or closed. */
@@ -26,11 +32,26 @@
   }
 
   /**
-   * Notes that the retry has arrived, or never will. Does nothing on a permit that was settled or released.
+   * Has the permit cover an attempt that may still arrive: the retry, or the attempt before it, which is an extra arrival if
+   * it comes after the retry.
+   */
+  cover(arrival: LateArrival | undefined): void {
+    if (!arrival?.isOpen) return;
+    this.openArrivals += 1;
+    arrival.onSettled(() => {
+      this.openArrivals -= 1;
+      this.settleIfArrived();
+    });
+  }
+
+  /**
+   * Notes that the retry has arrived or never will, but for what the permit covers. Does nothing on a permit that was
+   * settled or released.
    */
   settle(): void {
     this.send();
-    this.close(this.callbacks.settled);
+    this.isSettling = true;
+    this.settleIfArrived();
   }
 
   /**
@@ -38,7 +59,12 @@
    * settled or released.
    */
   release(): void {
-    this.close(this.wasSent ? this.callbacks.settled : this.callbacks.released);
+    if (this.wasSent) this.settle();
+    else this.close(this.callbacks.released);
+  }
+
+  private settleIfArrived(): void {
+    if (this.isSettling && this.openArrivals === 0) this.close(this.callbacks.settled);
   }
 
   private close(callback: () => void): void {
--- a/packages/routing/src/core/choice/chooser.ts
+++ b/packages/routing/src/core/choice/chooser.ts
@@ -162,9 +162,8 @@
   }
 
   private cheapest(ready: readonly ReplicaEntry[], need: Need): Choice | undefined {
-    const untried = ready.filter(({ id }) => !need.tried.has(id));
-    const candidates = this.candidatesFor(untried.length > 0 ? untried : ready, need);
     const { health } = this.options;
+    const candidates = this.candidatesFor(this.preferred(ready, need), need);
     const reachable = candidates.map(({ replica: { id } }) => id).filter((id) => !health.isEjected(id));
     const ranks = {
       hash: need.adapter === undefined ? undefined : rankByHash(need.adapter, candidates),
@@ -181,6 +180,20 @@
     return best;
   }
 
+  /**
+   * Replicas that the request was not sent to, if there are any. What is sent to a silent one may be read much later, so a
+   * retry goes to one only if there is no other.
+   */
+  private preferred(ready: readonly ReplicaEntry[], { tried }: Need): readonly ReplicaEntry[] {
+    const { health } = this.options;
+    const untried = ready.filter(({ id }) => !tried.has(id));
+    const isHeard = ({ id }: ReplicaEntry): boolean => !health.isEjected(id);
+    if (tried.size === 0 || untried.some(isHeard)) return untried;
+    const heard = ready.filter(isHeard);
+    if (heard.length > 0) return heard;
+    return untried.length > 0 ? untried : ready;
+  }
+
   /** Replicas that accept the request. */
   private readyReplicas(need: Need): readonly ReplicaEntry[] {
     const { registry, mayReceive } = this.options;
--- a/packages/routing/src/core/daemon/part-names.ts
+++ b/packages/routing/src/core/daemon/part-names.ts
@@ -33,6 +33,7 @@
   settling: 'settling',
   share: 'share',
   budgets: 'budgets',
+  lateArrivals: 'late-arrivals',
   quotas: 'quotas',
   limits: 'limits',
   slotPermits: 'slot-permits',
--- a/packages/routing/src/core/daemon/services.ts
+++ b/packages/routing/src/core/daemon/services.ts
@@ -15,7 +15,7 @@
 import type { ReplicaAvailability } from '../availability/index.js';
 import { IncarnationProofs, StreamOrigins, VersionHistory } from '../origins/index.js';
 import { EngineLeases, FleetSettling, PauseDetector } from '../ownership/index.js';
-import { RetryBudgets } from '../budget/index.js';
+import { LateArrivals, RetryBudgets } from '../budget/index.js';
 import { BufferBudget } from '../buffers/index.js';
 import { ChannelPool, ExchangeError, ExchangePurpose } from '../channels/index.js';
 import { Chooser, InFlightTable, ReplicaHealth } from '../choice/index.js';
@@ -115,7 +115,8 @@
         [PART.availability],
         (kernel) =>
           createChannels(this.options, kernel, {
-            onResponse: (replica) => this.get<SuspectRegistry>(PART.suspects).recordResponse(replica),
+            onResponse: (replica) => this.recordResponse(replica),
+            onRefused: (replica) => this.get<LateArrivals>(PART.lateArrivals).recordEnded(replica),
             reachability: () => this.get(PART.reachability),
             paths: () => this.get(PART.paths),
           }),
@@ -161,6 +162,7 @@
         (kernel) => this.createBudgets(kernel),
         (budgets) => budgets.stop(),
       ),
+      part(PART.lateArrivals, [PART.registry], (kernel) => this.createLateArrivals(kernel)),
       part(PART.settling, [PART.cluster, PART.tree], (kernel) => this.createSettling(kernel)),
       part(
         PART.quotas,
@@ -318,6 +320,7 @@
           PART.cluster,
           PART.share,
           PART.budgets,
+          PART.lateArrivals,
           PART.versionHistory,
           PART.origins,
           PART.incarnations,
@@ -463,6 +466,27 @@
     });
   }
 
+  private createLateArrivals(kernel: ServiceFinder): LateArrivals {
+    const { settings, timers } = this.options;
+    const registry = kernel.get<ReplicaRegistry>(PART.registry);
+    const lateArrivals = new LateArrivals({
+      timers,
+      goneAfterMs: settings.budget.windowMs,
+      isListed: (replica) => registry.replica(replica) !== undefined,
+    });
+    registry.onReplica((id, entry) => {
+      if (entry === undefined) lateArrivals.recordRemoved(id);
+      else lateArrivals.recordListed(entry);
+    });
+    return lateArrivals;
+  }
+
+  /** Passes on that a replica has responded. */
+  private recordResponse(replica: string): void {
+    this.get<SuspectRegistry>(PART.suspects).recordResponse(replica);
+    this.get<LateArrivals>(PART.lateArrivals).recordHeard(replica);
+  }
+
   private createSettling(kernel: ServiceFinder): FleetSettling {
     const cluster = kernel.get<Cluster>(PART.cluster);
     const tree = kernel.get<DisseminationTree>(PART.tree);
@@ -993,6 +1017,7 @@
         viewAgeMs: () => roundAge(view.ageMs),
         fleetShare: () => share.ownShare(),
         budget: (service) => kernel.get<RetryBudgets>(PART.budgets).of(service),
+        lateArrivals: kernel.get(PART.lateArrivals),
       },
     });
     await server.listen();
--- a/packages/routing/src/core/daemon/upstreams.ts
+++ b/packages/routing/src/core/daemon/upstreams.ts
@@ -17,6 +17,8 @@
  * within 2 s.
  */
 const MAX_LEAVING_GRACE_MS = 1500;
+/** Error code of a connection that no process accepts. */
+const CONNECTION_REFUSED = 'ECONNREFUSED';
 /** Part of the drain time that is left for a declaration and a request to arrive, in milliseconds. */
 const LEAVING_MARGIN_MS = 500;
 
@@ -30,6 +32,8 @@
 export interface ChannelListeners {
   /** Called with the replica of each response. */
   readonly onResponse: (replica: string) => void;
+  /** Called with a replica whose address refuses connections, as its process has ended. */
+  readonly onRefused: (replica: string) => void;
   readonly reachability: () => ReachabilityTable;
   readonly paths: () => PathMonitor;
 }
@@ -40,7 +44,7 @@
 export function createChannels(
   { settings, dialect, timers }: RouterOptions,
   kernel: ServiceFinder,
-  { onResponse, reachability, paths }: ChannelListeners,
+  { onResponse, onRefused, reachability, paths }: ChannelListeners,
 ): ChannelPool {
   const availability = kernel.get<ReplicaAvailability>(PART.availability);
   const guard: UpstreamGuard = {
@@ -53,6 +57,7 @@
     },
     onConnected: (replica) => reachability().recordReached(replica),
     onConnectFailed: (replica, err) => {
+      if ((err as NodeJS.ErrnoException).code === CONNECTION_REFUSED) onRefused(replica);
       reachability().recordFailure(replica, err.message);
       paths().recordTrouble(replica);
     },
--- a/packages/routing/src/core/requests/execution.ts
+++ b/packages/routing/src/core/requests/execution.ts
@@ -12,7 +12,7 @@
 import type { AccountMetrics, AccountQuotas, ClientAccount } from '../accounts/index.js';
 import type { Availability, ReplicaAvailability } from '../availability/index.js';
 import { AvailabilityState } from '../availability/index.js';
-import type { RetryBudget, RetryPermit } from '../budget/index.js';
+import type { LateArrival, LateArrivals, RetryBudget, RetryPermit } from '../budget/index.js';
 import type { BufferBudget } from '../buffers/index.js';
 import type { Route } from '../catalog/index.js';
 import { RouteKind } from '../catalog/index.js';
@@ -115,6 +115,7 @@
   readonly fleetShare: () => number;
   /** Retry budget of a service. */
   readonly budget: (service: string) => RetryBudget;
+  readonly lateArrivals: Pick<LateArrivals, 'recordHeard' | 'track'>;
 }
 
 /** A request that was accepted and is to be served. */
@@ -191,6 +192,9 @@
   /** Permit for the next attempt; undefined when that is no retry. */
   private retryPermit: RetryPermit | undefined;
 
+  /** The attempt before the next one, if it may still arrive. */
+  private lateArrival: LateArrival | undefined;
+
   /** Monotonic time at which the permit was reserved, in milliseconds. */
   private retryReservedAt = 0;
 
@@ -495,6 +499,7 @@
       onDataReceived: () => {
         retryPermit?.settle();
         health.recordBytes(replica.id);
+        this.parts.lateArrivals.recordHeard(replica.id);
         if (path.peer === undefined) this.parts.paths.recordBytes(exchange);
       },
       // Nothing is awaited from a replica that is held back.
@@ -514,6 +519,8 @@
     this.attempt = undefined;
     if (result.wasSent) {
       this.sentTo.add(replica.id);
+      this.trackArrival(replica, sentAt, result);
+      retryPermit?.cover(this.lateArrival);
       retryPermit?.settle();
     } else retryPermit?.release();
     health.recordEnded(replica.id);
@@ -530,6 +537,12 @@
     return result;
   }
 
+  /** Tracks an attempt that has ended without a byte from its replica, which may read it later. */
+  private trackArrival(replica: ReplicaEntry, sentAt: number, { firstByteMs }: AttemptResult): void {
+    const isUnheard = firstByteMs === undefined;
+    this.lateArrival = isUnheard ? this.parts.lateArrivals.track(replica, sentAt) : undefined;
+  }
+
   /** Records how long the whole response to the first attempt has taken. */
   private recordWork({ outcome, response, firstByteMs }: AttemptResult, totalMs: number): void {
     const { head, route } = this.options;
@@ -600,6 +613,8 @@
   private consumeRetryPermit(sentAt: number): RetryPermit | undefined {
     const { retryPermit } = this;
     this.retryPermit = undefined;
+    // It is the extra arrival if the retry comes first.
+    retryPermit?.cover(this.lateArrival);
     this.reservedAgoMs = retryPermit === undefined ? undefined : Math.round(sentAt - this.retryReservedAt);
     if (this.reservedAgoMs !== undefined) this.parts.metrics.recordRetryDelay(this.reservedAgoMs);
     return retryPermit;
--- a/packages/routing/test/chooser.test.ts
+++ b/packages/routing/test/chooser.test.ts
@@ -33,11 +33,12 @@
   const draws: number[] = [];
   const limited = new Set<string>();
   const unestablished = new Set<string>();
+  const health = new ReplicaHealth(timers);
   const chooser = new Chooser({
     registry,
     residency: new ResidencyTable(registry),
     inFlight: inFlightTable,
-    health: new ReplicaHealth(timers),
+    health,
     mayReceive: (replica) => !limited.has(replica),
     backoffMs: () => 0,
     establishedReplicas: (_service, replicas) => replicas.filter(({ id }) => !unestablished.has(id)),
@@ -65,7 +66,7 @@
       ...options,
     });
   const choose = (options: Partial<Need> = {}): string | undefined => chooseReplica(options)?.replica.id;
-  return { fill, choose, chooseReplica, chooser, view, draws, limited, unestablished };
+  return { fill, choose, chooseReplica, chooser, view, draws, limited, unestablished, health, timers };
 }
 
 test('an engine whose slots are all in use gets no further request', (t) => {
@@ -94,6 +95,18 @@
   t.true(maxInFlightFor(slots, { rank: 9, isUnderWay: false }) < slots);
 });
 
+// Guards against retries that lie at stopped replicas and arrive together when these go on.
+test('a retry goes to a replica that it was sent to before rather than to a silent one', async (t) => {
+  const { choose, health, timers } = setUp();
+  t.is(choose({ tried: new Set(['e1']) }), 'e2');
+  health.recordSent('e2');
+  await timers.advance(1000);
+  t.is(choose({ tried: new Set(['e1']) }), 'e1');
+  health.recordSent('e1');
+  await timers.advance(1000);
+  t.is(choose({ tried: new Set(['e1']) }), 'e2');
+});
+
 test('a replica that was removed while a request waited accepts none any more', (t) => {
   const { chooser, view } = setUp();
   t.true(chooser.acceptsRequests(engineEntry('e1')));
--- a/packages/routing/test/repeats/execution-site.ts
+++ b/packages/routing/test/repeats/execution-site.ts
@@ -165,6 +165,7 @@
       buffers: new BufferBudget(),
       shutdown: this.shutdown,
       fleetShare: () => 1,
+      lateArrivals: { recordHeard: noop, track: () => undefined },
       budget: () => budget,
       metrics: new RequestMetrics(createMetrics()),
       markAbsent: noop,
--- a/packages/soak/test/stopped-replicas.test.ts
+++ b/packages/soak/test/stopped-replicas.test.ts
@@ -16,13 +16,14 @@
 import { putConfiguration, StoreStandIn } from '@celeryyoke/adapter/testing';
 import { createSystemTimers } from '@celeryyoke/core';
 import type { RetryWindow } from '@celeryyoke/routing/testing';
-import { RetryRecord } from '@celeryyoke/routing/testing';
+import { PathCut, RetryRecord } from '@celeryyoke/routing/testing';
 import test from 'ava';
 
 import { ProcessGroup } from '../src/core/processes/index.js';
 import type { Arrival } from '../src/core/replicas/index.js';
 import { Behaviour, FIRST_VERSION, ReplicaFleet } from '../src/core/replicas/index.js';
 import { Daemons } from '../src/core/run/daemons.js';
+import type { DaemonAddress } from '../src/core/site/index.js';
 import { claimNetworks, HEARTBEAT_MS, listReplica } from '../src/core/site/index.js';
 
 const BUILD = fileURLToPath(new URL('../../../../platform/build.mjs', import.meta.url));
@@ -34,6 +35,8 @@
 const BOUNDS = { ratio: 0.2, windowMs: 10_000, slack: 54 };
 /** Time from the first daemon's start to the traffic, in milliseconds. */
 const TRAFFIC_AFTER_MS = 13_000;
+/** The same where daemons start one after the other, while callers send already. */
+const TRAFFIC_AFTER_FIRST_MS = 2000;
 /** Time from the start of the traffic to the first stop, in milliseconds. */
 const STOPPED_AT_MS = 4000;
 /** Time after the last stop for which requests are sent, in milliseconds: one window of the budget. */
@@ -60,11 +63,27 @@
   readonly forMs: number;
 }
 
+/** Daemons, by their numbers, to which something happens. */
+interface DaemonFault {
+  readonly daemons: readonly number[];
+  /** Milliseconds since the first possible stop. */
+  readonly atMs: number;
+  readonly forMs: number;
+}
+
 interface Play {
   readonly replicas: number;
   /** Numbers of the replicas that refuse nine in ten requests. */
   readonly refusing: readonly number[];
   readonly stops: readonly Stop[];
+  /** Time between the starts of two daemons, in milliseconds. */
+  readonly startSpreadMs?: number;
+  /** Daemons that are stopped and go on: their clocks stand still, and peers may have sent them requests to relay. */
+  readonly stoppedDaemons?: readonly DaemonFault[];
+  /** Daemons whose connections to all replicas hang. */
+  readonly cuts?: readonly DaemonFault[];
+  /** Daemons that are killed and start again. */
+  readonly kills?: readonly DaemonFault[];
 }
 
 interface PlayResult {
@@ -104,7 +123,15 @@
   });
 }
 
-async function play({ replicas: count, refusing, stops }: Play): Promise<PlayResult> {
+async function play({
+  replicas: count,
+  refusing,
+  stops,
+  startSpreadMs = 0,
+  stoppedDaemons = [],
+  cuts = [],
+  kills = [],
+}: Play): Promise<PlayResult> {
   const program = await built;
   await claimNetworks();
   const dir = mkdtempSync(join(tmpdir(), 'celeryyoke-stopped-play-'));
@@ -149,13 +176,17 @@
     await replicas.start();
     writeEntries();
     const heartbeats = timers.repeat(HEARTBEAT_MS, writeEntries);
-    for (const daemon of daemons.addresses) daemons.start(daemon, true);
-    await timers.sleep(TRAFFIC_AFTER_MS);
+    for (const [index, daemon] of daemons.addresses.entries())
+      timers.after(index * startSpreadMs, () => daemons.start(daemon, true));
+    await timers.sleep(startSpreadMs > 0 ? TRAFFIC_AFTER_FIRST_MS : TRAFFIC_AFTER_MS);
     replicas.behave(
       refusing.map((index) => options[index]!.id),
       Behaviour.Shed,
     );
-    let lastEndMs = 0;
+    let lastEndMs = Math.max(
+      0,
+      ...[...stoppedDaemons, ...cuts, ...kills].map(({ atMs, forMs }) => STOPPED_AT_MS + atMs + forMs),
+    );
     for (const { replicas: hit, atMs, forMs } of stops) {
       const chosen = hit.map((index) => replicas.processes[index]!);
       const fromMs = STOPPED_AT_MS + atMs;
@@ -166,6 +197,27 @@
       });
       lastEndMs = Math.max(lastEndMs, fromMs + forMs);
     }
+    const inject = (
+      faults: readonly DaemonFault[],
+      begin: (daemon: DaemonAddress) => void,
+      end: (daemon: DaemonAddress) => void,
+    ): void => {
+      for (const { daemons: hit, atMs, forMs } of faults)
+        for (const daemon of hit.map((index) => daemons.addresses[index]!)) {
+          timers.after(STOPPED_AT_MS + atMs, () => begin(daemon));
+          timers.after(STOPPED_AT_MS + atMs + forMs, () => end(daemon));
+        }
+    };
+    const signal = (name: NodeJS.Signals) => (daemon: DaemonAddress) => {
+      void daemons.signal(daemon, name);
+    };
+    inject(stoppedDaemons, signal('SIGSTOP'), signal('SIGCONT'));
+    inject(kills, signal('SIGKILL'), (daemon) => daemons.start(daemon, false));
+    inject(
+      cuts,
+      ({ host }) => replicas.cut([host], PathCut.Hang),
+      ({ host }) => replicas.cut([host], undefined),
+    );
     const total = Math.round(((lastEndMs + TRAFFIC_AFTER_STOPS_MS) * REQUESTS_PER_SECOND) / 1000);
     const startedAt = timers.now();
     for (let sent = 0; sent < total; sent += 1) {
@@ -224,6 +276,40 @@
     refusing: [4, 5, 6, 7],
     stops: [{ replicas: [0, 1, 2, 3], atMs: 0, forMs: STOP_MS }],
   },
+  'daemons start one after the other, all refuse, three of four stopped': {
+    replicas: 4,
+    refusing: [0, 1, 2, 3],
+    stops: [{ replicas: [0, 1, 2], atMs: 4000, forMs: STOP_MS }],
+    startSpreadMs: 2000,
+  },
+  'all refuse, daemons are killed and start again': {
+    replicas: 4,
+    refusing: [0, 1, 2, 3],
+    stops: [{ replicas: [0, 1, 2], atMs: 0, forMs: STOP_MS }],
+    kills: [
+      { daemons: [1, 2], atMs: 3000, forMs: 1000 },
+      { daemons: [3, 4], atMs: 9000, forMs: 1000 },
+    ],
+  },
+  'all refuse, two daemons relay for a cut one and are stopped': {
+    replicas: 4,
+    refusing: [0, 1, 2, 3],
+    stops: [],
+    cuts: [{ daemons: [0, 1], atMs: 0, forMs: STOP_MS }],
+    stoppedDaemons: [
+      { daemons: [2], atMs: 2000, forMs: 3000 },
+      { daemons: [3], atMs: 7000, forMs: 6000 },
+    ],
+  },
+  'all refuse, four daemons stop and go on at one moment': {
+    replicas: 4,
+    refusing: [0, 1, 2, 3],
+    stops: [],
+    stoppedDaemons: [
+      { daemons: [1, 2, 3, 4], atMs: 1000, forMs: 5000 },
+      { daemons: [1, 2, 3, 4], atMs: 9000, forMs: 5000 },
+    ],
+  },
   'three of four stopped again and again, the other refuses': {
     replicas: 4,
     refusing: [3],
