--- a/packages/routing/src/core/requests/execution.ts
+++ b/packages/routing/src/core/requests/execution.ts
@@ -695,6 +695,7 @@
       longestPauseMs: this.relay === undefined ? undefined : Math.round(this.relay.longestGapMs),
       firstByteMs: firstByteMs === undefined ? undefined : Math.round(firstByteMs),
       silentMs: Math.round(silentMs),
+      mayArriveLater: this.lateArrival?.isOpen,
       lastedMs: Math.round(timers.now() - this.options.arrivedAt) - this.sentAfterMs,
       running: inFlight.countsOf(replica.id).running,
       reservedAgoMs: this.reservedAgoMs,
