requests: forget a stall that nobody has waited through

A line that had been stalled once expected the next request, however much later, to wait as long as since then: in quiet traffic it would have been refused at once when its first choice failed for a moment.

Change: a stall is forgotten when nobody has waited for longer than it had lasted. Tests of the line are new: 'a stall is forgotten when nobody has waited for longer than it lasted' fails without the change (3,300 ms expected, 0 now).

--- a/packages/routing/src/core/requests/waiting-line.ts
+++ b/packages/routing/src/core/requests/waiting-line.ts
@@ -34,6 +34,9 @@
   /** Monotonic time since which no request could get a replica, in milliseconds; undefined if the last one could. */
   private stalledSince: number | undefined;
 
+  /** Monotonic time at which the last waiting request left, in milliseconds. */
+  private emptySince = 0;
+
   /** Monotonic time of the latest turn while others waited, in milliseconds. */
   private lastTurnAt: number | undefined;
 
@@ -64,9 +67,15 @@
     return Math.max(stalledMs, ahead * this.intervalMs);
   }
 
+  /** Whether nobody has waited for longer than the line was stalled before: it may have gone on since. */
+  private get isStallForgotten(): boolean {
+    const { stalledSince = 0, emptySince } = this;
+    return this.waiting.length === 0 && this.timers.now() - emptySince > emptySince - stalledSince;
+  }
+
   /** Adds a request that could not get a replica. Does nothing if it waits already. */
   join(request: WaitingRequest): void {
-    this.stalledSince ??= this.timers.now();
+    if (this.stalledSince === undefined || this.isStallForgotten) this.stalledSince = this.timers.now();
     if (this.waiting.includes(request)) return;
     this.waiting.splice(this.aheadOf(request), 0, request);
   }
@@ -89,7 +98,9 @@
     const index = this.waiting.indexOf(request);
     if (index < 0) return false;
     this.waiting.splice(index, 1);
-    if (this.waiting.length === 0) this.lastTurnAt = undefined;
+    if (this.waiting.length > 0) return true;
+    this.lastTurnAt = undefined;
+    this.emptySince = this.timers.now();
     return true;
   }
 
