--- a/packages/routing/src/core/daemon/services.ts
+++ b/packages/routing/src/core/daemon/services.ts
@@ -32,7 +32,7 @@
   RequestMetrics,
   RequestServer,
   Shutdown,
-  WaitingLines,
+  WaitQueues,
   WorkTimes,
 } from '../requests/index.js';
 import { FleetShare } from '../shares/index.js';
@@ -999,7 +999,7 @@
         registry,
         accountMetrics: new AccountMetrics(kernel.get<Metrics>(PART.metrics)),
         workTimes: new WorkTimes(timers),
-        waitingLines: new WaitingLines(timers),
+        waitQueues: new WaitQueues(timers),
         callerDeadlines: history.deadlines,
         migrator: new StreamMigrator({
           registry,
--- a/packages/routing/src/core/requests/finder.ts
+++ b/packages/routing/src/core/requests/finder.ts
@@ -11,7 +11,7 @@
 import { callerGapMs } from './types.js';
 import type { WaitTimes } from './wait-times.js';
 import { WaitCause } from './wait-times.js';
-import type { WaitingLine, WaitingLines, WaitingRequest } from './waiting-line.js';
+import type { WaitQueue, WaitQueues, WaitingRequest } from './wait-queue.js';
 import type { WorkTimes } from './work-times.js';
 
 /** Pause between two choices while there is no replica, in milliseconds. */
@@ -31,7 +31,7 @@
   readonly log: DecisionLog;
   readonly metrics: RequestMetrics;
   readonly workTimes: Pick<WorkTimes, 'shortest'>;
-  readonly waitingLines: Pick<WaitingLines, 'of'>;
+  readonly waitQueues: Pick<WaitQueues, 'of'>;
   readonly ensure: EnsureAdapter;
 }
 
@@ -97,19 +97,19 @@
    * @returns The choice; undefined when there is none or the request has ended.
    */
   async find(among?: ReadonlySet<string>): Promise<Choice | undefined> {
-    const { timers, waitingLines } = this.parts;
+    const { timers, waitQueues } = this.parts;
     this.searchedSince = timers.now();
-    const line = waitingLines.of(this.request.service, this.request.softwareVersion());
+    const queue = waitQueues.of(this.request.service, this.request.softwareVersion());
     const waiting = { rank: this.request.rank, lastCallAt: timers.now() + this.lastCallMs() };
     try {
-      return await this.findInTurn(line, waiting, among);
+      return await this.findInTurn(queue, waiting, among);
     } finally {
-      line.leave(waiting);
+      queue.leave(waiting);
     }
   }
 
   private async findInTurn(
-    line: WaitingLine,
+    queue: WaitQueue,
     waiting: WaitingRequest,
     among: ReadonlySet<string> | undefined,
   ): Promise<Choice | undefined> {
@@ -117,10 +117,10 @@
     // Engines that can't begin a load at once; the chooser has received the state of their slots.
     const full = new Set<string>();
     while (!this.request.hasEnded() && this.hasVersion()) {
-      const isTurn = among !== undefined || line.mayChoose(waiting);
+      const isTurn = among !== undefined || queue.mayChoose(waiting);
       const choice = isTurn ? this.choose(among) : undefined;
-      if (choice !== undefined) line.recordTurn(waiting);
-      else if (among === undefined) line.join(waiting);
+      if (choice !== undefined) queue.recordTurn(waiting);
+      else if (among === undefined) queue.join(waiting);
       const opensInMs = choice?.opensInMs ?? 0;
       if (choice !== undefined && (!choice.needsLoad || (await this.loadOrMarkFull(choice.replica, full)))) {
         if (choice.opensInMs === undefined) return choice;
@@ -130,7 +130,7 @@
           continue;
         }
       }
-      const turnMs = among === undefined ? line.expectedMs(waiting) : 0;
+      const turnMs = among === undefined ? queue.expectedMs(waiting) : 0;
       this.expectedMs = choice === undefined ? this.expectedWaitMs(turnMs) : opensInMs;
       if (this.expectedMs >= this.lastCallMs()) return undefined;
       if (choice === undefined) {
--- a/packages/routing/src/core/requests/index.ts
+++ b/packages/routing/src/core/requests/index.ts
@@ -1,8 +1,8 @@
 /** Serves the requests of callers, from their arrival to the end of the response. */
 export { LocalReply } from './local-reply.js';
 export { AttemptProof, NotRunProof, RunRecord } from './run-record.js';
-export { WaitingLine, WaitingLines } from './waiting-line.js';
-export type { WaitingRequest } from './waiting-line.js';
+export { WaitQueue, WaitQueues } from './wait-queue.js';
+export type { WaitingRequest } from './wait-queue.js';
 export { WorkTimes } from './work-times.js';
 export type { ResponseTimes } from './work-times.js';
 export type { EngineStream, MigrationDependencies, MigratedStream, RunStateCopier } from './migration.js';
--- a/packages/routing/src/core/requests/waiting-line.ts
+++ b/packages/routing/src/core/requests/wait-queue.ts
@@ -1,21 +1,21 @@
 /**
  * Requests that wait for a replica, in the order in which they get one: by the configured priority, then by the time
- * until which they can still be served. Requests for the same replicas share a line.
+ * until which they can still be served. Requests for the same replicas share a queue.
  *
- * A line is bounded: a request that can't expect its turn in time does not join it.
+ * A queue is bounded: a request that can't expect its turn in time does not join it.
  */
 import type { TimerService } from '@celeryyoke/core';
 
-/** Largest number of requests in one line; each holds a connection of its caller. */
+/** Largest number of requests in one queue; each holds a connection of its caller. */
 const MAX_WAITING = 512;
-/** Number of lines from which on empty ones are dropped. */
-const MAX_LINES = 100;
-/** Requests at the head of a line that may choose at one moment: one that needs a certain replica holds up no others. */
+/** Number of queues from which on empty ones are dropped. */
+const MAX_QUEUES = 100;
+/** Requests at the head of a queue that may choose at one moment: one that needs a certain replica holds up no others. */
 const HEAD_SIZE = 8;
 /** Weight of the latest interval between two turns in the moving average. */
 const INTERVAL_WEIGHT = 0.2;
 
-/** A request in a line. */
+/** A request in a queue. */
 export interface WaitingRequest {
   /** Priority; 0 is the most urgent. */
   readonly rank: number;
@@ -28,7 +28,7 @@
 }
 
 /** The requests that wait for the same replicas. */
-export class WaitingLine {
+export class WaitQueue {
   private readonly waiting: WaitingRequest[] = [];
 
   /** Monotonic time since which no request could get a replica, in milliseconds; undefined if the last one could. */
@@ -58,7 +58,7 @@
   /**
    * Returns how long a request is expected to wait for its turn, in milliseconds: what has been stalled for some time is
    * expected to stay so for as long again.
-   * @returns Infinity if the line is full.
+   * @returns Infinity if the queue is full.
    */
   expectedMs(request: WaitingRequest): number {
     const ahead = this.aheadOf(request);
@@ -67,7 +67,7 @@
     return Math.max(stalledMs, ahead * this.intervalMs);
   }
 
-  /** Whether nobody has waited for longer than the line was stalled before: it may have gone on since. */
+  /** Whether nobody has waited for longer than the queue was stalled before: it may have gone on since. */
   private get isStallForgotten(): boolean {
     const { stalledSince = 0, emptySince } = this;
     return this.waiting.length === 0 && this.timers.now() - emptySince > emptySince - stalledSince;
@@ -113,25 +113,25 @@
   }
 }
 
-/** Lines by service and software version. */
-export class WaitingLines {
-  private readonly lines = new Map<string, WaitingLine>();
+/** Queues by service and software version. */
+export class WaitQueues {
+  private readonly queues = new Map<string, WaitQueue>();
 
   constructor(private readonly timers: Pick<TimerService, 'now'>) {}
 
   /**
-   * Returns the line for the replicas of a service.
+   * Returns the queue for the replicas of a service.
    * @param softwareVersion - Version that the replicas must have; undefined for any.
    */
-  of(service: string, softwareVersion: string | undefined): WaitingLine {
+  of(service: string, softwareVersion: string | undefined): WaitQueue {
     const key = `${service}@${softwareVersion ?? ''}`;
-    if (this.lines.size > MAX_LINES) this.dropEmptyLines();
-    const line = this.lines.get(key) ?? new WaitingLine(this.timers);
-    this.lines.set(key, line);
-    return line;
+    if (this.queues.size > MAX_QUEUES) this.dropEmptyQueues();
+    const queue = this.queues.get(key) ?? new WaitQueue(this.timers);
+    this.queues.set(key, queue);
+    return queue;
   }
 
-  private dropEmptyLines(): void {
-    for (const [key, { size }] of this.lines) if (size === 0) this.lines.delete(key);
+  private dropEmptyQueues(): void {
+    for (const [key, { size }] of this.queues) if (size === 0) this.queues.delete(key);
   }
 }
--- a/packages/routing/test/finder.test.ts
+++ b/packages/routing/test/finder.test.ts
@@ -11,7 +11,7 @@
   ReplicaFinder,
   RequestMetrics,
   RouteKind,
-  WaitingLines,
+  WaitQueues,
   WaitTimes,
   WorkTimes,
 } from '@celeryyoke/routing';
@@ -62,7 +62,7 @@
     log,
     metrics: new RequestMetrics(createMetrics()),
     workTimes: new WorkTimes(timers),
-    waitingLines: new WaitingLines(timers),
+    waitQueues: new WaitQueues(timers),
     ensure: async (_replica: unknown, _ref: unknown, { patienceMs }: { patienceMs: number }) => {
       await timers.sleep(patienceMs);
       return isFreeNow();
--- a/packages/routing/test/repeats/execution-site.ts
+++ b/packages/routing/test/repeats/execution-site.ts
@@ -27,7 +27,7 @@
   RouteKind,
   RunRecord,
   Shutdown,
-  WaitingLines,
+  WaitQueues,
   WorkTimes,
 } from '@celeryyoke/routing';
 
@@ -171,7 +171,7 @@
       markAbsent: noop,
       viewAgeMs: () => 0,
       workTimes: new WorkTimes(timers),
-      waitingLines: new WaitingLines(timers),
+      waitQueues: new WaitQueues(timers),
       timers,
       log,
       ...overrides,
