origins: count a version for good after its last replica

A version that has served counts for good now, so that a stream goes on without a record only where one version is all that has ever served. Whether that is known is no question of time either: a fleet that has found only a part of the store's history records all streams from then on. Records, and streams that broke before doubt arose, are kept until their callers' deadlines; an unknown deadline keeps the time of before. Records beyond the capacity still go by age.

--- a/packages/routing/src/core/origins/origin-codec.ts
+++ b/packages/routing/src/core/origins/origin-codec.ts
@@ -3,23 +3,34 @@
 import type { OriginRecord, SharedHistory, StreamOrigin } from './types.js';
 import { OriginState, UNKNOWN_ORIGIN } from './types.js';
 
-export type OriginRowFrame = readonly [request: string, attempt: string, softwareVersion: string];
+export type OriginRowFrame = readonly [
+  request: string,
+  attempt: string,
+  softwareVersion: string,
+  retentionMs: number,
+];
 export type StreamKeyFrame = readonly [request: string, attempt: string | null];
 /** Daemons have different clocks, so ages in milliseconds are sent. */
 export type VersionHistoryFrame = readonly [
   former: readonly (readonly [service: string, softwareVersion: string, removedAgoMs: number])[],
   knownUntilAgoMs: number | null,
-  knownForMs: number,
+  /** Null if all versions are known that have ever served. */
+  knownForMs: number | null,
   deadlines: readonly (readonly [route: string, account: string | null, longestMs: number])[],
 ];
 export type OriginFrame = readonly [state: OriginState, softwareVersion: string | null];
 
-export function encodeRecord({ request, attempt, softwareVersion }: OriginRecord): OriginRowFrame {
-  return [request, attempt, softwareVersion];
+export function encodeRecord({
+  request,
+  attempt,
+  softwareVersion,
+  retentionMs,
+}: OriginRecord): OriginRowFrame {
+  return [request, attempt, softwareVersion, retentionMs];
 }
 
-export function decodeRecord([request, attempt, softwareVersion]: OriginRowFrame): OriginRecord {
-  return { request, attempt, softwareVersion };
+export function decodeRecord([request, attempt, softwareVersion, retentionMs]: OriginRowFrame): OriginRecord {
+  return { request, attempt, softwareVersion, retentionMs };
 }
 
 export function encodeKey({ request, attempt }: StreamKey): StreamKeyFrame {
@@ -44,6 +55,7 @@
  * @param now - Monotonic milliseconds.
  */
 export function encodeHistory({ former, time, deadlines }: SharedHistory, now: number): VersionHistoryFrame {
+  const knownForMs = time === undefined ? 0 : time.until - time.since;
   return [
     former.map(({ service, softwareVersion, removedAt }) => [
       service,
@@ -51,7 +63,7 @@
       Math.round(now - removedAt),
     ]),
     time === undefined ? null : Math.ceil(now - time.until),
-    time === undefined ? 0 : Math.floor(time.until - time.since),
+    Number.isFinite(knownForMs) ? Math.floor(knownForMs) : null,
     deadlines.map(({ route, account, longestMs }) => [route, account ?? null, longestMs]),
   ];
 }
@@ -65,13 +77,14 @@
   now: number,
 ): SharedHistory {
   const until = now - (untilAgoMs ?? 0);
+  const since = until - (knownForMs ?? Number.POSITIVE_INFINITY);
   return {
     former: former.map(([service, softwareVersion, agoMs]) => ({
       service,
       softwareVersion,
       removedAt: now - agoMs,
     })),
-    time: untilAgoMs === null ? undefined : { since: until - knownForMs, until },
+    time: untilAgoMs === null ? undefined : { since, until },
     deadlines: deadlines.map(([route, account, longestMs]) => ({
       route,
       account: account ?? undefined,
--- a/packages/routing/src/core/origins/origin-table.ts
+++ b/packages/routing/src/core/origins/origin-table.ts
@@ -33,7 +33,7 @@
 
 /** The records that one daemon holds. */
 export class OriginTable {
-  /** By attempt, in the order in which they expire. */
+  /** By attempt, the oldest first. */
   private readonly stored = new Map<string, StoredOrigin>();
 
   /** Attempts by the fingerprint of their requests. */
@@ -42,23 +42,17 @@
   /** Number of records that were dropped before their time. */
   droppedCount = 0;
 
-  /**
-   * @param retentionMs - Returns the time for which a record is kept, in milliseconds.
-   */
-  constructor(
-    private readonly timers: TimerService,
-    private readonly retentionMs: () => number,
-  ) {}
+  constructor(private readonly timers: Pick<TimerService, 'now'>) {}
 
   get size(): number {
     return this.stored.size;
   }
 
   /** Records the version of a stream, or that it is not clear: a record is never replaced by another version. */
-  put({ request, attempt, softwareVersion }: OriginRecord): void {
+  put({ request, attempt, softwareVersion, retentionMs }: OriginRecord): void {
     const origin = combineOrigins(this.ofAttempt(attempt), { state: OriginState.Known, softwareVersion });
     this.remove(attempt);
-    this.stored.set(attempt, { request, origin, until: this.timers.now() + this.retentionMs() });
+    this.stored.set(attempt, { request, origin, until: this.timers.now() + retentionMs });
     const attempts = this.attempts.get(request) ?? new Set();
     this.attempts.set(request, attempts.add(attempt));
     if (this.stored.size <= CAPACITY) return;
@@ -78,10 +72,7 @@
   /** Removes the records whose time is over. */
   expire(): void {
     const now = this.timers.now();
-    for (const [attempt, { until }] of this.stored) {
-      if (until > now) return;
-      this.remove(attempt);
-    }
+    for (const [attempt, { until }] of this.stored) if (until <= now) this.remove(attempt);
   }
 
   private ofAttempt(attempt: string): StreamOrigin {
--- a/packages/routing/src/core/origins/stream-origins.ts
+++ b/packages/routing/src/core/origins/stream-origins.ts
@@ -30,12 +30,9 @@
 const REVIEW_MS = 100;
 /** Shortest time between two reports of all running streams, in milliseconds. */
 const MIN_REPORT_INTERVAL_MS = 1000;
-/**
- * Time for which a stream that ended early counts as running, in milliseconds: its caller may resume it, and another
- * version may appear before.
- */
-const RESUMABLE_MS = 15_000;
-/** Largest number of such streams. */
+/** Time for which a stream can be resumed after it ended early, in milliseconds, where its caller states no deadline. */
+const DEFAULT_RESUMABLE_MS = 15_000;
+/** Largest number of streams that ended early. */
 const MAX_BROKEN = 1024;
 /** Largest number of records in one message. */
 const MAX_RECORDS = 256;
@@ -47,6 +44,8 @@
   readonly key: () => NamedStreamKey;
   /** Returns the version that began it; undefined while it is not known. */
   readonly softwareVersion: () => string | undefined;
+  /** Monotonic time until which its caller may resume it, in milliseconds; undefined if the caller states none. */
+  readonly deadlineAt: number | undefined;
 }
 
 /** Parts of the daemon that records of streams use. */
@@ -92,8 +91,8 @@
 
   /** Registers the message handlers. */
   constructor(private readonly options: StreamOriginsOptions) {
-    const { cluster, history, timers } = options;
-    this.table = new OriginTable(timers, () => history.retentionMs);
+    const { cluster, timers } = options;
+    this.table = new OriginTable(timers);
     this.owners = new OriginOwners(cluster);
     cluster.handle(MessageType.StreamOrigins, (_from, frames: OriginRowFrame[]) => {
       for (const frame of frames) this.table.put(decodeRecord(frame));
@@ -155,10 +154,10 @@
     const record = wasRunning && !isComplete ? this.recordOf(stream) : undefined;
     this.unreported.delete(stream);
     if (record === undefined) return;
-    const { service } = stream;
+    const { service, deadlineAt } = stream;
     // The request itself is not retained.
-    const broken = { service, key: () => record, softwareVersion: () => record.softwareVersion };
-    this.broken.set(broken, this.options.timers.now() + RESUMABLE_MS);
+    const broken = { service, key: () => record, softwareVersion: () => record.softwareVersion, deadlineAt };
+    this.broken.set(broken, deadlineAt ?? this.options.timers.now() + DEFAULT_RESUMABLE_MS);
     if (this.broken.size > MAX_BROKEN) this.removeOldestBroken();
   }
 
@@ -210,10 +209,7 @@
 
   private expireBroken(): void {
     const now = this.options.timers.now();
-    for (const [stream, until] of this.broken) {
-      if (until > now) return;
-      this.broken.delete(stream);
-    }
+    for (const [stream, until] of this.broken) if (until <= now) this.broken.delete(stream);
   }
 
   private removeOldestBroken(): void {
@@ -278,7 +274,10 @@
       return undefined;
     }
     this.unreported.delete(stream);
-    return { ...stream.key(), softwareVersion };
+    const { request, attempt } = stream.key();
+    const { history, timers } = this.options;
+    const untilDeadlineMs = Math.ceil((stream.deadlineAt ?? 0) - timers.now());
+    return { request, attempt, softwareVersion, retentionMs: Math.max(history.retentionMs, untilDeadlineMs) };
   }
 
   private send(owner: string, records: readonly OriginRecord[]): void {
--- a/packages/routing/src/core/origins/types.ts
+++ b/packages/routing/src/core/origins/types.ts
@@ -42,7 +42,7 @@
 
 /** A time in which a daemon has known all versions that served. */
 export interface KnownTime {
-  /** Monotonic milliseconds. */
+  /** Monotonic milliseconds; minus Infinity if it knows all that have ever served. */
   readonly since: number;
   /** Monotonic milliseconds; later versions may be missing. */
   readonly until: number;
@@ -83,4 +83,6 @@
 /** A stream that began at a software version. */
 export interface OriginRecord extends NamedStreamKey {
   readonly softwareVersion: string;
+  /** Time for which it is kept, in milliseconds. */
+  readonly retentionMs: number;
 }
--- a/packages/routing/src/core/origins/version-table.ts
+++ b/packages/routing/src/core/origins/version-table.ts
@@ -1,4 +1,7 @@
-/** Software versions of the replicas of each service: those that are listed, and former ones for a limited time. */
+/**
+ * Software versions of the replicas of each service: those that are listed, and former ones. A former one counts for good:
+ * nothing bounds how long ago a stream began that its caller resumes.
+ */
 import type { TimerService } from '@celeryyoke/core';
 
 import type { ReplicaEntry } from '../view/index.js';
@@ -36,13 +39,7 @@
 export class VersionTable {
   private readonly services = new Map<string, Map<string, VersionUse>>();
 
-  /**
-   * @param retentionMs - Returns the time for which a former version counts, in milliseconds.
-   */
-  constructor(
-    private readonly timers: TimerService,
-    private readonly retentionMs: () => number,
-  ) {}
+  constructor(private readonly timers: Pick<TimerService, 'now'>) {}
 
   /**
    * Records a replica that appeared, changed or was removed.
@@ -59,7 +56,7 @@
     if (before !== undefined && (entry === undefined || entry.softwareVersion !== before.softwareVersion))
       this.remove(id, before, entry !== undefined);
     if (entry === undefined) return;
-    const uses = this.allUsesOf(entry.service);
+    const uses = this.usesOf(entry.service);
     const version = entry.softwareVersion ?? UNKNOWN_VERSION;
     const seenAt = isLongListed ? Number.NEGATIVE_INFINITY : this.timers.now();
     const use = uses.get(version) ?? { replicas: new Set(), seenAt, removedAt: seenAt };
@@ -101,7 +98,7 @@
 
   /** Merges a former version that a peer knows. */
   mergeFormer({ service, softwareVersion, removedAt }: FormerVersion): void {
-    const uses = this.allUsesOf(service);
+    const uses = this.usesOf(service);
     const known = uses.get(softwareVersion);
     if (known !== undefined && known.removedAt >= removedAt) return;
     if (known !== undefined) known.removedAt = removedAt;
@@ -113,7 +110,7 @@
    * @param isListed - Whether the replica is still listed: then its version has changed or has become known.
    */
   private remove(id: string, { service, softwareVersion }: ReplicaEntry, isListed: boolean): void {
-    const uses = this.allUsesOf(service);
+    const uses = this.usesOf(service);
     const version = softwareVersion ?? UNKNOWN_VERSION;
     const use = uses.get(version);
     use?.replicas.delete(id);
@@ -123,21 +120,13 @@
     limitFormer(uses);
   }
 
-  private allUsesOf(service: string): Map<string, VersionUse> {
+  private usesOf(service: string): Map<string, VersionUse> {
     const known = this.services.get(service);
     if (known !== undefined) return known;
     const created = new Map<string, VersionUse>();
     this.services.set(service, created);
     return created;
   }
-
-  private usesOf(service: string): Map<string, VersionUse> {
-    const uses = this.allUsesOf(service);
-    const oldest = this.timers.now() - this.retentionMs();
-    for (const [version, { replicas, removedAt }] of uses)
-      if (replicas.size === 0 && removedAt < oldest) uses.delete(version);
-    return uses;
-  }
 }
 
 function limitFormer(uses: Map<string, VersionUse>): void {
--- a/packages/routing/src/core/requests/stream-binding.ts
+++ b/packages/routing/src/core/requests/stream-binding.ts
@@ -92,8 +92,13 @@
     private readonly parts: StreamBindingDependencies,
     private readonly request: BoundRequest,
   ) {
-    const { service } = request;
-    this.stream = { service, key: () => this.recordKey(), softwareVersion: () => this.softwareVersion };
+    const { service, head, arrivedAt } = request;
+    this.stream = {
+      service,
+      key: () => this.recordKey(),
+      softwareVersion: () => this.softwareVersion,
+      deadlineAt: head.waitMs === undefined ? undefined : arrivedAt + head.waitMs,
+    };
   }
 
   /** Version at which the stream may go on; undefined while it is not bound, or if it must not go on anywhere. */
