origins: refuse a stream that seems younger than a fleet that records

A fleet that does not know all versions records all of its streams. So a stream without a record that by its caller's words began after the fleet started is older than that: these words are refuted, and it is refused (doubt `unrecorded`). Daemons tell each other when the first of them started.

Interrupted callers that alone had more than the timeout of their route are still joined in the first seconds of a fleet if their version had left before the store's history; nothing proves their age.

--- a/packages/routing/src/core/origins/origin-codec.ts
+++ b/packages/routing/src/core/origins/origin-codec.ts
@@ -16,6 +16,7 @@
   knownUntilAgoMs: number | null,
   /** Null if all versions are known that have ever served. */
   knownForMs: number | null,
+  fleetStartedAgoMs: number,
   deadlines: readonly (readonly [route: string, account: string | null, longestMs: number])[],
 ];
 export type OriginFrame = readonly [state: OriginState, softwareVersion: string | null];
@@ -54,7 +55,10 @@
  * Encodes a history.
  * @param now - Monotonic milliseconds.
  */
-export function encodeHistory({ former, time, deadlines }: SharedHistory, now: number): VersionHistoryFrame {
+export function encodeHistory(
+  { former, time, fleetStartedAt, deadlines }: SharedHistory,
+  now: number,
+): VersionHistoryFrame {
   const knownForMs = time === undefined ? 0 : time.until - time.since;
   return [
     former.map(({ service, softwareVersion, removedAt }) => [
@@ -64,6 +68,7 @@
     ]),
     time === undefined ? null : Math.ceil(now - time.until),
     Number.isFinite(knownForMs) ? Math.floor(knownForMs) : null,
+    Math.ceil(now - fleetStartedAt),
     deadlines.map(({ route, account, longestMs }) => [route, account ?? null, longestMs]),
   ];
 }
@@ -73,7 +78,7 @@
  * @param now - Monotonic milliseconds.
  */
 export function decodeHistory(
-  [former, untilAgoMs, knownForMs, deadlines]: VersionHistoryFrame,
+  [former, untilAgoMs, knownForMs, fleetStartedAgoMs, deadlines]: VersionHistoryFrame,
   now: number,
 ): SharedHistory {
   const until = now - (untilAgoMs ?? 0);
@@ -85,6 +90,7 @@
       removedAt: now - agoMs,
     })),
     time: untilAgoMs === null ? undefined : { since, until },
+    fleetStartedAt: now - fleetStartedAgoMs,
     deadlines: deadlines.map(([route, account, longestMs]) => ({
       route,
       account: account ?? undefined,
--- a/packages/routing/src/core/origins/types.ts
+++ b/packages/routing/src/core/origins/types.ts
@@ -22,6 +22,11 @@
   NoHistory = 'no-history',
   /** The same, and it is not known how long ago the stream can have begun, as no caller of its route has been seen. */
   UnknownAge = 'unknown-age',
+  /**
+   * By what its caller states, the stream began since the fleet started, which records all streams while it does not know
+   * all versions. It is not recorded, so it is older than that.
+   */
+  Unrecorded = 'unrecorded',
 }
 
 /** Times between which a stream began, in monotonic milliseconds. */
@@ -62,6 +67,8 @@
   readonly former: readonly FormerVersion[];
   /** Undefined while the daemon can't tell. */
   readonly time: KnownTime | undefined;
+  /** Monotonic time at which the first daemon of the fleet started, as far as it is known, in milliseconds. */
+  readonly fleetStartedAt: number;
   readonly deadlines: readonly CallerDeadline[];
 }
 
--- a/packages/routing/src/core/origins/version-history.ts
+++ b/packages/routing/src/core/origins/version-history.ts
@@ -6,7 +6,7 @@
  * bounds how long a caller waits: by its own view, or, if it has started or was cut off since, by what it asks of its peers.
  * A fleet that has started knows what the history of the platform's store proves; that it starts for the first time is no
  * proof, as its settings may outlast its processes. Where that is a part of the history only, the fleet records all streams,
- * and concludes for streams that are not recorded if, by what their callers state, they began in that part.
+ * and concludes for streams that are not recorded if, by what their callers state, they began in that part and before it.
  */
 import type { DecisionLog, TimerHandle, TimerService } from '@celeryyoke/core';
 
@@ -74,6 +74,9 @@
   /** What a peer has known before this daemon's own view began. */
   private peerTime: KnownTime | undefined;
 
+  /** Monotonic time at which the first daemon of this fleet started, as far as it is known, in milliseconds. */
+  private fleetStartedAt: number;
+
   private askIntervalMs = REVIEW_MS;
 
   /** Monotonic time of the next request to a peer, in milliseconds. */
@@ -93,6 +96,7 @@
   constructor(private readonly options: VersionHistoryOptions) {
     const { cluster, registry, view, timers } = options;
     this.table = new VersionTable(timers);
+    this.fleetStartedAt = timers.now();
     view.onSnapshot((ageMs) => this.recordSnapshot(ageMs));
     // It is not known for how long the replicas of the first snapshot were listed.
     registry.onReplica((id, entry, before) => this.table.update(id, entry, before, view.upTo === 0));
@@ -131,7 +135,10 @@
   doubtOf(service: string, bounds = OWN_STREAMS): VersionDoubt | undefined {
     if (!this.isViewRecent()) return VersionDoubt.StaleView;
     if (!this.options.hasSettled()) return VersionDoubt.Starting;
-    if (!this.knowsHistory() && this.knownSince() > listedSince(bounds)) return VersionDoubt.NoHistory;
+    if (!this.knowsHistory()) {
+      if (this.knownSince() > listedSince(bounds)) return VersionDoubt.NoHistory;
+      if (bounds.after > this.fleetStartedAt) return VersionDoubt.Unrecorded;
+    }
     const { count, hasUnknown, newestMs } = this.table.versionsOf(service, this.countedSince(bounds));
     if (count > 1) return newestMs < MAX_VIEW_AGE_MS ? VersionDoubt.NewVersion : VersionDoubt.Several;
     if (count === 0 || hasUnknown) return VersionDoubt.UnknownVersion;
@@ -268,7 +275,8 @@
     }
   }
 
-  private merge({ former, time, deadlines }: SharedHistory): void {
+  private merge({ former, time, fleetStartedAt, deadlines }: SharedHistory): void {
+    this.fleetStartedAt = Math.min(this.fleetStartedAt, fleetStartedAt);
     for (const deadline of deadlines) this.deadlines.record(deadline);
     for (const version of former) this.table.mergeFormer(version);
     if (time === undefined) return;
@@ -284,6 +292,7 @@
     return {
       former: [...this.table.formerVersions()],
       time: isKnown ? { since, until } : undefined,
+      fleetStartedAt: this.fleetStartedAt,
       deadlines: [...this.deadlines.all()],
     };
   }
--- a/packages/routing/test/origins/version-history.test.ts
+++ b/packages/routing/test/origins/version-history.test.ts
@@ -155,3 +155,22 @@
   await fleet.timers.advance(RETENTION_MS);
   t.is(told.history.doubtOf(SERVICE), VersionDoubt.Several);
 });
+
+// Guards against a stream whose caller has waited for longer than callers of its route do, after all daemons have ended.
+test('a stream that seems to have begun in a fleet that records all, and is not recorded, leaves doubt', async (t) => {
+  const fleet = new OriginFleet();
+  fleet.start('a:1');
+  fleet.list('e0', 'v1');
+  const startedAt = fleet.timers.now();
+  await fleet.timers.advance(RETENTION_MS);
+  fleet.start('b:1');
+  await fleet.timers.advance(1000);
+  fleet.kill('a:1');
+  fleet.start('c:1');
+  await fleet.timers.advance(RETENTION_MS);
+  const before = fleet.timers.now() - 1000;
+  for (const { history } of fleet.daemons.values()) {
+    t.is(history.doubtOf(SERVICE, { after: startedAt + 5000, before }), VersionDoubt.Unrecorded);
+    t.is(history.doubtOf(SERVICE, { after: startedAt - 5000, before }), VersionDoubt.NoHistory);
+  }
+});
