--- a/packages/routing/src/core/origins/types.ts
+++ b/packages/routing/src/core/origins/types.ts
@@ -22,6 +22,11 @@
   NoHistory = 'no-history',
   /** The same, and it is not known how long ago the stream can have begun, as no caller of its route has been seen. */
   UnknownAge = 'unknown-age',
+  /**
+   * By what its caller states, the stream began since the fleet started, which records all streams while it does not know
+   * all versions. It is not recorded, so it is older than that.
+   */
+  Unrecorded = 'unrecorded',
 }
 
 /** Times between which a stream began, in monotonic milliseconds. */
@@ -42,7 +47,7 @@
 
 /** A time in which a daemon has known all versions that served. */
 export interface KnownTime {
-  /** Monotonic milliseconds. */
+  /** Monotonic milliseconds; minus Infinity if it knows all that have ever served. */
   readonly since: number;
   /** Monotonic milliseconds; later versions may be missing. */
   readonly until: number;
@@ -62,6 +67,8 @@
   readonly former: readonly FormerVersion[];
   /** Undefined while the daemon can't tell. */
   readonly time: KnownTime | undefined;
+  /** Monotonic time at which the first daemon of the fleet started, as far as it is known, in milliseconds. */
+  readonly fleetStartedAt: number;
   readonly deadlines: readonly CallerDeadline[];
 }
 
@@ -83,4 +90,6 @@
 /** A stream that began at a software version. */
 export interface OriginRecord extends NamedStreamKey {
   readonly softwareVersion: string;
+  /** Time for which it is kept, in milliseconds. */
+  readonly retentionMs: number;
 }
