requests: write the events before a gap in the same chunk

Callers got streams with missing events: a replica that went on with a broken stream sent the next events and then skipped one, all in one chunk. The events before the gap counted as received and were not written, so that the next replica continued after them.

The bytes before the gap are written now. The test failed before: the caller had events 1 to 3 and 6 to 8.

--- a/packages/routing/src/core/requests/relay.ts
+++ b/packages/routing/src/core/requests/relay.ts
@@ -146,9 +146,11 @@
         id !== NO_ID &&
         this.lastEventId !== undefined &&
         id > this.lastEventId + 1
-      )
+      ) {
+        // The next replica continues after the events before the gap, so the caller must have them.
+        this.write(bytes, writeFrom, start);
         return ForwardResult.EventsMissing;
-      else if (id !== NO_ID) this.lastEventId = id;
+      } else if (id !== NO_ID) this.lastEventId = id;
       start = end;
     }
     this.write(bytes, writeFrom, start);
--- a/packages/routing/test/relay.test.ts
+++ b/packages/routing/test/relay.test.ts
@@ -123,6 +123,19 @@
   t.is(res.text, events(1, 3));
 });
 
+// Guards against events that are lost as they came in one chunk with a gap, although they count as received.
+test('events before a gap in the same chunk reach the caller, and the next replica continues after them', (t) => {
+  const { res, relay } = setUp();
+  relay.begin(200, FRAMED);
+  relay.forward(Buffer.from(events(1, 3)));
+  relay.begin(200, FRAMED);
+  t.is(relay.forward(Buffer.from(events(4, 5) + event(7))), ForwardResult.EventsMissing);
+  t.is(relay.lastEventId, 5);
+  relay.begin(200, FRAMED);
+  relay.forward(Buffer.from(events(6, 8)));
+  t.is(res.text, events(1, 8));
+});
+
 test('the longest gap is measured from the first chunk on, across all replicas', async (t) => {
   const { relay, timers } = setUp();
   const startedAt = timers.now();
