requests: check the order of events in every run of a stream

Callers got events twice, out of order or with gaps: an engine that ignores Last-Event-Id or continues one event early or late sends a caller that takes a stream up what it has already, or leaves out what it lacks; an engine that repeats events, goes back or skips some does so to each caller. What an event continues was checked only after another replica had sent a part of the same response.

Each event that the caller has received is dropped now, and one after a gap breaks the run, whichever replica sends it and whether the caller or the daemon continues the stream. Only the first event of a new stream may have any number.

--- a/packages/routing/src/core/requests/relay.ts
+++ b/packages/routing/src/core/requests/relay.ts
@@ -37,6 +37,16 @@
   [BufferLimit.Memory]: ForwardResult.NoMemory,
 };
 
+/** Where an event belongs in the stream that the caller receives. */
+enum EventPlace {
+  /** After the last event that the caller has received. */
+  Next = 'next',
+  /** Among those that the caller has received already. */
+  Received = 'received',
+  /** After events that the caller has not received. */
+  AfterGap = 'afterGap',
+}
+
 /** Writes a stream to the caller and tracks the last event that the caller has received. */
 export class StreamRelay {
   /** Id of the last event that the caller has received; undefined before the first. */
@@ -61,9 +71,6 @@
 
   private isAborted = false;
 
-  /** Whether a later replica continues the stream. */
-  private isResumed = false;
-
   /** Monotonic time of the last chunk. */
   private lastChunkAt: number | undefined;
 
@@ -115,7 +122,6 @@
   begin(status: number, headers: HeaderMap): void {
     this.partialEvent.release();
     this.scanner = new EventScanner();
-    this.isResumed = this.hasBegun;
     if (this.hasBegun) return;
     this.hasBegun = true;
     writeResponseHead(this.res, status, headers);
@@ -137,20 +143,13 @@
     let start = 0;
     while (this.scanner.next(bytes, start)) {
       const { id, end } = this.scanner;
-      if (this.isResumed && id !== NO_ID && this.lastEventId !== undefined && id <= this.lastEventId) {
-        // The caller has received this event already.
+      const place = this.placeOf(id);
+      if (place !== EventPlace.Next) {
         this.write(bytes, writeFrom, start);
         writeFrom = end;
-      } else if (
-        this.isResumed &&
-        id !== NO_ID &&
-        this.lastEventId !== undefined &&
-        id > this.lastEventId + 1
-      ) {
-        // The next replica continues after the events before the gap, so the caller must have them.
-        this.write(bytes, writeFrom, start);
-        return ForwardResult.EventsMissing;
       } else if (id !== NO_ID) this.lastEventId = id;
+      // The next replica continues after the events before the gap.
+      if (place === EventPlace.AfterGap) return ForwardResult.EventsMissing;
       start = end;
     }
     this.write(bytes, writeFrom, start);
@@ -158,6 +157,13 @@
     return isContinued && start === 0 ? ForwardResult.Forwarded : this.holdBack(bytes.subarray(start));
   }
 
+  /** Returns where an event belongs, whichever replica has sent it: engines may repeat events, or skip some. */
+  private placeOf(id: number): EventPlace {
+    const { lastEventId } = this;
+    if (id === NO_ID || lastEventId === undefined || id === lastEventId + 1) return EventPlace.Next;
+    return id <= lastEventId ? EventPlace.Received : EventPlace.AfterGap;
+  }
+
   /** Holds the beginning of an event back, in place of what was held back before. */
   private holdBack(bytes: Buffer): ForwardResult {
     this.partialEvent.release();
--- a/packages/routing/test/relay.test.ts
+++ b/packages/routing/test/relay.test.ts
@@ -136,6 +136,36 @@
   t.is(res.text, events(1, 8));
 });
 
+const ODD_RUNS = {
+  'repeats an event': [events(1, 4) + events(4, 6), ForwardResult.Forwarded, events(1, 6)],
+  'goes back': [events(1, 4) + events(2, 6), ForwardResult.Forwarded, events(1, 6)],
+  'skips an event': [events(1, 4) + events(6, 7), ForwardResult.EventsMissing, events(1, 4)],
+} as const;
+
+for (const [title, [sent, result, received]] of Object.entries(ODD_RUNS))
+  // Guards against events twice, missing or out of order where no other replica has sent a part of the stream.
+  test(`the only replica of a stream ${title}`, (t) => {
+    const { res, relay } = setUp();
+    relay.begin(200, FRAMED);
+    t.is(relay.forward(Buffer.from(sent)), result);
+    t.is(res.text, received);
+  });
+
+const RESUMED_RUNS = {
+  'begins anew': [events(1, 6), ForwardResult.Forwarded, events(4, 6)],
+  'begins one event early': [events(3, 6), ForwardResult.Forwarded, events(4, 6)],
+  'begins one event late': [events(5, 6), ForwardResult.EventsMissing, ''],
+} as const;
+
+for (const [title, [sent, result, received]] of Object.entries(RESUMED_RUNS))
+  // Guards against a take-up that brings its caller events that it has, or leaves out some that it lacks.
+  test(`the replica of a stream that its caller takes up after event 3 ${title}`, (t) => {
+    const { res, relay } = setUp(3);
+    relay.begin(200, FRAMED);
+    t.is(relay.forward(Buffer.from(sent)), result);
+    t.is(res.text, received);
+  });
+
 test('the longest gap is measured from the first chunk on, across all replicas', async (t) => {
   const { relay, timers } = setUp();
   const startedAt = timers.now();
