requests: continue streams without a length whose run is stopped

Callers of streams with neither a length nor chunks got a part of them as a whole stream when their engine shut down: a migration stops the run, the engine closes its connection without the end of the stream, and that close is how such a stream ends when it is complete.

What the engine answers to the final copy tells the two apart now: the run had ended (404), else it was stopped, and the stream continues at the other engine or is broken off. A run that had ended stays whole.

--- a/packages/routing/src/core/requests/attempt.ts
+++ b/packages/routing/src/core/requests/attempt.ts
@@ -2,7 +2,7 @@
 import type { TimerService } from '@celeryyoke/core';
 
 import type { ResponseSink, HeaderMap, ExchangeHandle } from '../channels/index.js';
-import { ChannelFailure } from '../channels/index.js';
+import { ChannelFailure, isFramed } from '../channels/index.js';
 import type { BufferBudget } from '../buffers/index.js';
 import { BudgetedBuffer, BufferLimit } from '../buffers/index.js';
 import { RelayError } from '../relays/index.js';
@@ -279,6 +279,7 @@
       firstByteMs,
       silentMs,
       hasReplicaCrashed,
+      isFramed: isFramed(headers),
       identity,
     });
   }
--- a/packages/routing/src/core/requests/execution.ts
+++ b/packages/routing/src/core/requests/execution.ts
@@ -74,6 +74,7 @@
 const FIRST_STATUS_AFTER_SUCCESS = 300;
 /** Outcome of a stream that was relayed to its end. */
 const STREAMED = 'streamed';
+const RUN_STOPPED = 'the run was stopped to be migrated';
 const PATH_BROKEN = 'The path to the replica is broken.';
 /** Outcome of a request whose caller closed the connection first. */
 const CALLER_LEFT = 'left';
@@ -632,8 +633,12 @@
     const stream: EngineStream = { request: head.id, service, rank: this.rank, generation, replica };
     const migration = migrator.register(stream);
     const result = await attempt.result;
-    this.migrated = await migrator.complete(migration, result.outcome === AttemptOutcome.BrokenStream);
-    return result;
+    const isUnframed = result.outcome === AttemptOutcome.Relayed && !result.isFramed;
+    const mayBeCut = isUnframed || result.outcome === AttemptOutcome.BrokenStream;
+    this.migrated = await migrator.complete(migration, mayBeCut);
+    // The connection of a run that is stopped ends like that of one that is complete.
+    const wasStopped = isUnframed && migration.hasStoppedRun;
+    return wasStopped ? { ...result, outcome: AttemptOutcome.BrokenStream, reason: RUN_STOPPED } : result;
   }
 
   /** Logs an attempt that goes on with a stream of which the caller has events. */
--- a/packages/routing/src/core/requests/index.ts
+++ b/packages/routing/src/core/requests/index.ts
@@ -5,7 +5,13 @@
 export type { WaitingRequest } from './wait-queue.js';
 export { WorkTimes } from './work-times.js';
 export type { ResponseTimes } from './work-times.js';
-export type { EngineStream, MigrationDependencies, MigratedStream, RunStateCopier } from './migration.js';
+export type {
+  EngineStream,
+  MigrationDependencies,
+  MigratedStream,
+  RunCopy,
+  RunStateCopier,
+} from './migration.js';
 export { StreamMigration, StreamMigrator } from './migration.js';
 export type { FinderDependencies, RoutedRequest } from './finder.js';
 export { ReplicaFinder } from './finder.js';
--- a/packages/routing/src/core/requests/migration.ts
+++ b/packages/routing/src/core/requests/migration.ts
@@ -37,20 +37,22 @@
 /** Longest wait in one engine's queue before the choice is made again, in milliseconds. */
 const QUEUE_TIMEOUT_MS = 200;
 
+/** What became of a request to copy the state of a run. */
+export interface RunCopy {
+  /** What the next attempt must carry to continue from the copy; undefined when there is no copy. */
+  readonly continuation: string | undefined;
+  /** Whether the run had ended before. */
+  readonly hadEnded: boolean;
+}
+
 /** Copies the state of runs between engines; implemented for each platform. */
 export interface RunStateCopier {
   /**
    * Copies the state of a run.
    * @param request - Id of the request.
    * @param isFinal - Whether the run is stopped first, so that the copy is complete.
-   * @returns What the next attempt must carry to continue from the copy; undefined when there is no copy.
    */
-  copyRunState(
-    from: ReplicaEntry,
-    request: string,
-    to: ReplicaEntry,
-    isFinal: boolean,
-  ): Promise<string | undefined>;
+  copyRunState(from: ReplicaEntry, request: string, to: ReplicaEntry, isFinal: boolean): Promise<RunCopy>;
 }
 
 /** A stream that runs on an engine. */
@@ -90,8 +92,8 @@
 
   private shutdownAt = Number.NEGATIVE_INFINITY;
 
-  /** Whether the migration has ordered the run to stop, which also interrupts the stream. */
-  private hasStoppedRun = false;
+  /** Whether the migration has ordered the run to stop, which also interrupts the stream, and found it running. */
+  hasStoppedRun = false;
 
   constructor(
     private readonly parts: MigrationDependencies,
@@ -143,7 +145,8 @@
     const choice = await this.copyRunningState();
     if (choice === undefined) return undefined;
     this.hasStoppedRun = true;
-    const continuation = await control.copyRunState(replica, request, choice.replica, true);
+    const { continuation, hadEnded } = await control.copyRunState(replica, request, choice.replica, true);
+    this.hasStoppedRun = !hadEnded;
     this.logMigration(choice.replica, continuation);
     return continuation === undefined ? undefined : { choice, continuation };
   }
@@ -159,8 +162,8 @@
     for (;;) {
       const choice = await this.prepareTarget();
       if (choice === undefined || this.hasEnded) return undefined;
-      const copy = await control.copyRunState(replica, request, choice.replica, false);
-      if (copy === undefined || this.hasEnded) return undefined;
+      const { continuation } = await control.copyRunState(replica, request, choice.replica, false);
+      if (continuation === undefined || this.hasEnded) return undefined;
       if (acceptsStream(choice.replica.id)) return choice;
     }
   }
@@ -283,15 +286,15 @@
   /**
    * Unregisters a stream whose attempt has ended.
    * @param migration - What {@link register} returned.
-   * @param wasCut - Whether the stream was interrupted, as it is when its migration stops the run.
+   * @param mayBeCut - Whether the stream may have been interrupted, as it is when its migration stops the run.
    * @returns Where the stream continues; undefined when it was not migrated.
    */
-  async complete(migration: StreamMigration, wasCut: boolean): Promise<MigratedStream | undefined> {
+  async complete(migration: StreamMigration, mayBeCut: boolean): Promise<MigratedStream | undefined> {
     const { id } = migration.stream.replica;
     const streams = this.byEngine.get(id);
     streams?.delete(migration);
     if (streams?.size === 0) this.byEngine.delete(id);
-    if (wasCut) return migration.resultAfterCut();
+    if (mayBeCut) return migration.resultAfterCut();
     migration.cancel();
     return undefined;
   }
--- a/packages/routing/src/core/requests/types.ts
+++ b/packages/routing/src/core/requests/types.ts
@@ -223,6 +223,8 @@
    * not fail.
    */
   readonly hasReplicaCrashed: boolean | undefined;
+  /** Whether the response has a length or comes in chunks; one that has neither ends with its connection. */
+  readonly isFramed: boolean;
   /** What the head of the response says of the request that it answers; undefined when there was no head. */
   readonly identity: ResponseIdentity | undefined;
 }
--- a/packages/routing/test/migration.test.ts
+++ b/packages/routing/test/migration.test.ts
@@ -38,7 +38,7 @@
         copies.push(copy);
         await timers.sleep(COPY_MS);
         onCopy(copy, ruledOut);
-        return `${id}/handle`;
+        return { continuation: `${id}/handle`, hadEnded: false };
       },
     },
     timers,
--- a/packages/routing/test/raw.ts
+++ b/packages/routing/test/raw.ts
@@ -124,22 +124,22 @@
   parts: readonly string[],
   waitMs = CONNECTION_CLOSE.test(parts.at(-1) ?? '') ? CLOSE_LIMIT_MS : KEEP_ALIVE_LIMIT_MS,
   { from = LOOPBACK, host = LOOPBACK }: RawRoute = {},
-): Promise<{ text: string; isClosed: boolean }> {
+): Promise<{ text: string; isClosed: boolean; wasReset: boolean }> {
   return new Promise((resolve) => {
     let text = '';
     const socket = connect({ port, host, localAddress: from });
-    const finish = (isClosed: boolean): void => {
+    const finish = (isClosed: boolean, wasReset = false): void => {
       socket.destroy();
-      resolve({ text, isClosed });
+      resolve({ text, isClosed, wasReset });
     };
     const timer = setTimeout(() => finish(false), waitMs);
     socket.on('data', (chunk) => {
       text += chunk.toString('latin1');
     });
     socket.on('error', () => undefined);
-    socket.on('close', () => {
+    socket.on('close', (wasReset) => {
       clearTimeout(timer);
-      finish(true);
+      finish(true, wasReset);
     });
     socket.on('connect', () => {
       for (const part of parts) socket.write(part, 'latin1');
