requests: break off a stream whose rest is answered with a failure

Callers kept a stream open that brought no further event and did not end, past their deadline: the replica that was to continue it answered 500. That response can't follow the head of the stream, and was dropped without an end of the stream.

The stream is broken off at once, so that the caller may take it up elsewhere. The test failed before: the connection was open after 2.5 s, one second past the deadline.

--- a/packages/routing/src/core/requests/execution.ts
+++ b/packages/routing/src/core/requests/execution.ts
@@ -902,6 +902,8 @@
     this.outcome = `answered ${Math.floor(status / 100)}xx`;
     if (res.headersSent || res.destroyed) {
       release();
+      // The caller has a part of a stream, which this response does not continue.
+      if (this.relay?.hasBegun) this.relay.abort();
       return;
     }
     res.once('close', release);
