view: trust no software version that entries contradict

Callers got events of two software versions: an engine whose entry named its next version before it was released began streams that counted as that version's, and they were taken up there.

A process has the same version all the time. An entry of the same incarnation that names another one leaves its version unknown until it starts again, so that what begins there is not continued elsewhere. The test failed before: the second version replaced the first.

--- a/packages/routing/src/core/view/registry.ts
+++ b/packages/routing/src/core/view/registry.ts
@@ -62,6 +62,9 @@
   /** Latest known start of each replica, by name: a late entry of an earlier incarnation is ignored. */
   private readonly latestStarts = new Map<string, number>();
 
+  /** Ids of listed replicas whose entries have named several software versions. */
+  private readonly contradicted = new Set<string>();
+
   /** Latest changes of entries that are held back, by key. */
   private readonly heldBack = new Map<string, Change>();
 
@@ -244,7 +247,14 @@
     const before = this.replicas.get(entry.id);
     this.idOfKey.set(key, entry.id);
     this.availability.recordListed(entry.id, true);
-    this.store(entry, before);
+    this.store(this.withSoleVersion(entry, before), before);
+  }
+
+  /** Leaves out the software version of an entry that contradicts an earlier one: a process has the same all the time. */
+  private withSoleVersion(entry: ReplicaEntry, before: ReplicaEntry | undefined): ReplicaEntry {
+    const known = before?.softwareVersion;
+    if (known !== undefined && entry.softwareVersion !== known) this.contradicted.add(entry.id);
+    return this.contradicted.has(entry.id) ? { ...entry, softwareVersion: undefined } : entry;
   }
 
   /** Merges the state of an entry with what the replica has declared otherwise: it never stops leaving. */
@@ -274,6 +284,7 @@
     this.idOfKey.delete(key);
     const entry = this.replicas.get(id);
     this.replicas.delete(id);
+    this.contradicted.delete(id);
     this.availability.recordListed(id, false);
     if (entry !== undefined) this.departed.set(id, entry);
     if (entry?.state === ReplicaState.Ready) this.lostAt.set(entry.service, this.timers.now());
