requests: continue no stream behind an event without a number

Callers got events twice when a run that sends events without an id, or with one that is no number, broke: nothing told the next replica where to continue, so it began anew, and its events followed those of the first run in one answer.

Such a stream is broken off now, unless a numbered event has come since; comments need no number.

--- a/packages/routing/src/core/requests/execution.ts
+++ b/packages/routing/src/core/requests/execution.ts
@@ -793,6 +793,7 @@
    */
   onBrokenStream(): boolean {
     const { isResumable, maxAttempts } = this.options.route;
+    if (!this.relay!.isContinuable) return false;
     if (this.migrated !== undefined) {
       // The same run continues, which is allowed on every route.
       this.possibleRuns = Math.max(1, this.possibleRuns);
--- a/packages/routing/src/core/requests/relay.ts
+++ b/packages/routing/src/core/requests/relay.ts
@@ -8,7 +8,7 @@
 import type { ServerResponse } from 'node:http';
 
 import type { TimerService } from '@celeryyoke/core';
-import { EventScanner, NO_ID } from '@celeryyoke/core';
+import { EventKind, EventScanner, NO_ID } from '@celeryyoke/core';
 
 import type { BufferBudget } from '../buffers/index.js';
 import { BudgetedBuffer, BufferLimit } from '../buffers/index.js';
@@ -58,6 +58,9 @@
    */
   longestGapMs = 0;
 
+  /** Whether another run can continue the stream: the place of an event without a number is not known. */
+  isContinuable = true;
+
   /** Whether the response head was sent to the caller. */
   hasBegun = false;
 
@@ -142,12 +145,13 @@
     let writeFrom = 0;
     let start = 0;
     while (this.scanner.next(bytes, start)) {
-      const { id, end } = this.scanner;
+      const { id, kind, end } = this.scanner;
       const place = this.placeOf(id);
       if (place !== EventPlace.Next) {
         this.write(bytes, writeFrom, start);
         writeFrom = end;
-      } else if (id !== NO_ID) this.lastEventId = id;
+      } else if (id !== NO_ID) this.recordEvent(id);
+      else if (kind !== EventKind.Blank) this.isContinuable = false;
       // The next replica continues after the events before the gap.
       if (place === EventPlace.AfterGap) return ForwardResult.EventsMissing;
       start = end;
@@ -157,6 +161,11 @@
     return isContinued && start === 0 ? ForwardResult.Forwarded : this.holdBack(bytes.subarray(start));
   }
 
+  private recordEvent(id: number): void {
+    this.lastEventId = id;
+    this.isContinuable = true;
+  }
+
   /** Returns where an event belongs, whichever replica has sent it: engines may repeat events, or skip some. */
   private placeOf(id: number): EventPlace {
     const { lastEventId } = this;
