--- a/packages/routing/src/core/requests/execution.ts
+++ b/packages/routing/src/core/requests/execution.ts
@@ -74,6 +74,7 @@
 const FIRST_STATUS_AFTER_SUCCESS = 300;
 /** Outcome of a stream that was relayed to its end. */
 const STREAMED = 'streamed';
+const RUN_STOPPED = 'the run was stopped to be migrated';
 const PATH_BROKEN = 'The path to the replica is broken.';
 /** Outcome of a request whose caller closed the connection first. */
 const CALLER_LEFT = 'left';
@@ -632,8 +633,12 @@
     const stream: EngineStream = { request: head.id, service, rank: this.rank, generation, replica };
     const migration = migrator.register(stream);
     const result = await attempt.result;
-    this.migrated = await migrator.complete(migration, result.outcome === AttemptOutcome.BrokenStream);
-    return result;
+    const isUnframed = result.outcome === AttemptOutcome.Relayed && !result.isFramed;
+    const mayBeCut = isUnframed || result.outcome === AttemptOutcome.BrokenStream;
+    this.migrated = await migrator.complete(migration, mayBeCut);
+    // The connection of a run that is stopped ends like that of one that is complete.
+    const wasStopped = isUnframed && migration.hasStoppedRun;
+    return wasStopped ? { ...result, outcome: AttemptOutcome.BrokenStream, reason: RUN_STOPPED } : result;
   }
 
   /** Logs an attempt that goes on with a stream of which the caller has events. */
@@ -788,6 +793,7 @@
    */
   onBrokenStream(): boolean {
     const { isResumable, maxAttempts } = this.options.route;
+    if (!this.relay!.isContinuable) return false;
     if (this.migrated !== undefined) {
       // The same run continues, which is allowed on every route.
       this.possibleRuns = Math.max(1, this.possibleRuns);
@@ -897,6 +903,8 @@
     this.outcome = `answered ${Math.floor(status / 100)}xx`;
     if (res.headersSent || res.destroyed) {
       release();
+      // The caller has a part of a stream, which this response does not continue.
+      if (this.relay?.hasBegun) this.relay.abort();
       return;
     }
     res.once('close', release);
