requests: reject a malformed last event on resumable routes only

A request with a Last-Event-Id that is no number was answered 400 on every route, also on plain ones and on streams that can't be resumed, where the header means nothing to this system. Now the route decides: a resumable one rejects it, others serve it, and what a valid one names there concerns the upstream alone. The test fails on the commit before for two of three routes.

--- a/packages/routing/src/core/requests/execution.ts
+++ b/packages/routing/src/core/requests/execution.ts
@@ -229,7 +229,9 @@
     const timeoutMs = requestTimeoutMs(head, route);
     this.deadlineAt = arrivedAt + timeoutMs - this.lostMs(timeoutMs);
     if (route.kind === RouteKind.Streaming) {
-      this.relay = new StreamRelay(res, head.lastEventId, parts.timers, parts.buffers);
+      // Where streams can't be resumed, the id concerns the upstream alone.
+      const resumeFromId = route.isResumable ? head.lastEventId : undefined;
+      this.relay = new StreamRelay(res, resumeFromId, parts.timers, parts.buffers);
       this.binding = new StreamBinding(parts, {
         ...options,
         fingerprint: () => this.suspicion.fingerprints().exact,
@@ -451,7 +453,7 @@
       rank: head.generation === undefined ? undefined : this.rank,
       hasAccounts,
       account: account?.name,
-      lastEventId: this.relay?.lastEventId,
+      lastEventId: this.relay?.lastEventId ?? head.lastEventId,
       continuation,
     });
     const purpose = continuation === undefined ? ExchangePurpose.Request : ExchangePurpose.Continuation;
--- a/packages/routing/src/core/requests/server.ts
+++ b/packages/routing/src/core/requests/server.ts
@@ -48,6 +48,7 @@
 const BACKLOG = 1024;
 /** Number of steps into which the sum of the weights of a route is divided. */
 const WEIGHT_SCALE = 1_000_000;
+const MALFORMED_EVENT_ID = 'The id of the last event is malformed.';
 /** Error code of Node.js for a request that is not complete in time. */
 const REQUEST_TIMEOUT_CODE = 'ERR_HTTP_REQUEST_TIMEOUT';
 
@@ -277,6 +278,13 @@
       this.rejectKey(head, table, outcome, runs, res);
       return;
     }
+    if (route.isResumable && head.isLastEventMalformed) {
+      req.resume();
+      // Served as a new stream, it would bring its caller the events that it has.
+      log.decide('request.refused', MALFORMED_EVENT_ID, { request: head.id, route: route.name });
+      sendLocalReply(res, LocalReply.BadRequest, MALFORMED_EVENT_ID);
+      return;
+    }
     if (route.isResumable && head.waitMs !== undefined && head.lastEventId === undefined)
       parts.callerDeadlines.record({ route: route.name, account: account?.name, longestMs: head.waitMs });
     if (account !== undefined && !(await this.charge(account, head, runs, res))) {
--- a/packages/routing/src/core/requests/types.ts
+++ b/packages/routing/src/core/requests/types.ts
@@ -35,6 +35,8 @@
   readonly promptParts: readonly string[];
   /** Id of the last event that the caller has received, when it resumes a stream. */
   readonly lastEventId: number | undefined;
+  /** Whether it names the last event by what is no id. */
+  readonly isLastEventMalformed: boolean;
   /** Id of the caller's attempt that brought the first event, when it resumes a stream and names it. */
   readonly firstAttempt: string | undefined;
   readonly credentials: Credentials;
