requests: let the replica that begins a stream leave out ids

The check of each run's order broke a new stream whose ids increase by more than one; ids increase, and nothing says by how much. A replica that begins a stream may leave some out now. One that goes back breaks it, rather than having some of its events dropped, as a body is passed on unchanged or not at all. A replica that continues a stream still has to begin right behind what the caller has.

--- a/packages/routing/src/core/requests/relay.ts
+++ b/packages/routing/src/core/requests/relay.ts
@@ -43,8 +43,8 @@
   Next = 'next',
   /** Among those that the caller has received already. */
   Received = 'received',
-  /** After events that the caller has not received. */
-  AfterGap = 'afterGap',
+  /** Nowhere: events before it are missing, or a replica that began the stream goes back in it. */
+  OutOfOrder = 'outOfOrder',
 }
 
 /** Writes a stream to the caller and tracks the last event that the caller has received. */
@@ -72,6 +72,9 @@
 
   private scanner = new EventScanner();
 
+  /** Whether the present replica continues events that the caller has received from an earlier one. */
+  private isContinuation = false;
+
   private isAborted = false;
 
   /** Monotonic time of the last chunk. */
@@ -125,6 +128,7 @@
   begin(status: number, headers: HeaderMap): void {
     this.partialEvent.release();
     this.scanner = new EventScanner();
+    this.isContinuation = this.lastEventId !== undefined;
     if (this.hasBegun) return;
     this.hasBegun = true;
     writeResponseHead(this.res, status, headers);
@@ -152,8 +156,8 @@
         writeFrom = end;
       } else if (id !== NO_ID) this.recordEvent(id);
       else if (kind !== EventKind.Blank) this.isContinuable = false;
-      // The next replica continues after the events before the gap.
-      if (place === EventPlace.AfterGap) return ForwardResult.EventsMissing;
+      // The next replica continues after the events before this one.
+      if (place === EventPlace.OutOfOrder) return ForwardResult.EventsMissing;
       start = end;
     }
     this.write(bytes, writeFrom, start);
@@ -166,11 +170,15 @@
     this.isContinuable = true;
   }
 
-  /** Returns where an event belongs, whichever replica has sent it: engines may repeat events, or skip some. */
+  /**
+   * Returns where an event belongs. The replica that begins a stream numbers it as it likes, if only upwards; one that
+   * continues it has to begin behind what the caller has, and may repeat some of that.
+   */
   private placeOf(id: number): EventPlace {
-    const { lastEventId } = this;
+    const { lastEventId, isContinuation } = this;
     if (id === NO_ID || lastEventId === undefined || id === lastEventId + 1) return EventPlace.Next;
-    return id <= lastEventId ? EventPlace.Received : EventPlace.AfterGap;
+    if (isContinuation) return id <= lastEventId ? EventPlace.Received : EventPlace.OutOfOrder;
+    return id > lastEventId ? EventPlace.Next : EventPlace.OutOfOrder;
   }
 
   /** Holds the beginning of an event back, in place of what was held back before. */
