channels: verify the end of a response without a length by a write

Callers got part of a response as a whole one, with status 200, when a replica answered without a length and reset its connection right behind that part.

Cause: when a reset arrives together with data, libuv reports the end of the stream behind that data (POLLHUP with a partial read) and does not fetch the error. undici ends the response and destroys the socket before the failure of a pending write is reported. An upload only widens the window.

The end of such a connection is held until an empty write has succeeded behind all others. It fails on a connection that was reset, whatever was seen first.

--- a/packages/routing/src/core/channels/channel.ts
+++ b/packages/routing/src/core/channels/channel.ts
@@ -1,8 +1,8 @@
 /**
  * One connection to a replica over undici's client.
  *
- * Each failure says whether a byte was handed to the connection. A response without a length whose connection
- * is reset counts as broken; undici itself would report it as complete.
+ * Each failure says whether a byte was handed to the connection. A response without a length counts as broken if its
+ * connection is reset or does not take the whole request; undici itself would report it as complete.
  */
 import type { Socket } from 'node:net';
 
@@ -12,6 +12,7 @@
 import { Client } from 'undici';
 
 import { ChunkBatch } from '../buffers/index.js';
+import { EndGate } from './end-gate.js';
 import { isFramed } from './framing.js';
 import { ReadGate } from './read-gate.js';
 import type { ResponseSink, HeaderMap, ExchangeHandle, UpstreamCall } from './types.js';
@@ -83,6 +84,8 @@
 
   private readGate: ReadGate | undefined;
 
+  private endGate: EndGate | undefined;
+
   /** Monotonic time at which the connection was established, in milliseconds. */
   private connectedAt: number | undefined;
 
@@ -129,6 +132,7 @@
       connectedAt: () => this.connectedAt,
       pause: () => this.readGate?.close(),
       resume: () => this.readGate?.open(),
+      holdEnd: () => this.endGate?.hold(),
       onConnectionClosing: () => {
         this.isClosing = true;
       },
@@ -230,6 +234,7 @@
     });
     this.socket = socket;
     this.readGate = new ReadGate(socket);
+    this.endGate = new EndGate(socket);
     const handOver = (): void => {
       if (socket.destroyed) callback(new Error('The connection has ended.'), null);
       else callback(null, socket);
@@ -282,6 +287,8 @@
   readonly pause: () => void;
   /** Goes on reading from the connection. */
   readonly resume: () => void;
+  /** Makes the connection end only after the whole request was written; a failed write is an error instead. */
+  readonly holdEnd: () => void;
   readonly onConnectionClosing: () => void;
 }
 
@@ -349,9 +356,10 @@
       this.recordInterimResponse();
       return;
     }
-    const { sink, onResponseHead, onConnectionClosing } = this.context;
+    const { sink, onResponseHead, onConnectionClosing, holdEnd } = this.context;
     this.hasHead = true;
     this.isFramed = isFramed(headers);
+    if (!this.isFramed) holdEnd();
     onResponseHead(status, headers);
     if (this.hasEnded) {
       this.abort(controller, 'The exchange has ended.');
--- a/packages/routing/test/channels.test.ts
+++ b/packages/routing/test/channels.test.ts
@@ -1,5 +1,7 @@
 /** Outcomes of exchanges with replicas that misbehave, over raw sockets. */
 import { EventEmitter, once } from 'node:events';
+import type { AddressInfo, Socket } from 'node:net';
+import { createServer } from 'node:net';
 
 import { createManualTimers, createSystemTimers } from '@celeryyoke/core';
 import type { ResponseSink, ExclusiveChannel } from '@celeryyoke/routing';
@@ -217,6 +219,74 @@
   );
 });
 
+/** More than a connection takes at once that is not read. */
+const LONG_BODY = 'x'.repeat(8_000_000);
+
+/** How a response without a length ends that is sent on the first bytes of a request. */
+interface UnframedEnd {
+  readonly name: string;
+  readonly body?: string;
+  /** Time after which the request is cancelled, in milliseconds. */
+  readonly cancelAfterMs?: number;
+  readonly finish: (socket: Socket) => void;
+  readonly expected: string;
+}
+
+const resetAtOnce = (socket: Socket): Socket => socket.resetAndDestroy();
+const closeBothWays = (socket: Socket): Socket => socket.end(() => socket.destroy());
+const UNFRAMED_ENDS: readonly UnframedEnd[] = [
+  { name: 'a reset at once', finish: resetAtOnce, expected: ChannelFailure.Broken },
+  {
+    name: 'a reset at once during an upload',
+    body: LONG_BODY,
+    finish: resetAtOnce,
+    expected: ChannelFailure.Broken,
+  },
+  {
+    name: 'a close both ways during an upload',
+    body: LONG_BODY,
+    finish: closeBothWays,
+    expected: ChannelFailure.Broken,
+  },
+  { name: 'a close both ways', finish: closeBothWays, expected: 'complete' },
+  {
+    name: 'a close of one way, the upload being read on',
+    body: LONG_BODY,
+    finish: (socket) => socket.end(),
+    expected: 'complete',
+  },
+  {
+    name: 'a close of one way, the upload not being read',
+    body: LONG_BODY,
+    cancelAfterMs: 300,
+    finish: (socket) => socket.pause().end(),
+    expected: ChannelFailure.Cancelled,
+  },
+];
+
+for (const { name, body, cancelAfterMs, finish, expected } of UNFRAMED_ENDS)
+  // Guards against a part of a response that counts as whole: a reset right behind it is read as a close in good order.
+  test(`a response without a length that ends with ${name}: ${expected}`, async (t) => {
+    const server = createServer({ allowHalfOpen: true }, (socket) => {
+      socket.on('error', () => undefined);
+      socket.once('data', () => {
+        socket.write('HTTP/1.1 200 OK\r\n\r\npart');
+        finish(socket);
+      });
+    });
+    server.listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    const pool = new ChannelPool(timers);
+    t.teardown(() => {
+      pool.close();
+      server.close();
+    });
+    for (let round = 0; round < 10; round += 1) {
+      const outcome = await exchange(pool, (server.address() as AddressInfo).port, body, cancelAfterMs);
+      t.like(outcome, { end: expected, status: 200, body: 'part' });
+    }
+  });
+
 test('bytes that are no HTTP response break the exchange', (t) =>
   withReplica(
     ({ socket }) => socket.write('garbage\r\n\r\n'),
