channels: refuse responses with statuses that HTTP does not define

Callers got status 600 or 999 of a replica as an answer, body included, as undici passes each number from 100 on.

--- a/packages/routing/src/core/channels/channel.ts
+++ b/packages/routing/src/core/channels/channel.ts
@@ -15,6 +15,7 @@
 import { EndGate } from './end-gate.js';
 import { isFramed } from './framing.js';
 import { ReadGate } from './read-gate.js';
+import { findHeadFault } from './response-head.js';
 import type { ResponseSink, HeaderMap, ExchangeHandle, UpstreamCall } from './types.js';
 import { ChannelFailure, ExchangePurpose } from './types.js';
 
@@ -351,7 +352,17 @@
     this.context.sink.onSent();
   }
 
-  onResponseStart(controller: Dispatcher.DispatchController, status: number, headers: HeaderMap): void {
+  onResponseStart(
+    controller: Dispatcher.DispatchController,
+    status: number,
+    headers: HeaderMap,
+    reason?: string,
+  ): void {
+    const fault = findHeadFault(status, reason);
+    if (fault !== undefined) {
+      this.refuse(fault);
+      return;
+    }
     if (status < FIRST_FINAL_STATUS) {
       this.recordInterimResponse();
       return;
@@ -372,7 +383,12 @@
   private recordInterimResponse(): void {
     this.interimResponses += 1;
     if (this.interimResponses <= MAX_INTERIM_RESPONSES) return;
-    this.fail(new Error(`The replica sent more than ${MAX_INTERIM_RESPONSES} interim responses.`));
+    this.refuse(`The replica sent more than ${MAX_INTERIM_RESPONSES} interim responses.`);
+  }
+
+  /** Ends the exchange, as its response can't be used. */
+  private refuse(reason: string): void {
+    this.fail(new Error(reason));
     this.context.reset();
   }
 
@@ -383,8 +399,7 @@
       this.batch.add(chunk);
       return;
     }
-    this.fail(new Error(`The replica sent more than ${MAX_TINY_CHUNKS} tiny chunks.`));
-    this.context.reset();
+    this.refuse(`The replica sent more than ${MAX_TINY_CHUNKS} tiny chunks.`);
   }
 
   onResponseEnd(): void {
