channels: refuse transfer codings that are not decoded

Callers got 200 and a body that was not the replica's: with `gzip, chunked` or with the field twice undici removes the chunks and passes on what is left.

Only `chunked`, once, is decoded. Anything else breaks the exchange with the head.

--- a/packages/routing/src/core/channels/channel.ts
+++ b/packages/routing/src/core/channels/channel.ts
@@ -358,7 +358,7 @@
     headers: HeaderMap,
     reason?: string,
   ): void {
-    const fault = findHeadFault(status, reason);
+    const fault = findHeadFault(status, headers, reason);
     if (fault !== undefined) {
       this.refuse(fault);
       return;
--- a/packages/routing/src/core/channels/response-head.ts
+++ b/packages/routing/src/core/channels/response-head.ts
@@ -1,8 +1,11 @@
 /** Checks of the head of a response that undici leaves out. */
+import type { HeaderMap } from './types.js';
 
 /** HTTP status: the connection goes on with another protocol, which no request asks for. */
 const SWITCHING_PROTOCOLS = 101;
 const LAST_STATUS = 599;
+/** The only transfer coding that undici decodes; it takes others for a body that ends with its connection, or for chunks. */
+const CHUNKED = 'chunked';
 /** Control characters other than a tab. */
 const CONTROL_CHARACTER = /[^\t\P{Cc}]/u;
 
@@ -10,9 +13,18 @@
  * Returns why a response must not be used; undefined if its head is sound.
  * @param reason - Text behind the status.
  */
-export function findHeadFault(status: number, reason: string | undefined): string | undefined {
+export function findHeadFault(
+  status: number,
+  headers: HeaderMap,
+  reason: string | undefined,
+): string | undefined {
   if (status === SWITCHING_PROTOCOLS) return 'The replica switches to another protocol.';
   if (status > LAST_STATUS) return `The replica sent status ${status}, which HTTP does not define.`;
   if (CONTROL_CHARACTER.test(reason ?? '')) return 'The status line contains a control character.';
+  if (!isCodingDecoded(headers)) return 'The body has a transfer coding that is not decoded.';
   return undefined;
 }
+
+function isCodingDecoded({ 'transfer-encoding': coding }: HeaderMap): boolean {
+  return coding === undefined || (typeof coding === 'string' && coding.trim().toLowerCase() === CHUNKED);
+}
