channels: refuse responses of other HTTP versions than 1.0 and 1.1

Callers got 200 and the body of a response that began with `HTTP/2.0 200`, or with `HTTP/0.9`: undici accepts both and does not tell which version it read.

The status lines are read from the bytes of the socket, up to the digit that tells interim responses, which are skipped up to the line behind their head.

--- a/packages/routing/src/core/channels/channel.ts
+++ b/packages/routing/src/core/channels/channel.ts
@@ -18,6 +18,7 @@
 import { findHeadFault } from './response-head.js';
 import type { ResponseSink, HeaderMap, ExchangeHandle, UpstreamCall } from './types.js';
 import { ChannelFailure, ExchangePurpose } from './types.js';
+import { VersionGate } from './version-gate.js';
 
 /** What callers may have given up: in a late turn it waits until their connections have been read. */
 const CALLER_PURPOSES: ReadonlySet<ExchangePurpose> = new Set([
@@ -87,6 +88,8 @@
 
   private endGate: EndGate | undefined;
 
+  private versionGate: VersionGate | undefined;
+
   /** Monotonic time at which the connection was established, in milliseconds. */
   private connectedAt: number | undefined;
 
@@ -123,6 +126,7 @@
       refusal: () => refusal(call.purpose),
       onWritten: () => {
         this.isAwaitingHead = true;
+        this.versionGate?.begin();
       },
       onResponseHead: (status, headers) => {
         this.isAwaitingHead = false;
@@ -236,6 +240,7 @@
     this.socket = socket;
     this.readGate = new ReadGate(socket);
     this.endGate = new EndGate(socket);
+    this.versionGate = new VersionGate(socket);
     const handOver = (): void => {
       if (socket.destroyed) callback(new Error('The connection has ended.'), null);
       else callback(null, socket);
--- a/packages/routing/test/channels.test.ts
+++ b/packages/routing/test/channels.test.ts
@@ -295,6 +295,27 @@
     },
   ));
 
+// Guards against a check of the HTTP version that misses a line in pieces, or refuses one.
+test('the HTTP version is read from heads that arrive byte by byte, behind interim responses too', async (t) => {
+  const early = 'HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n';
+  const cases = [
+    ['', 'HTTP/1.0', 'complete'],
+    [early, 'HTTP/1.1', 'complete'],
+    [`\r\n${early}${early}`, 'HTTP/1.1', 'complete'],
+    [early, 'HTTP/2.0', ChannelFailure.Broken],
+  ] as const;
+  for (const [before, version, expected] of cases)
+    await withReplica(
+      ({ socket }) => {
+        const bytes = `${before}${version} 200 OK\r\nContent-Length: 2\r\n\r\nhi`;
+        for (const [index, byte] of [...bytes].entries()) setTimeout(() => socket.write(byte), index);
+      },
+      async (port, pool) => {
+        t.like(await exchange(pool, port), { end: expected }, `${before}${version}`);
+      },
+    );
+});
+
 test('a connection with bytes after a complete response is not reused', (t) =>
   withReplica(
     ({ socket }, number) => {
