--- a/packages/routing/test/channels.test.ts
+++ b/packages/routing/test/channels.test.ts
@@ -307,8 +307,11 @@
   for (const [before, version, expected] of cases)
     await withReplica(
       ({ socket }) => {
-        const bytes = `${before}${version} 200 OK\r\nContent-Length: 2\r\n\r\nhi`;
-        for (const [index, byte] of [...bytes].entries()) setTimeout(() => socket.write(byte), index);
+        const bytes = [...`${before}${version} 200 OK\r\nContent-Length: 2\r\n\r\nhi`];
+        const drip = setInterval(() => {
+          socket.write(bytes.shift()!);
+          if (bytes.length === 0) clearInterval(drip);
+        }, 1);
       },
       async (port, pool) => {
         t.like(await exchange(pool, port), { end: expected }, `${before}${version}`);
