--- a/packages/routing/src/core/channels/channel.ts
+++ b/packages/routing/src/core/channels/channel.ts
@@ -1,8 +1,8 @@
 /**
  * One connection to a replica over undici's client.
  *
- * Each failure says whether a byte was handed to the connection. A response without a length whose connection
- * is reset counts as broken; undici itself would report it as complete.
+ * Each failure says whether a byte was handed to the connection. A response without a length counts as broken if its
+ * connection is reset or does not take the whole request; undici itself would report it as complete.
  */
 import type { Socket } from 'node:net';
 
@@ -12,10 +12,13 @@
 import { Client } from 'undici';
 
 import { ChunkBatch } from '../buffers/index.js';
+import { EndGate } from './end-gate.js';
 import { isFramed } from './framing.js';
 import { ReadGate } from './read-gate.js';
+import { findHeadFault } from './response-head.js';
 import type { ResponseSink, HeaderMap, ExchangeHandle, UpstreamCall } from './types.js';
 import { ChannelFailure, ExchangePurpose } from './types.js';
+import { VersionGate } from './version-gate.js';
 
 /** What callers may have given up: in a late turn it waits until their connections have been read. */
 const CALLER_PURPOSES: ReadonlySet<ExchangePurpose> = new Set([
@@ -83,6 +86,10 @@
 
   private readGate: ReadGate | undefined;
 
+  private endGate: EndGate | undefined;
+
+  private versionGate: VersionGate | undefined;
+
   /** Monotonic time at which the connection was established, in milliseconds. */
   private connectedAt: number | undefined;
 
@@ -119,6 +126,7 @@
       refusal: () => refusal(call.purpose),
       onWritten: () => {
         this.isAwaitingHead = true;
+        this.versionGate?.begin();
       },
       onResponseHead: (status, headers) => {
         this.isAwaitingHead = false;
@@ -129,6 +137,7 @@
       connectedAt: () => this.connectedAt,
       pause: () => this.readGate?.close(),
       resume: () => this.readGate?.open(),
+      holdEnd: () => this.endGate?.hold(),
       onConnectionClosing: () => {
         this.isClosing = true;
       },
@@ -230,6 +239,8 @@
     });
     this.socket = socket;
     this.readGate = new ReadGate(socket);
+    this.endGate = new EndGate(socket);
+    this.versionGate = new VersionGate(socket);
     const handOver = (): void => {
       if (socket.destroyed) callback(new Error('The connection has ended.'), null);
       else callback(null, socket);
@@ -282,6 +293,8 @@
   readonly pause: () => void;
   /** Goes on reading from the connection. */
   readonly resume: () => void;
+  /** Makes the connection end only after the whole request was written; a failed write is an error instead. */
+  readonly holdEnd: () => void;
   readonly onConnectionClosing: () => void;
 }
 
@@ -344,14 +357,25 @@
     this.context.sink.onSent();
   }
 
-  onResponseStart(controller: Dispatcher.DispatchController, status: number, headers: HeaderMap): void {
+  onResponseStart(
+    controller: Dispatcher.DispatchController,
+    status: number,
+    headers: HeaderMap,
+    reason?: string,
+  ): void {
+    const fault = findHeadFault(status, headers, reason);
+    if (fault !== undefined) {
+      this.refuse(fault);
+      return;
+    }
     if (status < FIRST_FINAL_STATUS) {
       this.recordInterimResponse();
       return;
     }
-    const { sink, onResponseHead, onConnectionClosing } = this.context;
+    const { sink, onResponseHead, onConnectionClosing, holdEnd } = this.context;
     this.hasHead = true;
     this.isFramed = isFramed(headers);
+    if (!this.isFramed) holdEnd();
     onResponseHead(status, headers);
     if (this.hasEnded) {
       this.abort(controller, 'The exchange has ended.');
@@ -364,7 +388,12 @@
   private recordInterimResponse(): void {
     this.interimResponses += 1;
     if (this.interimResponses <= MAX_INTERIM_RESPONSES) return;
-    this.fail(new Error(`The replica sent more than ${MAX_INTERIM_RESPONSES} interim responses.`));
+    this.refuse(`The replica sent more than ${MAX_INTERIM_RESPONSES} interim responses.`);
+  }
+
+  /** Ends the exchange, as its response can't be used. */
+  private refuse(reason: string): void {
+    this.fail(new Error(reason));
     this.context.reset();
   }
 
@@ -375,8 +404,7 @@
       this.batch.add(chunk);
       return;
     }
-    this.fail(new Error(`The replica sent more than ${MAX_TINY_CHUNKS} tiny chunks.`));
-    this.context.reset();
+    this.refuse(`The replica sent more than ${MAX_TINY_CHUNKS} tiny chunks.`);
   }
 
   onResponseEnd(): void {
--- a/packages/routing/test/channels.test.ts
+++ b/packages/routing/test/channels.test.ts
@@ -1,5 +1,7 @@
 /** Outcomes of exchanges with replicas that misbehave, over raw sockets. */
 import { EventEmitter, once } from 'node:events';
+import type { AddressInfo, Socket } from 'node:net';
+import { createServer } from 'node:net';
 
 import { createManualTimers, createSystemTimers } from '@celeryyoke/core';
 import type { ResponseSink, ExclusiveChannel } from '@celeryyoke/routing';
@@ -217,6 +219,74 @@
   );
 });
 
+/** More than a connection takes at once that is not read. */
+const LONG_BODY = 'x'.repeat(8_000_000);
+
+/** How a response without a length ends that is sent on the first bytes of a request. */
+interface UnframedEnd {
+  readonly name: string;
+  readonly body?: string;
+  /** Time after which the request is cancelled, in milliseconds. */
+  readonly cancelAfterMs?: number;
+  readonly finish: (socket: Socket) => void;
+  readonly expected: string;
+}
+
+const resetAtOnce = (socket: Socket): Socket => socket.resetAndDestroy();
+const closeBothWays = (socket: Socket): Socket => socket.end(() => socket.destroy());
+const UNFRAMED_ENDS: readonly UnframedEnd[] = [
+  { name: 'a reset at once', finish: resetAtOnce, expected: ChannelFailure.Broken },
+  {
+    name: 'a reset at once during an upload',
+    body: LONG_BODY,
+    finish: resetAtOnce,
+    expected: ChannelFailure.Broken,
+  },
+  {
+    name: 'a close both ways during an upload',
+    body: LONG_BODY,
+    finish: closeBothWays,
+    expected: ChannelFailure.Broken,
+  },
+  { name: 'a close both ways', finish: closeBothWays, expected: 'complete' },
+  {
+    name: 'a close of one way, the upload being read on',
+    body: LONG_BODY,
+    finish: (socket) => socket.end(),
+    expected: 'complete',
+  },
+  {
+    name: 'a close of one way, the upload not being read',
+    body: LONG_BODY,
+    cancelAfterMs: 300,
+    finish: (socket) => socket.pause().end(),
+    expected: ChannelFailure.Cancelled,
+  },
+];
+
+for (const { name, body, cancelAfterMs, finish, expected } of UNFRAMED_ENDS)
+  // Guards against a part of a response that counts as whole: a reset right behind it is read as a close in good order.
+  test(`a response without a length that ends with ${name}: ${expected}`, async (t) => {
+    const server = createServer({ allowHalfOpen: true }, (socket) => {
+      socket.on('error', () => undefined);
+      socket.once('data', () => {
+        socket.write('HTTP/1.1 200 OK\r\n\r\npart');
+        finish(socket);
+      });
+    });
+    server.listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    const pool = new ChannelPool(timers);
+    t.teardown(() => {
+      pool.close();
+      server.close();
+    });
+    for (let round = 0; round < 10; round += 1) {
+      const outcome = await exchange(pool, (server.address() as AddressInfo).port, body, cancelAfterMs);
+      t.like(outcome, { end: expected, status: 200, body: 'part' });
+    }
+  });
+
 test('bytes that are no HTTP response break the exchange', (t) =>
   withReplica(
     ({ socket }) => socket.write('garbage\r\n\r\n'),
@@ -225,6 +295,30 @@
     },
   ));
 
+// Guards against a check of the HTTP version that misses a line in pieces, or refuses one.
+test('the HTTP version is read from heads that arrive byte by byte, behind interim responses too', async (t) => {
+  const early = 'HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n';
+  const cases = [
+    ['', 'HTTP/1.0', 'complete'],
+    [early, 'HTTP/1.1', 'complete'],
+    [`\r\n${early}${early}`, 'HTTP/1.1', 'complete'],
+    [early, 'HTTP/2.0', ChannelFailure.Broken],
+  ] as const;
+  for (const [before, version, expected] of cases)
+    await withReplica(
+      ({ socket }) => {
+        const bytes = [...`${before}${version} 200 OK\r\nContent-Length: 2\r\n\r\nhi`];
+        const drip = setInterval(() => {
+          socket.write(bytes.shift()!);
+          if (bytes.length === 0) clearInterval(drip);
+        }, 1);
+      },
+      async (port, pool) => {
+        t.like(await exchange(pool, port), { end: expected }, `${before}${version}`);
+      },
+    );
+});
+
 test('a connection with bytes after a complete response is not reused', (t) =>
   withReplica(
     ({ socket }, number) => {
