soak: add clients outside the limits to the tests

Crowds of one kind at a time, 60 to 100 connections and 15 kept-alive ordinary callers beside them, play for 3.5 s at one daemon that runs as the deploy file runs it. Afterwards the process must live, its resident memory and its descriptors must have stayed under their bounds, and one ordinary request must be answered.

--- /dev/null
+++ b/packages/soak/test/hostile-clients.test.ts
@@ -0,0 +1,185 @@
+/**
+ * Clients that don't keep to the limits, one kind at a time, at one daemon that runs as a process of its own with the flags of
+ * the deploy file: it goes on, stays within the memory of its machine and its descriptors, and serves others afterwards.
+ *
+ * With another build: `CELERYYOKE_PROGRAM=FILE npx ava packages/soak/dist/test/hostile-clients.test.js`.
+ */
+import { execFile } from 'node:child_process';
+import { mkdtempSync, readdirSync, readFileSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+import { promisify } from 'node:util';
+
+import type { ReplicaStandIn } from '@celeryyoke/adapter/testing';
+import {
+  beginStream,
+  putConfiguration,
+  putReplica,
+  respondComplete,
+  startReplicaStandIn,
+  StoreStandIn,
+  writeForever,
+} from '@celeryyoke/adapter/testing';
+import { createSystemTimers, parseSocketAddress } from '@celeryyoke/core';
+import type { RawRequest } from '@celeryyoke/routing/testing';
+import { sendRaw } from '@celeryyoke/routing/testing';
+import test from 'ava';
+
+import type { RunningProcess } from '../src/core/processes/index.js';
+import { ProcessGroup } from '../src/core/processes/index.js';
+import { claimNetworks, daemonAddress, settingsOf } from '../src/core/site/index.js';
+import type { HostileKind } from './hostile-crowd.js';
+import { HOSTILE_KINDS, LARGE_PATH, MAX_BODY_BYTES, ORDINARY, startCrowd } from './hostile-crowd.js';
+
+const ROOT = fileURLToPath(new URL('../../../../', import.meta.url));
+/** Memory of a machine, in KiB. */
+const MAX_RESIDENT_KIB = 350 * 1024;
+/** Descriptors beyond those of a daemon without callers and one for each connection of the crowd. */
+const SPARE_DESCRIPTORS = 200;
+const PLAY_MS = 3500;
+const SAMPLE_MS = 100;
+/** Time that an ordinary request has, once the crowd is gone, in milliseconds. */
+const ANSWER_TIMEOUT_MS = 10_000;
+const READY_TIMEOUT_MS = 10_000;
+const LARGE_BODY = 'z'.repeat(200_000);
+const EVENT = 'data: token token token token\n\n'.repeat(100);
+const EVENT_CHUNK = Buffer.from(`${EVENT.length.toString(16)}\r\n${EVENT}\r\n`);
+const ORDINARY_REQUEST =
+  'GET /safe/1 HTTP/1.1\r\nHost: app.example\r\nCeleryyoke-Request-Id: ordinary\r\n' +
+  `Celeryyoke-Deadline-Remaining: ${ANSWER_TIMEOUT_MS}\r\nConnection: close\r\n\r\n`;
+const PROBE = 'GET /v1/readiness HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n';
+
+const timers = createSystemTimers();
+const built = (async () => {
+  if (process.env.CELERYYOKE_PROGRAM !== undefined) return process.env.CELERYYOKE_PROGRAM;
+  const program = join(mkdtempSync(join(tmpdir(), 'celeryyoke-hostile-')), 'celeryyoke.mjs');
+  await promisify(execFile)(process.execPath, [join(ROOT, 'platform/build.mjs'), program]);
+  return program;
+})();
+
+/** Flags of Node.js with which the deploy file runs the daemon. */
+function deployFlags(): string[] {
+  const [, run = ''] =
+    /^run = "node (.*) \S+"$/m.exec(readFileSync(join(ROOT, 'deploy/system.toml'), 'utf8')) ?? [];
+  return run.split(' ');
+}
+
+const countDescriptors = (pid: number): number => readdirSync(`/proc/${pid}/fd`).length;
+
+/** Largest memory that a process has had resident, in KiB; 0 while the process is ending and has none left. */
+const peakResidentKib = (pid: number): number =>
+  Number(/VmHWM:\s+(\d+)/.exec(readFileSync(`/proc/${pid}/status`, 'utf8'))?.[1] ?? 0);
+
+function respond(req: RawRequest): void {
+  if (req.head.startsWith(`GET ${LARGE_PATH} `)) respondComplete(req, undefined, LARGE_BODY);
+  else respondComplete(req);
+}
+
+function streamForever(req: RawRequest): void {
+  beginStream(req);
+  writeForever(req, EVENT_CHUNK);
+}
+
+/** A daemon as a process of its own, with a store and a replica of each service. */
+interface Site {
+  readonly daemon: RunningProcess;
+  readonly callers: { readonly host: string; readonly port: number };
+}
+
+async function waitUntilReady(readiness: string): Promise<void> {
+  const { host, port } = parseSocketAddress(readiness)!;
+  const end = timers.now() + READY_TIMEOUT_MS;
+  while (timers.now() < end) {
+    const { text } = await sendRaw(port, [PROBE], undefined, { host });
+    if (text.startsWith('HTTP/1.1 200')) return;
+    await timers.sleep(SAMPLE_MS);
+  }
+  throw new Error('The daemon is not ready in time.');
+}
+
+async function withSite(run: (site: Site) => Promise<void>): Promise<void> {
+  const program = await built;
+  await claimNetworks();
+  const dir = mkdtempSync(join(tmpdir(), 'celeryyoke-hostile-'));
+  const address = daemonAddress(0);
+  const processes = new ProcessGroup();
+  const store = new StoreStandIn();
+  await store.start();
+  putConfiguration(store, 1, ANSWER_TIMEOUT_MS, undefined, MAX_BODY_BYTES);
+  const replicas: ReplicaStandIn[] = [];
+  for (const [service, handler] of [
+    ['web', respond],
+    ['llm', streamForever],
+  ] as const) {
+    const replica = await startReplicaStandIn(`i-${service}-0`, handler);
+    replicas.push(replica);
+    putReplica(store, replica, service);
+  }
+  const settingsFile = join(dir, 'node.conf');
+  writeFileSync(settingsFile, settingsOf(address, store.port, true));
+  try {
+    const daemon = processes.start({
+      name: address.name,
+      args: [...deployFlags(), program],
+      env: { CELERYYOKE_NODE_FILE: settingsFile },
+      logFile: join(dir, 'daemon.log'),
+    });
+    await waitUntilReady(address.readiness);
+    await run({ daemon, callers: parseSocketAddress(address.callers)! });
+  } finally {
+    await processes.stop();
+    await Promise.all(replicas.map((replica) => replica.close()));
+    await store.close();
+  }
+}
+
+const hasEnded = ({ child }: RunningProcess): boolean => child.exitCode !== null || child.signalCode !== null;
+
+/** Lets crowds play for a while; returns the most descriptors and memory that the daemon has had. */
+async function playCrowds({ daemon, callers }: Site, kinds: readonly HostileKind[]) {
+  const pid = daemon.child.pid!;
+  const most = { descriptors: 0, residentKib: 0 };
+  const sample = (): void => {
+    if (hasEnded(daemon)) return;
+    most.descriptors = Math.max(most.descriptors, countDescriptors(pid));
+    most.residentKib = Math.max(most.residentKib, peakResidentKib(pid));
+  };
+  const end = timers.now() + PLAY_MS;
+  const stops = kinds.map((kind) => startCrowd(callers, kind));
+  while (timers.now() < end) {
+    await timers.sleep(SAMPLE_MS);
+    sample();
+  }
+  for (const stop of stops) stop();
+  return { most, sample };
+}
+
+for (const [name, kind] of Object.entries(HOSTILE_KINDS))
+  // Guards against clients outside the limits that end a daemon, take its memory or keep it from answering others.
+  test.serial(`a daemon survives hostile clients and serves others: ${name}`, (t) => {
+    t.timeout(60_000);
+    return withSite(async (site) => {
+      const { daemon, callers } = site;
+      const before = countDescriptors(daemon.child.pid!);
+      const kinds = [kind, ORDINARY];
+      const { most, sample } = await playCrowds(site, kinds);
+      const askedAt = timers.now();
+      const { text } = await sendRaw(callers.port, [ORDINARY_REQUEST], ANSWER_TIMEOUT_MS, {
+        host: callers.host,
+      });
+      sample();
+      t.log(
+        `${Math.round(most.residentKib / 1024)} MiB resident, ${most.descriptors} descriptors (${before} before); ` +
+          `${text.split('\r\n')[0] || 'no answer'} after ${Math.round(timers.now() - askedAt)} ms`,
+      );
+      t.false(hasEnded(daemon), `the process has ended: ${daemon.child.signalCode ?? daemon.child.exitCode}`);
+      const connections = kinds.reduce((sum, each) => sum + each.connections, 0);
+      t.true(most.residentKib < MAX_RESIDENT_KIB, `${most.residentKib} KiB are resident`);
+      t.true(
+        most.descriptors < before + connections + SPARE_DESCRIPTORS,
+        `${most.descriptors} descriptors are open`,
+      );
+      t.true(text.startsWith('HTTP/1.1 200'), text.split('\r\n')[0]);
+    });
+  });
