input: share each turn between the connections that are parsed

What callers saw: clients that send chunks of one byte, or many small requests, kept a daemon from answering anyone, also for more than 10 s after they had gone, or ended it out of memory.

Cause: the HTTP parser of Node.js takes all that was read from a socket in one step (10,900 chunks of one byte in 64 KiB), and the event loop reads the same socket up to 32 times in a turn while it has more. Answers, pauses and other connections wait meanwhile, so that back pressure comes after thousands of requests.

Change: a reader between the socket and the parser passes on pieces of 2 KiB at most that end at blank lines, so that one head completes in each. Each connection has 1 ms in a turn and all together 10 ms; a connection that waits is not read on. What waited counts as arrived when it was read.

--- /dev/null
+++ b/packages/routing/src/core/input/input-turns.ts
@@ -0,0 +1,84 @@
+/** Shares each turn of the event loop between the connections whose bytes are parsed. */
+import type { TimerService } from '@celeryyoke/core';
+
+/** Time for parsing in a turn, in milliseconds; sockets are read and connections accepted between two turns. */
+const TURN_MS = 10;
+/** Time of one connection in a turn, before others that wait, in milliseconds. */
+const SHARE_MS = 1;
+
+/** Input of one connection. */
+export interface TurnTaker {
+  /**
+   * Parses until there is nothing to parse or the time is over.
+   * @param endAt - Monotonic time, in milliseconds.
+   * @returns Whether there is more to parse.
+   */
+  parseUntil(endAt: number): boolean;
+}
+
+/** Decides which connections are parsed when. */
+export class InputTurns {
+  /** Inputs that have not been parsed since they last had nothing to parse. */
+  private readonly fresh = new Set<TurnTaker>();
+
+  /** Inputs that have used their share of a turn. */
+  private readonly continued = new Set<TurnTaker>();
+
+  /** Monotonic time at which the time of this turn is used up, in milliseconds; undefined while nothing is parsed. */
+  private endAt: number | undefined;
+
+  constructor(private readonly timers: Pick<TimerService, 'now'>) {}
+
+  /** Parses an input: at once while this turn has time for it, or else in a later turn. */
+  request(input: TurnTaker): void {
+    if (this.fresh.has(input) || this.continued.has(input)) return;
+    const now = this.timers.now();
+    if (this.endAt === undefined) this.begin(now);
+    const isFree = this.fresh.size + this.continued.size === 0;
+    if (isFree && now < this.endAt!) this.parse(input, now);
+    else this.fresh.add(input);
+  }
+
+  /** Monotonic time, in milliseconds. */
+  now(): number {
+    return this.timers.now();
+  }
+
+  /** Takes back a request. */
+  cancel(input: TurnTaker): void {
+    this.fresh.delete(input);
+    this.continued.delete(input);
+  }
+
+  private begin(now: number): void {
+    this.endAt = now + TURN_MS;
+    setImmediate(() => this.takeTurn());
+  }
+
+  private takeTurn(): void {
+    this.endAt = undefined;
+    if (this.fresh.size + this.continued.size === 0) return;
+    let now = this.timers.now();
+    this.begin(now);
+    for (const input of this.inTurn()) {
+      this.parse(input, now);
+      now = this.timers.now();
+      if (now >= this.endAt!) return;
+    }
+  }
+
+  /** Takes inputs out: fresh ones and those that go on by turns, so that neither keep the others waiting. */
+  private *inTurn(): Generator<TurnTaker> {
+    while (this.fresh.size + this.continued.size > 0)
+      for (const inputs of [this.fresh, this.continued]) {
+        const [input] = inputs;
+        if (input === undefined) continue;
+        inputs.delete(input);
+        yield input;
+      }
+  }
+
+  private parse(input: TurnTaker, now: number): void {
+    if (input.parseUntil(Math.min(this.endAt!, now + SHARE_MS))) this.continued.add(input);
+  }
+}
--- a/packages/routing/src/core/requests/caller-connection.ts
+++ b/packages/routing/src/core/requests/caller-connection.ts
@@ -3,11 +3,21 @@
 
 import type { TimerService } from '@celeryyoke/core';
 
+/** Bytes of a connection that were read and not parsed yet. */
+export interface UnparsedInput {
+  readonly unparsedBytes: number;
+  /** Earliest monotonic time at which they can have arrived, in milliseconds; undefined while there are none. */
+  readonly heldSince: number | undefined;
+}
+
 /** One connection of a caller. */
 export class CallerConnection {
   /** Whether the caller has closed its side, or the connection is gone. */
   hasLeft = false;
 
+  /** What is still to be parsed, if that takes more than the step in which it was read. */
+  input: UnparsedInput | undefined;
+
   private readonly listeners = new Set<() => void>();
 
   /** Earliest monotonic time at which its first request can have arrived, in milliseconds. */
@@ -16,7 +26,7 @@
   /** Monotonic time of its acceptance, in milliseconds. */
   private readonly acceptedAt: number;
 
-  /** Number of bytes that were received by the end of the last exchange. */
+  /** Number of bytes that were parsed by the end of the last exchange. */
   private settledBytes = 0;
 
   constructor(
@@ -35,7 +45,7 @@
 
   /** Records that a response has been written. */
   settle(): void {
-    this.settledBytes = this.socket.bytesRead;
+    this.settledBytes = this.socket.bytesRead - (this.input?.unparsedBytes ?? 0);
   }
 
   /** Whether nothing of a request has arrived since the last exchange. */
@@ -46,7 +56,8 @@
   /** Returns the earliest monotonic time at which a request that is read now can have arrived, in milliseconds. */
   earliestArrival(): number {
     const since = this.timers.now() - this.timers.readAgeMs();
-    return this.acceptedAt >= since ? this.openedAt : since;
+    const readSince = this.acceptedAt >= since ? this.openedAt : since;
+    return Math.min(readSince, this.input?.heldSince ?? readSince);
   }
 
   /**
--- a/packages/routing/src/core/requests/server.ts
+++ b/packages/routing/src/core/requests/server.ts
@@ -13,6 +13,7 @@
 import type { ClientAccount } from '../accounts/index.js';
 import { authenticate, AuthOutcome } from '../accounts/index.js';
 import { BudgetedBuffer } from '../buffers/index.js';
+import { InputTurns, PacedInput } from '../input/index.js';
 import type { Route, RouteTable } from '../catalog/index.js';
 import type { ReplicaRegistry } from '../view/index.js';
 import type { RefusalKind, ReplyHints } from './local-reply.js';
@@ -85,6 +86,8 @@
 
   private readonly connections: CallerConnections;
 
+  private readonly inputTurns: InputTurns;
+
   /** Connections with an overdue request head, until it has been read or the connection is rejected. */
   private readonly overdueHeads = new Map<Socket, TimerHandle>();
 
@@ -101,6 +104,7 @@
 
   constructor(private readonly options: RequestServerOptions) {
     this.connections = new CallerConnections(options.timers);
+    this.inputTurns = new InputTurns(options.timers);
     this.server = createServer(
       {
         maxHeaderSize: MAX_HEAD_BYTES,
@@ -114,7 +118,7 @@
         void this.handle(req, res);
       },
     );
-    this.server.on('connection', (socket: Socket) => this.connections.accept(socket));
+    this.server.on('connection', (socket: Socket) => this.accept(socket));
     this.server.on('clientError', (err: NodeJS.ErrnoException, socket: Socket) =>
       this.handleClientError(err, socket),
     );
@@ -180,6 +184,11 @@
       if (this.responses.on(socket) === undefined) socket.destroy();
   }
 
+  private accept(socket: Socket): void {
+    const connection = this.connections.accept(socket);
+    connection.input = new PacedInput(socket, this.inputTurns, () => connection.earliestArrival());
+  }
+
   /**
    * Rejects a connection whose bytes are no valid request. An overdue head may already be in the socket's
    * buffer if this process was stalled and has not read it yet, so it is rejected only if it has not been
--- /dev/null
+++ b/packages/routing/test/paced-input.test.ts
@@ -0,0 +1,81 @@
+/** Requests that are parsed in pieces, in turn with other connections. */
+import type { IncomingMessage } from 'node:http';
+import { createServer } from 'node:http';
+import type { AddressInfo, Socket } from 'node:net';
+import { connect } from 'node:net';
+
+import { createSystemTimers } from '@celeryyoke/core';
+import test from 'ava';
+import fc from 'fast-check';
+
+import { InputTurns, PacedInput } from '../src/core/input/index.js';
+
+const REQUESTS = [
+  ['GET /a HTTP/1.1\r\nHost: x\r\n\r\n', '/a '],
+  ['\r\nPOST /b HTTP/1.1\r\nHost: x\r\nContent-Length: 8\r\n\r\nb\n\n\r\n\r\nb', '/b b\n\n\r\n\r\nb'],
+  [
+    'POST /c HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n4\r\n\n\r\n\n\r\n1\r\nc\r\n0\r\nt: 1\r\n\r\n',
+    '/c \n\r\n\nc',
+  ],
+  [
+    `POST /d HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: 9000\r\n\r\n${'d'.repeat(9000)}`,
+    `/d ${'d'.repeat(9000)}`,
+  ],
+] as const;
+
+async function readText(req: IncomingMessage): Promise<string> {
+  let text = '';
+  for await (const chunk of req) text += String(chunk);
+  return text;
+}
+
+/** Starts a server that answers each request with its path and its body. */
+async function startEcho(): Promise<{ port: number; close: () => void }> {
+  const turns = new InputTurns(createSystemTimers());
+  const server = createServer((req, res) => {
+    void readText(req).then((text) => res.end(`${req.url} ${text}`));
+  });
+  server.on('connection', (socket: Socket) => new PacedInput(socket, turns, () => 0));
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  return { port: (server.address() as AddressInfo).port, close: () => server.close() };
+}
+
+/** Writes parts one after the other, and returns all that is received until the connection closes. */
+function exchange(port: number, parts: readonly string[]): Promise<string> {
+  return new Promise((resolve) => {
+    let text = '';
+    const socket = connect({ port, host: '127.0.0.1', noDelay: true });
+    const write = (index: number): void => {
+      if (index < parts.length) socket.write(parts[index]!, () => setImmediate(write, index + 1));
+    };
+    write(0);
+    socket.on('data', (chunk) => {
+      text += chunk.toString('latin1');
+    });
+    socket.on('close', () => resolve(text));
+  });
+}
+
+// Guards against requests that are lost, joined or changed by the places at which their bytes are cut.
+test('requests on one connection are read alike however their bytes arrive', async (t) => {
+  const { port, close } = await startEcho();
+  const all = REQUESTS.map(([text]) => text).join('');
+  const bodies = (text: string): string[] => text.match(/\/[a-d] [^/]*?(?=HTTP|$)/gs) ?? [];
+  const whole = await exchange(port, [all]);
+  t.deepEqual(
+    bodies(whole),
+    REQUESTS.map(([, body]) => body),
+  );
+  const cuts = fc.array(fc.integer({ min: 0, max: 250 }), { maxLength: 12 });
+  await fc.assert(
+    fc.asyncProperty(cuts, async (places) => {
+      const sorted = [0, ...places.sort((left, right) => left - right), all.length];
+      const parts = sorted.slice(1).map((end, index) => all.slice(sorted[index], end));
+      t.deepEqual(bodies(await exchange(port, parts)), bodies(whole));
+    }),
+    { numRuns: 60, seed: 1 },
+  );
+  close();
+});
