input: take one request of a connection after the other

What callers saw: clients that send requests ahead and read no answer ended a daemon out of memory (small chunked bodies), or had it open 2226 descriptors (sixty requests for 200 KB on each of 60 connections).

Cause: Node.js parses and hands over all requests of a connection while earlier ones are in progress, and stops only once 16 KiB of answers wait; what is in progress has no bound.

Change: what follows a request is parsed once its response is written. Up to 16 KiB of it are read, so that the end of the connection is still heard of; what waited counts as arrived when it was read.

--- a/packages/routing/src/core/input/paced-input.ts
+++ b/packages/routing/src/core/input/paced-input.ts
@@ -1,9 +1,11 @@
 /**
- * Passes the bytes of a connection to the HTTP parser of Node.js in small pieces, in turn with other connections.
+ * Passes the bytes of a connection to the HTTP parser of Node.js in small pieces, in turn with other connections, and one
+ * request after the other.
  *
  * The parser takes all that was read in one step, and the event loop reads one socket again and again while it has more: many
  * small requests or chunks on one connection would keep all others waiting.
  */
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import { Socket } from 'node:net';
 
 import { ByteBuffer } from '@celeryyoke/core';
@@ -13,6 +15,13 @@
 
 /** Largest piece that is parsed in one step, in bytes; it ends at the end of a head. */
 const PIECE_BYTES = 2048;
+/** Largest piece of a body whose length is known, in bytes. */
+const BODY_PIECE_BYTES = 65_536;
+/**
+ * Size up to which bytes are read that follow a request in progress, in bytes: as long as its connection is read, the daemon
+ * hears that the caller leaves.
+ */
+const MAX_AHEAD_BYTES = 16_384;
 
 type Listener = (chunk: Buffer) => void;
 
@@ -39,6 +48,15 @@
 
   private isReading = true;
 
+  /** The latest request. */
+  private req: IncomingMessage | undefined;
+
+  /** Number of responses that are not written. */
+  private openResponses = 0;
+
+  /** Number of bytes that the body of the latest request still takes, if it has stated its length. */
+  private bodyLeft = 0;
+
   /**
    * @param socket - A connection that an HTTP server has just accepted.
    * @param arrivedSince - Returns the earliest monotonic time at which what is read now can have arrived, in milliseconds.
@@ -68,6 +86,18 @@
     });
   }
 
+  /** Holds what follows a request, once it is whole, until its response is written; called with its head. */
+  follow(req: IncomingMessage, res: ServerResponse): void {
+    this.req = req;
+    this.openResponses += 1;
+    const hasLength = req.headers['transfer-encoding'] === undefined;
+    this.bodyLeft = hasLength ? Number(req.headers['content-length'] ?? 0) : 0;
+    res.once('close', () => {
+      this.openResponses -= 1;
+      this.continue();
+    });
+  }
+
   /** Number of bytes that were read from the system and not parsed. */
   get unparsedBytes(): number {
     return this.heldBytes + this.socket.readableLength;
@@ -77,8 +107,14 @@
     return (this.held?.length ?? 0) - this.parsed;
   }
 
+  /** Whether what comes next is another request, before the response to the latest one is written. */
+  private get isAhead(): boolean {
+    return this.openResponses > 0 && this.req!.complete;
+  }
+
   private get canParse(): boolean {
-    return this.heldBytes > 0 && !this.isPaused && !this.socket.destroyed && !this.socket.writableEnded;
+    const isOpen = !this.socket.destroyed && !this.socket.writableEnded;
+    return isOpen && this.heldBytes > 0 && !this.isPaused && !this.isAhead;
   }
 
   private readonly receive = (chunk: Buffer): void => {
@@ -127,12 +163,20 @@
   private parsePiece(): void {
     const { parsed } = this;
     const held = this.held!;
-    this.parsed = this.lines.endOfNext(held, parsed, Math.min(parsed + PIECE_BYTES, held.length));
+    this.parsed = this.endOfPiece(held, parsed);
     const piece = held.subarray(parsed, this.parsed);
     this.lines.pass(piece);
     this.parse(piece);
   }
 
+  private endOfPiece(held: Buffer, parsed: number): number {
+    if (this.bodyLeft === 0)
+      return this.lines.endOfNext(held, parsed, Math.min(parsed + PIECE_BYTES, held.length));
+    const length = Math.min(this.bodyLeft, BODY_PIECE_BYTES, held.length - parsed);
+    this.bodyLeft -= length;
+    return parsed + length;
+  }
+
   private release(): void {
     this.held = undefined;
     this.joined = undefined;
@@ -142,7 +186,8 @@
   }
 
   private updateReading(): void {
-    const isReading = this.heldBytes === 0;
+    const { heldBytes } = this;
+    const isReading = heldBytes === 0 || (this.isReading && this.isAhead && heldBytes <= MAX_AHEAD_BYTES);
     if (this.isReading === isReading || this.socket.destroyed) return;
     this.isReading = isReading;
     if (isReading) Socket.prototype.resume.call(this.socket);
--- a/packages/routing/src/core/requests/caller-connection.ts
+++ b/packages/routing/src/core/requests/caller-connection.ts
@@ -3,20 +3,15 @@
 
 import type { TimerService } from '@celeryyoke/core';
 
-/** Bytes of a connection that were read and not parsed yet. */
-export interface UnparsedInput {
-  readonly unparsedBytes: number;
-  /** Earliest monotonic time at which they can have arrived, in milliseconds; undefined while there are none. */
-  readonly heldSince: number | undefined;
-}
+import type { PacedInput } from '../input/index.js';
 
 /** One connection of a caller. */
 export class CallerConnection {
   /** Whether the caller has closed its side, or the connection is gone. */
   hasLeft = false;
 
-  /** What is still to be parsed, if that takes more than the step in which it was read. */
-  input: UnparsedInput | undefined;
+  /** What it sends; undefined before its first byte. */
+  input: PacedInput | undefined;
 
   private readonly listeners = new Set<() => void>();
 
--- a/packages/routing/src/core/requests/server.ts
+++ b/packages/routing/src/core/requests/server.ts
@@ -226,6 +226,7 @@
     }
     this.responses.add(res);
     const connection = this.connections.of(req.socket);
+    connection.input?.follow(req, res);
     res.on('error', (err) => this.options.log.debug(`Failed to write a response: ${err.message}.`));
     if (this.isDraining) res.shouldKeepAlive = false;
     // The head of a stream that began before the shutdown announced a kept-alive connection: close it when
--- a/packages/routing/test/paced-input.test.ts
+++ b/packages/routing/test/paced-input.test.ts
@@ -1,5 +1,5 @@
 /** Requests that are parsed in pieces, in turn with other connections. */
-import type { IncomingMessage } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import { createServer } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
 import { connect } from 'node:net';
@@ -30,12 +30,19 @@
 }
 
 /** Starts a server that answers each request with its path and its body. */
-async function startEcho(): Promise<{ port: number; close: () => void }> {
+async function startEcho(
+  onRequest?: (req: IncomingMessage, res: ServerResponse) => void,
+): Promise<{ port: number; close: () => void }> {
   const turns = new InputTurns(createSystemTimers());
+  const inputs = new Map<Socket, PacedInput>();
   const server = createServer((req, res) => {
+    inputs.get(req.socket)?.follow(req, res);
+    onRequest?.(req, res);
     void readText(req).then((text) => res.end(`${req.url} ${text}`));
   });
-  server.on('connection', (socket: Socket) => new PacedInput(socket, turns, () => 0));
+  server.on('connection', (socket: Socket) => {
+    inputs.set(socket, new PacedInput(socket, turns, () => 0));
+  });
   await new Promise<void>((resolve) => {
     server.listen(0, '127.0.0.1', resolve);
   });
@@ -61,6 +68,7 @@
 // Guards against requests that are lost, joined or changed by the places at which their bytes are cut.
 test('requests on one connection are read alike however their bytes arrive', async (t) => {
   const { port, close } = await startEcho();
+  t.teardown(close);
   const all = REQUESTS.map(([text]) => text).join('');
   const bodies = (text: string): string[] => text.match(/\/[a-d] [^/]*?(?=HTTP|$)/gs) ?? [];
   const whole = await exchange(port, [all]);
@@ -77,5 +85,20 @@
     }),
     { numRuns: 60, seed: 1 },
   );
-  close();
+});
+
+// Guards against requests that pile up in memory, as their callers send on and read no answer.
+test('requests on one connection are taken one after the other', async (t) => {
+  const open = new Set<ServerResponse>();
+  let most = 0;
+  const { port, close } = await startEcho((_req, res) => {
+    open.add(res);
+    most = Math.max(most, open.size);
+    res.once('finish', () => open.delete(res));
+  });
+  t.teardown(close);
+  const [[request], , , [last]] = REQUESTS;
+  const text = await exchange(port, [request.repeat(5000), last]);
+  t.is(text.match(/HTTP\/1.1 200/g)?.length, 5001);
+  t.is(most, 1);
 });
