requests: close rejected connections whose callers stay

What callers saw: nothing at first. A caller whose request is invalid or late got its 400 or 408 and an end of the connection; if it stayed, its descriptor and what was read of it stayed with the daemon for as long as it sent on, and a connection that was not read on any more stayed also after its caller had left.

Cause: HTTP connections are half-open, so that the end of one side closes nothing.

Change: a rejected connection is closed 0.5 s after its reply.

--- a/packages/routing/src/core/requests/server.ts
+++ b/packages/routing/src/core/requests/server.ts
@@ -43,6 +43,8 @@
 const CONNECTION_CHECK_INTERVAL_MS = 500;
 /** Time in which an overdue head may still be read from its socket, in milliseconds. */
 const LATE_HEAD_GRACE_MS = 100;
+/** Time for which a connection that was rejected stays open, so that its caller can read why, in milliseconds. */
+const REJECTED_LINGER_MS = 500;
 /** Timeout of a whole request including its body, in milliseconds. */
 const BODY_TIMEOUT_MS = 30_000;
 /** Length of the queue of connections that wait to be accepted. */
@@ -199,6 +201,7 @@
       this.overdueHeads.delete(socket);
       this.rejectedSockets.add(socket);
       rejectConnection(err, socket);
+      this.options.timers.after(REJECTED_LINGER_MS, () => socket.destroy());
     };
     const open = this.responses.on(socket);
     if (open?.req.complete) this.endAfterResponse(open, err);
