input: bound the connections that wait for further shares

What callers saw: beside a crowd of clients that change what they send and connect again and again, an ordinary request was answered 5.7 s after the crowd had gone (nobody was answered before the turns were shared), and the daemon held 346 descriptors.

Cause: what was read of a connection is parsed also after its client has left, 128 KiB of chunks of one byte take some 30 ms, and nothing bounds the connections that wait; one connection is accepted in each turn, and turns took 10 ms.

Change: turns take 2 ms and shares 0.5 ms, and of 64 connections that need more than one share for what was read, the first is closed when another comes. Bodies of known length need one share. It is a bound on all together, as the memory for bodies is.

--- a/packages/routing/src/core/input/input-turns.ts
+++ b/packages/routing/src/core/input/input-turns.ts
@@ -1,10 +1,15 @@
 /** Shares each turn of the event loop between the connections whose bytes are parsed. */
-import type { TimerService } from '@celeryyoke/core';
+import type { DecisionLog, TimerService } from '@celeryyoke/core';
 
 /** Time for parsing in a turn, in milliseconds; sockets are read and connections accepted between two turns. */
-const TURN_MS = 10;
+const TURN_MS = 2;
 /** Time of one connection in a turn, before others that wait, in milliseconds. */
-const SHARE_MS = 1;
+const SHARE_MS = 0.5;
+/**
+ * Largest number of connections that have used a share and have more to parse; what they hold takes memory, and is parsed
+ * also after their callers have left.
+ */
+const MAX_UNFINISHED = 64;
 
 /** Input of one connection. */
 export interface TurnTaker {
@@ -14,6 +19,8 @@
    * @returns Whether there is more to parse.
    */
   parseUntil(endAt: number): boolean;
+  /** Closes the connection. */
+  abort(): void;
 }
 
 /** Decides which connections are parsed when. */
@@ -24,10 +31,16 @@
   /** Inputs that have used their share of a turn. */
   private readonly continued = new Set<TurnTaker>();
 
+  /** The same until all that was read is parsed, in the order in which they have used their first shares. */
+  private readonly unfinished = new Set<TurnTaker>();
+
   /** Monotonic time at which the time of this turn is used up, in milliseconds; undefined while nothing is parsed. */
   private endAt: number | undefined;
 
-  constructor(private readonly timers: Pick<TimerService, 'now'>) {}
+  constructor(
+    private readonly timers: Pick<TimerService, 'now'>,
+    private readonly log: Pick<DecisionLog, 'debug'>,
+  ) {}
 
   /** Parses an input: at once while this turn has time for it, or else in a later turn. */
   request(input: TurnTaker): void {
@@ -48,6 +61,7 @@
   cancel(input: TurnTaker): void {
     this.fresh.delete(input);
     this.continued.delete(input);
+    this.unfinished.delete(input);
   }
 
   private begin(now: number): void {
@@ -79,6 +93,17 @@
   }
 
   private parse(input: TurnTaker, now: number): void {
-    if (input.parseUntil(Math.min(this.endAt!, now + SHARE_MS))) this.continued.add(input);
+    if (!input.parseUntil(Math.min(this.endAt!, now + SHARE_MS))) return;
+    this.continued.add(input);
+    this.unfinished.add(input);
+    if (this.unfinished.size > MAX_UNFINISHED) this.abortOldest();
+  }
+
+  private abortOldest(): void {
+    const [oldest] = this.unfinished;
+    if (oldest === undefined) return;
+    this.cancel(oldest);
+    oldest.abort();
+    this.log.debug(`A connection is closed: ${MAX_UNFINISHED} others have sent more that is slow to parse.`);
   }
 }
--- a/packages/routing/src/core/input/paced-input.ts
+++ b/packages/routing/src/core/input/paced-input.ts
@@ -160,6 +160,10 @@
     return this.canParse;
   }
 
+  abort(): void {
+    this.socket.destroy();
+  }
+
   private parsePiece(): void {
     const { parsed } = this;
     const held = this.held!;
--- a/packages/routing/src/core/requests/server.ts
+++ b/packages/routing/src/core/requests/server.ts
@@ -106,7 +106,7 @@
 
   constructor(private readonly options: RequestServerOptions) {
     this.connections = new CallerConnections(options.timers);
-    this.inputTurns = new InputTurns(options.timers);
+    this.inputTurns = new InputTurns(options.timers, options.log);
     this.server = createServer(
       {
         maxHeaderSize: MAX_HEAD_BYTES,
--- a/packages/routing/test/paced-input.test.ts
+++ b/packages/routing/test/paced-input.test.ts
@@ -4,7 +4,7 @@
 import type { AddressInfo, Socket } from 'node:net';
 import { connect } from 'node:net';
 
-import { createSystemTimers } from '@celeryyoke/core';
+import { createSilentLog, createSystemTimers } from '@celeryyoke/core';
 import test from 'ava';
 import fc from 'fast-check';
 
@@ -33,7 +33,7 @@
 async function startEcho(
   onRequest?: (req: IncomingMessage, res: ServerResponse) => void,
 ): Promise<{ port: number; close: () => void }> {
-  const turns = new InputTurns(createSystemTimers());
+  const turns = new InputTurns(createSystemTimers(), createSilentLog());
   const inputs = new Map<Socket, PacedInput>();
   const server = createServer((req, res) => {
     inputs.get(req.socket)?.follow(req, res);
