--- a/packages/routing/src/core/requests/server.ts
+++ b/packages/routing/src/core/requests/server.ts
@@ -13,6 +13,7 @@
 import type { ClientAccount } from '../accounts/index.js';
 import { authenticate, AuthOutcome } from '../accounts/index.js';
 import { BudgetedBuffer } from '../buffers/index.js';
+import { InputTurns, PacedInput } from '../input/index.js';
 import type { Route, RouteTable } from '../catalog/index.js';
 import type { ReplicaRegistry } from '../view/index.js';
 import type { RefusalKind, ReplyHints } from './local-reply.js';
@@ -42,6 +43,8 @@
 const CONNECTION_CHECK_INTERVAL_MS = 500;
 /** Time in which an overdue head may still be read from its socket, in milliseconds. */
 const LATE_HEAD_GRACE_MS = 100;
+/** Time for which a connection that was rejected stays open, so that its caller can read why, in milliseconds. */
+const REJECTED_LINGER_MS = 500;
 /** Timeout of a whole request including its body, in milliseconds. */
 const BODY_TIMEOUT_MS = 30_000;
 /** Length of the queue of connections that wait to be accepted. */
@@ -86,6 +89,8 @@
 
   private readonly connections: CallerConnections;
 
+  private readonly inputTurns: InputTurns;
+
   /** Connections with an overdue request head, until it has been read or the connection is rejected. */
   private readonly overdueHeads = new Map<Socket, TimerHandle>();
 
@@ -102,6 +107,7 @@
 
   constructor(private readonly options: RequestServerOptions) {
     this.connections = new CallerConnections(options.timers);
+    this.inputTurns = new InputTurns(options.timers, options.log);
     this.server = createServer(
       {
         maxHeaderSize: MAX_HEAD_BYTES,
@@ -115,7 +121,7 @@
         void this.handle(req, res);
       },
     );
-    this.server.on('connection', (socket: Socket) => this.connections.accept(socket));
+    this.server.on('connection', (socket: Socket) => this.accept(socket));
     this.server.on('clientError', (err: NodeJS.ErrnoException, socket: Socket) =>
       this.handleClientError(err, socket),
     );
@@ -181,6 +187,11 @@
       if (this.responses.on(socket) === undefined) socket.destroy();
   }
 
+  private accept(socket: Socket): void {
+    const connection = this.connections.accept(socket);
+    connection.input = new PacedInput(socket, this.inputTurns, () => connection.earliestArrival());
+  }
+
   /**
    * Rejects a connection whose bytes are no valid request. An overdue head may already be in the socket's
    * buffer if this process was stalled and has not read it yet, so it is rejected only if it has not been
@@ -191,6 +202,7 @@
       this.overdueHeads.delete(socket);
       this.rejectedSockets.add(socket);
       rejectConnection(err, socket);
+      this.options.timers.after(REJECTED_LINGER_MS, () => socket.destroy());
     };
     const open = this.responses.on(socket);
     if (open?.req.complete) this.endAfterResponse(open, err);
@@ -218,6 +230,7 @@
     }
     this.responses.add(res);
     const connection = this.connections.of(req.socket);
+    connection.input?.follow(req, res);
     res.on('error', (err) => this.options.log.debug(`Failed to write a response: ${err.message}.`));
     if (this.isDraining) res.shouldKeepAlive = false;
     // The head of a stream that began before the shutdown announced a kept-alive connection: close it when
