origins: tell a daemon that starts which versions a peer lists

A daemon that started while a release ended took streams of the old version up at the new one. It asked a peer which versions had served; the peer, up to 1.5 s behind, still listed the last replica of the old version, and told former versions only. The new daemon's own view had no such replica any more, so it knew one version and that its history was whole, for good, and told the next daemons the same.

Peers tell the versions that they list as well. One that the new daemon does not know counts as seen now, as its own view may be the older one. The test failed before: no doubt in place of two versions.

--- a/packages/routing/src/core/origins/index.ts
+++ b/packages/routing/src/core/origins/index.ts
@@ -15,7 +15,7 @@
 export type {
   BeginBounds,
   CallerDeadline,
-  FormerVersion,
+  ServedVersion,
   KnownTime,
   OriginRecord,
   SharedHistory,
--- a/packages/routing/src/core/origins/origin-codec.ts
+++ b/packages/routing/src/core/origins/origin-codec.ts
@@ -12,7 +12,8 @@
 export type StreamKeyFrame = readonly [request: string, attempt: string | null];
 /** Daemons have different clocks, so ages in milliseconds are sent. */
 export type VersionHistoryFrame = readonly [
-  former: readonly (readonly [service: string, softwareVersion: string, removedAgoMs: number])[],
+  /** The time is null if replicas of the version are listed. */
+  versions: readonly (readonly [service: string, softwareVersion: string, removedAgoMs: number | null])[],
   knownUntilAgoMs: number | null,
   /** Null if all versions are known that have ever served. */
   knownForMs: number | null,
@@ -56,15 +57,15 @@
  * @param now - Monotonic milliseconds.
  */
 export function encodeHistory(
-  { former, time, fleetStartedAt, deadlines }: SharedHistory,
+  { versions, time, fleetStartedAt, deadlines }: SharedHistory,
   now: number,
 ): VersionHistoryFrame {
   const knownForMs = time === undefined ? 0 : time.until - time.since;
   return [
-    former.map(({ service, softwareVersion, removedAt }) => [
+    versions.map(({ service, softwareVersion, removedAt }) => [
       service,
       softwareVersion,
-      Math.round(now - removedAt),
+      removedAt === undefined ? null : Math.round(now - removedAt),
     ]),
     time === undefined ? null : Math.ceil(now - time.until),
     Number.isFinite(knownForMs) ? Math.floor(knownForMs) : null,
@@ -78,16 +79,16 @@
  * @param now - Monotonic milliseconds.
  */
 export function decodeHistory(
-  [former, untilAgoMs, knownForMs, fleetStartedAgoMs, deadlines]: VersionHistoryFrame,
+  [versions, untilAgoMs, knownForMs, fleetStartedAgoMs, deadlines]: VersionHistoryFrame,
   now: number,
 ): SharedHistory {
   const until = now - (untilAgoMs ?? 0);
   const since = until - (knownForMs ?? Number.POSITIVE_INFINITY);
   return {
-    former: former.map(([service, softwareVersion, agoMs]) => ({
+    versions: versions.map(([service, softwareVersion, agoMs]) => ({
       service,
       softwareVersion,
-      removedAt: now - agoMs,
+      removedAt: agoMs === null ? undefined : now - agoMs,
     })),
     time: untilAgoMs === null ? undefined : { since, until },
     fleetStartedAt: now - fleetStartedAgoMs,
--- a/packages/routing/src/core/origins/types.ts
+++ b/packages/routing/src/core/origins/types.ts
@@ -35,14 +35,14 @@
   readonly before: number;
 }
 
-/** A software version that no listed replica has any more. */
-export interface FormerVersion {
+/** A software version that replicas have had. */
+export interface ServedVersion {
   /** Empty if it is not known. */
   readonly service: string;
   /** Empty for replicas whose version never became known. */
   readonly softwareVersion: string;
-  /** Monotonic time at which its last replica was removed, in milliseconds. */
-  readonly removedAt: number;
+  /** Monotonic time at which its last replica was removed, in milliseconds; undefined if one is listed. */
+  readonly removedAt: number | undefined;
 }
 
 /** A time in which a daemon has known all versions that served. */
@@ -64,7 +64,7 @@
 
 /** What a daemon tells a peer that has started later. */
 export interface SharedHistory {
-  readonly former: readonly FormerVersion[];
+  readonly versions: readonly ServedVersion[];
   /** Undefined while the daemon can't tell. */
   readonly time: KnownTime | undefined;
   /** Monotonic time at which the first daemon of the fleet started, as far as it is known, in milliseconds. */
--- a/packages/routing/src/core/origins/version-history.ts
+++ b/packages/routing/src/core/origins/version-history.ts
@@ -241,7 +241,7 @@
     const { timers, replicaWriteIntervalMs: intervalMs } = this.options;
     const now = timers.now();
     for (const version of pastVersions(history, { intervalMs, wall: timers.wall() }))
-      this.table.mergeFormer({ ...version, removedAt: now - version.removedAgoMs });
+      this.table.merge({ ...version, removedAt: now - version.removedAgoMs });
     const since = now - shortestSpanMs(history.writes, intervalMs);
     this.ownSince = Math.min(this.ownSince, history.from === 0 ? Number.NEGATIVE_INFINITY : since);
   }
@@ -275,10 +275,10 @@
     }
   }
 
-  private merge({ former, time, fleetStartedAt, deadlines }: SharedHistory): void {
+  private merge({ versions, time, fleetStartedAt, deadlines }: SharedHistory): void {
     this.fleetStartedAt = Math.min(this.fleetStartedAt, fleetStartedAt);
     for (const deadline of deadlines) this.deadlines.record(deadline);
-    for (const version of former) this.table.mergeFormer(version);
+    for (const version of versions) this.table.merge(version);
     if (time === undefined) return;
     const isBetter = this.isJoined(time) && time.since < this.knownSince();
     if (isBetter || !this.isJoined(this.peerTime)) this.peerTime = time;
@@ -290,7 +290,7 @@
     const since = this.knownSince();
     const isKnown = until >= resumedAt() && since <= until;
     return {
-      former: [...this.table.formerVersions()],
+      versions: [...this.table.servedVersions()],
       time: isKnown ? { since, until } : undefined,
       fleetStartedAt: this.fleetStartedAt,
       deadlines: [...this.deadlines.all()],
--- a/packages/routing/src/core/origins/version-table.ts
+++ b/packages/routing/src/core/origins/version-table.ts
@@ -5,7 +5,7 @@
 import type { TimerService } from '@celeryyoke/core';
 
 import type { ReplicaEntry } from '../view/index.js';
-import type { FormerVersion } from './types.js';
+import type { ServedVersion } from './types.js';
 
 /** Largest number of versions of a service that are remembered after their replicas; the first to go is dropped. */
 const MAX_FORMER_VERSIONS = 32;
@@ -89,20 +89,26 @@
     return use === undefined ? 0 : this.timers.now() - use.seenAt;
   }
 
-  /** Former versions of all services. */
-  *formerVersions(): Generator<FormerVersion, void, undefined> {
+  /** Versions of all services, without those of listed replicas that are not known yet. */
+  *servedVersions(): Generator<ServedVersion, void, undefined> {
     for (const service of this.services.keys())
       for (const [softwareVersion, { replicas, removedAt }] of this.usesOf(service))
         if (replicas.size === 0) yield { service, softwareVersion, removedAt };
+        else if (softwareVersion !== UNKNOWN_VERSION)
+          yield { service, softwareVersion, removedAt: undefined };
   }
 
-  /** Merges a former version that a peer knows. */
-  mergeFormer({ service, softwareVersion, removedAt }: FormerVersion): void {
+  /** Merges a version that a peer or the store knows; one that this daemon does not list may have left since. */
+  merge({ service, softwareVersion, removedAt }: ServedVersion): void {
+    const now = this.timers.now();
     const uses = this.usesOf(service);
     const known = uses.get(softwareVersion);
-    if (known !== undefined && known.removedAt >= removedAt) return;
-    if (known !== undefined) known.removedAt = removedAt;
-    else uses.set(softwareVersion, { replicas: new Set(), seenAt: Number.NEGATIVE_INFINITY, removedAt });
+    if (known !== undefined) known.removedAt = Math.max(known.removedAt, removedAt ?? now);
+    else {
+      // One that the peer lists may also be too new for this daemon's view.
+      const seenAt = removedAt === undefined ? now : Number.NEGATIVE_INFINITY;
+      uses.set(softwareVersion, { replicas: new Set(), seenAt, removedAt: removedAt ?? now });
+    }
     limitFormer(uses);
   }
 
--- a/packages/routing/test/origins/version-history.test.ts
+++ b/packages/routing/test/origins/version-history.test.ts
@@ -174,3 +174,17 @@
     t.is(history.doubtOf(SERVICE, { after: startedAt - 5000, before }), VersionDoubt.NoHistory);
   }
 });
+
+// Guards against a version that is forgotten where its last replica is removed between a peer's view and that of a new daemon.
+test('a daemon that starts while a release ends learns the version that its peer still lists', async (t) => {
+  const { fleet, daemon } = startFleet('v1', 'v2');
+  await fleet.timers.advance(RETENTION_MS);
+  daemon.isCutOff = true;
+  fleet.remove('e0');
+  const late = fleet.start('b:1');
+  await fleet.timers.advance(1000);
+  t.is(late.history.onlyVersion(SERVICE), undefined);
+  daemon.isCutOff = false;
+  await fleet.timers.advance(RETENTION_MS);
+  t.is(late.history.doubtOf(SERVICE), VersionDoubt.Several);
+});
