view: remember the software version of an incarnation that is gone

An entry that named another software version than an earlier one of the same incarnation was trusted if the store had dropped the earlier one meanwhile, as it does with entries that expire while it is down. Streams that the process began counted as the other version's, and were taken up there.

What the entries of an incarnation have named is kept after its removal, for as many incarnations as starts are; for one whose entries state no start it is dropped, as its id may be that of another process later. The test failed before: v2 was trusted after v1.

--- a/packages/routing/src/core/view/registry.ts
+++ b/packages/routing/src/core/view/registry.ts
@@ -23,8 +23,8 @@
 }
 
 /**
- * Maximum number of replicas whose latest start is remembered; the one updated least recently is dropped
- * first.
+ * Maximum number of replicas whose latest start is remembered, and of incarnations whose software version is; the one
+ * updated least recently is dropped first.
  */
 const MAX_KNOWN_STARTS = 4096;
 
@@ -62,8 +62,8 @@
   /** Latest known start of each replica, by name: a late entry of an earlier incarnation is ignored. */
   private readonly latestStarts = new Map<string, number>();
 
-  /** Ids of listed replicas whose entries have named several software versions. */
-  private readonly contradicted = new Set<string>();
+  /** Software version that the entries of each incarnation have named, by its id; undefined if they differ. */
+  private readonly statedVersions = new Map<string, string | undefined>();
 
   /** Latest changes of entries that are held back, by key. */
   private readonly heldBack = new Map<string, Change>();
@@ -209,11 +209,7 @@
   }
 
   private storeStart(name: string, bornAt: number): void {
-    this.latestStarts.delete(name);
-    this.latestStarts.set(name, bornAt);
-    if (this.latestStarts.size <= MAX_KNOWN_STARTS) return;
-    const [oldest] = this.latestStarts.keys();
-    this.latestStarts.delete(oldest!);
+    setLatest(this.latestStarts, name, bornAt);
   }
 
   private applyReplica(change: Change, received: ReplicaEntry): void {
@@ -247,14 +243,18 @@
     const before = this.replicas.get(entry.id);
     this.idOfKey.set(key, entry.id);
     this.availability.recordListed(entry.id, true);
-    this.store(this.withSoleVersion(entry, before), before);
+    this.store(this.withSoleVersion(entry), before);
   }
 
   /** Leaves out the software version of an entry that contradicts an earlier one: a process has the same all the time. */
-  private withSoleVersion(entry: ReplicaEntry, before: ReplicaEntry | undefined): ReplicaEntry {
-    const known = before?.softwareVersion;
-    if (known !== undefined && entry.softwareVersion !== known) this.contradicted.add(entry.id);
-    return this.contradicted.has(entry.id) ? { ...entry, softwareVersion: undefined } : entry;
+  private withSoleVersion(entry: ReplicaEntry): ReplicaEntry {
+    const { id, softwareVersion } = entry;
+    const isFirst = !this.statedVersions.has(id);
+    if (isFirst && softwareVersion === undefined) return entry;
+    const isSame = isFirst || this.statedVersions.get(id) === softwareVersion;
+    const soleVersion = isSame ? softwareVersion : undefined;
+    setLatest(this.statedVersions, id, soleVersion);
+    return { ...entry, softwareVersion: soleVersion };
   }
 
   /** Merges the state of an entry with what the replica has declared otherwise: it never stops leaving. */
@@ -284,10 +284,20 @@
     this.idOfKey.delete(key);
     const entry = this.replicas.get(id);
     this.replicas.delete(id);
-    this.contradicted.delete(id);
     this.availability.recordListed(id, false);
     if (entry !== undefined) this.departed.set(id, entry);
+    // Without a start, its id may be that of another process later.
+    if (entry?.bornAt === undefined) this.statedVersions.delete(id);
     if (entry?.state === ReplicaState.Ready) this.lostAt.set(entry.service, this.timers.now());
     for (const listener of this.replicaListeners) listener(id, undefined, entry);
   }
 }
+
+/** Sets an entry as the latest of a bounded map, and drops the one that was set least recently. */
+function setLatest<T>(entries: Map<string, T>, key: string, value: T): void {
+  entries.delete(key);
+  entries.set(key, value);
+  if (entries.size <= MAX_KNOWN_STARTS) return;
+  const [oldest] = entries.keys();
+  entries.delete(oldest!);
+}
--- a/packages/routing/test/replicated-store.test.ts
+++ b/packages/routing/test/replicated-store.test.ts
@@ -162,13 +162,14 @@
   t.false(registry.recordStart({ name: 'a', bornAt: 1500 }));
 });
 
+function atVersion(softwareVersion: string | undefined, bornAt: number, revision: number): Change {
+  const entry = { ...engineEntry('a'), id: replicaId('a', bornAt), bornAt, softwareVersion };
+  return { key: 'r/a', revision, record: { kind: RecordKind.Replica, replica: entry } };
+}
+
 // Guards against streams of two versions at a replica whose entry names another version than it has.
 test('the software version of an incarnation that its entries contradict is not known', (t) => {
   const { view, registry } = setUpRegistry();
-  const atVersion = (softwareVersion: string | undefined, bornAt: number, revision: number): Change => {
-    const entry = { ...engineEntry('a'), id: replicaId('a', bornAt), bornAt, softwareVersion };
-    return { key: 'r/a', revision, record: { kind: RecordKind.Replica, replica: entry } };
-  };
   const listed = () => [...registry.all()].map((entry) => entry.softwareVersion);
   view.apply(whole(5, atVersion(undefined, 1000, 2)));
   view.apply(delta(5, 6, atVersion('v1', 1000, 6)));
@@ -181,6 +182,24 @@
   t.deepEqual(listed(), ['v2']);
 });
 
+// Guards against a version that is trusted again after the store has dropped the entry that it contradicts.
+test('the software version of an incarnation that is listed again with another one is not known', (t) => {
+  const { view, registry } = setUpRegistry();
+  const listed = () => [...registry.all()].map((entry) => entry.softwareVersion);
+  view.apply(whole(5, atVersion('v1', 1000, 2)));
+  view.apply(delta(5, 6, { key: 'r/a', revision: 6, record: undefined }));
+  view.apply(delta(6, 7, atVersion('v1', 1000, 7)));
+  t.deepEqual(listed(), ['v1']);
+  view.apply(delta(7, 8, { key: 'r/a', revision: 8, record: undefined }));
+  view.apply(delta(8, 9, atVersion('v2', 1000, 9)));
+  t.deepEqual(listed(), [undefined]);
+  view.apply(delta(9, 10, { key: 'r/a', revision: 10, record: undefined }));
+  view.apply(delta(10, 11, atVersion('v2', 1000, 11)));
+  t.deepEqual(listed(), [undefined]);
+  view.apply(delta(11, 12, atVersion('v2', 2000, 12)));
+  t.deepEqual(listed(), ['v2']);
+});
+
 test('a change of resident adapters alone is not published, and is contained in a full delta', (t) => {
   const view = new ReplicatedStore(createManualTimers());
   const withAdapters = (revision: number, ...names: string[]): Change => {
