events: count ids that are too large to be exact as none

A stream whose ids are beyond 2^53 was continued at a rounded id, up to one event late or early, and an event that the next run repeated was passed on twice. Such an id counts as none now, so the stream is passed on and no other run continues it. The test failed before: the stream counted as one that can be continued.

--- a/packages/core/src/core/events/scanner.ts
+++ b/packages/core/src/core/events/scanner.ts
@@ -43,7 +43,7 @@
 export class EventScanner {
   kind = EventKind.Blank;
 
-  /** Number of the event, by its `id` field. */
+  /** Number of the event, by its `id` field; one too large to be exact counts as none. */
   id = NO_ID;
 
   /** Where the event ends: the index after its last byte. */
@@ -128,6 +128,6 @@
       if (byte < ZERO || byte > NINE) return;
       value = value * 10 + (byte - ZERO);
     }
-    if (end > start) this.id = value;
+    if (end > start && Number.isSafeInteger(value)) this.id = value;
   }
 }
--- a/packages/routing/test/relay.test.ts
+++ b/packages/routing/test/relay.test.ts
@@ -167,6 +167,16 @@
     t.is(res.text, received);
   });
 
+// Guards against a run that is continued at another event than the last one, as its id was rounded.
+test('a stream whose ids are too large to be exact is passed on, and no other run continues it', (t) => {
+  const { res, relay } = setUp();
+  const sent = ['9007199254740992', '9007199254740993'].map((id) => `id: ${id}\ndata: t\n\n`).join('');
+  relay.begin(200, FRAMED);
+  t.is(relay.forward(Buffer.from(sent)), ForwardResult.Forwarded);
+  t.is(res.text, sent);
+  t.false(relay.isContinuable);
+});
+
 test('the longest gap is measured from the first chunk on, across all replicas', async (t) => {
   const { relay, timers } = setUp();
   const startedAt = timers.now();
