requests: drop repeated events without a number as well

A run that begins anew for a caller that has a part of the stream brought the events without a number among those that the caller has again: only numbered ones were dropped.

Events without a number behind one that is older than the caller's last one are dropped. Those behind the last one itself are new. The test failed before: the caller got such an event again.

--- a/packages/routing/src/core/requests/relay.ts
+++ b/packages/routing/src/core/requests/relay.ts
@@ -77,6 +77,9 @@
 
   private isAborted = false;
 
+  /** Whether the run repeats events: those without a number between them are repeated as well. */
+  private isRepeating = false;
+
   /** Monotonic time of the last chunk. */
   private lastChunkAt: number | undefined;
 
@@ -129,6 +132,7 @@
     this.partialEvent.release();
     this.scanner = new EventScanner();
     this.isContinuation = this.lastEventId !== undefined;
+    this.isRepeating = false;
     if (this.hasBegun) return;
     this.hasBegun = true;
     writeResponseHead(this.res, status, headers);
@@ -150,7 +154,7 @@
     let start = 0;
     while (this.scanner.next(bytes, start)) {
       const { id, kind, end } = this.scanner;
-      const place = this.placeOf(id);
+      const place = this.locate(id);
       if (place !== EventPlace.Next) {
         this.write(bytes, writeFrom, start);
         writeFrom = end;
@@ -171,12 +175,14 @@
   }
 
   /**
-   * Returns where an event belongs. The replica that begins a stream numbers it as it likes, if only upwards; one that
-   * continues it has to begin behind what the caller has, and may repeat some of that.
+   * Finds out where the next event of a run belongs. The replica that begins a stream numbers it as it likes, if only upwards;
+   * one that continues it has to begin behind what the caller has, and may repeat some of that.
    */
-  private placeOf(id: number): EventPlace {
+  private locate(id: number): EventPlace {
     const { lastEventId, isContinuation } = this;
-    if (id === NO_ID || lastEventId === undefined || id === lastEventId + 1) return EventPlace.Next;
+    if (id === NO_ID) return this.isRepeating ? EventPlace.Received : EventPlace.Next;
+    this.isRepeating = isContinuation && lastEventId !== undefined && id < lastEventId;
+    if (lastEventId === undefined || id === lastEventId + 1) return EventPlace.Next;
     if (isContinuation) return id <= lastEventId ? EventPlace.Received : EventPlace.OutOfOrder;
     return id > lastEventId ? EventPlace.Next : EventPlace.OutOfOrder;
   }
--- a/packages/routing/test/relay.test.ts
+++ b/packages/routing/test/relay.test.ts
@@ -155,6 +155,11 @@
 const RESUMED_RUNS = {
   'begins anew': [events(1, 6), ForwardResult.Forwarded, events(4, 6)],
   'begins one event early': [events(3, 6), ForwardResult.Forwarded, events(4, 6)],
+  'begins anew, with events without a number': [
+    `${events(1, 2)}data: a\n\n${events(3, 3)}data: b\n\n${event(4)}`,
+    ForwardResult.Forwarded,
+    `data: b\n\n${event(4)}`,
+  ],
   'begins one event late': [events(5, 6), ForwardResult.EventsMissing, ''],
 } as const;
 
