origins: check records for their deadlines once a second

Records expire at their callers' deadlines, in no order, so all of them are looked through: 0.42 ms for 32,768 of them, measured alone. Once a second is enough for that, as an expired record counts as none in any case.

--- a/packages/routing/src/core/origins/stream-origins.ts
+++ b/packages/routing/src/core/origins/stream-origins.ts
@@ -28,6 +28,8 @@
 const LOOK_UP_TIMEOUT_MS = 150;
 /** Interval at which the doubts of services and the owners of running streams are checked, in milliseconds. */
 const REVIEW_MS = 100;
+/** Interval at which records and streams that ended early are checked for their deadlines, in milliseconds. */
+const EXPIRY_MS = 1000;
 /** Shortest time between two reports of all running streams, in milliseconds. */
 const MIN_REPORT_INTERVAL_MS = 1000;
 /** Time for which a stream can be resumed after it ended early, in milliseconds, where its caller states no deadline. */
@@ -87,7 +89,7 @@
   /** Monotonic time of the last report of all running streams, in milliseconds. */
   private reportedAt = Number.NEGATIVE_INFINITY;
 
-  private readonly reviewTimer: TimerHandle;
+  private readonly timerHandles: readonly TimerHandle[];
 
   /** Registers the message handlers. */
   constructor(private readonly options: StreamOriginsOptions) {
@@ -100,12 +102,15 @@
     cluster.handle(MessageType.StreamOrigin, (_from, frame: StreamKeyFrame) =>
       encodeOrigin(this.table.get(decodeKey(frame))),
     );
-    this.reviewTimer = timers.repeat(REVIEW_MS, () => this.review());
+    this.timerHandles = [
+      timers.repeat(REVIEW_MS, () => this.review()),
+      timers.repeat(EXPIRY_MS, () => this.expire()),
+    ];
   }
 
-  /** Cancels the timer. */
+  /** Cancels the timers. */
   stop(): void {
-    this.reviewTimer.cancel();
+    for (const timer of this.timerHandles) timer.cancel();
   }
 
   /** Number of records that this daemon holds. */
@@ -194,8 +199,6 @@
    * become known.
    */
   private review(): void {
-    this.table.expire();
-    this.expireBroken();
     const services = this.activeServices();
     const inDoubt = new Set([...services].filter((service) => this.doubtOf(service) !== undefined));
     const isNew = [...inDoubt].some((service) => this.doubts.get(service) === undefined);
@@ -207,7 +210,8 @@
     } else this.report([...this.unreported].filter(({ softwareVersion }) => softwareVersion() !== undefined));
   }
 
-  private expireBroken(): void {
+  private expire(): void {
+    this.table.expire();
     const now = this.options.timers.now();
     for (const [stream, until] of this.broken) if (until <= now) this.broken.delete(stream);
   }
