requests: refuse successes with an encoding that no caller asked for

A success with a Content-Encoding reached its caller with status 200: the body is then not the one that the replica made, as callers ask for none. It counts as a broken response now (502, or another try where that is allowed).

--- a/packages/routing/src/core/requests/attempt.ts
+++ b/packages/routing/src/core/requests/attempt.ts
@@ -177,6 +177,10 @@
       this.fail('response is not signed');
       return;
     }
+    if (isSuccess && this.metadata.isEncoded) {
+      this.fail('response has an encoding');
+      return;
+    }
     const { relay } = this.options;
     this.isRelaying = relay !== undefined && status === OK;
     if (!this.isRelaying) return;
--- a/packages/routing/src/core/requests/types.ts
+++ b/packages/routing/src/core/requests/types.ts
@@ -100,6 +100,8 @@
   readonly requestId: string | undefined;
   /** Whether the response carries the replica's signature. */
   readonly isSigned: boolean;
+  /** Whether its body has an encoding, which no caller asks for: it is not the body that the replica made. */
+  readonly isEncoded: boolean;
   /** Whether the response proves that the replica did not run the request. */
   readonly isNotRun: boolean;
   /** Whether another replica responded, or one that lacks the adapter or its version. */
--- a/packages/routing/test/dead-connections.test.ts
+++ b/packages/routing/test/dead-connections.test.ts
@@ -78,7 +78,13 @@
     },
     dialect: {
       upstreamHeaders: () => [],
-      readResponse: () => ({ requestId: 'r1', isSigned: true, isNotRun: false, isMisdirected: false }),
+      readResponse: () => ({
+        requestId: 'r1',
+        isSigned: true,
+        isEncoded: false,
+        isNotRun: false,
+        isMisdirected: false,
+      }),
     },
     limits: {
       admit: async () => {
--- a/packages/routing/test/not-run-proofs.test.ts
+++ b/packages/routing/test/not-run-proofs.test.ts
@@ -93,6 +93,7 @@
       readResponse: (_status: number, headers: HeaderMap) => ({
         requestId: headers.id,
         isSigned: true,
+        isEncoded: false,
         isNotRun: headers.denied !== undefined,
         isMisdirected: false,
       }),
--- a/packages/routing/test/repeats/execution-site.ts
+++ b/packages/routing/test/repeats/execution-site.ts
@@ -134,6 +134,7 @@
         upstreamHeaders: ({ id }: { id: string }) => [id],
         readResponse: (status: number, headers: { id?: string }) => ({
           isSigned: true,
+          isEncoded: false,
           isNotRun: status === NOT_RUN,
           isMisdirected: false,
           requestId: headers.id,
--- a/packages/routing/test/repeats/paid-arrivals.test.ts
+++ b/packages/routing/test/repeats/paid-arrivals.test.ts
@@ -108,6 +108,7 @@
       readResponse: (status: number) => ({
         requestId: 'r1',
         isSigned: true,
+        isEncoded: false,
         isNotRun: status === REFUSED,
         isMisdirected: false,
       }),
--- a/packages/routing/test/withheld.test.ts
+++ b/packages/routing/test/withheld.test.ts
@@ -59,7 +59,13 @@
     },
     dialect: {
       upstreamHeaders: () => [],
-      readResponse: () => ({ requestId: 'r1', isSigned: true, isNotRun: false, isMisdirected: false }),
+      readResponse: () => ({
+        requestId: 'r1',
+        isSigned: true,
+        isEncoded: false,
+        isNotRun: false,
+        isMisdirected: false,
+      }),
     },
     migrator: {
       register: noop,
