cluster: bound the values of a message between daemons

A message of a few kilobytes, before or after the hello, or pushed over a link, ended the process: out of memory. It decompresses to 8 MiB, which is within the limit, and each byte decodes to an empty map of some 60 bytes.

The values of a message with more than 500,000 bytes are counted before it is decoded, and more than 500,000 end the connection.

--- a/packages/routing/src/core/cluster/frames.ts
+++ b/packages/routing/src/core/cluster/frames.ts
@@ -3,7 +3,7 @@
  */
 import { deflateRawSync, inflateRawSync } from 'node:zlib';
 
-import { ByteBuffer, decode, encode } from '@celeryyoke/core';
+import { ByteBuffer, countValues, decode, encode } from '@celeryyoke/core';
 
 const HEADER_BYTES = 4;
 /** Bit of the header that is set when the body is compressed; the other bits are the length of the body. */
@@ -13,6 +13,8 @@
  * 1 MB.
  */
 const MAX_BODY_BYTES = 8 * 1024 * 1024;
+/** Most values in a body: they take many times the memory of their bytes. */
+const MAX_VALUES = 500_000;
 /**
  * Size from which a body is compressed, in bytes: a configuration with many routes would saturate the network
  * link of a small host.
@@ -43,7 +45,11 @@
 function decodeFrame(frame: Buffer): unknown {
   const isCompressed = frame.readUInt32BE(0) >= COMPRESSED_FLAG;
   const body = frame.subarray(HEADER_BYTES);
-  return decode(isCompressed ? inflateRawSync(body, { maxOutputLength: MAX_BODY_BYTES }) : body);
+  const plain = isCompressed ? inflateRawSync(body, { maxOutputLength: MAX_BODY_BYTES }) : body;
+  // A value takes a byte at least.
+  if (plain.length > MAX_VALUES && countValues(plain, MAX_VALUES) > MAX_VALUES)
+    throw new RangeError(`A frame with more than ${MAX_VALUES} values is too large.`);
+  return decode(plain);
 }
 
 /**
--- a/packages/routing/test/frames.test.ts
+++ b/packages/routing/test/frames.test.ts
@@ -1,4 +1,5 @@
 /** Frames between daemons: decoding from arbitrary chunks, compression, and invalid or oversized input. */
+import { countValues, encode } from '@celeryyoke/core';
 import { encodeFrame, FrameReader } from '@celeryyoke/routing';
 import test from 'ava';
 import fc from 'fast-check';
@@ -71,3 +72,20 @@
   t.true(frame.length < 200_000);
   t.throws(() => [...new FrameReader().read(frame)]);
 });
+
+// Guards against a short message that decodes to more values than the memory holds, and one that is refused wrongly.
+test('the values of a message are counted as they are decoded', (t) => {
+  const valuesIn = (value: unknown): number => {
+    if (typeof value !== 'object' || value === null) return 1;
+    const parts = Array.isArray(value) ? value : Object.entries(value).flat();
+    return parts.reduce((sum: number, part) => sum + valuesIn(part), 1);
+  };
+  const value = fc.oneof(fc.jsonValue(), fc.string({ maxLength: 70_000 }), fc.uint8Array({ maxLength: 300 }));
+  fc.assert(
+    fc.property(value, (sent) => {
+      const expected = sent instanceof Uint8Array ? 1 : valuesIn(sent);
+      return countValues(encode(sent), 1_000_000) === expected;
+    }),
+  );
+  t.throws(() => [...new FrameReader().read(encodeFrame(Array.from({ length: 600_000 }, () => ({}))))]);
+});
