cluster: bound what a connection sends before and in its hello

Any process that reaches the control port could make a daemon hold 8 MiB for each connection (1,308 to 1,333 MiB resident with 300 connections, 350 allowed), and add a member with each further hello, whose strings had no bound (402 to 412 MiB with one connection).

A message before the hello is at most 4 KiB, and a second hello ends the connection. Both cases of hostile-upstreams.test.ts hold now (60 MiB).

--- a/packages/routing/src/core/cluster/frames.ts
+++ b/packages/routing/src/core/cluster/frames.ts
@@ -12,7 +12,7 @@
  * Largest body in bytes, before and after compression; a whole view of 1,000 routes and 900 replicas is under
  * 1 MB.
  */
-const MAX_BODY_BYTES = 8 * 1024 * 1024;
+export const MAX_BODY_BYTES = 8 * 1024 * 1024;
 /** Most values in a body: they take many times the memory of their bytes. */
 const MAX_VALUES = 500_000;
 /**
@@ -42,10 +42,10 @@
   return frame;
 }
 
-function decodeFrame(frame: Buffer): unknown {
+function decodeFrame(frame: Buffer, maxBodyBytes: number): unknown {
   const isCompressed = frame.readUInt32BE(0) >= COMPRESSED_FLAG;
   const body = frame.subarray(HEADER_BYTES);
-  const plain = isCompressed ? inflateRawSync(body, { maxOutputLength: MAX_BODY_BYTES }) : body;
+  const plain = isCompressed ? inflateRawSync(body, { maxOutputLength: maxBodyBytes }) : body;
   // A value takes a byte at least.
   if (plain.length > MAX_VALUES && countValues(plain, MAX_VALUES) > MAX_VALUES)
     throw new RangeError(`A frame with more than ${MAX_VALUES} values is too large.`);
@@ -66,6 +66,11 @@
   /** Beginning of a frame that is not complete. */
   private readonly partial = new ByteBuffer();
 
+  /**
+   * @param maxBodyBytes - Largest body, before and after compression; it may change between two frames.
+   */
+  constructor(public maxBodyBytes = MAX_BODY_BYTES) {}
+
   /**
    * Adds bytes to the stream.
    * @param chunk - Bytes as they were received.
@@ -75,24 +80,24 @@
   *read(chunk: Buffer): Generator {
     const bytes = this.partial.join(chunk);
     let start = 0;
-    for (let end = frameEnd(bytes, start); end !== undefined; end = frameEnd(bytes, start)) {
-      yield decodeFrame(bytes.subarray(start, end));
+    for (let end = this.frameEnd(bytes, start); end !== undefined; end = this.frameEnd(bytes, start)) {
+      yield decodeFrame(bytes.subarray(start, end), this.maxBodyBytes);
       start = end;
     }
     this.partial.keepRest(bytes, start);
   }
-}
 
-/**
- * Returns where a frame ends; undefined while it is not complete.
- * @throws RangeError when it is too large.
- */
-function frameEnd(bytes: Buffer, start: number): number | undefined {
-  if (bytes.length - start < HEADER_BYTES) return undefined;
-  const length = bodyLength(bytes.readUInt32BE(start));
-  if (length > MAX_BODY_BYTES) throw new RangeError(`A frame of ${length} bytes is too large.`);
-  const end = start + HEADER_BYTES + length;
-  return end > bytes.length ? undefined : end;
+  /**
+   * Returns where a frame ends; undefined while it is not complete.
+   * @throws RangeError when it is too large.
+   */
+  private frameEnd(bytes: Buffer, start: number): number | undefined {
+    if (bytes.length - start < HEADER_BYTES) return undefined;
+    const length = bodyLength(bytes.readUInt32BE(start));
+    if (length > this.maxBodyBytes) throw new RangeError(`A frame of ${length} bytes is too large.`);
+    const end = start + HEADER_BYTES + length;
+    return end > bytes.length ? undefined : end;
+  }
 }
 
 function bodyLength(header: number): number {
--- a/packages/routing/src/core/cluster/listener.ts
+++ b/packages/routing/src/core/cluster/listener.ts
@@ -3,12 +3,14 @@
 
 import { startListening } from '@celeryyoke/core';
 
-import { encodeFrame, FrameReader, HEARTBEAT_ID } from './frames.js';
+import { encodeFrame, FrameReader, HEARTBEAT_ID, MAX_BODY_BYTES } from './frames.js';
 import type { ListenerEvents, PeerChannel } from './types.js';
 import { MessageType } from './types.js';
 
 /** Bytes that may be buffered for a peer that does not read before its connection is closed. */
 const MAX_BACKLOG_BYTES = 4 * 1024 * 1024;
+/** Largest hello, in bytes: the record of one member. */
+const MAX_HELLO_BYTES = 4096;
 const MAPPED_IPV4 = /^::ffff:/;
 
 /** A message of a peer; the id is 0 unless the message is a request. */
@@ -28,7 +30,7 @@
 
 /** One connection of a peer; its first message must be a hello. */
 class PeerConnection implements PeerChannel {
-  private readonly reader = new FrameReader();
+  private readonly reader = new FrameReader(MAX_HELLO_BYTES);
 
   private peer: string | undefined;
 
@@ -69,13 +71,19 @@
   }
 
   private handleFrame([type, requestId, body]: IncomingFrame): void {
-    if (type === MessageType.Hello) this.peer = this.events.onHello(body, this.remoteHost);
+    if (type === MessageType.Hello) this.identify(body);
     else if (this.peer === undefined) throw new Error('Received a message before the hello.');
     else if (type === MessageType.Goodbye) this.hasSaidGoodbye = true;
     else if (type === MessageType.Heartbeat) this.push(encodeFrame([HEARTBEAT_ID, this.events.digest()]));
     else void this.respond(this.peer, type, requestId, body);
   }
 
+  private identify(body: unknown): void {
+    if (this.peer !== undefined) throw new Error('Received a second hello.');
+    this.peer = this.events.onHello(body, this.remoteHost);
+    this.reader.maxBodyBytes = MAX_BODY_BYTES;
+  }
+
   /** Address of the peer's host; an IPv4 address comes mapped into IPv6 where the listener has both. */
   private get remoteHost(): string {
     return (this.socket.remoteAddress ?? '').replace(MAPPED_IPV4, '');
