cluster: bound the memory of incomplete messages

Connections that sent a hello and half of an 8 MiB message, and stayed, took 1,240 to 1,286 MiB with 300 connections, 350 allowed: each held its part for itself, and nothing bounded the sum.

--- a/packages/routing/src/core/cluster/frames.ts
+++ b/packages/routing/src/core/cluster/frames.ts
@@ -5,6 +5,8 @@
 
 import { ByteBuffer, countValues, decode, encode } from '@celeryyoke/core';
 
+import { BufferBudget } from '../buffers/index.js';
+
 const HEADER_BYTES = 4;
 /** Bit of the header that is set when the body is compressed; the other bits are the length of the body. */
 const COMPRESSED_FLAG = 0x8000_0000;
@@ -66,18 +68,27 @@
   /** Beginning of a frame that is not complete. */
   private readonly partial = new ByteBuffer();
 
+  /** Memory that was taken from the budget, in bytes. */
+  private taken = 0;
+
   /**
+   * @param memory - Limits the memory of all frames that are not complete.
    * @param maxBodyBytes - Largest body, before and after compression; it may change between two frames.
    */
-  constructor(public maxBodyBytes = MAX_BODY_BYTES) {}
+  constructor(
+    private readonly memory = new BufferBudget(),
+    public maxBodyBytes = MAX_BODY_BYTES,
+  ) {}
 
   /**
    * Adds bytes to the stream.
    * @param chunk - Bytes as they were received.
    * @returns The values of the frames that are now complete.
-   * @throws Error when a frame is too large or can't be decoded; the stream can't be read any further then.
+   * @throws Error when a frame is too large or can't be decoded, or incomplete frames take too much memory; the stream
+   *   can't be read any further then.
    */
   *read(chunk: Buffer): Generator {
+    if (this.partial.length > 0) this.take(this.partial.capacityWith(chunk.length));
     const bytes = this.partial.join(chunk);
     let start = 0;
     for (let end = this.frameEnd(bytes, start); end !== undefined; end = this.frameEnd(bytes, start)) {
@@ -85,6 +96,20 @@
       start = end;
     }
     this.partial.keepRest(bytes, start);
+    this.take(this.partial.capacity);
+  }
+
+  /** Gives back the memory of an incomplete frame; nothing can be read afterwards. */
+  release(): void {
+    this.partial.clear();
+    this.take(0);
+  }
+
+  /** Takes memory in place of what was taken before. */
+  private take(bytes: number): void {
+    if (!this.memory.take(bytes - this.taken, bytes))
+      throw new Error('The frames that are not complete take too much memory.');
+    this.taken = bytes;
   }
 
   /**
--- a/packages/routing/src/core/cluster/link.ts
+++ b/packages/routing/src/core/cluster/link.ts
@@ -4,6 +4,7 @@
 import type { TimerHandle, TimerService } from '@celeryyoke/core';
 import { openSocket } from '@celeryyoke/core';
 
+import type { BufferBudget } from '../buffers/index.js';
 import { encodeFrame, FrameReader, HEARTBEAT_ID, PUSH_ID } from './frames.js';
 import type { LinkEvents, PeerLink } from './types.js';
 import { LinkEnd, MessageType } from './types.js';
@@ -39,6 +40,8 @@
   readonly timers: TimerService;
   /** Supplies the hello, and handles pushes, digests and the end of the link. */
   readonly events: LinkEvents;
+  /** Limits the memory of messages that are not complete. */
+  readonly memory: BufferBudget;
 }
 
 /** A link over one TCP connection; it is not reused after it has ended. */
@@ -51,7 +54,7 @@
 
   private readonly socket: Socket;
 
-  private readonly reader = new FrameReader();
+  private readonly reader: FrameReader;
 
   private readonly pendingRequests = new Map<number, PendingRequest>();
 
@@ -67,7 +70,8 @@
   private readonly events: LinkEvents;
 
   /** Starts to connect. Messages sent before the connection is established are buffered. */
-  constructor({ address, from, timers, events }: TcpLinkOptions) {
+  constructor({ address, from, timers, events, memory }: TcpLinkOptions) {
+    this.reader = new FrameReader(memory);
     this.timers = timers;
     this.events = events;
     const [host = '', port = ''] = address.split(':');
@@ -87,6 +91,7 @@
     );
     this.socket.on('close', () => {
       timer.cancel();
+      this.reader.release();
       this.finish(LinkEnd.Closed, 'closed by the peer');
     });
     // Node buffers what is written before the connection is established.
--- a/packages/routing/src/core/cluster/listener.ts
+++ b/packages/routing/src/core/cluster/listener.ts
@@ -3,6 +3,7 @@
 
 import { startListening } from '@celeryyoke/core';
 
+import type { BufferBudget } from '../buffers/index.js';
 import { encodeFrame, FrameReader, HEARTBEAT_ID, MAX_BODY_BYTES } from './frames.js';
 import type { ListenerEvents, PeerChannel } from './types.js';
 import { MessageType } from './types.js';
@@ -18,11 +19,17 @@
 
 /**
  * Starts listening for peers.
+ * @param memory - Limits the memory of messages that are not complete.
  * @returns The server, once it listens.
  */
-export async function listenForPeers(host: string, port: number, events: ListenerEvents): Promise<Server> {
+export async function listenForPeers(
+  host: string,
+  port: number,
+  events: ListenerEvents,
+  memory: BufferBudget,
+): Promise<Server> {
   const server = createServer({ noDelay: true }, (socket) => {
-    new PeerConnection(socket, events).serve();
+    new PeerConnection(socket, events, memory).serve();
   });
   await startListening(server, { host, port });
   return server;
@@ -30,7 +37,7 @@
 
 /** One connection of a peer; its first message must be a hello. */
 class PeerConnection implements PeerChannel {
-  private readonly reader = new FrameReader(MAX_HELLO_BYTES);
+  private readonly reader: FrameReader;
 
   private peer: string | undefined;
 
@@ -39,13 +46,17 @@
   constructor(
     private readonly socket: Socket,
     private readonly events: ListenerEvents,
-  ) {}
+    memory: BufferBudget,
+  ) {
+    this.reader = new FrameReader(memory, MAX_HELLO_BYTES);
+  }
 
   serve(): void {
     const { socket, events } = this;
     socket.on('data', (chunk) => this.receive(chunk));
     socket.on('error', (err) => events.onProblem(this.peer, err));
     socket.on('close', () => {
+      this.reader.release();
       if (this.peer !== undefined) events.onClose(this.peer, this, this.hasSaidGoodbye);
     });
   }
--- a/packages/routing/src/core/cluster/tcp.ts
+++ b/packages/routing/src/core/cluster/tcp.ts
@@ -2,6 +2,7 @@
 import type { TimerService } from '@celeryyoke/core';
 import type { Socket } from 'node:net';
 
+import { BufferBudget } from '../buffers/index.js';
 import { TcpLink } from './link.js';
 import { listenForPeers } from './listener.js';
 import type { PeerTransport } from './types.js';
@@ -11,10 +12,11 @@
  * @param self - Address of the daemon, as `host:port`.
  */
 export function createTcpTransport(self: string, timers: TimerService): PeerTransport {
+  const memory = new BufferBudget();
   return {
     async listen(events) {
       const [host = '', port = ''] = self.split(':');
-      const server = await listenForPeers(host, Number(port), events);
+      const server = await listenForPeers(host, Number(port), events, memory);
       const sockets = new Set<Socket>();
       server.on('connection', (socket) => {
         sockets.add(socket);
@@ -25,6 +27,6 @@
         for (const socket of sockets) socket.destroy();
       };
     },
-    connect: (address, events) => new TcpLink({ address, from: self, timers, events }),
+    connect: (address, events) => new TcpLink({ address, from: self, timers, events, memory }),
   };
 }
