cluster: bound the connections to the port for peers

Each connection that sent two bytes and stayed kept a descriptor: 2,524 with 2,500 connections, 2,050 allowed (half of what a daemon has).

At most 128 connections may be without a hello, of which the oldest is closed for another one, and 1,024 may be open. The case of hostile-upstreams.test.ts holds now (151 descriptors).

--- a/packages/routing/src/core/cluster/listener.ts
+++ b/packages/routing/src/core/cluster/listener.ts
@@ -12,6 +12,10 @@
 const MAX_BACKLOG_BYTES = 4 * 1024 * 1024;
 /** Largest hello, in bytes: the record of one member. */
 const MAX_HELLO_BYTES = 4096;
+/** Most connections of peers: several times those of a large fleet with an exchange relayed on each. */
+const MAX_CONNECTIONS = 1024;
+/** Most connections that have not sent their hello; the one that has waited longest makes room for another one. */
+const MAX_UNIDENTIFIED = 128;
 const MAPPED_IPV4 = /^::ffff:/;
 
 /** A message of a peer; the id is 0 unless the message is a request. */
@@ -28,13 +32,31 @@
   events: ListenerEvents,
   memory: BufferBudget,
 ): Promise<Server> {
+  const unidentified = new Set<Socket>();
   const server = createServer({ noDelay: true }, (socket) => {
-    new PeerConnection(socket, events, memory).serve();
+    admit(socket, unidentified, events);
+    new PeerConnection(socket, events, memory, () => unidentified.delete(socket)).serve();
   });
+  server.maxConnections = MAX_CONNECTIONS;
+  server.on('drop', () =>
+    events.onProblem(undefined, new Error(`More than ${MAX_CONNECTIONS} connections are open`)),
+  );
   await startListening(server, { host, port });
   return server;
 }
 
+/** Adds a connection to those without a hello, and closes the one that has waited longest when they are too many. */
+function admit(socket: Socket, unidentified: Set<Socket>, events: ListenerEvents): void {
+  const [oldest] = unidentified;
+  if (unidentified.size >= MAX_UNIDENTIFIED && oldest !== undefined) {
+    unidentified.delete(oldest);
+    oldest.destroy();
+    events.onProblem(undefined, new Error(`More than ${MAX_UNIDENTIFIED} connections wait for their hello`));
+  }
+  unidentified.add(socket);
+  socket.once('close', () => unidentified.delete(socket));
+}
+
 /** One connection of a peer; its first message must be a hello. */
 class PeerConnection implements PeerChannel {
   private readonly reader: FrameReader;
@@ -47,6 +69,7 @@
     private readonly socket: Socket,
     private readonly events: ListenerEvents,
     memory: BufferBudget,
+    private readonly onIdentified: () => void,
   ) {
     this.reader = new FrameReader(memory, MAX_HELLO_BYTES);
   }
@@ -93,6 +116,7 @@
     if (this.peer !== undefined) throw new Error('Received a second hello.');
     this.peer = this.events.onHello(body, this.remoteHost);
     this.reader.maxBodyBytes = MAX_BODY_BYTES;
+    this.onIdentified();
   }
 
   /** Address of the peer's host; an IPv4 address comes mapped into IPv6 where the listener has both. */
