cluster: give each connection of a peer a share of a turn

Connections that sent heartbeats without end left no time for anything else: nobody was answered within 15 s, and with requests for the view, whose responses were not read, also not after they had gone (379 MiB resident). All messages that a socket held were handled in one turn, and their responses piled up to 4 MiB for each connection.

A connection is not read while it has messages left, or responses that its peer has not read. What a handler responds at once is written before the next message, so that it counts. After a goodbye the connection is read in any case, as its end follows.

--- a/packages/core/src/core/time/index.ts
+++ b/packages/core/src/core/time/index.ts
@@ -4,3 +4,5 @@
 export type { ManualTimersOptions } from './manual.js';
 export { createSystemTimers } from './system.js';
 export type { ManualTimerService, TimerHandle, TimerService } from './types.js';
+export type { TurnTask } from './turn-share.js';
+export { StepResult, TaskState, TurnShare } from './turn-share.js';
--- a/packages/routing/src/core/cluster/link.ts
+++ b/packages/routing/src/core/cluster/link.ts
@@ -1,8 +1,8 @@
 /** The link to one peer over TCP: connects, sends messages, and matches responses to requests. */
 import type { Socket } from 'node:net';
 
-import type { TimerHandle, TimerService } from '@celeryyoke/core';
-import { openSocket } from '@celeryyoke/core';
+import type { TimerHandle, TimerService, TurnShare, TurnTask } from '@celeryyoke/core';
+import { openSocket, StepResult, TaskState } from '@celeryyoke/core';
 
 import type { BufferBudget } from '../buffers/index.js';
 import { encodeFrame, FrameReader, HEARTBEAT_ID, PUSH_ID } from './frames.js';
@@ -42,6 +42,8 @@
   readonly events: LinkEvents;
   /** Limits the memory of messages that are not complete. */
   readonly memory: BufferBudget;
+  /** Shares the time for messages among all connections. */
+  readonly turns: TurnShare;
 }
 
 /** A link over one TCP connection; it is not reused after it has ended. */
@@ -65,12 +67,21 @@
 
   private hasEnded = false;
 
+  /** Handles the messages of the chunk that was read last; undefined when it has. */
+  private task: TurnTask | undefined;
+
+  /** Whether nothing more is wanted from the peer for now. */
+  private isHeldBack = false;
+
+  private readonly turns: TurnShare;
+
   private readonly timers: TimerService;
 
   private readonly events: LinkEvents;
 
   /** Starts to connect. Messages sent before the connection is established are buffered. */
-  constructor({ address, from, timers, events, memory }: TcpLinkOptions) {
+  constructor({ address, from, timers, events, memory, turns }: TcpLinkOptions) {
+    this.turns = turns;
     this.reader = new FrameReader(memory);
     this.timers = timers;
     this.events = events;
@@ -92,6 +103,7 @@
     this.socket.on('close', () => {
       timer.cancel();
       this.reader.release();
+      if (this.task !== undefined) turns.cancel(this.task);
       this.finish(LinkEnd.Closed, 'closed by the peer');
     });
     // Node buffers what is written before the connection is established.
@@ -146,11 +158,13 @@
   }
 
   pause(): void {
+    this.isHeldBack = true;
     this.socket.pause();
   }
 
   resume(): void {
-    this.socket.resume();
+    this.isHeldBack = false;
+    if (this.task === undefined) this.socket.resume();
   }
 
   private write(frame: Buffer): void {
@@ -162,8 +176,28 @@
   private receive(chunk: Buffer): void {
     this.lastReceivedAt = this.timers.now();
     this.unansweredHeartbeats = 0;
+    const task = this.handleChunk(chunk);
+    this.task = task;
+    this.settle(this.turns.run(task, (state) => this.settle(state)));
+  }
+
+  /** Reads on once all messages of a chunk are handled. */
+  private settle(state: TaskState): void {
+    if (state !== TaskState.Done) {
+      this.socket.pause();
+      return;
+    }
+    this.task = undefined;
+    if (!this.isHeldBack && this.socket.isPaused()) this.socket.resume();
+  }
+
+  private *handleChunk(chunk: Buffer): Generator<StepResult, void> {
     try {
-      for (const value of this.reader.read(chunk)) this.handleFrame(value as IncomingFrame);
+      for (const value of this.reader.read(chunk)) {
+        this.handleFrame(value as IncomingFrame);
+        if (this.socket.destroyed) return;
+        yield StepResult.Continue;
+      }
     } catch (err) {
       this.finish(LinkEnd.Closed, String(err));
     }
--- a/packages/routing/src/core/cluster/listener.ts
+++ b/packages/routing/src/core/cluster/listener.ts
@@ -1,7 +1,8 @@
 /** Accepts connections of peers, passes their messages on and sends the responses. */
 import { createServer, type Server, type Socket } from 'node:net';
 
-import { startListening } from '@celeryyoke/core';
+import type { TurnShare, TurnTask } from '@celeryyoke/core';
+import { startListening, StepResult, TaskState } from '@celeryyoke/core';
 
 import type { BufferBudget } from '../buffers/index.js';
 import { encodeFrame, FrameReader, HEARTBEAT_ID, MAX_BODY_BYTES } from './frames.js';
@@ -24,6 +25,7 @@
 /**
  * Starts listening for peers.
  * @param memory - Limits the memory of messages that are not complete.
+ * @param turns - Shares the time for messages among all connections.
  * @returns The server, once it listens.
  */
 export async function listenForPeers(
@@ -31,11 +33,12 @@
   port: number,
   events: ListenerEvents,
   memory: BufferBudget,
+  turns: TurnShare,
 ): Promise<Server> {
   const unidentified = new Set<Socket>();
   const server = createServer({ noDelay: true }, (socket) => {
     admit(socket, unidentified, events);
-    new PeerConnection(socket, events, memory, () => unidentified.delete(socket)).serve();
+    new PeerConnection(socket, events, memory, turns, () => unidentified.delete(socket)).serve();
   });
   server.maxConnections = MAX_CONNECTIONS;
   server.on('drop', () =>
@@ -65,10 +68,14 @@
 
   private hasSaidGoodbye = false;
 
+  /** Handles the messages of the chunk that was read last; undefined when it has. */
+  private task: TurnTask | undefined;
+
   constructor(
     private readonly socket: Socket,
     private readonly events: ListenerEvents,
     memory: BufferBudget,
+    private readonly turns: TurnShare,
     private readonly onIdentified: () => void,
   ) {
     this.reader = new FrameReader(memory, MAX_HELLO_BYTES);
@@ -80,6 +87,7 @@
     socket.on('error', (err) => events.onProblem(this.peer, err));
     socket.on('close', () => {
       this.reader.release();
+      if (this.task !== undefined) this.turns.cancel(this.task);
       if (this.peer !== undefined) events.onClose(this.peer, this, this.hasSaidGoodbye);
     });
   }
@@ -96,11 +104,42 @@
   }
 
   private receive(chunk: Buffer): void {
+    this.task = this.handleChunk(chunk);
+    this.runTask(this.task);
+  }
+
+  private runTask(task: TurnTask): void {
+    this.settle(
+      task,
+      this.turns.run(task, (state) => this.settle(task, state)),
+    );
+  }
+
+  /** Reads on once all messages of a chunk are handled, and the peer has read the responses. */
+  private settle(task: TurnTask, state: TaskState): void {
+    const { socket } = this;
+    if (state !== TaskState.Done) {
+      socket.pause();
+      if (state === TaskState.Blocked) socket.once('drain', () => this.runTask(task));
+      return;
+    }
+    this.task = undefined;
+    if (socket.isPaused()) socket.resume();
+  }
+
+  private *handleChunk(chunk: Buffer): Generator<StepResult, void> {
+    const { socket } = this;
     try {
-      for (const value of this.reader.read(chunk)) this.handleFrame(value as IncomingFrame);
+      for (const value of this.reader.read(chunk)) {
+        this.handleFrame(value as IncomingFrame);
+        if (socket.destroyed) return;
+        // The end of the connection follows a goodbye and must be read in any case.
+        const isBlocked = socket.writableNeedDrain && !this.hasSaidGoodbye;
+        yield isBlocked ? StepResult.Blocked : StepResult.Continue;
+      }
     } catch (err) {
       this.events.onProblem(this.peer, err as Error);
-      this.socket.destroy();
+      socket.destroy();
     }
   }
 
@@ -109,7 +148,7 @@
     else if (this.peer === undefined) throw new Error('Received a message before the hello.');
     else if (type === MessageType.Goodbye) this.hasSaidGoodbye = true;
     else if (type === MessageType.Heartbeat) this.push(encodeFrame([HEARTBEAT_ID, this.events.digest()]));
-    else void this.respond(this.peer, type, requestId, body);
+    else this.respond(this.peer, type, requestId, body);
   }
 
   private identify(body: unknown): void {
@@ -124,13 +163,21 @@
     return (this.socket.remoteAddress ?? '').replace(MAPPED_IPV4, '');
   }
 
-  private async respond(peer: string, type: MessageType, requestId: number, body: unknown): Promise<void> {
-    try {
-      const result = await this.events.onMessage(peer, type, body, this);
-      if (requestId > 0) this.push(encodeFrame([requestId, result ?? null]));
-    } catch (err) {
+  private respond(peer: string, type: MessageType, requestId: number, body: unknown): void {
+    const fail = (err: unknown): void => {
       if (requestId > 0) this.push(encodeFrame([requestId, null, String(err)]));
       else this.events.onProblem(peer, err as Error);
+    };
+    const send = (result: unknown): void => {
+      if (requestId > 0) this.push(encodeFrame([requestId, result ?? null]));
+    };
+    try {
+      const result = this.events.onMessage(peer, type, body, this);
+      // What is known at once counts as unread before the next message is handled.
+      if (result instanceof Promise) result.then(send).catch(fail);
+      else send(result);
+    } catch (err) {
+      fail(err);
     }
   }
 }
--- a/packages/routing/src/core/cluster/tcp.ts
+++ b/packages/routing/src/core/cluster/tcp.ts
@@ -1,5 +1,6 @@
 /** Transport between daemons over TCP. */
 import type { TimerService } from '@celeryyoke/core';
+import { TurnShare } from '@celeryyoke/core';
 import type { Socket } from 'node:net';
 
 import { BufferBudget } from '../buffers/index.js';
@@ -13,10 +14,11 @@
  */
 export function createTcpTransport(self: string, timers: TimerService): PeerTransport {
   const memory = new BufferBudget();
+  const turns = new TurnShare();
   return {
     async listen(events) {
       const [host = '', port = ''] = self.split(':');
-      const server = await listenForPeers(host, Number(port), events, memory);
+      const server = await listenForPeers(host, Number(port), events, memory, turns);
       const sockets = new Set<Socket>();
       server.on('connection', (socket) => {
         sockets.add(socket);
@@ -27,6 +29,6 @@
         for (const socket of sockets) socket.destroy();
       };
     },
-    connect: (address, events) => new TcpLink({ address, from: self, timers, events, memory }),
+    connect: (address, events) => new TcpLink({ address, from: self, timers, events, memory, turns }),
   };
 }
