relays: bound the memory of the bodies that are relayed

A daemon holds the body of each request that it relays until its exchange has ended: 100 bodies of 4 MiB for a replica that does not answer took 419 to 643 MiB, 350 allowed.

A request beyond that is refused as not sent, so that the peer may use another path.

--- a/packages/routing/src/core/relays/relay-server.ts
+++ b/packages/routing/src/core/relays/relay-server.ts
@@ -1,6 +1,7 @@
 /** Carries out exchanges with replicas for daemons that can't reach them. */
 import type { DecisionLog, TimerHandle, TimerService } from '@celeryyoke/core';
 
+import { BufferBudget } from '../buffers/index.js';
 import type { ExchangeHandle, ResponseSink } from '../channels/index.js';
 import { ChannelFailure, ExchangePurpose } from '../channels/index.js';
 import type { Cluster, Member, PeerChannel } from '../cluster/index.js';
@@ -37,6 +38,9 @@
 export class RelayServer {
   private readonly exchanges = new Map<PeerChannel, RelayedCall>();
 
+  /** Limits the memory of the bodies of all requests that are relayed. */
+  private readonly bodies = new BufferBudget();
+
   constructor(private readonly options: RelayServerOptions) {
     const { cluster } = options;
     cluster.handle(MessageType.Relay, (from, frame: RelayRequestFrame, channel) => {
@@ -61,7 +65,15 @@
     const unreadMs = timers.readAgeMs();
     // The peer may have closed the connection long since; another one carries it out sooner.
     const isLate = unreadMs >= SEND_TIMEOUT_MS;
-    if (replica === undefined || isOtherVersion || !isRelayed || isLeaving() || isLate) {
+    const bodyBytes = request.call.body?.length ?? 0;
+    if (
+      replica === undefined ||
+      isOtherVersion ||
+      !isRelayed ||
+      isLeaving() ||
+      isLate ||
+      !this.bodies.take(bodyBytes, bodyBytes)
+    ) {
       const reason = `${request.replica} can't be reached over this daemon.`;
       report({ kind: RelayEventKind.Failed, failure: ChannelFailure.NotSent, reason, hasCrashed: false });
       return;
@@ -78,7 +90,10 @@
       onDrain: (callback) => channel.onDrain(callback),
     });
     this.exchanges.set(channel, call);
-    void call.ended.then(() => this.exchanges.delete(channel));
+    void call.ended.then(() => {
+      this.exchanges.delete(channel);
+      this.bodies.giveBack(bodyBytes);
+    });
   }
 }
 
