channels: bound a buffered response by what its caller expects

Reports of engines could be as large as pages of the store. Six engines whose reports did not end took 489 to 520 MiB, 350 allowed; reports of 36 MB of small values ended the process: out of memory (heap).

Each call states the largest body that it takes; an engine's response may have 1 MiB.

--- a/packages/routing/src/core/channels/buffered-response.ts
+++ b/packages/routing/src/core/channels/buffered-response.ts
@@ -5,9 +5,6 @@
 import type { ChannelPool, UpstreamAddress } from './pool.js';
 import type { ResponseSink, ChannelFailure, HeaderMap, ExchangeHandle, UpstreamCall } from './types.js';
 
-/** Largest body, in bytes: many pages of the platform's store, whose items are a megabyte at most. */
-const MAX_BODY_BYTES = 64 * 1024 * 1024;
-
 /** A complete response. */
 export interface BufferedResponse {
   readonly status: number;
@@ -33,6 +30,8 @@
   readonly timers: TimerService;
   /** Timeout until the response is complete, in milliseconds. */
   readonly timeoutMs: number;
+  /** Largest body of the response, in bytes. */
+  readonly maxBodyBytes: number;
   /** Cancels the exchange. */
   readonly signal?: AbortSignal;
 }
@@ -71,7 +70,7 @@
       },
       onData: (chunk) => {
         body.append(chunk);
-        if (body.length > MAX_BODY_BYTES) exchange.cancel('The response is too large.');
+        if (body.length > options.maxBodyBytes) exchange.cancel('The response is too large.');
       },
       onEnd: () => {
         cleanUp();
--- a/packages/routing/test/channels.test.ts
+++ b/packages/routing/test/channels.test.ts
@@ -17,6 +17,7 @@
 import type { RawReplica, RawRequest } from './raw.js';
 import { startRawReplica } from './raw.js';
 
+const MAX_BODY_BYTES = 1024 * 1024;
 const timers = createSystemTimers();
 
 interface Outcome {
@@ -151,7 +152,7 @@
   releaseAfter(t, pool, replica);
   const call = { purpose: ExchangePurpose.Request, method: 'GET', path: '/x', headers: ['x-name', 'a\nb'] };
   const upstream = { id: 'r', host: '127.0.0.1', port: replica.port };
-  const options = { timers, timeoutMs: 800 };
+  const options = { timers, timeoutMs: 800, maxBodyBytes: MAX_BODY_BYTES };
   const err = await t.throwsAsync(requestBuffered(pool, upstream, { ...call, body: undefined }, options), {
     instanceOf: ExchangeError,
   });
@@ -167,9 +168,12 @@
     ['999.0.0.1', 80],
   ] as const) {
     const channel = pool.openExclusive({ id: 'r', host, port }, () => undefined);
-    const err = await t.throwsAsync(channel.call({ ...call, body: undefined }, { timers, timeoutMs: 800 }), {
-      instanceOf: ExchangeError,
-    });
+    const err = await t.throwsAsync(
+      channel.call({ ...call, body: undefined }, { timers, timeoutMs: 800, maxBodyBytes: MAX_BODY_BYTES }),
+      {
+        instanceOf: ExchangeError,
+      },
+    );
     t.is(err?.failure, ChannelFailure.NotSent);
     t.false(channel.isOpen);
   }
@@ -309,7 +313,7 @@
   headers: ['host', 'h'],
   body: undefined,
 };
-const READ_OPTIONS = { timers, timeoutMs: 800 };
+const READ_OPTIONS = { timers, timeoutMs: 800, maxBodyBytes: MAX_BODY_BYTES };
 
 /** Runs a test with an exclusive channel to a scripted replica. */
 async function withExclusive(
@@ -407,7 +411,7 @@
     headers: ['host', 'h'],
     body: undefined,
   };
-  const options = { timers, timeoutMs: 1000 };
+  const options = { timers, timeoutMs: 1000, maxBodyBytes: MAX_BODY_BYTES };
   await channel.call(order, options);
   isRuledOut = true;
   const err = await t.throwsAsync(channel.call(order, options), { instanceOf: ExchangeError });
