--- a/packages/routing/src/core/channels/buffered-response.ts
+++ b/packages/routing/src/core/channels/buffered-response.ts
@@ -25,6 +25,9 @@
   }
 }
 
+/** An exchange whose response is larger than its caller takes. */
+export class ResponseTooLargeError extends ExchangeError {}
+
 /** Limits of an exchange. */
 export interface ExchangeOptions {
   readonly timers: TimerService;
@@ -38,6 +41,7 @@
 
 /**
  * Sends a request on a pooled connection and buffers the response.
+ * @throws ResponseTooLargeError when the response is larger than the options allow.
  * @throws ExchangeError when the response is not complete in time.
  */
 export function requestBuffered(
@@ -52,6 +56,7 @@
 /**
  * Buffers the response of an exchange.
  * @param start - Sends the request.
+ * @throws ResponseTooLargeError when the response is larger than the options allow.
  * @throws ExchangeError when the response is not complete in time.
  */
 export function bufferResponse(
@@ -62,6 +67,7 @@
     const body = new ByteBuffer();
     let status = 0;
     let headers: HeaderMap = {};
+    let isTooLarge = false;
     const exchange = start({
       onSent: () => undefined,
       onHead: (code, fields) => {
@@ -70,7 +76,8 @@
       },
       onData: (chunk) => {
         body.append(chunk);
-        if (body.length > options.maxBodyBytes) exchange.cancel('The response is too large.');
+        isTooLarge = body.length > options.maxBodyBytes;
+        if (isTooLarge) exchange.cancel('The response is too large.');
       },
       onEnd: () => {
         cleanUp();
@@ -78,7 +85,8 @@
       },
       onFail: (failure, err) => {
         cleanUp();
-        reject(new ExchangeError(failure, err.message));
+        const FailureError = isTooLarge ? ResponseTooLargeError : ExchangeError;
+        reject(new FailureError(failure, err.message));
       },
     });
     // Cancelling makes the exchange fail, which rejects the promise.
--- a/packages/routing/src/core/channels/index.ts
+++ b/packages/routing/src/core/channels/index.ts
@@ -8,4 +8,4 @@
 export type { UpstreamGuard, ResponseSink, HeaderMap, ExchangeHandle, UpstreamCall } from './types.js';
 export { ChannelFailure, ExchangePurpose } from './types.js';
 export type { ExchangeOptions, BufferedResponse } from './buffered-response.js';
-export { requestBuffered, ExchangeError } from './buffered-response.js';
+export { requestBuffered, ExchangeError, ResponseTooLargeError } from './buffered-response.js';
