channels: bound the lines in the head of a response

The parser limits a head to 16 KB, in which 8,000 to 16,000 fields fit. Each of them costs some 20 microseconds and two buffers: 48 heads without end left nobody answered within 15 s (0.2 to 0.5 s of one turn each), and 128 heads of 16,000 fields that stayed ended the process: out of memory (heap).

--- a/packages/routing/src/core/channels/channel.ts
+++ b/packages/routing/src/core/channels/channel.ts
@@ -13,6 +13,7 @@
 
 import { ChunkBatch } from '../buffers/index.js';
 import { isFramed } from './framing.js';
+import { HeadGuard } from './head-guard.js';
 import { ReadGate } from './read-gate.js';
 import type { ResponseSink, HeaderMap, ExchangeHandle, UpstreamCall } from './types.js';
 import { ChannelFailure, ExchangePurpose } from './types.js';
@@ -83,6 +84,8 @@
 
   private readGate: ReadGate | undefined;
 
+  private readonly heads = new HeadGuard();
+
   /** Monotonic time at which the connection was established, in milliseconds. */
   private connectedAt: number | undefined;
 
@@ -119,6 +122,7 @@
       refusal: () => refusal(call.purpose),
       onWritten: () => {
         this.isAwaitingHead = true;
+        this.heads.begin();
       },
       onResponseHead: (status, headers) => {
         this.isAwaitingHead = false;
@@ -229,7 +233,7 @@
       keepAliveInitialDelay: KEEPALIVE_DELAY_MS,
     });
     this.socket = socket;
-    this.readGate = new ReadGate(socket);
+    this.readGate = new ReadGate(socket, this.heads);
     const handOver = (): void => {
       if (socket.destroyed) callback(new Error('The connection has ended.'), null);
       else callback(null, socket);
--- a/packages/routing/src/core/channels/read-gate.ts
+++ b/packages/routing/src/core/channels/read-gate.ts
@@ -6,13 +6,23 @@
  */
 import type { Socket } from 'node:net';
 
+import type { HeadGuard } from './head-guard.js';
+
 /** Stands between a socket and a reader that calls `read` on each `readable` event. */
 export class ReadGate {
   private isClosed = false;
 
-  constructor(private readonly socket: Socket) {
+  /**
+   * @param heads - Sees all bytes before the reader does; what it does not accept ends the connection.
+   */
+  constructor(
+    private readonly socket: Socket,
+    private readonly heads: HeadGuard,
+  ) {
     const read = socket.read.bind(socket);
-    Object.assign(socket, { read: (size?: number) => (this.isClosed ? null : (read(size) as unknown)) });
+    Object.assign(socket, {
+      read: (size?: number) => (this.isClosed ? null : this.check(read(size) as Buffer | null)),
+    });
   }
 
   /** Lets the reader have nothing more. */
@@ -29,4 +39,10 @@
       if (!this.isClosed && !this.socket.destroyed) this.socket.emit('readable');
     });
   }
+
+  private check(chunk: Buffer | null): Buffer | null {
+    if (chunk === null || this.heads.accepts(chunk)) return chunk;
+    this.socket.destroy(new Error('The head of a response has too many lines.'));
+    return null;
+  }
 }
--- a/packages/routing/test/channels.test.ts
+++ b/packages/routing/test/channels.test.ts
@@ -9,6 +9,7 @@
   NO_GUARD,
   ExchangeError,
   ExchangePurpose,
+  HeadGuard,
   requestBuffered,
 } from '@celeryyoke/routing';
 import type { ExecutionContext } from 'ava';
@@ -516,3 +517,23 @@
   await manual.advance(MAX_WORK_AFTER_CANCEL_MS);
   t.deepEqual(await closed, ['closed']);
 });
+
+// Guards against a head that is refused for the lines of the body behind it, or for those of an interim one before it.
+test('only the lines of a head are limited, however its bytes are split', (t) => {
+  const fields = 'a: b\r\n'.repeat(200);
+  const heads = `HTTP/1.1 103 Early Hints\r\n${fields}\r\nHTTP/1.1 200 OK\r\n${fields}`;
+  for (const size of [1, 7, 4096]) {
+    const guard = new HeadGuard();
+    const accepts = (text: string): boolean => {
+      const bytes = Buffer.from(text);
+      let isAccepted = true;
+      for (let at = 0; at < bytes.length; at += size)
+        isAccepted &&= guard.accepts(bytes.subarray(at, at + size));
+      return isAccepted;
+    };
+    guard.begin();
+    t.true(accepts(`${heads}\r\n${'data: x\n\n'.repeat(1000)}`));
+    guard.begin();
+    t.false(accepts(`${heads}${fields}`));
+  }
+});
