channels: bound the lines in the trailers of a response

The parser limits trailers to 16 KB, in which 16,000 fields fit, and reports nothing of them: 128 streams with such trailers that stayed ended the process (out of memory, heap), and 128 without end left nobody answered within 15 s.

The parser gets at most 4 KiB at once, and no more after 256 lines of which it has reported neither head, data nor end; the connection is closed then.

--- a/packages/routing/src/core/channels/channel.ts
+++ b/packages/routing/src/core/channels/channel.ts
@@ -15,6 +15,7 @@
 import { isFramed } from './framing.js';
 import { HeadGuard } from './head-guard.js';
 import { ReadGate } from './read-gate.js';
+import { TrailerGuard } from './trailer-guard.js';
 import type { ResponseSink, HeaderMap, ExchangeHandle, UpstreamCall } from './types.js';
 import { ChannelFailure, ExchangePurpose } from './types.js';
 
@@ -86,6 +87,8 @@
 
   private readonly heads = new HeadGuard();
 
+  private readonly trailers = new TrailerGuard();
+
   /** Monotonic time at which the connection was established, in milliseconds. */
   private connectedAt: number | undefined;
 
@@ -128,6 +131,7 @@
         this.isAwaitingHead = false;
         onResponseHead(status, headers, call.requestId);
       },
+      onReport: () => this.trailers.recordReport(),
       wasReset: () => this.wasReset,
       reset: () => this.reset(),
       connectedAt: () => this.connectedAt,
@@ -233,7 +237,7 @@
       keepAliveInitialDelay: KEEPALIVE_DELAY_MS,
     });
     this.socket = socket;
-    this.readGate = new ReadGate(socket, this.heads);
+    this.readGate = new ReadGate(socket, [this.heads, this.trailers]);
     const handOver = (): void => {
       if (socket.destroyed) callback(new Error('The connection has ended.'), null);
       else callback(null, socket);
@@ -278,6 +282,8 @@
   readonly onWritten: () => void;
   /** Called with the head of the response, also after a cancel. */
   readonly onResponseHead: (status: number, headers: HeaderMap) => void;
+  /** Called whenever the parser reports something of the response, also after a cancel. */
+  readonly onReport: () => void;
   readonly wasReset: () => boolean;
   /** Resets the connection. */
   readonly reset: () => void;
@@ -349,6 +355,7 @@
   }
 
   onResponseStart(controller: Dispatcher.DispatchController, status: number, headers: HeaderMap): void {
+    this.context.onReport();
     if (status < FIRST_FINAL_STATUS) {
       this.recordInterimResponse();
       return;
@@ -373,6 +380,7 @@
   }
 
   onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    this.context.onReport();
     if (this.hasEnded) return;
     if (chunk.length < TINY_CHUNK_BYTES) this.tinyChunks += 1;
     if (this.tinyChunks <= MAX_TINY_CHUNKS) {
@@ -384,6 +392,7 @@
   }
 
   onResponseEnd(): void {
+    this.context.onReport();
     this.batch.flush();
     if (this.hasEnded) return;
     if (!this.isFramed && this.context.wasReset()) {
--- a/packages/routing/src/core/channels/read-gate.ts
+++ b/packages/routing/src/core/channels/read-gate.ts
@@ -7,21 +7,29 @@
 import type { Socket } from 'node:net';
 
 import type { HeadGuard } from './head-guard.js';
+import type { TrailerGuard } from './trailer-guard.js';
+
+/** Most bytes that the reader gets at once, so that few fields are parsed before the guards see what was reported. */
+const MAX_SLICE_BYTES = 4096;
 
 /** Stands between a socket and a reader that calls `read` on each `readable` event. */
 export class ReadGate {
   private isClosed = false;
 
   /**
-   * @param heads - Sees all bytes before the reader does; what it does not accept ends the connection.
+   * @param guards - See all bytes before the reader does; what one of them does not accept ends the connection.
    */
   constructor(
     private readonly socket: Socket,
-    private readonly heads: HeadGuard,
+    private readonly guards: readonly (HeadGuard | TrailerGuard)[],
   ) {
     const read = socket.read.bind(socket);
     Object.assign(socket, {
-      read: (size?: number) => (this.isClosed ? null : this.check(read(size) as Buffer | null)),
+      read: (size?: number) => {
+        if (this.isClosed) return null;
+        const isLong = size === undefined && socket.readableLength > MAX_SLICE_BYTES;
+        return this.check(read(isLong ? MAX_SLICE_BYTES : size) as Buffer | null);
+      },
     });
   }
 
@@ -41,8 +49,8 @@
   }
 
   private check(chunk: Buffer | null): Buffer | null {
-    if (chunk === null || this.heads.accepts(chunk)) return chunk;
-    this.socket.destroy(new Error('The head of a response has too many lines.'));
+    if (chunk === null || this.guards.every((guard) => guard.accepts(chunk))) return chunk;
+    this.socket.destroy(new Error('The head or the trailers of a response have too many lines.'));
     return null;
   }
 }
