--- a/packages/routing/src/core/channels/buffered-response.ts
+++ b/packages/routing/src/core/channels/buffered-response.ts
@@ -5,9 +5,6 @@
 import type { ChannelPool, UpstreamAddress } from './pool.js';
 import type { ResponseSink, ChannelFailure, HeaderMap, ExchangeHandle, UpstreamCall } from './types.js';
 
-/** Largest body, in bytes: many pages of the platform's store, whose items are a megabyte at most. */
-const MAX_BODY_BYTES = 64 * 1024 * 1024;
-
 /** A complete response. */
 export interface BufferedResponse {
   readonly status: number;
@@ -28,17 +25,23 @@
   }
 }
 
+/** An exchange whose response is larger than its caller takes. */
+export class ResponseTooLargeError extends ExchangeError {}
+
 /** Limits of an exchange. */
 export interface ExchangeOptions {
   readonly timers: TimerService;
   /** Timeout until the response is complete, in milliseconds. */
   readonly timeoutMs: number;
+  /** Largest body of the response, in bytes. */
+  readonly maxBodyBytes: number;
   /** Cancels the exchange. */
   readonly signal?: AbortSignal;
 }
 
 /**
  * Sends a request on a pooled connection and buffers the response.
+ * @throws ResponseTooLargeError when the response is larger than the options allow.
  * @throws ExchangeError when the response is not complete in time.
  */
 export function requestBuffered(
@@ -53,6 +56,7 @@
 /**
  * Buffers the response of an exchange.
  * @param start - Sends the request.
+ * @throws ResponseTooLargeError when the response is larger than the options allow.
  * @throws ExchangeError when the response is not complete in time.
  */
 export function bufferResponse(
@@ -63,6 +67,7 @@
     const body = new ByteBuffer();
     let status = 0;
     let headers: HeaderMap = {};
+    let isTooLarge = false;
     const exchange = start({
       onSent: () => undefined,
       onHead: (code, fields) => {
@@ -71,7 +76,8 @@
       },
       onData: (chunk) => {
         body.append(chunk);
-        if (body.length > MAX_BODY_BYTES) exchange.cancel('The response is too large.');
+        isTooLarge = body.length > options.maxBodyBytes;
+        if (isTooLarge) exchange.cancel('The response is too large.');
       },
       onEnd: () => {
         cleanUp();
@@ -79,7 +85,8 @@
       },
       onFail: (failure, err) => {
         cleanUp();
-        reject(new ExchangeError(failure, err.message));
+        const FailureError = isTooLarge ? ResponseTooLargeError : ExchangeError;
+        reject(new FailureError(failure, err.message));
       },
     });
     // Cancelling makes the exchange fail, which rejects the promise.
--- a/packages/routing/src/core/channels/channel.ts
+++ b/packages/routing/src/core/channels/channel.ts
@@ -14,9 +14,11 @@
 import { ChunkBatch } from '../buffers/index.js';
 import { EndGate } from './end-gate.js';
 import { isFramed } from './framing.js';
+import { HeadGuard } from './head-guard.js';
 import { ReadGate } from './read-gate.js';
 import { findHeadFault } from './response-head.js';
 import { StatusLineGate } from './status-line-gate.js';
+import { TrailerGuard } from './trailer-guard.js';
 import type { ResponseSink, HeaderMap, ExchangeHandle, UpstreamCall } from './types.js';
 import { ChannelFailure, ExchangePurpose } from './types.js';
 
@@ -90,6 +92,10 @@
 
   private statusLineGate: StatusLineGate | undefined;
 
+  private readonly heads = new HeadGuard();
+
+  private readonly trailers = new TrailerGuard();
+
   /** Monotonic time at which the connection was established, in milliseconds. */
   private connectedAt: number | undefined;
 
@@ -127,11 +133,13 @@
       onWritten: () => {
         this.isAwaitingHead = true;
         this.statusLineGate?.begin();
+        this.heads.begin();
       },
       onResponseHead: (status, headers) => {
         this.isAwaitingHead = false;
         onResponseHead(status, headers, call.requestId);
       },
+      onReport: () => this.trailers.recordReport(),
       wasReset: () => this.wasReset,
       reset: () => this.reset(),
       connectedAt: () => this.connectedAt,
@@ -238,7 +246,7 @@
       keepAliveInitialDelay: KEEPALIVE_DELAY_MS,
     });
     this.socket = socket;
-    this.readGate = new ReadGate(socket);
+    this.readGate = new ReadGate(socket, [this.heads, this.trailers]);
     this.endGate = new EndGate(socket);
     this.statusLineGate = new StatusLineGate(socket);
     const handOver = (): void => {
@@ -285,6 +293,8 @@
   readonly onWritten: () => void;
   /** Called with the head of the response, also after a cancel. */
   readonly onResponseHead: (status: number, headers: HeaderMap) => void;
+  /** Called whenever the parser reports something of the response, also after a cancel. */
+  readonly onReport: () => void;
   readonly wasReset: () => boolean;
   /** Resets the connection. */
   readonly reset: () => void;
@@ -363,6 +373,7 @@
     headers: HeaderMap,
     reason?: string,
   ): void {
+    this.context.onReport();
     const fault = findHeadFault(headers, reason);
     if (fault !== undefined) {
       this.refuse(fault);
@@ -398,6 +409,7 @@
   }
 
   onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    this.context.onReport();
     if (this.hasEnded) return;
     if (chunk.length < TINY_CHUNK_BYTES) this.tinyChunks += 1;
     if (this.tinyChunks <= MAX_TINY_CHUNKS) {
@@ -408,6 +420,7 @@
   }
 
   onResponseEnd(): void {
+    this.context.onReport();
     this.batch.flush();
     if (this.hasEnded) return;
     if (!this.isFramed && this.context.wasReset()) {
--- a/packages/routing/test/channels.test.ts
+++ b/packages/routing/test/channels.test.ts
@@ -11,6 +11,7 @@
   NO_GUARD,
   ExchangeError,
   ExchangePurpose,
+  HeadGuard,
   requestBuffered,
 } from '@celeryyoke/routing';
 import type { ExecutionContext } from 'ava';
@@ -19,6 +20,7 @@
 import type { RawReplica, RawRequest } from './raw.js';
 import { startRawReplica } from './raw.js';
 
+const MAX_BODY_BYTES = 1024 * 1024;
 const timers = createSystemTimers();
 
 interface Outcome {
@@ -153,7 +155,7 @@
   releaseAfter(t, pool, replica);
   const call = { purpose: ExchangePurpose.Request, method: 'GET', path: '/x', headers: ['x-name', 'a\nb'] };
   const upstream = { id: 'r', host: '127.0.0.1', port: replica.port };
-  const options = { timers, timeoutMs: 800 };
+  const options = { timers, timeoutMs: 800, maxBodyBytes: MAX_BODY_BYTES };
   const err = await t.throwsAsync(requestBuffered(pool, upstream, { ...call, body: undefined }, options), {
     instanceOf: ExchangeError,
   });
@@ -169,9 +171,12 @@
     ['999.0.0.1', 80],
   ] as const) {
     const channel = pool.openExclusive({ id: 'r', host, port }, () => undefined);
-    const err = await t.throwsAsync(channel.call({ ...call, body: undefined }, { timers, timeoutMs: 800 }), {
-      instanceOf: ExchangeError,
-    });
+    const err = await t.throwsAsync(
+      channel.call({ ...call, body: undefined }, { timers, timeoutMs: 800, maxBodyBytes: MAX_BODY_BYTES }),
+      {
+        instanceOf: ExchangeError,
+      },
+    );
     t.is(err?.failure, ChannelFailure.NotSent);
     t.false(channel.isOpen);
   }
@@ -331,7 +336,7 @@
           pool,
           upstream,
           { ...call, body: undefined },
-          { timers, timeoutMs: 1000 },
+          { timers, timeoutMs: 1000, maxBodyBytes: MAX_BODY_BYTES },
         );
         await t.throwsAsync(response, { message: /status line/ });
       },
@@ -421,7 +426,7 @@
   headers: ['host', 'h'],
   body: undefined,
 };
-const READ_OPTIONS = { timers, timeoutMs: 800 };
+const READ_OPTIONS = { timers, timeoutMs: 800, maxBodyBytes: MAX_BODY_BYTES };
 
 /** Runs a test with an exclusive channel to a scripted replica. */
 async function withExclusive(
@@ -519,7 +524,7 @@
     headers: ['host', 'h'],
     body: undefined,
   };
-  const options = { timers, timeoutMs: 1000 };
+  const options = { timers, timeoutMs: 1000, maxBodyBytes: MAX_BODY_BYTES };
   await channel.call(order, options);
   isRuledOut = true;
   const err = await t.throwsAsync(channel.call(order, options), { instanceOf: ExchangeError });
@@ -624,3 +629,23 @@
   await manual.advance(MAX_WORK_AFTER_CANCEL_MS);
   t.deepEqual(await closed, ['closed']);
 });
+
+// Guards against a head that is refused for the lines of the body behind it, or for those of an interim one before it.
+test('only the lines of a head are limited, however its bytes are split', (t) => {
+  const fields = 'a: b\r\n'.repeat(200);
+  const heads = `HTTP/1.1 103 Early Hints\r\n${fields}\r\nHTTP/1.1 200 OK\r\n${fields}`;
+  for (const size of [1, 7, 4096]) {
+    const guard = new HeadGuard();
+    const accepts = (text: string): boolean => {
+      const bytes = Buffer.from(text);
+      let isAccepted = true;
+      for (let at = 0; at < bytes.length; at += size)
+        isAccepted &&= guard.accepts(bytes.subarray(at, at + size));
+      return isAccepted;
+    };
+    guard.begin();
+    t.true(accepts(`${heads}\r\n${'data: x\n\n'.repeat(1000)}`));
+    guard.begin();
+    t.false(accepts(`${heads}${fields}`));
+  }
+});
