daemon: pace clients of the listeners for readiness and metrics

What callers saw: nobody was answered for more than 10 s after clients of another listener of the daemon had gone that had sent chunks of one byte, or requests for the metrics whose answers they did not read.

Cause: these listeners leave sockets to the parser of Node.js, as that of the callers did.

Change: their connections take turns and are taken one request after the other, too.

--- a/packages/routing/src/core/daemon/metrics.ts
+++ b/packages/routing/src/core/daemon/metrics.ts
@@ -7,6 +7,8 @@
 
 import type { EngineLeases, PauseDetector } from '../ownership/index.js';
 import type { ChannelPool } from '../channels/index.js';
+import type { PacingOptions } from '../input/index.js';
+import { paceServer } from '../input/index.js';
 import type { Cluster } from '../cluster/index.js';
 import type { DisseminationTree } from '../dissemination/index.js';
 import type { RecordSource, ReplicatedStore } from '../view/index.js';
@@ -104,11 +106,17 @@
 }
 
 /** Starts an HTTP server that exposes the metrics at every path. */
-export async function startMetricsServer(host: string, port: number, metrics: Metrics): Promise<Server> {
+export async function startMetricsServer(
+  host: string,
+  port: number,
+  metrics: Metrics,
+  pacing: PacingOptions,
+): Promise<Server> {
   const server = createServer((_req, res) => {
     res.writeHead(OK, { 'content-type': 'text/plain; version=0.0.4' });
     res.end(metrics.render());
   });
+  paceServer(server, pacing);
   await startListening(server, { host, port });
   return server;
 }
--- a/packages/routing/src/core/daemon/readiness.ts
+++ b/packages/routing/src/core/daemon/readiness.ts
@@ -4,13 +4,16 @@
 
 import { startListening } from '@celeryyoke/core';
 
+import type { PacingOptions } from '../input/index.js';
+import { paceServer } from '../input/index.js';
+
 const OK = 200;
 const NOT_READY = 503;
 const NOT_FOUND = 404;
 
 export type ReadinessServer = Server;
 
-export interface ReadinessOptions {
+export interface ReadinessOptions extends PacingOptions {
   readonly host: string;
   readonly port: number;
   /** Whether a path is the readiness probe; other paths get 404. */
@@ -25,6 +28,7 @@
     else res.statusCode = options.isReady() ? OK : NOT_READY;
     res.end();
   });
+  paceServer(server, options);
   await startListening(server, { host: options.host, port: options.port });
   return server;
 }
--- a/packages/routing/src/core/daemon/services.ts
+++ b/packages/routing/src/core/daemon/services.ts
@@ -1046,15 +1046,17 @@
       configVersion: () => registry.table?.document.version ?? 0,
     });
     if (settings.metricsPort === undefined) return undefined;
-    return startMetricsServer(settings.host, settings.metricsPort, metrics);
+    return startMetricsServer(settings.host, settings.metricsPort, metrics, this.options);
   }
 
   private startReadiness(kernel: ServiceFinder): Promise<ReadinessServer> {
-    const { settings, isReadinessPath } = this.options;
+    const { settings, isReadinessPath, timers, log } = this.options;
     const registry = kernel.get<ReplicaRegistry>(PART.registry);
     return startReadinessServer({
       host: settings.host,
       port: settings.readinessPort,
+      timers,
+      log,
       isReadinessPath,
       isReady: () => {
         if (this.state.isLeaving) this.state.failedProbes += 1;
--- a/packages/soak/test/hostile-clients.test.ts
+++ b/packages/soak/test/hostile-clients.test.ts
@@ -21,16 +21,25 @@
   StoreStandIn,
   writeForever,
 } from '@celeryyoke/adapter/testing';
+import type { SocketAddress } from '@celeryyoke/core';
 import { createSystemTimers, parseSocketAddress } from '@celeryyoke/core';
 import type { RawRequest } from '@celeryyoke/routing/testing';
 import { sendRaw } from '@celeryyoke/routing/testing';
+import type { ExecutionContext } from 'ava';
 import test from 'ava';
 
 import type { RunningProcess } from '../src/core/processes/index.js';
 import { ProcessGroup } from '../src/core/processes/index.js';
 import { claimNetworks, daemonAddress, settingsOf } from '../src/core/site/index.js';
 import type { HostileKind } from './hostile-crowd.js';
-import { HOSTILE_KINDS, LARGE_PATH, MAX_BODY_BYTES, ORDINARY, startCrowd } from './hostile-crowd.js';
+import {
+  HOSTILE_KINDS,
+  LARGE_PATH,
+  MAX_BODY_BYTES,
+  ORDINARY,
+  OTHER_LISTENER_KINDS,
+  startCrowd,
+} from './hostile-crowd.js';
 
 const ROOT = fileURLToPath(new URL('../../../../', import.meta.url));
 /** Memory of a machine, in KiB. */
@@ -39,6 +48,8 @@
 const SPARE_DESCRIPTORS = 200;
 const PLAY_MS = 3500;
 const SAMPLE_MS = 100;
+/** First port of the range that the settings offer. */
+const METRICS_PORT = 7380;
 /** Time that an ordinary request has, once the crowd is gone, in milliseconds. */
 const ANSWER_TIMEOUT_MS = 10_000;
 const READY_TIMEOUT_MS = 10_000;
@@ -81,10 +92,17 @@
   writeForever(req, EVENT_CHUNK);
 }
 
+/** Listeners of a daemon to which clients connect. */
+enum Listener {
+  Callers = 'callers',
+  Readiness = 'readiness',
+  Metrics = 'metrics',
+}
+
 /** A daemon as a process of its own, with a store and a replica of each service. */
 interface Site {
   readonly daemon: RunningProcess;
-  readonly callers: { readonly host: string; readonly port: number };
+  readonly listeners: Readonly<Record<Listener, SocketAddress>>;
 }
 
 async function waitUntilReady(readiness: string): Promise<void> {
@@ -126,7 +144,14 @@
       logFile: join(dir, 'daemon.log'),
     });
     await waitUntilReady(address.readiness);
-    await run({ daemon, callers: parseSocketAddress(address.callers)! });
+    await run({
+      daemon,
+      listeners: {
+        [Listener.Callers]: parseSocketAddress(address.callers)!,
+        [Listener.Readiness]: parseSocketAddress(address.readiness)!,
+        [Listener.Metrics]: { host: address.host, port: METRICS_PORT },
+      },
+    });
   } finally {
     await processes.stop();
     await Promise.all(replicas.map((replica) => replica.close()));
@@ -136,8 +161,8 @@
 
 const hasEnded = ({ child }: RunningProcess): boolean => child.exitCode !== null || child.signalCode !== null;
 
-/** Lets crowds play for a while; returns the most descriptors and memory that the daemon has had. */
-async function playCrowds({ daemon, callers }: Site, kinds: readonly HostileKind[]) {
+/** Lets a crowd play beside ordinary callers; returns the most descriptors and memory that the daemon has had. */
+async function playCrowd({ daemon, listeners }: Site, at: Listener, kind: HostileKind) {
   const pid = daemon.child.pid!;
   const most = { descriptors: 0, residentKib: 0 };
   const sample = (): void => {
@@ -146,7 +171,7 @@
     most.residentKib = Math.max(most.residentKib, peakResidentKib(pid));
   };
   const end = timers.now() + PLAY_MS;
-  const stops = kinds.map((kind) => startCrowd(callers, kind));
+  const stops = [startCrowd(listeners[at], kind), startCrowd(listeners[Listener.Callers], ORDINARY)];
   while (timers.now() < end) {
     await timers.sleep(SAMPLE_MS);
     sample();
@@ -155,31 +180,42 @@
   return { most, sample };
 }
 
+/** Plays one kind of client at a listener, and checks what must hold. */
+function survives(t: ExecutionContext, at: Listener, kind: HostileKind): Promise<void> {
+  t.timeout(60_000);
+  return withSite(async (site) => {
+    const { daemon, listeners } = site;
+    const before = countDescriptors(daemon.child.pid!);
+    const { most, sample } = await playCrowd(site, at, kind);
+    const askedAt = timers.now();
+    const { host, port } = listeners[Listener.Callers];
+    const { text } = await sendRaw(port, [ORDINARY_REQUEST], ANSWER_TIMEOUT_MS, { host });
+    sample();
+    const [status = ''] = text.split('\r\n');
+    t.log(
+      `${Math.round(most.residentKib / 1024)} MiB resident, ${most.descriptors} descriptors (${before} before); ` +
+        `${status || 'no answer'} after ${Math.round(timers.now() - askedAt)} ms`,
+    );
+    t.false(hasEnded(daemon), `the process has ended: ${daemon.child.signalCode ?? daemon.child.exitCode}`);
+    const connections = kind.connections + ORDINARY.connections;
+    t.true(most.residentKib < MAX_RESIDENT_KIB, `${most.residentKib} KiB are resident`);
+    t.true(
+      most.descriptors < before + connections + SPARE_DESCRIPTORS,
+      `${most.descriptors} descriptors are open`,
+    );
+    t.true(text.startsWith('HTTP/1.1 200'), status);
+  });
+}
+
 for (const [name, kind] of Object.entries(HOSTILE_KINDS))
   // Guards against clients outside the limits that end a daemon, take its memory or keep it from answering others.
-  test.serial(`a daemon survives hostile clients and serves others: ${name}`, (t) => {
-    t.timeout(60_000);
-    return withSite(async (site) => {
-      const { daemon, callers } = site;
-      const before = countDescriptors(daemon.child.pid!);
-      const kinds = [kind, ORDINARY];
-      const { most, sample } = await playCrowds(site, kinds);
-      const askedAt = timers.now();
-      const { text } = await sendRaw(callers.port, [ORDINARY_REQUEST], ANSWER_TIMEOUT_MS, {
-        host: callers.host,
-      });
-      sample();
-      t.log(
-        `${Math.round(most.residentKib / 1024)} MiB resident, ${most.descriptors} descriptors (${before} before); ` +
-          `${text.split('\r\n')[0] || 'no answer'} after ${Math.round(timers.now() - askedAt)} ms`,
-      );
-      t.false(hasEnded(daemon), `the process has ended: ${daemon.child.signalCode ?? daemon.child.exitCode}`);
-      const connections = kinds.reduce((sum, each) => sum + each.connections, 0);
-      t.true(most.residentKib < MAX_RESIDENT_KIB, `${most.residentKib} KiB are resident`);
-      t.true(
-        most.descriptors < before + connections + SPARE_DESCRIPTORS,
-        `${most.descriptors} descriptors are open`,
-      );
-      t.true(text.startsWith('HTTP/1.1 200'), text.split('\r\n')[0]);
-    });
-  });
+  test.serial(`a daemon survives hostile clients and serves others: ${name}`, (t) =>
+    survives(t, Listener.Callers, kind),
+  );
+
+for (const at of [Listener.Readiness, Listener.Metrics])
+  for (const [name, kind] of Object.entries(OTHER_LISTENER_KINDS))
+    // Guards against the same at a listener that few use, whose clients take the time of the callers.
+    test.serial(`a daemon survives hostile clients at its ${at} listener and serves callers: ${name}`, (t) =>
+      survives(t, at, kind),
+    );
--- a/packages/soak/test/hostile-crowd.ts
+++ b/packages/soak/test/hostile-crowd.ts
@@ -171,6 +171,12 @@
   }, scripts.length * 5),
 };
 
+/** Kinds for listeners that are not for callers. */
+export const OTHER_LISTENER_KINDS: Readonly<Record<string, HostileKind>> = {
+  'requests ahead, unread': single(floodUnread(nothing, block(get('/v1/readiness')))),
+  'one-byte chunks without end': KINDS['one-byte chunks without end'],
+};
+
 /** Kept-alive connections on which ordinary requests follow one another, beside a crowd. */
 export const ORDINARY: HostileKind = single((socket) => {
   socket.write(get('/safe/1'));
