requests: bound callers' connections by the descriptors of the machine

What callers saw: nothing yet; descriptors could run out, as the number of connections had no bound, and requests need further ones to replicas.

Cause: the limit of descriptors in the settings was not read.

Connections beyond are closed.

--- a/packages/routing/src/core/daemon/services.ts
+++ b/packages/routing/src/core/daemon/services.ts
@@ -974,6 +974,7 @@
     const server = new RequestServer({
       host: settings.host,
       port: settings.callerPort,
+      maxDescriptors: settings.maxDescriptors,
       registry,
       timers,
       log,
--- a/packages/routing/src/core/daemon/types.ts
+++ b/packages/routing/src/core/daemon/types.ts
@@ -37,6 +37,8 @@
   readonly budget: BudgetBounds;
   /** Window in which a client account may use its rate over the window plus its burst, in milliseconds. */
   readonly quotaWindowMs: number;
+  /** Most descriptors that the process may have open. */
+  readonly maxDescriptors: number;
 }
 
 /** Dependencies of a router daemon, besides its settings. */
--- a/packages/routing/src/core/requests/server.ts
+++ b/packages/routing/src/core/requests/server.ts
@@ -49,6 +49,10 @@
 const BODY_TIMEOUT_MS = 30_000;
 /** Length of the queue of connections that wait to be accepted. */
 const BACKLOG = 1024;
+/** Descriptors for what is not a caller's: listeners, peers, the store, orders. */
+const RESERVED_DESCRIPTORS = 300;
+/** Descriptors of a request: those of its caller's connection and of one to a replica. */
+const DESCRIPTORS_PER_REQUEST = 2;
 /** Number of steps into which the sum of the weights of a route is divided. */
 const WEIGHT_SCALE = 1_000_000;
 /** Error code of Node.js for a request that is not complete in time. */
@@ -74,6 +78,8 @@
 export interface RequestServerOptions {
   readonly host: string;
   readonly port: number;
+  /** Most descriptors that the process may have open. */
+  readonly maxDescriptors: number;
   readonly registry: ReplicaRegistry;
   readonly parts: ExecutionDependencies;
   readonly timers: TimerService;
@@ -120,6 +126,11 @@
         void this.handle(req, res);
       },
     );
+    this.server.maxConnections = Math.max(
+      1,
+      Math.floor((options.maxDescriptors - RESERVED_DESCRIPTORS) / DESCRIPTORS_PER_REQUEST),
+    );
+    this.server.on('drop', () => options.log.debug('A connection is closed: too many are open.'));
     this.server.on('connection', (socket: Socket) => this.accept(socket));
     this.server.on('clientError', (err: NodeJS.ErrnoException, socket: Socket) =>
       this.handleClientError(err, socket),
--- a/packages/soak/test/hostile-clients.test.ts
+++ b/packages/soak/test/hostile-clients.test.ts
@@ -34,6 +34,7 @@
 import type { HostileKind } from './hostile-crowd.js';
 import {
   HOSTILE_KINDS,
+  IDLE_CONNECTIONS,
   LARGE_PATH,
   MAX_BODY_BYTES,
   ORDINARY,
@@ -116,7 +117,7 @@
   throw new Error('The daemon is not ready in time.');
 }
 
-async function withSite(run: (site: Site) => Promise<void>): Promise<void> {
+async function withSite(run: (site: Site) => Promise<void>, settings = ''): Promise<void> {
   const program = await built;
   await claimNetworks();
   const dir = mkdtempSync(join(tmpdir(), 'celeryyoke-hostile-'));
@@ -135,7 +136,7 @@
     putReplica(store, replica, service);
   }
   const settingsFile = join(dir, 'node.conf');
-  writeFileSync(settingsFile, settingsOf(address, store.port, true));
+  writeFileSync(settingsFile, `${settingsOf(address, store.port, true)}${settings}`);
   try {
     const daemon = processes.start({
       name: address.name,
@@ -219,3 +220,19 @@
     test.serial(`a daemon survives hostile clients at its ${at} listener and serves callers: ${name}`, (t) =>
       survives(t, at, kind),
     );
+
+const MAX_DESCRIPTORS = 500;
+
+for (const at of Object.values(Listener))
+  // Guards against idle connections that take the descriptors that requests need.
+  test.serial(`idle connections leave descriptors for requests and others are served: ${at}`, (t) =>
+    withSite(async (site) => {
+      const { most } = await playCrowd(site, at, IDLE_CONNECTIONS);
+      const { host, port } = site.listeners[Listener.Callers];
+      const { text } = await sendRaw(port, [ORDINARY_REQUEST], ANSWER_TIMEOUT_MS, { host });
+      t.log(`${most.descriptors} descriptors`);
+      t.false(hasEnded(site.daemon));
+      t.true(most.descriptors < MAX_DESCRIPTORS, `${most.descriptors} descriptors are open`);
+      t.true(text.startsWith('HTTP/1.1 200'));
+    }, `limits.max_fds=${MAX_DESCRIPTORS}\n`),
+  );
--- a/packages/soak/test/hostile-crowd.ts
+++ b/packages/soak/test/hostile-crowd.ts
@@ -177,6 +177,11 @@
   'one-byte chunks without end': KINDS['one-byte chunks without end'],
 };
 
+/** Connections that send nothing. */
+export const IDLE_CONNECTIONS = single((socket) => {
+  socket.resume();
+}, 600);
+
 /** Kept-alive connections on which ordinary requests follow one another, beside a crowd. */
 export const ORDINARY: HostileKind = single((socket) => {
   socket.write(get('/safe/1'));
