input: give parsing half of a turn that other work makes long

What callers saw: nothing yet; found by reading the change that shares the turns. In a loop whose turns take 0.3 s by other work, 2 ms for parsing in each would let ordinary requests pile up.

Cause: the time for parsing was fixed for a turn, whatever the turn takes.

Change: inputs that wait get as much time as the turn has taken since the last one, as late timers do. Inputs that have nothing to parse for the moment no longer count as unfinished.

Result, input-turns.test.ts: of a hundred requests not all are parsed within four turns of 40 ms before, and all now.

--- a/packages/routing/src/core/input/input-turns.ts
+++ b/packages/routing/src/core/input/input-turns.ts
@@ -1,7 +1,7 @@
 /** Shares each turn of the event loop between the connections whose bytes are parsed. */
 import type { DecisionLog, TimerService } from '@celeryyoke/core';
 
-/** Time for parsing in a turn, in milliseconds; sockets are read and connections accepted between two turns. */
+/** Least time for parsing in a turn, in milliseconds; sockets are read and connections accepted between two turns. */
 const TURN_MS = 2;
 /** Time of one connection in a turn, before others that wait, in milliseconds. */
 const SHARE_MS = 0.5;
@@ -37,6 +37,9 @@
   /** Monotonic time at which the time of this turn is used up, in milliseconds; undefined while nothing is parsed. */
   private endAt: number | undefined;
 
+  /** Monotonic time at which the next turn was scheduled, in milliseconds. */
+  private scheduledAt = 0;
+
   constructor(
     private readonly timers: Pick<TimerService, 'now'>,
     private readonly log: Pick<DecisionLog, 'debug'>,
@@ -46,9 +49,12 @@
   request(input: TurnTaker): void {
     if (this.fresh.has(input) || this.continued.has(input)) return;
     const now = this.timers.now();
-    if (this.endAt === undefined) this.begin(now);
+    if (this.endAt === undefined) {
+      this.endAt = now + TURN_MS;
+      this.schedule();
+    }
     const isFree = this.fresh.size + this.continued.size === 0;
-    if (isFree && now < this.endAt!) this.parse(input, now);
+    if (isFree && now < this.endAt) this.parse(input, now);
     else this.fresh.add(input);
   }
 
@@ -64,8 +70,8 @@
     this.unfinished.delete(input);
   }
 
-  private begin(now: number): void {
-    this.endAt = now + TURN_MS;
+  private schedule(): void {
+    this.scheduledAt = this.timers.now();
     setImmediate(() => this.takeTurn());
   }
 
@@ -73,12 +79,14 @@
     this.endAt = undefined;
     if (this.fresh.size + this.continued.size === 0) return;
     let now = this.timers.now();
-    this.begin(now);
+    // Inputs get half of a long turn, so that they do not pile up beside other work.
+    this.endAt = now + Math.max(TURN_MS, now - this.scheduledAt);
     for (const input of this.inTurn()) {
       this.parse(input, now);
       now = this.timers.now();
-      if (now >= this.endAt!) return;
+      if (now >= this.endAt) break;
     }
+    this.schedule();
   }
 
   /** Takes inputs out: fresh ones and those that go on by turns, so that neither keep the others waiting. */
@@ -93,7 +101,10 @@
   }
 
   private parse(input: TurnTaker, now: number): void {
-    if (!input.parseUntil(Math.min(this.endAt!, now + SHARE_MS))) return;
+    if (!input.parseUntil(Math.min(this.endAt!, now + SHARE_MS))) {
+      this.unfinished.delete(input);
+      return;
+    }
     this.continued.add(input);
     this.unfinished.add(input);
     if (this.unfinished.size > MAX_UNFINISHED) this.abortOldest();
