requests: learn from the first run whether a stream numbers without gaps

A replica that begins a stream and skips an event passed, as ids need not be dense. Its first two events tell now: where they follow each other, a later gap breaks the run; where they don't, the stream is passed on whole, and no other replica continues it, as nothing tells whether that would be right behind the last event.

--- a/packages/routing/src/core/requests/relay.ts
+++ b/packages/routing/src/core/requests/relay.ts
@@ -75,6 +75,9 @@
   /** Whether the present replica continues events that the caller has received from an earlier one. */
   private isContinuation = false;
 
+  /** Whether the replica that began the stream numbers its events without gaps; undefined before its second event. */
+  private isDense: boolean | undefined;
+
   private isAborted = false;
 
   /** Whether the run repeats events: those without a number between them are repeated as well. */
@@ -170,13 +173,15 @@
   }
 
   private recordEvent(id: number): void {
+    if (!this.isContinuation && this.lastEventId !== undefined) this.isDense ??= id === this.lastEventId + 1;
     this.lastEventId = id;
-    this.isContinuable = true;
+    // Where numbers have gaps, nothing tells whether a replica continues right behind the last event.
+    this.isContinuable = this.isDense !== false;
   }
 
   /**
-   * Finds out where the next event of a run belongs. The replica that begins a stream numbers it as it likes, if only upwards;
-   * one that continues it has to begin behind what the caller has, and may repeat some of that.
+   * Finds out where the next event of a run belongs. The replica that begins a stream numbers it upwards, with gaps or without;
+   * one that continues it has to begin right behind what the caller has, and may repeat some of that.
    */
   private locate(id: number): EventPlace {
     const { lastEventId, isContinuation } = this;
@@ -184,7 +189,7 @@
     this.isRepeating = isContinuation && lastEventId !== undefined && id < lastEventId;
     if (lastEventId === undefined || id === lastEventId + 1) return EventPlace.Next;
     if (isContinuation) return id <= lastEventId ? EventPlace.Received : EventPlace.OutOfOrder;
-    return id > lastEventId ? EventPlace.Next : EventPlace.OutOfOrder;
+    return id > lastEventId && this.isDense !== true ? EventPlace.Next : EventPlace.OutOfOrder;
   }
 
   /** Holds the beginning of an event back, in place of what was held back before. */
--- a/packages/routing/test/relay.test.ts
+++ b/packages/routing/test/relay.test.ts
@@ -139,12 +139,11 @@
 const ODD_RUNS = {
   'repeats an event': [events(1, 4) + events(4, 6), ForwardResult.EventsMissing, events(1, 4)],
   'goes back': [events(1, 4) + events(2, 6), ForwardResult.EventsMissing, events(1, 4)],
-  // Ids increase, and nothing says that they do so by one.
-  'leaves out an id': [events(1, 4) + events(6, 7), ForwardResult.Forwarded, events(1, 4) + events(6, 7)],
+  'skips an event': [events(1, 4) + events(6, 7), ForwardResult.EventsMissing, events(1, 4)],
 } as const;
 
 for (const [title, [sent, result, received]] of Object.entries(ODD_RUNS))
-  // Guards against events twice or out of order where no other replica has sent a part of the stream.
+  // Guards against events twice, missing or out of order where no other replica has sent a part of the stream.
   test(`the only replica of a stream ${title}`, (t) => {
     const { res, relay } = setUp();
     relay.begin(200, FRAMED);
@@ -182,6 +181,17 @@
   t.false(relay.isContinuable);
 });
 
+// Guards against streams that are broken off as their ids increase by more than one.
+for (const ids of ['10 20 30', '0 7 8', '1765073846000 1765073846250 1765073846400'])
+  test(`a stream whose ids increase is passed on whole, and no other run continues it: ${ids}`, (t) => {
+    const { res, relay } = setUp();
+    const sent = ids.split(' ').map((id) => event(Number(id)));
+    relay.begin(200, FRAMED);
+    for (const part of sent) t.is(relay.forward(Buffer.from(part)), ForwardResult.Forwarded);
+    t.is(res.text, sent.join(''));
+    t.false(relay.isContinuable);
+  });
+
 test('the longest gap is measured from the first chunk on, across all replicas', async (t) => {
   const { relay, timers } = setUp();
   const startedAt = timers.now();
