--- a/packages/routing/src/core/requests/migration.ts
+++ b/packages/routing/src/core/requests/migration.ts
@@ -92,8 +92,7 @@
 
   private shutdownAt = Number.NEGATIVE_INFINITY;
 
-  /** Whether the migration has ordered the run to stop, which also interrupts the stream, and found it running. */
-  hasStoppedRun = false;
+  private wasRunStopped = false;
 
   constructor(
     private readonly parts: MigrationDependencies,
@@ -112,12 +111,17 @@
     });
   }
 
+  /** Whether the migration has ordered the run to stop, which also interrupts the stream, and found it running. */
+  get hasStoppedRun(): boolean {
+    return this.wasRunStopped;
+  }
+
   /**
    * Returns where an interrupted stream continues; undefined when the migration failed or did not cause the
    * interruption. In the latter case the migration is cancelled.
    */
   resultAfterCut(): Promise<MigratedStream | undefined> {
-    if (this.hasStoppedRun && this.migration !== undefined) return this.migration;
+    if (this.wasRunStopped && this.migration !== undefined) return this.migration;
     this.cancel();
     return Promise.resolve(undefined);
   }
@@ -144,9 +148,9 @@
       .catch(() => undefined);
     const choice = await this.copyRunningState();
     if (choice === undefined) return undefined;
-    this.hasStoppedRun = true;
+    this.wasRunStopped = true;
     const { continuation, hadEnded } = await control.copyRunState(replica, request, choice.replica, true);
-    this.hasStoppedRun = !hadEnded;
+    this.wasRunStopped = !hadEnded;
     this.logMigration(choice.replica, continuation);
     return continuation === undefined ? undefined : { choice, continuation };
   }
