input: let inputs that go on have their turn beside new ones

What callers saw: many callers at once whose bodies are read together with their heads had their connections closed without an answer, while requests took longer than a turn.

Cause: each turn began with a new input. Where that one took the whole turn, those that had used a share were not parsed as long as new ones came, grew beyond the 64 that may wait, and the first was closed.

Change: the choice between new inputs and those that go on alternates from turn to turn as well.

Evidence: paced-input.test.ts, 150 callers with bodies of 9 KB and requests of 3 ms, all inside the limits: 65 answered before, 150 after.

--- a/packages/routing/src/core/input/input-turns.ts
+++ b/packages/routing/src/core/input/input-turns.ts
@@ -34,6 +34,9 @@
   /** The same until all that was read is parsed, in the order in which they have used their first shares. */
   private readonly unfinished = new Set<TurnTaker>();
 
+  /** Whether the next input is one that has used a share, also where a turn had time for one input only. */
+  private isContinuedNext = false;
+
   /** Monotonic time at which the time of this turn is used up, in milliseconds; undefined while nothing is parsed. */
   private endAt: number | undefined;
 
@@ -91,13 +94,14 @@
 
   /** Takes inputs out: fresh ones and those that go on by turns, so that neither keep the others waiting. */
   private *inTurn(): Generator<TurnTaker> {
-    while (this.fresh.size + this.continued.size > 0)
-      for (const inputs of [this.fresh, this.continued]) {
-        const [input] = inputs;
-        if (input === undefined) continue;
-        inputs.delete(input);
-        yield input;
-      }
+    while (this.fresh.size + this.continued.size > 0) {
+      const inputs = this.isContinuedNext ? this.continued : this.fresh;
+      this.isContinuedNext = !this.isContinuedNext;
+      const [input] = inputs;
+      if (input === undefined) continue;
+      inputs.delete(input);
+      yield input;
+    }
   }
 
   private parse(input: TurnTaker, now: number): void {
--- a/packages/routing/test/paced-input.test.ts
+++ b/packages/routing/test/paced-input.test.ts
@@ -58,6 +58,9 @@
       if (index < parts.length) socket.write(parts[index]!, () => setImmediate(write, index + 1));
     };
     write(0);
+    socket.on('error', () => {
+      // What was received by then is returned.
+    });
     socket.on('data', (chunk) => {
       text += chunk.toString('latin1');
     });
@@ -102,3 +105,23 @@
   t.is(text.match(/HTTP\/1.1 200/g)?.length, 5001);
   t.is(most, 1);
 });
+
+/** Callers inside the limits, many at once: what each sends, and the time that a request takes, in milliseconds. */
+const CROWDS = {
+  'bodies that are read with their heads, slow requests': [
+    `POST /l HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: 9000\r\n\r\n${'l'.repeat(9000)}`,
+    3,
+  ],
+} as const;
+
+for (const [name, [text, requestMs]] of Object.entries(CROWDS))
+  // Guards against callers inside the limits that are closed, as many of them need a further share at one time.
+  test.serial(`many callers at once are all answered: ${name}`, async (t) => {
+    const { port, close } = await startEcho(() => {
+      const end = performance.now() + requestMs;
+      while (performance.now() < end);
+    });
+    t.teardown(close);
+    const answers = await Promise.all(Array.from({ length: 150 }, () => exchange(port, [text])));
+    t.is(answers.filter((answer) => answer.startsWith('HTTP/1.1 200')).length, 150);
+  });
