input: close only connections whose bytes are slow to parse

What callers saw: many callers at once with bodies inside the limits, in small chunks, had their connections closed without an answer.

Cause: any connection that needed more than one share for what was read counted among the 64 that may wait, however much of it a share had parsed; 64 KiB in chunks of 50 bytes need a few shares.

Change: a share that parses 4 KiB or less is slow, four of them for what is held make a connection slow, and of 16 slow ones the first is closed when another comes. Chunks of one byte get 2 KiB through in a share, those of 50 bytes many times that.

--- a/packages/routing/src/core/input/input-turns.ts
+++ b/packages/routing/src/core/input/input-turns.ts
@@ -5,14 +5,17 @@
 const TURN_MS = 2;
 /** Time of one connection in a turn, before others that wait, in milliseconds. */
 const SHARE_MS = 0.5;
-/**
- * Largest number of connections that have used a share and have more to parse; what they hold takes memory, and is parsed
- * also after their callers have left.
- */
-const MAX_UNFINISHED = 64;
+/** Largest number of bytes parsed in a share that counts as slow; requests in ordinary chunks get through more. */
+const SLOW_SHARE_BYTES = 4096;
+/** Number of slow shares from which on what a connection holds is slow to parse; a stall of the process makes one slow. */
+const SLOW_SHARES = 4;
+/** Largest number of connections that hold what is slow to parse; it is parsed also after their callers have left. */
+const MAX_SLOW = 16;
 
 /** Input of one connection. */
 export interface TurnTaker {
+  /** Number of bytes that are to be parsed. */
+  readonly heldBytes: number;
   /**
    * Parses until there is nothing to parse or the time is over.
    * @param endAt - Monotonic time, in milliseconds.
@@ -31,8 +34,11 @@
   /** Inputs that have used their share of a turn. */
   private readonly continued = new Set<TurnTaker>();
 
-  /** The same until all that was read is parsed, in the order in which they have used their first shares. */
-  private readonly unfinished = new Set<TurnTaker>();
+  /** Number of slow shares that each has used, until it has nothing to parse. */
+  private readonly slowShares = new Map<TurnTaker, number>();
+
+  /** Inputs that are slow to parse, in the order in which they became so. */
+  private readonly slow = new Set<TurnTaker>();
 
   /** Whether the next input is one that has used a share, also where a turn had time for one input only. */
   private isContinuedNext = false;
@@ -70,7 +76,12 @@
   cancel(input: TurnTaker): void {
     this.fresh.delete(input);
     this.continued.delete(input);
-    this.unfinished.delete(input);
+    this.finish(input);
+  }
+
+  private finish(input: TurnTaker): void {
+    this.slowShares.delete(input);
+    this.slow.delete(input);
   }
 
   private schedule(): void {
@@ -105,20 +116,28 @@
   }
 
   private parse(input: TurnTaker, now: number): void {
+    const { heldBytes } = input;
     if (!input.parseUntil(Math.min(this.endAt!, now + SHARE_MS))) {
-      this.unfinished.delete(input);
+      this.finish(input);
       return;
     }
     this.continued.add(input);
-    this.unfinished.add(input);
-    if (this.unfinished.size > MAX_UNFINISHED) this.abortOldest();
+    if (heldBytes - input.heldBytes <= SLOW_SHARE_BYTES) this.countSlowShare(input);
+  }
+
+  private countSlowShare(input: TurnTaker): void {
+    const count = (this.slowShares.get(input) ?? 0) + 1;
+    this.slowShares.set(input, count);
+    if (count < SLOW_SHARES) return;
+    this.slow.add(input);
+    if (this.slow.size > MAX_SLOW) this.abortOldest();
   }
 
   private abortOldest(): void {
-    const [oldest] = this.unfinished;
+    const [oldest] = this.slow;
     if (oldest === undefined) return;
     this.cancel(oldest);
     oldest.abort();
-    this.log.debug(`A connection is closed: ${MAX_UNFINISHED} others have sent more that is slow to parse.`);
+    this.log.debug(`A connection is closed: ${MAX_SLOW} others have sent more that is slow to parse.`);
   }
 }
--- a/packages/routing/src/core/input/paced-input.ts
+++ b/packages/routing/src/core/input/paced-input.ts
@@ -11,7 +11,7 @@
 import { ByteBuffer } from '@celeryyoke/core';
 
 import { BlankLines } from './blank-lines.js';
-import type { InputTurns } from './input-turns.js';
+import type { InputTurns, TurnTaker } from './input-turns.js';
 
 /** Largest piece that is parsed in one step, in bytes; it ends at the end of a head. */
 const PIECE_BYTES = 2048;
@@ -26,7 +26,7 @@
 type Listener = (chunk: Buffer) => void;
 
 /** The bytes of one connection that were read and not parsed yet. */
-export class PacedInput {
+export class PacedInput implements TurnTaker {
   /** Earliest monotonic time at which the bytes held can have arrived, in milliseconds; undefined while none are. */
   heldSince: number | undefined;
 
@@ -103,7 +103,7 @@
     return this.heldBytes + this.socket.readableLength;
   }
 
-  private get heldBytes(): number {
+  get heldBytes(): number {
     return (this.held?.length ?? 0) - this.parsed;
   }
 
--- a/packages/routing/test/paced-input.test.ts
+++ b/packages/routing/test/paced-input.test.ts
@@ -106,12 +106,17 @@
   t.is(most, 1);
 });
 
+const CHUNK = `32\r\n${'c'.repeat(50)}\r\n`;
 /** Callers inside the limits, many at once: what each sends, and the time that a request takes, in milliseconds. */
 const CROWDS = {
   'bodies that are read with their heads, slow requests': [
     `POST /l HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: 9000\r\n\r\n${'l'.repeat(9000)}`,
     3,
   ],
+  'bodies in small chunks': [
+    `POST /c HTTP/1.1\r\nHost: x\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n${CHUNK.repeat(6000)}0\r\n\r\n`,
+    0,
+  ],
 } as const;
 
 for (const [name, [text, requestMs]] of Object.entries(CROWDS))
