soak: play streams whose replicas or daemons die

Callers take a stream with neither a length nor chunks for whole when its connection closes in good order, which the system also does for a process that dies. Engines of the soak ended streams by resets only, so that no play showed it. No logic is changed.

--- a/packages/routing/test/raw.ts
+++ b/packages/routing/test/raw.ts
@@ -23,6 +23,9 @@
   readonly connections: () => number;
   /** Hosts that are cut off from it. */
   readonly cuts: PathCuts;
+  /** Refuses new connections, and goes on with those that are open. */
+  stopListening(): void;
+  /** Closes all connections and refuses new ones, as the system does for a process that dies. */
   close(): Promise<void>;
 }
 
@@ -86,6 +89,9 @@
     requests: seen,
     connections: () => connections,
     cuts,
+    stopListening: () => {
+      server.close();
+    },
     close: () => {
       for (const socket of sockets) socket.destroy();
       return new Promise((resolve) => {
--- a/packages/soak/test/ordered-caller.ts
+++ b/packages/soak/test/ordered-caller.ts
@@ -10,6 +10,8 @@
 const OK = 200;
 /** Pause of a caller whom nothing tells when to come back, in seconds. */
 const RETRY_S = 0.3;
+/** Time for which a caller that reads in pauses does not read, in milliseconds. */
+const READ_PAUSE_MS = 60;
 const MS_PER_SECOND = 1000;
 
 const timers = createSystemTimers();
@@ -52,11 +54,13 @@
   readonly lastEventId?: string;
   readonly resumes: string | undefined;
   readonly overlaps: boolean;
+  readonly readsSlowly: boolean;
 }
 
 /** Sends the request of a stream, and reads what it brings. */
 export function callStream(options: OrderedCall): Promise<OrderedAnswer> {
-  const { callers, id, path, adapter, leftMs, leavesAfter, lastEventId, resumes, overlaps } = options;
+  const { callers, id, path, adapter, leftMs, leavesAfter, lastEventId, resumes, overlaps, readsSlowly } =
+    options;
   const [host, port] = callers.split(':') as [string, string];
   const events: OrderedEvent[] = [];
   return new Promise((resolve) => {
@@ -92,6 +96,10 @@
         res = received;
         let unread = '';
         received.on('data', (chunk: Buffer) => {
+          if (readsSlowly) {
+            received.pause();
+            timers.after(READ_PAUSE_MS, () => received.resume());
+          }
           if (hasLeft || received.statusCode !== OK) return;
           // The line feed of a line's end may still come.
           unread = (unread + chunk.toString('latin1')).replace(/\r\n|\r(?!$)/g, '\n');
--- a/packages/soak/test/ordered-engine.ts
+++ b/packages/soak/test/ordered-engine.ts
@@ -89,9 +89,13 @@
     return (this.server.address() as AddressInfo).port;
   }
 
-  async listen(): Promise<void> {
+  /**
+   * Listens at an address.
+   * @param port - Port of it; any free one by default.
+   */
+  async listen(port = 0): Promise<void> {
     await new Promise<void>((resolve) => {
-      this.server.listen(0, HOST, resolve);
+      this.server.listen(port, HOST, resolve);
     });
   }
 
@@ -153,8 +157,10 @@
 
   private take(req: RawRequest, process: EngineProcess): void {
     const [, path] = req.head.split(' ');
-    if (path === '/v1/report') respondWithReport(req, process.state);
-    else if (headerValue(req.head, 'celeryyoke-expect-instance') !== process.id) respondMisdirected(req);
+    const expected = headerValue(req.head, 'celeryyoke-expect-instance');
+    if (path === '/v1/report' && expected === undefined) respondWithReport(req, process.state);
+    else if (expected !== process.id) respondMisdirected(req);
+    else if (path === '/v1/report') respondWithReport(req, process.state);
     else if (path === '/v1/order') respondToOrder(req, process.state);
     else if (path === '/v1/kv-move') this.copy(req);
     else void this.stream(req, process);
@@ -224,6 +230,13 @@
   }
 }
 
+const LONG_DATA = `:${'x'.repeat(100_000)}\n`;
+
+/** Formats an event of 100 KB. */
+export function formatLongEvent(id: number, data: string): string {
+  return `id: ${id}\n${LONG_DATA}data: ${data}\n\n`;
+}
+
 function formatEvent(id: number, data: string): string {
   return `id: ${id}\ndata: ${data}\n\n`;
 }
--- a/packages/soak/test/ordered-fleet.ts
+++ b/packages/soak/test/ordered-fleet.ts
@@ -18,6 +18,7 @@
   HEARTBEAT_MS,
   putConfiguration,
 } from '../src/core/site/index.js';
+import { ApartEngine } from './apart-engines.js';
 import type { OrderedAnswer, OrderedEvent } from './ordered-caller.js';
 import { callStream } from './ordered-caller.js';
 import type { StreamStyle } from './ordered-engine.js';
@@ -53,8 +54,19 @@
   readonly writeId?: (id: number) => string;
   /** Whether they take a stream up while the attempt before goes on. */
   readonly overlaps?: boolean;
+  /** Whether they read in pauses. */
+  readonly readsSlowly?: boolean;
 }
 
+/** An engine, of this process or apart. */
+type ListedEngine = Pick<OrderedEngine, 'port'> & {
+  readonly process:
+    | (Pick<NonNullable<OrderedEngine['process']>, 'id' | 'version'> & {
+        readonly state: { readonly born?: number | undefined };
+      })
+    | undefined;
+};
+
 /** A way to play. */
 export interface OrderPlay {
   readonly seconds: number;
@@ -62,6 +74,8 @@
   readonly callers?: CallerStyle;
   /** Software versions of the engines at the start; v1 by default. */
   readonly versions?: readonly string[];
+  /** Whether engines are processes of their own; what their events look like then. */
+  readonly apart?: { readonly isUnframed: boolean; readonly hasLongEvents: boolean };
   /** Brings the faults about; runs beside the callers. */
   readonly faults?: (fleet: OrderedFleet) => Promise<void>;
 }
@@ -85,6 +99,8 @@
 
   readonly engines: OrderedEngine[] = [];
 
+  readonly apart: ApartEngine[] = [];
+
   readonly random: Random;
 
   readonly dir = mkdtempSync(join(tmpdir(), 'celeryyoke-order-'));
@@ -94,9 +110,9 @@
   readonly violations: string[] = [];
 
   /** Engines whose entries say something else than they are. */
-  readonly entryVersions = new Map<OrderedEngine, string>();
+  readonly entryVersions = new Map<ListedEngine, string>();
 
-  readonly draining = new Set<OrderedEngine>();
+  readonly draining = new Set<ListedEngine>();
 
   private heartbeats: TimerHandle | undefined;
 
@@ -132,6 +148,17 @@
   /** Starts everything and waits until daemons own the engines. */
   async start(): Promise<void> {
     putConfiguration(this.store, 1);
+    if (this.play.apart === undefined) await this.startEngines();
+    else await this.startApart(this.play.apart);
+    this.heartbeats = timers.repeat(HEARTBEAT_MS, () => {
+      for (const engine of [...this.engines, ...this.apart]) this.writeEntry(engine);
+      discardHistory(this.store, timers.wall());
+    });
+    for (const daemon of this.daemons.addresses) this.daemons.start(daemon, true);
+    await timers.sleep(SETTLE_MS);
+  }
+
+  private async startEngines(): Promise<void> {
     for (let index = 0; index < ENGINES; index += 1) {
       const engine = new OrderedEngine(`e${index}`, createRandom(`${this.seed}-${index}`));
       engine.style = this.play.style ?? {};
@@ -140,16 +167,34 @@
       this.engines.push(engine);
       this.writeEntry(engine);
     }
-    this.heartbeats = timers.repeat(HEARTBEAT_MS, () => {
-      for (const engine of this.engines) this.writeEntry(engine);
-      discardHistory(this.store, timers.wall());
-    });
-    for (const daemon of this.daemons.addresses) this.daemons.start(daemon, true);
-    await timers.sleep(SETTLE_MS);
+  }
+
+  private async startApart(style: NonNullable<OrderPlay['apart']>): Promise<void> {
+    for (let index = 0; index < ENGINES; index += 1) {
+      const name = `e${index}`;
+      const engine = new ApartEngine(this.processes, this.dir, {
+        ...style,
+        name,
+        seed: `${this.seed}-${name}`,
+      });
+      await engine.boot('v1');
+      this.apart.push(engine);
+      this.writeEntry(engine);
+    }
+  }
+
+  /** Starts a process in place of one that ends, and lists it in its place. */
+  async replaceApart(engine: ApartEngine, pauseMs: number): Promise<void> {
+    const before = engine.process!.id;
+    await engine.ended();
+    await timers.sleep(pauseMs);
+    await engine.boot('v1');
+    this.writeEntry(engine);
+    this.store.remove(`servers/${before}`);
   }
 
   /** Writes the entry of an engine, if one runs there. */
-  writeEntry(engine: OrderedEngine): void {
+  writeEntry(engine: ListedEngine): void {
     const { process } = engine;
     if (process === undefined) return;
     this.writeCount += 1;
@@ -232,6 +277,7 @@
         ...(isTakeUp ? { lastEventId: (callers.writeId ?? String)(after) } : {}),
         resumes: callers.namesNone || !isTakeUp ? undefined : first,
         overlaps: callers.overlaps === true,
+        readsSlowly: callers.readsSlowly === true,
       });
       const answer = await pending;
       this.check({
--- a/packages/soak/test/stream-order.test.ts
+++ b/packages/soak/test/stream-order.test.ts
@@ -16,8 +16,10 @@
 import { PathCut } from '@celeryyoke/routing/testing';
 import test from 'ava';
 
+import type { DaemonAddress } from '../src/core/site/index.js';
+import type { ApartEngine } from './apart-engines.js';
 import type { OrderedEngine, StreamStyle } from './ordered-engine.js';
-import { EVENTS, FinalCopy, following } from './ordered-engine.js';
+import { EVENTS, FinalCopy, following, formatLongEvent } from './ordered-engine.js';
 import type { OrderedFleet, OrderPlay } from './ordered-fleet.js';
 import { playOrder } from './ordered-fleet.js';
 
@@ -126,7 +128,6 @@
   faults: (fleet) => resetEngines(fleet),
 });
 
-const LONG_DATA = `:${'x'.repeat(100_000)}\n`;
 const STYLES: Readonly<Record<string, OrderPlay>> = {
   'end with CRLF': style({ format: (id, data) => `id: ${id}\r\ndata: ${data}\r\n\r\n` }),
   'end with CR': style({ format: (id, data) => `id: ${id}\rdata: ${data}\r\r\n` }),
@@ -139,7 +140,7 @@
   'name the version of weights first': style({
     format: (id, data) => `celeryyoke-weight-versions: 3\nid: ${id}\ndata: ${data}\n\n`,
   }),
-  'are 100 KB': style({ format: (id, data) => `id: ${id}\n${LONG_DATA}data: ${data}\n\n` }),
+  'are 100 KB': style({ format: formatLongEvent }),
   'have neither a length nor chunks': style({ isUnframed: true }),
   'come twice': style({ ids: (after) => following(after).flatMap((id) => (id % 3 === 0 ? [id, id] : [id])) }),
   'go back by some': style({
@@ -255,6 +256,83 @@
   };
 }
 
+type EngineEnd = (engine: ApartEngine, fleet: OrderedFleet) => Promise<void> | void;
+const ENGINE_ENDS: Readonly<Record<string, EngineEnd>> = {
+  'are killed': (engine) => engine.signal('SIGKILL'),
+  'exit by themselves': (engine) => engine.exit(),
+  'are stopped and killed': async (engine) => {
+    engine.signal('SIGSTOP');
+    await sleep(900);
+    engine.signal('SIGKILL');
+  },
+};
+
+/** A fleet whose engines are processes that end one after the other, and whose streams have neither a length nor chunks. */
+function endApart(end: EngineEnd, changes: Partial<OrderPlay> = {}): OrderPlay {
+  return {
+    seconds: SECONDS,
+    apart: { isUnframed: true, hasLongEvents: false },
+    faults: async (fleet) => {
+      for (let time = 0; time < 6; time += 1) {
+        await sleep(1300);
+        const engine = fleet.random.pick(fleet.apart);
+        await end(engine, fleet);
+        await fleet.replaceApart(engine, fleet.random.between(0, 400));
+      }
+    },
+    ...changes,
+  };
+}
+
+type DaemonEnd = (daemon: DaemonAddress, fleet: OrderedFleet) => Promise<void>;
+const DAEMON_ENDS: Readonly<Record<string, DaemonEnd>> = {
+  'are killed': (daemon, { daemons }) => daemons.signal(daemon, 'SIGKILL'),
+  'are stopped and killed': async (daemon, { daemons }) => {
+    void daemons.signal(daemon, 'SIGSTOP');
+    await sleep(700);
+    await daemons.signal(daemon, 'SIGKILL');
+  },
+  'are killed while they shut down': async (daemon, { daemons }) => {
+    void daemons.signal(daemon, 'SIGTERM');
+    await sleep(600);
+    await daemons.signal(daemon, 'SIGKILL');
+  },
+  'shut down': (daemon, { daemons }) => daemons.signal(daemon, 'SIGTERM'),
+};
+
+/** A fleet whose daemons end one after the other, beside engines that are processes. */
+function endDaemons(end: DaemonEnd): OrderPlay {
+  return endApart(() => undefined, {
+    faults: async (fleet) => {
+      for (let time = 0; time < 6; time += 1) {
+        await sleep(1000);
+        const daemon = fleet.random.pick(fleet.daemons.addresses);
+        await end(daemon, fleet);
+        fleet.daemons.start(daemon, false);
+      }
+    },
+  });
+}
+
+const APART: Readonly<Record<string, OrderPlay>> = {
+  'nothing ends': endApart(() => undefined, { faults: () => sleep(0) }),
+  ...Object.fromEntries(Object.entries(ENGINE_ENDS).map(([way, end]) => [`engines ${way}`, endApart(end)])),
+  'engines are killed, callers read slowly': endApart(ENGINE_ENDS['are killed']!, {
+    apart: { isUnframed: true, hasLongEvents: true },
+    callers: { readsSlowly: true },
+  }),
+  ...Object.fromEntries(Object.entries(DAEMON_ENDS).map(([way, end]) => [`daemons ${way}`, endDaemons(end)])),
+  'all daemons are killed': endApart(() => undefined, {
+    faults: async ({ daemons }) => {
+      for (let time = 0; time < 2; time += 1) {
+        await sleep(2500);
+        await Promise.all(daemons.addresses.map((daemon) => daemons.signal(daemon, 'SIGKILL')));
+        for (const daemon of daemons.addresses) daemons.start(daemon, false);
+      }
+    },
+  }),
+};
+
 const mixed = (callers: OrderPlay['callers']): OrderPlay => ({
   seconds: SECONDS,
   versions: MIXED,
@@ -293,6 +371,9 @@
   'relays are stopped and go on, paths are reset': relayed(PathCut.Reset, ['SIGSTOP', 'SIGCONT']),
   'relays are killed, paths hang': relayed(PathCut.Hang, ['SIGKILL', undefined]),
   'relays are killed, paths are reset': relayed(PathCut.Reset, ['SIGKILL', undefined]),
+  ...Object.fromEntries(
+    Object.entries(APART).map(([way, play]) => [`engines apart, streams without a length: ${way}`, play]),
+  ),
   ...Object.fromEntries(Object.entries(STYLES).map(([name, play]) => [`events ${name}`, play])),
   ...Object.fromEntries(
     Object.entries(CONTINUATIONS).map(([name, ids]) => [
@@ -314,6 +395,8 @@
 const SHORT: ReadonlySet<string> = new Set([
   'runs that are to go on begin anew',
   'engines leave at short notice (done, streams without a length)',
+  'engines apart, streams without a length: engines are killed',
+  'engines apart, streams without a length: daemons are killed',
 ]);
 
 for (const [name, play] of Object.entries(PLAYS).filter(([way]) => isWhole || SHORT.has(way)))
