relays: prove the end of a response that ends with its connection

Callers received a part of a stream, or of a plain response, as the whole when the replica died: the system closes the connections of a process that dies in good order, and a response with neither a length nor chunks ends so.

The end of such a response is now held back, and nothing else of it, until it is proved that the process lived on: an engine says that it is the expected one on a new connection, or a connection no younger than that of the response is still open. Otherwise the exchange counts as broken: a resumable stream goes on elsewhere, a safe request is repeated, all others look cut. Without an answer this takes a second at most. It holds for exchanges that a peer carries out as well.

--- a/packages/routing/src/core/adapters/index.ts
+++ b/packages/routing/src/core/adapters/index.ts
@@ -11,6 +11,7 @@
   AdapterRef,
   EngineConnection,
   EngineControl,
+  IdentityCheck,
   EngineOrder,
   EngineReport,
   EnsureAdapter,
--- a/packages/routing/src/core/adapters/types.ts
+++ b/packages/routing/src/core/adapters/types.ts
@@ -112,6 +112,15 @@
   report(replica: ReplicaEntry): Promise<EngineReport>;
 }
 
+/** Asks replicas which ones they are. */
+export interface IdentityCheck {
+  /**
+   * Asks the process at the address of an engine whether it is the listed incarnation, on a connection that is made for it.
+   * @throws Error when there is no answer.
+   */
+  isListed(replica: ReplicaEntry): Promise<boolean>;
+}
+
 /** Identifies an adapter of a base model. */
 export interface AdapterRef {
   readonly model: string;
--- a/packages/routing/src/core/channels/channel.ts
+++ b/packages/routing/src/core/channels/channel.ts
@@ -121,6 +121,15 @@
     return !this.isClosed && socket !== undefined && !socket.connecting && !socket.destroyed;
   }
 
+  /**
+   * Whether the connection was established by a monotonic time, is still open, and is being read.
+   * @param at - Monotonic time, in milliseconds.
+   */
+  isConnectedSince(at: number): boolean {
+    const { connectedAt = Number.POSITIVE_INFINITY } = this;
+    return this.isConnected && connectedAt <= at && this.readGate?.isOpen === true;
+  }
+
   /**
    * Sends a request.
    * @param sink - Called at each step of the exchange.
--- a/packages/routing/src/core/channels/pool.ts
+++ b/packages/routing/src/core/channels/pool.ts
@@ -90,6 +90,15 @@
     return [...(this.openChannels.get(id) ?? [])].some((channel) => channel.isConnected);
   }
 
+  /**
+   * Whether a connection to a replica that was established by a monotonic time is still open; those that are not being read do
+   * not count, as their end would not be seen.
+   * @param at - Monotonic time, in milliseconds.
+   */
+  isConnectedSince(id: string, at: number): boolean {
+    return [...(this.openChannels.get(id) ?? [])].some((channel) => channel.isConnectedSince(at));
+  }
+
   /** Closes the idle connections to a replica that no longer exists. */
   closeIdle(id: string): void {
     for (const channel of this.idleChannels.get(id) ?? []) channel.close();
--- a/packages/routing/src/core/channels/read-gate.ts
+++ b/packages/routing/src/core/channels/read-gate.ts
@@ -33,6 +33,11 @@
     });
   }
 
+  /** Whether the reader gets what arrives. */
+  get isOpen(): boolean {
+    return !this.isClosed;
+  }
+
   /** Lets the reader have nothing more. */
   close(): void {
     this.isClosed = true;
--- a/packages/routing/src/core/daemon/part-names.ts
+++ b/packages/routing/src/core/daemon/part-names.ts
@@ -18,6 +18,7 @@
   reachability: 'reachability',
   versionHistory: 'version-history',
   incarnations: 'incarnation-proofs',
+  endProofs: 'end-proofs',
   origins: 'origins',
   cutOffs: 'cutOffs',
   paths: 'paths',
--- a/packages/routing/src/core/daemon/services.ts
+++ b/packages/routing/src/core/daemon/services.ts
@@ -26,7 +26,7 @@
 import { DisseminationTree, storeReaderRank, Topic } from '../dissemination/index.js';
 import { PromptAdmission } from '../pacing/index.js';
 import { CutOffTable, PathMonitor, PeerWitness, ReachabilityTable } from '../paths/index.js';
-import { RelayServer, UpstreamSender } from '../relays/index.js';
+import { EndProofs, PresenceCheck, RelayServer, UpstreamSender } from '../relays/index.js';
 import {
   StreamMigrator,
   RequestMetrics,
@@ -182,6 +182,9 @@
         (kernel) => this.createIncarnations(kernel),
         (incarnations) => incarnations.stop(),
       ),
+      part(PART.endProofs, [PART.channels, PART.registry, PART.control, PART.tree], (kernel) =>
+        this.createEndProofs(kernel),
+      ),
       part(
         PART.origins,
         [PART.cluster, PART.versionHistory],
@@ -214,12 +217,14 @@
       ),
       part(
         PART.sender,
-        [PART.cluster, PART.channels, PART.cutOffs, PART.paths, PART.availability],
+        [PART.cluster, PART.channels, PART.cutOffs, PART.paths, PART.availability, PART.endProofs],
         (kernel) => this.createSender(kernel),
       ),
       part(PART.crashDetector, [PART.channels], (kernel) => this.createCrashDetector(kernel)),
-      part(PART.relays, [PART.cluster, PART.channels, PART.registry, PART.crashDetector], (kernel) =>
-        this.createRelays(kernel),
+      part(
+        PART.relays,
+        [PART.cluster, PART.channels, PART.registry, PART.crashDetector, PART.endProofs],
+        (kernel) => this.createRelays(kernel),
       ),
       part(PART.attempts, [], () => new AttemptLedger(timers)),
       part(
@@ -557,6 +562,23 @@
     return proofs;
   }
 
+  private createEndProofs(kernel: ServiceFinder): EndProofs {
+    const { timers, log } = this.options;
+    const channels = kernel.get<ChannelPool>(PART.channels);
+    const presence = new PresenceCheck({
+      identities: kernel.get(PART.control),
+      probe: (replica, timeoutMs) => this.probe(replica, timeoutMs),
+      isRunning: (replica) => this.isRunning(replica),
+      log,
+    });
+    return new EndProofs({
+      presenceOf: (replica) => presence.presenceOf(replica),
+      isConnectedSince: (replica, at) => channels.isConnectedSince(replica, at),
+      timers,
+      log,
+    });
+  }
+
   /** Whether the listed incarnation of a replica still runs, as its own report shows. */
   private async isRunning(replica: ReplicaEntry): Promise<boolean | undefined> {
     const { name, bornAt, models } = replica;
@@ -698,6 +720,7 @@
       availability: kernel.get(PART.availability),
       readDeclaration: (status, headers, requestId) => dialect.readDeclaration(status, headers, requestId),
       isRunning: (replica) => this.isRunning(replica),
+      ends: kernel.get(PART.endProofs),
       timers,
       random: Math.random,
     });
@@ -711,6 +734,7 @@
       registry: kernel.get(PART.registry),
       detector: kernel.get(PART.crashDetector),
       isRunning: (replica) => this.isRunning(replica),
+      ends: kernel.get(PART.endProofs),
       isLeaving: () => this.state.isLeaving,
       timers,
       log,
--- a/packages/routing/src/core/daemon/types.ts
+++ b/packages/routing/src/core/daemon/types.ts
@@ -1,7 +1,7 @@
 /** Settings and dependencies of a router daemon. */
 import type { DecisionLog, TimerService } from '@celeryyoke/core';
 
-import type { EngineControl } from '../adapters/index.js';
+import type { EngineControl, IdentityCheck } from '../adapters/index.js';
 import type { BudgetBounds } from '../budget/index.js';
 import type { ChannelPool } from '../channels/index.js';
 import type { RequestDialect, RunStateCopier } from '../requests/index.js';
@@ -51,7 +51,7 @@
   readonly dialect: RequestDialect;
   readonly source: RecordSource;
   /** Creates the client that sends orders to engines over the daemon's connection pool. */
-  readonly control: (pool: ChannelPool) => EngineControl & RunStateCopier;
+  readonly control: (pool: ChannelPool) => EngineControl & RunStateCopier & IdentityCheck;
   /** Whether a path on the readiness port is the readiness probe. */
   readonly isReadinessPath: (path: string) => boolean;
 }
--- /dev/null
+++ b/packages/routing/src/core/relays/end-proofs.ts
@@ -0,0 +1,113 @@
+/**
+ * Proves that a response which ends with its connection is complete: the system closes the connections of a process that dies in
+ * good order too (RFC 9112, section 8).
+ *
+ * The process that has sent it is alive after the end if it answers then, or if a connection that is no younger than that of the
+ * response is still open: a connection ends with its process.
+ */
+import type { DecisionLog, TimerService } from '@celeryyoke/core';
+
+import type { ReplicaEntry } from '../view/index.js';
+import { Presence } from './replica-presence.js';
+
+/** Time for which ends at the same replica are collected before it is asked, in milliseconds. */
+const COLLECT_MS = 5;
+/** Time in which this daemon sees all connections to a process close that has died, in milliseconds. */
+const CLOSE_SPREAD_MS = 50;
+/** Time after which a replica that has not answered is asked again, in milliseconds. */
+const RETRY_PAUSE_MS = 50;
+/** Time after which an end that is not proved counts as one that was cut, in milliseconds: callers leave after twice that. */
+const PROOF_TIMEOUT_MS = 1000;
+
+/** Answers after which only the other connections tell whether the process has died. */
+const IN_DOUBT: ReadonlySet<Presence> = new Set([Presence.Gone, Presence.Unknown]);
+
+/** What a proof uses. */
+export interface EndProofsOptions {
+  /** Finds out what answers at the address of a replica now. */
+  readonly presenceOf: (replica: ReplicaEntry) => Promise<Presence>;
+  /**
+   * Whether a connection to a replica that was established by a monotonic time is still open, as far as it is being read.
+   * @param at - Monotonic time, in milliseconds.
+   */
+  readonly isConnectedSince: (replica: string, at: number) => boolean;
+  readonly timers: Pick<TimerService, 'now' | 'sleep'>;
+  readonly log: DecisionLog;
+}
+
+/** Proofs of all replicas; ends of one moment share an answer. */
+export class EndProofs {
+  /** Questions that have not been sent yet, by replica. */
+  private readonly collecting = new Map<string, Promise<Presence>>();
+
+  constructor(private readonly options: EndProofsOptions) {}
+
+  /**
+   * Finds out whether a response that has just ended with its connection is complete.
+   * @param connectedAt - Monotonic time at which its connection was established, in milliseconds; undefined if not known.
+   * @returns Whether that is proved; never rejects.
+   */
+  async prove(replica: ReplicaEntry, connectedAt: number | undefined): Promise<boolean> {
+    const { timers } = this.options;
+    const endedAt = timers.now();
+    const isOpenElsewhere = (): boolean => this.isOpenElsewhere(replica, connectedAt);
+    const presence = await this.awaitPresence(replica, endedAt, isOpenElsewhere);
+    const spreadLeftMs = endedAt + CLOSE_SPREAD_MS - timers.now();
+    if (IN_DOUBT.has(presence) && spreadLeftMs > 0) await timers.sleep(spreadLeftMs);
+    const isProved = presence === Presence.Listed || (IN_DOUBT.has(presence) && isOpenElsewhere());
+    this.record(replica, presence, isProved, timers.now() - endedAt);
+    return isProved;
+  }
+
+  /** Asks until there is an answer, the time is over, or the other connections tell enough. */
+  private async awaitPresence(
+    replica: ReplicaEntry,
+    endedAt: number,
+    isOpenElsewhere: () => boolean,
+  ): Promise<Presence> {
+    const { timers } = this.options;
+    const end = new AbortController();
+    const timeout = timers.sleep(PROOF_TIMEOUT_MS, end.signal).then(
+      () => Presence.Unknown,
+      () => Presence.Unknown,
+    );
+    let presence = Presence.Unknown;
+    while (presence === Presence.Unknown && timers.now() < endedAt + PROOF_TIMEOUT_MS) {
+      presence = await Promise.race([this.ask(replica), timeout]);
+      if (presence !== Presence.Unknown) break;
+      if (timers.now() >= endedAt + CLOSE_SPREAD_MS && isOpenElsewhere()) break;
+      await timers.sleep(RETRY_PAUSE_MS);
+    }
+    end.abort();
+    return presence;
+  }
+
+  private ask(replica: ReplicaEntry): Promise<Presence> {
+    const { id } = replica;
+    const pending = this.collecting.get(id);
+    if (pending !== undefined) return pending;
+    const { timers, presenceOf } = this.options;
+    const asked = timers.sleep(COLLECT_MS).then(() => {
+      this.collecting.delete(id);
+      return presenceOf(replica);
+    });
+    this.collecting.set(id, asked);
+    return asked;
+  }
+
+  private isOpenElsewhere({ id }: ReplicaEntry, connectedAt: number | undefined): boolean {
+    return connectedAt !== undefined && this.options.isConnectedSince(id, connectedAt);
+  }
+
+  private record({ id }: ReplicaEntry, presence: Presence, isProved: boolean, tookMs: number): void {
+    const { log } = this.options;
+    const write = isProved ? log.detail : log.decide;
+    const text = isProved ? 'is complete' : 'counts as cut';
+    write('response.end', `A response of ${id} that ended with its connection ${text}.`, {
+      replica: id,
+      presence,
+      isProved,
+      tookMs: Math.round(tookMs),
+    });
+  }
+}
--- a/packages/routing/src/core/relays/proved-exchange.ts
+++ b/packages/routing/src/core/relays/proved-exchange.ts
@@ -13,6 +13,8 @@
 } from '../channels/index.js';
 import { ChannelFailure } from '../channels/index.js';
 import type { ReplicaEntry } from '../view/index.js';
+import type { EndProofs } from './end-proofs.js';
+import { ProvedEnd } from './proved-end.js';
 
 const SUCCESS = 200;
 
@@ -21,6 +23,7 @@
   readonly pool: Pick<ChannelPool, 'send'>;
   /** Whether the listed incarnation of a replica still runs; undefined if there is no word of it. */
   readonly isRunning: (replica: ReplicaEntry) => Promise<boolean | undefined>;
+  readonly ends: Pick<EndProofs, 'prove'>;
 }
 
 /** What is sent to a replica. */
@@ -31,16 +34,19 @@
 }
 
 /**
- * Sends a request to a replica, whose response is held back until it is proved where that is asked for.
+ * Sends a request to a replica. Its response is held back until it is proved where that is asked for, and the end of one that ends
+ * with its connection until that is proved.
  * @param sink - Called at each step of the exchange.
  */
 export function sendDirect(
-  { pool, isRunning }: DirectSender,
+  { pool, isRunning, ends }: DirectSender,
   replica: ReplicaEntry,
   { call, softwareVersion }: DirectRequest,
   sink: ResponseSink,
 ): ExchangeHandle {
-  const send = (target: ResponseSink): ExchangeHandle => pool.send(replica, call, target);
+  const prove = (connectedAt: number | undefined): Promise<boolean> => ends.prove(replica, connectedAt);
+  const send = (target: ResponseSink): ExchangeHandle =>
+    new ProvedEnd((inner) => pool.send(replica, call, inner), call, prove, target);
   if (softwareVersion === undefined) return send(sink);
   return new ProvedExchange(send, () => isRunning(replica), sink);
 }
