requests: pass a stream without a length on in chunks

Callers took a stream for whole when the daemon that served it died: the stream was passed on with neither a length nor chunks, and the system closes the connections of a killed process in good order.

Framing belongs to each connection on its own. The last chunk is written once the end of the replica's response is proved, so that a connection that the system closes says nothing. Callers of HTTP/1.0 get the stream as before. What is broken off is still reset, as the tests of exits and relays demand.

--- a/packages/routing/src/core/requests/headers.ts
+++ b/packages/routing/src/core/requests/headers.ts
@@ -27,13 +27,13 @@
 const BODYLESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
 /**
- * Writes the head of the response to the caller, framed as the replica's response was.
+ * Writes the head of the response to the caller.
  *
- * A response without a length ends when its connection closes, so nobody can tell whether it is complete. It
- * is passed on in the same form: with a content length or chunked encoding added here, a truncated body would
- * look complete.
+ * Framing belongs to each connection on its own (RFC 9112, section 6). A stream without a length is passed on in chunks where the
+ * caller can read them, so that a connection that the system closes does not end it. A body that is buffered whole is passed on
+ * without a length if it came so, as nobody can tell then whether the replica has truncated it.
  * @param headers - The replica's headers.
- * @param bodyBytes - Size of a buffered body; not sent if the replica's response had a body of unknown length.
+ * @param bodyBytes - Size of a buffered body; undefined for a stream.
  */
 export function writeResponseHead(
   res: ServerResponse,
@@ -43,8 +43,10 @@
 ): void {
   if (!isFramed(headers) && !BODYLESS_STATUSES.has(status)) {
     markWithoutLength(res);
-    res.shouldKeepAlive = false;
-    res.removeHeader('transfer-encoding');
+    if (bodyBytes !== undefined) {
+      res.shouldKeepAlive = false;
+      res.removeHeader('transfer-encoding');
+    }
     res.writeHead(status, endToEndHeaders(headers));
     return;
   }
--- a/packages/routing/test/raw.ts
+++ b/packages/routing/test/raw.ts
@@ -39,6 +39,28 @@
   return line?.slice(line.indexOf(':') + 1).trim();
 }
 
+const CHUNK_SIZE = /^([0-9a-f]+)\r\n/;
+const LAST_CHUNK = '0\r\n\r\n';
+
+/**
+ * Decodes a response that comes in chunks.
+ * @param text - All that was received on its connection.
+ * @returns Its body; undefined unless it ends with the last chunk, and nothing follows.
+ */
+export function wholeBody(text: string): string | undefined {
+  let body = '';
+  let rest = text.slice(text.indexOf(HEAD_END) + HEAD_END.length);
+  while (rest !== LAST_CHUNK) {
+    const [line, digits = ''] = CHUNK_SIZE.exec(rest) ?? [];
+    if (line === undefined) return undefined;
+    const to = line.length + Number.parseInt(digits, 16);
+    if (to === line.length || rest.slice(to, to + 2) !== '\r\n') return undefined;
+    body += rest.slice(line.length, to);
+    rest = rest.slice(to + 2);
+  }
+  return body;
+}
+
 /**
  * Splits the first request off the bytes received on a connection.
  * @returns The request and the bytes that follow it; undefined while it is incomplete.
