relays: decide on the end of a response within its second

The end of a response whose replica was silent was held back for a second and a pause more: the loop that asks slept once more after its time was over. Found by a test of the bound, which failed ("the replica is silent") and passes now; the other rows and the sharing of questions are covered as well.

--- a/packages/routing/src/core/relays/end-proofs.ts
+++ b/packages/routing/src/core/relays/end-proofs.ts
@@ -71,12 +71,14 @@
       () => Presence.Unknown,
       () => Presence.Unknown,
     );
-    let presence = Presence.Unknown;
-    while (presence === Presence.Unknown && timers.now() < endedAt + PROOF_TIMEOUT_MS) {
-      presence = await Promise.race([this.ask(replica), timeout]);
-      if (presence !== Presence.Unknown) break;
-      if (timers.now() >= endedAt + CLOSE_SPREAD_MS && isOpenElsewhere()) break;
+    const isOver = (): boolean => {
+      const passedMs = timers.now() - endedAt;
+      return passedMs >= PROOF_TIMEOUT_MS || (passedMs >= CLOSE_SPREAD_MS && isOpenElsewhere());
+    };
+    let presence = await Promise.race([this.ask(replica), timeout]);
+    while (presence === Presence.Unknown && !isOver()) {
       await timers.sleep(RETRY_PAUSE_MS);
+      presence = await Promise.race([this.ask(replica), timeout]);
     }
     end.abort();
     return presence;
