soak: play plain answers and relays without a length

Replicas that are processes of their own give plain answers with neither a length nor chunks, 1.8 s long.

--- a/packages/soak/test/ordered-caller.ts
+++ b/packages/soak/test/ordered-caller.ts
@@ -48,7 +48,8 @@
   readonly callers: string;
   readonly id: string;
   readonly path: string;
-  readonly adapter: number;
+  /** Undefined for a request that is no generation. */
+  readonly adapter: number | undefined;
   readonly leftMs: number;
   readonly leavesAfter: number;
   readonly lastEventId?: string;
@@ -57,6 +58,10 @@
   readonly readsSlowly: boolean;
 }
 
+function generationHeaders(adapter: number): Readonly<Record<string, string>> {
+  return { 'celeryyoke-model': `${MODEL_NAME}/a${adapter}`, 'celeryyoke-token-count': '200,60' };
+}
+
 /** Sends the request of a stream, and reads what it brings. */
 export function callStream(options: OrderedCall): Promise<OrderedAnswer> {
   const { callers, id, path, adapter, leftMs, leavesAfter, lastEventId, resumes, overlaps, readsSlowly } =
@@ -86,8 +91,7 @@
           host: CALLER_HOST,
           'celeryyoke-request-id': id,
           'celeryyoke-deadline-remaining': String(leftMs),
-          'celeryyoke-model': `${MODEL_NAME}/a${adapter}`,
-          'celeryyoke-token-count': '200,60',
+          ...(adapter === undefined ? {} : generationHeaders(adapter)),
           ...(lastEventId === undefined ? {} : { 'last-event-id': lastEventId }),
           ...(resumes === undefined ? {} : { resumes }),
         },
--- a/packages/soak/test/ordered-fleet.ts
+++ b/packages/soak/test/ordered-fleet.ts
@@ -16,6 +16,7 @@
   discardHistory,
   ENGINE_SERVICE,
   HEARTBEAT_MS,
+  PLAIN_SERVICE,
   putConfiguration,
 } from '../src/core/site/index.js';
 import { ApartEngine } from './apart-engines.js';
@@ -76,6 +77,8 @@
   readonly versions?: readonly string[];
   /** Whether engines are processes of their own; what their events look like then. */
   readonly apart?: { readonly isUnframed: boolean; readonly hasLongEvents: boolean };
+  /** Whether they are plain replicas, whose answers are buffered whole. */
+  readonly isPlain?: boolean;
   /** Brings the faults about; runs beside the callers. */
   readonly faults?: (fleet: OrderedFleet) => Promise<void>;
 }
@@ -199,7 +202,7 @@
     if (process === undefined) return;
     this.writeCount += 1;
     this.store.put(`servers/${process.id}`, {
-      service: ENGINE_SERVICE,
+      service: this.play.isPlain ? PLAIN_SERVICE : ENGINE_SERVICE,
       address: `${HOST}:${engine.port}`,
       zone: 'a',
       version: this.entryVersions.get(engine) ?? process.version,
@@ -207,7 +210,7 @@
       state: this.draining.has(engine) ? 'draining' : 'ready',
       sequence: this.writeCount,
       born: process.state.born,
-      models: [{ name: MODEL_NAME, version: 1, adapters: [] }],
+      ...(this.play.isPlain ? {} : { models: [{ name: MODEL_NAME, version: 1, adapters: [] }] }),
     });
   }
 
@@ -249,6 +252,15 @@
     }
   }
 
+  /**
+   * Returns the route of a request.
+   * @param isRepeatable - Whether another run may go on with it, or repeat it.
+   */
+  private routeOf(isRepeatable: boolean): string {
+    if (this.play.isPlain) return isRepeatable ? 'read' : 'notice';
+    return isRepeatable ? 'live' : 'batch';
+  }
+
   private async runStream(name: string, path: string, random: Random): Promise<void> {
     const { callers = {} } = this.play;
     const isResumable = !random.chance(BATCH_CHANCE);
@@ -270,10 +282,10 @@
       const pending = callStream({
         callers: addresses[place]!.callers,
         id,
-        path: `/${isResumable ? 'live' : 'batch'}/${path}`,
-        adapter: Number(path.split('-')[0]) % ADAPTERS,
+        path: `/${this.routeOf(isResumable)}/${path}`,
+        adapter: this.play.isPlain ? undefined : Number(path.split('-')[0]) % ADAPTERS,
         leftMs,
-        leavesAfter: isResumable ? leavesAfter : Infinity,
+        leavesAfter: isResumable && !this.play.isPlain ? leavesAfter : Infinity,
         ...(isTakeUp ? { lastEventId: (callers.writeId ?? String)(after) } : {}),
         resumes: callers.namesNone || !isTakeUp ? undefined : first,
         overlaps: callers.overlaps === true,
--- a/packages/soak/test/stream-order.test.ts
+++ b/packages/soak/test/stream-order.test.ts
@@ -190,9 +190,14 @@
 }
 
 /** A fleet with daemons that are cut off from all engines and send over peers. */
-function relayed(cut: PathCut, signals: readonly [NodeJS.Signals, NodeJS.Signals | undefined]): OrderPlay {
+function relayed(
+  cut: PathCut,
+  signals: readonly [NodeJS.Signals, NodeJS.Signals | undefined],
+  isUnframed = false,
+): OrderPlay {
   return {
     seconds: SECONDS,
+    style: { isUnframed },
     versions: MIXED,
     faults: async (fleet) => {
       const [first, second, ...others] = fleet.daemons.addresses;
@@ -333,6 +338,24 @@
   }),
 };
 
+const PLAIN: Readonly<Record<string, OrderPlay>> = {
+  ...Object.fromEntries(
+    Object.entries(ENGINE_ENDS).map(([way, end]) => [`replicas ${way}`, endApart(end, { isPlain: true })]),
+  ),
+  ...Object.fromEntries(
+    Object.entries(DAEMON_ENDS).map(([way, end]) => [
+      `daemons ${way}`,
+      { ...endDaemons(end), isPlain: true },
+    ]),
+  ),
+  'daemons are killed, callers read slowly': {
+    ...endDaemons(DAEMON_ENDS['are killed']!),
+    isPlain: true,
+    apart: { isUnframed: true, hasLongEvents: true },
+    callers: { readsSlowly: true },
+  },
+};
+
 const mixed = (callers: OrderPlay['callers']): OrderPlay => ({
   seconds: SECONDS,
   versions: MIXED,
@@ -370,10 +393,21 @@
   'relays are stopped and go on, paths hang': relayed(PathCut.Hang, ['SIGSTOP', 'SIGCONT']),
   'relays are stopped and go on, paths are reset': relayed(PathCut.Reset, ['SIGSTOP', 'SIGCONT']),
   'relays are killed, paths hang': relayed(PathCut.Hang, ['SIGKILL', undefined]),
+  'relays are killed, paths hang, streams without a length': relayed(
+    PathCut.Hang,
+    ['SIGKILL', undefined],
+    true,
+  ),
   'relays are killed, paths are reset': relayed(PathCut.Reset, ['SIGKILL', undefined]),
   ...Object.fromEntries(
     Object.entries(APART).map(([way, play]) => [`engines apart, streams without a length: ${way}`, play]),
   ),
+  ...Object.fromEntries(
+    Object.entries(PLAIN).map(([way, play]) => [
+      `replicas apart, plain answers without a length: ${way}`,
+      play,
+    ]),
+  ),
   ...Object.fromEntries(Object.entries(STYLES).map(([name, play]) => [`events ${name}`, play])),
   ...Object.fromEntries(
     Object.entries(CONTINUATIONS).map(([name, ids]) => [
