--- a/packages/routing/src/core/relays/end-proofs.ts
+++ b/packages/routing/src/core/relays/end-proofs.ts
@@ -22,6 +22,14 @@
 /** Answers after which only the other connections tell whether the process has died. */
 const IN_DOUBT: ReadonlySet<Presence> = new Set([Presence.Gone, Presence.Unknown]);
 
+/** A response that has just ended with its connection. */
+export interface EndedResponse {
+  /** Monotonic time at which its connection was established, in milliseconds; undefined if not known. */
+  readonly connectedAt: number | undefined;
+  /** Id of the caller's request; undefined if it was none. */
+  readonly requestId: string | undefined;
+}
+
 /** What a proof uses. */
 export interface EndProofsOptions {
   /** Finds out what answers at the address of a replica now. */
@@ -35,6 +43,13 @@
   readonly log: DecisionLog;
 }
 
+/** What was found, and how long that took. */
+interface Verdict {
+  readonly presence: Presence;
+  readonly isProved: boolean;
+  readonly tookMs: number;
+}
+
 /** Proofs of all replicas; ends of one moment share an answer. */
 export class EndProofs {
   /** Questions that have not been sent yet, by replica. */
@@ -44,10 +59,9 @@
 
   /**
    * Finds out whether a response that has just ended with its connection is complete.
-   * @param connectedAt - Monotonic time at which its connection was established, in milliseconds; undefined if not known.
    * @returns Whether that is proved; never rejects.
    */
-  async prove(replica: ReplicaEntry, connectedAt: number | undefined): Promise<boolean> {
+  async prove(replica: ReplicaEntry, { connectedAt, requestId }: EndedResponse): Promise<boolean> {
     const { timers } = this.options;
     const endedAt = timers.now();
     const isOpenElsewhere = (): boolean => this.isOpenElsewhere(replica, connectedAt);
@@ -55,7 +69,7 @@
     const spreadLeftMs = endedAt + CLOSE_SPREAD_MS - timers.now();
     if (IN_DOUBT.has(presence) && spreadLeftMs > 0) await timers.sleep(spreadLeftMs);
     const isProved = presence === Presence.Listed || (IN_DOUBT.has(presence) && isOpenElsewhere());
-    this.record(replica, presence, isProved, timers.now() - endedAt);
+    this.record(replica, requestId, { presence, isProved, tookMs: Math.round(timers.now() - endedAt) });
     return isProved;
   }
 
@@ -101,15 +115,14 @@
     return connectedAt !== undefined && this.options.isConnectedSince(id, connectedAt);
   }
 
-  private record({ id }: ReplicaEntry, presence: Presence, isProved: boolean, tookMs: number): void {
+  private record({ id }: ReplicaEntry, requestId: string | undefined, verdict: Verdict): void {
     const { log } = this.options;
-    const write = isProved ? log.detail : log.decide;
-    const text = isProved ? 'is complete' : 'counts as cut';
+    const write = verdict.isProved ? log.detail : log.decide;
+    const text = verdict.isProved ? 'is complete' : 'counts as cut';
     write('response.end', `A response of ${id} that ended with its connection ${text}.`, {
+      request: requestId,
       replica: id,
-      presence,
-      isProved,
-      tookMs: Math.round(tookMs),
+      ...verdict,
     });
   }
 }
--- a/packages/routing/src/core/relays/proved-exchange.ts
+++ b/packages/routing/src/core/relays/proved-exchange.ts
@@ -44,7 +44,8 @@
   { call, softwareVersion }: DirectRequest,
   sink: ResponseSink,
 ): ExchangeHandle {
-  const prove = (connectedAt: number | undefined): Promise<boolean> => ends.prove(replica, connectedAt);
+  const prove = (connectedAt: number | undefined): Promise<boolean> =>
+    ends.prove(replica, { connectedAt, requestId: call.requestId });
   const send = (target: ResponseSink): ExchangeHandle =>
     new ProvedEnd((inner) => pool.send(replica, call, inner), call, prove, target);
   if (softwareVersion === undefined) return send(sink);
--- a/packages/routing/test/end-proofs.test.ts
+++ b/packages/routing/test/end-proofs.test.ts
@@ -6,6 +6,7 @@
 
 const REPLICA = { id: 'i-1', name: 'i-1' } as ReplicaEntry;
 const CONNECTED_AT = 10;
+const ENDED = { connectedAt: CONNECTED_AT, requestId: 'r-1' };
 /** Longest time that the end of a response is held back, in milliseconds. */
 const BOUND_MS = 1000;
 
@@ -62,7 +63,7 @@
   test(`the end of a response is proved or not within its time: ${name}`, async (t) => {
     const { timers, proofs } = setUp(answers, isOpen);
     let result: boolean | undefined;
-    void proofs.prove(REPLICA, CONNECTED_AT).then((proved) => {
+    void proofs.prove(REPLICA, ENDED).then((proved) => {
       result = proved;
     });
     await timers.advance(BOUND_MS);
@@ -72,11 +73,11 @@
 // Guards against one question for each of the responses that a replica ends at the same time.
 test('responses that end together share one question', async (t) => {
   const { timers, proofs, asked } = setUp([Presence.Listed, Presence.Listed]);
-  const together = [1, 2, 3].map(() => proofs.prove(REPLICA, CONNECTED_AT));
+  const together = [1, 2, 3].map(() => proofs.prove(REPLICA, ENDED));
   await timers.advance(20);
   t.deepEqual(await Promise.all(together), [true, true, true]);
   t.is(asked(), 1);
-  const later = proofs.prove(REPLICA, CONNECTED_AT);
+  const later = proofs.prove(REPLICA, ENDED);
   await timers.advance(20);
   t.true(await later);
   t.is(asked(), 2);
