relays: prove ends at engines that take no requests for a while

A whole stream looked cut, or went on elsewhere, when its engine had asked for no requests meanwhile: its report was withheld, and the listener alone did not count. An engine that is not asked counts as the listed one if it accepts a connection, as a plain replica does.

--- a/packages/routing/src/core/relays/end-proofs.ts
+++ b/packages/routing/src/core/relays/end-proofs.ts
@@ -2,8 +2,8 @@
  * Proves that a response which ends with its connection is complete: the system closes the connections of a process that dies in
  * good order too (RFC 9112, section 8).
  *
- * The process that has sent it is alive after the end if it answers then, or if a connection that is no younger than that of the
- * response is still open: a connection ends with its process.
+ * The process that has sent it is alive after the end if it answers then, or if a connection is still open that was established no
+ * later than that of the response: a connection ends with its process.
  */
 import type { DecisionLog, TimerService } from '@celeryyoke/core';
 
--- a/packages/routing/src/core/relays/replica-presence.ts
+++ b/packages/routing/src/core/relays/replica-presence.ts
@@ -1,8 +1,9 @@
 /** Finds out which process answers at the address of a replica: the one that is listed, another one, or none. */
-import { ListenerState } from '@celeryyoke/core';
 import type { DecisionLog } from '@celeryyoke/core';
+import { ListenerState } from '@celeryyoke/core';
 
 import type { IdentityCheck } from '../adapters/index.js';
+import { ChannelFailure, ExchangeError } from '../channels/index.js';
 import type { ReplicaEntry } from '../view/index.js';
 
 /** Timeout of a connection attempt, in milliseconds; hosts respond within some milliseconds. */
@@ -36,6 +37,11 @@
   [ListenerState.Unknown]: Presence.Unknown,
 };
 
+/** Whether nothing was sent, as the replica takes no requests for a while. */
+function isWithheld(err: unknown): boolean {
+  return err instanceof ExchangeError && err.failure === ChannelFailure.Withheld;
+}
+
 /** Asks replicas. */
 export class PresenceCheck {
   constructor(private readonly options: PresenceCheckOptions) {}
@@ -52,8 +58,9 @@
     } catch (err) {
       log.debug(`Replica ${replica.id} did not say which one it is: ${String(err)}.`);
       const presence = await this.connect(replica);
-      // What accepts a connection and says nothing may be another process.
-      return presence === Presence.Listed ? Presence.Unknown : presence;
+      // What accepts a connection and says nothing may be another process; one that was asked nothing can't say more.
+      const mayBeOther = presence === Presence.Listed && !isWithheld(err);
+      return mayBeOther ? Presence.Unknown : presence;
     }
   }
 
--- a/packages/routing/test/end-proofs.test.ts
+++ b/packages/routing/test/end-proofs.test.ts
@@ -1,7 +1,14 @@
 /** Responses that end with their connections are complete only where the process that sent them has lived on. */
-import { createManualTimers, createSilentLog } from '@celeryyoke/core';
+import { createManualTimers, createSilentLog, ListenerState } from '@celeryyoke/core';
 import type { ReplicaEntry, ResponseSink } from '@celeryyoke/routing';
-import { EndProofs, Presence, ProvedEnd } from '@celeryyoke/routing';
+import {
+  ChannelFailure,
+  EndProofs,
+  ExchangeError,
+  Presence,
+  PresenceCheck,
+  ProvedEnd,
+} from '@celeryyoke/routing';
 import test from 'ava';
 
 const REPLICA = { id: 'i-1', name: 'i-1' } as ReplicaEntry;
@@ -70,6 +77,28 @@
     t.is(result, isProved);
   });
 
+const ENGINE = { ...REPLICA, models: [] } as unknown as ReplicaEntry;
+const { Listening, Refused, Unknown } = ListenerState;
+const SILENT_ENGINES: readonly (readonly [ChannelFailure, ListenerState, Presence])[] = [
+  [ChannelFailure.Withheld, Listening, Presence.Listed],
+  [ChannelFailure.Withheld, Refused, Presence.Gone],
+  [ChannelFailure.Broken, Listening, Presence.Unknown],
+  [ChannelFailure.NotSent, Refused, Presence.Gone],
+  [ChannelFailure.NotSent, Unknown, Presence.Unknown],
+];
+
+for (const [failure, state, presence] of SILENT_ENGINES)
+  // Guards against whole streams that look cut as their engine has asked for no requests for a while.
+  test(`an engine that gave no report is looked for at its address: ${failure}, ${state}`, async (t) => {
+    const check = new PresenceCheck({
+      identities: { isListed: () => Promise.reject(new ExchangeError(failure, 'by a test')) },
+      probe: () => Promise.resolve(state),
+      isRunning: () => Promise.resolve(true),
+      log: createSilentLog(),
+    });
+    t.is(await check.presenceOf(ENGINE), presence);
+  });
+
 // Guards against one question for each of the responses that a replica ends at the same time.
 test('responses that end together share one question', async (t) => {
   const { timers, proofs, asked } = setUp([Presence.Listed, Presence.Listed]);
