relays: share what both proved exchanges pass on

ProvedEnd repeated the steps that ProvedExchange passes on unchanged, and the statuses without a body that requests/headers.ts knows. Both extend ForwardedExchange now, and channels/framing.ts alone says which responses end with their connections.

--- a/packages/routing/src/core/channels/index.ts
+++ b/packages/routing/src/core/channels/index.ts
@@ -1,6 +1,6 @@
 /** Connections to replicas, and whether a failed request may have run. */
 export { Channel } from './channel.js';
-export { isFramed } from './framing.js';
+export { endsWithConnection, isFramed } from './framing.js';
 export { HeadGuard } from './head-guard.js';
 export { failLater } from './fail-later.js';
 export { ExclusiveChannel } from './exclusive-channel.js';
--- a/packages/routing/src/core/relays/proved-end.ts
+++ b/packages/routing/src/core/relays/proved-end.ts
@@ -1,15 +1,12 @@
 /** An exchange whose response counts as complete only once that is proved where it ends with its connection. */
 import type { ExchangeHandle, HeaderMap, ResponseSink, UpstreamCall } from '../channels/index.js';
-import { ChannelFailure, isFramed } from '../channels/index.js';
+import { ChannelFailure, endsWithConnection } from '../channels/index.js';
+import { ForwardedExchange } from './forwarded-exchange.js';
 
-/** Statuses whose responses have no body. */
-const BODYLESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 const HEAD_METHOD = 'HEAD';
 
 /** Holds back the end of such a response, and nothing else; starts on construction. */
-export class ProvedEnd implements ExchangeHandle, ResponseSink {
-  private readonly exchange: ExchangeHandle;
-
+export class ProvedEnd extends ForwardedExchange {
   /** Whether the response ends with its connection. */
   private endsWithConnection = false;
 
@@ -24,53 +21,25 @@
     send: (sink: ResponseSink) => ExchangeHandle,
     private readonly call: Pick<UpstreamCall, 'method'>,
     private readonly prove: (connectedAt: number | undefined) => Promise<boolean>,
-    private readonly sink: ResponseSink,
+    sink: ResponseSink,
   ) {
-    this.exchange = send(this);
-  }
-
-  mayHaveArrived(): boolean {
-    return this.exchange.mayHaveArrived();
-  }
-
-  connectedAt(): number | undefined {
-    return this.exchange.connectedAt?.();
+    super(sink);
+    this.start(send);
   }
 
-  cancel(reason: string): void {
+  override cancel(reason: string): void {
     if (this.isProving) this.fail(ChannelFailure.Cancelled, new Error(reason));
-    else this.exchange.cancel(reason);
-  }
-
-  pause(): void {
-    this.exchange.pause();
-  }
-
-  resume(): void {
-    this.exchange.resume();
-  }
-
-  onSent(): void {
-    this.sink.onSent();
-  }
-
-  onHead(status: number, headers: HeaderMap): void {
-    const hasBody = this.call.method !== HEAD_METHOD && !BODYLESS_STATUSES.has(status);
-    this.endsWithConnection = hasBody && !isFramed(headers);
-    this.sink.onHead(status, headers);
+    else super.cancel(reason);
   }
 
-  onData(chunk: Buffer): void {
-    this.sink.onData(chunk);
+  override onHead(status: number, headers: HeaderMap): void {
+    this.endsWithConnection = this.call.method !== HEAD_METHOD && endsWithConnection(status, headers);
+    super.onHead(status, headers);
   }
 
-  onEnd(): void {
+  override onEnd(): void {
     if (this.endsWithConnection) void this.awaitProof();
-    else this.sink.onEnd();
-  }
-
-  onFail(failure: ChannelFailure, err: Error): void {
-    this.sink.onFail(failure, err);
+    else super.onEnd();
   }
 
   private async awaitProof(): Promise<void> {
@@ -83,7 +52,7 @@
       return;
     }
     this.isProving = false;
-    this.sink.onEnd();
+    super.onEnd();
   }
 
   private fail(failure: ChannelFailure, err: Error): void {
--- a/packages/routing/src/core/relays/proved-exchange.ts
+++ b/packages/routing/src/core/relays/proved-exchange.ts
@@ -14,6 +14,7 @@
 import { ChannelFailure } from '../channels/index.js';
 import type { ReplicaEntry } from '../view/index.js';
 import type { EndProofs } from './end-proofs.js';
+import { ForwardedExchange } from './forwarded-exchange.js';
 import { ProvedEnd } from './proved-end.js';
 
 const SUCCESS = 200;
@@ -53,9 +54,7 @@
 }
 
 /** Holds back a successful response until its sender is proved; starts on construction. */
-export class ProvedExchange implements ExchangeHandle, ResponseSink {
-  private readonly exchange: ExchangeHandle;
-
+export class ProvedExchange extends ForwardedExchange {
   /** Steps that wait for the proof; undefined when none wait. */
   private held: (() => void)[] | undefined;
 
@@ -74,41 +73,30 @@
   constructor(
     send: (sink: ResponseSink) => ExchangeHandle,
     private readonly prove: () => Promise<boolean | undefined>,
-    private readonly sink: ResponseSink,
+    sink: ResponseSink,
   ) {
-    this.exchange = send(this);
-  }
-
-  mayHaveArrived(): boolean {
-    return this.exchange.mayHaveArrived();
-  }
-
-  connectedAt(): number | undefined {
-    return this.exchange.connectedAt?.();
+    super(sink);
+    this.start(send);
   }
 
-  cancel(reason: string): void {
+  override cancel(reason: string): void {
     this.held = undefined;
-    this.exchange.cancel(reason);
+    super.cancel(reason);
   }
 
-  pause(): void {
+  override pause(): void {
     this.isPaused = true;
-    this.exchange.pause();
+    super.pause();
   }
 
-  resume(): void {
+  override resume(): void {
     this.isPaused = false;
-    if (this.held === undefined) this.exchange.resume();
-  }
-
-  onSent(): void {
-    this.sink.onSent();
+    if (this.held === undefined) super.resume();
   }
 
-  onHead(status: number, headers: HeaderMap): void {
+  override onHead(status: number, headers: HeaderMap): void {
     if (status !== SUCCESS) {
-      this.sink.onHead(status, headers);
+      super.onHead(status, headers);
       return;
     }
     this.held = [() => this.sink.onHead(status, headers)];
@@ -116,15 +104,15 @@
     void this.awaitProof();
   }
 
-  onData(chunk: Buffer): void {
+  override onData(chunk: Buffer): void {
     this.step(() => this.sink.onData(chunk));
   }
 
-  onEnd(): void {
+  override onEnd(): void {
     this.step(() => this.sink.onEnd());
   }
 
-  onFail(failure: ChannelFailure, err: Error): void {
+  override onFail(failure: ChannelFailure, err: Error): void {
     this.hasFailed = true;
     this.step(() => this.sink.onFail(failure, err));
   }
--- a/packages/routing/src/core/requests/headers.ts
+++ b/packages/routing/src/core/requests/headers.ts
@@ -4,7 +4,7 @@
 import { isHopByHop } from '@celeryyoke/core';
 
 import type { HeaderMap } from '../channels/index.js';
-import { isFramed } from '../channels/index.js';
+import { endsWithConnection } from '../channels/index.js';
 import { markWithoutLength } from './response-end.js';
 
 /**
@@ -23,9 +23,6 @@
   return forwarded;
 }
 
-/** Statuses whose responses have no body, and so need no length. */
-const BODYLESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
-
 /**
  * Writes the head of the response to the caller.
  *
@@ -41,7 +38,7 @@
   headers: HeaderMap,
   bodyBytes?: number,
 ): void {
-  if (!isFramed(headers) && !BODYLESS_STATUSES.has(status)) {
+  if (endsWithConnection(status, headers)) {
     markWithoutLength(res);
     if (bodyBytes !== undefined) {
       res.shouldKeepAlive = false;
