requests: name responses by how they are broken off

Streams that are passed on in chunks were recorded as having neither a length nor chunks. What the record says is that such a response is broken off by a reset. Renamed; no behaviour changes.

--- a/packages/routing/src/core/requests/headers.ts
+++ b/packages/routing/src/core/requests/headers.ts
@@ -5,7 +5,7 @@
 
 import type { HeaderMap } from '../channels/index.js';
 import { endsWithConnection } from '../channels/index.js';
-import { markWithoutLength } from './response-end.js';
+import { markForReset } from './response-end.js';
 
 /**
  * Returns all headers but the hop-by-hop ones.
@@ -39,7 +39,7 @@
   bodyBytes?: number,
 ): void {
   if (endsWithConnection(status, headers)) {
-    markWithoutLength(res);
+    markForReset(res);
     if (bodyBytes !== undefined) {
       res.shouldKeepAlive = false;
       res.removeHeader('transfer-encoding');
--- a/packages/routing/src/core/requests/response-end.ts
+++ b/packages/routing/src/core/requests/response-end.ts
@@ -15,21 +15,21 @@
  */
 const RESET_DELAY_MS = 50;
 
-const withoutLength = new WeakSet<ServerResponse>();
+const brokenByReset = new WeakSet<ServerResponse>();
 
-/** Records that a response has neither a length nor chunks. */
-export function markWithoutLength(res: ServerResponse): void {
-  withoutLength.add(res);
+/** Records that a response is broken off by a reset, as its replica's had neither a length nor chunks. */
+export function markForReset(res: ServerResponse): void {
+  brokenByReset.add(res);
 }
 
 /** Ends a response that is not whole so that it does not look complete; nothing may be written to it any more. */
 export function breakOff(res: ServerResponse, timers: Pick<TimerService, 'after'>): void {
-  if (withoutLength.has(res)) timers.after(RESET_DELAY_MS, () => breakOffNow(res));
+  if (brokenByReset.has(res)) timers.after(RESET_DELAY_MS, () => breakOffNow(res));
   else breakOffNow(res);
 }
 
 function breakOffNow(res: ServerResponse): void {
-  if (withoutLength.has(res)) res.socket?.resetAndDestroy();
+  if (brokenByReset.has(res)) res.socket?.resetAndDestroy();
   else res.destroy();
 }
 
