--- a/packages/soak/test/ordered-engine.ts
+++ b/packages/soak/test/ordered-engine.ts
@@ -157,10 +157,12 @@
 
   private take(req: RawRequest, process: EngineProcess): void {
     const [, path] = req.head.split(' ');
-    const expected = headerValue(req.head, 'celeryyoke-expect-instance');
-    if (path === '/v1/report' && expected === undefined) respondWithReport(req, process.state);
-    else if (expected !== process.id) respondMisdirected(req);
-    else if (path === '/v1/report') respondWithReport(req, process.state);
+    const isReport = path === '/v1/report';
+    // A report may be asked of any engine.
+    const anyId = isReport ? process.id : undefined;
+    const expected = headerValue(req.head, 'celeryyoke-expect-instance') ?? anyId;
+    if (expected !== process.id) respondMisdirected(req);
+    else if (isReport) respondWithReport(req, process.state);
     else if (path === '/v1/order') respondToOrder(req, process.state);
     else if (path === '/v1/kv-move') this.copy(req);
     else void this.stream(req, process);
--- a/packages/soak/test/stream-order.test.ts
+++ b/packages/soak/test/stream-order.test.ts
@@ -245,23 +245,44 @@
   };
 }
 
+type DaemonEnd = (daemon: DaemonAddress, fleet: OrderedFleet) => Promise<void>;
+const DAEMON_ENDS: Readonly<Record<string, DaemonEnd>> = {
+  'are killed': (daemon, { daemons }) => daemons.signal(daemon, 'SIGKILL'),
+  'are stopped and killed': async (daemon, { daemons }) => {
+    void daemons.signal(daemon, 'SIGSTOP');
+    await sleep(700);
+    await daemons.signal(daemon, 'SIGKILL');
+  },
+  'are killed while they shut down': async (daemon, { daemons }) => {
+    void daemons.signal(daemon, 'SIGTERM');
+    await sleep(600);
+    await daemons.signal(daemon, 'SIGKILL');
+  },
+  'shut down': (daemon, { daemons }) => daemons.signal(daemon, 'SIGTERM'),
+};
+
+/** Ends daemons one after the other, each of which starts again. */
+function daemonsEnd(end: DaemonEnd, everyMs: number): NonNullable<OrderPlay['faults']> {
+  return async (fleet) => {
+    for (let time = 0; time < 6; time += 1) {
+      await sleep(everyMs);
+      const daemon = fleet.random.pick(fleet.daemons.addresses);
+      await end(daemon, fleet);
+      fleet.daemons.start(daemon, false);
+    }
+  };
+}
+
 /** A fleet whose daemons are killed one after the other. */
 function kills(isUnframed: boolean): OrderPlay {
   return {
     seconds: SECONDS,
     style: { isUnframed },
-    faults: async (fleet) => {
-      for (let time = 0; time < 6; time += 1) {
-        await sleep(1300);
-        const daemon = fleet.random.pick(fleet.daemons.addresses);
-        await fleet.daemons.signal(daemon, 'SIGKILL');
-        fleet.daemons.start(daemon, false);
-      }
-    },
+    faults: daemonsEnd(DAEMON_ENDS['are killed']!, 1300),
   };
 }
 
-type EngineEnd = (engine: ApartEngine, fleet: OrderedFleet) => Promise<void> | void;
+type EngineEnd = (engine: ApartEngine) => Promise<void> | void;
 const ENGINE_ENDS: Readonly<Record<string, EngineEnd>> = {
   'are killed': (engine) => engine.signal('SIGKILL'),
   'exit by themselves': (engine) => engine.exit(),
@@ -272,16 +293,18 @@
   },
 };
 
-/** A fleet whose engines are processes that end one after the other, and whose streams have neither a length nor chunks. */
-function endApart(end: EngineEnd, changes: Partial<OrderPlay> = {}): OrderPlay {
+/** Engines that are processes, and whose streams have neither a length nor chunks. */
+const APART_PLAY: OrderPlay = { seconds: SECONDS, apart: { isUnframed: true, eventBytes: 0 } };
+
+/** A fleet whose engines are processes that end one after the other. */
+function endEngines(end: EngineEnd, changes: Partial<OrderPlay> = {}): OrderPlay {
   return {
-    seconds: SECONDS,
-    apart: { isUnframed: true, eventBytes: 0 },
+    ...APART_PLAY,
     faults: async (fleet) => {
       for (let time = 0; time < 6; time += 1) {
         await sleep(1300);
         const engine = fleet.random.pick(fleet.apart);
-        await end(engine, fleet);
+        await end(engine);
         await fleet.replaceApart(engine, fleet.random.between(0, 400));
       }
     },
@@ -289,45 +312,21 @@
   };
 }
 
-type DaemonEnd = (daemon: DaemonAddress, fleet: OrderedFleet) => Promise<void>;
-const DAEMON_ENDS: Readonly<Record<string, DaemonEnd>> = {
-  'are killed': (daemon, { daemons }) => daemons.signal(daemon, 'SIGKILL'),
-  'are stopped and killed': async (daemon, { daemons }) => {
-    void daemons.signal(daemon, 'SIGSTOP');
-    await sleep(700);
-    await daemons.signal(daemon, 'SIGKILL');
-  },
-  'are killed while they shut down': async (daemon, { daemons }) => {
-    void daemons.signal(daemon, 'SIGTERM');
-    await sleep(600);
-    await daemons.signal(daemon, 'SIGKILL');
-  },
-  'shut down': (daemon, { daemons }) => daemons.signal(daemon, 'SIGTERM'),
-};
-
 /** A fleet whose daemons end one after the other, beside engines that are processes. */
-function endDaemons(end: DaemonEnd): OrderPlay {
-  return endApart(() => undefined, {
-    faults: async (fleet) => {
-      for (let time = 0; time < 6; time += 1) {
-        await sleep(1000);
-        const daemon = fleet.random.pick(fleet.daemons.addresses);
-        await end(daemon, fleet);
-        fleet.daemons.start(daemon, false);
-      }
-    },
-  });
+function endDaemons(end: DaemonEnd, changes: Partial<OrderPlay> = {}): OrderPlay {
+  return { ...APART_PLAY, faults: daemonsEnd(end, 1000), ...changes };
 }
 
 const APART: Readonly<Record<string, OrderPlay>> = {
-  'nothing ends': endApart(() => undefined, { faults: () => sleep(0) }),
-  ...Object.fromEntries(Object.entries(ENGINE_ENDS).map(([way, end]) => [`engines ${way}`, endApart(end)])),
-  'engines are killed, callers read slowly': endApart(ENGINE_ENDS['are killed']!, {
+  'nothing ends': APART_PLAY,
+  ...Object.fromEntries(Object.entries(ENGINE_ENDS).map(([way, end]) => [`engines ${way}`, endEngines(end)])),
+  'engines are killed, callers read slowly': endEngines(ENGINE_ENDS['are killed']!, {
     apart: { isUnframed: true, eventBytes: 100_000 },
     callers: { readsSlowly: true },
   }),
   ...Object.fromEntries(Object.entries(DAEMON_ENDS).map(([way, end]) => [`daemons ${way}`, endDaemons(end)])),
-  'all daemons are killed': endApart(() => undefined, {
+  'all daemons are killed': {
+    ...APART_PLAY,
     faults: async ({ daemons }) => {
       for (let time = 0; time < 2; time += 1) {
         await sleep(2500);
@@ -335,25 +334,21 @@
         for (const daemon of daemons.addresses) daemons.start(daemon, false);
       }
     },
-  }),
+  },
 };
 
 const PLAIN: Readonly<Record<string, OrderPlay>> = {
   ...Object.fromEntries(
-    Object.entries(ENGINE_ENDS).map(([way, end]) => [`replicas ${way}`, endApart(end, { isPlain: true })]),
+    Object.entries(ENGINE_ENDS).map(([way, end]) => [`replicas ${way}`, endEngines(end, { isPlain: true })]),
   ),
   ...Object.fromEntries(
-    Object.entries(DAEMON_ENDS).map(([way, end]) => [
-      `daemons ${way}`,
-      { ...endDaemons(end), isPlain: true },
-    ]),
+    Object.entries(DAEMON_ENDS).map(([way, end]) => [`daemons ${way}`, endDaemons(end, { isPlain: true })]),
   ),
-  'daemons are killed, callers read slowly': {
-    ...endDaemons(DAEMON_ENDS['are killed']!),
+  'daemons are killed, callers read slowly': endDaemons(DAEMON_ENDS['are killed']!, {
     isPlain: true,
     apart: { isUnframed: true, eventBytes: 20_000 },
     callers: { readsSlowly: true },
-  },
+  }),
 };
 
 const mixed = (callers: OrderPlay['callers']): OrderPlay => ({
